--- /dev/null
+++ b/crates/teaselglade-bench/src/lib.rs
@@ -0,0 +1,1 @@
+//! Policy runs on virtual time.
--- /dev/null
+++ b/crates/teaselglade-claims/src/lib.rs
@@ -0,0 +1,1 @@
+//! Decisions that keep non-idempotent calls at most once.
--- /dev/null
+++ b/crates/teaselglade-control/src/lib.rs
@@ -0,0 +1,1 @@
+//! Control daemon.
--- /dev/null
+++ b/crates/teaselglade-core/src/time/timestamp.rs
@@ -0,0 +1,82 @@
+//! The point in time that every event carries.
+
+use std::ops::{Add, Sub};
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+const MICROS_PER_MILLI: u64 = 1_000;
+
+/// Point in time, in microseconds since the Unix epoch.
+///
+/// Adapters derive it from a monotonic clock that is anchored once at start. Tests and the bench
+/// choose it freely.
+///
+/// # Examples
+///
+/// ```
+/// use std::time::Duration;
+/// use teaselglade_core::time::Timestamp;
+///
+/// let start = Timestamp::from_millis(10);
+/// let later = start + Duration::from_millis(5);
+/// assert_eq!(later - start, Duration::from_millis(5));
+/// assert_eq!(start - later, Duration::ZERO);
+/// ```
+#[derive(
+    Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct Timestamp(u64);
+
+impl Timestamp {
+    /// The epoch itself.
+    pub const ZERO: Self = Self(0);
+
+    /// Makes a timestamp from microseconds since the epoch.
+    #[must_use]
+    pub const fn from_micros(micros: u64) -> Self {
+        Self(micros)
+    }
+
+    /// Makes a timestamp from milliseconds since the epoch.
+    #[must_use]
+    pub const fn from_millis(millis: u64) -> Self {
+        Self(millis.saturating_mul(MICROS_PER_MILLI))
+    }
+
+    /// Returns microseconds since the epoch.
+    #[must_use]
+    pub const fn as_micros(self) -> u64 {
+        self.0
+    }
+
+    /// Returns whole milliseconds since the epoch.
+    #[must_use]
+    pub const fn as_millis(self) -> u64 {
+        self.0 / MICROS_PER_MILLI
+    }
+
+    /// Returns the time since `earlier`, or zero where `earlier` is later.
+    #[must_use]
+    pub const fn since(self, earlier: Self) -> Duration {
+        Duration::from_micros(self.0.saturating_sub(earlier.0))
+    }
+}
+
+impl Add<Duration> for Timestamp {
+    type Output = Self;
+
+    fn add(self, rhs: Duration) -> Self {
+        let micros = u64::try_from(rhs.as_micros()).unwrap_or(u64::MAX);
+        Self(self.0.saturating_add(micros))
+    }
+}
+
+impl Sub for Timestamp {
+    type Output = Duration;
+
+    fn sub(self, rhs: Self) -> Duration {
+        self.since(rhs)
+    }
+}
--- /dev/null
+++ b/crates/teaselglade-core/src/verdict/request_refusal.rs
@@ -0,0 +1,66 @@
+//! The final answer to a request that is given up.
+
+use std::fmt;
+use std::time::Duration;
+
+use super::{ExecutionVerdict, RefusalReason};
+
+/// Final answer to a request that gets no result.
+///
+/// # Examples
+///
+/// ```
+/// use std::time::Duration;
+/// use teaselglade_core::verdict::{ExecutionVerdict, RefusalReason, RequestRefusal};
+///
+/// let refusal = RequestRefusal::not_run(RefusalReason::OverLimit, "draft-fleet: 20 requests/s")
+///     .retry_after(Duration::from_millis(250));
+/// assert_eq!(refusal.verdict, ExecutionVerdict::NotRun);
+/// ```
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RequestRefusal {
+    /// Whether the request may have run.
+    pub verdict: ExecutionVerdict,
+    /// Why there is no result.
+    pub reason: RefusalReason,
+    /// What exactly was wrong, for a person.
+    pub detail: String,
+    /// When to come back, counted from the answer; none where coming back cannot help.
+    pub retry_after: Option<Duration>,
+}
+
+impl RequestRefusal {
+    /// Makes the refusal of a request that did not run.
+    pub fn not_run(reason: RefusalReason, detail: impl Into<String>) -> Self {
+        Self::with_verdict(ExecutionVerdict::NotRun, reason, detail)
+    }
+
+    /// Makes the refusal of a request with the given verdict.
+    pub fn with_verdict(
+        verdict: ExecutionVerdict,
+        reason: RefusalReason,
+        detail: impl Into<String>,
+    ) -> Self {
+        Self {
+            verdict,
+            reason,
+            detail: detail.into(),
+            retry_after: None,
+        }
+    }
+
+    /// Sets when the caller should come back.
+    #[must_use]
+    pub const fn retry_after(mut self, span: Duration) -> Self {
+        self.retry_after = Some(span);
+        self
+    }
+}
+
+impl fmt::Display for RequestRefusal {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}: {}", self.reason, self.detail)
+    }
+}
+
+impl std::error::Error for RequestRefusal {}
--- /dev/null
+++ b/crates/teaselglade-entry/src/lib.rs
@@ -0,0 +1,1 @@
+//! Entry daemon.
--- /dev/null
+++ b/crates/teaselglade-net/src/logging/mod.rs
@@ -0,0 +1,5 @@
+//! Logs as text or JSON lines on standard error.
+
+mod log_format;
+
+pub use log_format::{LogFormat, start_logging};
--- /dev/null
+++ b/crates/teaselglade-placement/src/lib.rs
@@ -0,0 +1,1 @@
+//! Decisions on placement, limits and admission.
--- /dev/null
+++ b/crates/teaselglade-request/src/lib.rs
@@ -0,0 +1,1 @@
+//! Decisions about the life of one request.
--- /dev/null
+++ b/crates/teaselglade-standins/src/lib.rs
@@ -0,0 +1,1 @@
+//! Small stand-ins for outside systems, for tests and the demo.
--- /dev/null
+++ b/crates/teaselglade-state/src/lib.rs
@@ -0,0 +1,1 @@
+//! Decisions on shared state: table versions, membership, leases.
--- /dev/null
+++ b/crates/teaselglade-wire/src/codec/codec_error.rs
@@ -0,0 +1,25 @@
+//! Failure to encode or decode a message.
+
+use std::fmt;
+
+/// Failure to encode or decode a message.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct CodecError {
+    detail: String,
+}
+
+impl CodecError {
+    pub(super) fn new(error: &impl fmt::Display) -> Self {
+        Self {
+            detail: error.to_string(),
+        }
+    }
+}
+
+impl fmt::Display for CodecError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "malformed message: {}", self.detail)
+    }
+}
+
+impl std::error::Error for CodecError {}
--- /dev/null
+++ b/crates/teaselglade-wire/src/codec/mod.rs
@@ -0,0 +1,12 @@
+//! Encodes and decodes border types.
+
+mod codec_error;
+mod json;
+mod msgpack;
+
+pub use codec_error::CodecError;
+pub use json::{from_json, to_json};
+pub use msgpack::{from_msgpack, to_msgpack};
+
+/// Result of encoding or decoding.
+pub type Result<T> = std::result::Result<T, CodecError>;
--- /dev/null
+++ b/crates/teaselglade-wire/src/lib.rs
@@ -0,0 +1,22 @@
+//! Message types at the borders of the processes.
+//!
+//! The types are generated from `schema/wire.json` by `tools/wire-generator` and committed. They
+//! carry no behaviour; adapters turn them into the types of the decision crates.
+
+#[rustfmt::skip]
+#[expect(
+    clippy::all,
+    missing_docs,
+    reason = "generated code follows its generator's style"
+)]
+mod generated;
+
+pub mod codec;
+
+pub use generated::{
+    CacheChange, CacheEvent, CacheEvents, CloudEntries, CloudEntry, CloudNotice, CloudNotices,
+    CloudOrder, CloudState, EndEvent, EngineCancel, EngineExport, EngineFrame, EngineGenerate,
+    EngineHandle, EngineImport, EngineLoad, EngineOrder, EngineState, ErrorBody, GenerateAnswer,
+    GenerateBody, HostEntries, HostEntry, HostRole, HostStatus, LogAppended, LogEntries, LogEntry,
+    PurchaseKind, TokenEvent, Verdict, WeightReserve,
+};
