feat(request): add the retry budget

Cause: retries during a fleet-wide fault multiply the load. Ruled out: a floor of retries per second and host. At 390 hosts it alone breaks the factor. Change: each first attempt earns 0.1 of a retry, at most 3 are saved; jittered and deadline-aware. Conclusion: 1.2 holds where a host sees 30 first attempts of the service during the fault.

--- /dev/null
+++ b/crates/teaselglade-request/src/retry/retry_budget.rs
@@ -0,0 +1,96 @@
+//! Budget that bounds the load added by retries.
+
+use std::time::Duration;
+
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg32;
+use teaselglade_core::time::Timestamp;
+
+use super::{BudgetLimits, RetryDecision};
+
+const LARGEST_BACKOFF_SHIFT: u32 = 16;
+
+/// Budget of retries of one service at one entry host.
+///
+/// Only idempotent work may ask. A retry is denied where the budget is spent or where its delay
+/// would reach the deadline.
+///
+/// # Examples
+///
+/// ```
+/// use teaselglade_core::time::Timestamp;
+/// use teaselglade_request::retry::{BudgetLimits, RetryBudget, RetryDecision};
+///
+/// let limits = BudgetLimits { reserve: 1.0, ..BudgetLimits::default() };
+/// let mut budget = RetryBudget::new(limits, 7);
+/// budget.record_first();
+/// let now = Timestamp::from_millis(0);
+/// let deadline = Timestamp::from_millis(5_000);
+/// assert!(matches!(budget.ask(now, deadline, 1), RetryDecision::Granted { .. }));
+/// assert!(matches!(budget.ask(now, deadline, 1), RetryDecision::Denied { .. }));
+/// ```
+#[derive(Debug, Clone)]
+pub struct RetryBudget {
+    limits: BudgetLimits,
+    random: Pcg32,
+    balance: f64,
+    granted: u64,
+    denied: u64,
+}
+
+impl RetryBudget {
+    /// Makes a budget with a full reserve.
+    #[must_use]
+    pub fn new(limits: BudgetLimits, seed: u64) -> Self {
+        Self {
+            limits,
+            random: Pcg32::seed_from_u64(seed),
+            balance: limits.reserve,
+            granted: 0,
+            denied: 0,
+        }
+    }
+
+    /// Records the first attempt of a request.
+    pub fn record_first(&mut self) {
+        self.balance = (self.balance + self.limits.ratio).min(self.limits.reserve);
+    }
+
+    /// Decides on the retry with the given number within its request, from 1.
+    pub fn ask(&mut self, now: Timestamp, deadline: Timestamp, retry: u32) -> RetryDecision {
+        let delay = self.delay(retry);
+        if self.balance < 1.0 || now + delay >= deadline {
+            return self.deny();
+        }
+        self.balance -= 1.0;
+        self.granted += 1;
+        RetryDecision::Granted { delay }
+    }
+
+    /// Returns how many retries were granted.
+    #[must_use]
+    pub const fn granted(&self) -> u64 {
+        self.granted
+    }
+
+    /// Returns how many retries were denied.
+    #[must_use]
+    pub const fn denied(&self) -> u64 {
+        self.denied
+    }
+
+    fn deny(&mut self) -> RetryDecision {
+        self.denied += 1;
+        let jitter = self.random.random_range(1.0..2.0);
+        RetryDecision::Denied {
+            retry_after: self.limits.come_back.mul_f64(jitter),
+        }
+    }
+
+    fn delay(&mut self, retry: u32) -> Duration {
+        let shift = retry.saturating_sub(1).min(LARGEST_BACKOFF_SHIFT);
+        let longest = self.limits.first_delay.saturating_mul(1 << shift);
+        let longest = longest.min(self.limits.longest_delay);
+        longest.mul_f64(self.random.random_range(0.0..=1.0))
+    }
+}
--- /dev/null
+++ b/crates/teaselglade-request/tests/request/main.rs
@@ -0,0 +1,3 @@
+//! Tests of the decisions about one request.
+
+mod retry;
--- /dev/null
+++ b/crates/teaselglade-request/tests/request/retry.rs
@@ -0,0 +1,89 @@
+//! Tests of the retry budget.
+
+use std::time::Duration;
+
+use proptest::prelude::*;
+use teaselglade_core::time::Timestamp;
+use teaselglade_request::retry::{BudgetLimits, RetryBudget, RetryDecision};
+
+const FLEET_HOSTS: u64 = 390;
+const FLEET_REQUESTS_PER_SECOND: u64 = 520;
+const FAULT_SECONDS: u64 = 30;
+const MOST_LOAD_FACTOR: f64 = 1.2;
+
+fn is_granted(decision: RetryDecision) -> bool {
+    matches!(decision, RetryDecision::Granted { .. })
+}
+
+fn fault_load_factor(limits: BudgetLimits) -> f64 {
+    let budgets = (0..FLEET_HOSTS).map(|seed| RetryBudget::new(limits, seed));
+    let mut budgets = budgets.collect::<Vec<_>>();
+    let firsts = FLEET_REQUESTS_PER_SECOND * FAULT_SECONDS;
+    let mut attempts = firsts;
+    for request in 0..firsts {
+        let now = Timestamp::from_millis(request * 1_000 / FLEET_REQUESTS_PER_SECOND);
+        let budget = &mut budgets[(request % FLEET_HOSTS) as usize];
+        budget.record_first();
+        let deadline = now + Duration::from_mins(1);
+        let retries = (1..=3).take_while(|retry| is_granted(budget.ask(now, deadline, *retry)));
+        attempts += retries.count() as u64;
+    }
+    attempts as f64 / firsts as f64
+}
+
+#[test]
+fn fleet_wide_fault_stays_below_the_load_factor() {
+    let factor = fault_load_factor(BudgetLimits::default());
+    assert!(factor <= MOST_LOAD_FACTOR, "load factor {factor}");
+}
+
+#[test]
+fn fleet_wide_fault_breaks_the_load_factor_without_a_budget() {
+    let unlimited = BudgetLimits {
+        ratio: 3.0,
+        reserve: 1e9,
+        ..BudgetLimits::default()
+    };
+    let factor = fault_load_factor(unlimited);
+    assert!(factor > MOST_LOAD_FACTOR, "load factor {factor}");
+}
+
+proptest! {
+    #[test]
+    fn retries_never_exceed_ratio_and_reserve(
+        steps in prop::collection::vec((any::<bool>(), 1_u32..40, 0_u64..100), 1..400),
+        seed in any::<u64>(),
+    ) {
+        let limits = BudgetLimits::default();
+        let mut budget = RetryBudget::new(limits, seed);
+        let mut firsts = 0_u32;
+        let mut retries = 0_u32;
+        for (is_first, retry, deadline_ms) in steps {
+            if is_first {
+                budget.record_first();
+                firsts += 1;
+                continue;
+            }
+            let deadline = Timestamp::from_millis(deadline_ms);
+            if let RetryDecision::Granted { delay } = budget.ask(Timestamp::ZERO, deadline, retry) {
+                prop_assert!(Timestamp::ZERO + delay < deadline);
+                prop_assert!(delay <= limits.longest_delay);
+                retries += 1;
+            }
+        }
+        let most = f64::from(firsts) * limits.ratio + limits.reserve;
+        prop_assert!(f64::from(retries) <= most + 1e-6);
+        prop_assert_eq!(budget.granted(), u64::from(retries));
+    }
+
+    #[test]
+    fn denial_says_when_to_come_back(seed in any::<u64>()) {
+        let limits = BudgetLimits { reserve: 0.0, ..BudgetLimits::default() };
+        let mut budget = RetryBudget::new(limits, seed);
+        let decision = budget.ask(Timestamp::ZERO, Timestamp::from_millis(9_000), 1);
+        let RetryDecision::Denied { retry_after } = decision else {
+            return Err(TestCaseError::fail("granted without a budget"));
+        };
+        prop_assert!(retry_after >= limits.come_back);
+    }
+}
