feat(request): add the stream machine

Cause: a stream must outlive the loss of its server, its connection and its caller. Change: one machine accepts frames of the present attempt only, plans the next attempt, moves KV caches, keeps the record for a returning caller and gives one truthful final answer.

--- a/crates/teaselglade-request/src/lib.rs
+++ b/crates/teaselglade-request/src/lib.rs
@@ -4,3 +4,4 @@
 //! in, actions come out. Adapters carry the actions out and turn their results into events.
 
 pub mod retry;
+pub mod stream;
--- /dev/null
+++ b/crates/teaselglade-request/src/stream/attempt_plan.rs
@@ -0,0 +1,44 @@
+//! Steps towards a stream's next attempt.
+
+use teaselglade_core::id::ServerKey;
+use teaselglade_core::time::Timestamp;
+
+use super::RestartCause;
+
+/// Steps towards a stream's next attempt.
+#[derive(Debug, Clone)]
+pub(super) struct AttemptPlan {
+    pub(super) ticket: u32,
+    pub(super) cause: RestartCause,
+    /// Server to call again over a new connection.
+    pub(super) same_server: Option<ServerKey>,
+    /// When the stream is given up for want of a server.
+    pub(super) give_up_at: Timestamp,
+    pub(super) step: PlanStep,
+}
+
+/// What a plan waits for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum PlanStep {
+    /// Decision of the retry budget.
+    AskingBudget,
+    /// End of the delay before a retry.
+    Delaying { until: Timestamp },
+    /// Choice of a server.
+    Placing,
+    /// Time of the next choice.
+    Pausing { until: Timestamp },
+    /// Arrival of the KV cache.
+    MovingKv { target: ServerKey, until: Timestamp },
+}
+
+impl AttemptPlan {
+    pub(super) const fn due_at(&self) -> Option<Timestamp> {
+        match self.step {
+            PlanStep::AskingBudget | PlanStep::Placing => None,
+            PlanStep::Delaying { until }
+            | PlanStep::Pausing { until }
+            | PlanStep::MovingKv { until, .. } => Some(until),
+        }
+    }
+}
--- /dev/null
+++ b/crates/teaselglade-request/src/stream/stream_counters.rs
@@ -0,0 +1,46 @@
+//! Counters of one stream.
+
+use super::RestartCause;
+
+/// Counters of one stream; an adapter adds them up when the stream ends.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct StreamCounters {
+    /// Frames dropped because they carry another request's id.
+    pub foreign_frames: u32,
+    /// Frames dropped because their attempt is not the present one.
+    pub late_frames: u32,
+    /// Frames dropped because their token was delivered before.
+    pub duplicate_frames: u32,
+    /// Frames dropped because a token before theirs is missing.
+    pub early_frames: u32,
+    /// Streams that ended with another number of tokens than they brought, or without an end.
+    pub cut_attempts: u32,
+    /// Attempts started, by cause.
+    pub attempts: [u32; RestartCause::ALL.len()],
+    /// Tokens computed again, by cause.
+    pub recomputed: [u32; RestartCause::ALL.len()],
+}
+
+impl StreamCounters {
+    /// Returns all tokens that were computed again.
+    #[must_use]
+    pub fn recomputed_tokens(&self) -> u32 {
+        self.recomputed.iter().sum()
+    }
+
+    /// Returns all frames that were dropped.
+    #[must_use]
+    pub const fn dropped_frames(&self) -> u32 {
+        self.foreign_frames + self.late_frames + self.duplicate_frames + self.early_frames
+    }
+
+    pub(super) const fn count_attempt(&mut self, cause: RestartCause) {
+        self.attempts[cause as usize] += 1;
+    }
+
+    pub(super) fn count_recomputed(&mut self, cause: RestartCause, tokens: u32) {
+        if cause != RestartCause::First {
+            self.recomputed[cause as usize] += tokens;
+        }
+    }
+}
--- /dev/null
+++ b/crates/teaselglade-request/src/stream/stream_machine/caller_events.rs
@@ -0,0 +1,122 @@
+//! The caller's connection and the handover to a peer.
+
+use teaselglade_core::time::Timestamp;
+use teaselglade_core::verdict::{ExecutionVerdict, RefusalReason, RequestRefusal};
+
+use super::{CallerState, StreamMachine, StreamPhase};
+use crate::stream::{CallerSession, StreamAction, StreamRecord};
+
+impl StreamMachine {
+    pub(super) fn on_caller_gone(&mut self, now: Timestamp, session: CallerSession) {
+        if self.caller == (CallerState::Present { session }) {
+            let until = now + self.limits.caller_grace;
+            self.caller = CallerState::Gone { until };
+        }
+    }
+
+    pub(super) fn on_caller_resumed(&mut self, session: CallerSession, from: u32) {
+        if self.phase == StreamPhase::Over {
+            let detail = "the answer is no longer kept";
+            self.reject_resume(session, RefusalReason::UnknownRequest, detail);
+            return;
+        }
+        if from as usize > self.delivered.len() {
+            let detail = "the token before `Last-Event-ID` was never sent";
+            self.reject_resume(session, RefusalReason::BadRequest, detail);
+            return;
+        }
+        self.caller = CallerState::Present { session };
+        let tokens = self.delivered.iter().zip(0_u32..).skip(from as usize);
+        let deliveries = tokens.map(|(text, index)| StreamAction::Deliver {
+            index,
+            text: text.clone(),
+        });
+        self.actions.extend(deliveries);
+        match self.phase.clone() {
+            StreamPhase::Whole { total, .. } => self.finish(total),
+            StreamPhase::Refused { refusal, .. } => {
+                self.actions.push(StreamAction::Refuse { refusal });
+            }
+            _ => {}
+        }
+    }
+
+    pub(super) fn on_host_stopping(&mut self, deadline: Option<Timestamp>) {
+        let Some(deadline) = deadline else {
+            return;
+        };
+        self.host_deadline = Some(deadline);
+        let span = deadline - Timestamp::ZERO;
+        let span = span.saturating_sub(self.limits.handover_span);
+        self.handover_at = Some(Timestamp::ZERO + span);
+    }
+
+    /// Freezes the record and offers it to a peer where the time for it has come.
+    ///
+    /// A whole answer is offered only while its caller is gone.
+    pub(super) fn check_handover(&mut self, now: Timestamp) -> bool {
+        if self.handover_at.is_none_or(|at| at > now) {
+            return false;
+        }
+        let total = match self.phase {
+            StreamPhase::Active => None,
+            StreamPhase::Whole { total, .. } => Some(total),
+            _ => return false,
+        };
+        if total.is_some() && matches!(self.caller, CallerState::Present { .. }) {
+            return false;
+        }
+        self.handover_at = None;
+        self.phase = StreamPhase::HandingOver { total };
+        let record = Box::new(self.record(total));
+        self.actions.push(StreamAction::HandOver { record });
+        true
+    }
+
+    pub(super) fn on_handover_done(&mut self) {
+        if !matches!(self.phase, StreamPhase::HandingOver { .. }) {
+            return;
+        }
+        self.cancel_attempt();
+        self.actions.push(StreamAction::CloseCaller);
+        self.end();
+    }
+
+    pub(super) fn on_handover_failed(&mut self, now: Timestamp) {
+        let StreamPhase::HandingOver { total } = self.phase else {
+            return;
+        };
+        let until = now + self.limits.caller_grace;
+        self.phase = match total {
+            Some(total) => StreamPhase::Whole { total, until },
+            None => StreamPhase::Active,
+        };
+        let next = now + self.limits.place_pause;
+        self.handover_at = self.host_deadline.filter(|at| next < *at).map(|_| next);
+        let held = std::mem::take(&mut self.held);
+        for event in held {
+            self.apply(now, event);
+        }
+    }
+
+    fn record(&self, total: Option<u32>) -> StreamRecord {
+        StreamRecord {
+            request: self.request.clone(),
+            delivered: self.delivered.clone(),
+            total,
+            generation: self.generation.saturating_add(1),
+            retries: self.retries,
+            server: None,
+        }
+    }
+
+    fn reject_resume(&mut self, session: CallerSession, reason: RefusalReason, detail: &str) {
+        let verdict = match self.phase {
+            StreamPhase::Whole { .. } => ExecutionVerdict::Ran,
+            _ => ExecutionVerdict::MayHaveRun,
+        };
+        let refusal = RequestRefusal::with_verdict(verdict, reason, detail);
+        self.actions
+            .push(StreamAction::RejectResume { session, refusal });
+    }
+}
--- /dev/null
+++ b/crates/teaselglade-request/src/stream/stream_machine/plan_events.rs
@@ -0,0 +1,226 @@
+//! Steps towards the next attempt.
+
+use teaselglade_core::id::ServerKey;
+use teaselglade_core::port::GenerateCall;
+use teaselglade_core::time::Timestamp;
+use teaselglade_core::verdict::{RefusalReason, RequestRefusal};
+
+use super::{StreamMachine, StreamPhase, is_retry};
+use crate::retry::RetryDecision;
+use crate::stream::active_attempt::ActiveAttempt;
+use crate::stream::attempt_plan::{AttemptPlan, PlanStep};
+use crate::stream::{PlacePurpose, RestartCause, StreamAction};
+
+impl StreamMachine {
+    pub(super) fn on_admitted(&mut self, now: Timestamp, prefer: Option<ServerKey>) {
+        if self.phase != StreamPhase::New {
+            return;
+        }
+        self.phase = StreamPhase::Active;
+        self.prefer = prefer;
+        let cause = match self.generation {
+            0 => RestartCause::First,
+            _ => RestartCause::Handover,
+        };
+        self.start_plan(now, cause, None);
+        self.place();
+    }
+
+    /// Plans the attempt that replaces one that is gone.
+    pub(super) fn replace_attempt(
+        &mut self,
+        now: Timestamp,
+        cause: RestartCause,
+        same_server: Option<ServerKey>,
+    ) {
+        if let Some(plan) = &mut self.plan {
+            // The plan goes on; there is no cache left to move.
+            plan.give_up_at = now + self.limits.place_patience;
+            if let PlanStep::MovingKv { target, .. } = plan.step {
+                self.start_attempt(now, target, None);
+            }
+            return;
+        }
+        if !is_retry(cause) {
+            self.start_plan(now, cause, None);
+            self.place();
+            return;
+        }
+        self.retries += 1;
+        if self.retries > self.limits.most_retries {
+            let detail = "the request used all its retries";
+            self.refuse(now, RefusalReason::AttemptFailed, detail, None);
+            return;
+        }
+        self.start_plan(now, cause, same_server);
+        self.ask_budget();
+    }
+
+    pub(super) fn on_retry_decided(
+        &mut self,
+        now: Timestamp,
+        ticket: u32,
+        decision: RetryDecision,
+    ) {
+        let Some(plan) = self.plan_at(ticket, PlanStep::AskingBudget) else {
+            return;
+        };
+        match decision {
+            RetryDecision::Granted { delay } => {
+                plan.step = PlanStep::Delaying { until: now + delay };
+                self.check_plan(now);
+            }
+            RetryDecision::Denied { retry_after } => {
+                let detail = "the service's retry budget is spent";
+                self.refuse(now, RefusalReason::AttemptFailed, detail, Some(retry_after));
+            }
+        }
+    }
+
+    pub(super) fn on_placed(&mut self, now: Timestamp, ticket: u32, server: ServerKey) {
+        if self.plan_at(ticket, PlanStep::Placing).is_none() {
+            return;
+        }
+        if self.is_leaving(server) {
+            self.pause_plan(now);
+            return;
+        }
+        if let Some(until) = self.move_deadline(now) {
+            self.move_kv(server, until);
+            return;
+        }
+        self.start_attempt(now, server, None);
+    }
+
+    pub(super) fn on_not_placed(&mut self, now: Timestamp, ticket: u32, refusal: &RequestRefusal) {
+        let Some(plan) = self.plan_at(ticket, PlanStep::Placing) else {
+            return;
+        };
+        let is_first = plan.cause == RestartCause::First;
+        let is_late = plan.give_up_at <= now;
+        if is_first || (is_late && self.attempt.is_none()) {
+            self.refuse(now, refusal.reason, &refusal.detail, refusal.retry_after);
+            return;
+        }
+        self.pause_plan(now);
+    }
+
+    /// Goes on with a plan whose time has come.
+    pub(super) fn check_plan(&mut self, now: Timestamp) {
+        let Some(plan) = &self.plan else {
+            return;
+        };
+        if plan.due_at().is_none_or(|at| at > now) {
+            return;
+        }
+        match plan.step {
+            PlanStep::AskingBudget | PlanStep::Placing => {}
+            PlanStep::Delaying { .. } => self.end_delay(now),
+            PlanStep::Pausing { .. } => self.place(),
+            PlanStep::MovingKv { target, .. } => self.start_attempt(now, target, None),
+        }
+    }
+
+    pub(super) fn start_plan(
+        &mut self,
+        now: Timestamp,
+        cause: RestartCause,
+        same_server: Option<ServerKey>,
+    ) {
+        let ticket = self.next_ticket();
+        self.plan = Some(AttemptPlan {
+            ticket,
+            cause,
+            same_server,
+            give_up_at: now + self.limits.place_patience,
+            step: PlanStep::Placing,
+        });
+    }
+
+    pub(super) fn place(&mut self) {
+        let ticket = self.next_ticket();
+        let Some(plan) = &mut self.plan else {
+            return;
+        };
+        plan.ticket = ticket;
+        plan.step = PlanStep::Placing;
+        let purpose = match plan.cause {
+            RestartCause::First => PlacePurpose::First,
+            _ => PlacePurpose::Continue,
+        };
+        let leaving = self.leaving.iter().map(|(server, _)| *server);
+        let exclude = self.failed.iter().copied().chain(leaving);
+        let exclude = exclude.collect::<Vec<_>>();
+        let prefer = self.prefer.filter(|server| !exclude.contains(server));
+        self.actions.push(StreamAction::Place {
+            ticket,
+            exclude,
+            prefer,
+            purpose,
+        });
+    }
+
+    /// Starts the planned attempt in place of the present one.
+    pub(super) fn start_attempt(
+        &mut self,
+        now: Timestamp,
+        server: ServerKey,
+        kv_handle: Option<String>,
+    ) {
+        let Some(plan) = self.plan.take() else {
+            return;
+        };
+        self.cancel_attempt();
+        let id = self.next_attempt();
+        let mut attempt = ActiveAttempt::new(id, server, plan.cause, now);
+        attempt.reconnected = plan.same_server == Some(server);
+        self.counters.count_attempt(plan.cause);
+        self.actions.push(StreamAction::Dispatch {
+            server,
+            call: GenerateCall {
+                attempt: id,
+                prompt: self.request.prompt.clone(),
+                max_tokens: self.request.max_tokens,
+                delivered: self.delivered.clone(),
+                adapter: self.request.adapter.clone(),
+                priority: self.request.priority,
+                kv_handle,
+            },
+            cause: plan.cause,
+            fresh_connection: is_retry(plan.cause),
+        });
+        self.attempt = Some(attempt);
+    }
+
+    fn plan_at(&mut self, ticket: u32, step: PlanStep) -> Option<&mut AttemptPlan> {
+        let is_active = self.phase == StreamPhase::Active;
+        let plan = self.plan.as_mut().filter(|_| is_active)?;
+        (plan.ticket == ticket && plan.step == step).then_some(plan)
+    }
+
+    fn ask_budget(&mut self) {
+        let retry = self.retries;
+        if let Some(plan) = &mut self.plan {
+            plan.step = PlanStep::AskingBudget;
+            let ticket = plan.ticket;
+            self.actions.push(StreamAction::AskRetry { ticket, retry });
+        }
+    }
+
+    fn end_delay(&mut self, now: Timestamp) {
+        let same_server = self.plan.as_ref().and_then(|plan| plan.same_server);
+        match same_server.filter(|server| !self.is_leaving(*server)) {
+            Some(server) => self.start_attempt(now, server, None),
+            None => self.place(),
+        }
+    }
+
+    /// Waits before the next placement; a server that failed before may be back by then.
+    fn pause_plan(&mut self, now: Timestamp) {
+        let until = now + self.limits.place_pause;
+        if let Some(plan) = &mut self.plan {
+            plan.step = PlanStep::Pausing { until };
+        }
+        self.failed.clear();
+    }
+}
