--- a/crates/teaselglade-request/src/stream/stream_event.rs
+++ b/crates/teaselglade-request/src/stream/stream_event.rs
@@ -91,6 +91,9 @@
     },
     /// A peer took the record.
     HandoverDone,
-    /// No peer took the record.
-    HandoverFailed,
+    /// No peer took the record, as far as is known.
+    HandoverFailed {
+        /// Generation above that of any copy that a peer may hold.
+        generation: u16,
+    },
 }
--- a/crates/teaselglade-request/src/stream/stream_machine/caller_events.rs
+++ b/crates/teaselglade-request/src/stream/stream_machine/caller_events.rs
@@ -3,7 +3,7 @@
 use teaselglade_core::time::Timestamp;
 use teaselglade_core::verdict::{ExecutionVerdict, RefusalReason, RequestRefusal};
 
-use super::{CallerState, StreamMachine, StreamPhase};
+use super::{CallerState, StreamMachine, StreamPhase, first_attempt};
 use crate::stream::{CallerSession, StreamAction, StreamRecord};
 
 impl StreamMachine {
@@ -82,10 +82,12 @@
         self.end();
     }
 
-    pub(super) fn on_handover_failed(&mut self, now: Timestamp) {
+    pub(super) fn on_handover_failed(&mut self, now: Timestamp, generation: u16) {
         let StreamPhase::HandingOver { total } = self.phase else {
             return;
         };
+        self.generation = generation;
+        self.last_attempt = self.last_attempt.max(first_attempt(generation));
         let until = now + self.limits.caller_grace;
         self.phase = match total {
             Some(total) => StreamPhase::Whole { total, until },
--- a/crates/teaselglade-request/src/stream/stream_machine/mod.rs
+++ b/crates/teaselglade-request/src/stream/stream_machine/mod.rs
@@ -142,7 +142,7 @@
             caller: CallerState::Gone { until },
             delivered: record.delivered,
             generation: record.generation,
-            last_attempt: u32::from(record.generation) * ATTEMPTS_PER_GENERATION,
+            last_attempt: first_attempt(record.generation),
             retries: record.retries,
             last_ticket: 0,
             attempt: None,
@@ -210,6 +210,12 @@
         )
     }
 
+    /// Returns the generation of the stream's record.
+    #[must_use]
+    pub const fn generation(&self) -> u16 {
+        self.generation
+    }
+
     /// Returns the server of the present attempt.
     #[must_use]
     pub fn server(&self) -> Option<ServerKey> {
@@ -245,7 +251,7 @@
             }
             StreamEvent::HostStopping { deadline } => self.on_host_stopping(deadline),
             StreamEvent::HandoverDone => self.on_handover_done(),
-            StreamEvent::HandoverFailed => self.on_handover_failed(now),
+            StreamEvent::HandoverFailed { generation } => self.on_handover_failed(now, generation),
         }
     }
 
@@ -276,10 +282,15 @@
             | StreamEvent::CallerResumed { .. }
             | StreamEvent::HostStopping { .. }
             | StreamEvent::HandoverDone
-            | StreamEvent::HandoverFailed
+            | StreamEvent::HandoverFailed { .. }
     )
 }
 
+/// Returns the number below the first attempt of a generation.
+const fn first_attempt(generation: u16) -> u32 {
+    generation as u32 * ATTEMPTS_PER_GENERATION
+}
+
 /// Returns whether a restart for this cause must be counted as a retry.
 const fn is_retry(cause: RestartCause) -> bool {
     cause.needs_budget()
