test(request): prove streams under failures on virtual time

Change: a tiny fleet drives the machines; its engines sample tokens that name the hash of the tokens before them, so that a caller sees any loss, repetition or mixture. Found: a copy of a stream at a second peer must not continue another copy's tokens; each copy now has a line that callers send back. A session must be opened in the order of the machine's events.

--- a/crates/teaselglade-request/src/handover/holder_search.rs
+++ b/crates/teaselglade-request/src/handover/holder_search.rs
@@ -19,6 +19,8 @@
     Holds {
         /// Generation of its record.
         generation: u16,
+        /// Line of its copy.
+        line: u16,
     },
     /// The peer does not hold the stream.
     NotHere,
@@ -49,7 +51,8 @@
 /// Search for the entry host that holds a stream.
 ///
 /// The host that made the request's id and the first hosts in rendezvous order are asked first,
-/// then others in bounded groups. Of several copies the highest generation holds.
+/// then others in bounded groups. Of several copies the one whose
+/// tokens the caller has is taken, otherwise the one with the highest generation.
 ///
 /// # Examples
 ///
@@ -58,24 +61,27 @@
 /// use teaselglade_request::handover::{HolderAnswer, HolderSearch, SearchAction};
 ///
 /// let peer = HostName::new("sligo-e1");
-/// let (mut search, asked) = HolderSearch::start(RequestId::from_bits(7), &[peer.clone()]);
+/// let (mut search, asked) = HolderSearch::start(RequestId::from_bits(7), 0, &[peer.clone()]);
 /// assert_eq!(asked, [SearchAction::Ask { peer: peer.clone() }]);
-/// let actions = search.on_answer(&peer, HolderAnswer::Holds { generation: 1 });
+/// let actions = search.on_answer(&peer, HolderAnswer::Holds { generation: 1, line: 1 });
 /// assert_eq!(actions, [SearchAction::Found { peer }]);
 /// ```
 #[derive(Debug, Clone)]
 pub struct HolderSearch {
     rest: Vec<HostName>,
     open: Vec<HostName>,
-    best: Option<(u16, HostName)>,
+    line: u16,
+    best: Option<((bool, u16), HostName)>,
     has_unknown: bool,
     is_done: bool,
 }
 
 impl HolderSearch {
     /// Starts a search among the known peers, leaving ones included.
+    ///
+    /// `line` is the line of the caller's last token.
     #[must_use]
-    pub fn start(request: RequestId, peers: &[HostName]) -> (Self, Vec<SearchAction>) {
+    pub fn start(request: RequestId, line: u16, peers: &[HostName]) -> (Self, Vec<SearchAction>) {
         let mut rest = rank_peers(request, peers, peers.len());
         let hint = request.to_bits() as u32;
         let owner = rest.iter().position(|peer| owner_hint(peer) == hint);
@@ -86,6 +92,7 @@
         let mut search = Self {
             rest,
             open: Vec::new(),
+            line,
             best: None,
             has_unknown: false,
             is_done: false,
@@ -102,7 +109,9 @@
         };
         self.open.swap_remove(index);
         match answer {
-            HolderAnswer::Holds { generation } => self.record_holder(generation, peer),
+            HolderAnswer::Holds { generation, line } => {
+                self.record_holder((line == self.line, generation), peer);
+            }
             HolderAnswer::NotHere => {}
             HolderAnswer::Unknown => self.has_unknown = true,
         }
@@ -116,13 +125,10 @@
         self.ask(LATER_RANKS)
     }
 
-    fn record_holder(&mut self, generation: u16, peer: &HostName) {
-        let is_better = self
-            .best
-            .as_ref()
-            .is_none_or(|(best, _)| generation > *best);
+    fn record_holder(&mut self, rank: (bool, u16), peer: &HostName) {
+        let is_better = self.best.as_ref().is_none_or(|(best, _)| rank > *best);
         if is_better {
-            self.best = Some((generation, peer.clone()));
+            self.best = Some((rank, peer.clone()));
         }
     }
 
--- a/crates/teaselglade-request/src/stream/stream_machine/caller_events.rs
+++ b/crates/teaselglade-request/src/stream/stream_machine/caller_events.rs
@@ -14,7 +14,7 @@
         }
     }
 
-    pub(super) fn on_caller_resumed(&mut self, session: CallerSession, from: u32) {
+    pub(super) fn on_caller_resumed(&mut self, session: CallerSession, from: u32, line: u16) {
         if self.phase == StreamPhase::Over {
             let detail = "the answer is no longer kept";
             self.reject_resume(session, RefusalReason::UnknownRequest, detail);
@@ -25,6 +25,12 @@
             self.reject_resume(session, RefusalReason::BadRequest, detail);
             return;
         }
+        // Another copy's tokens beyond the common ones must not be mixed with this one's.
+        if line != self.line && from as usize > self.shared_tokens {
+            let detail = "the copy of the answer that the caller has is lost";
+            self.reject_resume(session, RefusalReason::UnknownRequest, detail);
+            return;
+        }
         self.caller = CallerState::Present { session };
         let tokens = self.delivered.iter().zip(0_u32..).skip(from as usize);
         let deliveries = tokens.map(|(text, index)| StreamAction::Deliver {
--- a/crates/teaselglade-request/src/stream/stream_machine/mod.rs
+++ b/crates/teaselglade-request/src/stream/stream_machine/mod.rs
@@ -88,6 +88,10 @@
     caller: CallerState,
     delivered: Vec<String>,
     generation: u16,
+    /// Generation whose copy of the stream this one is.
+    line: u16,
+    /// Tokens that this copy shares with the one it was made from.
+    shared_tokens: usize,
     last_attempt: u32,
     retries: u32,
     last_ticket: u32,
@@ -140,8 +144,10 @@
             limits,
             phase,
             caller: CallerState::Gone { until },
+            shared_tokens: record.delivered.len(),
             delivered: record.delivered,
             generation: record.generation,
+            line: record.generation,
             last_attempt: first_attempt(record.generation),
             retries: record.retries,
             last_ticket: 0,
@@ -216,6 +222,12 @@
         self.generation
     }
 
+    /// Returns the line of the stream: two copies of one stream differ in it.
+    #[must_use]
+    pub const fn line(&self) -> u16 {
+        self.line
+    }
+
     /// Returns the server of the present attempt.
     #[must_use]
     pub fn server(&self) -> Option<ServerKey> {
@@ -246,8 +258,12 @@
             StreamEvent::KvFailed { ticket } => self.on_kv_failed(now, ticket),
             StreamEvent::TimerFired => {}
             StreamEvent::CallerGone { session } => self.on_caller_gone(now, session),
-            StreamEvent::CallerResumed { session, from } => {
-                self.on_caller_resumed(session, from);
+            StreamEvent::CallerResumed {
+                session,
+                from,
+                line,
+            } => {
+                self.on_caller_resumed(session, from, line);
             }
             StreamEvent::HostStopping { deadline } => self.on_host_stopping(deadline),
             StreamEvent::HandoverDone => self.on_handover_done(),
--- a/crates/teaselglade-request/tests/request/main.rs
+++ b/crates/teaselglade-request/tests/request/main.rs
@@ -1,3 +1,7 @@
 //! Tests of the decisions about one request.
 
+mod handover;
 mod retry;
+mod streams;
+#[path = "../support/mod.rs"]
+mod support;
--- /dev/null
+++ b/crates/teaselglade-request/tests/scenario/step.rs
@@ -0,0 +1,68 @@
+//! Meaning of the verbs.
+
+use teaselglade_request::retry::BudgetLimits;
+use teaselglade_scenario::{Result, ScenarioStep};
+
+use crate::support::{Fault, WorldSetup};
+
+/// Reads `fleet hosts=N engines=N callers=N tokens=N reserve=N`.
+pub fn setup_of(step: &ScenarioStep) -> Result<WorldSetup> {
+    let setup = WorldSetup::default();
+    let reserve = step.opt_value("reserve")?.unwrap_or(setup.budget.reserve);
+    Ok(WorldSetup {
+        hosts: step.opt_value("hosts")?.unwrap_or(setup.hosts),
+        engines: step.opt_value("engines")?.unwrap_or(setup.engines),
+        callers: step.opt_value("callers")?.unwrap_or(setup.callers),
+        answer_tokens: step.opt_value("tokens")?.unwrap_or(setup.answer_tokens),
+        budget: BudgetLimits {
+            reserve,
+            ..setup.budget
+        },
+        ..setup
+    })
+}
+
+/// Reads a failure: its verb, what it befalls, and its span or count.
+pub fn fault_of(step: &ScenarioStep) -> Result<Fault> {
+    let target = step.word(0)?;
+    let target = target
+        .parse::<usize>()
+        .map_err(|error| step.fault(error.to_string()))?;
+    let millis = || {
+        let span = step.opt_span("for")?;
+        let span = span.ok_or_else(|| step.fault("`for=` is missing"))?;
+        Ok(span.as_millis() as u64)
+    };
+    Ok(match step.verb.as_str() {
+        "reclaim" => Fault::Leave {
+            engine: target,
+            notice_ms: millis()?,
+        },
+        "kill" => Fault::Kill { engine: target },
+        "replace" => Fault::Back { engine: target },
+        "freeze" => Fault::Freeze { engine: target },
+        "thaw" => Fault::Thaw { engine: target },
+        "silence" => Fault::Silence { engine: target },
+        "cut" => Fault::Cut { engine: target },
+        "refuse-kv" => Fault::RefuseKv { engine: target },
+        "duplicate" => Fault::Duplicate { engine: target },
+        "lose" => Fault::Lose { engine: target },
+        "delay" => Fault::Delay { engine: target },
+        "misroute" => Fault::Misroute { engine: target },
+        "reclaim-host" => Fault::HostLeave {
+            host: target,
+            notice_ms: millis()?,
+        },
+        "crash-host" => Fault::HostCrash { host: target },
+        "pause-host" => Fault::HostPause {
+            host: target,
+            pause_ms: millis()?,
+        },
+        "lose-replies" => Fault::LoseReplies {
+            host: target,
+            count: step.value("count")?,
+        },
+        "drop-caller" => Fault::DropCaller { caller: target },
+        _ => return Err(step.fault("unknown verb")),
+    })
+}
--- /dev/null
+++ b/crates/teaselglade-request/tests/support/mod.rs
@@ -0,0 +1,12 @@
+//! Tiny fleet on virtual time that drives the machines of this crate.
+
+mod caller;
+mod engine;
+mod fault;
+mod world;
+mod world_faults;
+
+pub use caller::{Caller, Outcome};
+pub use engine::{Engine, EngineRun};
+pub use fault::Fault;
+pub use world::{World, WorldSetup};
--- /dev/null
+++ b/crates/teaselglade-request/tests/support/world.rs
@@ -0,0 +1,809 @@
+//! The fleet: events in order of time, and the adapters of the machines.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg32;
+use teaselglade_core::id::{AttemptId, HostName, RequestId, ServerKey};
+use teaselglade_core::port::{AttemptError, EngineEvent, GenerateCall};
+use teaselglade_core::time::Timestamp;
+use teaselglade_core::verdict::{RefusalReason, RequestRefusal, SendProgress};
+use teaselglade_request::handover::{
+    HandoverAction, HandoverEvent, HandoverLimits, HandoverMachine, HolderAnswer, HolderSearch,
+    PeerReply, SearchAction,
+};
+use teaselglade_request::retry::{BudgetLimits, RetryBudget};
+use teaselglade_request::stream::{
+    CallerSession, StreamAction, StreamEvent, StreamLimits, StreamMachine, StreamRecord,
+    StreamRequest,
+};
+
+use super::engine::{ROOT_HASH, extend_hash};
+use super::{Caller, Engine, EngineRun, Fault, Outcome};
+
+const HOP: Duration = Duration::from_millis(2);
+const TOKEN_GAP: Duration = Duration::from_millis(20);
+pub(super) const HOST_LIST_LAG: Duration = Duration::from_millis(5);
+const KV_MOVE: Duration = Duration::from_millis(120);
+const HEAD_TIMEOUT: Duration = Duration::from_secs(2);
+const COME_BACK: Duration = Duration::from_millis(40);
+const REQUEST_SPAN: Duration = Duration::from_mins(1);
+const PROMPT_TOKENS: u32 = 50;
+
+/// Size and limits of a world.
+#[derive(Debug, Clone, Copy)]
+pub struct WorldSetup {
+    pub hosts: usize,
+    pub engines: usize,
+    pub callers: usize,
+    pub answer_tokens: u32,
+    pub seed: u64,
+    pub limits: StreamLimits,
+    pub budget: BudgetLimits,
+}
+
+impl Default for WorldSetup {
+    fn default() -> Self {
+        Self {
+            hosts: 3,
+            engines: 4,
+            callers: 3,
+            answer_tokens: 60,
+            seed: 20_261_203,
+            limits: StreamLimits::default(),
+            budget: BudgetLimits {
+                reserve: 1_000.0,
+                ..BudgetLimits::default()
+            },
+        }
+    }
+}
+
+#[derive(Debug, Clone)]
+pub(super) enum WorldEvent {
+    Arrive {
+        caller: usize,
+    },
+    Machine {
+        host: usize,
+        caller: usize,
+        event: StreamEvent,
+    },
+    RunStep {
+        run: usize,
+    },
+    Record {
+        from: usize,
+        to: usize,
+        record: Box<StreamRecord>,
+    },
+    Reply {
+        host: usize,
+        event: HandoverEvent,
+    },
+    Token {
+        caller: usize,
+        connection: u32,
+        index: u32,
+        line: u16,
+        text: String,
+    },
+    Finish {
+        caller: usize,
+        connection: u32,
+        total: u32,
+        recomputed: u32,
+    },
+    Refuse {
+        caller: usize,
+        connection: u32,
+        refusal: RequestRefusal,
+    },
+    Reconnect {
+        caller: usize,
+        connection: u32,
+    },
+    Fault(Fault),
+    EngineGone {
+        engine: usize,
+        since: Timestamp,
+    },
+    HostGone {
+        host: usize,
+    },
+}
+
+#[derive(Debug)]
+pub(super) struct Slot {
+    pub(super) machine: StreamMachine,
+    pub(super) session: CallerSession,
+    pub(super) connection: Option<u32>,
+    /// Connections of sessions whose `CallerResumed` is under way.
+    pub(super) opening: BTreeMap<CallerSession, u32>,
+}
+
+#[derive(Debug)]
+pub(super) struct Host {
+    pub(super) is_up: bool,
+    pub(super) is_leaving: bool,
+    pub(super) paused_until: Timestamp,
+    pub(super) lost_replies: u32,
+    pub(super) slots: BTreeMap<usize, Slot>,
+    pub(super) records: BTreeMap<usize, StreamRecord>,
+    handover: HandoverMachine,
+    budget: RetryBudget,
+}
+
+/// The fleet.
+#[derive(Debug)]
+pub struct World {
+    pub setup: WorldSetup,
+    pub now: Timestamp,
+    pub engines: Vec<Engine>,
+    pub callers: Vec<Caller>,
+    /// Times that an engine started to run each caller's request.
+    pub executions: Vec<u32>,
+    /// Attempts that were started.
+    pub dispatches: u32,
+    pub dropped_frames: u32,
+    pub moves: u32,
+    /// When the last caller got its final answer.
+    pub last_answer: Timestamp,
+    pub(super) hosts: Vec<Host>,
+    pub(super) runs: Vec<EngineRun>,
+    queue: BTreeMap<(Timestamp, u64), WorldEvent>,
+    last_event: u64,
+    random: Pcg32,
+}
+
+impl World {
+    /// Makes a world whose callers arrive 10 ms apart.
+    pub fn new(setup: &WorldSetup) -> Self {
+        let setup = *setup;
+        let host = |seed| Host {
+            is_up: true,
+            is_leaving: false,
+            paused_until: Timestamp::ZERO,
+            lost_replies: 0,
+            slots: BTreeMap::new(),
+            records: BTreeMap::new(),
+            handover: HandoverMachine::new(HandoverLimits::default(), Vec::new()),
+            budget: RetryBudget::new(setup.budget, seed),
+        };
+        let mut world = Self {
+            setup,
+            now: Timestamp::ZERO,
+            engines: vec![Engine::default(); setup.engines],
+            callers: vec![Caller::default(); setup.callers],
+            executions: vec![0; setup.callers],
+            dispatches: 0,
+            dropped_frames: 0,
+            moves: 0,
+            last_answer: Timestamp::ZERO,
+            hosts: (0..setup.hosts as u64).map(host).collect(),
+            runs: Vec::new(),
+            queue: BTreeMap::new(),
+            last_event: 0,
+            random: Pcg32::seed_from_u64(setup.seed),
+        };
+        for caller in 0..setup.callers {
+            let delay = Duration::from_millis(10 * caller as u64);
+            world.schedule(delay, WorldEvent::Arrive { caller });
+        }
+        world
+    }
+
+    /// Returns whether any entry host is left.
+    pub fn has_entry_host(&self) -> bool {
+        self.hosts.iter().any(|host| host.is_up)
+    }
+
+    /// Brings a failure about at a time counted from the start.
+    pub fn plan_fault(&mut self, at: Duration, fault: Fault) {
+        self.schedule(at, WorldEvent::Fault(fault));
+    }
+
+    /// Runs until nothing happens any more.
+    pub fn run(&mut self) {
+        while let Some(((at, _), event)) = self.queue.pop_first() {
+            self.now = self.now.max(at);
+            self.step(event);
+        }
+    }
+
+    pub(super) fn schedule(&mut self, delay: Duration, event: WorldEvent) {
+        self.last_event += 1;
+        self.queue
+            .insert((self.now + delay, self.last_event), event);
+    }
+
+    fn step(&mut self, event: WorldEvent) {
+        match event {
+            WorldEvent::Arrive { caller } => self.arrive(caller),
+            WorldEvent::Machine {
+                host,
+                caller,
+                event,
+            } => self.drive(host, caller, event),
+            WorldEvent::RunStep { run } => self.step_run(run),
+            WorldEvent::Record { from, to, record } => self.take_record(from, to, *record),
+            WorldEvent::Reply { host, event } => self.drive_handover(host, event),
+            WorldEvent::Token {
+                caller,
+                connection,
+                index,
+                line,
+                text,
+            } => {
+                if self.callers[caller].connection == connection {
+                    self.callers[caller].take_token(index, line, &text);
+                }
+            }
+            WorldEvent::Finish {
+                caller,
+                connection,
+                total,
+                recomputed,
+            } => {
+                self.finish(caller, connection, total, recomputed);
+            }
+            WorldEvent::Refuse {
+                caller,
+                connection,
+                refusal,
+            } => {
+                if self.callers[caller].connection == connection {
+                    self.last_answer = self.now;
+                    let outcome = Outcome::Refused(refusal.reason, refusal.verdict);
+                    self.callers[caller].take_outcome(outcome);
+                }
+            }
+            WorldEvent::Reconnect { caller, connection } => self.reconnect(caller, connection),
+            WorldEvent::Fault(fault) => self.bring_about(fault),
+            WorldEvent::EngineGone { engine, since } => {
+                if self.engines[engine].leaving_since == Some(since) {
+                    self.kill_engine(engine);
+                }
+            }
+            WorldEvent::HostGone { host } => self.crash_host(host),
+        }
+    }
+
+    fn finish(&mut self, caller: usize, connection: u32, total: u32, recomputed: u32) {
+        let caller = &mut self.callers[caller];
+        if caller.connection != connection {
+            return;
+        }
+        if caller.tokens.len() != total as usize || total != self.setup.answer_tokens {
+            caller
+                .complaints
+                .push(format!("end after {} tokens", caller.tokens.len()));
+        }
+        self.last_answer = self.now;
+        caller.recomputed = recomputed;
+        caller.take_outcome(Outcome::Whole);
+    }
+
+    fn arrive(&mut self, caller: usize) {
+        let up = |host: &usize| self.hosts[*host].is_up && !self.hosts[*host].is_leaving;
+        let Some(host) = (0..self.hosts.len()).find(up) else {
+            let outcome = Outcome::Refused(
+                RefusalReason::NotReady,
+                teaselglade_core::verdict::ExecutionVerdict::NotRun,
+            );
+            self.callers[caller].take_outcome(outcome);
+            return;
+        };
+        let request = StreamRequest {
+            id: request_id(caller),
+            organisation: "corrib".to_owned(),
+            service: "draft-fleet".to_owned(),
+            prompt: "Assess the ring.".to_owned(),
+            max_tokens: self.setup.answer_tokens,
+            adapter: None,
+            priority: 0,
+            deadline: self.now + REQUEST_SPAN,
+        };
+        let slot = Slot {
+            machine: StreamMachine::new(request, self.setup.limits),
+            session: CallerSession::default(),
+            connection: Some(1),
+            opening: BTreeMap::new(),
+        };
+        self.hosts[host].slots.insert(caller, slot);
+        self.drive(host, caller, StreamEvent::Admitted { prefer: None });
+    }
+
+    pub(super) fn drive(&mut self, host: usize, caller: usize, event: StreamEvent) {
+        let now = self.now;
+        let node = &mut self.hosts[host];
+        if !node.is_up {
+            return;
+        }
+        if node.paused_until > now {
+            let delay = node.paused_until - now;
+            self.schedule(
+                delay,
+                WorldEvent::Machine {
+                    host,
+                    caller,
+                    event,
+                },
+            );
+            return;
+        }
+        let Some(slot) = node.slots.get_mut(&caller) else {
+            return;
+        };
+        if let StreamEvent::CallerResumed { session, .. } = &event {
+            slot.connection = slot.opening.remove(session);
+        }
+        let before = slot.machine.counters().dropped_frames();
+        let actions = slot.machine.on_event(now, event);
+        self.dropped_frames += slot.machine.counters().dropped_frames() - before;
+        for action in actions {
+            self.carry_out(host, caller, action);
+        }
+    }
+
+    fn carry_out(&mut self, host: usize, caller: usize, action: StreamAction) {
+        let slot = self.hosts[host].slots.get(&caller);
+        let line = slot.map_or(0, |slot| slot.machine.line());
+        let connection = slot.and_then(|slot| slot.connection);
+        match action {
+            StreamAction::Place {
+                ticket, exclude, ..
+            } => {
+                self.place(host, caller, ticket, &exclude);
+            }
+            StreamAction::AskRetry { ticket, retry } => {
+                let deadline = self.now + REQUEST_SPAN;
+                let decision = self.hosts[host].budget.ask(self.now, deadline, retry);
+                self.tell(host, caller, StreamEvent::RetryDecided { ticket, decision });
+            }
+            StreamAction::Dispatch { server, call, .. } => {
+                self.dispatch(host, caller, server, &call);
+            }
+            StreamAction::MoveKv {
+                ticket, from, to, ..
+            } => {
+                let can_move = |server: ServerKey| {
+                    let engine = &self.engines[server.index()];
+                    !engine.is_dead && !engine.is_frozen && !engine.refuses_kv
+                };
+                let event = if can_move(from) && can_move(to) {
+                    self.moves += 1;
+                    let handle = "kv".to_owned();
+                    StreamEvent::KvMoved { ticket, handle }
+                } else {
+                    StreamEvent::KvFailed { ticket }
+                };
+                self.schedule(
+                    KV_MOVE,
+                    WorldEvent::Machine {
+                        host,
+                        caller,
+                        event,
+                    },
+                );
+            }
+            // Frames that are under way when an attempt is cancelled still arrive.
+            StreamAction::Cancel { attempt, .. } => self.cancel(attempt),
+            StreamAction::Deliver { index, text } => {
+                if let Some(connection) = connection {
+                    let event = WorldEvent::Token {
+                        caller,
+                        connection,
+                        index,
+                        line,
+                        text,
+                    };
+                    self.schedule(HOP, event);
+                }
+            }
+            StreamAction::Finish { total, recomputed } => {
+                if let Some(connection) = connection {
+                    let event = WorldEvent::Finish {
+                        caller,
+                        connection,
+                        total,
+                        recomputed,
+                    };
+                    self.schedule(HOP, event);
+                }
+            }
+            StreamAction::Refuse { refusal } | StreamAction::RejectResume { refusal, .. } => {
+                if let Some(connection) = connection {
+                    self.schedule(
+                        HOP,
+                        WorldEvent::Refuse {
+                            caller,
+                            connection,
+                            refusal,
+                        },
+                    );
+                }
+            }
+            StreamAction::HandOver { record } => self.offer(host, caller, *record),
+            StreamAction::CloseCaller => self.cut_caller(caller, connection),
+            StreamAction::SetTimer { at } => {
+                let event = StreamEvent::TimerFired;
+                let delay = at - self.now;
+                self.schedule(
+                    delay,
+                    WorldEvent::Machine {
+                        host,
+                        caller,
+                        event,
+                    },
+                );
+            }
+            StreamAction::Expire => {
+                self.hosts[host].slots.remove(&caller);
+            }
+        }
+    }
+
+    pub(super) fn tell(&mut self, host: usize, caller: usize, event: StreamEvent) {
+        self.schedule(
+            HOP,
+            WorldEvent::Machine {
+                host,
+                caller,
+                event,
+            },
+        );
+    }
+
+    fn place(&mut self, host: usize, caller: usize, ticket: u32, exclude: &[ServerKey]) {
+        let is_known_to_leave = |server: &ServerKey| {
+            let since = self.engines[server.index()].leaving_since;
+            since.is_some_and(|since| self.now - since > HOST_LIST_LAG)
+        };
+        let servers = (0..self.engines.len() as u32).map(ServerKey::new);
+        let free = servers.filter(|server| !exclude.contains(server) && !is_known_to_leave(server));
+        let free = free.collect::<Vec<_>>();
+        let event = if free.is_empty() {
+            let refusal = RequestRefusal::not_run(RefusalReason::NoServer, "none");
+            StreamEvent::NotPlaced { ticket, refusal }
+        } else {
+            let server = free[self.random.random_range(0..free.len())];
+            StreamEvent::Placed { ticket, server }
+        };
+        self.tell(host, caller, event);
+    }
+
+    fn dispatch(&mut self, host: usize, caller: usize, server: ServerKey, call: &GenerateCall) {
+        self.dispatches += 1;
+        let now = self.now;
+        let attempt = call.attempt;
+        let engine = &mut self.engines[server.index()];
+        let fail = |progress| StreamEvent::AttemptFailed {
+            attempt,
+            error: AttemptError::new(progress, "stand-in"),
+        };
+        if engine.is_dead {
+            self.tell(host, caller, fail(SendProgress::NotSent));
+            return;
+        }
+        if engine.is_frozen {
+            let event = fail(SendProgress::MaybeSent);
+            self.schedule(
+                HEAD_TIMEOUT,
+                WorldEvent::Machine {
+                    host,
+                    caller,
+                    event,
+                },
+            );
+            return;
+        }
+        if let Some(since) = engine.leaving_since {
+            engine.late_work.push(now - since);
+            self.tell(host, caller, fail(SendProgress::RefusedBeforeRunning));
+            return;
+        }
+        self.executions[caller] += 1;
+        let hash = call
+            .delivered
+            .iter()
+            .fold(ROOT_HASH, |hash, text| extend_hash(hash, text));
+        let next = call.delivered.len() as u32;
+        let computed_tokens = if call.kv_handle.is_some() {
+            0
+        } else {
+            PROMPT_TOKENS + next
+        };
+        let cached_tokens = PROMPT_TOKENS + next - computed_tokens;
+        self.runs.push(EngineRun {
+            engine: server.index(),
+            host,
+            caller,
+            attempt,
+            next,
+            hash,
+            is_silent: false,
+            is_stalled: false,
+            is_over: false,
+        });
+        let run = self.runs.len() - 1;
+        self.send_frame(
+            run,
+            EngineEvent::Started {
+                attempt,
+                computed_tokens,
+                cached_tokens,
+            },
+        );
+        self.schedule(TOKEN_GAP, WorldEvent::RunStep { run });
+    }
+
+    fn step_run(&mut self, run: usize) {
+        let engine = self.runs[run].engine;
+        if self.runs[run].is_over || self.engines[engine].is_dead {
+            return;
+        }
+        if self.engines[engine].is_frozen {
+            self.runs[run].is_stalled = true;
+            return;
+        }
+        let attempt = self.runs[run].attempt;
+        if self.runs[run].next == self.setup.answer_tokens {
+            self.runs[run].is_over = true;
+            let total = self.setup.answer_tokens;
+            self.send_frame(run, EngineEvent::End { attempt, total });
+            return;
+        }
+        let index = self.runs[run].next;
+        let text = self.runs[run].sample();
+        self.send_frame(
+            run,
+            EngineEvent::Token {
+                attempt,
+                index,
+                text,
+            },
+        );
+        self.schedule(TOKEN_GAP, WorldEvent::RunStep { run });
+    }
+
+    fn send_frame(&mut self, run: usize, frame: EngineEvent) {
+        let EngineRun {
+            engine,
+            host,
+            caller,
+            is_silent,
+            ..
+        } = self.runs[run];
+        if is_silent {
+            return;
+        }
+        let event = StreamEvent::Frame(frame);
+        match self.engines[engine].mangle.pop() {
+            Some(Fault::Lose { .. }) => return,
+            Some(Fault::Delay { .. }) => {
+                self.schedule(
+                    TOKEN_GAP * 3,
+                    WorldEvent::Machine {
+                        host,
+                        caller,
+                        event,
+                    },
+                );
+                return;
+            }
+            Some(Fault::Duplicate { .. }) => self.tell(host, caller, event.clone()),
+            Some(Fault::Misroute { .. }) => {
+                let other = (caller + 1) % self.callers.len();
+                self.tell(host, other, event.clone());
+            }
+            _ => {}
+        }
+        self.tell(host, caller, event);
+    }
+
+    fn cancel(&mut self, attempt: AttemptId) {
+        let runs = self.runs.iter_mut();
+        let cancelled = runs.filter(|run| run.attempt == attempt && !run.is_silent);
+        cancelled.for_each(|run| run.is_over = true);
+    }
+
+    fn offer(&mut self, host: usize, caller: usize, record: StreamRecord) {
+        let request = record.request.id;
+        let generation = record.generation;
+        self.hosts[host].records.insert(caller, record);
+        let peers = (0..self.hosts.len()).filter(|peer| {
+            *peer != host && self.hosts[*peer].is_up && !self.hosts[*peer].is_leaving
+        });
+        let peers = peers.map(host_name).collect();
+        self.drive_handover(host, HandoverEvent::PeersChanged { peers });
+        self.drive_handover(
+            host,
+            HandoverEvent::Offered {
+                request,
+                generation,
+            },
+        );
+    }
+
+    fn drive_handover(&mut self, host: usize, event: HandoverEvent) {
+        if !self.hosts[host].is_up {
+            return;
+        }
+        let actions = self.hosts[host].handover.on_event(self.now, event);
+        for action in actions {
+            match action {
+                HandoverAction::Send {
+                    request,
+                    peer,
+                    generation,
+                } => {
+                    let mut record = self.hosts[host].records[&caller_of(request)].clone();
+                    record.generation = generation;
+                    let record = Box::new(record);
+                    let to = host_of(&peer);
+                    self.schedule(
+                        HOP,
+                        WorldEvent::Record {
+                            from: host,
+                            to,
+                            record,
+                        },
+                    );
+                }
+                HandoverAction::Done { request } => {
+                    self.tell(host, caller_of(request), StreamEvent::HandoverDone);
+                }
+                HandoverAction::Failed {
+                    request,
+                    generation,
+                } => {
+                    let event = StreamEvent::HandoverFailed { generation };
+                    self.tell(host, caller_of(request), event);
+                }
+            }
+        }
+    }
+
+    fn take_record(&mut self, from: usize, to: usize, record: StreamRecord) {
+        let request = record.request.id;
+        let caller = caller_of(request);
+        let peer = host_name(to);
+        let node = &mut self.hosts[to];
+        let mut reply = PeerReply::Accepted;
+        if !node.is_up {
+            reply = PeerReply::Unknown;
+        } else if node.is_leaving {
+            reply = PeerReply::Refused;
+        } else if node
+            .slots
+            .get(&caller)
+            .is_none_or(|slot| slot.machine.generation() < record.generation)
+        {
+            let slot = Slot {
+                machine: StreamMachine::resume(record, self.setup.limits, self.now),
+                session: CallerSession::default(),
+                connection: None,
+                opening: BTreeMap::new(),
+            };
+            node.slots.insert(caller, slot);
+            self.drive(to, caller, StreamEvent::Admitted { prefer: None });
+        }
+        if self.hosts[from].lost_replies > 0 {
+            self.hosts[from].lost_replies -= 1;
+            reply = PeerReply::Unknown;
+        }
+        let event = HandoverEvent::Replied {
+            request,
+            peer,
+            reply,
+        };
+        self.schedule(HOP, WorldEvent::Reply { host: from, event });
+    }
+
+    /// Ends a caller's connection; the caller comes back.
+    pub(super) fn cut_caller(&mut self, caller: usize, connection: Option<u32>) {
+        let is_present = connection == Some(self.callers[caller].connection);
+        if is_present && self.callers[caller].outcome.is_none() {
+            self.callers[caller].connection += 1;
+            let connection = self.callers[caller].connection;
+            self.schedule(COME_BACK, WorldEvent::Reconnect { caller, connection });
+        }
+    }
+
+    fn reconnect(&mut self, caller: usize, connection: u32) {
+        if self.callers[caller].connection != connection {
+            return;
+        }
+        let from = self.callers[caller].tokens.len() as u32;
+        let line = self.callers[caller].line;
+        let is_up = |host: &usize| self.hosts[*host].is_up;
+        let up = (0..self.hosts.len()).filter(is_up).collect::<Vec<_>>();
+        if up.is_empty() {
+            return;
+        }
+        let entry = up[self.random.random_range(0..up.len())];
+        let holder = if self.hosts[entry].slots.contains_key(&caller) {
+            Ok(entry)
+        } else {
+            self.search(entry, caller)
+        };
+        let host = match holder {
+            Ok(host) => host,
+            Err(refusal) => {
+                self.schedule(
+                    HOP,
+                    WorldEvent::Refuse {
+                        caller,
+                        connection,
+                        refusal,
+                    },
+                );
+                return;
+            }
+        };
+        let Some(slot) = self.hosts[host].slots.get_mut(&caller) else {
+            return;
+        };
+        slot.session = slot.session.next();
+        let session = slot.session;
+        slot.opening.insert(session, connection);
+        self.drive(
+            host,
+            caller,
+            StreamEvent::CallerResumed {
+                session,
+                from,
+                line,
+            },
+        );
+    }
+
+    fn search(&self, entry: usize, caller: usize) -> Result<usize, RequestRefusal> {
+        let peers = (0..self.hosts.len()).filter(|peer| *peer != entry);
+        let peers = peers.map(host_name).collect::<Vec<_>>();
+        let (mut search, mut actions) =
+            HolderSearch::start(request_id(caller), self.callers[caller].line, &peers);
+        while let Some(action) = actions.pop() {
+            match action {
+                SearchAction::Ask { peer } => {
+                    let answer = self.answer_search(host_of(&peer), caller);
+                    actions.extend(search.on_answer(&peer, answer));
+                }
+                SearchAction::Found { peer } => return Ok(host_of(&peer)),
+                SearchAction::NotFound { refusal } => return Err(refusal),
+            }
+        }
+        unreachable!("a search ends with an answer")
+    }
+
+    fn answer_search(&self, host: usize, caller: usize) -> HolderAnswer {
+        let node = &self.hosts[host];
+        match node.slots.get(&caller).filter(|_| node.is_up) {
+            Some(slot) => HolderAnswer::Holds {
+                generation: slot.machine.generation(),
+                line: slot.machine.line(),
+            },
+            None if node.is_up => HolderAnswer::NotHere,
+            None => HolderAnswer::Unknown,
+        }
+    }
+}
+
+fn request_id(caller: usize) -> RequestId {
+    RequestId::from_bits(caller as u128 + 1)
+}
+
+fn caller_of(request: RequestId) -> usize {
+    request.to_bits() as usize - 1
+}
+
+fn host_name(host: usize) -> HostName {
+    HostName::new(format!("entry-{host}"))
+}
+
+fn host_of(name: &HostName) -> usize {
+    let digits = name.as_str().trim_start_matches("entry-");
+    digits.parse().expect("names end with the index")
+}
