feat(standins): add log, host list, cloud API, weight store, engine and plain server

Cause: the whole path needs something at its ends, and failures must be brought about there. Change: one program, each stand-in on its own loopback port, faults set by POST /faults. Result: builds and lints clean; no test drives it yet.

--- a/crates/teaselglade-net/src/server/answer.rs
+++ b/crates/teaselglade-net/src/server/answer.rs
@@ -1,6 +1,9 @@
 //! Answers of the common kinds.
 
+use std::io;
+
 use bytes::Bytes;
+use futures::Stream;
 use http_body_util::Full;
 use serde::Serialize;
 use teaselglade_wire::codec::to_json;
@@ -36,6 +39,21 @@
     response
 }
 
+/// Makes an answer whose body arrives in pieces; an error cuts the connection.
+#[must_use]
+pub fn stream_answer<S>(status: u16, content_type: &'static str, pieces: S) -> Response
+where
+    S: Stream<Item = io::Result<Bytes>> + Send + 'static,
+{
+    let mut response = Response::new(Body::from_stream(pieces));
+    *response.status_mut() = status_code(status);
+    let value = viz::header::HeaderValue::from_static(content_type);
+    response
+        .headers_mut()
+        .insert(viz::header::CONTENT_TYPE, value);
+    response
+}
+
 fn with_body(status: u16, content_type: &'static str, body: impl Into<Bytes>) -> Response {
     let mut response = Response::new(Body::wrap(Full::new(body.into())));
     *response.status_mut() = status_code(status);
--- a/crates/teaselglade-net/src/server/mod.rs
+++ b/crates/teaselglade-net/src/server/mod.rs
@@ -2,6 +2,10 @@
 
 mod answer;
 mod http_server;
+mod request_body;
+mod stateful;
 
-pub use answer::{empty_answer, json_answer, text_answer};
+pub use answer::{empty_answer, json_answer, stream_answer, text_answer};
 pub use http_server::{HttpServer, ServerHandle};
+pub use request_body::{BodyError, read_body};
+pub use stateful::with_state;
--- /dev/null
+++ b/crates/teaselglade-standins/src/cloud/cloud_register.rs
@@ -0,0 +1,186 @@
+//! Hosts and notices at the cloud API.
+
+use std::collections::BTreeMap;
+use std::fmt::Debug;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use teaselglade_core::port::ClockPort;
+use teaselglade_net::clock::SystemClock;
+use teaselglade_wire::{CloudEntry, CloudNotice, CloudOrder, CloudState, PurchaseKind};
+use tokio::time::sleep;
+
+/// Starts and stops what runs on a host.
+pub trait HostStarter: Debug + Send + Sync {
+    /// Starts a host's server under the given name.
+    fn start(&self, name: &str, order: &CloudOrder);
+
+    /// Shows that a host is about to leave.
+    fn announce(&self, name: &str);
+
+    /// Ends a host's server at once.
+    fn stop(&self, name: &str);
+}
+
+#[derive(Debug, Default)]
+struct RegisterState {
+    hosts: BTreeMap<String, CloudEntry>,
+    notices: Vec<CloudNotice>,
+    started: u64,
+}
+
+/// Hosts and notices at the cloud API.
+#[derive(Debug)]
+pub struct CloudRegister {
+    clock: SystemClock,
+    starter: Arc<dyn HostStarter>,
+    start_time: Duration,
+    state: Mutex<RegisterState>,
+}
+
+impl CloudRegister {
+    /// Makes a register whose hosts take `start_time` to start.
+    #[must_use]
+    pub fn new(starter: Arc<dyn HostStarter>, start_time: Duration) -> Arc<Self> {
+        let clock = SystemClock::start();
+        Arc::new(Self {
+            clock,
+            starter,
+            start_time,
+            state: Mutex::default(),
+        })
+    }
+
+    /// Takes in a host that runs already.
+    pub fn adopt(&self, name: &str, order: CloudOrder, cents_per_hour: f64) {
+        let state = CloudState::Running;
+        let entry = CloudEntry {
+            name: name.to_owned(),
+            state,
+            order,
+            cents_per_hour,
+        };
+        self.lock().hosts.insert(name.to_owned(), entry);
+    }
+
+    /// Starts a host, unless its token started one before.
+    pub fn order(self: &Arc<Self>, order: CloudOrder) -> CloudEntry {
+        let mut state = self.lock();
+        let known = state
+            .hosts
+            .values()
+            .find(|host| host.order.token == order.token);
+        if let Some(known) = known {
+            return known.clone();
+        }
+        state.started += 1;
+        let name = format!("{}-{}-{}", order.zone, order.service, state.started);
+        let cents_per_hour = price(&order);
+        let starting = CloudState::Starting;
+        let entry = CloudEntry {
+            name: name.clone(),
+            state: starting,
+            order,
+            cents_per_hour,
+        };
+        state.hosts.insert(name.clone(), entry.clone());
+        drop(state);
+        tokio::spawn(Arc::clone(self).finish_start(name));
+        entry
+    }
+
+    /// Gives a host back.
+    pub fn release(&self, name: &str) {
+        self.set_state(name, CloudState::Gone);
+        self.starter.stop(name);
+    }
+
+    /// Returns all hosts.
+    #[must_use]
+    pub fn hosts(&self) -> Vec<CloudEntry> {
+        self.lock().hosts.values().cloned().collect()
+    }
+
+    /// Returns the notices with a number above `after`.
+    #[must_use]
+    pub fn notices(&self, after: u64) -> Vec<CloudNotice> {
+        let state = self.lock();
+        state
+            .notices
+            .iter()
+            .filter(|notice| notice.number > after)
+            .cloned()
+            .collect()
+    }
+
+    /// Takes back the reclaimable hosts of a zone, after a notice; returns how many.
+    pub fn reclaim_zone(self: &Arc<Self>, zone: &str, notice: Duration) -> usize {
+        let is_taken = |host: &&CloudEntry| {
+            host.order.zone == zone
+                && host.order.purchase == PurchaseKind::Reclaimable
+                && host.state == CloudState::Running
+        };
+        let state = self.lock();
+        let names = state
+            .hosts
+            .values()
+            .filter(is_taken)
+            .map(|host| host.name.clone());
+        let names = names.collect::<Vec<_>>();
+        drop(state);
+        for name in &names {
+            self.reclaim(name, notice);
+        }
+        names.len()
+    }
+
+    /// Takes back one host, after a notice.
+    pub fn reclaim(self: &Arc<Self>, name: &str, notice: Duration) {
+        let deadline = self.clock.now() + notice;
+        let mut state = self.lock();
+        let number = state.notices.len() as u64 + 1;
+        let deadline_ms = deadline.as_millis();
+        state.notices.push(CloudNotice {
+            number,
+            host: name.to_owned(),
+            incarnation: 1,
+            deadline_ms,
+        });
+        drop(state);
+        self.set_state(name, CloudState::Leaving);
+        self.starter.announce(name);
+        let register = Arc::clone(self);
+        let name = name.to_owned();
+        tokio::spawn(async move {
+            sleep(notice).await;
+            register.release(&name);
+        });
+    }
+
+    async fn finish_start(self: Arc<Self>, name: String) {
+        sleep(self.start_time).await;
+        let order = self.lock().hosts.get(&name).map(|host| host.order.clone());
+        if let Some(order) = order {
+            self.set_state(&name, CloudState::Running);
+            self.starter.start(&name, &order);
+        }
+    }
+
+    fn set_state(&self, name: &str, host_state: CloudState) {
+        if let Some(host) = self.lock().hosts.get_mut(name) {
+            host.state = host_state;
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, RegisterState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+fn price(order: &CloudOrder) -> f64 {
+    let base = crate::fleet::class_cents_per_hour(&order.class);
+    match order.purchase {
+        PurchaseKind::Reclaimable => base,
+        PurchaseKind::OnDemand => base * crate::fleet::ON_DEMAND_FACTOR,
+    }
+}
--- /dev/null
+++ b/crates/teaselglade-standins/src/cloud/cloud_server.rs
@@ -0,0 +1,122 @@
+//! Serves the cloud API by HTTP.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use serde::Deserialize;
+use teaselglade_net::server::{empty_answer, json_answer, read_body, text_answer, with_state};
+use teaselglade_wire::codec::from_json;
+use teaselglade_wire::{CloudEntries, CloudNotices, CloudOrder};
+use viz::{Request, RequestExt, Response, Router};
+
+use super::CloudRegister;
+use crate::fault::{FaultSwitch, add_fault_routes, with_faults};
+
+const MAX_BODY_BYTES: usize = 16 * 1024;
+
+/// Body of `POST /reclaim`: a zone or one host, and the time until it is gone.
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct ReclaimOrder {
+    zone: Option<String>,
+    host: Option<String>,
+    notice_ms: u64,
+}
+
+/// Makes the routes of a cloud API.
+#[must_use]
+pub fn cloud_router(register: &Arc<CloudRegister>) -> Router {
+    let switch = Arc::new(FaultSwitch::default());
+    let faults = Arc::clone(&switch);
+    let order = with_faults(&switch, register, move |register, request, _pass| {
+        order(register, request, Arc::clone(&faults))
+    });
+    let router = Router::new()
+        .post("/hosts", order)
+        .get(
+            "/hosts",
+            with_faults(&switch, register, |register, _request, _pass| {
+                hosts(register)
+            }),
+        )
+        .delete(
+            "/hosts/:name",
+            with_faults(&switch, register, |register, request, _pass| {
+                release(register, request)
+            }),
+        )
+        .get(
+            "/notices",
+            with_faults(&switch, register, |register, request, _pass| {
+                notices(register, request)
+            }),
+        )
+        .post("/reclaim", with_state(register, reclaim));
+    add_fault_routes(router, &switch)
+}
+
+async fn order(
+    register: Arc<CloudRegister>,
+    request: Request,
+    switch: Arc<FaultSwitch>,
+) -> Response {
+    let body = match read_body(request, MAX_BODY_BYTES).await {
+        Ok(body) => body,
+        Err(error) => return text_answer(400, error.to_string()),
+    };
+    match from_json::<CloudOrder>(&body) {
+        Ok(_) if switch.settings().refuse_starts => text_answer(409, "no capacity"),
+        Ok(order) => json_answer(200, &register.order(order)),
+        Err(error) => text_answer(400, error.to_string()),
+    }
+}
+
+async fn hosts(register: Arc<CloudRegister>) -> Response {
+    json_answer(
+        200,
+        &CloudEntries {
+            hosts: register.hosts(),
+        },
+    )
+}
+
+async fn release(register: Arc<CloudRegister>, request: Request) -> Response {
+    let Ok(name) = request.param::<String>("name") else {
+        return text_answer(400, "the name is malformed");
+    };
+    register.release(&name);
+    empty_answer(204)
+}
+
+async fn notices(register: Arc<CloudRegister>, request: Request) -> Response {
+    let query = request.query::<HashMap<String, u64>>().unwrap_or_default();
+    let after = query.get("after").copied().unwrap_or(0);
+    json_answer(
+        200,
+        &CloudNotices {
+            notices: register.notices(after),
+        },
+    )
+}
+
+async fn reclaim(register: Arc<CloudRegister>, request: Request) -> Response {
+    let body = match read_body(request, MAX_BODY_BYTES).await {
+        Ok(body) => body,
+        Err(error) => return text_answer(400, error.to_string()),
+    };
+    let order = match from_json::<ReclaimOrder>(&body) {
+        Ok(order) => order,
+        Err(error) => return text_answer(400, error.to_string()),
+    };
+    let notice = Duration::from_millis(order.notice_ms);
+    let mut taken = 0;
+    if let Some(zone) = order.zone {
+        taken += register.reclaim_zone(&zone, notice);
+    }
+    if let Some(host) = order.host {
+        register.reclaim(&host, notice);
+        taken += 1;
+    }
+    json_answer(200, &taken)
+}
--- /dev/null
+++ b/crates/teaselglade-standins/src/engine/mod.rs
@@ -0,0 +1,14 @@
+//! Stand-in for a model engine.
+
+mod cache_feed;
+mod engine_answer;
+mod engine_batch;
+mod engine_orders;
+mod engine_profile;
+mod engine_server;
+mod prefix_cache;
+mod token_text;
+
+pub use engine_profile::EngineProfile;
+pub use engine_server::{EngineServer, engine_router};
+pub use token_text::{answer_text, token_text};
--- /dev/null
+++ b/crates/teaselglade-standins/src/fleet/stand_in_fleet.rs
@@ -0,0 +1,130 @@
+//! Everything outside of the system for one fleet.
+
+use std::io;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::sync::Arc;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+use teaselglade_net::server::{HttpServer, ServerHandle};
+use teaselglade_wire::{CloudOrder, PurchaseKind};
+
+use super::backend_pool::PoolStarter;
+use super::{BackendPool, FleetPlan, class_cents_per_hour};
+use crate::cloud::{CloudRegister, cloud_router};
+use crate::host_list::{HostRegister, host_list_router};
+use crate::log::{LogLimits, log_router};
+use crate::weights::weight_router;
+
+const HOST_START_TIME: Duration = Duration::from_millis(1_500);
+const WEIGHT_SPACING: Duration = Duration::from_millis(200);
+
+/// Ports of the platform's stand-ins; 0 takes any free one.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct FleetPorts {
+    /// Port of the log.
+    pub log: u16,
+    /// Port of the host list.
+    pub host_list: u16,
+    /// Port of the cloud API.
+    pub cloud: u16,
+    /// Port of the weight store.
+    pub weights: u16,
+}
+
+/// Addresses of the platform's stand-ins.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct FleetAddresses {
+    /// Address of the log.
+    pub log: SocketAddr,
+    /// Address of the host list.
+    pub host_list: SocketAddr,
+    /// Address of the cloud API.
+    pub cloud: SocketAddr,
+    /// Address of the weight store.
+    pub weights: SocketAddr,
+}
+
+/// Everything outside of the system for one fleet.
+#[derive(Debug)]
+pub struct StandInFleet {
+    /// Addresses of the platform's stand-ins.
+    pub addresses: FleetAddresses,
+    /// Hosts as the host list shows them.
+    pub register: Arc<HostRegister>,
+    /// Hosts and notices of the cloud API.
+    pub cloud: Arc<CloudRegister>,
+    /// Backend servers.
+    pub pool: Arc<BackendPool>,
+    servers: Vec<ServerHandle>,
+}
+
+impl StandInFleet {
+    /// Starts the stand-ins of a fleet.
+    ///
+    /// # Errors
+    ///
+    /// Fails where a port cannot be bound.
+    pub async fn start(plan: &FleetPlan, ports: FleetPorts, limits: LogLimits) -> io::Result<Self> {
+        let register = Arc::new(HostRegister::default());
+        let plain_servers = plan.servers.iter().filter(|server| server.plain);
+        let services = plain_servers.map(|server| server.service.clone()).collect();
+        let pool = BackendPool::new(Arc::clone(&register), services);
+        let starter = Arc::new(PoolStarter(Arc::clone(&pool)));
+        let cloud = CloudRegister::new(starter, HOST_START_TIME);
+        let log = bind(ports.log).await?;
+        let host_list = bind(ports.host_list).await?;
+        let cloud_server = bind(ports.cloud).await?;
+        let weights = bind(ports.weights).await?;
+        let addresses = FleetAddresses {
+            log: log.address()?,
+            host_list: host_list.address()?,
+            cloud: cloud_server.address()?,
+            weights: weights.address()?,
+        };
+        let servers = vec![
+            log.start(log_router(limits)),
+            host_list.start(host_list_router(&register)),
+            cloud_server.start(cloud_router(&cloud)),
+            weights.start(weight_router(WEIGHT_SPACING)),
+        ];
+        start_backends(plan, &pool, &cloud).await?;
+        Ok(Self {
+            addresses,
+            register,
+            cloud,
+            pool,
+            servers,
+        })
+    }
+
+    /// Ends the platform's stand-ins at once.
+    pub fn abort(self) {
+        for server in self.servers {
+            server.abort();
+        }
+    }
+}
+
+async fn bind(port: u16) -> io::Result<HttpServer> {
+    HttpServer::bind(SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), port)).await
+}
+
+async fn start_backends(
+    plan: &FleetPlan,
+    pool: &Arc<BackendPool>,
+    cloud: &Arc<CloudRegister>,
+) -> io::Result<()> {
+    for server in &plan.servers {
+        pool.start_server(server).await?;
+        let order = CloudOrder {
+            token: format!("planned-{}", server.name),
+            service: server.service.clone(),
+            zone: server.zone.clone(),
+            class: server.class.clone(),
+            purchase: PurchaseKind::Reclaimable,
+        };
+        cloud.adopt(&server.name, order, class_cents_per_hour(&server.class));
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/teaselglade-standins/src/host_list/host_list_server.rs
@@ -0,0 +1,72 @@
+//! Serves the host list by HTTP.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use teaselglade_net::server::{empty_answer, json_answer, read_body, text_answer, with_state};
+use teaselglade_wire::codec::from_json;
+use teaselglade_wire::{HostEntries, HostEntry};
+use viz::{Request, RequestExt, Response, Router};
+
+use super::HostRegister;
+use crate::fault::{FaultSwitch, add_fault_routes, with_faults};
+
+const MAX_HOST_BYTES: usize = 16 * 1024;
+
+/// Makes the routes of a host list.
+///
+/// `PUT /hosts` adds a host, `DELETE /hosts/NAME` removes it and `PUT /lag/MILLIS` sets the lag.
+#[must_use]
+pub fn host_list_router(register: &Arc<HostRegister>) -> Router {
+    let switch = Arc::new(FaultSwitch::default());
+    let router = Router::new()
+        .get(
+            "/hosts",
+            with_faults(&switch, register, |register, _request, _pass| {
+                list(register)
+            }),
+        )
+        .put("/hosts", with_state(register, put))
+        .delete("/hosts/:name", with_state(register, remove))
+        .put("/lag/:millis", with_state(register, set_lag));
+    add_fault_routes(router, &switch)
+}
+
+async fn list(register: Arc<HostRegister>) -> Response {
+    json_answer(
+        200,
+        &HostEntries {
+            hosts: register.shown(),
+        },
+    )
+}
+
+async fn put(register: Arc<HostRegister>, request: Request) -> Response {
+    let body = match read_body(request, MAX_HOST_BYTES).await {
+        Ok(body) => body,
+        Err(error) => return text_answer(400, error.to_string()),
+    };
+    match from_json::<HostEntry>(&body) {
+        Ok(host) => {
+            register.put(host);
+            empty_answer(204)
+        }
+        Err(error) => text_answer(400, error.to_string()),
+    }
+}
+
+async fn remove(register: Arc<HostRegister>, request: Request) -> Response {
+    let Ok(name) = request.param::<String>("name") else {
+        return text_answer(400, "the name is malformed");
+    };
+    register.remove(&name);
+    empty_answer(204)
+}
+
+async fn set_lag(register: Arc<HostRegister>, request: Request) -> Response {
+    let Ok(millis) = request.param::<u64>("millis") else {
+        return text_answer(400, "the lag is no whole number of milliseconds");
+    };
+    register.set_lag(Duration::from_millis(millis));
+    empty_answer(204)
+}
--- /dev/null
+++ b/crates/teaselglade-standins/src/log/log_server.rs
@@ -0,0 +1,178 @@
+//! Serves the log by HTTP.
+
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use base64::Engine as _;
+use base64::engine::general_purpose::STANDARD;
+use teaselglade_core::port::{ClockPort, LogPage};
+use teaselglade_core::time::Timestamp;
+use teaselglade_net::clock::SystemClock;
+use teaselglade_net::server::{json_answer, read_body, text_answer};
+use teaselglade_wire::{LogAppended, LogEntries, LogEntry};
+use tokio::sync::Notify;
+use tokio::time::{Instant, timeout_at};
+use viz::{Request, RequestExt, Response, Router};
+
+use super::LogStore;
+use crate::fault::{FaultSwitch, add_fault_routes, with_faults};
+
+const MAX_RECORD_BYTES: usize = 1024 * 1024;
+const MAX_WAIT: Duration = Duration::from_secs(30);
+const DEFAULT_MOST: usize = 1_000;
+
+/// Limits of the log.
+#[derive(Debug, Clone, Copy)]
+pub struct LogLimits {
+    /// How long records are kept.
+    pub retention: Duration,
+    /// Most appends a second.
+    pub appends_per_second: u32,
+}
+
+impl Default for LogLimits {
+    fn default() -> Self {
+        Self {
+            retention: Duration::from_hours(24),
+            appends_per_second: 400,
+        }
+    }
+}
+
+#[derive(Debug)]
+struct LogState {
+    store: LogStore,
+    window: Timestamp,
+    appends: u32,
+    total_appends: u64,
+}
+
+#[derive(Debug)]
+struct LogServer {
+    clock: SystemClock,
+    limits: LogLimits,
+    state: Mutex<LogState>,
+    appended: Notify,
+}
+
+/// Makes the routes of a log.
+#[must_use]
+pub fn log_router(limits: LogLimits) -> Router {
+    let switch = Arc::new(FaultSwitch::default());
+    let clock = SystemClock::start();
+    let state = LogState {
+        store: LogStore::new(limits.retention),
+        window: clock.now(),
+        appends: 0,
+        total_appends: 0,
+    };
+    let state = Mutex::new(state);
+    let server = Arc::new(LogServer {
+        clock,
+        limits,
+        state,
+        appended: Notify::new(),
+    });
+    let router = Router::new()
+        .post(
+            "/streams/:stream/records",
+            with_faults(&switch, &server, |server, request, _pass| {
+                append(server, request)
+            }),
+        )
+        .get(
+            "/streams/:stream/records",
+            with_faults(&switch, &server, |server, request, _pass| {
+                read(server, request)
+            }),
+        )
+        .get(
+            "/appends",
+            with_faults(&switch, &server, |server, _request, _pass| {
+                count_appends(server)
+            }),
+        );
+    add_fault_routes(router, &switch)
+}
+
+impl LogServer {
+    fn lock(&self) -> MutexGuard<'_, LogState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn admit_append(&self, state: &mut LogState) -> bool {
+        let now = self.clock.now();
+        if now.since(state.window) >= Duration::from_secs(1) {
+            state.window = now;
+            state.appends = 0;
+        }
+        state.appends += 1;
+        state.appends <= self.limits.appends_per_second
+    }
+}
+
+async fn append(server: Arc<LogServer>, request: Request) -> Response {
+    let Ok(stream) = request.param::<String>("stream") else {
+        return text_answer(400, "the stream's name is malformed");
+    };
+    let body = match read_body(request, MAX_RECORD_BYTES).await {
+        Ok(body) => body,
+        Err(error) => return text_answer(400, error.to_string()),
+    };
+    let mut state = server.lock();
+    if !server.admit_append(&mut state) {
+        return text_answer(429, "too many appends a second");
+    }
+    state.total_appends += 1;
+    let offset = state.store.append(&stream, body, server.clock.now());
+    drop(state);
+    server.appended.notify_waiters();
+    json_answer(200, &LogAppended { offset })
+}
+
+async fn read(server: Arc<LogServer>, request: Request) -> Response {
+    let Ok(stream) = request.param::<String>("stream") else {
+        return text_answer(400, "the stream's name is malformed");
+    };
+    let query = request.query::<HashMap<String, u64>>().unwrap_or_default();
+    let from = query.get("from").copied().unwrap_or(0);
+    let most = query
+        .get("most")
+        .map_or(DEFAULT_MOST, |most| *most as usize);
+    let wait = Duration::from_millis(query.get("wait_ms").copied().unwrap_or(0)).min(MAX_WAIT);
+    let deadline = Instant::now() + wait;
+    loop {
+        let appended = server.appended.notified();
+        let page = read_page(&server, &stream, from, most);
+        if !page.records.is_empty() {
+            return json_answer(200, &log_entries(&page));
+        }
+        if timeout_at(deadline, appended).await.is_err() {
+            return json_answer(200, &log_entries(&page));
+        }
+    }
+}
+
+fn read_page(server: &LogServer, stream: &str, from: u64, most: usize) -> LogPage {
+    let mut state = server.lock();
+    state.store.expire(server.clock.now());
+    state.store.read(stream, from, most)
+}
+
+async fn count_appends(server: Arc<LogServer>) -> Response {
+    json_answer(200, &server.lock().total_appends)
+}
+
+fn log_entries(page: &LogPage) -> LogEntries {
+    let records = page.records.iter().map(|record| LogEntry {
+        offset: record.offset,
+        appended_ms: record.appended.as_millis(),
+        body: STANDARD.encode(&record.body),
+    });
+    LogEntries {
+        first: page.first,
+        end: page.end,
+        records: records.collect(),
+    }
+}
--- /dev/null
+++ b/crates/teaselglade-standins/src/plain/plain_server.rs
@@ -0,0 +1,122 @@
+//! Serves a plain server by HTTP.
+
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+use teaselglade_net::server::{json_answer, read_body, text_answer, with_state};
+use teaselglade_wire::EngineLoad;
+use tokio::time::sleep;
+use viz::{Request, RequestExt, Response, Router};
+
+use crate::fault::{FaultSwitch, add_fault_routes, with_faults};
+
+const MAX_BODY_BYTES: usize = 1024 * 1024;
+
+/// Executions of one plain server.
+#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub struct ExecutionCounts {
+    /// Executions by idempotency key.
+    pub keyed: BTreeMap<String, u32>,
+    /// Executions without a key.
+    pub unkeyed: u32,
+}
+
+#[derive(Debug)]
+struct PlainServer {
+    work: Duration,
+    counts: Arc<Mutex<ExecutionCounts>>,
+}
+
+/// Makes the routes of a plain server whose calls take `work`.
+///
+/// The server does not check keys: what reaches it, it runs. `GET /executions` returns the counts;
+/// servers that share `counts` count together.
+#[must_use]
+pub fn plain_router(work: Duration, counts: &Arc<Mutex<ExecutionCounts>>) -> Router {
+    let switch = Arc::new(FaultSwitch::default());
+    let server = Arc::new(PlainServer {
+        work,
+        counts: Arc::clone(counts),
+    });
+    let run = with_faults(&switch, &server, |server, request, _pass| {
+        run(server, request)
+    });
+    let router = Router::new()
+        .get(
+            "/executions",
+            with_state(&server, |server, _request| executions(server)),
+        )
+        .get(
+            "/load",
+            with_faults(&switch, &server, |_server, _request, _pass| load()),
+        )
+        .any("/*", run);
+    add_fault_routes(router, &switch)
+}
+
+impl PlainServer {
+    fn lock(&self) -> MutexGuard<'_, ExecutionCounts> {
+        self.counts.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn count(&self, key: Option<&str>) -> u32 {
+        let mut counts = self.lock();
+        let Some(key) = key else {
+            counts.unkeyed += 1;
+            return counts.unkeyed;
+        };
+        let count = counts.keyed.entry(key.to_owned()).or_insert(0);
+        *count += 1;
+        *count
+    }
+}
+
+#[derive(Debug, Serialize)]
+struct RunAnswer {
+    method: String,
+    path: String,
+    key: Option<String>,
+    execution: u32,
+    body: String,
+}
+
+async fn run(server: Arc<PlainServer>, request: Request) -> Response {
+    let key = request.header::<_, String>("idempotency-key");
+    let method = request.method().to_string();
+    let path = request.path().to_owned();
+    let body = match read_body(request, MAX_BODY_BYTES).await {
+        Ok(body) => body,
+        Err(error) => return text_answer(400, error.to_string()),
+    };
+    let execution = server.count(key.as_deref());
+    sleep(server.work).await;
+    let body = String::from_utf8_lossy(&body).into_owned();
+    json_answer(
+        200,
+        &RunAnswer {
+            method,
+            path,
+            key,
+            execution,
+            body,
+        },
+    )
+}
+
+async fn executions(server: Arc<PlainServer>) -> Response {
+    json_answer(200, &*server.lock())
+}
+
+async fn load() -> Response {
+    let load = EngineLoad {
+        running: 0,
+        waiting: 0,
+        tokens_per_second: 0.0,
+        token_gap_micros: 0,
+        prefill_tokens_per_second: 0.0,
+        kv_free: 1.0,
+    };
+    json_answer(200, &load)
+}
