feat(entry): serve a stream and a booking through separate processes

Change: entry daemon with admission by the table, least-load choice, relayed streams that callers resume by Last-Event-ID, calls to plain servers passed through, one error body with verdict; programs of stand-ins and daemon; a harness for tests over processes. Ruled out: daemons in packages of their own, because a test finds the programs of its own package only. Keyed calls are not claimed yet, and the table follows raw records.

--- /dev/null
+++ b/crates/teaselglade-entry/src/caller_api/generate_route.rs
@@ -0,0 +1,52 @@
+//! Route of model requests.
+
+use std::sync::Arc;
+
+use teaselglade_core::table::ServiceKind;
+use teaselglade_core::verdict::{RefusalReason, RequestRefusal};
+use teaselglade_net::server::read_body;
+use teaselglade_wire::GenerateBody;
+use teaselglade_wire::codec::from_json;
+use viz::{Request, Response};
+
+use super::refusal_answer::refusal_answer;
+use super::request_context::{MAX_BODY_BYTES, RequestContext, body_refusal};
+use super::stream_answer::{event_answer, whole_answer};
+use crate::host::EntryHost;
+use crate::stream::{StreamOrder, start_stream};
+
+/// Takes a model request and answers with a stream or with one body.
+pub(crate) async fn generate(host: Arc<EntryHost>, request: Request) -> Response {
+    let (order, is_streamed) = match read_order(&host, request).await {
+        Ok(order) => order,
+        Err(refusal) => return refusal_answer(&refusal, None),
+    };
+    let record = start_stream(&host, order);
+    if is_streamed {
+        return event_answer(record, 0).await;
+    }
+    whole_answer(&record).await
+}
+
+async fn read_order(
+    host: &EntryHost,
+    request: Request,
+) -> Result<(StreamOrder, bool), RequestRefusal> {
+    let context = RequestContext::read(host, &request, ServiceKind::Model)?;
+    let body = read_body(request, MAX_BODY_BYTES).await;
+    let body = body.map_err(|error| body_refusal(&error))?;
+    let body = from_json::<GenerateBody>(&body)
+        .map_err(|error| RequestRefusal::not_run(RefusalReason::BadRequest, error.to_string()))?;
+    if body.max_tokens == 0 {
+        let detail = "max_tokens must be at least 1";
+        return Err(RequestRefusal::not_run(RefusalReason::BadRequest, detail));
+    }
+    let order = StreamOrder {
+        organisation: context.organisation,
+        row: context.row,
+        prompt: body.prompt,
+        max_tokens: body.max_tokens,
+        adapter: body.adapter,
+    };
+    Ok((order, body.stream.unwrap_or(true)))
+}
--- /dev/null
+++ b/crates/teaselglade-entry/src/caller_api/plain_route.rs
@@ -0,0 +1,113 @@
+//! Route of calls to plain servers.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use teaselglade_core::id::AttemptId;
+use teaselglade_core::port::{PlainAnswer, PlainCall};
+use teaselglade_core::table::ServiceKind;
+use teaselglade_core::verdict::RequestRefusal;
+use teaselglade_net::server::{empty_answer, read_body};
+use viz::header::{HeaderName, HeaderValue};
+use viz::{Body, Request, RequestExt, Response};
+
+use super::refusal_answer::{refusal_answer, set_request_header};
+use super::request_context::{MAX_BODY_BYTES, RequestContext, body_refusal};
+use crate::booking::{PlainOrder, run_plain};
+use crate::host::EntryHost;
+
+/// Header that carries the key of a call that may not be repeated.
+pub(crate) const KEY_HEADER: &str = "idempotency-key";
+
+/// Headers that concern one connection only or that the system sets itself.
+const OWN_HEADERS: [&str; 10] = [
+    "connection",
+    "content-length",
+    "host",
+    "idempotency-key",
+    "keep-alive",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+    "x-request-id",
+];
+
+/// Passes a call to a plain server and its answer back.
+pub(crate) async fn call_plain(host: Arc<EntryHost>, request: Request) -> Response {
+    let id = host.new_request();
+    let context = match RequestContext::read(&host, &request, ServiceKind::Plain) {
+        Ok(context) => context,
+        Err(refusal) => return refusal_answer(&refusal, Some(id)),
+    };
+    let call = match read_call(AttemptId::first(id), request).await {
+        Ok(call) => call,
+        Err(refusal) => return refusal_answer(&refusal, Some(id)),
+    };
+    let organisation = context.organisation;
+    let order = PlainOrder {
+        row: context.row,
+        call,
+    };
+    match run_plain(&host, order).await {
+        Ok(answer) => {
+            host.metrics
+                .requests
+                .with_label_values(&[organisation.as_str(), "whole"])
+                .inc();
+            let mut answer = passed_answer(answer);
+            set_request_header(&mut answer, id);
+            answer
+        }
+        Err(refusal) => {
+            host.metrics
+                .requests
+                .with_label_values(&[organisation.as_str(), "refused"])
+                .inc();
+            refusal_answer(&refusal, Some(id))
+        }
+    }
+}
+
+async fn read_call(attempt: AttemptId, request: Request) -> Result<PlainCall, RequestRefusal> {
+    let path = request.param::<String>("path").unwrap_or_default();
+    let query = request
+        .uri()
+        .query()
+        .map(|query| format!("?{query}"))
+        .unwrap_or_default();
+    let key = request.header::<_, String>(KEY_HEADER);
+    let method = request.method().to_string();
+    let text = |value: &HeaderValue| value.to_str().ok().map(str::to_owned);
+    let headers = request.headers().iter();
+    let headers = headers.filter(|(name, _)| !OWN_HEADERS.contains(&name.as_str()));
+    let headers = headers.filter_map(|(name, value)| Some((name.to_string(), text(value)?)));
+    let headers = headers.collect();
+    let body = read_body(request, MAX_BODY_BYTES).await;
+    let body = body.map_err(|error| body_refusal(&error))?;
+    Ok(PlainCall {
+        attempt,
+        method,
+        path: format!("/{path}{query}"),
+        headers,
+        body,
+        key,
+    })
+}
+
+fn passed_answer(answer: PlainAnswer) -> Response {
+    let mut response = empty_answer(answer.status);
+    let passed = answer.headers.iter();
+    for (name, value) in passed.filter(|(name, _)| !OWN_HEADERS.contains(&name.as_str())) {
+        let name = HeaderName::from_bytes(name.as_bytes());
+        if let (Ok(name), Ok(value)) = (name, HeaderValue::from_str(value)) {
+            response.headers_mut().append(name, value);
+        }
+    }
+    *response.body_mut() = full_body(answer.body);
+    response
+}
+
+fn full_body(body: Bytes) -> Body {
+    Body::wrap(http_body_util::Full::new(body))
+}
--- /dev/null
+++ b/crates/teaselglade-entry/src/caller_api/refusal_answer.rs
@@ -0,0 +1,54 @@
+//! Answers that carry a verdict instead of a result.
+
+use teaselglade_core::id::RequestId;
+use teaselglade_core::verdict::{ExecutionVerdict, RequestRefusal};
+use teaselglade_net::server::json_answer;
+use teaselglade_wire::{ErrorBody, Verdict};
+use viz::Response;
+use viz::header::{HeaderValue, RETRY_AFTER};
+
+const MILLIS_PER_SECOND: u64 = 1_000;
+
+/// Makes the answer to a request without a result.
+pub(crate) fn refusal_answer(refusal: &RequestRefusal, request: Option<RequestId>) -> Response {
+    let body = error_body(refusal, request);
+    let mut answer = json_answer(refusal.reason.status(), &body);
+    if let Some(millis) = body.retry_after_ms {
+        let seconds = millis.div_ceil(MILLIS_PER_SECOND);
+        answer
+            .headers_mut()
+            .insert(RETRY_AFTER, HeaderValue::from(seconds));
+    }
+    if let Some(request) = request {
+        set_request_header(&mut answer, request);
+    }
+    answer
+}
+
+/// Makes the body that carries the verdict.
+pub(crate) fn error_body(refusal: &RequestRefusal, request: Option<RequestId>) -> ErrorBody {
+    ErrorBody {
+        verdict: match refusal.verdict {
+            ExecutionVerdict::NotRun => Verdict::NotRun,
+            ExecutionVerdict::MayHaveRun => Verdict::MayHaveRun,
+            ExecutionVerdict::Ran => Verdict::Ran,
+        },
+        reason: reason_name(refusal),
+        detail: refusal.to_string(),
+        retry_after_ms: refusal.retry_after.map(|span| span.as_millis() as u64),
+        request: request.map(|request| request.to_string()),
+    }
+}
+
+/// Names the request in an answer's headers.
+pub(crate) fn set_request_header(answer: &mut Response, request: RequestId) {
+    if let Ok(value) = HeaderValue::from_str(&request.to_string()) {
+        answer.headers_mut().insert("x-request-id", value);
+    }
+}
+
+fn reason_name(refusal: &RequestRefusal) -> String {
+    let name = serde_json::to_value(refusal.reason).ok();
+    name.and_then(|name| name.as_str().map(str::to_owned))
+        .unwrap_or_default()
+}
--- /dev/null
+++ b/crates/teaselglade-entry/src/caller_api/request_context.rs
@@ -0,0 +1,74 @@
+//! What every request of a caller is checked for first.
+
+use teaselglade_core::table::{ServiceKind, ServiceRow};
+use teaselglade_core::verdict::{RefusalReason, RequestRefusal};
+use teaselglade_net::server::BodyError;
+use viz::{Request, RequestExt};
+
+use crate::host::EntryHost;
+
+/// Header that names the caller's organisation.
+pub(crate) const ORGANISATION_HEADER: &str = "x-organisation";
+
+/// Most bytes of a request's body.
+pub(crate) const MAX_BODY_BYTES: usize = 1024 * 1024;
+
+/// Organisation and service of one request, both in the table.
+#[derive(Debug)]
+pub(crate) struct RequestContext {
+    /// Organisation of the caller.
+    pub(crate) organisation: String,
+    /// Row of the service.
+    pub(crate) row: ServiceRow,
+}
+
+impl RequestContext {
+    /// Checks that this host takes requests and that the table has both rows.
+    ///
+    /// # Errors
+    ///
+    /// Returns the refusal, always "not run".
+    pub(crate) fn read(
+        host: &EntryHost,
+        request: &Request,
+        kind: ServiceKind,
+    ) -> Result<Self, RequestRefusal> {
+        if !host.is_ready() {
+            return Err(
+                RequestRefusal::not_run(RefusalReason::NotReady, &host.settings.host)
+                    .retry_after(std::time::Duration::from_millis(200)),
+            );
+        }
+        let table = host.table();
+        let service = request.param::<String>("service").unwrap_or_default();
+        let row = table.rows.service(&service).filter(|row| row.kind == kind);
+        let row = row.ok_or_else(|| refused(RefusalReason::UnknownService, &service))?;
+        let organisation = request.header::<_, String>(ORGANISATION_HEADER);
+        let organisation = organisation.ok_or_else(|| {
+            refused(
+                RefusalReason::UnknownOrganisation,
+                "header x-organisation is missing",
+            )
+        })?;
+        if table.rows.organisation(&organisation).is_none() {
+            return Err(refused(RefusalReason::UnknownOrganisation, &organisation));
+        }
+        Ok(Self {
+            organisation,
+            row: row.clone(),
+        })
+    }
+}
+
+/// Turns a body that cannot be read into a refusal.
+pub(crate) fn body_refusal(error: &BodyError) -> RequestRefusal {
+    let reason = match error {
+        BodyError::TooLarge { .. } => RefusalReason::TooLarge,
+        BodyError::Truncated { .. } => RefusalReason::BadRequest,
+    };
+    refused(reason, &error.to_string())
+}
+
+fn refused(reason: RefusalReason, detail: &str) -> RequestRefusal {
+    RequestRefusal::not_run(reason, detail)
+}
--- /dev/null
+++ b/crates/teaselglade-entry/src/caller_api/stream_answer.rs
@@ -0,0 +1,99 @@
+//! Answers to model requests.
+
+use std::sync::Arc;
+
+use futures::stream;
+use serde::Serialize;
+use teaselglade_net::server::json_answer;
+use teaselglade_wire::codec::to_json;
+use teaselglade_wire::{EndEvent, GenerateAnswer, TokenEvent};
+use viz::types::{Event, Sse};
+use viz::{IntoResponse, Response};
+
+use super::refusal_answer::{error_body, refusal_answer, set_request_header};
+use crate::stream::{StreamRecord, StreamStep};
+
+/// Answers with server-sent events from the token at `from` on.
+///
+/// A request that is refused before its first token gets the refusal as a plain answer.
+pub(crate) async fn event_answer(record: Arc<StreamRecord>, from: usize) -> Response {
+    let request = record.request;
+    let first = record.step(from).await;
+    if let StreamStep::Refused(refusal) = &first
+        && from == 0
+    {
+        return refusal_answer(refusal, Some(request));
+    }
+    let events = stream::unfold(Some(from), move |place| {
+        let record = Arc::clone(&record);
+        async move {
+            let index = place?;
+            let step = record.step(index).await;
+            let is_last = !matches!(step, StreamStep::Token(_));
+            let event = step_event(&record, index, step);
+            Some((event, (!is_last).then_some(index + 1)))
+        }
+    });
+    let mut answer = Sse::new(events).into_response();
+    set_request_header(&mut answer, request);
+    answer
+}
+
+/// Waits for the whole answer and returns it as one body.
+pub(crate) async fn whole_answer(record: &StreamRecord) -> Response {
+    let mut text = String::new();
+    let mut index = 0;
+    loop {
+        match record.step(index).await {
+            StreamStep::Token(token) => text.push_str(&token),
+            StreamStep::End(end) => {
+                let body = GenerateAnswer {
+                    request: record.request.to_string(),
+                    text,
+                    tokens: end.tokens,
+                    recomputed_tokens: end.recomputed_tokens,
+                };
+                let mut answer = json_answer(200, &body);
+                set_request_header(&mut answer, record.request);
+                return answer;
+            }
+            StreamStep::Refused(refusal) => {
+                return refusal_answer(&refusal, Some(record.request));
+            }
+        }
+        index += 1;
+    }
+}
+
+fn step_event(record: &StreamRecord, index: usize, step: StreamStep) -> Event {
+    match step {
+        StreamStep::Token(text) => {
+            let body = TokenEvent {
+                index: index as u32,
+                text,
+            };
+            let id = format!("{}/{index}", record.request);
+            Event::default()
+                .id(id)
+                .event("token")
+                .data(json_text(&body))
+        }
+        StreamStep::End(end) => {
+            let recomputed_tokens = end.recomputed_tokens;
+            let body = EndEvent {
+                tokens: end.tokens,
+                recomputed_tokens,
+            };
+            Event::default().event("end").data(json_text(&body))
+        }
+        StreamStep::Refused(refusal) => {
+            let body = error_body(&refusal, Some(record.request));
+            Event::default().event("error").data(json_text(&body))
+        }
+    }
+}
+
+fn json_text(body: &impl Serialize) -> String {
+    let json = to_json(body).unwrap_or_default();
+    String::from_utf8_lossy(&json).into_owned()
+}
--- /dev/null
+++ b/crates/teaselglade-entry/src/directory/host_list_follower.rs
@@ -0,0 +1,23 @@
+//! Follows the host list.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::time::{MissedTickBehavior, interval};
+
+use crate::host::EntryHost;
+
+const POLL_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Takes in the host list again and again.
+pub(crate) async fn follow_host_list(host: Arc<EntryHost>) {
+    let mut ticks = interval(POLL_INTERVAL);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        ticks.tick().await;
+        match host.ports.host_list.hosts().await {
+            Ok(hosts) => host.directory().apply(hosts),
+            Err(_error) => host.metrics.host_list_failures.inc(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/teaselglade-entry/src/host/entry_daemon.rs
@@ -0,0 +1,105 @@
+//! One running entry daemon.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+use teaselglade_net::server::{HttpServer, ServerHandle};
+use tokio::task::JoinHandle;
+use tokio::time::{Instant, sleep};
+
+use super::{EntryHost, EntryPorts, Result};
+use crate::caller_api::caller_router;
+use crate::directory::follow_host_list;
+use crate::metrics::EntryMetrics;
+use crate::peer_api::peer_router;
+use crate::settings::EntrySettings;
+use crate::shared::follow_table;
+
+const DRAIN_POLL: Duration = Duration::from_millis(20);
+
+/// Addresses that a daemon listens on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct DaemonAddresses {
+    /// Address for callers.
+    pub callers: SocketAddr,
+    /// Address for peers.
+    pub peers: SocketAddr,
+}
+
+/// One running entry daemon.
+#[derive(Debug)]
+pub struct EntryDaemon {
+    host: Arc<EntryHost>,
+    addresses: DaemonAddresses,
+    caller_server: ServerHandle,
+    peer_server: ServerHandle,
+    followers: Vec<JoinHandle<()>>,
+}
+
+impl EntryDaemon {
+    /// Starts a daemon.
+    ///
+    /// # Errors
+    ///
+    /// Fails where an address cannot be bound.
+    pub async fn start(settings: EntrySettings) -> Result<Self> {
+        let callers = HttpServer::bind(settings.callers).await?;
+        let peers = HttpServer::bind(settings.peers).await?;
+        let addresses = DaemonAddresses {
+            callers: callers.address()?,
+            peers: peers.address()?,
+        };
+        let ports = EntryPorts::connect(&settings);
+        let host = EntryHost::new(settings, ports, EntryMetrics::new()?);
+        let followers = vec![
+            tokio::spawn(follow_table(Arc::clone(&host))),
+            tokio::spawn(follow_host_list(Arc::clone(&host))),
+        ];
+        let caller_server = callers.start(caller_router(&host));
+        let peer_server = peers.start(peer_router(&host));
+        log::info!(
+            "entry daemon {} listens on {}",
+            host.settings.host,
+            addresses.callers
+        );
+        Ok(Self {
+            host,
+            addresses,
+            caller_server,
+            peer_server,
+            followers,
+        })
+    }
+
+    /// Returns the addresses that the daemon listens on.
+    #[must_use]
+    pub const fn addresses(&self) -> &DaemonAddresses {
+        &self.addresses
+    }
+
+    /// Stops gracefully: takes nothing new and lets requests in progress end.
+    pub async fn stop(self) {
+        self.host.start_draining();
+        log::info!("entry daemon {} drains", self.host.settings.host);
+        let deadline = Instant::now() + self.host.settings.drain;
+        while self.host.metrics.open_streams.get() > 0 && Instant::now() < deadline {
+            sleep(DRAIN_POLL).await;
+        }
+        tokio::select! {
+            () = self.caller_server.stop() => {}
+            () = tokio::time::sleep_until(deadline) => {}
+        }
+        self.peer_server.abort();
+        self.followers.iter().for_each(JoinHandle::abort);
+        log::info!("entry daemon {} stopped", self.host.settings.host);
+    }
+
+    /// Ends the daemon at once, as a crash would.
+    pub fn abort(self) {
+        self.caller_server.abort();
+        self.peer_server.abort();
+        self.followers.iter().for_each(JoinHandle::abort);
+    }
+}
--- /dev/null
+++ b/crates/teaselglade-entry/src/host/entry_ports.rs
@@ -0,0 +1,42 @@
+//! Ports that the daemon's parts use.
+
+use std::sync::Arc;
+
+use teaselglade_core::port::{BackendPort, ClockPort, HostListPort, LogPort, PeerPort};
+use teaselglade_net::backend::BackendClient;
+use teaselglade_net::client::HttpCaller;
+use teaselglade_net::clock::SystemClock;
+use teaselglade_net::peer::PeerClient;
+use teaselglade_net::platform::{HostListClient, LogClient};
+
+use crate::settings::EntrySettings;
+
+/// Ports that the daemon's parts use.
+#[derive(Debug)]
+pub(crate) struct EntryPorts {
+    /// Clock.
+    pub(crate) clock: Arc<dyn ClockPort>,
+    /// Log.
+    pub(crate) log: Arc<dyn LogPort>,
+    /// Host list.
+    pub(crate) host_list: Arc<dyn HostListPort>,
+    /// Backend servers.
+    pub(crate) backend: Arc<dyn BackendPort>,
+    /// Other entry hosts.
+    #[expect(dead_code, reason = "the membership exchange will use it")]
+    pub(crate) peer: Arc<dyn PeerPort>,
+}
+
+impl EntryPorts {
+    /// Makes the adapters that the settings name.
+    pub(crate) fn connect(settings: &EntrySettings) -> Self {
+        let caller = || Arc::new(HttpCaller::default());
+        Self {
+            clock: Arc::new(SystemClock::start()),
+            log: Arc::new(LogClient::new(caller(), settings.log)),
+            host_list: Arc::new(HostListClient::new(caller(), settings.host_list)),
+            backend: Arc::new(BackendClient::new(caller())),
+            peer: Arc::new(PeerClient::new(caller())),
+        }
+    }
+}
--- a/crates/teaselglade-entry/src/lib.rs
+++ b/crates/teaselglade-entry/src/lib.rs
@@ -1,1 +1,15 @@
-//! Entry daemon.
+//! Entry daemon: takes callers' requests and gets each its whole answer.
+
+mod booking;
+mod caller_api;
+mod directory;
+mod host;
+mod metrics;
+mod peer_api;
+mod placement;
+mod settings;
+mod shared;
+mod stream;
+
+pub use host::{DaemonAddresses, DaemonError, EntryDaemon, Result};
+pub use settings::EntrySettings;
--- /dev/null
+++ b/crates/teaselglade-entry/src/metrics/entry_metrics.rs
@@ -0,0 +1,88 @@
+//! Counters of the entry daemon.
+
+use prometheus::{Encoder, IntCounter, IntCounterVec, IntGauge, Opts, Registry, TextEncoder};
+
+/// Counters of the entry daemon.
+#[derive(Debug)]
+pub(crate) struct EntryMetrics {
+    registry: Registry,
+    /// Requests by organisation and outcome.
+    pub(crate) requests: IntCounterVec,
+    /// Tokens passed to callers.
+    pub(crate) tokens: IntCounter,
+    /// Tokens that an engine had to compute again after a loss.
+    pub(crate) recomputed_tokens: IntCounter,
+    /// Frames that belonged to no open attempt.
+    pub(crate) dropped_frames: IntCounter,
+    /// Attempts that failed.
+    pub(crate) failed_attempts: IntCounter,
+    /// Failed reads of the host list.
+    pub(crate) host_list_failures: IntCounter,
+    /// Failed calls to the log.
+    pub(crate) log_failures: IntCounter,
+    /// Streams in progress.
+    pub(crate) open_streams: IntGauge,
+    /// Version of the table in force.
+    pub(crate) table_version: IntGauge,
+}
+
+impl EntryMetrics {
+    /// Makes and registers all counters.
+    ///
+    /// # Errors
+    ///
+    /// Fails where two counters have the same name.
+    pub(crate) fn new() -> prometheus::Result<Self> {
+        let registry = Registry::new();
+        let counter = |name: &str, help: &str| -> prometheus::Result<IntCounter> {
+            let counter = IntCounter::new(name, help)?;
+            registry.register(Box::new(counter.clone()))?;
+            Ok(counter)
+        };
+        let gauge = |name: &str, help: &str| -> prometheus::Result<IntGauge> {
+            let gauge = IntGauge::new(name, help)?;
+            registry.register(Box::new(gauge.clone()))?;
+            Ok(gauge)
+        };
+        let opts = Opts::new(
+            "teaselglade_requests_total",
+            "Requests by organisation and outcome.",
+        );
+        let requests = IntCounterVec::new(opts, &["organisation", "outcome"])?;
+        registry.register(Box::new(requests.clone()))?;
+        Ok(Self {
+            requests,
+            tokens: counter("teaselglade_tokens_total", "Tokens passed to callers.")?,
+            recomputed_tokens: counter(
+                "teaselglade_recomputed_tokens_total",
+                "Tokens computed again after a loss.",
+            )?,
+            dropped_frames: counter(
+                "teaselglade_dropped_frames_total",
+                "Frames that belonged to no open attempt.",
+            )?,
+            failed_attempts: counter("teaselglade_failed_attempts_total", "Attempts that failed.")?,
+            host_list_failures: counter(
+                "teaselglade_host_list_failures_total",
+                "Failed reads of the host list.",
+            )?,
+            log_failures: counter("teaselglade_log_failures_total", "Failed calls to the log.")?,
+            open_streams: gauge("teaselglade_open_streams", "Streams in progress.")?,
+            table_version: gauge(
+                "teaselglade_table_version",
+                "Version of the table in force.",
+            )?,
+            registry,
+        })
+    }
+
+    /// Returns all counters in the text format.
+    pub(crate) fn render(&self) -> String {
+        let mut text = Vec::new();
+        let encoded = TextEncoder::new().encode(&self.registry.gather(), &mut text);
+        if let Err(error) = encoded {
+            return format!("# {error}\n");
+        }
+        String::from_utf8_lossy(&text).into_owned()
+    }
+}
--- /dev/null
+++ b/crates/teaselglade-entry/src/metrics/mod.rs
@@ -0,0 +1,5 @@
+//! Counters of the entry daemon.
+
+mod entry_metrics;
+
+pub(crate) use entry_metrics::EntryMetrics;
--- /dev/null
+++ b/crates/teaselglade-entry/src/peer_api/peer_routes.rs
@@ -0,0 +1,44 @@
+//! Routes for peers and operators.
+
+use std::sync::Arc;
+
+use teaselglade_net::server::{json_answer, text_answer, with_state};
+use viz::{Response, Router};
+
+use crate::host::EntryHost;
+
+/// Makes the routes for peers and operators.
+pub(crate) fn peer_router(host: &Arc<EntryHost>) -> Router {
+    Router::new()
+        .get("/status", with_state(host, |host, _request| status(host)))
+        .get("/metrics", with_state(host, |host, _request| metrics(host)))
+        .get("/healthz", with_state(host, |_host, _request| health()))
+        .get(
+            "/readyz",
+            with_state(host, |host, _request| readiness(host)),
+        )
+}
+
+pub(crate) async fn health() -> Response {
+    text_answer(200, "ok\n")
+}
+
+pub(crate) async fn readiness(host: Arc<EntryHost>) -> Response {
+    if host.is_ready() {
+        return text_answer(200, "ready\n");
+    }
+    let why = if host.is_draining() {
+        "draining\n"
+    } else {
+        "no table yet\n"
+    };
+    text_answer(503, why)
+}
+
+async fn status(host: Arc<EntryHost>) -> Response {
+    json_answer(200, &host.status())
+}
+
+async fn metrics(host: Arc<EntryHost>) -> Response {
+    text_answer(200, host.metrics.render())
+}
--- /dev/null
+++ b/crates/teaselglade-entry/src/settings/entry_settings.rs
@@ -0,0 +1,102 @@
+//! Settings of one entry daemon.
+
+use std::net::SocketAddr;
+use std::path::Path;
+use std::time::Duration;
+
+use log::LevelFilter;
+use teaselglade_net::logging::LogFormat;
+use teaselglade_settings::{Result, SettingsDocument, SettingsObject};
+
+const DEFAULT_DRAIN: Duration = Duration::from_secs(30);
+
+/// Settings of one entry daemon.
+///
+/// # Examples
+///
+/// ```
+/// use teaselglade_entry::EntrySettings;
+///
+/// let text = r#"{
+///     "host": "galway-e1", "zone": "galway", "cluster": "corrib",
+///     "callers": "127.0.0.1:8080", "peers": "127.0.0.1:8081",
+///     "log": "127.0.0.1:9001", "host_list": "127.0.0.1:9002", // the platform
+/// }"#;
+/// let settings = EntrySettings::from_text("entry.jsonc", text)?;
+/// assert_eq!(settings.zone, "galway");
+/// # Ok::<(), teaselglade_settings::SettingsError>(())
+/// ```
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct EntrySettings {
+    /// Name of this host.
+    pub host: String,
+    /// Data centre of this host.
+    pub zone: String,
+    /// Name of the cluster; peers of other clusters are refused.
+    pub cluster: String,
+    /// Address that callers reach through the balancer.
+    pub callers: SocketAddr,
+    /// Address that peers reach.
+    pub peers: SocketAddr,
+    /// Address of the platform's log.
+    pub log: SocketAddr,
+    /// Address of the platform's host list.
+    pub host_list: SocketAddr,
+    /// Address of the cloud API, where notices are read from it.
+    pub cloud: Option<SocketAddr>,
+    /// Longest time of a graceful stop.
+    pub drain: Duration,
+    /// Form of the log lines.
+    pub log_format: LogFormat,
+    /// Least level of the log lines.
+    pub log_level: LevelFilter,
+}
+
+impl EntrySettings {
+    /// Reads a settings file.
+    ///
+    /// # Errors
+    ///
+    /// Returns every fault of the file.
+    pub fn from_file(path: impl AsRef<Path>) -> Result<Self> {
+        SettingsDocument::from_file(path)?.read(read_settings)
+    }
+
+    /// Reads settings from a text.
+    ///
+    /// # Errors
+    ///
+    /// Returns every fault of the text.
+    pub fn from_text(file: impl Into<String>, text: impl Into<String>) -> Result<Self> {
+        SettingsDocument::from_text(file, text).read(read_settings)
+    }
+}
+
+fn read_settings(root: &SettingsObject<'_>) -> EntrySettings {
+    EntrySettings {
+        host: root.string("host"),
+        zone: root.string("zone"),
+        cluster: root.string("cluster"),
+        callers: root.address("callers"),
+        peers: root.address("peers"),
+        log: root.address("log"),
+        host_list: root.address("host_list"),
+        cloud: root.opt_address("cloud"),
+        drain: root.opt_millis("drain_ms").unwrap_or(DEFAULT_DRAIN),
+        log_format: log_format(root),
+        log_level: root
+            .opt_parsed("log_level", "one of `error`, `warn`, `info`, `debug`")
+            .unwrap_or(LevelFilter::Info),
+    }
+}
+
+fn log_format(root: &SettingsObject<'_>) -> LogFormat {
+    match root.opt_string("log_format").as_deref() {
+        None | Some("text") => LogFormat::Text,
+        Some("json") => LogFormat::Json,
+        Some(_) => {
+            root.reject("log_format", "expected `text` or `json`");
+            LogFormat::Text
+        }
+    }
+}
--- /dev/null
+++ b/crates/teaselglade-entry/src/settings/mod.rs
@@ -0,0 +1,5 @@
+//! Settings of the entry daemon.
+
+mod entry_settings;
+
+pub use entry_settings::EntrySettings;
--- /dev/null
+++ b/crates/teaselglade/src/demo/mod.rs
@@ -0,0 +1,1 @@
+//! Demo of a whole fleet in one process.
--- /dev/null
+++ b/crates/teaselglade/src/lib.rs
@@ -0,0 +1,4 @@
+//! Operators' tool, demo and caller's client.
+
+pub mod caller;
+pub mod demo;
--- /dev/null
+++ b/crates/teaselglade/tests/processes/harness.rs
@@ -0,0 +1,230 @@
+//! Starts the programs of one fleet and ends them again.
+
+use std::fs;
+use std::io::{BufRead, BufReader};
+use std::net::SocketAddr;
+use std::process::{Child, Command, Stdio};
+use std::time::Duration;
+
+use bytes::Bytes;
+use hyper::Method;
+use teaselglade_entry::DaemonAddresses;
+use teaselglade_net::client::{HttpAnswer, HttpCall, HttpCaller};
+use teaselglade_standins::fleet::{FleetAddresses, FleetPlan};
+use teaselglade_wire::codec::{from_json, to_json};
+use teaselglade_wire::{HostEntries, HostEntry, HostRole, HostStatus};
+use tempfile::TempDir;
+use tokio::time::sleep;
+
+const POLL: Duration = Duration::from_millis(25);
+const MAX_POLLS: u32 = 800;
+
+/// One program; it is killed when the value is dropped.
+#[derive(Debug)]
+pub struct TestProcess {
+    child: Child,
+}
+
+impl TestProcess {
+    /// Starts a program and returns it with its first line of output.
+    pub fn start(program: &str, arguments: &[&str]) -> (Self, String) {
+        let mut command = Command::new(program);
+        command
+            .args(arguments)
+            .stdout(Stdio::piped())
+            .stderr(Stdio::null());
+        let mut child = command.spawn().expect("the program starts");
+        let stdout = child.stdout.take().expect("standard output is piped");
+        let mut line = String::new();
+        BufReader::new(stdout)
+            .read_line(&mut line)
+            .expect("the program prints a line");
+        (Self { child }, line)
+    }
+
+    /// Sends a signal by name, such as `STOP`, to this process only.
+    pub fn signal(&self, name: &str) {
+        let pid = self.child.id().to_string();
+        let status = Command::new("kill").args(["-s", name, &pid]).status();
+        assert!(
+            status.expect("kill runs").success(),
+            "signal {name} to {pid}"
+        );
+    }
+
+    /// Kills the process at once.
+    pub fn kill(&mut self) {
+        // A process that ended by itself needs no kill.
+        let _ended = self.child.kill();
+        let _status = self.child.wait();
+    }
+
+    /// Waits for the process to end and returns whether it succeeded.
+    pub fn wait(&mut self) -> bool {
+        self.child.wait().is_ok_and(|status| status.success())
+    }
+}
+
+impl Drop for TestProcess {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+/// One entry daemon as a process.
+#[derive(Debug)]
+pub struct EntryProcess {
+    /// The process.
+    pub process: TestProcess,
+    /// Name of the host.
+    pub host: String,
+    /// Addresses that the daemon listens on.
+    pub addresses: DaemonAddresses,
+}
+
+/// Stand-ins and entry daemons of one fleet.
+#[derive(Debug)]
+pub struct TestFleet {
+    /// Plan of the fleet.
+    pub plan: FleetPlan,
+    /// Addresses of the platform's stand-ins.
+    pub platform: FleetAddresses,
+    /// Entry daemons.
+    pub entries: Vec<EntryProcess>,
+    /// HTTP client for the stand-ins.
+    pub caller: HttpCaller,
+    /// Folder for settings files.
+    pub folder: TempDir,
+    _standins: TestProcess,
+}
+
+impl TestFleet {
+    /// Starts the stand-ins, publishes the table and starts `entries` ready entry daemons.
+    pub async fn start(plan: FleetPlan, entries: usize) -> Self {
+        let program = env!("CARGO_BIN_EXE_teaselglade-standins");
+        let (standins, line) = TestProcess::start(program, &["--fleet", &plan.name]);
+        let platform = from_json::<FleetAddresses>(line.as_bytes()).expect("addresses");
+        let mut fleet = Self {
+            plan,
+            platform,
+            entries: Vec::new(),
+            caller: HttpCaller::default(),
+            folder: TempDir::new().expect("a folder for settings"),
+            _standins: standins,
+        };
+        fleet.publish_table().await;
+        for index in 0..entries {
+            fleet.start_entry(index).await;
+        }
+        fleet.wait_ready().await;
+        fleet
+    }
+
+    /// Starts one more entry daemon and shows it in the host list.
+    pub async fn start_entry(&mut self, index: usize) {
+        let zone = self.plan.zones[index % self.plan.zones.len()].clone();
+        let host = format!("{zone}-entry-{index}");
+        let path = self.folder.path().join(format!("{host}.jsonc"));
+        let settings = format!(
+            "{{ \"host\": \"{host}\", \"zone\": \"{zone}\", \"cluster\": \"{}\", // one host\n\
+             \"callers\": \"127.0.0.1:0\", \"peers\": \"127.0.0.1:0\",\n\
+             \"log\": \"{}\", \"host_list\": \"{}\", \"cloud\": \"{}\" }}",
+            self.plan.name, self.platform.log, self.platform.host_list, self.platform.cloud,
+        );
+        fs::write(&path, settings).expect("the settings are written");
+        let program = env!("CARGO_BIN_EXE_teaselglade-entry");
+        let path = path.display().to_string();
+        let (process, line) = TestProcess::start(program, &["--config", &path]);
+        let addresses = from_json::<DaemonAddresses>(line.as_bytes()).expect("addresses");
+        let entry = HostEntry {
+            name: host.clone(),
+            incarnation: 1,
+            role: HostRole::Entry,
+            address: addresses.peers.to_string(),
+            zone,
+            class: "entry".to_owned(),
+            service: String::new(),
+            cents_per_hour: 2.0,
+            reclaimable: true,
+            leaving: false,
+        };
+        let body = to_json(&entry).expect("the host is encoded");
+        self.call(HttpCall::new(Method::PUT, self.platform.host_list, "/hosts").body(body))
+            .await;
+        self.entries.push(EntryProcess {
+            process,
+            host,
+            addresses,
+        });
+    }
+
+    /// Returns the callers' addresses of all entry daemons.
+    pub fn callers(&self) -> Vec<SocketAddr> {
+        self.entries
+            .iter()
+            .map(|entry| entry.addresses.callers)
+            .collect()
+    }
+
+    /// Publishes the plan's table.
+    pub async fn publish_table(&self) {
+        let table = Bytes::from(self.plan.table.clone());
+        self.call(HttpCall::post(
+            self.platform.log,
+            "/streams/table/records",
+            table,
+        ))
+        .await;
+    }
+
+    /// Sets the faults of a stand-in, as JSON.
+    pub async fn set_faults(&self, address: SocketAddr, faults: &str) {
+        self.call(HttpCall::post(address, "/faults", faults.to_owned()))
+            .await;
+    }
+
+    /// Returns the backend servers of a service as the host list shows them.
+    pub async fn servers(&self, service: &str) -> Vec<HostEntry> {
+        let answer = self
+            .call(HttpCall::get(self.platform.host_list, "/hosts"))
+            .await;
+        let hosts = from_json::<HostEntries>(&answer.body)
+            .expect("the host list")
+            .hosts;
+        hosts
+            .into_iter()
+            .filter(|host| host.service == service)
+            .collect()
+    }
+
+    /// Returns the status of an entry daemon.
+    pub async fn status(&self, entry: &EntryProcess) -> HostStatus {
+        let answer = self
+            .call(HttpCall::get(entry.addresses.peers, "/status"))
+            .await;
+        from_json(&answer.body).expect("the status")
+    }
+
+    /// Waits until every entry daemon is ready and knows every backend server.
+    pub async fn wait_ready(&self) {
+        for entry in &self.entries {
+            let mut polls = 0;
+            loop {
+                let status = self.status(entry).await;
+                if status.ready && status.servers as usize == self.plan.servers.len() {
+                    break;
+                }
+                polls += 1;
+                assert!(polls < MAX_POLLS, "{} is not ready: {status:?}", entry.host);
+                sleep(POLL).await;
+            }
+        }
+    }
+
+    /// Sends a call that must succeed.
+    pub async fn call(&self, call: HttpCall) -> HttpAnswer {
+        let answer = self.caller.call(call).await.expect("an answer");
+        assert!(answer.is_success(), "status {}", answer.status);
+        answer
+    }
+}
--- /dev/null
+++ b/crates/teaselglade/tests/processes/main.rs
@@ -0,0 +1,5 @@
+//! Tests over separate processes: stand-ins, entry daemons and control daemons.
+
+mod faults;
+mod harness;
+mod whole_path;
