feat(claims): add keys, records, the shard's view and its machine

A call that may not be repeated needs one owner in the fleet. The first claim of a key in log order owns it; only the claimer settles its own claim, so no takeover needs fencing. Ruled out: takeover by time (a paused claimer may still dispatch) and a second record before the dispatch (one more append for a window of milliseconds).

--- /dev/null
+++ b/crates/teaselglade-claims/src/key/key_window.rs
@@ -0,0 +1,94 @@
+//! How old and how far ahead a key may be.
+
+use std::time::Duration;
+
+use teaselglade_core::time::Timestamp;
+
+use super::{IdempotencyKey, KeyError, Result};
+
+/// Window of time around a key in which the key can be claimed.
+///
+/// The authority is the log's clock at the claim's own record, so every reader judges alike. A
+/// host's clock is asked only to refuse hopeless keys early.
+///
+/// # Examples
+///
+/// ```
+/// use std::time::Duration;
+/// use teaselglade_claims::key::{IdempotencyKey, KeyError, KeyWindow};
+///
+/// let window = KeyWindow::default();
+/// let key = "0193a1b2-0000-7000-8000-000000000001".parse::<IdempotencyKey>()?;
+/// let late = key.created() + window.oldest() + Duration::from_secs(1);
+/// assert_eq!(window.check(key, key.created()), Ok(()));
+/// assert_eq!(window.check(key, late), Err(KeyError::Expired));
+/// # Ok::<(), KeyError>(())
+/// ```
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct KeyWindow {
+    oldest: Duration,
+    ahead: Duration,
+}
+
+impl KeyWindow {
+    const OLDEST: Duration = Duration::from_mins(15);
+    const AHEAD: Duration = Duration::from_mins(1);
+    const LINGER: Duration = Duration::from_mins(5);
+
+    /// Sets the greatest age of a key.
+    #[must_use]
+    pub fn with_oldest(mut self, age: impl Into<Duration>) -> Self {
+        self.oldest = age.into();
+        self
+    }
+
+    /// Sets how far a key's time may lie ahead of the log's clock.
+    #[must_use]
+    pub fn with_ahead(mut self, ahead: impl Into<Duration>) -> Self {
+        self.ahead = ahead.into();
+        self
+    }
+
+    /// Returns the greatest age of a key.
+    #[must_use]
+    pub const fn oldest(self) -> Duration {
+        self.oldest
+    }
+
+    /// Returns the shortest time for which the log must keep records.
+    #[must_use]
+    pub fn min_retention(self) -> Duration {
+        self.oldest + self.ahead + Self::LINGER
+    }
+
+    /// Checks a key against a point in time.
+    ///
+    /// # Errors
+    ///
+    /// Fails where the key is too old or lies too far ahead.
+    pub fn check(self, key: IdempotencyKey, at: Timestamp) -> Result<()> {
+        let created = key.created();
+        if at > created + self.oldest {
+            return Err(KeyError::Expired);
+        }
+        if created > at + self.ahead {
+            return Err(KeyError::TooFarAhead);
+        }
+        Ok(())
+    }
+
+    /// Returns whether what is known of a key may be forgotten at a point in time.
+    #[must_use]
+    pub fn is_forgettable(self, key: IdempotencyKey, at: Timestamp) -> bool {
+        at > key.created() + self.oldest + Self::LINGER
+    }
+}
+
+impl Default for KeyWindow {
+    fn default() -> Self {
+        Self {
+            oldest: Self::OLDEST,
+            ahead: Self::AHEAD,
+        }
+    }
+}
--- /dev/null
+++ b/crates/teaselglade-claims/src/plain/mod.rs
@@ -0,0 +1,9 @@
+//! Calls to plain servers that need no claim.
+
+mod plain_event;
+mod plain_machine;
+mod retry_permit;
+
+pub use plain_event::{PlainAction, PlainEvent};
+pub use plain_machine::{PlainMachine, PlainRepeat};
+pub use retry_permit::{PermitDecision, RetryPermit};
--- /dev/null
+++ b/crates/teaselglade-claims/src/plain/plain_event.rs
@@ -0,0 +1,30 @@
+//! Events and actions of a plain call.
+
+use teaselglade_core::port::{AttemptError, PlainAnswer};
+use teaselglade_core::time::Timestamp;
+use teaselglade_core::verdict::RequestRefusal;
+
+/// What happens to a plain call.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum PlainEvent {
+    /// The call was accepted.
+    Started,
+    /// The attempt under way ended.
+    Attempted(Result<PlainAnswer, AttemptError>),
+    /// The time of the last `WakeAt` came.
+    Woken,
+}
+
+/// What a plain call wants done.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum PlainAction {
+    /// Send the call to a backend server.
+    Dispatch {
+        /// Number of the attempt, from 1.
+        attempt: u32,
+    },
+    /// Send `Woken` at this time.
+    WakeAt(Timestamp),
+    /// Answer the caller; the call has ended.
+    Answer(Result<PlainAnswer, RequestRefusal>),
+}
--- /dev/null
+++ b/crates/teaselglade-claims/src/record/claim_outcome.rs
@@ -0,0 +1,75 @@
+//! What became of a claimed call.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use teaselglade_core::port::PlainAnswer;
+use teaselglade_core::verdict::ExecutionVerdict;
+
+const MAX_KEPT_BYTES: usize = 4 * 1024;
+const KEPT_HEADERS: [&str; 3] = ["content-type", "content-language", "location"];
+
+/// Answer of a call as the log keeps it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct KeptAnswer {
+    /// HTTP status.
+    pub status: u16,
+    /// Headers that describe the body.
+    pub headers: Vec<(String, String)>,
+    /// Body.
+    pub body: Bytes,
+}
+
+/// What became of a claimed call.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum ClaimOutcome {
+    /// The call ran, and its answer is kept.
+    Answered(Arc<KeptAnswer>),
+    /// The call ran; its answer was too large to keep.
+    Ran {
+        /// HTTP status.
+        status: u16,
+    },
+    /// The call may have run.
+    MayHaveRun,
+    /// The call did not run and never will under this claim.
+    NotRun,
+}
+
+impl ClaimOutcome {
+    /// Makes the outcome of a call that a server answered.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use teaselglade_claims::record::ClaimOutcome;
+    /// use teaselglade_core::port::PlainAnswer;
+    ///
+    /// let answer = PlainAnswer { status: 201, headers: Vec::new(), body: vec![0; 9_000].into() };
+    /// assert_eq!(ClaimOutcome::of_answer(&answer), ClaimOutcome::Ran { status: 201 });
+    /// ```
+    #[must_use]
+    pub fn of_answer(answer: &PlainAnswer) -> Self {
+        let status = answer.status;
+        if answer.body.len() > MAX_KEPT_BYTES {
+            return Self::Ran { status };
+        }
+        let headers = answer.headers.iter();
+        let headers = headers.filter(|(name, _)| KEPT_HEADERS.contains(&name.as_str()));
+        Self::Answered(Arc::new(KeptAnswer {
+            status,
+            headers: headers.cloned().collect(),
+            body: answer.body.clone(),
+        }))
+    }
+
+    /// Returns the verdict that the outcome stands for.
+    #[must_use]
+    pub const fn verdict(&self) -> ExecutionVerdict {
+        match self {
+            Self::Answered(_) | Self::Ran { .. } => ExecutionVerdict::Ran,
+            Self::MayHaveRun => ExecutionVerdict::MayHaveRun,
+            Self::NotRun => ExecutionVerdict::NotRun,
+        }
+    }
+}
--- /dev/null
+++ b/crates/teaselglade-claims/src/shard/outbox.rs
@@ -0,0 +1,73 @@
+//! Entries on their way into the log.
+
+use std::collections::VecDeque;
+
+use teaselglade_core::time::Timestamp;
+
+use crate::key::KeyWindow;
+use crate::record::{ClaimId, SettleRecord, ShardRecord};
+
+const MAX_BATCH: usize = 64;
+const MAX_QUEUED: usize = 1_024;
+
+/// Entries on their way into the log, in the order in which they must land.
+#[derive(Debug, Clone, Default)]
+pub(super) struct Outbox {
+    queued: VecDeque<ShardRecord>,
+    in_flight: Vec<ShardRecord>,
+}
+
+impl Outbox {
+    pub(super) fn push(&mut self, entry: ShardRecord) {
+        self.queued.push_back(entry);
+    }
+
+    /// Removes a claim that is still queued and returns whether it was.
+    pub(super) fn recall(&mut self, claim: ClaimId) -> bool {
+        let before = self.queued.len();
+        self.queued
+            .retain(|entry| !matches!(entry, ShardRecord::Claim(record) if record.claim == claim));
+        self.queued.len() < before
+    }
+
+    /// Takes the next batch, which is under way from here on.
+    pub(super) fn take_batch(&mut self) -> &[ShardRecord] {
+        let count = self.queued.len().min(MAX_BATCH);
+        self.in_flight = self.queued.drain(..count).collect();
+        &self.in_flight
+    }
+
+    /// Ends the append under way and returns its entries.
+    pub(super) fn end_append(&mut self) -> Vec<ShardRecord> {
+        std::mem::take(&mut self.in_flight)
+    }
+
+    /// Puts settling entries back, before the queued ones; landing twice does no harm.
+    pub(super) fn requeue(&mut self, settles: Vec<SettleRecord>) {
+        for record in settles.into_iter().rev() {
+            self.queued.push_front(ShardRecord::Settle(record));
+        }
+    }
+
+    /// Drops entries of passed keys and the oldest ones above the limit; returns how many.
+    pub(super) fn drop_stale(&mut self, window: KeyWindow, now: Timestamp) -> usize {
+        let before = self.queued.len();
+        self.queued
+            .retain(|entry| !window.is_forgettable(entry.key().key, now));
+        let excess = self.queued.len().saturating_sub(MAX_QUEUED);
+        self.queued.drain(..excess);
+        before - self.queued.len()
+    }
+
+    pub(super) const fn is_appending(&self) -> bool {
+        !self.in_flight.is_empty()
+    }
+
+    pub(super) fn has_queued(&self) -> bool {
+        !self.queued.is_empty()
+    }
+
+    pub(super) fn is_empty(&self) -> bool {
+        self.queued.is_empty() && self.in_flight.is_empty()
+    }
+}
--- /dev/null
+++ b/crates/teaselglade-claims/src/shard/refusals.rs
@@ -0,0 +1,70 @@
+//! Refusals of calls that may not be repeated.
+
+use std::time::Duration;
+
+use teaselglade_core::verdict::{ExecutionVerdict, RefusalReason, RequestRefusal};
+
+use crate::booking::{BookedCall, BookingAnswer, BookingResult};
+use crate::key::RequestDigest;
+use crate::record::ClaimOutcome;
+
+/// Returns the verdict on a call that made no use of its key here.
+///
+/// A call that repeats an earlier one may have run through that one, which this host cannot see.
+pub(super) const fn unclaimed_verdict(call: &BookedCall) -> ExecutionVerdict {
+    if call.repeated {
+        ExecutionVerdict::MayHaveRun
+    } else {
+        ExecutionVerdict::NotRun
+    }
+}
+
+pub(super) fn log_unavailable(call: &BookedCall, pause: Duration) -> RequestRefusal {
+    let detail = "the call needs a claim in the log";
+    let verdict = unclaimed_verdict(call);
+    RequestRefusal::with_verdict(verdict, RefusalReason::LogUnavailable, detail).retry_after(pause)
+}
+
+pub(super) fn undecided(pause: Duration) -> RequestRefusal {
+    let detail = "an earlier call with this key is not settled; ask again with the same key";
+    let verdict = ExecutionVerdict::MayHaveRun;
+    RequestRefusal::with_verdict(verdict, RefusalReason::DeadlineExceeded, detail)
+        .retry_after(pause)
+}
+
+pub(super) fn key_reused() -> RequestRefusal {
+    let detail = "use a new key for a new request";
+    RequestRefusal::not_run(RefusalReason::KeyReused, detail)
+}
+
+pub(super) fn attempt_failed(verdict: ExecutionVerdict, detail: String) -> RequestRefusal {
+    RequestRefusal::with_verdict(verdict, RefusalReason::AttemptFailed, detail)
+}
+
+/// Returns the answer to a later call with the key of a settled one.
+pub(super) fn replay(
+    call: &BookedCall,
+    digest: RequestDigest,
+    outcome: &ClaimOutcome,
+) -> BookingResult {
+    if call.digest != digest {
+        return Err(key_reused());
+    }
+    match outcome {
+        ClaimOutcome::Answered(answer) => Ok(BookingAnswer {
+            status: answer.status,
+            headers: answer.headers.clone(),
+            body: answer.body.clone(),
+            replayed: true,
+        }),
+        ClaimOutcome::Ran { status } => Err(RequestRefusal::with_verdict(
+            outcome.verdict(),
+            RefusalReason::TooLarge,
+            format!("the call ran with status {status}; its answer was too large to keep"),
+        )),
+        ClaimOutcome::MayHaveRun | ClaimOutcome::NotRun => Err(attempt_failed(
+            ExecutionVerdict::MayHaveRun,
+            "an earlier call with this key failed on its way".to_owned(),
+        )),
+    }
+}
--- /dev/null
+++ b/crates/teaselglade-claims/src/view/shard_view.rs
@@ -0,0 +1,212 @@
+//! Fold of a shard's records in log order.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use teaselglade_core::port::{LogPage, LogRecord};
+use teaselglade_core::time::Timestamp;
+
+use super::{ClaimFate, ClaimSighting, KeyState, PageNews};
+use crate::key::{KeyError, KeyWindow, ScopedKey};
+use crate::record::{ClaimId, ClaimOutcome, ClaimRecord, SettleRecord, ShardRecord, decode_batch};
+
+#[derive(Debug, Clone, Default)]
+struct KeyEntry {
+    state: KeyState,
+    /// Claims that were settled as not run.
+    withdrawn: Vec<ClaimId>,
+}
+
+/// Fold of a shard's records in log order; the same records give every reader the same view.
+///
+/// A view that lost records to the log's retention starts a new epoch. A claim counts only if it
+/// was sent in the epoch in which it is read, so that no record of its key can be missing.
+///
+/// # Examples
+///
+/// ```
+/// use teaselglade_claims::key::{KeyWindow, ScopedKey};
+/// use teaselglade_claims::view::{KeyState, ShardView};
+///
+/// let view = ShardView::new(KeyWindow::default());
+/// let key = "0193a1b2-0000-7000-8000-000000000001".parse()?;
+/// assert_eq!(view.state(&ScopedKey::new("corrib", "ticket-desk", key)), KeyState::Free);
+/// assert!(!view.is_started());
+/// # Ok::<(), teaselglade_claims::key::KeyError>(())
+/// ```
+#[derive(Debug, Clone)]
+pub struct ShardView {
+    window: KeyWindow,
+    next: u64,
+    epoch: u32,
+    started: bool,
+    clock: Timestamp,
+    malformed: u64,
+    keys: BTreeMap<ScopedKey, KeyEntry>,
+    by_age: BTreeSet<(Timestamp, ScopedKey)>,
+}
+
+impl ShardView {
+    /// Makes a view that has read nothing.
+    #[must_use]
+    pub const fn new(window: KeyWindow) -> Self {
+        Self {
+            window,
+            next: 0,
+            epoch: 0,
+            started: false,
+            clock: Timestamp::ZERO,
+            malformed: 0,
+            keys: BTreeMap::new(),
+            by_age: BTreeSet::new(),
+        }
+    }
+
+    /// Returns the offset to read next.
+    #[must_use]
+    pub const fn next(&self) -> u64 {
+        self.next
+    }
+
+    /// Returns the number of times that records were lost to retention.
+    #[must_use]
+    pub const fn epoch(&self) -> u32 {
+        self.epoch
+    }
+
+    /// Returns whether a page was read.
+    #[must_use]
+    pub const fn is_started(&self) -> bool {
+        self.started
+    }
+
+    /// Returns how many records could not be decoded.
+    #[must_use]
+    pub const fn malformed(&self) -> u64 {
+        self.malformed
+    }
+
+    /// Returns how many keys the view remembers.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.keys.len()
+    }
+
+    /// Returns whether the view remembers no key.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.keys.is_empty()
+    }
+
+    /// Returns the state of a key.
+    #[must_use]
+    pub fn state(&self, key: &ScopedKey) -> KeyState {
+        let entry = self.keys.get(key);
+        entry.map_or(KeyState::Free, |entry| entry.state.clone())
+    }
+
+    /// Takes in a page of records.
+    pub fn apply_page(&mut self, page: &LogPage) -> PageNews {
+        self.check_gap(page.first);
+        self.started = true;
+        let mut news = PageNews::default();
+        for record in &page.records {
+            self.apply_record(record, &mut news);
+        }
+        news.reached_end = self.next >= page.end;
+        news
+    }
+
+    fn check_gap(&mut self, first: u64) {
+        if first <= self.next {
+            return;
+        }
+        if self.started {
+            self.epoch += 1;
+            self.keys.clear();
+            self.by_age.clear();
+        }
+        self.next = first;
+    }
+
+    fn apply_record(&mut self, record: &LogRecord, news: &mut PageNews) {
+        if record.offset < self.next {
+            return;
+        }
+        self.check_gap(record.offset);
+        self.next = record.offset + 1;
+        self.clock = self.clock.max(record.appended);
+        self.forget_old_keys();
+        let Ok(entries) = decode_batch(&record.body) else {
+            self.malformed += 1;
+            return;
+        };
+        for entry in entries {
+            match entry {
+                ShardRecord::Claim(claim) => news.sightings.push(ClaimSighting {
+                    claim: claim.claim,
+                    fate: self.apply_claim(&claim, record.appended),
+                }),
+                ShardRecord::Settle(settle) => self.apply_settle(settle, record.appended),
+            }
+        }
+    }
+
+    fn apply_claim(&mut self, record: &ClaimRecord, appended: Timestamp) -> ClaimFate {
+        match self.window.check(record.key.key, appended) {
+            Err(KeyError::TooFarAhead) => return ClaimFate::TooEarly,
+            Err(_) => return ClaimFate::TooOld,
+            Ok(()) => {}
+        }
+        let entry = self.entry(&record.key);
+        if entry.withdrawn.contains(&record.claim) {
+            return ClaimFate::Settled;
+        }
+        match entry.state {
+            KeyState::Free => {
+                entry.state = KeyState::Held {
+                    claim: record.claim,
+                    digest: record.digest,
+                };
+                ClaimFate::Owner
+            }
+            KeyState::Held { claim, .. } if claim == record.claim => ClaimFate::Owner,
+            KeyState::Held { .. } | KeyState::Done { .. } => ClaimFate::Behind,
+        }
+    }
+
+    fn apply_settle(&mut self, record: SettleRecord, appended: Timestamp) {
+        if self.window.is_forgettable(record.key.key, appended) {
+            return;
+        }
+        let entry = self.entry(&record.key);
+        if record.outcome == ClaimOutcome::NotRun {
+            entry.withdrawn.push(record.claim);
+            let held = matches!(entry.state, KeyState::Held { claim, .. } if claim == record.claim);
+            if held {
+                entry.state = KeyState::Free;
+            }
+        } else if !matches!(entry.state, KeyState::Done { .. }) {
+            entry.state = KeyState::Done {
+                digest: record.digest,
+                outcome: record.outcome,
+            };
+        }
+    }
+
+    fn entry(&mut self, key: &ScopedKey) -> &mut KeyEntry {
+        if !self.keys.contains_key(key) {
+            self.by_age.insert((key.key.created(), key.clone()));
+        }
+        self.keys.entry(key.clone()).or_default()
+    }
+
+    fn forget_old_keys(&mut self) {
+        while let Some((_, key)) = self.by_age.first() {
+            if !self.window.is_forgettable(key.key, self.clock) {
+                return;
+            }
+            self.keys.remove(key);
+            self.by_age.pop_first();
+        }
+    }
+}
--- a/crates/teaselglade-wire/src/generated.rs
+++ b/crates/teaselglade-wire/src/generated.rs
@@ -32,6 +32,176 @@
         }
     }
 }
+///One header of a kept answer.
+///
+/// <details><summary>JSON schema</summary>
+///
+/// ```json
+///{
+///  "description": "One header of a kept answer.",
+///  "type": "object",
+///  "required": [
+///    "name",
+///    "value"
+///  ],
+///  "properties": {
+///    "name": {
+///      "description": "Name of the header.",
+///      "type": "string"
+///    },
+///    "value": {
+///      "description": "Value of the header.",
+///      "type": "string"
+///    }
+///  }
+///}
+/// ```
+/// </details>
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct AnswerHeader {
+    ///Name of the header.
+    pub name: ::std::string::String,
+    ///Value of the header.
+    pub value: ::std::string::String,
+}
+impl ::std::convert::From<&AnswerHeader> for AnswerHeader {
+    fn from(value: &AnswerHeader) -> Self {
+        value.clone()
+    }
+}
+///What became of a claimed call.
+///
+/// <details><summary>JSON schema</summary>
+///
+/// ```json
+///{
+///  "description": "What became of a claimed call.",
+///  "oneOf": [
+///    {
+///      "description": "The call ran, and its answer is kept.",
+///      "type": "object",
+///      "required": [
+///        "body",
+///        "headers",
+///        "outcome",
+///        "status"
+///      ],
+///      "properties": {
+///        "body": {
+///          "description": "Body of the answer.",
+///          "type": "array",
+///          "items": {
+///            "type": "integer",
+///            "format": "uint8",
+///            "minimum": 0.0
+///          }
+///        },
+///        "headers": {
+///          "description": "Headers of the answer.",
+///          "type": "array",
+///          "items": {
+///            "$ref": "#/definitions/AnswerHeader"
+///          }
+///        },
+///        "outcome": {
+///          "type": "string",
+///          "enum": [
+///            "answered"
+///          ]
+///        },
+///        "status": {
+///          "description": "HTTP status.",
+///          "type": "integer",
+///          "format": "uint16",
+///          "minimum": 0.0
+///        }
+///      }
+///    },
+///    {
+///      "description": "The call ran; its answer was too large to keep.",
+///      "type": "object",
+///      "required": [
+///        "outcome",
+///        "status"
+///      ],
+///      "properties": {
+///        "outcome": {
+///          "type": "string",
+///          "enum": [
+///            "ran"
+///          ]
+///        },
+///        "status": {
+///          "description": "HTTP status.",
+///          "type": "integer",
+///          "format": "uint16",
+///          "minimum": 0.0
+///        }
+///      }
+///    },
+///    {
+///      "description": "The call may have run.",
+///      "type": "object",
+///      "required": [
+///        "outcome"
+///      ],
+///      "properties": {
+///        "outcome": {
+///          "type": "string",
+///          "enum": [
+///            "may_have_run"
+///          ]
+///        }
+///      }
+///    },
+///    {
+///      "description": "The call did not run and never will under this claim.",
+///      "type": "object",
+///      "required": [
+///        "outcome"
+///      ],
+///      "properties": {
+///        "outcome": {
+///          "type": "string",
+///          "enum": [
+///            "not_run"
+///          ]
+///        }
+///      }
+///    }
+///  ]
+///}
+/// ```
+/// </details>
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(tag = "outcome")]
+pub enum BookingOutcome {
+    ///The call ran, and its answer is kept.
+    #[serde(rename = "answered")]
+    Answered {
+        ///Body of the answer.
+        body: ::std::vec::Vec<u8>,
+        ///Headers of the answer.
+        headers: ::std::vec::Vec<AnswerHeader>,
+        ///HTTP status.
+        status: u16,
+    },
+    ///The call ran; its answer was too large to keep.
+    #[serde(rename = "ran")]
+    Ran {
+        ///HTTP status.
+        status: u16,
+    },
+    #[serde(rename = "may_have_run")]
+    MayHaveRun,
+    #[serde(rename = "not_run")]
+    NotRun,
+}
+impl ::std::convert::From<&Self> for BookingOutcome {
+    fn from(value: &BookingOutcome) -> Self {
+        value.clone()
+    }
+}
 ///What happened to a cached prefix.
 ///
 /// <details><summary>JSON schema</summary>
@@ -1872,6 +2042,173 @@
         value.parse()
     }
 }
+///Record of a shard: entries of one host, in order.
+///
+/// <details><summary>JSON schema</summary>
+///
+/// ```json
+///{
+///  "description": "Record of a shard: entries of one host, in order.",
+///  "type": "object",
+///  "required": [
+///    "entries"
+///  ],
+///  "properties": {
+///    "entries": {
+///      "description": "The entries.",
+///      "type": "array",
+///      "items": {
+///        "$ref": "#/definitions/ShardEntry"
+///      }
+///    }
+///  }
+///}
+/// ```
+/// </details>
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct ShardBatch {
+    ///The entries.
+    pub entries: ::std::vec::Vec<ShardEntry>,
+}
+impl ::std::convert::From<&ShardBatch> for ShardBatch {
+    fn from(value: &ShardBatch) -> Self {
+        value.clone()
+    }
+}
+///One entry of a shard of claims.
+///
+/// <details><summary>JSON schema</summary>
+///
+/// ```json
+///{
+///  "description": "One entry of a shard of claims.",
+///  "oneOf": [
+///    {
+///      "description": "A host claims the key.",
+///      "type": "object",
+///      "required": [
+///        "claim",
+///        "digest",
+///        "entry",
+///        "key",
+///        "organisation",
+///        "service"
+///      ],
+///      "properties": {
+///        "claim": {
+///          "description": "Id of the claim.",
+///          "type": "string"
+///        },
+///        "digest": {
+///          "description": "Digest of the request.",
+///          "type": "string"
+///        },
+///        "entry": {
+///          "type": "string",
+///          "enum": [
+///            "claim"
+///          ]
+///        },
+///        "key": {
+///          "description": "Idempotency key of the call.",
+///          "type": "string"
+///        },
+///        "organisation": {
+///          "description": "Organisation of the call.",
+///          "type": "string"
+///        },
+///        "service": {
+///          "description": "Service of the call.",
+///          "type": "string"
+///        }
+///      }
+///    },
+///    {
+///      "description": "The claimer settles its claim.",
+///      "type": "object",
+///      "required": [
+///        "claim",
+///        "digest",
+///        "entry",
+///        "key",
+///        "organisation",
+///        "outcome",
+///        "service"
+///      ],
+///      "properties": {
+///        "claim": {
+///          "description": "Id of the claim.",
+///          "type": "string"
+///        },
+///        "digest": {
+///          "description": "Digest of the request.",
+///          "type": "string"
+///        },
+///        "entry": {
+///          "type": "string",
+///          "enum": [
+///            "settle"
+///          ]
+///        },
+///        "key": {
+///          "description": "Idempotency key of the call.",
+///          "type": "string"
+///        },
+///        "organisation": {
+///          "description": "Organisation of the call.",
+///          "type": "string"
+///        },
+///        "outcome": {
+///          "$ref": "#/definitions/BookingOutcome"
+///        },
+///        "service": {
+///          "description": "Service of the call.",
+///          "type": "string"
+///        }
+///      }
+///    }
+///  ]
+///}
+/// ```
+/// </details>
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(tag = "entry")]
+pub enum ShardEntry {
+    ///A host claims the key.
+    #[serde(rename = "claim")]
+    Claim {
+        ///Id of the claim.
+        claim: ::std::string::String,
+        ///Digest of the request.
+        digest: ::std::string::String,
+        ///Idempotency key of the call.
+        key: ::std::string::String,
+        ///Organisation of the call.
+        organisation: ::std::string::String,
+        ///Service of the call.
+        service: ::std::string::String,
+    },
+    ///The claimer settles its claim.
+    #[serde(rename = "settle")]
+    Settle {
+        ///Id of the claim.
+        claim: ::std::string::String,
+        ///Digest of the request.
+        digest: ::std::string::String,
+        ///Idempotency key of the call.
+        key: ::std::string::String,
+        ///Organisation of the call.
+        organisation: ::std::string::String,
+        outcome: BookingOutcome,
+        ///Service of the call.
+        service: ::std::string::String,
+    },
+}
+impl ::std::convert::From<&Self> for ShardEntry {
+    fn from(value: &ShardEntry) -> Self {
+        value.clone()
+    }
+}
 ///`TeaselgladeWire`
 ///
 /// <details><summary>JSON schema</summary>
