feat(state): replay the table's stream into versions

Cause: publications race, answers get lost and the log forgets; every reader has to come to the same versions all the same.

--- /dev/null
+++ b/crates/teaselglade-state/src/table/head_survey.rs
@@ -0,0 +1,126 @@
+//! Finds the table's head among peers while the log is out.
+
+use std::collections::BTreeMap;
+
+use teaselglade_core::id::HostName;
+use teaselglade_wire::TableHead;
+
+/// What a survey has found so far.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum SurveyVerdict {
+    /// Answers are outstanding.
+    Asking,
+    /// More than half of the hosts answered; the named one has the highest version.
+    Sufficient {
+        /// Host to fetch the table from.
+        host: HostName,
+        /// Highest version in force at a host that answered.
+        version: u64,
+    },
+    /// Too few hosts answered to rule out a higher version.
+    Insufficient {
+        /// Hosts that answered with a known head.
+        answered: usize,
+        /// Hosts that have to.
+        needed: usize,
+    },
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum HostReply {
+    Outstanding,
+    Known { version: u64, through: u64 },
+    Unknown,
+}
+
+/// Survey of the listed entry hosts by a host that starts during an outage of the log.
+///
+/// A version that is in force on half of the listed hosts is always found, since more than half
+/// have to answer. Hosts that do not know the head themselves do not count.
+///
+/// # Examples
+///
+/// ```
+/// use teaselglade_core::id::HostName;
+/// use teaselglade_state::table::{HeadSurvey, SurveyVerdict};
+///
+/// let peer = HostName::new("galway-e2");
+/// let mut survey = HeadSurvey::new("halloran", [peer.clone()]);
+/// assert_eq!(survey.verdict(), SurveyVerdict::Asking);
+/// survey.on_failure(&peer);
+/// assert_eq!(survey.verdict(), SurveyVerdict::Insufficient { answered: 0, needed: 1 });
+/// ```
+#[derive(Debug, Clone)]
+pub struct HeadSurvey {
+    cluster: String,
+    replies: BTreeMap<HostName, HostReply>,
+}
+
+impl HeadSurvey {
+    /// Makes a survey of the other listed entry hosts.
+    #[must_use]
+    pub fn new(cluster: impl Into<String>, hosts: impl IntoIterator<Item = HostName>) -> Self {
+        let hosts = hosts.into_iter();
+        Self {
+            cluster: cluster.into(),
+            replies: hosts.map(|host| (host, HostReply::Outstanding)).collect(),
+        }
+    }
+
+    /// Returns the hosts that have not answered yet.
+    pub fn outstanding(&self) -> impl Iterator<Item = &HostName> {
+        let waiting = |reply: &HostReply| *reply == HostReply::Outstanding;
+        let replies = self.replies.iter();
+        replies.filter_map(move |(host, reply)| waiting(reply).then_some(host))
+    }
+
+    /// Records a host's answer.
+    pub fn on_answer(&mut self, host: &HostName, head: &TableHead) {
+        let is_usable = head.known && head.cluster == self.cluster;
+        let reply = if is_usable {
+            HostReply::Known {
+                version: head.version,
+                through: head.through,
+            }
+        } else {
+            HostReply::Unknown
+        };
+        self.record(host, reply);
+    }
+
+    /// Records that a host did not answer.
+    pub fn on_failure(&mut self, host: &HostName) {
+        self.record(host, HostReply::Unknown);
+    }
+
+    /// Returns what was found so far.
+    #[must_use]
+    pub fn verdict(&self) -> SurveyVerdict {
+        if self.outstanding().next().is_some() {
+            return SurveyVerdict::Asking;
+        }
+        let needed = self.replies.len() / 2 + 1;
+        let known = || self.replies.iter().filter_map(known_head);
+        let answered = known().count();
+        match known().max_by_key(|(_, version, through)| (*version, *through)) {
+            Some((host, version, _)) if answered >= needed => SurveyVerdict::Sufficient {
+                host: host.clone(),
+                version,
+            },
+            _ => SurveyVerdict::Insufficient { answered, needed },
+        }
+    }
+
+    fn record(&mut self, host: &HostName, reply: HostReply) {
+        if let Some(slot) = self.replies.get_mut(host) {
+            *slot = reply;
+        }
+    }
+}
+
+fn known_head<'a>(entry: (&'a HostName, &HostReply)) -> Option<(&'a HostName, u64, u64)> {
+    match *entry.1 {
+        HostReply::Known { version, through } => Some((entry.0, version, through)),
+        HostReply::Outstanding | HostReply::Unknown => None,
+    }
+}
--- /dev/null
+++ b/crates/teaselglade-state/src/table/table_replica.rs
@@ -0,0 +1,391 @@
+//! Replays the table's stream into versions.
+
+use std::collections::VecDeque;
+
+use teaselglade_core::port::{LogPage, LogRecord};
+use teaselglade_core::table::parse_table;
+use teaselglade_core::time::Timestamp;
+use teaselglade_wire::{TableHead, TablePublication, TableRecord, TableSnapshot};
+
+use super::{
+    MAX_TABLE_BYTES, PublicationEntry, PublicationOutcome, PublicationRejection, ReplayCounts,
+    ReplayOutcome, SkipReason, TableVersion, decode_record,
+};
+
+const MAX_VERSIONS: usize = 32;
+const MAX_HISTORY: usize = 512;
+
+/// Copy of the table that replays the log; every reader comes to the same versions.
+///
+/// The first valid publication on a base wins. Versions only go upwards. A reader that misses
+/// the start of the stream waits for a snapshot whose remaining records are all still there.
+///
+/// # Examples
+///
+/// ```
+/// use teaselglade_core::port::LogPage;
+/// use teaselglade_state::table::TableReplica;
+///
+/// let mut replica = TableReplica::new("halloran");
+/// replica.on_page(&LogPage { first: 0, end: 0, records: Vec::new() });
+/// assert!(replica.is_caught_up());
+/// assert_eq!(replica.head().version, 0);
+/// ```
+#[derive(Debug, Clone)]
+pub struct TableReplica {
+    cluster: String,
+    covered: u64,
+    scanned: u64,
+    floor: u64,
+    is_anchored: bool,
+    is_caught_up: bool,
+    needed_since: Option<Timestamp>,
+    needed_records: u64,
+    head: TableVersion,
+    versions: VecDeque<TableVersion>,
+    history: VecDeque<PublicationEntry>,
+    counts: ReplayCounts,
+}
+
+impl TableReplica {
+    /// Makes a replica at the start of the cluster's stream.
+    #[must_use]
+    pub fn new(cluster: impl Into<String>) -> Self {
+        Self {
+            cluster: cluster.into(),
+            covered: 0,
+            scanned: 0,
+            floor: 0,
+            is_anchored: true,
+            is_caught_up: false,
+            needed_since: None,
+            needed_records: 0,
+            head: TableVersion::default(),
+            versions: VecDeque::new(),
+            history: VecDeque::new(),
+            counts: ReplayCounts::default(),
+        }
+    }
+
+    /// Replays a page and returns what each record did.
+    ///
+    /// The caller reads again from [`Self::next_offset`] until [`Self::is_caught_up`].
+    pub fn on_page(&mut self, page: &LogPage) -> Vec<ReplayOutcome> {
+        self.floor = self.floor.max(page.first);
+        if page.first > self.covered && self.is_anchored {
+            self.lose_anchor(page.first);
+        }
+        let mut outcomes = Vec::new();
+        if !self.is_anchored {
+            outcomes.extend(self.find_anchor(page));
+        }
+        if self.is_anchored {
+            self.replay_records(page, &mut outcomes);
+        }
+        self.is_caught_up = self.is_anchored && self.covered >= page.end;
+        outcomes
+    }
+
+    /// Replays one record.
+    pub fn on_record(&mut self, record: &LogRecord) -> ReplayOutcome {
+        if record.offset < self.covered {
+            return ReplayOutcome::Skipped(SkipReason::Replayed);
+        }
+        if record.offset > self.covered && self.is_anchored {
+            self.lose_anchor(record.offset);
+        }
+        if !self.is_anchored {
+            return ReplayOutcome::Skipped(SkipReason::Unanchored);
+        }
+        self.covered += 1;
+        self.needed_records += 1;
+        if record.offset == 0 {
+            self.needed_since = Some(record.appended);
+        }
+        match self.decode(record) {
+            Ok(TableRecord::Publication(publication)) => self.decide(record, publication),
+            Ok(TableRecord::Snapshot(snapshot)) => self.check_snapshot(record, &snapshot),
+            Err(reason) => ReplayOutcome::Skipped(reason),
+        }
+    }
+
+    /// Adopts a peer's head and returns whether the version in force went up.
+    ///
+    /// A head that covers no more of the log than this replica knows is ignored.
+    pub fn on_peer_head(&mut self, snapshot: TableSnapshot) -> bool {
+        if snapshot.cluster != self.cluster {
+            self.counts.foreign += 1;
+            return false;
+        }
+        if snapshot.through <= self.covered {
+            return false;
+        }
+        if snapshot.version < self.head.version || !is_valid_head(&snapshot) {
+            self.counts.conflicts += 1;
+            return false;
+        }
+        self.covered = snapshot.through;
+        self.is_anchored = self.covered >= self.floor;
+        self.is_caught_up = false;
+        self.forget_needed();
+        self.raise_head(snapshot.into())
+    }
+
+    /// Returns the version in force.
+    #[must_use]
+    pub const fn head(&self) -> &TableVersion {
+        &self.head
+    }
+
+    /// Returns whether everything up to the end of the last page was replayed.
+    #[must_use]
+    pub const fn is_caught_up(&self) -> bool {
+        self.is_caught_up
+    }
+
+    /// Returns whether no record is missing between the known head and the next offset.
+    #[must_use]
+    pub const fn is_anchored(&self) -> bool {
+        self.is_anchored
+    }
+
+    /// Returns the offset to read from next.
+    #[must_use]
+    pub const fn next_offset(&self) -> u64 {
+        if self.is_anchored {
+            return self.covered;
+        }
+        self.scanned
+    }
+
+    /// Returns the offset in the log up to which the head is known.
+    #[must_use]
+    pub const fn covered(&self) -> u64 {
+        self.covered
+    }
+
+    /// Returns the append time of the oldest record that a late reader needs, where it is known.
+    #[must_use]
+    pub const fn needed_since(&self) -> Option<Timestamp> {
+        self.needed_since
+    }
+
+    /// Returns how many records a late reader has to replay.
+    #[must_use]
+    pub const fn needed_records(&self) -> u64 {
+        self.needed_records
+    }
+
+    /// Returns the head as a snapshot for the log or for a peer.
+    #[must_use]
+    pub fn to_snapshot(&self) -> TableSnapshot {
+        self.head.to_snapshot(&self.cluster, self.covered)
+    }
+
+    /// Returns which version is in force, as an answer to a starting host.
+    #[must_use]
+    pub fn to_table_head(&self, known: bool) -> TableHead {
+        TableHead {
+            cluster: self.cluster.clone(),
+            version: self.head.version,
+            through: self.covered,
+            known,
+        }
+    }
+
+    /// Returns an accepted version, where it is still remembered.
+    #[must_use]
+    pub fn version(&self, version: u64) -> Option<&TableVersion> {
+        self.versions.iter().find(|known| known.version == version)
+    }
+
+    /// Returns publications, accepted and rejected, oldest first.
+    pub fn history(&self) -> impl Iterator<Item = &PublicationEntry> {
+        self.history.iter()
+    }
+
+    /// Returns what the log decided on a publication, where that was read.
+    ///
+    /// Of several records with the same id the accepted one counts.
+    #[must_use]
+    pub fn publication(&self, id: &str) -> Option<&PublicationOutcome> {
+        let outcomes = || {
+            let entries = self.history.iter().filter(|entry| entry.id == id);
+            entries.map(|entry| &entry.outcome)
+        };
+        let is_accepted =
+            |outcome: &&PublicationOutcome| matches!(outcome, PublicationOutcome::Accepted { .. });
+        outcomes().find(is_accepted).or_else(|| outcomes().next())
+    }
+
+    /// Returns counts of what was replayed.
+    #[must_use]
+    pub const fn counts(&self) -> ReplayCounts {
+        self.counts
+    }
+
+    fn lose_anchor(&mut self, first: u64) {
+        self.counts.gaps += 1;
+        self.is_anchored = false;
+        self.is_caught_up = false;
+        self.scanned = first;
+    }
+
+    fn forget_needed(&mut self) {
+        self.needed_since = None;
+        self.needed_records = 0;
+    }
+
+    fn replay_records(&mut self, page: &LogPage, outcomes: &mut Vec<ReplayOutcome>) {
+        let covered = self.covered;
+        let records = page.records.iter();
+        for record in records.skip_while(|record| record.offset < covered) {
+            let is_next = record.offset == self.covered;
+            if !is_next {
+                break;
+            }
+            outcomes.push(self.on_record(record));
+        }
+    }
+
+    fn decode(&mut self, record: &LogRecord) -> Result<TableRecord, SkipReason> {
+        let Ok(decoded) = decode_record(&record.body) else {
+            self.counts.malformed += 1;
+            return Err(SkipReason::Malformed);
+        };
+        let cluster = match &decoded {
+            TableRecord::Publication(publication) => &publication.cluster,
+            TableRecord::Snapshot(snapshot) => &snapshot.cluster,
+        };
+        if *cluster != self.cluster {
+            self.counts.foreign += 1;
+            return Err(SkipReason::ForeignCluster);
+        }
+        Ok(decoded)
+    }
+
+    fn decide(&mut self, record: &LogRecord, publication: TablePublication) -> ReplayOutcome {
+        let rejection = self.rejection(&publication);
+        let outcome = match rejection {
+            Some(rejection) => PublicationOutcome::Rejected(rejection),
+            None => PublicationOutcome::Accepted {
+                version: self.head.version + 1,
+            },
+        };
+        push_bounded(
+            &mut self.history,
+            MAX_HISTORY,
+            PublicationEntry {
+                offset: record.offset,
+                id: publication.id.clone(),
+                base: publication.base,
+                author: publication.author.clone(),
+                published: Timestamp::from_millis(publication.published_ms),
+                appended: record.appended,
+                outcome: outcome.clone(),
+            },
+        );
+        if let PublicationOutcome::Accepted { version } = outcome {
+            self.counts.accepted += 1;
+            self.raise_head(accepted_version(version, publication));
+        } else {
+            self.counts.rejected += 1;
+        }
+        ReplayOutcome::Publication(outcome)
+    }
+
+    /// Decides from nothing but the head and the record, so that late readers agree.
+    fn rejection(&self, publication: &TablePublication) -> Option<PublicationRejection> {
+        let head = self.head.version;
+        if publication.base < head {
+            let winner = self.version(publication.base + 1).cloned().map(Box::new);
+            return Some(PublicationRejection::StaleBase { winner, head });
+        }
+        if publication.base > head {
+            return Some(PublicationRejection::UnknownBase { head });
+        }
+        let faults = table_faults(&publication.csv)?;
+        Some(PublicationRejection::InvalidTable { faults })
+    }
+
+    fn check_snapshot(&mut self, record: &LogRecord, snapshot: &TableSnapshot) -> ReplayOutcome {
+        let is_tight = snapshot.through == record.offset;
+        if !is_tight {
+            return ReplayOutcome::SnapshotSeen;
+        }
+        if snapshot.version != self.head.version || snapshot.id != self.head.id {
+            self.counts.conflicts += 1;
+            return ReplayOutcome::SnapshotConflict;
+        }
+        self.needed_since = Some(record.appended);
+        self.needed_records = 1;
+        ReplayOutcome::SnapshotSeen
+    }
+
+    /// Looks for a snapshot behind which the log still keeps every record.
+    fn find_anchor(&mut self, page: &LogPage) -> Option<ReplayOutcome> {
+        for record in &page.records {
+            let Ok(TableRecord::Snapshot(snapshot)) = self.decode(record) else {
+                continue;
+            };
+            let is_covered = (page.first..=record.offset).contains(&snapshot.through);
+            if is_covered && is_valid_head(&snapshot) && snapshot.version >= self.head.version {
+                return Some(self.adopt_anchor(snapshot));
+            }
+        }
+        let behind_page = page.records.last().map_or(0, |record| record.offset + 1);
+        self.scanned = self.scanned.max(self.floor).max(behind_page);
+        None
+    }
+
+    fn adopt_anchor(&mut self, snapshot: TableSnapshot) -> ReplayOutcome {
+        let version = snapshot.version;
+        self.counts.adopted += 1;
+        self.is_anchored = true;
+        self.covered = snapshot.through;
+        self.forget_needed();
+        self.raise_head(snapshot.into());
+        ReplayOutcome::SnapshotAdopted { version }
+    }
+
+    fn raise_head(&mut self, version: TableVersion) -> bool {
+        if version.version <= self.head.version {
+            return false;
+        }
+        push_bounded(&mut self.versions, MAX_VERSIONS, version.clone());
+        self.head = version;
+        true
+    }
+}
+
+fn accepted_version(version: u64, publication: TablePublication) -> TableVersion {
+    TableVersion {
+        version,
+        id: publication.id,
+        base: publication.base,
+        author: publication.author,
+        csv: publication.csv,
+        published: Timestamp::from_millis(publication.published_ms),
+    }
+}
+
+fn is_valid_head(snapshot: &TableSnapshot) -> bool {
+    snapshot.version == 0 || table_faults(&snapshot.csv).is_none()
+}
+
+pub(super) fn table_faults(csv: &str) -> Option<String> {
+    if csv.len() > MAX_TABLE_BYTES {
+        return Some(format!(
+            "{} bytes are more than {MAX_TABLE_BYTES}",
+            csv.len()
+        ));
+    }
+    parse_table(csv).err().map(|error| error.to_string())
+}
+
+fn push_bounded<T>(queue: &mut VecDeque<T>, most: usize, entry: T) {
+    if queue.len() == most {
+        queue.pop_front();
+    }
+    queue.push_back(entry);
+}
--- a/crates/teaselglade-wire/src/generated.rs
+++ b/crates/teaselglade-wire/src/generated.rs
@@ -1790,6 +1790,367 @@
         value.clone()
     }
 }
+///Message of the exchange between entry hosts.
+///
+/// <details><summary>JSON schema</summary>
+///
+/// ```json
+///{
+///  "description": "Message of the exchange between entry hosts.",
+///  "type": "object",
+///  "required": [
+///    "cluster",
+///    "demand",
+///    "digests",
+///    "from",
+///    "members",
+///    "notices",
+///    "oldest",
+///    "protocol",
+///    "slices",
+///    "table"
+///  ],
+///  "properties": {
+///    "cluster": {
+///      "description": "Name of the cluster.",
+///      "type": "string"
+///    },
+///    "demand": {
+///      "description": "Demand shares of the sender, encoded by their own module.",
+///      "type": "string"
+///    },
+///    "digests": {
+///      "type": "array",
+///      "items": {
+///        "$ref": "#/definitions/PeerSlice"
+///      }
+///    },
+///    "from": {
+///      "$ref": "#/definitions/PeerMember"
+///    },
+///    "members": {
+///      "type": "array",
+///      "items": {
+///        "$ref": "#/definitions/PeerMember"
+///      }
+///    },
+///    "notices": {
+///      "type": "array",
+///      "items": {
+///        "$ref": "#/definitions/PeerNotice"
+///      }
+///    },
+///    "oldest": {
+///      "description": "Oldest protocol that the sender understands.",
+///      "type": "integer",
+///      "format": "uint16",
+///      "minimum": 0.0
+///    },
+///    "protocol": {
+///      "description": "Protocol that the sender speaks.",
+///      "type": "integer",
+///      "format": "uint16",
+///      "minimum": 0.0
+///    },
+///    "slices": {
+///      "description": "Count of slices of the digests.",
+///      "type": "integer",
+///      "format": "uint16",
+///      "minimum": 0.0
+///    },
+///    "table": {
+///      "description": "Table version that the sender has in force.",
+///      "type": "integer",
+///      "format": "uint64",
+///      "minimum": 0.0
+///    }
+///  }
+///}
+/// ```
+/// </details>
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct PeerExchange {
+    ///Name of the cluster.
+    pub cluster: ::std::string::String,
+    ///Demand shares of the sender, encoded by their own module.
+    pub demand: ::std::string::String,
+    pub digests: ::std::vec::Vec<PeerSlice>,
+    pub from: PeerMember,
+    pub members: ::std::vec::Vec<PeerMember>,
+    pub notices: ::std::vec::Vec<PeerNotice>,
+    ///Oldest protocol that the sender understands.
+    pub oldest: u16,
+    ///Protocol that the sender speaks.
+    pub protocol: u16,
+    ///Count of slices of the digests.
+    pub slices: u16,
+    ///Table version that the sender has in force.
+    pub table: u64,
+}
+impl ::std::convert::From<&PeerExchange> for PeerExchange {
+    fn from(value: &PeerExchange) -> Self {
+        value.clone()
+    }
+}
+///What is known of one entry host.
+///
+/// <details><summary>JSON schema</summary>
+///
+/// ```json
+///{
+///  "description": "What is known of one entry host.",
+///  "type": "object",
+///  "required": [
+///    "addr",
+///    "name",
+///    "seq",
+///    "start",
+///    "state",
+///    "zone"
+///  ],
+///  "properties": {
+///    "addr": {
+///      "description": "Peer address.",
+///      "type": "string"
+///    },
+///    "name": {
+///      "description": "Name of the host.",
+///      "type": "string"
+///    },
+///    "seq": {
+///      "description": "Number that the host raises to refute a suspicion.",
+///      "type": "integer",
+///      "format": "uint32",
+///      "minimum": 0.0
+///    },
+///    "start": {
+///      "description": "Incarnation of the host.",
+///      "type": "integer",
+///      "format": "uint64",
+///      "minimum": 0.0
+///    },
+///    "state": {
+///      "$ref": "#/definitions/PeerState"
+///    },
+///    "zone": {
+///      "description": "Data centre.",
+///      "type": "string"
+///    }
+///  }
+///}
+/// ```
+/// </details>
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct PeerMember {
+    ///Peer address.
+    pub addr: ::std::string::String,
+    ///Name of the host.
+    pub name: ::std::string::String,
+    ///Number that the host raises to refute a suspicion.
+    pub seq: u32,
+    ///Incarnation of the host.
+    pub start: u64,
+    pub state: PeerState,
+    ///Data centre.
+    pub zone: ::std::string::String,
+}
+impl ::std::convert::From<&PeerMember> for PeerMember {
+    fn from(value: &PeerMember) -> Self {
+        value.clone()
+    }
+}
+///Notice that an incarnation of a host is leaving.
+///
+/// <details><summary>JSON schema</summary>
+///
+/// ```json
+///{
+///  "description": "Notice that an incarnation of a host is leaving.",
+///  "type": "object",
+///  "required": [
+///    "at_ms",
+///    "end_ms",
+///    "entry",
+///    "name",
+///    "start"
+///  ],
+///  "properties": {
+///    "at_ms": {
+///      "description": "Time of the notice, in milliseconds since the epoch.",
+///      "type": "integer",
+///      "format": "uint64",
+///      "minimum": 0.0
+///    },
+///    "end_ms": {
+///      "description": "Time the host is taken back, in milliseconds since the epoch.",
+///      "type": "integer",
+///      "format": "uint64",
+///      "minimum": 0.0
+///    },
+///    "entry": {
+///      "description": "Whether it is an entry host.",
+///      "type": "boolean"
+///    },
+///    "name": {
+///      "description": "Name of the host.",
+///      "type": "string"
+///    },
+///    "start": {
+///      "description": "Incarnation of the host.",
+///      "type": "integer",
+///      "format": "uint64",
+///      "minimum": 0.0
+///    }
+///  }
+///}
+/// ```
+/// </details>
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct PeerNotice {
+    ///Time of the notice, in milliseconds since the epoch.
+    pub at_ms: u64,
+    ///Time the host is taken back, in milliseconds since the epoch.
+    pub end_ms: u64,
+    ///Whether it is an entry host.
+    pub entry: bool,
+    ///Name of the host.
+    pub name: ::std::string::String,
+    ///Incarnation of the host.
+    pub start: u64,
+}
+impl ::std::convert::From<&PeerNotice> for PeerNotice {
+    fn from(value: &PeerNotice) -> Self {
+        value.clone()
+    }
+}
+///Digest of one slice of what a host knows.
+///
+/// <details><summary>JSON schema</summary>
+///
+/// ```json
+///{
+///  "description": "Digest of one slice of what a host knows.",
+///  "type": "object",
+///  "required": [
+///    "hash",
+///    "index"
+///  ],
+///  "properties": {
+///    "hash": {
+///      "description": "Digest of the slice's entries.",
+///      "type": "integer",
+///      "format": "uint64",
+///      "minimum": 0.0
+///    },
+///    "index": {
+///      "description": "Number of the slice.",
+///      "type": "integer",
+///      "format": "uint16",
+///      "minimum": 0.0
+///    }
+///  }
+///}
+/// ```
+/// </details>
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct PeerSlice {
+    ///Digest of the slice's entries.
+    pub hash: u64,
+    ///Number of the slice.
+    pub index: u16,
+}
+impl ::std::convert::From<&PeerSlice> for PeerSlice {
+    fn from(value: &PeerSlice) -> Self {
+        value.clone()
+    }
+}
+///Liveness of a peer.
+///
+/// <details><summary>JSON schema</summary>
+///
+/// ```json
+///{
+///  "description": "Liveness of a peer.",
+///  "type": "string",
+///  "enum": [
+///    "alive",
+///    "suspect",
+///    "failed"
+///  ]
+///}
+/// ```
+/// </details>
+#[derive(
+    ::serde::Deserialize,
+    ::serde::Serialize,
+    Clone,
+    Copy,
+    Debug,
+    Eq,
+    Hash,
+    Ord,
+    PartialEq,
+    PartialOrd
+)]
+pub enum PeerState {
+    #[serde(rename = "alive")]
+    Alive,
+    #[serde(rename = "suspect")]
+    Suspect,
+    #[serde(rename = "failed")]
+    Failed,
+}
+impl ::std::convert::From<&Self> for PeerState {
+    fn from(value: &PeerState) -> Self {
+        value.clone()
+    }
+}
+impl ::std::fmt::Display for PeerState {
+    fn fmt(&self, f: &mut ::std::fmt::Formatter<'_>) -> ::std::fmt::Result {
+        match *self {
+            Self::Alive => f.write_str("alive"),
+            Self::Suspect => f.write_str("suspect"),
+            Self::Failed => f.write_str("failed"),
+        }
+    }
+}
+impl ::std::str::FromStr for PeerState {
+    type Err = self::error::ConversionError;
+    fn from_str(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        match value {
+            "alive" => Ok(Self::Alive),
+            "suspect" => Ok(Self::Suspect),
+            "failed" => Ok(Self::Failed),
+            _ => Err("invalid value".into()),
+        }
+    }
+}
+impl ::std::convert::TryFrom<&str> for PeerState {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+impl ::std::convert::TryFrom<&::std::string::String> for PeerState {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: &::std::string::String,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+impl ::std::convert::TryFrom<::std::string::String> for PeerState {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: ::std::string::String,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
 ///How a host is paid for.
 ///
 /// <details><summary>JSON schema</summary>
@@ -1872,6 +2233,279 @@
         value.parse()
     }
 }
+///Which version a host has in force.
+///
+/// <details><summary>JSON schema</summary>
+///
+/// ```json
+///{
+///  "description": "Which version a host has in force.",
+///  "type": "object",
+///  "required": [
+///    "cluster",
+///    "known",
+///    "through",
+///    "version"
+///  ],
+///  "properties": {
+///    "cluster": {
+///      "description": "Name of the cluster.",
+///      "type": "string"
+///    },
+///    "known": {
+///      "description": "Whether the host knows the head and serves.",
+///      "type": "boolean"
+///    },
+///    "through": {
+///      "description": "Offset in the log up to which the host has read.",
+///      "type": "integer",
+///      "format": "uint64",
+///      "minimum": 0.0
+///    },
+///    "version": {
+///      "description": "Version in force; 0 before the first.",
+///      "type": "integer",
+///      "format": "uint64",
+///      "minimum": 0.0
+///    }
+///  }
+///}
+/// ```
+/// </details>
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct TableHead {
+    ///Name of the cluster.
+    pub cluster: ::std::string::String,
+    ///Whether the host knows the head and serves.
+    pub known: bool,
+    ///Offset in the log up to which the host has read.
+    pub through: u64,
+    ///Version in force; 0 before the first.
+    pub version: u64,
+}
+impl ::std::convert::From<&TableHead> for TableHead {
+    fn from(value: &TableHead) -> Self {
+        value.clone()
+    }
+}
+///Publication of a table, as a log record.
+///
+/// <details><summary>JSON schema</summary>
+///
+/// ```json
+///{
+///  "description": "Publication of a table, as a log record.",
+///  "type": "object",
+///  "required": [
+///    "author",
+///    "base",
+///    "cluster",
+///    "csv",
+///    "id",
+///    "published_ms"
+///  ],
+///  "properties": {
+///    "author": {
+///      "description": "Who published it.",
+///      "type": "string"
+///    },
+///    "base": {
+///      "description": "Version that the table was made from.",
+///      "type": "integer",
+///      "format": "uint64",
+///      "minimum": 0.0
+///    },
+///    "cluster": {
+///      "description": "Name of the cluster.",
+///      "type": "string"
+///    },
+///    "csv": {
+///      "description": "The table as comma-separated values.",
+///      "type": "string"
+///    },
+///    "id": {
+///      "description": "Unique id of the publication.",
+///      "type": "string"
+///    },
+///    "published_ms": {
+///      "description": "Time of the publication, in milliseconds since the epoch.",
+///      "type": "integer",
+///      "format": "uint64",
+///      "minimum": 0.0
+///    }
+///  }
+///}
+/// ```
+/// </details>
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct TablePublication {
+    ///Who published it.
+    pub author: ::std::string::String,
+    ///Version that the table was made from.
+    pub base: u64,
+    ///Name of the cluster.
+    pub cluster: ::std::string::String,
+    ///The table as comma-separated values.
+    pub csv: ::std::string::String,
+    ///Unique id of the publication.
+    pub id: ::std::string::String,
+    ///Time of the publication, in milliseconds since the epoch.
+    pub published_ms: u64,
+}
+impl ::std::convert::From<&TablePublication> for TablePublication {
+    fn from(value: &TablePublication) -> Self {
+        value.clone()
+    }
+}
+///Record of the table's stream.
+///
+/// <details><summary>JSON schema</summary>
+///
+/// ```json
+///{
+///  "description": "Record of the table's stream.",
+///  "oneOf": [
+///    {
+///      "description": "A publication.",
+///      "type": "object",
+///      "required": [
+///        "publication"
+///      ],
+///      "properties": {
+///        "publication": {
+///          "$ref": "#/definitions/TablePublication"
+///        }
+///      },
+///      "additionalProperties": false
+///    },
+///    {
+///      "description": "A snapshot.",
+///      "type": "object",
+///      "required": [
+///        "snapshot"
+///      ],
+///      "properties": {
+///        "snapshot": {
+///          "$ref": "#/definitions/TableSnapshot"
+///        }
+///      },
+///      "additionalProperties": false
+///    }
+///  ]
+///}
+/// ```
+/// </details>
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub enum TableRecord {
+    ///A publication.
+    #[serde(rename = "publication")]
+    Publication(TablePublication),
+    ///A snapshot.
+    #[serde(rename = "snapshot")]
+    Snapshot(TableSnapshot),
+}
+impl ::std::convert::From<&Self> for TableRecord {
+    fn from(value: &TableRecord) -> Self {
+        value.clone()
+    }
+}
+impl ::std::convert::From<TablePublication> for TableRecord {
+    fn from(value: TablePublication) -> Self {
+        Self::Publication(value)
+    }
+}
+impl ::std::convert::From<TableSnapshot> for TableRecord {
+    fn from(value: TableSnapshot) -> Self {
+        Self::Snapshot(value)
+    }
+}
+///Head of the table, as a log record and between peers.
+///
+/// <details><summary>JSON schema</summary>
+///
+/// ```json
+///{
+///  "description": "Head of the table, as a log record and between peers.",
+///  "type": "object",
+///  "required": [
+///    "author",
+///    "base",
+///    "cluster",
+///    "csv",
+///    "id",
+///    "published_ms",
+///    "through",
+///    "version"
+///  ],
+///  "properties": {
+///    "author": {
+///      "description": "Who published it.",
+///      "type": "string"
+///    },
+///    "base": {
+///      "description": "Version that the table was made from.",
+///      "type": "integer",
+///      "format": "uint64",
+///      "minimum": 0.0
+///    },
+///    "cluster": {
+///      "description": "Name of the cluster.",
+///      "type": "string"
+///    },
+///    "csv": {
+///      "description": "The table as comma-separated values.",
+///      "type": "string"
+///    },
+///    "id": {
+///      "description": "Id of the publication that made the version.",
+///      "type": "string"
+///    },
+///    "published_ms": {
+///      "description": "Time of the publication, in milliseconds since the epoch.",
+///      "type": "integer",
+///      "format": "uint64",
+///      "minimum": 0.0
+///    },
+///    "through": {
+///      "description": "Offset in the log up to which the version is the head.",
+///      "type": "integer",
+///      "format": "uint64",
+///      "minimum": 0.0
+///    },
+///    "version": {
+///      "description": "Version of the table; 0 before the first.",
+///      "type": "integer",
+///      "format": "uint64",
+///      "minimum": 0.0
+///    }
+///  }
+///}
+/// ```
+/// </details>
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct TableSnapshot {
+    ///Who published it.
+    pub author: ::std::string::String,
+    ///Version that the table was made from.
+    pub base: u64,
+    ///Name of the cluster.
+    pub cluster: ::std::string::String,
+    ///The table as comma-separated values.
+    pub csv: ::std::string::String,
+    ///Id of the publication that made the version.
+    pub id: ::std::string::String,
+    ///Time of the publication, in milliseconds since the epoch.
+    pub published_ms: u64,
+    ///Offset in the log up to which the version is the head.
+    pub through: u64,
+    ///Version of the table; 0 before the first.
+    pub version: u64,
+}
+impl ::std::convert::From<&TableSnapshot> for TableSnapshot {
+    fn from(value: &TableSnapshot) -> Self {
+        value.clone()
+    }
+}
 ///`TeaselgladeWire`
 ///
 /// <details><summary>JSON schema</summary>
--- a/crates/teaselglade-wire/src/lib.rs
+++ b/crates/teaselglade-wire/src/lib.rs
@@ -18,5 +18,6 @@
     CloudOrder, CloudState, EndEvent, EngineCancel, EngineExport, EngineFrame, EngineGenerate,
     EngineHandle, EngineImport, EngineLoad, EngineOrder, EngineState, ErrorBody, GenerateAnswer,
     GenerateBody, HostEntries, HostEntry, HostRole, HostStatus, LogAppended, LogEntries, LogEntry,
-    PurchaseKind, TokenEvent, Verdict, WeightReserve,
+    PeerExchange, PeerMember, PeerNotice, PeerSlice, PeerState, PurchaseKind, TableHead,
+    TablePublication, TableRecord, TableSnapshot, TokenEvent, Verdict, WeightReserve,
 };
