--- a/crates/teaselglade-wire/src/lib.rs
+++ b/crates/teaselglade-wire/src/lib.rs
@@ -18,6 +18,7 @@
     CloudNotice, CloudNotices, CloudOrder, CloudState, EndEvent, EngineCancel, EngineExport,
     EngineFrame, EngineGenerate, EngineHandle, EngineImport, EngineLoad, EngineOrder, EngineState,
     ErrorBody, GenerateAnswer, GenerateBody, HostEntries, HostEntry, HostRole, HostStatus,
-    LogAppended, LogEntries, LogEntry, PurchaseKind, ShardBatch, ShardEntry, TokenEvent, Verdict,
-    WeightReserve,
+    LogAppended, LogEntries, LogEntry, PeerExchange, PeerMember, PeerNotice, PeerSlice, PeerState,
+    PurchaseKind, ShardBatch, ShardEntry, TableHead, TablePublication, TableRecord, TableSnapshot,
+    TokenEvent, Verdict, WeightReserve,
 };
