feat(audit): add the audit trail's records, writer and reader

Cause: who changed what, from, to, when and under which number has to be readable afterwards, within the log's budget. Ruled out: one append per change (a wave of reclaims would exceed the budget); resolving a lost answer by reading back in the writer (a second reader per host). Instead a batch keeps its number when it is appended again, and readers drop the repeated one.

--- a/crates/teaselglade-state/src/lib.rs
+++ b/crates/teaselglade-state/src/lib.rs
@@ -1,1 +1,3 @@
 //! Decisions on shared state: table versions, membership, leases.
+
+pub mod audit;
--- /dev/null
+++ b/crates/teaselglade-state/tests/audit/main.rs
@@ -0,0 +1,3 @@
+//! Tests of the audit trail.
+
+mod writer_reader;
--- a/crates/teaselglade-wire/src/generated.rs
+++ b/crates/teaselglade-wire/src/generated.rs
@@ -32,6 +32,251 @@
         }
     }
 }
+///What was changed.
+///
+/// <details><summary>JSON schema</summary>
+///
+/// ```json
+///{
+///  "description": "What was changed.",
+///  "type": "string",
+///  "enum": [
+///    "table_published",
+///    "table_rejected",
+///    "lease_gained",
+///    "lease_lost",
+///    "host_ordered",
+///    "host_refused",
+///    "host_released",
+///    "engine_ordered",
+///    "engine_corrected",
+///    "notice_received"
+///  ]
+///}
+/// ```
+/// </details>
+#[derive(
+    ::serde::Deserialize,
+    ::serde::Serialize,
+    Clone,
+    Copy,
+    Debug,
+    Eq,
+    Hash,
+    Ord,
+    PartialEq,
+    PartialOrd
+)]
+pub enum AuditAction {
+    #[serde(rename = "table_published")]
+    TablePublished,
+    #[serde(rename = "table_rejected")]
+    TableRejected,
+    #[serde(rename = "lease_gained")]
+    LeaseGained,
+    #[serde(rename = "lease_lost")]
+    LeaseLost,
+    #[serde(rename = "host_ordered")]
+    HostOrdered,
+    #[serde(rename = "host_refused")]
+    HostRefused,
+    #[serde(rename = "host_released")]
+    HostReleased,
+    #[serde(rename = "engine_ordered")]
+    EngineOrdered,
+    #[serde(rename = "engine_corrected")]
+    EngineCorrected,
+    #[serde(rename = "notice_received")]
+    NoticeReceived,
+}
+impl ::std::convert::From<&Self> for AuditAction {
+    fn from(value: &AuditAction) -> Self {
+        value.clone()
+    }
+}
+impl ::std::fmt::Display for AuditAction {
+    fn fmt(&self, f: &mut ::std::fmt::Formatter<'_>) -> ::std::fmt::Result {
+        match *self {
+            Self::TablePublished => f.write_str("table_published"),
+            Self::TableRejected => f.write_str("table_rejected"),
+            Self::LeaseGained => f.write_str("lease_gained"),
+            Self::LeaseLost => f.write_str("lease_lost"),
+            Self::HostOrdered => f.write_str("host_ordered"),
+            Self::HostRefused => f.write_str("host_refused"),
+            Self::HostReleased => f.write_str("host_released"),
+            Self::EngineOrdered => f.write_str("engine_ordered"),
+            Self::EngineCorrected => f.write_str("engine_corrected"),
+            Self::NoticeReceived => f.write_str("notice_received"),
+        }
+    }
+}
+impl ::std::str::FromStr for AuditAction {
+    type Err = self::error::ConversionError;
+    fn from_str(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        match value {
+            "table_published" => Ok(Self::TablePublished),
+            "table_rejected" => Ok(Self::TableRejected),
+            "lease_gained" => Ok(Self::LeaseGained),
+            "lease_lost" => Ok(Self::LeaseLost),
+            "host_ordered" => Ok(Self::HostOrdered),
+            "host_refused" => Ok(Self::HostRefused),
+            "host_released" => Ok(Self::HostReleased),
+            "engine_ordered" => Ok(Self::EngineOrdered),
+            "engine_corrected" => Ok(Self::EngineCorrected),
+            "notice_received" => Ok(Self::NoticeReceived),
+            _ => Err("invalid value".into()),
+        }
+    }
+}
+impl ::std::convert::TryFrom<&str> for AuditAction {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+impl ::std::convert::TryFrom<&::std::string::String> for AuditAction {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: &::std::string::String,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+impl ::std::convert::TryFrom<::std::string::String> for AuditAction {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: ::std::string::String,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+///Changes that one writer appended together.
+///
+/// <details><summary>JSON schema</summary>
+///
+/// ```json
+///{
+///  "description": "Changes that one writer appended together.",
+///  "type": "object",
+///  "required": [
+///    "entries",
+///    "sequence",
+///    "writer"
+///  ],
+///  "properties": {
+///    "entries": {
+///      "description": "The changes, oldest first.",
+///      "type": "array",
+///      "items": {
+///        "$ref": "#/definitions/AuditEntry"
+///      }
+///    },
+///    "sequence": {
+///      "description": "Number of the batch; a repeated one is the same batch.",
+///      "type": "integer",
+///      "format": "uint64",
+///      "minimum": 0.0
+///    },
+///    "writer": {
+///      "description": "Name of the writer, unique for each start.",
+///      "type": "string"
+///    }
+///  }
+///}
+/// ```
+/// </details>
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct AuditBatch {
+    ///The changes, oldest first.
+    pub entries: ::std::vec::Vec<AuditEntry>,
+    ///Number of the batch; a repeated one is the same batch.
+    pub sequence: u64,
+    ///Name of the writer, unique for each start.
+    pub writer: ::std::string::String,
+}
+impl ::std::convert::From<&AuditBatch> for AuditBatch {
+    fn from(value: &AuditBatch) -> Self {
+        value.clone()
+    }
+}
+///One change in the audit trail.
+///
+/// <details><summary>JSON schema</summary>
+///
+/// ```json
+///{
+///  "description": "One change in the audit trail.",
+///  "type": "object",
+///  "required": [
+///    "action",
+///    "actor",
+///    "at_ms",
+///    "subject"
+///  ],
+///  "properties": {
+///    "action": {
+///      "$ref": "#/definitions/AuditAction"
+///    },
+///    "actor": {
+///      "description": "Who changed it: a host or an operator.",
+///      "type": "string"
+///    },
+///    "at_ms": {
+///      "description": "Time on the actor's clock, in milliseconds since the epoch.",
+///      "type": "integer",
+///      "format": "uint64",
+///      "minimum": 0.0
+///    },
+///    "from": {
+///      "description": "State before, where there was one.",
+///      "type": "string"
+///    },
+///    "number": {
+///      "description": "Fencing number or table version that the change was made under.",
+///      "type": "integer",
+///      "format": "uint64",
+///      "minimum": 0.0
+///    },
+///    "subject": {
+///      "description": "What was changed.",
+///      "type": "string"
+///    },
+///    "to": {
+///      "description": "State after, where there is one.",
+///      "type": "string"
+///    }
+///  }
+///}
+/// ```
+/// </details>
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct AuditEntry {
+    pub action: AuditAction,
+    ///Who changed it: a host or an operator.
+    pub actor: ::std::string::String,
+    ///Time on the actor's clock, in milliseconds since the epoch.
+    pub at_ms: u64,
+    ///State before, where there was one.
+    #[serde(default, skip_serializing_if = "::std::option::Option::is_none")]
+    pub from: ::std::option::Option<::std::string::String>,
+    ///Fencing number or table version that the change was made under.
+    #[serde(default, skip_serializing_if = "::std::option::Option::is_none")]
+    pub number: ::std::option::Option<u64>,
+    ///What was changed.
+    pub subject: ::std::string::String,
+    ///State after, where there is one.
+    #[serde(default, skip_serializing_if = "::std::option::Option::is_none")]
+    pub to: ::std::option::Option<::std::string::String>,
+}
+impl ::std::convert::From<&AuditEntry> for AuditEntry {
+    fn from(value: &AuditEntry) -> Self {
+        value.clone()
+    }
+}
 ///What happened to a cached prefix.
 ///
 /// <details><summary>JSON schema</summary>
@@ -1659,6 +1904,163 @@
         value.clone()
     }
 }
+///Record of a lease stream.
+///
+/// <details><summary>JSON schema</summary>
+///
+/// ```json
+///{
+///  "description": "Record of a lease stream.",
+///  "oneOf": [
+///    {
+///      "description": "Claim of the lease; valid only at the offset that it names.",
+///      "type": "object",
+///      "required": [
+///        "at",
+///        "holder",
+///        "kind",
+///        "sequence",
+///        "start"
+///      ],
+///      "properties": {
+///        "at": {
+///          "description": "Offset that the record must get to be valid.",
+///          "type": "integer",
+///          "format": "uint64",
+///          "minimum": 0.0
+///        },
+///        "holder": {
+///          "description": "Host that claims.",
+///          "type": "string"
+///        },
+///        "kind": {
+///          "type": "string",
+///          "enum": [
+///            "grant"
+///          ]
+///        },
+///        "sequence": {
+///          "description": "Number of the append within the process.",
+///          "type": "integer",
+///          "format": "uint64",
+///          "minimum": 0.0
+///        },
+///        "start": {
+///          "description": "Random number of the process's start.",
+///          "type": "integer",
+///          "format": "uint64",
+///          "minimum": 0.0
+///        }
+///      }
+///    },
+///    {
+///      "description": "Renewal of the lease.",
+///      "type": "object",
+///      "required": [
+///        "kind",
+///        "number",
+///        "sequence",
+///        "start"
+///      ],
+///      "properties": {
+///        "kind": {
+///          "type": "string",
+///          "enum": [
+///            "renew"
+///          ]
+///        },
+///        "number": {
+///          "description": "Fencing number of the lease.",
+///          "type": "integer",
+///          "format": "uint64",
+///          "minimum": 0.0
+///        },
+///        "sequence": {
+///          "description": "Number of the append within the process.",
+///          "type": "integer",
+///          "format": "uint64",
+///          "minimum": 0.0
+///        },
+///        "start": {
+///          "description": "Random number of the process's start.",
+///          "type": "integer",
+///          "format": "uint64",
+///          "minimum": 0.0
+///        }
+///      }
+///    },
+///    {
+///      "description": "Release of the lease.",
+///      "type": "object",
+///      "required": [
+///        "kind",
+///        "number",
+///        "start"
+///      ],
+///      "properties": {
+///        "kind": {
+///          "type": "string",
+///          "enum": [
+///            "release"
+///          ]
+///        },
+///        "number": {
+///          "description": "Fencing number of the lease.",
+///          "type": "integer",
+///          "format": "uint64",
+///          "minimum": 0.0
+///        },
+///        "start": {
+///          "description": "Random number of the process's start.",
+///          "type": "integer",
+///          "format": "uint64",
+///          "minimum": 0.0
+///        }
+///      }
+///    }
+///  ]
+///}
+/// ```
+/// </details>
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(tag = "kind")]
+pub enum LeaseRecord {
+    ///Claim of the lease; valid only at the offset that it names.
+    #[serde(rename = "grant")]
+    Grant {
+        ///Offset that the record must get to be valid.
+        at: u64,
+        ///Host that claims.
+        holder: ::std::string::String,
+        ///Number of the append within the process.
+        sequence: u64,
+        ///Random number of the process's start.
+        start: u64,
+    },
+    ///Renewal of the lease.
+    #[serde(rename = "renew")]
+    Renew {
+        ///Fencing number of the lease.
+        number: u64,
+        ///Number of the append within the process.
+        sequence: u64,
+        ///Random number of the process's start.
+        start: u64,
+    },
+    ///Release of the lease.
+    #[serde(rename = "release")]
+    Release {
+        ///Fencing number of the lease.
+        number: u64,
+        ///Random number of the process's start.
+        start: u64,
+    },
+}
+impl ::std::convert::From<&Self> for LeaseRecord {
+    fn from(value: &LeaseRecord) -> Self {
+        value.clone()
+    }
+}
 ///Answer to an append.
 ///
 /// <details><summary>JSON schema</summary>
--- a/crates/teaselglade-wire/src/lib.rs
+++ b/crates/teaselglade-wire/src/lib.rs
@@ -14,9 +14,10 @@
 pub mod codec;
 
 pub use generated::{
-    CacheChange, CacheEvent, CacheEvents, CloudEntries, CloudEntry, CloudNotice, CloudNotices,
-    CloudOrder, CloudState, EndEvent, EngineCancel, EngineExport, EngineFrame, EngineGenerate,
-    EngineHandle, EngineImport, EngineLoad, EngineOrder, EngineState, ErrorBody, GenerateAnswer,
-    GenerateBody, HostEntries, HostEntry, HostRole, HostStatus, LogAppended, LogEntries, LogEntry,
-    PurchaseKind, TokenEvent, Verdict, WeightReserve,
+    AuditAction, AuditBatch, AuditEntry, CacheChange, CacheEvent, CacheEvents, CloudEntries,
+    CloudEntry, CloudNotice, CloudNotices, CloudOrder, CloudState, EndEvent, EngineCancel,
+    EngineExport, EngineFrame, EngineGenerate, EngineHandle, EngineImport, EngineLoad, EngineOrder,
+    EngineState, ErrorBody, GenerateAnswer, GenerateBody, HostEntries, HostEntry, HostRole,
+    HostStatus, LeaseRecord, LogAppended, LogEntries, LogEntry, PurchaseKind, TokenEvent, Verdict,
+    WeightReserve,
 };
