--- a/crates/teaselglade-wire/src/lib.rs
+++ b/crates/teaselglade-wire/src/lib.rs
@@ -14,11 +14,11 @@
 pub mod codec;
 
 pub use generated::{
-    AnswerHeader, BookingOutcome, CacheChange, CacheEvent, CacheEvents, CloudEntries, CloudEntry,
-    CloudNotice, CloudNotices, CloudOrder, CloudState, EndEvent, EngineCancel, EngineExport,
-    EngineFrame, EngineGenerate, EngineHandle, EngineImport, EngineLoad, EngineOrder, EngineState,
-    ErrorBody, GenerateAnswer, GenerateBody, HostEntries, HostEntry, HostRole, HostStatus,
-    LogAppended, LogEntries, LogEntry, PeerExchange, PeerMember, PeerNotice, PeerSlice, PeerState,
-    PurchaseKind, ShardBatch, ShardEntry, TableHead, TablePublication, TableRecord, TableSnapshot,
-    TokenEvent, Verdict, WeightReserve,
+    AnswerHeader, AuditAction, AuditBatch, AuditEntry, BookingOutcome, CacheChange, CacheEvent,
+    CacheEvents, CloudEntries, CloudEntry, CloudNotice, CloudNotices, CloudOrder, CloudState,
+    EndEvent, EngineCancel, EngineExport, EngineFrame, EngineGenerate, EngineHandle, EngineImport,
+    EngineLoad, EngineOrder, EngineState, ErrorBody, GenerateAnswer, GenerateBody, HostEntries,
+    HostEntry, HostRole, HostStatus, LeaseRecord, LogAppended, LogEntries, LogEntry, PeerExchange,
+    PeerMember, PeerNotice, PeerSlice, PeerState, PurchaseKind, ShardBatch, ShardEntry, TableHead,
+    TablePublication, TableRecord, TableSnapshot, TokenEvent, Verdict, WeightReserve,
 };
