feat(placement): add the policy trait, the server directory and the baselines

The entry daemon needs a border to wire placement against before the policy stands. ServerPlacement owns the arena of servers and a boxed PlacementPolicy; round robin, least load and prefix affinity share one view of the load, so that later comparisons differ only in the decision. Leaving servers drop out of the live list at the event itself; the state only moves forward.

--- /dev/null
+++ b/crates/teaselglade-placement/src/baseline/mod.rs
@@ -0,0 +1,21 @@
+//! Policies to compare with.
+
+mod least_load;
+mod prefix_affinity;
+mod round_robin;
+
+pub use least_load::LeastLoad;
+pub use prefix_affinity::PrefixAffinity;
+pub use round_robin::RoundRobin;
+
+use std::time::Duration;
+
+use teaselglade_core::verdict::{RefusalReason, RequestRefusal};
+
+/// When a caller comes back that found no server.
+const NO_SERVER_RETRY: Duration = Duration::from_secs(2);
+
+pub(crate) fn no_server() -> RequestRefusal {
+    let detail = "no permitted server takes new work";
+    RequestRefusal::not_run(RefusalReason::NoServer, detail).retry_after(NO_SERVER_RETRY)
+}
--- /dev/null
+++ b/crates/teaselglade-placement/src/policy/placement_query.rs
@@ -0,0 +1,116 @@
+//! The question where a request goes.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use teaselglade_core::id::{OrganisationKey, ServerKey, ServiceKey};
+
+use super::HardwarePermit;
+use crate::server::ServerEntry;
+
+/// The question where a request goes.
+///
+/// # Examples
+///
+/// ```
+/// use std::time::Duration;
+/// use teaselglade_core::id::{OrganisationKey, ServiceKey};
+/// use teaselglade_placement::policy::PlacementQuery;
+///
+/// let query = PlacementQuery::new(ServiceKey::new(0), OrganisationKey::new(0))
+///     .prompt(900, vec![1, 2])
+///     .answer_tokens(200)
+///     .targets(Duration::from_millis(360), Some(Duration::from_millis(47)))
+///     .cost_weight(0.8);
+/// assert_eq!(query.prompt_tokens, 900);
+/// ```
+#[derive(Debug, Clone, PartialEq)]
+pub struct PlacementQuery {
+    /// Service that shall run the request.
+    pub service: ServiceKey,
+    /// Organisation that sent the request.
+    pub organisation: OrganisationKey,
+    /// Hashes of the prompt's prefixes, see [`super::prefix_blocks`].
+    pub prefix: Arc<[u64]>,
+    /// Tokens to compute before the first new one, delivered ones included.
+    pub prompt_tokens: u32,
+    /// Tokens that the answer is expected to bring still.
+    pub answer_tokens: u32,
+    /// Target from now to the first token.
+    pub first_token_target: Duration,
+    /// Target between two tokens; none for plain calls.
+    pub token_gap_target: Option<Duration>,
+    /// Servers that the request may not use, such as one that failed it.
+    pub excluded: Vec<ServerKey>,
+    /// Hardware that the row permits.
+    pub permit: HardwarePermit,
+    /// Part of the objective that cost has, from 0 to 1.
+    pub cost_weight: f64,
+}
+
+impl PlacementQuery {
+    /// Makes the query of an empty request with targets that are always met.
+    #[must_use]
+    pub fn new(service: ServiceKey, organisation: OrganisationKey) -> Self {
+        Self {
+            service,
+            organisation,
+            prefix: Arc::default(),
+            prompt_tokens: 0,
+            answer_tokens: 0,
+            first_token_target: Duration::MAX,
+            token_gap_target: None,
+            excluded: Vec::new(),
+            permit: HardwarePermit::default(),
+            cost_weight: 0.5,
+        }
+    }
+
+    /// Sets the prompt's length and the hashes of its prefixes.
+    #[must_use]
+    pub fn prompt(mut self, tokens: u32, prefix: impl Into<Arc<[u64]>>) -> Self {
+        self.prompt_tokens = tokens;
+        self.prefix = prefix.into();
+        self
+    }
+
+    /// Sets how many tokens the answer is expected to bring.
+    #[must_use]
+    pub const fn answer_tokens(mut self, tokens: u32) -> Self {
+        self.answer_tokens = tokens;
+        self
+    }
+
+    /// Sets the targets of the row.
+    #[must_use]
+    pub const fn targets(mut self, first_token: Duration, token_gap: Option<Duration>) -> Self {
+        self.first_token_target = first_token;
+        self.token_gap_target = token_gap;
+        self
+    }
+
+    /// Excludes servers.
+    #[must_use]
+    pub fn excluding(mut self, servers: impl Into<Vec<ServerKey>>) -> Self {
+        self.excluded = servers.into();
+        self
+    }
+
+    /// Sets the permitted hardware.
+    #[must_use]
+    pub fn permit(mut self, permit: HardwarePermit) -> Self {
+        self.permit = permit;
+        self
+    }
+
+    /// Sets the part of the objective that cost has.
+    #[must_use]
+    pub const fn cost_weight(mut self, weight: f64) -> Self {
+        self.cost_weight = weight;
+        self
+    }
+
+    pub(crate) fn allows(&self, server: ServerKey, entry: &ServerEntry) -> bool {
+        !self.excluded.contains(&server) && self.permit.permits(&entry.facts)
+    }
+}
--- /dev/null
+++ b/crates/teaselglade-placement/src/policy/server_placement.rs
@@ -0,0 +1,114 @@
+//! Placement of one entry host: its servers and its policy.
+
+use std::collections::HashMap;
+
+use teaselglade_core::id::{AttemptId, ServerKey};
+use teaselglade_core::time::Timestamp;
+
+use super::{Placement, PlacementEvent, PlacementPolicy, PlacementQuery, Result};
+use crate::server::{ServerDirectory, ServerFacts, ServerState};
+
+/// Placement of one entry host: its servers and its policy.
+///
+/// # Examples
+///
+/// ```
+/// use teaselglade_core::id::{ClassKey, OrganisationKey, ServiceKey, ZoneKey};
+/// use teaselglade_core::time::Timestamp;
+/// use teaselglade_placement::baseline::LeastLoad;
+/// use teaselglade_placement::policy::{PlacementEvent, PlacementQuery, ServerPlacement};
+/// use teaselglade_placement::server::ServerFacts;
+///
+/// let mut placement = ServerPlacement::new(Box::new(LeastLoad::default()));
+/// let service = ServiceKey::new(0);
+/// let server = placement.add(ServerFacts {
+///     service,
+///     class: ClassKey::new(0),
+///     zone: ZoneKey::new(0),
+///     cents_per_hour: 40.0,
+///     reclaimable: true,
+/// });
+/// let query = PlacementQuery::new(service, OrganisationKey::new(0));
+/// let now = Timestamp::from_millis(5);
+/// assert_eq!(placement.place(now, &query).map(|found| found.server), Ok(server));
+///
+/// let notice = PlacementEvent::Noticed { server, deadline: Timestamp::from_millis(9) };
+/// placement.observe(now, &notice);
+/// assert!(placement.place(now, &query).is_err());
+/// ```
+#[derive(Debug)]
+pub struct ServerPlacement {
+    directory: ServerDirectory,
+    policy: Box<dyn PlacementPolicy>,
+    attempts: HashMap<AttemptId, ServerKey>,
+}
+
+impl ServerPlacement {
+    /// Makes a placement without servers.
+    #[must_use]
+    pub fn new(policy: Box<dyn PlacementPolicy>) -> Self {
+        Self {
+            directory: ServerDirectory::default(),
+            policy,
+            attempts: HashMap::new(),
+        }
+    }
+
+    /// Adds a live server and returns its key.
+    pub fn add(&mut self, facts: ServerFacts) -> ServerKey {
+        self.directory.add(facts)
+    }
+
+    /// Replaces the facts of a server, such as its price.
+    pub fn update(&mut self, server: ServerKey, facts: ServerFacts) {
+        self.directory.update(server, facts);
+    }
+
+    /// Marks a server as leaving, for instance where the host list says so.
+    pub fn leave(&mut self, server: ServerKey) {
+        self.directory.advance(server, ServerState::Leaving);
+    }
+
+    /// Returns the servers.
+    #[must_use]
+    pub const fn directory(&self) -> &ServerDirectory {
+        &self.directory
+    }
+
+    /// Returns the server that a request goes to.
+    ///
+    /// # Errors
+    ///
+    /// Refuses with "not run" where no permitted server takes new work.
+    pub fn place(&mut self, now: Timestamp, query: &PlacementQuery) -> Result<Placement> {
+        self.policy.place(now, &self.directory, query)
+    }
+
+    /// Takes an event into the directory and passes it to the policy.
+    pub fn observe(&mut self, now: Timestamp, event: &PlacementEvent) {
+        match event {
+            PlacementEvent::Dispatched {
+                attempt, server, ..
+            } => {
+                self.attempts.insert(*attempt, *server);
+                self.directory.start(now, *server);
+            }
+            PlacementEvent::Ended { attempt } => {
+                if let Some(server) = self.attempts.remove(attempt) {
+                    self.directory.end(now, server);
+                }
+            }
+            PlacementEvent::Reported { server, report } => {
+                self.directory.report(now, *server, report);
+            }
+            PlacementEvent::Noticed { server, .. } => {
+                self.directory.advance(*server, ServerState::Leaving);
+            }
+            PlacementEvent::Gone { server } => self.directory.advance(*server, ServerState::Gone),
+            PlacementEvent::Started { .. }
+            | PlacementEvent::FirstToken { .. }
+            | PlacementEvent::CacheChanged { .. } => {}
+        }
+        self.policy.observe(now, &self.directory, event);
+    }
+}
--- /dev/null
+++ b/crates/teaselglade-placement/src/server/server_directory.rs
@@ -0,0 +1,109 @@
+//! Arena of the servers that one entry host knows.
+
+use teaselglade_core::id::{ServerKey, ServiceKey};
+use teaselglade_core::port::ServerReport;
+use teaselglade_core::time::Timestamp;
+
+use super::{LoadView, ServerEntry, ServerFacts, ServerState};
+
+/// Arena of the servers that one entry host knows; a key stays with its server.
+///
+/// # Examples
+///
+/// ```
+/// use teaselglade_core::id::{ClassKey, ServiceKey, ZoneKey};
+/// use teaselglade_placement::server::{ServerDirectory, ServerFacts, ServerState};
+///
+/// let mut directory = ServerDirectory::default();
+/// let facts = ServerFacts {
+///     service: ServiceKey::new(0),
+///     class: ClassKey::new(0),
+///     zone: ZoneKey::new(0),
+///     cents_per_hour: 40.0,
+///     reclaimable: true,
+/// };
+/// let server = directory.add(facts);
+/// directory.advance(server, ServerState::Leaving);
+/// directory.advance(server, ServerState::Live);
+/// assert_eq!(directory.entry(server).state, ServerState::Leaving);
+/// ```
+#[derive(Debug, Clone, Default)]
+pub struct ServerDirectory {
+    entries: Vec<ServerEntry>,
+    live: Vec<Vec<ServerKey>>,
+}
+
+impl ServerDirectory {
+    /// Adds a live server and returns its key.
+    pub fn add(&mut self, facts: ServerFacts) -> ServerKey {
+        let key = ServerKey::new(self.entries.len() as u32);
+        self.entries.push(ServerEntry {
+            facts,
+            state: ServerState::Live,
+            load: LoadView::default(),
+        });
+        let service = facts.service.index();
+        if self.live.len() <= service {
+            self.live.resize_with(service + 1, Vec::new);
+        }
+        self.live[service].push(key);
+        key
+    }
+
+    /// Replaces the facts of a server, such as its price; its service stays.
+    pub fn update(&mut self, server: ServerKey, facts: ServerFacts) {
+        let entry = &mut self.entries[server.index()];
+        let service = entry.facts.service;
+        entry.facts = ServerFacts { service, ..facts };
+    }
+
+    /// Moves a server's state forward; news that would move it back are ignored.
+    pub fn advance(&mut self, server: ServerKey, state: ServerState) {
+        let entry = &mut self.entries[server.index()];
+        if state <= entry.state {
+            return;
+        }
+        entry.state = state;
+        self.live[entry.facts.service.index()].retain(|key| *key != server);
+    }
+
+    /// Returns the server behind `key`.
+    ///
+    /// # Panics
+    ///
+    /// Panics where the key is of another directory.
+    #[must_use]
+    pub fn entry(&self, key: ServerKey) -> &ServerEntry {
+        &self.entries[key.index()]
+    }
+
+    /// Returns the servers of a service that take new work.
+    #[must_use]
+    pub fn live(&self, service: ServiceKey) -> &[ServerKey] {
+        self.live.get(service.index()).map_or(&[], Vec::as_slice)
+    }
+
+    /// Returns how many servers were ever added.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Returns whether no server was ever added.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
+    pub(crate) fn start(&mut self, now: Timestamp, server: ServerKey) {
+        self.entries[server.index()].load.start(now);
+    }
+
+    pub(crate) fn end(&mut self, now: Timestamp, server: ServerKey) {
+        self.entries[server.index()].load.end(now);
+    }
+
+    pub(crate) fn report(&mut self, now: Timestamp, server: ServerKey, report: &ServerReport) {
+        self.entries[server.index()].load.report(now, report);
+    }
+}
