--- /dev/null
+++ b/crates/teaselglade-bench/examples/policies.rs
@@ -0,0 +1,13 @@
+//! Runs a fleet and prints the table: `policies FLEET SEED...`.
+
+use teaselglade_bench::{BenchPlan, FleetChoice, run_bench};
+
+fn main() {
+    let mut args = std::env::args().skip(1);
+    let fleet = args.next().and_then(|name| name.parse().ok());
+    let seeds = args
+        .filter_map(|seed| seed.parse().ok())
+        .collect::<Vec<_>>();
+    let plan = BenchPlan::new(fleet.unwrap_or(FleetChoice::Corrib)).seeds(seeds);
+    println!("{}", run_bench(&plan));
+}
--- /dev/null
+++ b/crates/teaselglade-bench/src/engine/engine_class.rs
@@ -0,0 +1,60 @@
+//! Timing of one hardware class.
+
+teaselglade_core::value_type! {
+    /// Timing of one hardware class.
+    pub struct EngineClass {
+        /// Seconds of one step without any stream.
+        pub step_seconds: f64,
+        /// Seconds that each stream adds to a step.
+        pub stream_seconds: f64,
+        /// Prompt tokens computed a second.
+        pub prefill_rate: f64,
+        /// Most prompt tokens computed in one step.
+        pub prefill_chunk: u32,
+        /// Most requests in one batch.
+        pub max_batch: usize,
+        /// Blocks that the prefix cache holds.
+        pub cache_blocks: usize,
+        /// Price of a reclaimable host, in euro cents an hour.
+        pub cents_per_hour: f64,
+    }
+}
+
+impl EngineClass {
+    /// Returns a card of the present generation.
+    #[must_use]
+    pub const fn new_card() -> Self {
+        Self {
+            step_seconds: 0.012,
+            stream_seconds: 0.000_6,
+            prefill_rate: 12_000.0,
+            prefill_chunk: 192,
+            max_batch: 64,
+            cache_blocks: 4_000,
+            cents_per_hour: 90.0,
+        }
+    }
+
+    /// Returns a card of an earlier generation.
+    #[must_use]
+    pub const fn old_card() -> Self {
+        Self {
+            step_seconds: 0.022,
+            stream_seconds: 0.001_5,
+            prefill_rate: 4_000.0,
+            prefill_chunk: 64,
+            max_batch: 24,
+            cache_blocks: 1_500,
+            cents_per_hour: 25.0,
+        }
+    }
+
+    /// Returns the class of one card that is slower by `factor`.
+    #[must_use]
+    pub fn slower(mut self, factor: f64) -> Self {
+        self.step_seconds *= factor;
+        self.stream_seconds *= factor;
+        self.prefill_rate /= factor;
+        self
+    }
+}
--- a/crates/teaselglade-bench/src/lib.rs
+++ b/crates/teaselglade-bench/src/lib.rs
@@ -1,1 +1,15 @@
 //! Policy runs on virtual time.
+//!
+//! One event loop drives the decision machines of `teaselglade-placement`, one for each entry
+//! host, against a timing model of model engines. All times are virtual; a run of a plan with the
+//! same seed always gives the same report.
+
+pub mod engine;
+pub mod plan;
+pub mod report;
+mod run;
+pub mod workload;
+
+pub use plan::{BenchPlan, FleetChoice, PolicyChoice};
+pub use report::BenchReport;
+pub use run::run_bench;
--- /dev/null
+++ b/crates/teaselglade-bench/src/plan/policy_choice.rs
@@ -0,0 +1,83 @@
+//! Policies that a bench can compare.
+
+use std::fmt;
+
+use teaselglade_placement::baseline::{LeastLoad, PrefixAffinity, RoundRobin};
+use teaselglade_placement::cost::{CostOptions, CostPolicy};
+use teaselglade_placement::policy::PlacementPolicy;
+
+teaselglade_core::value_type! {
+    /// Policies that a bench can compare.
+    pub enum PolicyChoice {
+        /// All servers in turn.
+        RoundRobin,
+        /// The server with the fewest requests.
+        LeastLoad,
+        /// The server that had the prefix last.
+        PrefixAffinity,
+        /// Least expected cost.
+        Cost,
+        /// Least expected cost, all prices taken as equal.
+        CostWithoutPrices,
+        /// Least expected cost, no prefix known.
+        CostWithoutPrefixes,
+        /// Least expected cost, no reclaim expected.
+        CostWithoutReclaims,
+        /// Least expected cost, all cards taken as equally fast.
+        CostWithoutSpeeds,
+        /// Least expected cost, late servers not passed over.
+        CostWithoutTargets,
+    }
+}
+
+impl PolicyChoice {
+    /// All policies, baselines first.
+    pub const ALL: [Self; 9] = [
+        Self::RoundRobin,
+        Self::LeastLoad,
+        Self::PrefixAffinity,
+        Self::Cost,
+        Self::CostWithoutPrices,
+        Self::CostWithoutPrefixes,
+        Self::CostWithoutReclaims,
+        Self::CostWithoutSpeeds,
+        Self::CostWithoutTargets,
+    ];
+
+    /// Makes the policy of one of `entry_hosts` entry hosts.
+    #[must_use]
+    pub fn build(self, entry_hosts: u32) -> Box<dyn PlacementPolicy> {
+        let mut options = CostOptions {
+            entry_hosts,
+            ..CostOptions::default()
+        };
+        match self {
+            Self::RoundRobin => return Box::new(RoundRobin::default()),
+            Self::LeastLoad => return Box::new(LeastLoad::default()),
+            Self::PrefixAffinity => return Box::new(PrefixAffinity::default()),
+            Self::Cost => {}
+            Self::CostWithoutPrices => options.use_prices = false,
+            Self::CostWithoutPrefixes => options.use_prefixes = false,
+            Self::CostWithoutReclaims => options.use_reclaims = false,
+            Self::CostWithoutSpeeds => options.use_speeds = false,
+            Self::CostWithoutTargets => options.use_targets = false,
+        }
+        Box::new(CostPolicy::new(options))
+    }
+}
+
+impl fmt::Display for PolicyChoice {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::RoundRobin => "round robin",
+            Self::LeastLoad => "least load",
+            Self::PrefixAffinity => "prefix affinity",
+            Self::Cost => "cost",
+            Self::CostWithoutPrices => "cost, no prices",
+            Self::CostWithoutPrefixes => "cost, no prefixes",
+            Self::CostWithoutReclaims => "cost, no reclaims",
+            Self::CostWithoutSpeeds => "cost, no speeds",
+            Self::CostWithoutTargets => "cost, no targets",
+        })
+    }
+}
--- /dev/null
+++ b/crates/teaselglade-bench/src/run/mod.rs
@@ -0,0 +1,41 @@
+//! The event loop.
+
+mod bench_event;
+mod bench_run;
+mod event_queue;
+mod hold_meter;
+mod request_state;
+mod server_state;
+
+use crate::plan::BenchPlan;
+use crate::report::{BenchReport, PolicyReport, PolicyTally};
+use bench_run::BenchRun;
+
+/// Runs a plan and reports each policy, summed over the seeds.
+///
+/// # Examples
+///
+/// ```
+/// use std::time::Duration;
+/// use teaselglade_bench::{BenchPlan, FleetChoice, PolicyChoice, run_bench};
+///
+/// let plan = BenchPlan::new(FleetChoice::DragonsSleeve)
+///     .policies([PolicyChoice::LeastLoad])
+///     .duration(Duration::from_secs(5));
+/// let report = run_bench(&plan);
+/// assert_eq!(report.policies.len(), 1);
+/// ```
+#[must_use]
+pub fn run_bench(plan: &BenchPlan) -> BenchReport {
+    let policies = plan.policies.iter().map(|policy| {
+        let mut tally = PolicyTally::default();
+        for seed in &plan.seeds {
+            tally.add(&BenchRun::new(plan, *policy, *seed).run());
+        }
+        PolicyReport::new(*policy, &tally)
+    });
+    BenchReport {
+        plan: plan.clone(),
+        policies: policies.collect(),
+    }
+}
--- /dev/null
+++ b/crates/teaselglade-bench/src/workload/mod.rs
@@ -0,0 +1,7 @@
+//! Traffic of a fleet.
+
+mod request_plan;
+mod traffic_plan;
+
+pub use request_plan::RequestPlan;
+pub use traffic_plan::{RequestKind, TrafficPlan};
--- /dev/null
+++ b/crates/teaselglade-placement/src/cost/cost_options.rs
@@ -0,0 +1,55 @@
+//! Settings of the cost policy.
+
+use std::time::Duration;
+
+/// Settings of the cost policy; a mechanism that is switched off is not consulted.
+///
+/// # Examples
+///
+/// ```
+/// use teaselglade_placement::cost::CostOptions;
+///
+/// let options = CostOptions { use_prefixes: false, ..CostOptions::default() };
+/// assert!(options.use_prices);
+/// ```
+#[derive(Debug, Clone, PartialEq)]
+#[expect(
+    clippy::struct_excessive_bools,
+    reason = "each flag switches one independent mechanism"
+)]
+pub struct CostOptions {
+    /// Whether prices count.
+    pub use_prices: bool,
+    /// Whether known prefixes count.
+    pub use_prefixes: bool,
+    /// Whether the probability of a reclaim counts.
+    pub use_reclaims: bool,
+    /// Whether speeds are learned for each class and server.
+    pub use_speeds: bool,
+    /// Whether servers that would miss the targets are passed over.
+    pub use_targets: bool,
+    /// Entry hosts that dispatch to the same servers, this one included.
+    pub entry_hosts: u32,
+    /// Part of a target that a prediction may use, from 0 to 1.
+    pub target_margin: f64,
+    /// How long the fleet holds a host that has nothing to do.
+    pub idle_span: Duration,
+    /// Weight of a lost answer against the cost of a computed one.
+    pub loss_weight: f64,
+}
+
+impl Default for CostOptions {
+    fn default() -> Self {
+        Self {
+            use_prices: true,
+            use_prefixes: true,
+            use_reclaims: true,
+            use_speeds: true,
+            use_targets: true,
+            entry_hosts: 1,
+            target_margin: 0.8,
+            idle_span: Duration::from_mins(1),
+            loss_weight: 200.0,
+        }
+    }
+}
--- a/crates/teaselglade-placement/src/server/server_directory.rs
+++ b/crates/teaselglade-placement/src/server/server_directory.rs
@@ -83,6 +83,11 @@
         self.live.get(service.index()).map_or(&[], Vec::as_slice)
     }
 
+    /// Returns all servers that were ever added.
+    pub fn entries(&self) -> impl Iterator<Item = &ServerEntry> {
+        self.entries.iter()
+    }
+
     /// Returns how many servers were ever added.
     #[must_use]
     pub fn len(&self) -> usize {
