fix(net): read the rest of a body that is too large before answering

Change: read_body drops up to 16 MiB beyond the limit before it reports it.

feat(tool): table, fleet, audit, demo, bench, completions and man page

Change: operators' commands over the table's and the audit's machines; the demo runs stand-ins and entry daemons in one process on loopback and reclaims a zone midway. The entry daemon replays the table's stream by TableReplica. Control daemons do not run yet, so nothing replaces lost hosts.

--- a/crates/teaselglade-entry/src/shared/table_follower.rs
+++ b/crates/teaselglade-entry/src/shared/table_follower.rs
@@ -3,8 +3,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use teaselglade_core::port::{LogRecord, StreamName};
+use teaselglade_core::port::StreamName;
 use teaselglade_core::table::parse_table;
+use teaselglade_state::table::TableReplica;
 use tokio::time::sleep;
 
 use super::TableInForce;
@@ -14,11 +15,12 @@
 const RETRY_WAIT: Duration = Duration::from_millis(200);
 const MOST_RECORDS: u32 = 100;
 
-/// Applies the records of the table's stream as they come.
+/// Replays the table's stream as its records come.
 pub(crate) async fn follow_table(host: Arc<EntryHost>) {
     let stream = StreamName::table();
-    let mut next = 0;
+    let mut replica = TableReplica::new(host.settings.cluster.as_str());
     loop {
+        let next = replica.next_offset();
         match host
             .ports
             .log
@@ -26,8 +28,8 @@
             .await
         {
             Ok(page) => {
-                page.records.iter().for_each(|record| apply(&host, record));
-                next = page.records.last().map_or(next, |record| record.offset + 1);
+                replica.on_page(&page);
+                put_in_force(&host, &replica);
             }
             Err(_error) => {
                 host.metrics.log_failures.inc();
@@ -37,12 +39,18 @@
     }
 }
 
-fn apply(host: &EntryHost, record: &LogRecord) {
-    let text = String::from_utf8_lossy(&record.body);
-    let Ok(rows) = parse_table(&text) else {
+fn put_in_force(host: &EntryHost, replica: &TableReplica) {
+    let head = replica.head();
+    if !replica.is_caught_up() || head.version <= host.table().version {
+        return;
+    }
+    // A replica accepts no version whose table is faulty.
+    let Ok(rows) = parse_table(&head.csv) else {
         return;
     };
-    let version = record.offset + 1;
-    host.set_table(TableInForce { version, rows });
-    log::info!("table version {version} is in force");
+    host.set_table(TableInForce {
+        version: head.version,
+        rows,
+    });
+    log::info!("table version {} is in force", head.version);
 }
--- a/crates/teaselglade-net/src/server/request_body.rs
+++ b/crates/teaselglade-net/src/server/request_body.rs
@@ -2,10 +2,15 @@
 
 use std::fmt;
 
-use bytes::Bytes;
-use http_body_util::{BodyExt, LengthLimitError, Limited};
+use bytes::{Bytes, BytesMut};
+use http_body_util::BodyExt;
 use viz::Request;
 
+/// Most bytes beyond the limit that are read and dropped.
+///
+/// A caller that is still sending when its connection closes may never see the answer.
+const MAX_DROPPED_BYTES: usize = 16 * 1024 * 1024;
+
 /// Failure to read the body of a request.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum BodyError {
@@ -34,15 +39,32 @@
 
 /// Reads the whole body of a request of at most `limit` bytes.
 ///
+/// The rest of a larger body is read and dropped, so that the caller gets its answer.
+///
 /// # Errors
 ///
 /// Fails where the body is larger or not whole.
 pub async fn read_body(request: Request, limit: usize) -> Result<Bytes, BodyError> {
-    match Limited::new(request.into_body(), limit).collect().await {
-        Ok(body) => Ok(body.to_bytes()),
-        Err(error) if error.is::<LengthLimitError>() => Err(BodyError::TooLarge { limit }),
-        Err(error) => Err(BodyError::Truncated {
+    let mut body = request.into_body();
+    let mut kept = BytesMut::new();
+    let mut read = 0;
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|error| BodyError::Truncated {
             detail: error.to_string(),
-        }),
+        })?;
+        let Ok(chunk) = frame.into_data() else {
+            continue;
+        };
+        read += chunk.len();
+        if read <= limit {
+            kept.extend_from_slice(&chunk);
+        }
+        if read > limit + MAX_DROPPED_BYTES {
+            break;
+        }
+    }
+    if read > limit {
+        return Err(BodyError::TooLarge { limit });
     }
+    Ok(kept.freeze())
 }
--- a/crates/teaselglade/src/caller/caller_client.rs
+++ b/crates/teaselglade/src/caller/caller_client.rs
@@ -179,6 +179,7 @@
             request: None,
             tokens: Vec::new(),
             first_token: None,
+            streaming: Duration::ZERO,
             longest_gap: Duration::ZERO,
             resumes: 0,
             outcome: StreamOutcome::Lost {
@@ -221,6 +222,7 @@
         match self.last {
             Some(last) => {
                 self.report.longest_gap = self.report.longest_gap.max(now - last);
+                self.report.streaming += now - last;
             }
             None => self.report.first_token = Some(now - self.started),
         }
--- a/crates/teaselglade/src/caller/stream_report.rs
+++ b/crates/teaselglade/src/caller/stream_report.rs
@@ -27,6 +27,8 @@
     pub tokens: Vec<String>,
     /// Time to the first token.
     pub first_token: Option<Duration>,
+    /// Time from the first token to the last.
+    pub streaming: Duration,
     /// Longest time between two tokens.
     pub longest_gap: Duration,
     /// How often the caller came back.
--- /dev/null
+++ b/crates/teaselglade/src/command/mod.rs
@@ -0,0 +1,35 @@
+//! What each command of the tool does.
+
+mod audit_command;
+mod bench_command;
+mod demo_command;
+mod fleet_command;
+mod shell_command;
+mod table_command;
+
+use eyre::Result;
+
+use crate::command_line::{FleetCommand, ToolCommand, ToolOptions};
+use crate::output::{ExitStatus, OutputFormat};
+
+/// Runs the command that the options name.
+///
+/// # Errors
+///
+/// Fails where the platform or a file cannot be reached.
+pub async fn run_command(options: ToolOptions) -> Result<ExitStatus> {
+    let format = if options.json {
+        OutputFormat::Json
+    } else {
+        OutputFormat::Human
+    };
+    match options.command {
+        ToolCommand::Table(command) => table_command::run(command, format).await,
+        ToolCommand::Fleet(FleetCommand::Status(place)) => fleet_command::run(&place, format).await,
+        ToolCommand::Audit(audit) => audit_command::run(audit, format).await,
+        ToolCommand::Demo(demo) => demo_command::run(demo, format).await,
+        ToolCommand::Bench(bench) => bench_command::run(&bench, format),
+        ToolCommand::Completions { shell } => Ok(shell_command::print_completions(shell)),
+        ToolCommand::Man => shell_command::print_man(),
+    }
+}
--- /dev/null
+++ b/crates/teaselglade/src/command_line/mod.rs
@@ -0,0 +1,17 @@
+//! The tool's command line.
+
+mod audit_options;
+mod bench_options;
+mod demo_options;
+mod platform_options;
+mod table_options;
+mod tool_options;
+
+pub use audit_options::AuditOptions;
+pub use bench_options::BenchOptions;
+pub use demo_options::DemoOptions;
+pub use platform_options::{HostListOptions, LogOptions};
+pub use table_options::{
+    TableCheckOptions, TableCommand, TableHistoryOptions, TablePublishOptions, TableShowOptions,
+};
+pub use tool_options::{FleetCommand, ToolCommand, ToolOptions};
--- /dev/null
+++ b/crates/teaselglade/src/demo/demo_fleet.rs
@@ -0,0 +1,125 @@
+//! Stand-ins and daemons of the demo.
+
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::time::Duration;
+
+use eyre::{Result, eyre};
+use log::LevelFilter;
+use teaselglade_entry::{EntryDaemon, EntrySettings};
+use teaselglade_net::logging::LogFormat;
+use teaselglade_standins::fleet::{FleetPlan, FleetPorts, StandInFleet};
+use teaselglade_standins::log::LogLimits;
+use teaselglade_state::table::PublishOutcome;
+use teaselglade_wire::{HostEntry, HostRole};
+use tokio::time::sleep;
+
+use crate::operation::{FleetSurvey, TableClient, TableOrder};
+
+const LOOPBACK: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
+const READY_POLL: Duration = Duration::from_millis(50);
+const MAX_READY_POLLS: u32 = 200;
+const ENTRY_CENTS_PER_HOUR: f64 = 2.0;
+const DRAIN: Duration = Duration::from_secs(30);
+
+/// Stand-ins and daemons of the demo.
+#[derive(Debug)]
+pub(super) struct DemoFleet {
+    pub(super) outside: StandInFleet,
+    entries: Vec<EntryDaemon>,
+}
+
+impl DemoFleet {
+    /// Starts everything, publishes the table and waits until all hosts are ready.
+    pub(super) async fn start(plan: &FleetPlan, entries: usize) -> Result<Self> {
+        let ports = FleetPorts::default();
+        let outside = StandInFleet::start(plan, ports, LogLimits::default()).await?;
+        publish(plan, &outside).await?;
+        let mut fleet = Self {
+            outside,
+            entries: Vec::new(),
+        };
+        for index in 0..entries {
+            fleet.start_entry(plan, index).await?;
+        }
+        fleet.wait_ready(plan).await?;
+        Ok(fleet)
+    }
+
+    /// Returns the callers' addresses of the entry daemons.
+    pub(super) fn callers(&self) -> Vec<SocketAddr> {
+        self.entries
+            .iter()
+            .map(|entry| entry.addresses().callers)
+            .collect()
+    }
+
+    /// Stops the daemons gracefully, then the stand-ins.
+    pub(super) async fn stop(self) {
+        for entry in self.entries {
+            entry.stop().await;
+        }
+        self.outside.abort();
+    }
+
+    async fn start_entry(&mut self, plan: &FleetPlan, index: usize) -> Result<()> {
+        let zone = plan.zones[index % plan.zones.len()].clone();
+        let host = format!("{zone}-entry-{index}");
+        let platform = self.outside.addresses;
+        let settings = EntrySettings {
+            host: host.clone(),
+            zone: zone.clone(),
+            cluster: plan.name.clone(),
+            callers: LOOPBACK,
+            peers: LOOPBACK,
+            log: platform.log,
+            host_list: platform.host_list,
+            cloud: Some(platform.cloud),
+            drain: DRAIN,
+            log_format: LogFormat::Text,
+            log_level: LevelFilter::Warn,
+        };
+        let daemon = EntryDaemon::start(settings).await?;
+        self.outside.register.put(HostEntry {
+            name: host,
+            incarnation: 1,
+            role: HostRole::Entry,
+            address: daemon.addresses().peers.to_string(),
+            zone,
+            class: "entry".to_owned(),
+            service: String::new(),
+            cents_per_hour: ENTRY_CENTS_PER_HOUR,
+            reclaimable: true,
+            leaving: false,
+        });
+        self.entries.push(daemon);
+        Ok(())
+    }
+
+    async fn wait_ready(&self, plan: &FleetPlan) -> Result<()> {
+        for _ in 0..MAX_READY_POLLS {
+            let survey = FleetSurvey::take(self.outside.addresses.host_list).await?;
+            let statuses = survey.hosts.iter().filter_map(|host| host.status.as_ref());
+            let knows_all = |servers: u32| servers as usize == plan.servers.len();
+            let ready = statuses.filter(|status| status.ready && knows_all(status.servers));
+            if ready.count() == self.entries.len() {
+                return Ok(());
+            }
+            sleep(READY_POLL).await;
+        }
+        Err(eyre!("the entry daemons did not become ready"))
+    }
+}
+
+async fn publish(plan: &FleetPlan, outside: &StandInFleet) -> Result<()> {
+    let client = TableClient::new(outside.addresses.log, &plan.name);
+    let author = "demo".to_owned();
+    let order = TableOrder {
+        base: None,
+        author,
+        csv: plan.table.clone(),
+    };
+    match client.publish(order).await? {
+        PublishOutcome::Accepted { .. } => Ok(()),
+        other => Err(eyre!("the table was not accepted: {other:?}")),
+    }
+}
--- a/crates/teaselglade/src/lib.rs
+++ b/crates/teaselglade/src/lib.rs
@@ -1,4 +1,8 @@
 //! Operators' tool, demo and caller's client.
 
 pub mod caller;
+pub mod command;
+pub mod command_line;
 pub mod demo;
+pub mod operation;
+pub mod output;
--- a/crates/teaselglade/tests/processes/harness.rs
+++ b/crates/teaselglade/tests/processes/harness.rs
@@ -6,11 +6,12 @@
 use std::process::{Child, Command, Stdio};
 use std::time::Duration;
 
-use bytes::Bytes;
 use hyper::Method;
+use teaselglade::operation::{TableClient, TableOrder};
 use teaselglade_entry::DaemonAddresses;
 use teaselglade_net::client::{HttpAnswer, HttpCall, HttpCaller};
 use teaselglade_standins::fleet::{FleetAddresses, FleetPlan};
+use teaselglade_state::table::PublishOutcome;
 use teaselglade_wire::codec::{from_json, to_json};
 use teaselglade_wire::{HostEntries, HostEntry, HostRole, HostStatus};
 use tempfile::TempDir;
@@ -168,13 +169,18 @@
 
     /// Publishes the plan's table.
     pub async fn publish_table(&self) {
-        let table = Bytes::from(self.plan.table.clone());
-        self.call(HttpCall::post(
-            self.platform.log,
-            "/streams/table/records",
-            table,
-        ))
-        .await;
+        let client = TableClient::new(self.platform.log, &self.plan.name);
+        let csv = self.plan.table.clone();
+        let order = TableOrder {
+            base: None,
+            author: "test".to_owned(),
+            csv,
+        };
+        let outcome = client.publish(order).await.expect("the log answers");
+        assert!(
+            matches!(outcome, PublishOutcome::Accepted { .. }),
+            "{outcome:?}"
+        );
     }
 
     /// Sets the faults of a stand-in, as JSON.
