test(claims): bring about crashes, pauses, outages and lost answers on virtual time

Several entry hosts, one stream of the log, a plain server and callers that ask again at other hosts. The checker judges answers and executions only.

--- /dev/null
+++ b/crates/teaselglade-claims/tests/claims/at_most_once.rs
@@ -0,0 +1,98 @@
+//! Keyed calls under arbitrary faults.
+
+use std::time::Duration;
+
+use proptest::prelude::*;
+use teaselglade_claims::key::KeyWindow;
+use teaselglade_claims::shard::ClaimOptions;
+
+use crate::world::{CallPlan, FaultChances, Fleet, Task, check};
+
+const HOSTS: usize = 3;
+const SETTLING: Duration = Duration::from_mins(30);
+
+fn short_window() -> ClaimOptions {
+    let window = KeyWindow::default()
+        .with_oldest(Duration::from_secs(20))
+        .with_ahead(Duration::from_secs(2));
+    ClaimOptions::default().with_window(window)
+}
+
+/// The shortest retention under which the window is safe.
+fn least_retention() -> Duration {
+    Duration::from_secs(22)
+}
+
+fn plans() -> impl Strategy<Value = Vec<(u64, CallPlan)>> {
+    let plan = (0..20_000_u64, 0..4_u32, 0..HOSTS, 1..6_u32);
+    let plan = plan.prop_map(|(at, key, host, calls)| {
+        let plan = CallPlan {
+            key,
+            host,
+            calls,
+            body: key,
+        };
+        (at, plan)
+    });
+    prop::collection::vec(plan, 1..6)
+}
+
+fn faults() -> impl Strategy<Value = Vec<(u64, Task)>> {
+    let fault = (0..25_000_u64, 1..30_000_u64, 0..HOSTS, 0..4_u8);
+    let fault = fault.prop_map(|(at, span, host, kind)| match kind {
+        0 => vec![(at, Task::Crash(host))],
+        1 | 2 => vec![(at, Task::Pause(host)), (at + span, Task::Resume(host))],
+        _ => vec![(at, Task::LogOut(true)), (at + span, Task::LogOut(false))],
+    });
+    prop::collection::vec(fault, 0..8).prop_map(|faults| faults.concat())
+}
+
+fn chances() -> impl Strategy<Value = FaultChances> {
+    (0.0..0.5, 0.0..0.2, 0.0..0.5, 0.0..0.5).prop_map(|(append, read, attempt, hedge)| {
+        FaultChances {
+            append,
+            read,
+            attempt,
+            hedge,
+        }
+    })
+}
+
+proptest! {
+    #[test]
+    fn keyed_calls_run_at_most_once_and_not_run_is_true(
+        plans in plans(),
+        faults in faults(),
+        chances in chances(),
+        seed: u64,
+    ) {
+        let mut fleet = Fleet::new(HOSTS, short_window(), chances, seed)
+            .with_retention(least_retention());
+        let start = fleet.now;
+        for (at, plan) in plans {
+            fleet.at(start + Duration::from_millis(at), Task::Send(plan));
+        }
+        for (at, task) in faults {
+            fleet.at(start + Duration::from_millis(at), task);
+        }
+        fleet.run_until(start + SETTLING);
+        let breaches = check(&fleet.calls);
+        prop_assert!(breaches.is_empty(), "{breaches:?}\n{}", fleet.trace.join("\n"));
+    }
+
+    #[test]
+    fn without_faults_every_key_runs_exactly_once(plans in plans(), seed: u64) {
+        let options = ClaimOptions::default();
+        let mut fleet = Fleet::new(HOSTS, options, FaultChances::default(), seed);
+        let start = fleet.now;
+        for (at, plan) in plans {
+            fleet.at(start + Duration::from_millis(at), Task::Send(plan));
+        }
+        fleet.run_until(start + SETTLING);
+        prop_assert_eq!(check(&fleet.calls), Vec::<String>::new());
+        let whole = |call: &crate::world::CallRecord| matches!(call.answered, Some((_, Ok(_))));
+        let most_appends = 2 * fleet.calls.len() as u64;
+        prop_assert!(fleet.appends() <= most_appends, "{} appends", fleet.appends());
+        prop_assert!(fleet.calls.iter().all(whole), "{}", fleet.trace.join("\n"));
+    }
+}
--- /dev/null
+++ b/crates/teaselglade-claims/tests/claims/main.rs
@@ -0,0 +1,7 @@
+//! Claims under failures, on virtual time.
+
+#[path = "../world/mod.rs"]
+mod world;
+
+mod at_most_once;
+mod plain;
--- /dev/null
+++ b/crates/teaselglade-claims/tests/world/log_model.rs
@@ -0,0 +1,58 @@
+//! One stream of the platform's log.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use teaselglade_core::port::{LogPage, LogRecord};
+use teaselglade_core::time::Timestamp;
+
+use super::task::HostRun;
+
+const PAGE: usize = 3;
+
+#[derive(Debug)]
+pub struct LogModel {
+    pub retention: Duration,
+    pub out: bool,
+    pub first: u64,
+    pub records: Vec<LogRecord>,
+    pub polls: Vec<(HostRun, u64)>,
+}
+
+impl LogModel {
+    pub fn new(retention: Duration) -> Self {
+        Self {
+            retention,
+            out: false,
+            first: 0,
+            records: Vec::new(),
+            polls: Vec::new(),
+        }
+    }
+
+    pub fn append(&mut self, now: Timestamp, body: Bytes) -> u64 {
+        let offset = self.end();
+        self.records.push(LogRecord {
+            offset,
+            appended: now,
+            body,
+        });
+        offset
+    }
+
+    pub fn end(&self) -> u64 {
+        self.records.len() as u64
+    }
+
+    pub fn page(&mut self, now: Timestamp, from: u64) -> LogPage {
+        let old = |record: &LogRecord| record.appended + self.retention < now;
+        self.first = self.records.iter().take_while(|r| old(r)).count() as u64;
+        let start = from.max(self.first).min(self.end()) as usize;
+        let records = self.records[start..].iter().take(PAGE).cloned().collect();
+        LogPage {
+            first: self.first,
+            end: self.end(),
+            records,
+        }
+    }
+}
--- /dev/null
+++ b/crates/teaselglade-claims/tests/world/mod.rs
@@ -0,0 +1,12 @@
+//! Fleet of entry hosts, a log, a plain server and callers on virtual time.
+
+mod checker;
+mod fleet;
+mod log_model;
+mod plan;
+mod task;
+
+pub use checker::check;
+pub use fleet::{CallRecord, Fleet};
+pub use plan::{AppendFate, AttemptFate, CallPlan, FaultChances};
+pub use task::Task;
--- /dev/null
+++ b/crates/teaselglade-claims/tests/world/task.rs
@@ -0,0 +1,30 @@
+//! What is due at some time.
+
+use bytes::Bytes;
+use teaselglade_claims::shard::{ShardAction, ShardEvent};
+
+use super::{AppendFate, CallPlan};
+
+/// One run of one host; what was meant for an earlier run is lost.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct HostRun {
+    pub host: usize,
+    pub run: u32,
+}
+
+#[derive(Debug, Clone)]
+pub enum Task {
+    Send(CallPlan),
+    CallerTimeout(u64),
+    Deliver(HostRun, ShardEvent),
+    Perform(HostRun, ShardAction),
+    Append(HostRun, Bytes, AppendFate),
+    Land(Bytes),
+    Read(HostRun, u64, std::time::Duration),
+    EndPoll(HostRun),
+    Execute(u64),
+    Crash(usize),
+    Pause(usize),
+    Resume(usize),
+    LogOut(bool),
+}
