fix(claims): keep 'may have run' for a repeated key that fails its window

A host whose clock is late took a repeated key for one from the future and said 'not run'. The tests now set clocks apart, stop them during a pause, and drop records at the shortest retention.

--- a/crates/teaselglade-claims/src/shard/deciding.rs
+++ b/crates/teaselglade-claims/src/shard/deciding.rs
@@ -13,7 +13,7 @@
 impl ShardMachine {
     pub(super) fn on_booked(&mut self, now: Timestamp, key: BookingKey, call: BookedCall) {
         if let Err(error) = self.options.window.check(call.key.key, now) {
-            self.refuse_key(key, &error);
+            self.refuse_key(key, &call, &error);
             return;
         }
         if now < self.out_until {
@@ -55,8 +55,8 @@
         }
     }
 
-    pub(super) fn refuse_key(&mut self, key: BookingKey, error: &KeyError) {
-        self.answer(key, Err(error.refusal()));
+    pub(super) fn refuse_key(&mut self, key: BookingKey, call: &BookedCall, error: &KeyError) {
+        self.answer(key, Err(refusals::key_fault(call, error)));
     }
 
     /// Decides what waits for the end of the shard.
--- a/crates/teaselglade-claims/src/shard/reading.rs
+++ b/crates/teaselglade-claims/src/shard/reading.rs
@@ -70,8 +70,8 @@
             ClaimFate::Owner => self.dispatch(key, booking, record, 1),
             ClaimFate::Behind => self.attach(now, key, booking),
             ClaimFate::Settled => self.claim_again(now, key, booking),
-            ClaimFate::TooOld => self.refuse_key(key, &KeyError::Expired),
-            ClaimFate::TooEarly => self.refuse_key(key, &KeyError::TooFarAhead),
+            ClaimFate::TooOld => self.refuse_key(key, &booking.call, &KeyError::Expired),
+            ClaimFate::TooEarly => self.refuse_key(key, &booking.call, &KeyError::TooFarAhead),
         }
     }
 
--- a/crates/teaselglade-claims/src/shard/refusals.rs
+++ b/crates/teaselglade-claims/src/shard/refusals.rs
@@ -5,7 +5,7 @@
 use teaselglade_core::verdict::{ExecutionVerdict, RefusalReason, RequestRefusal};
 
 use crate::booking::{BookedCall, BookingAnswer, BookingResult};
-use crate::key::RequestDigest;
+use crate::key::{KeyError, RequestDigest};
 use crate::record::ClaimOutcome;
 
 /// Returns the verdict on a call that made no use of its key here.
@@ -25,6 +25,13 @@
     RequestRefusal::with_verdict(verdict, RefusalReason::LogUnavailable, detail).retry_after(pause)
 }
 
+/// Returns the refusal of a call whose key fails its window.
+pub(super) fn key_fault(call: &BookedCall, error: &KeyError) -> RequestRefusal {
+    let mut refusal = error.refusal();
+    refusal.verdict = refusal.verdict.and(unclaimed_verdict(call));
+    refusal
+}
+
 pub(super) fn undecided(pause: Duration) -> RequestRefusal {
     let detail = "an earlier call with this key is not settled; ask again with the same key";
     let verdict = ExecutionVerdict::MayHaveRun;
--- a/crates/teaselglade-claims/tests/claims/at_most_once.rs
+++ b/crates/teaselglade-claims/tests/claims/at_most_once.rs
@@ -38,10 +38,11 @@
 }
 
 fn faults() -> impl Strategy<Value = Vec<(u64, Task)>> {
-    let fault = (0..25_000_u64, 1..30_000_u64, 0..HOSTS, 0..4_u8);
+    let fault = (0..25_000_u64, 1..30_000_u64, 0..HOSTS, 0..5_u8);
     let fault = fault.prop_map(|(at, span, host, kind)| match kind {
         0 => vec![(at, Task::Crash(host))],
         1 | 2 => vec![(at, Task::Pause(host)), (at + span, Task::Resume(host))],
+        3 => vec![(at, Task::Suspend(host)), (at + span, Task::Resume(host))],
         _ => vec![(at, Task::LogOut(true)), (at + span, Task::LogOut(false))],
     });
     prop::collection::vec(fault, 0..8).prop_map(|faults| faults.concat())
@@ -64,10 +65,14 @@
         plans in plans(),
         faults in faults(),
         chances in chances(),
+        skews in prop::array::uniform3(prop_oneof![2 => Just(0_i64), 1 => -400_000..400_000_i64]),
         seed: u64,
     ) {
         let mut fleet = Fleet::new(HOSTS, short_window(), chances, seed)
             .with_retention(least_retention());
+        for (host, skew) in skews.into_iter().enumerate() {
+            fleet.set_skew(host, skew);
+        }
         let start = fleet.now;
         for (at, plan) in plans {
             fleet.at(start + Duration::from_millis(at), Task::Send(plan));
--- /dev/null
+++ b/crates/teaselglade-claims/tests/claims/lost_records.rs
@@ -0,0 +1,51 @@
+//! Claims whose shard lost records to the log's retention.
+
+use std::time::Duration;
+
+use teaselglade_claims::booking::{BookedCall, BookingKey};
+use teaselglade_claims::key::{RequestDigest, ScopedKey};
+use teaselglade_claims::shard::{ClaimOptions, ShardAction, ShardEvent, ShardMachine};
+use teaselglade_core::port::{LogPage, LogRecord};
+
+/// Another host's earlier claim fell to retention while this host's clock stood still.
+#[test]
+fn a_claim_behind_lost_records_is_withdrawn() {
+    let key = "0193a1b2-0000-7000-8000-000000000001"
+        .parse()
+        .expect("a key");
+    let key = ScopedKey::new("corrib", "ticket-desk", key);
+    let now = key.key.created();
+    let call = BookedCall {
+        digest: RequestDigest::of("POST", "/tickets", b"ring"),
+        repeated: false,
+        deadline: now + Duration::from_secs(5),
+        key,
+    };
+    let booking = BookingKey::new(0);
+    let mut machine = ShardMachine::new(ClaimOptions::default(), [7; 32]);
+    machine.on_event(now, ShardEvent::Booked { booking, call });
+    let empty = LogPage {
+        first: 0,
+        end: 0,
+        records: Vec::new(),
+    };
+    let actions = machine.on_event(now, ShardEvent::Read(Ok(empty)));
+    let ShardAction::Append { body } = &actions[0] else {
+        panic!("expected an append, got {actions:?}");
+    };
+    let own = LogRecord {
+        offset: 1,
+        appended: now,
+        body: body.clone(),
+    };
+    machine.on_event(now, ShardEvent::Appended(Ok(1)));
+    let behind_loss = LogPage {
+        first: 1,
+        end: 2,
+        records: vec![own],
+    };
+    let actions = machine.on_event(now, ShardEvent::Read(Ok(behind_loss)));
+    let is_dispatch = |action: &ShardAction| matches!(action, ShardAction::Dispatch { .. });
+    assert!(!actions.iter().any(is_dispatch), "{actions:?}");
+    assert_eq!(machine.counters().withdrawals, 1);
+}
--- a/crates/teaselglade-claims/tests/claims/main.rs
+++ b/crates/teaselglade-claims/tests/claims/main.rs
@@ -4,4 +4,5 @@
 mod world;
 
 mod at_most_once;
+mod lost_records;
 mod plain;
--- a/crates/teaselglade-claims/tests/scenario/main.rs
+++ b/crates/teaselglade-claims/tests/scenario/main.rs
@@ -65,6 +65,8 @@
         }
         "crash" => fleet.at(now, Task::Crash(step.value("host")?)),
         "pause" => fleet.at(now, Task::Pause(step.value("host")?)),
+        "clock" => fleet.set_skew(step.value("host")?, -(span("behind")?.as_millis() as i64)),
+        "suspend" => fleet.at(now, Task::Suspend(step.value("host")?)),
         "resume" => fleet.at(now, Task::Resume(step.value("host")?)),
         "log" => fleet.at(now, Task::LogOut(step.word(0)? == "out")),
         "append" => fleet.forced_appends.push_back(match step.word(0)? {
--- a/crates/teaselglade-claims/tests/world/fleet.rs
+++ b/crates/teaselglade-claims/tests/world/fleet.rs
@@ -27,6 +27,9 @@
 struct Host {
     run: u32,
     paused: bool,
+    suspended: Option<Timestamp>,
+    /// How far the host's clock is ahead, in milliseconds.
+    skew: i64,
     machine: ShardMachine,
     backlog: Vec<Task>,
 }
@@ -64,6 +67,8 @@
         let hosts = (0..hosts).map(|_| Host {
             run: 0,
             paused: false,
+            suspended: None,
+            skew: 0,
             machine: ShardMachine::new(options, random.random()),
             backlog: Vec::new(),
         });
@@ -89,6 +94,10 @@
         self
     }
 
+    pub fn set_skew(&mut self, host: usize, millis: i64) {
+        self.hosts[host].skew = millis;
+    }
+
     pub fn at(&mut self, at: Timestamp, task: Task) {
         self.tasks += 1;
         self.queue.insert((at.max(self.now), self.tasks), task);
@@ -145,6 +154,7 @@
             Task::Execute(call) => self.execute(call),
             Task::Crash(host) => self.crash(host),
             Task::Pause(host) => self.hosts[host].paused = true,
+            Task::Suspend(host) => self.suspend(host),
             Task::Resume(host) => self.resume(host),
             Task::LogOut(out) => self.set_log_out(out),
         }
@@ -157,7 +167,7 @@
             key,
             digest: RequestDigest::of("POST", "/tickets", &plan.body.to_le_bytes()),
             repeated: self.is_unresolved(plan.key),
-            deadline: self.now + DEADLINE,
+            deadline: self.host_time(plan.host) + DEADLINE,
         };
         self.note(format!("call {id} key={} host={}", plan.key, plan.host));
         self.calls.push(CallRecord {
@@ -230,10 +240,11 @@
     }
 
     fn deliver(&mut self, run: HostRun, event: ShardEvent) {
-        let actions = self.hosts[run.host].machine.on_event(self.now, event);
+        let now = self.host_time(run.host);
+        let actions = self.hosts[run.host].machine.on_event(now, event);
         for action in actions {
             let at = match action {
-                ShardAction::WakeAt(at) => at,
+                ShardAction::WakeAt(at) => self.now + at.since(now),
                 _ => self.now + self.jitter(),
             };
             self.at(at, Task::Perform(run, action));
@@ -409,12 +420,21 @@
         let host = &mut self.hosts[host];
         host.run += 1;
         host.paused = false;
+        host.suspended = None;
         host.backlog.clear();
         host.machine = ShardMachine::new(self.options, seed);
     }
 
+    fn suspend(&mut self, host: usize) {
+        self.hosts[host].paused = true;
+        self.hosts[host].suspended = Some(self.now);
+    }
+
     fn resume(&mut self, host: usize) {
         self.hosts[host].paused = false;
+        if let Some(since) = self.hosts[host].suspended.take() {
+            self.hosts[host].skew -= (self.now - since).as_millis() as i64;
+        }
         for task in std::mem::take(&mut self.hosts[host].backlog) {
             self.at(self.now, task);
         }
@@ -457,6 +477,14 @@
         HostRun { host, run }
     }
 
+    fn host_time(&self, host: usize) -> Timestamp {
+        let millis = self
+            .now
+            .as_millis()
+            .saturating_add_signed(self.hosts[host].skew);
+        Timestamp::from_micros(millis * 1_000 + self.now.as_micros() % 1_000)
+    }
+
     fn jitter(&mut self) -> Duration {
         Duration::from_micros(self.random.random_range(0..500))
     }
--- a/crates/teaselglade-claims/tests/world/task.rs
+++ b/crates/teaselglade-claims/tests/world/task.rs
@@ -25,6 +25,8 @@
     Execute(u64),
     Crash(usize),
     Pause(usize),
+    /// A pause in which the host's clock stands still as well.
+    Suspend(usize),
     Resume(usize),
     LogOut(bool),
 }
