--- a/crates/teaselglade-core/src/port/cloud_port.rs
+++ b/crates/teaselglade-core/src/port/cloud_port.rs
@@ -1,6 +1,7 @@
 //! Port to the cloud API.
 
 use std::fmt::{self, Debug};
+use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 
@@ -80,6 +81,8 @@
     Refused {
         /// What the cloud API said.
         detail: String,
+        /// Shortest time before the next call, where the cloud API names one.
+        retry_after: Option<Duration>,
     },
     /// Whether the call had its effect is unknown.
     Unknown {
@@ -91,7 +94,7 @@
 impl fmt::Display for CloudError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
-            Self::Refused { detail } => write!(f, "the cloud API refused the call: {detail}"),
+            Self::Refused { detail, .. } => write!(f, "the cloud API refused the call: {detail}"),
             Self::Unknown { detail } => write!(f, "the cloud API's answer is unknown: {detail}"),
         }
     }
--- a/crates/teaselglade-core/src/port/mod.rs
+++ b/crates/teaselglade-core/src/port/mod.rs
@@ -4,6 +4,7 @@
 mod backend_port;
 mod clock_port;
 mod cloud_port;
+mod engine_port;
 mod host_list_port;
 mod log_port;
 mod peer_port;
@@ -18,6 +19,7 @@
 pub use cloud_port::{
     CloudError, CloudHost, CloudPort, HostOrder, HostPurchase, HostState, ReclaimNotice,
 };
+pub use engine_port::{EngineError, EngineGoal, EnginePort, EngineStatus};
 pub use host_list_port::{HostListPort, ListedHost, ListedRole};
 pub use log_port::{LogError, LogPage, LogPort, LogRecord, StreamName};
 pub use peer_port::{PeerError, PeerPort};
--- /dev/null
+++ b/crates/teaselglade-net/src/platform/weight_client.rs
@@ -0,0 +1,49 @@
+//! Adapter to the weight store.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use teaselglade_core::port::{PortFuture, WeightPort};
+use teaselglade_wire::WeightReserve;
+use teaselglade_wire::codec::to_json;
+
+use super::retry_after::retry_after;
+use crate::client::{HttpCall, HttpCaller};
+
+const DEFAULT_RETRY: Duration = Duration::from_secs(2);
+
+/// Client of the weight store.
+#[derive(Debug)]
+pub struct WeightClient {
+    caller: Arc<HttpCaller>,
+    address: SocketAddr,
+}
+
+impl WeightClient {
+    /// Makes a client of the weight store at `address`.
+    #[must_use]
+    pub const fn new(caller: Arc<HttpCaller>, address: SocketAddr) -> Self {
+        Self { caller, address }
+    }
+
+    async fn reserve_fetch(&self, model: &str) -> Result<(), Duration> {
+        let message = WeightReserve {
+            model: model.to_owned(),
+        };
+        let body = to_json(&message).map_err(|_unencodable| DEFAULT_RETRY)?;
+        let call = HttpCall::post(self.address, "/reserve", body);
+        let answer = self.caller.call(call).await;
+        let answer = answer.map_err(|_lost| DEFAULT_RETRY)?;
+        if answer.is_success() {
+            return Ok(());
+        }
+        Err(retry_after(&answer).unwrap_or(DEFAULT_RETRY))
+    }
+}
+
+impl WeightPort for WeightClient {
+    fn reserve<'a>(&'a self, model: &'a str) -> PortFuture<'a, Result<(), Duration>> {
+        Box::pin(self.reserve_fetch(model))
+    }
+}
