--- a/crates/teaselglade-state/src/lib.rs
+++ b/crates/teaselglade-state/src/lib.rs
@@ -2,3 +2,4 @@
 
 pub mod audit;
 pub mod lease;
+pub mod table;
