--- a/crates/teaselglade-bench/src/run/bench_run.rs
+++ b/crates/teaselglade-bench/src/run/bench_run.rs
@@ -262,7 +262,9 @@
             state.first = Some(now);
             self.tally.add_first_token(now - state.arrived);
         } else {
-            self.tally.add_gap(now - state.last);
+            let gap = now - state.last;
+            state.late_gaps += u32::from(gap > self.fleet.token_gap_target);
+            self.tally.add_gap(gap);
         }
         state.last = now;
         state.delivered += 1;
@@ -278,7 +280,7 @@
         let state = &self.requests[request];
         let first = state.first_token();
         let first_on_target = first.is_some_and(|first| first <= self.fleet.first_token_target);
-        first_on_target && state.mean_gap() <= self.fleet.token_gap_target
+        first_on_target && state.gaps_on_target()
     }
 
     fn end_request(&mut self, request: usize, outcome: RequestOutcome) {
--- a/crates/teaselglade-placement/src/cost/cost_options.rs
+++ b/crates/teaselglade-placement/src/cost/cost_options.rs
@@ -30,8 +30,10 @@
     pub use_targets: bool,
     /// Entry hosts that dispatch to the same servers, this one included.
     pub entry_hosts: u32,
-    /// Part of a target that a prediction may use, from 0 to 1.
-    pub target_margin: f64,
+    /// Part of the first-token target that a prediction may use, from 0 to 1.
+    pub first_token_margin: f64,
+    /// Part of the token-gap target that a predicted mean may use, from 0 to 1.
+    pub token_gap_margin: f64,
     /// How long the fleet holds a host that has nothing to do.
     pub idle_span: Duration,
     /// Weight of a lost answer against the cost of a computed one.
@@ -47,9 +49,10 @@
             use_speeds: true,
             use_targets: true,
             entry_hosts: 1,
-            target_margin: 0.8,
-            idle_span: Duration::from_mins(1),
-            loss_weight: 200.0,
+            first_token_margin: 0.7,
+            token_gap_margin: 0.7,
+            idle_span: Duration::from_mins(5),
+            loss_weight: 1_000.0,
         }
     }
 }
--- a/crates/teaselglade-placement/src/cost/cost_policy.rs
+++ b/crates/teaselglade-placement/src/cost/cost_policy.rs
@@ -153,15 +153,10 @@
         self.reclaims.probability(entry.facts.zone, span) * tokens
     }
 
-    fn choose(&self, query: &PlacementQuery) -> Option<ServerForecast> {
-        let margin = if self.options.use_targets {
-            self.options.target_margin
-        } else {
-            f64::INFINITY
-        };
+    fn choose(&self, query: &PlacementQuery) -> Option<Placement> {
         let timely = || {
             let forecasts = self.forecasts.iter();
-            forecasts.filter(|forecast| forecast.target_use(query) <= margin)
+            forecasts.filter(|forecast| self.is_timely(forecast, query))
         };
         let cheapest = timely()
             .map(|forecast| forecast.cents)
@@ -173,14 +168,21 @@
             query.cost_weight * cost + (1.0 - query.cost_weight) * loss
         };
         let best = timely().min_by(|a, b| score(a).total_cmp(&score(b)));
-        best.or_else(|| self.least_late(query)).copied()
+        best.map(|forecast| forecast.placement(true))
+            .or_else(|| self.least_late(query))
+    }
+
+    fn is_timely(&self, forecast: &ServerForecast, query: &PlacementQuery) -> bool {
+        !self.options.use_targets || forecast.target_use(query, &self.options) <= 1.0
     }
 
-    fn least_late(&self, query: &PlacementQuery) -> Option<&ServerForecast> {
-        let late = |forecast: &ServerForecast| forecast.target_use(query);
-        self.forecasts
+    fn least_late(&self, query: &PlacementQuery) -> Option<Placement> {
+        let late = |forecast: &ServerForecast| forecast.target_use(query, &self.options);
+        let least = self
+            .forecasts
             .iter()
-            .min_by(|a, b| late(a).total_cmp(&late(b)))
+            .min_by(|a, b| late(a).total_cmp(&late(b)));
+        least.map(|forecast| forecast.placement(false))
     }
 
     fn dispatch(&mut self, attempt: AttemptId, server: ServerKey, prefix: &[u64], tokens: u32) {
@@ -236,9 +238,7 @@
     ) -> Result<Placement> {
         self.reclaims.count(now, directory);
         self.forecast_all(directory, query);
-        let best = self.choose(query);
-        best.map(|forecast| forecast.placement(query))
-            .ok_or_else(no_server)
+        self.choose(query).ok_or_else(no_server)
     }
 
     fn observe(&mut self, _now: Timestamp, directory: &ServerDirectory, event: &PlacementEvent) {
