--- /dev/null
+++ b/crates/teaselglade-placement/benches/decision.rs
@@ -0,0 +1,90 @@
+//! Time of one decision, for each policy and several numbers of servers.
+
+use std::hint::black_box;
+use std::time::Duration;
+
+use criterion::{BenchmarkId, Criterion, criterion_group, criterion_main};
+use teaselglade_core::id::{
+    AttemptId, ClassKey, OrganisationKey, RequestId, ServerKey, ServiceKey, ZoneKey,
+};
+use teaselglade_core::port::ServerReport;
+use teaselglade_core::time::Timestamp;
+use teaselglade_placement::baseline::{LeastLoad, PrefixAffinity, RoundRobin};
+use teaselglade_placement::cost::{CostOptions, CostPolicy};
+use teaselglade_placement::policy::{
+    PlacementEvent, PlacementPolicy, PlacementQuery, ServerPlacement,
+};
+use teaselglade_placement::server::ServerFacts;
+
+const SIZES: [u32; 4] = [64, 300, 600, 1_200];
+const NOW: Timestamp = Timestamp::from_millis(10_000);
+const SERVICE: ServiceKey = ServiceKey::new(0);
+
+fn policies() -> [(&'static str, Box<dyn PlacementPolicy>); 4] {
+    [
+        ("round robin", Box::new(RoundRobin::default())),
+        ("least load", Box::new(LeastLoad::default())),
+        ("prefix affinity", Box::new(PrefixAffinity::default())),
+        ("cost", Box::new(CostPolicy::new(CostOptions::default()))),
+    ]
+}
+
+fn fleet(policy: Box<dyn PlacementPolicy>, servers: u32) -> ServerPlacement {
+    let mut placement = ServerPlacement::new(policy);
+    for index in 0..servers {
+        let server = placement.add(ServerFacts {
+            service: SERVICE,
+            class: ClassKey::new((index % 3) as u16),
+            zone: ZoneKey::new((index % 16) as u16),
+            cents_per_hour: 30.0 + f64::from(index % 7) * 10.0,
+            reclaimable: index % 5 < 3,
+        });
+        observe_server(&mut placement, server);
+    }
+    placement
+}
+
+fn observe_server(placement: &mut ServerPlacement, server: ServerKey) {
+    let index = server.index() as u32;
+    let report = ServerReport {
+        running: index % 13,
+        waiting: 0,
+        tokens_per_second: 200.0,
+        token_gap_micros: 20_000 + u64::from(index % 13) * 900,
+        prefill_tokens_per_second: 5_000.0,
+        kv_free: 0.5,
+    };
+    placement.observe(NOW, &PlacementEvent::Reported { server, report });
+    let dispatched = PlacementEvent::Dispatched {
+        attempt: AttemptId::first(RequestId::from_bits(u128::from(index))),
+        server,
+        prefix: blocks(index % 40),
+        prompt_tokens: 640,
+    };
+    placement.observe(NOW, &dispatched);
+}
+
+fn blocks(conversation: u32) -> std::sync::Arc<[u64]> {
+    let shared = (0..10_u64).chain((0..10).map(|block| u64::from(conversation) * 1_000 + block));
+    shared.collect()
+}
+
+fn decide(criterion: &mut Criterion) {
+    let query = PlacementQuery::new(SERVICE, OrganisationKey::new(0))
+        .prompt(640, blocks(7))
+        .answer_tokens(200)
+        .targets(Duration::from_millis(360), Some(Duration::from_millis(47)));
+    let mut group = criterion.benchmark_group("decision");
+    for servers in SIZES {
+        for (name, policy) in policies() {
+            let mut placement = fleet(policy, servers);
+            group.bench_function(BenchmarkId::new(name, servers), |bencher| {
+                bencher.iter(|| placement.place(NOW, black_box(&query)));
+            });
+        }
+    }
+    group.finish();
+}
+
+criterion_group!(benches, decide);
+criterion_main!(benches);
--- a/crates/teaselglade-placement/src/cost/cost_policy.rs
+++ b/crates/teaselglade-placement/src/cost/cost_policy.rs
@@ -1,13 +1,12 @@
 //! Least expected cost among the servers that are predicted to meet the targets.
 
 use std::collections::{HashMap, HashSet};
-use std::time::Duration;
 
 use teaselglade_core::id::{AttemptId, ServerKey};
 use teaselglade_core::port::ServerReport;
 use teaselglade_core::time::Timestamp;
 
-use super::server_forecast::ServerForecast;
+use super::server_forecast::{ServerForecast, TargetAllowance};
 use super::{CostOptions, PrefixIndex, ReclaimModel, SpeedModel, SpeedSample};
 use crate::baseline::no_server;
 use crate::policy::{Placement, PlacementEvent, PlacementPolicy, PlacementQuery, Result};
@@ -84,13 +83,15 @@
         if self.options.use_prefixes {
             self.prefixes.cached_tokens(&query.prefix, &mut self.cached);
         }
+        let allowance = TargetAllowance::new(query, &self.options);
         let mut forecasts = std::mem::take(&mut self.forecasts);
         forecasts.clear();
         let servers = directory.live(query.service).iter();
         let allowed = servers
             .map(|server| (*server, directory.entry(*server)))
             .filter(|(server, entry)| query.allows(*server, entry));
-        forecasts.extend(allowed.map(|(server, entry)| self.forecast(server, entry, query)));
+        forecasts
+            .extend(allowed.map(|(server, entry)| self.forecast(server, entry, query, allowance)));
         self.forecasts = forecasts;
     }
 
@@ -99,6 +100,7 @@
         server: ServerKey,
         entry: &ServerEntry,
         query: &PlacementQuery,
+        allowance: TargetAllowance,
     ) -> ServerForecast {
         let class = entry.facts.class;
         let running = self.running(entry);
@@ -111,11 +113,13 @@
         let wait_seconds = self.waiting(server) * prefill;
         let answer_seconds = f64::from(query.answer_tokens) * gap;
         let run_seconds = wait_seconds + prefill_seconds + answer_seconds;
+        let first_token_seconds = wait_seconds + prefill_seconds + gap + NETWORK_SECONDS;
         ServerForecast {
             server,
             cached_tokens: cached,
-            first_token_seconds: wait_seconds + prefill_seconds + gap + NETWORK_SECONDS,
+            first_token_seconds,
             gap_seconds: gap,
+            target_use: allowance.used(first_token_seconds, gap),
             cents: self.cents(entry, running, prefill_seconds + answer_seconds),
             lost_tokens: self.lost_tokens(entry, query, run_seconds),
         }
@@ -148,40 +152,32 @@
         if !self.options.use_reclaims || !entry.facts.reclaimable {
             return 0.0;
         }
-        let span = Duration::from_secs_f64(seconds);
         let tokens = f64::from(query.prompt_tokens) + f64::from(query.answer_tokens) / 2.0;
-        self.reclaims.probability(entry.facts.zone, span) * tokens
+        self.reclaims.probability(entry.facts.zone, seconds) * tokens
     }
 
     fn choose(&self, query: &PlacementQuery) -> Option<Placement> {
         let timely = || {
             let forecasts = self.forecasts.iter();
-            forecasts.filter(|forecast| self.is_timely(forecast, query))
+            forecasts.filter(|forecast| !self.options.use_targets || forecast.target_use <= 1.0)
         };
         let cheapest = timely()
             .map(|forecast| forecast.cents)
             .fold(f64::INFINITY, f64::min);
+        let cost_weight = query.cost_weight / cheapest.max(f64::MIN_POSITIVE);
         let tokens = f64::from(query.prompt_tokens + query.answer_tokens).max(1.0);
+        let loss_weight = (1.0 - query.cost_weight) * self.options.loss_weight / tokens;
         let score = |forecast: &ServerForecast| {
-            let cost = forecast.cents / cheapest.max(f64::MIN_POSITIVE);
-            let loss = forecast.lost_tokens / tokens * self.options.loss_weight;
-            query.cost_weight * cost + (1.0 - query.cost_weight) * loss
+            cost_weight * forecast.cents + loss_weight * forecast.lost_tokens
         };
         let best = timely().min_by(|a, b| score(a).total_cmp(&score(b)));
         best.map(|forecast| forecast.placement(true))
-            .or_else(|| self.least_late(query))
+            .or_else(|| self.least_late())
     }
 
-    fn is_timely(&self, forecast: &ServerForecast, query: &PlacementQuery) -> bool {
-        !self.options.use_targets || forecast.target_use(query, &self.options) <= 1.0
-    }
-
-    fn least_late(&self, query: &PlacementQuery) -> Option<Placement> {
-        let late = |forecast: &ServerForecast| forecast.target_use(query, &self.options);
-        let least = self
-            .forecasts
-            .iter()
-            .min_by(|a, b| late(a).total_cmp(&late(b)));
+    fn least_late(&self) -> Option<Placement> {
+        let forecasts = self.forecasts.iter();
+        let least = forecasts.min_by(|a, b| a.target_use.total_cmp(&b.target_use));
         least.map(|forecast| forecast.placement(false))
     }
 
@@ -189,9 +185,7 @@
         if self.waiting_tokens.len() <= server.index() {
             self.waiting_tokens.resize(server.index() + 1, 0.0);
         }
-        let mut cached = vec![0; server.index() + 1];
-        self.prefixes.cached_tokens(prefix, &mut cached);
-        let marked_tokens = cached[server.index()].min(tokens);
+        let marked_tokens = self.prefixes.cached_on(server, prefix).min(tokens);
         let waiting_tokens = f64::from(tokens - marked_tokens);
         self.waiting_tokens[server.index()] += waiting_tokens;
         let open = OpenAttempt {
--- a/crates/teaselglade-placement/src/cost/prefix_index.rs
+++ b/crates/teaselglade-placement/src/cost/prefix_index.rs
@@ -97,11 +97,19 @@
     }
 
     /// Writes each server's cached tokens of the prompt into `cached`, by the server's index.
+    ///
+    /// A block known of as many servers as the block behind it adds none, and is skipped.
     pub fn cached_tokens(&self, blocks: &[u64], cached: &mut [u32]) {
+        let mut seen = 0;
         for (index, block) in blocks.iter().enumerate().rev() {
+            let marks = self.young.get(block).or_else(|| self.old.get(block));
+            let servers = marks.map_or(&[][..], Vec::as_slice);
+            if servers.len() == seen {
+                continue;
+            }
+            seen = servers.len();
             let tokens = (index as u32 + 1) * PREFIX_BLOCK_TOKENS;
-            let marks = [self.young.get(block), self.old.get(block)];
-            for server in marks.into_iter().flatten().flatten() {
+            for server in servers {
                 if let Some(known) = cached.get_mut(server.index()) {
                     *known = (*known).max(tokens);
                 }
@@ -109,6 +117,17 @@
         }
     }
 
+    /// Returns the tokens of the prompt that one server has cached.
+    #[must_use]
+    pub fn cached_on(&self, server: ServerKey, blocks: &[u64]) -> u32 {
+        let is_marked = |block: &u64| {
+            let marks = self.young.get(block).or_else(|| self.old.get(block));
+            marks.is_some_and(|servers| servers.contains(&server))
+        };
+        let longest = blocks.iter().rposition(is_marked);
+        longest.map_or(0, |index| (index as u32 + 1) * PREFIX_BLOCK_TOKENS)
+    }
+
     /// Returns the trust in what is known of a server, from 0 to 1.
     #[must_use]
     pub fn trust(&self, server: ServerKey) -> f64 {
--- a/crates/teaselglade-placement/src/cost/reclaim_model.rs
+++ b/crates/teaselglade-placement/src/cost/reclaim_model.rs
@@ -33,15 +33,13 @@
 /// # Examples
 ///
 /// ```
-/// use std::time::Duration;
 /// use teaselglade_core::id::ZoneKey;
 /// use teaselglade_placement::cost::ReclaimModel;
 ///
 /// let mut model = ReclaimModel::default();
 /// let (calm, wild) = (ZoneKey::new(0), ZoneKey::new(1));
 /// model.notice(wild);
-/// let minute = Duration::from_secs(60);
-/// assert!(model.probability(wild, minute) > model.probability(calm, minute));
+/// assert!(model.probability(wild, 60.0) > model.probability(calm, 60.0));
 /// ```
 #[derive(Debug, Clone, Default)]
 pub struct ReclaimModel {
@@ -76,12 +74,12 @@
         }
     }
 
-    /// Returns the probability that a reclaimable host of a zone is taken back within `span`.
+    /// Returns the probability that a reclaimable host of a zone is taken back within `seconds`.
     #[must_use]
-    pub fn probability(&self, zone: ZoneKey, span: Duration) -> f64 {
+    pub fn probability(&self, zone: ZoneKey, seconds: f64) -> f64 {
         let record = self.zones.get(zone.index()).copied().unwrap_or_default();
-        let hours = span.as_secs_f64() / SECONDS_PER_HOUR;
-        1.0 - (-record.reclaims / record.server_hours * hours).exp()
+        let expected = record.reclaims / record.server_hours * seconds / SECONDS_PER_HOUR;
+        expected / (1.0 + expected)
     }
 
     fn fade(&mut self, span: Duration) {
--- a/crates/teaselglade-placement/src/cost/server_forecast.rs
+++ b/crates/teaselglade-placement/src/cost/server_forecast.rs
@@ -7,6 +7,31 @@
 use super::CostOptions;
 use crate::policy::{Placement, PlacementQuery};
 
+/// What a forecast may use of the targets, as factors that bring a late value above 1.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct TargetAllowance {
+    first_token: f64,
+    gap: f64,
+}
+
+impl TargetAllowance {
+    pub(super) fn new(query: &PlacementQuery, options: &CostOptions) -> Self {
+        let first_token = query.first_token_target.as_secs_f64() * options.first_token_margin;
+        let gap = query.token_gap_target.map_or(f64::INFINITY, |target| {
+            target.as_secs_f64() * options.token_gap_margin
+        });
+        Self {
+            first_token: 1.0 / first_token,
+            gap: 1.0 / gap,
+        }
+    }
+
+    /// Returns the largest part of an allowance that is used; above 1 is late.
+    pub(super) fn used(self, first_token_seconds: f64, gap_seconds: f64) -> f64 {
+        (first_token_seconds * self.first_token).max(gap_seconds * self.gap)
+    }
+}
+
 /// What a request would meet on one server.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct ServerForecast {
@@ -14,6 +39,8 @@
     pub(super) cached_tokens: f64,
     pub(super) first_token_seconds: f64,
     pub(super) gap_seconds: f64,
+    /// Largest part of an allowance that is used; above 1 is late.
+    pub(super) target_use: f64,
     /// Price of the request's share of the server.
     pub(super) cents: f64,
     /// Tokens that a reclaim is expected to lose.
@@ -21,15 +48,6 @@
 }
 
 impl ServerForecast {
-    /// Returns the largest part of an allowance that the forecast uses; above 1 is late.
-    pub(super) fn target_use(&self, query: &PlacementQuery, options: &CostOptions) -> f64 {
-        let first = query.first_token_target.as_secs_f64() * options.first_token_margin;
-        let gap = query.token_gap_target.map_or(0.0, |target| {
-            self.gap_seconds / (target.as_secs_f64() * options.token_gap_margin)
-        });
-        gap.max(self.first_token_seconds / first)
-    }
-
     pub(super) fn placement(&self, on_target: bool) -> Placement {
         Placement {
             server: self.server,
