--- a/crates/teaselglade-state/src/lib.rs
+++ b/crates/teaselglade-state/src/lib.rs
@@ -1,1 +1,5 @@
 //! Decisions on shared state: table versions, membership, leases.
+
+pub mod audit;
+pub mod lease;
+pub mod table;
--- a/crates/teaselglade-wire/src/generated.rs
+++ b/crates/teaselglade-wire/src/generated.rs
@@ -32,6 +32,421 @@
         }
     }
 }
+///One header of a kept answer.
+///
+/// <details><summary>JSON schema</summary>
+///
+/// ```json
+///{
+///  "description": "One header of a kept answer.",
+///  "type": "object",
+///  "required": [
+///    "name",
+///    "value"
+///  ],
+///  "properties": {
+///    "name": {
+///      "description": "Name of the header.",
+///      "type": "string"
+///    },
+///    "value": {
+///      "description": "Value of the header.",
+///      "type": "string"
+///    }
+///  }
+///}
+/// ```
+/// </details>
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct AnswerHeader {
+    ///Name of the header.
+    pub name: ::std::string::String,
+    ///Value of the header.
+    pub value: ::std::string::String,
+}
+impl ::std::convert::From<&AnswerHeader> for AnswerHeader {
+    fn from(value: &AnswerHeader) -> Self {
+        value.clone()
+    }
+}
+///What was changed.
+///
+/// <details><summary>JSON schema</summary>
+///
+/// ```json
+///{
+///  "description": "What was changed.",
+///  "type": "string",
+///  "enum": [
+///    "table_published",
+///    "table_rejected",
+///    "lease_gained",
+///    "lease_lost",
+///    "host_ordered",
+///    "host_refused",
+///    "host_released",
+///    "engine_ordered",
+///    "engine_corrected",
+///    "notice_received"
+///  ]
+///}
+/// ```
+/// </details>
+#[derive(
+    ::serde::Deserialize,
+    ::serde::Serialize,
+    Clone,
+    Copy,
+    Debug,
+    Eq,
+    Hash,
+    Ord,
+    PartialEq,
+    PartialOrd
+)]
+pub enum AuditAction {
+    #[serde(rename = "table_published")]
+    TablePublished,
+    #[serde(rename = "table_rejected")]
+    TableRejected,
+    #[serde(rename = "lease_gained")]
+    LeaseGained,
+    #[serde(rename = "lease_lost")]
+    LeaseLost,
+    #[serde(rename = "host_ordered")]
+    HostOrdered,
+    #[serde(rename = "host_refused")]
+    HostRefused,
+    #[serde(rename = "host_released")]
+    HostReleased,
+    #[serde(rename = "engine_ordered")]
+    EngineOrdered,
+    #[serde(rename = "engine_corrected")]
+    EngineCorrected,
+    #[serde(rename = "notice_received")]
+    NoticeReceived,
+}
+impl ::std::convert::From<&Self> for AuditAction {
+    fn from(value: &AuditAction) -> Self {
+        value.clone()
+    }
+}
+impl ::std::fmt::Display for AuditAction {
+    fn fmt(&self, f: &mut ::std::fmt::Formatter<'_>) -> ::std::fmt::Result {
+        match *self {
+            Self::TablePublished => f.write_str("table_published"),
+            Self::TableRejected => f.write_str("table_rejected"),
+            Self::LeaseGained => f.write_str("lease_gained"),
+            Self::LeaseLost => f.write_str("lease_lost"),
+            Self::HostOrdered => f.write_str("host_ordered"),
+            Self::HostRefused => f.write_str("host_refused"),
+            Self::HostReleased => f.write_str("host_released"),
+            Self::EngineOrdered => f.write_str("engine_ordered"),
+            Self::EngineCorrected => f.write_str("engine_corrected"),
+            Self::NoticeReceived => f.write_str("notice_received"),
+        }
+    }
+}
+impl ::std::str::FromStr for AuditAction {
+    type Err = self::error::ConversionError;
+    fn from_str(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        match value {
+            "table_published" => Ok(Self::TablePublished),
+            "table_rejected" => Ok(Self::TableRejected),
+            "lease_gained" => Ok(Self::LeaseGained),
+            "lease_lost" => Ok(Self::LeaseLost),
+            "host_ordered" => Ok(Self::HostOrdered),
+            "host_refused" => Ok(Self::HostRefused),
+            "host_released" => Ok(Self::HostReleased),
+            "engine_ordered" => Ok(Self::EngineOrdered),
+            "engine_corrected" => Ok(Self::EngineCorrected),
+            "notice_received" => Ok(Self::NoticeReceived),
+            _ => Err("invalid value".into()),
+        }
+    }
+}
+impl ::std::convert::TryFrom<&str> for AuditAction {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+impl ::std::convert::TryFrom<&::std::string::String> for AuditAction {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: &::std::string::String,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+impl ::std::convert::TryFrom<::std::string::String> for AuditAction {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: ::std::string::String,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+///Changes that one writer appended together.
+///
+/// <details><summary>JSON schema</summary>
+///
+/// ```json
+///{
+///  "description": "Changes that one writer appended together.",
+///  "type": "object",
+///  "required": [
+///    "entries",
+///    "sequence",
+///    "writer"
+///  ],
+///  "properties": {
+///    "entries": {
+///      "description": "The changes, oldest first.",
+///      "type": "array",
+///      "items": {
+///        "$ref": "#/definitions/AuditEntry"
+///      }
+///    },
+///    "sequence": {
+///      "description": "Number of the batch; a repeated one is the same batch.",
+///      "type": "integer",
+///      "format": "uint64",
+///      "minimum": 0.0
+///    },
+///    "writer": {
+///      "description": "Name of the writer, unique for each start.",
+///      "type": "string"
+///    }
+///  }
+///}
+/// ```
+/// </details>
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct AuditBatch {
+    ///The changes, oldest first.
+    pub entries: ::std::vec::Vec<AuditEntry>,
+    ///Number of the batch; a repeated one is the same batch.
+    pub sequence: u64,
+    ///Name of the writer, unique for each start.
+    pub writer: ::std::string::String,
+}
+impl ::std::convert::From<&AuditBatch> for AuditBatch {
+    fn from(value: &AuditBatch) -> Self {
+        value.clone()
+    }
+}
+///One change in the audit trail.
+///
+/// <details><summary>JSON schema</summary>
+///
+/// ```json
+///{
+///  "description": "One change in the audit trail.",
+///  "type": "object",
+///  "required": [
+///    "action",
+///    "actor",
+///    "at_ms",
+///    "subject"
+///  ],
+///  "properties": {
+///    "action": {
+///      "$ref": "#/definitions/AuditAction"
+///    },
+///    "actor": {
+///      "description": "Who changed it: a host or an operator.",
+///      "type": "string"
+///    },
+///    "at_ms": {
+///      "description": "Time on the actor's clock, in milliseconds since the epoch.",
+///      "type": "integer",
+///      "format": "uint64",
+///      "minimum": 0.0
+///    },
+///    "from": {
+///      "description": "State before, where there was one.",
+///      "type": "string"
+///    },
+///    "number": {
+///      "description": "Fencing number or table version that the change was made under.",
+///      "type": "integer",
+///      "format": "uint64",
+///      "minimum": 0.0
+///    },
+///    "subject": {
+///      "description": "What was changed.",
+///      "type": "string"
+///    },
+///    "to": {
+///      "description": "State after, where there is one.",
+///      "type": "string"
+///    }
+///  }
+///}
+/// ```
+/// </details>
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct AuditEntry {
+    pub action: AuditAction,
+    ///Who changed it: a host or an operator.
+    pub actor: ::std::string::String,
+    ///Time on the actor's clock, in milliseconds since the epoch.
+    pub at_ms: u64,
+    ///State before, where there was one.
+    #[serde(default, skip_serializing_if = "::std::option::Option::is_none")]
+    pub from: ::std::option::Option<::std::string::String>,
+    ///Fencing number or table version that the change was made under.
+    #[serde(default, skip_serializing_if = "::std::option::Option::is_none")]
+    pub number: ::std::option::Option<u64>,
+    ///What was changed.
+    pub subject: ::std::string::String,
+    ///State after, where there is one.
+    #[serde(default, skip_serializing_if = "::std::option::Option::is_none")]
+    pub to: ::std::option::Option<::std::string::String>,
+}
+impl ::std::convert::From<&AuditEntry> for AuditEntry {
+    fn from(value: &AuditEntry) -> Self {
+        value.clone()
+    }
+}
+///What became of a claimed call.
+///
+/// <details><summary>JSON schema</summary>
+///
+/// ```json
+///{
+///  "description": "What became of a claimed call.",
+///  "oneOf": [
+///    {
+///      "description": "The call ran, and its answer is kept.",
+///      "type": "object",
+///      "required": [
+///        "body",
+///        "headers",
+///        "outcome",
+///        "status"
+///      ],
+///      "properties": {
+///        "body": {
+///          "description": "Body of the answer.",
+///          "type": "array",
+///          "items": {
+///            "type": "integer",
+///            "format": "uint8",
+///            "minimum": 0.0
+///          }
+///        },
+///        "headers": {
+///          "description": "Headers of the answer.",
+///          "type": "array",
+///          "items": {
+///            "$ref": "#/definitions/AnswerHeader"
+///          }
+///        },
+///        "outcome": {
+///          "type": "string",
+///          "enum": [
+///            "answered"
+///          ]
+///        },
+///        "status": {
+///          "description": "HTTP status.",
+///          "type": "integer",
+///          "format": "uint16",
+///          "minimum": 0.0
+///        }
+///      }
+///    },
+///    {
+///      "description": "The call ran; its answer was too large to keep.",
+///      "type": "object",
+///      "required": [
+///        "outcome",
+///        "status"
+///      ],
+///      "properties": {
+///        "outcome": {
+///          "type": "string",
+///          "enum": [
+///            "ran"
+///          ]
+///        },
+///        "status": {
+///          "description": "HTTP status.",
+///          "type": "integer",
+///          "format": "uint16",
+///          "minimum": 0.0
+///        }
+///      }
+///    },
+///    {
+///      "description": "The call may have run.",
+///      "type": "object",
+///      "required": [
+///        "outcome"
+///      ],
+///      "properties": {
+///        "outcome": {
+///          "type": "string",
+///          "enum": [
+///            "may_have_run"
+///          ]
+///        }
+///      }
+///    },
+///    {
+///      "description": "The call did not run and never will under this claim.",
+///      "type": "object",
+///      "required": [
+///        "outcome"
+///      ],
+///      "properties": {
+///        "outcome": {
+///          "type": "string",
+///          "enum": [
+///            "not_run"
+///          ]
+///        }
+///      }
+///    }
+///  ]
+///}
+/// ```
+/// </details>
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(tag = "outcome")]
+pub enum BookingOutcome {
+    ///The call ran, and its answer is kept.
+    #[serde(rename = "answered")]
+    Answered {
+        ///Body of the answer.
+        body: ::std::vec::Vec<u8>,
+        ///Headers of the answer.
+        headers: ::std::vec::Vec<AnswerHeader>,
+        ///HTTP status.
+        status: u16,
+    },
+    ///The call ran; its answer was too large to keep.
+    #[serde(rename = "ran")]
+    Ran {
+        ///HTTP status.
+        status: u16,
+    },
+    #[serde(rename = "may_have_run")]
+    MayHaveRun,
+    #[serde(rename = "not_run")]
+    NotRun,
+}
+impl ::std::convert::From<&Self> for BookingOutcome {
+    fn from(value: &BookingOutcome) -> Self {
+        value.clone()
+    }
+}
 ///What happened to a cached prefix.
 ///
 /// <details><summary>JSON schema</summary>
@@ -1659,37 +2074,194 @@
         value.clone()
     }
 }
-///Answer to an append.
+///Record of a lease stream.
 ///
 /// <details><summary>JSON schema</summary>
 ///
 /// ```json
 ///{
-///  "description": "Answer to an append.",
-///  "type": "object",
-///  "required": [
-///    "offset"
-///  ],
-///  "properties": {
-///    "offset": {
-///      "description": "Offset of the record.",
-///      "type": "integer",
-///      "format": "uint64",
-///      "minimum": 0.0
-///    }
-///  }
-///}
-/// ```
-/// </details>
-#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
-pub struct LogAppended {
-    ///Offset of the record.
-    pub offset: u64,
-}
-impl ::std::convert::From<&LogAppended> for LogAppended {
-    fn from(value: &LogAppended) -> Self {
-        value.clone()
-    }
+///  "description": "Record of a lease stream.",
+///  "oneOf": [
+///    {
+///      "description": "Claim of the lease; valid only at the offset that it names.",
+///      "type": "object",
+///      "required": [
+///        "at",
+///        "holder",
+///        "kind",
+///        "sequence",
+///        "start"
+///      ],
+///      "properties": {
+///        "at": {
+///          "description": "Offset that the record must get to be valid.",
+///          "type": "integer",
+///          "format": "uint64",
+///          "minimum": 0.0
+///        },
+///        "holder": {
+///          "description": "Host that claims.",
+///          "type": "string"
+///        },
+///        "kind": {
+///          "type": "string",
+///          "enum": [
+///            "grant"
+///          ]
+///        },
+///        "sequence": {
+///          "description": "Number of the append within the process.",
+///          "type": "integer",
+///          "format": "uint64",
+///          "minimum": 0.0
+///        },
+///        "start": {
+///          "description": "Random number of the process's start.",
+///          "type": "integer",
+///          "format": "uint64",
+///          "minimum": 0.0
+///        }
+///      }
+///    },
+///    {
+///      "description": "Renewal of the lease.",
+///      "type": "object",
+///      "required": [
+///        "kind",
+///        "number",
+///        "sequence",
+///        "start"
+///      ],
+///      "properties": {
+///        "kind": {
+///          "type": "string",
+///          "enum": [
+///            "renew"
+///          ]
+///        },
+///        "number": {
+///          "description": "Fencing number of the lease.",
+///          "type": "integer",
+///          "format": "uint64",
+///          "minimum": 0.0
+///        },
+///        "sequence": {
+///          "description": "Number of the append within the process.",
+///          "type": "integer",
+///          "format": "uint64",
+///          "minimum": 0.0
+///        },
+///        "start": {
+///          "description": "Random number of the process's start.",
+///          "type": "integer",
+///          "format": "uint64",
+///          "minimum": 0.0
+///        }
+///      }
+///    },
+///    {
+///      "description": "Release of the lease.",
+///      "type": "object",
+///      "required": [
+///        "kind",
+///        "number",
+///        "start"
+///      ],
+///      "properties": {
+///        "kind": {
+///          "type": "string",
+///          "enum": [
+///            "release"
+///          ]
+///        },
+///        "number": {
+///          "description": "Fencing number of the lease.",
+///          "type": "integer",
+///          "format": "uint64",
+///          "minimum": 0.0
+///        },
+///        "start": {
+///          "description": "Random number of the process's start.",
+///          "type": "integer",
+///          "format": "uint64",
+///          "minimum": 0.0
+///        }
+///      }
+///    }
+///  ]
+///}
+/// ```
+/// </details>
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(tag = "kind")]
+pub enum LeaseRecord {
+    ///Claim of the lease; valid only at the offset that it names.
+    #[serde(rename = "grant")]
+    Grant {
+        ///Offset that the record must get to be valid.
+        at: u64,
+        ///Host that claims.
+        holder: ::std::string::String,
+        ///Number of the append within the process.
+        sequence: u64,
+        ///Random number of the process's start.
+        start: u64,
+    },
+    ///Renewal of the lease.
+    #[serde(rename = "renew")]
+    Renew {
+        ///Fencing number of the lease.
+        number: u64,
+        ///Number of the append within the process.
+        sequence: u64,
+        ///Random number of the process's start.
+        start: u64,
+    },
+    ///Release of the lease.
+    #[serde(rename = "release")]
+    Release {
+        ///Fencing number of the lease.
+        number: u64,
+        ///Random number of the process's start.
+        start: u64,
+    },
+}
+impl ::std::convert::From<&Self> for LeaseRecord {
+    fn from(value: &LeaseRecord) -> Self {
+        value.clone()
+    }
+}
+///Answer to an append.
+///
+/// <details><summary>JSON schema</summary>
+///
+/// ```json
+///{
+///  "description": "Answer to an append.",
+///  "type": "object",
+///  "required": [
+///    "offset"
+///  ],
+///  "properties": {
+///    "offset": {
+///      "description": "Offset of the record.",
+///      "type": "integer",
+///      "format": "uint64",
+///      "minimum": 0.0
+///    }
+///  }
+///}
+/// ```
+/// </details>
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct LogAppended {
+    ///Offset of the record.
+    pub offset: u64,
+}
+impl ::std::convert::From<&LogAppended> for LogAppended {
+    fn from(value: &LogAppended) -> Self {
+        value.clone()
+    }
 }
 ///Records of a stream.
 ///
@@ -1790,86 +2362,887 @@
         value.clone()
     }
 }
-///How a host is paid for.
+///Message of the exchange between entry hosts.
 ///
 /// <details><summary>JSON schema</summary>
 ///
 /// ```json
 ///{
-///  "description": "How a host is paid for.",
-///  "type": "string",
-///  "enum": [
-///    "reclaimable",
-///    "on_demand"
-///  ]
+///  "description": "Message of the exchange between entry hosts.",
+///  "type": "object",
+///  "required": [
+///    "cluster",
+///    "demand",
+///    "digests",
+///    "from",
+///    "members",
+///    "notices",
+///    "oldest",
+///    "protocol",
+///    "slices",
+///    "table"
+///  ],
+///  "properties": {
+///    "cluster": {
+///      "description": "Name of the cluster.",
+///      "type": "string"
+///    },
+///    "demand": {
+///      "description": "Demand shares of the sender, encoded by their own module.",
+///      "type": "string"
+///    },
+///    "digests": {
+///      "type": "array",
+///      "items": {
+///        "$ref": "#/definitions/PeerSlice"
+///      }
+///    },
+///    "from": {
+///      "$ref": "#/definitions/PeerMember"
+///    },
+///    "members": {
+///      "type": "array",
+///      "items": {
+///        "$ref": "#/definitions/PeerMember"
+///      }
+///    },
+///    "notices": {
+///      "type": "array",
+///      "items": {
+///        "$ref": "#/definitions/PeerNotice"
+///      }
+///    },
+///    "oldest": {
+///      "description": "Oldest protocol that the sender understands.",
+///      "type": "integer",
+///      "format": "uint16",
+///      "minimum": 0.0
+///    },
+///    "protocol": {
+///      "description": "Protocol that the sender speaks.",
+///      "type": "integer",
+///      "format": "uint16",
+///      "minimum": 0.0
+///    },
+///    "slices": {
+///      "description": "Count of slices of the digests.",
+///      "type": "integer",
+///      "format": "uint16",
+///      "minimum": 0.0
+///    },
+///    "table": {
+///      "description": "Table version that the sender has in force.",
+///      "type": "integer",
+///      "format": "uint64",
+///      "minimum": 0.0
+///    }
+///  }
 ///}
 /// ```
 /// </details>
-#[derive(
-    ::serde::Deserialize,
-    ::serde::Serialize,
-    Clone,
-    Copy,
-    Debug,
-    Eq,
-    Hash,
-    Ord,
-    PartialEq,
-    PartialOrd
-)]
-pub enum PurchaseKind {
-    #[serde(rename = "reclaimable")]
-    Reclaimable,
-    #[serde(rename = "on_demand")]
-    OnDemand,
-}
-impl ::std::convert::From<&Self> for PurchaseKind {
-    fn from(value: &PurchaseKind) -> Self {
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct PeerExchange {
+    ///Name of the cluster.
+    pub cluster: ::std::string::String,
+    ///Demand shares of the sender, encoded by their own module.
+    pub demand: ::std::string::String,
+    pub digests: ::std::vec::Vec<PeerSlice>,
+    pub from: PeerMember,
+    pub members: ::std::vec::Vec<PeerMember>,
+    pub notices: ::std::vec::Vec<PeerNotice>,
+    ///Oldest protocol that the sender understands.
+    pub oldest: u16,
+    ///Protocol that the sender speaks.
+    pub protocol: u16,
+    ///Count of slices of the digests.
+    pub slices: u16,
+    ///Table version that the sender has in force.
+    pub table: u64,
+}
+impl ::std::convert::From<&PeerExchange> for PeerExchange {
+    fn from(value: &PeerExchange) -> Self {
         value.clone()
     }
 }
-impl ::std::fmt::Display for PurchaseKind {
-    fn fmt(&self, f: &mut ::std::fmt::Formatter<'_>) -> ::std::fmt::Result {
-        match *self {
-            Self::Reclaimable => f.write_str("reclaimable"),
-            Self::OnDemand => f.write_str("on_demand"),
-        }
-    }
-}
-impl ::std::str::FromStr for PurchaseKind {
-    type Err = self::error::ConversionError;
-    fn from_str(
-        value: &str,
-    ) -> ::std::result::Result<Self, self::error::ConversionError> {
-        match value {
-            "reclaimable" => Ok(Self::Reclaimable),
-            "on_demand" => Ok(Self::OnDemand),
-            _ => Err("invalid value".into()),
-        }
-    }
-}
-impl ::std::convert::TryFrom<&str> for PurchaseKind {
-    type Error = self::error::ConversionError;
-    fn try_from(
-        value: &str,
-    ) -> ::std::result::Result<Self, self::error::ConversionError> {
-        value.parse()
-    }
+///What is known of one entry host.
+///
+/// <details><summary>JSON schema</summary>
+///
+/// ```json
+///{
+///  "description": "What is known of one entry host.",
+///  "type": "object",
+///  "required": [
+///    "addr",
+///    "name",
+///    "seq",
+///    "start",
+///    "state",
+///    "zone"
+///  ],
+///  "properties": {
+///    "addr": {
+///      "description": "Peer address.",
+///      "type": "string"
+///    },
+///    "name": {
+///      "description": "Name of the host.",
+///      "type": "string"
+///    },
+///    "seq": {
+///      "description": "Number that the host raises to refute a suspicion.",
+///      "type": "integer",
+///      "format": "uint32",
+///      "minimum": 0.0
+///    },
+///    "start": {
+///      "description": "Incarnation of the host.",
+///      "type": "integer",
+///      "format": "uint64",
+///      "minimum": 0.0
+///    },
+///    "state": {
+///      "$ref": "#/definitions/PeerState"
+///    },
+///    "zone": {
+///      "description": "Data centre.",
+///      "type": "string"
+///    }
+///  }
+///}
+/// ```
+/// </details>
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct PeerMember {
+    ///Peer address.
+    pub addr: ::std::string::String,
+    ///Name of the host.
+    pub name: ::std::string::String,
+    ///Number that the host raises to refute a suspicion.
+    pub seq: u32,
+    ///Incarnation of the host.
+    pub start: u64,
+    pub state: PeerState,
+    ///Data centre.
+    pub zone: ::std::string::String,
 }
-impl ::std::convert::TryFrom<&::std::string::String> for PurchaseKind {
-    type Error = self::error::ConversionError;
-    fn try_from(
-        value: &::std::string::String,
-    ) -> ::std::result::Result<Self, self::error::ConversionError> {
-        value.parse()
+impl ::std::convert::From<&PeerMember> for PeerMember {
+    fn from(value: &PeerMember) -> Self {
+        value.clone()
     }
 }
-impl ::std::convert::TryFrom<::std::string::String> for PurchaseKind {
-    type Error = self::error::ConversionError;
-    fn try_from(
-        value: ::std::string::String,
-    ) -> ::std::result::Result<Self, self::error::ConversionError> {
-        value.parse()
+///Notice that an incarnation of a host is leaving.
+///
+/// <details><summary>JSON schema</summary>
+///
+/// ```json
+///{
+///  "description": "Notice that an incarnation of a host is leaving.",
+///  "type": "object",
+///  "required": [
+///    "at_ms",
+///    "end_ms",
+///    "entry",
+///    "name",
+///    "start"
+///  ],
+///  "properties": {
+///    "at_ms": {
+///      "description": "Time of the notice, in milliseconds since the epoch.",
+///      "type": "integer",
+///      "format": "uint64",
+///      "minimum": 0.0
+///    },
+///    "end_ms": {
+///      "description": "Time the host is taken back, in milliseconds since the epoch.",
+///      "type": "integer",
+///      "format": "uint64",
+///      "minimum": 0.0
+///    },
+///    "entry": {
+///      "description": "Whether it is an entry host.",
+///      "type": "boolean"
+///    },
+///    "name": {
+///      "description": "Name of the host.",
+///      "type": "string"
+///    },
+///    "start": {
+///      "description": "Incarnation of the host.",
+///      "type": "integer",
+///      "format": "uint64",
+///      "minimum": 0.0
+///    }
+///  }
+///}
+/// ```
+/// </details>
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct PeerNotice {
+    ///Time of the notice, in milliseconds since the epoch.
+    pub at_ms: u64,
+    ///Time the host is taken back, in milliseconds since the epoch.
+    pub end_ms: u64,
+    ///Whether it is an entry host.
+    pub entry: bool,
+    ///Name of the host.
+    pub name: ::std::string::String,
+    ///Incarnation of the host.
+    pub start: u64,
+}
+impl ::std::convert::From<&PeerNotice> for PeerNotice {
+    fn from(value: &PeerNotice) -> Self {
+        value.clone()
+    }
+}
+///Digest of one slice of what a host knows.
+///
+/// <details><summary>JSON schema</summary>
+///
+/// ```json
+///{
+///  "description": "Digest of one slice of what a host knows.",
+///  "type": "object",
+///  "required": [
+///    "hash",
+///    "index"
+///  ],
+///  "properties": {
+///    "hash": {
+///      "description": "Digest of the slice's entries.",
+///      "type": "integer",
+///      "format": "uint64",
+///      "minimum": 0.0
+///    },
+///    "index": {
+///      "description": "Number of the slice.",
+///      "type": "integer",
+///      "format": "uint16",
+///      "minimum": 0.0
+///    }
+///  }
+///}
+/// ```
+/// </details>
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct PeerSlice {
+    ///Digest of the slice's entries.
+    pub hash: u64,
+    ///Number of the slice.
+    pub index: u16,
+}
+impl ::std::convert::From<&PeerSlice> for PeerSlice {
+    fn from(value: &PeerSlice) -> Self {
+        value.clone()
+    }
+}
+///Liveness of a peer.
+///
+/// <details><summary>JSON schema</summary>
+///
+/// ```json
+///{
+///  "description": "Liveness of a peer.",
+///  "type": "string",
+///  "enum": [
+///    "alive",
+///    "suspect",
+///    "failed"
+///  ]
+///}
+/// ```
+/// </details>
+#[derive(
+    ::serde::Deserialize,
+    ::serde::Serialize,
+    Clone,
+    Copy,
+    Debug,
+    Eq,
+    Hash,
+    Ord,
+    PartialEq,
+    PartialOrd
+)]
+pub enum PeerState {
+    #[serde(rename = "alive")]
+    Alive,
+    #[serde(rename = "suspect")]
+    Suspect,
+    #[serde(rename = "failed")]
+    Failed,
+}
+impl ::std::convert::From<&Self> for PeerState {
+    fn from(value: &PeerState) -> Self {
+        value.clone()
+    }
+}
+impl ::std::fmt::Display for PeerState {
+    fn fmt(&self, f: &mut ::std::fmt::Formatter<'_>) -> ::std::fmt::Result {
+        match *self {
+            Self::Alive => f.write_str("alive"),
+            Self::Suspect => f.write_str("suspect"),
+            Self::Failed => f.write_str("failed"),
+        }
+    }
+}
+impl ::std::str::FromStr for PeerState {
+    type Err = self::error::ConversionError;
+    fn from_str(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        match value {
+            "alive" => Ok(Self::Alive),
+            "suspect" => Ok(Self::Suspect),
+            "failed" => Ok(Self::Failed),
+            _ => Err("invalid value".into()),
+        }
+    }
+}
+impl ::std::convert::TryFrom<&str> for PeerState {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+impl ::std::convert::TryFrom<&::std::string::String> for PeerState {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: &::std::string::String,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+impl ::std::convert::TryFrom<::std::string::String> for PeerState {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: ::std::string::String,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+///How a host is paid for.
+///
+/// <details><summary>JSON schema</summary>
+///
+/// ```json
+///{
+///  "description": "How a host is paid for.",
+///  "type": "string",
+///  "enum": [
+///    "reclaimable",
+///    "on_demand"
+///  ]
+///}
+/// ```
+/// </details>
+#[derive(
+    ::serde::Deserialize,
+    ::serde::Serialize,
+    Clone,
+    Copy,
+    Debug,
+    Eq,
+    Hash,
+    Ord,
+    PartialEq,
+    PartialOrd
+)]
+pub enum PurchaseKind {
+    #[serde(rename = "reclaimable")]
+    Reclaimable,
+    #[serde(rename = "on_demand")]
+    OnDemand,
+}
+impl ::std::convert::From<&Self> for PurchaseKind {
+    fn from(value: &PurchaseKind) -> Self {
+        value.clone()
+    }
+}
+impl ::std::fmt::Display for PurchaseKind {
+    fn fmt(&self, f: &mut ::std::fmt::Formatter<'_>) -> ::std::fmt::Result {
+        match *self {
+            Self::Reclaimable => f.write_str("reclaimable"),
+            Self::OnDemand => f.write_str("on_demand"),
+        }
+    }
+}
+impl ::std::str::FromStr for PurchaseKind {
+    type Err = self::error::ConversionError;
+    fn from_str(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        match value {
+            "reclaimable" => Ok(Self::Reclaimable),
+            "on_demand" => Ok(Self::OnDemand),
+            _ => Err("invalid value".into()),
+        }
+    }
+}
+impl ::std::convert::TryFrom<&str> for PurchaseKind {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+impl ::std::convert::TryFrom<&::std::string::String> for PurchaseKind {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: &::std::string::String,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+impl ::std::convert::TryFrom<::std::string::String> for PurchaseKind {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: ::std::string::String,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+///Record of a shard: entries of one host, in order.
+///
+/// <details><summary>JSON schema</summary>
+///
+/// ```json
+///{
+///  "description": "Record of a shard: entries of one host, in order.",
+///  "type": "object",
+///  "required": [
+///    "entries"
+///  ],
+///  "properties": {
+///    "entries": {
+///      "description": "The entries.",
+///      "type": "array",
+///      "items": {
+///        "$ref": "#/definitions/ShardEntry"
+///      }
+///    }
+///  }
+///}
+/// ```
+/// </details>
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct ShardBatch {
+    ///The entries.
+    pub entries: ::std::vec::Vec<ShardEntry>,
+}
+impl ::std::convert::From<&ShardBatch> for ShardBatch {
+    fn from(value: &ShardBatch) -> Self {
+        value.clone()
+    }
+}
+///One entry of a shard of claims.
+///
+/// <details><summary>JSON schema</summary>
+///
+/// ```json
+///{
+///  "description": "One entry of a shard of claims.",
+///  "oneOf": [
+///    {
+///      "description": "A host claims the key.",
+///      "type": "object",
+///      "required": [
+///        "claim",
+///        "digest",
+///        "entry",
+///        "key",
+///        "organisation",
+///        "service"
+///      ],
+///      "properties": {
+///        "claim": {
+///          "description": "Id of the claim.",
+///          "type": "string"
+///        },
+///        "digest": {
+///          "description": "Digest of the request.",
+///          "type": "string"
+///        },
+///        "entry": {
+///          "type": "string",
+///          "enum": [
+///            "claim"
+///          ]
+///        },
+///        "key": {
+///          "description": "Idempotency key of the call.",
+///          "type": "string"
+///        },
+///        "organisation": {
+///          "description": "Organisation of the call.",
+///          "type": "string"
+///        },
+///        "service": {
+///          "description": "Service of the call.",
+///          "type": "string"
+///        }
+///      }
+///    },
+///    {
+///      "description": "The claimer settles its claim.",
+///      "type": "object",
+///      "required": [
+///        "claim",
+///        "digest",
+///        "entry",
+///        "key",
+///        "organisation",
+///        "outcome",
+///        "service"
+///      ],
+///      "properties": {
+///        "claim": {
+///          "description": "Id of the claim.",
+///          "type": "string"
+///        },
+///        "digest": {
+///          "description": "Digest of the request.",
+///          "type": "string"
+///        },
+///        "entry": {
+///          "type": "string",
+///          "enum": [
+///            "settle"
+///          ]
+///        },
+///        "key": {
+///          "description": "Idempotency key of the call.",
+///          "type": "string"
+///        },
+///        "organisation": {
+///          "description": "Organisation of the call.",
+///          "type": "string"
+///        },
+///        "outcome": {
+///          "$ref": "#/definitions/BookingOutcome"
+///        },
+///        "service": {
+///          "description": "Service of the call.",
+///          "type": "string"
+///        }
+///      }
+///    }
+///  ]
+///}
+/// ```
+/// </details>
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(tag = "entry")]
+pub enum ShardEntry {
+    ///A host claims the key.
+    #[serde(rename = "claim")]
+    Claim {
+        ///Id of the claim.
+        claim: ::std::string::String,
+        ///Digest of the request.
+        digest: ::std::string::String,
+        ///Idempotency key of the call.
+        key: ::std::string::String,
+        ///Organisation of the call.
+        organisation: ::std::string::String,
+        ///Service of the call.
+        service: ::std::string::String,
+    },
+    ///The claimer settles its claim.
+    #[serde(rename = "settle")]
+    Settle {
+        ///Id of the claim.
+        claim: ::std::string::String,
+        ///Digest of the request.
+        digest: ::std::string::String,
+        ///Idempotency key of the call.
+        key: ::std::string::String,
+        ///Organisation of the call.
+        organisation: ::std::string::String,
+        outcome: BookingOutcome,
+        ///Service of the call.
+        service: ::std::string::String,
+    },
+}
+impl ::std::convert::From<&Self> for ShardEntry {
+    fn from(value: &ShardEntry) -> Self {
+        value.clone()
+    }
+}
+///Which version a host has in force.
+///
+/// <details><summary>JSON schema</summary>
+///
+/// ```json
+///{
+///  "description": "Which version a host has in force.",
+///  "type": "object",
+///  "required": [
+///    "cluster",
+///    "known",
+///    "through",
+///    "version"
+///  ],
+///  "properties": {
+///    "cluster": {
+///      "description": "Name of the cluster.",
+///      "type": "string"
+///    },
+///    "known": {
+///      "description": "Whether the host knows the head and serves.",
+///      "type": "boolean"
+///    },
+///    "through": {
+///      "description": "Offset in the log up to which the host has read.",
+///      "type": "integer",
+///      "format": "uint64",
+///      "minimum": 0.0
+///    },
+///    "version": {
+///      "description": "Version in force; 0 before the first.",
+///      "type": "integer",
+///      "format": "uint64",
+///      "minimum": 0.0
+///    }
+///  }
+///}
+/// ```
+/// </details>
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct TableHead {
+    ///Name of the cluster.
+    pub cluster: ::std::string::String,
+    ///Whether the host knows the head and serves.
+    pub known: bool,
+    ///Offset in the log up to which the host has read.
+    pub through: u64,
+    ///Version in force; 0 before the first.
+    pub version: u64,
+}
+impl ::std::convert::From<&TableHead> for TableHead {
+    fn from(value: &TableHead) -> Self {
+        value.clone()
+    }
+}
+///Publication of a table, as a log record.
+///
+/// <details><summary>JSON schema</summary>
+///
+/// ```json
+///{
+///  "description": "Publication of a table, as a log record.",
+///  "type": "object",
+///  "required": [
+///    "author",
+///    "base",
+///    "cluster",
+///    "csv",
+///    "id",
+///    "published_ms"
+///  ],
+///  "properties": {
+///    "author": {
+///      "description": "Who published it.",
+///      "type": "string"
+///    },
+///    "base": {
+///      "description": "Version that the table was made from.",
+///      "type": "integer",
+///      "format": "uint64",
+///      "minimum": 0.0
+///    },
+///    "cluster": {
+///      "description": "Name of the cluster.",
+///      "type": "string"
+///    },
+///    "csv": {
+///      "description": "The table as comma-separated values.",
+///      "type": "string"
+///    },
+///    "id": {
+///      "description": "Unique id of the publication.",
+///      "type": "string"
+///    },
+///    "published_ms": {
+///      "description": "Time of the publication, in milliseconds since the epoch.",
+///      "type": "integer",
+///      "format": "uint64",
+///      "minimum": 0.0
+///    }
+///  }
+///}
+/// ```
+/// </details>
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct TablePublication {
+    ///Who published it.
+    pub author: ::std::string::String,
+    ///Version that the table was made from.
+    pub base: u64,
+    ///Name of the cluster.
+    pub cluster: ::std::string::String,
+    ///The table as comma-separated values.
+    pub csv: ::std::string::String,
+    ///Unique id of the publication.
+    pub id: ::std::string::String,
+    ///Time of the publication, in milliseconds since the epoch.
+    pub published_ms: u64,
+}
+impl ::std::convert::From<&TablePublication> for TablePublication {
+    fn from(value: &TablePublication) -> Self {
+        value.clone()
+    }
+}
+///Record of the table's stream.
+///
+/// <details><summary>JSON schema</summary>
+///
+/// ```json
+///{
+///  "description": "Record of the table's stream.",
+///  "oneOf": [
+///    {
+///      "description": "A publication.",
+///      "type": "object",
+///      "required": [
+///        "publication"
+///      ],
+///      "properties": {
+///        "publication": {
+///          "$ref": "#/definitions/TablePublication"
+///        }
+///      },
+///      "additionalProperties": false
+///    },
+///    {
+///      "description": "A snapshot.",
+///      "type": "object",
+///      "required": [
+///        "snapshot"
+///      ],
+///      "properties": {
+///        "snapshot": {
+///          "$ref": "#/definitions/TableSnapshot"
+///        }
+///      },
+///      "additionalProperties": false
+///    }
+///  ]
+///}
+/// ```
+/// </details>
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub enum TableRecord {
+    ///A publication.
+    #[serde(rename = "publication")]
+    Publication(TablePublication),
+    ///A snapshot.
+    #[serde(rename = "snapshot")]
+    Snapshot(TableSnapshot),
+}
+impl ::std::convert::From<&Self> for TableRecord {
+    fn from(value: &TableRecord) -> Self {
+        value.clone()
+    }
+}
+impl ::std::convert::From<TablePublication> for TableRecord {
+    fn from(value: TablePublication) -> Self {
+        Self::Publication(value)
+    }
+}
+impl ::std::convert::From<TableSnapshot> for TableRecord {
+    fn from(value: TableSnapshot) -> Self {
+        Self::Snapshot(value)
+    }
+}
+///Head of the table, as a log record and between peers.
+///
+/// <details><summary>JSON schema</summary>
+///
+/// ```json
+///{
+///  "description": "Head of the table, as a log record and between peers.",
+///  "type": "object",
+///  "required": [
+///    "author",
+///    "base",
+///    "cluster",
+///    "csv",
+///    "id",
+///    "published_ms",
+///    "through",
+///    "version"
+///  ],
+///  "properties": {
+///    "author": {
+///      "description": "Who published it.",
+///      "type": "string"
+///    },
+///    "base": {
+///      "description": "Version that the table was made from.",
+///      "type": "integer",
+///      "format": "uint64",
+///      "minimum": 0.0
+///    },
+///    "cluster": {
+///      "description": "Name of the cluster.",
+///      "type": "string"
+///    },
+///    "csv": {
+///      "description": "The table as comma-separated values.",
+///      "type": "string"
+///    },
+///    "id": {
+///      "description": "Id of the publication that made the version.",
+///      "type": "string"
+///    },
+///    "published_ms": {
+///      "description": "Time of the publication, in milliseconds since the epoch.",
+///      "type": "integer",
+///      "format": "uint64",
+///      "minimum": 0.0
+///    },
+///    "through": {
+///      "description": "Offset in the log up to which the version is the head.",
+///      "type": "integer",
+///      "format": "uint64",
+///      "minimum": 0.0
+///    },
+///    "version": {
+///      "description": "Version of the table; 0 before the first.",
+///      "type": "integer",
+///      "format": "uint64",
+///      "minimum": 0.0
+///    }
+///  }
+///}
+/// ```
+/// </details>
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct TableSnapshot {
+    ///Who published it.
+    pub author: ::std::string::String,
+    ///Version that the table was made from.
+    pub base: u64,
+    ///Name of the cluster.
+    pub cluster: ::std::string::String,
+    ///The table as comma-separated values.
+    pub csv: ::std::string::String,
+    ///Id of the publication that made the version.
+    pub id: ::std::string::String,
+    ///Time of the publication, in milliseconds since the epoch.
+    pub published_ms: u64,
+    ///Offset in the log up to which the version is the head.
+    pub through: u64,
+    ///Version of the table; 0 before the first.
+    pub version: u64,
+}
+impl ::std::convert::From<&TableSnapshot> for TableSnapshot {
+    fn from(value: &TableSnapshot) -> Self {
+        value.clone()
     }
 }
 ///`TeaselgladeWire`
