--- a/crates/teaselglade-entry/src/caller_api/generate_route.rs
+++ b/crates/teaselglade-entry/src/caller_api/generate_route.rs
@@ -44,6 +44,7 @@
     let order = StreamOrder {
         organisation: context.organisation,
         row: context.row,
+        deadline: context.deadline,
         prompt: body.prompt,
         max_tokens: body.max_tokens,
         adapter: body.adapter,
--- a/crates/teaselglade-entry/src/caller_api/request_context.rs
+++ b/crates/teaselglade-entry/src/caller_api/request_context.rs
@@ -1,6 +1,9 @@
 //! What every request of a caller is checked for first.
 
+use std::time::Duration;
+
 use teaselglade_core::table::{ServiceKind, ServiceRow};
+use teaselglade_core::time::Timestamp;
 use teaselglade_core::verdict::{RefusalReason, RequestRefusal};
 use teaselglade_net::server::BodyError;
 use viz::{Request, RequestExt};
@@ -10,6 +13,12 @@
 /// Header that names the caller's organisation.
 pub(crate) const ORGANISATION_HEADER: &str = "x-organisation";
 
+/// Header that says how long the caller waits, in milliseconds from now.
+pub(crate) const DEADLINE_HEADER: &str = "x-deadline-ms";
+
+const DEFAULT_WAIT: Duration = Duration::from_mins(2);
+const MAX_WAIT: Duration = Duration::from_mins(10);
+
 /// Most bytes of a request's body.
 pub(crate) const MAX_BODY_BYTES: usize = 1024 * 1024;
 
@@ -20,6 +29,8 @@
     pub(crate) organisation: String,
     /// Row of the service.
     pub(crate) row: ServiceRow,
+    /// When the whole answer must be there.
+    pub(crate) deadline: Timestamp,
 }
 
 impl RequestContext {
@@ -36,7 +47,7 @@
         if !host.is_ready() {
             return Err(
                 RequestRefusal::not_run(RefusalReason::NotReady, &host.settings.host)
-                    .retry_after(std::time::Duration::from_millis(200)),
+                    .retry_after(Duration::from_millis(200)),
             );
         }
         let table = host.table();
@@ -56,10 +67,26 @@
         Ok(Self {
             organisation,
             row: row.clone(),
+            deadline: host.now() + read_wait(request)?,
         })
     }
 }
 
+fn read_wait(request: &Request) -> Result<Duration, RequestRefusal> {
+    let Some(text) = request.header::<_, String>(DEADLINE_HEADER) else {
+        return Ok(DEFAULT_WAIT);
+    };
+    let millis = text.parse::<u64>().ok().filter(|millis| *millis > 0);
+    let wait = millis
+        .map(Duration::from_millis)
+        .filter(|wait| *wait <= MAX_WAIT);
+    wait.ok_or_else(|| {
+        let detail =
+            format!("{DEADLINE_HEADER}: `{text}` is no number of milliseconds up to 600000");
+        refused(RefusalReason::BadRequest, &detail)
+    })
+}
+
 /// Turns a body that cannot be read into a refusal.
 pub(crate) fn body_refusal(error: &BodyError) -> RequestRefusal {
     let reason = match error {
--- a/crates/teaselglade-entry/src/stream/stream_record.rs
+++ b/crates/teaselglade-entry/src/stream/stream_record.rs
@@ -4,6 +4,7 @@
 
 use teaselglade_core::id::RequestId;
 use teaselglade_core::table::ServiceRow;
+use teaselglade_core::time::Timestamp;
 use teaselglade_core::verdict::RequestRefusal;
 use tokio::sync::Notify;
 
@@ -14,6 +15,8 @@
     pub(crate) organisation: String,
     /// Row of the service.
     pub(crate) row: ServiceRow,
+    /// When the whole answer must be there.
+    pub(crate) deadline: Timestamp,
     /// Prompt.
     pub(crate) prompt: String,
     /// Most tokens of the answer.
--- a/crates/teaselglade-entry/src/stream/stream_task.rs
+++ b/crates/teaselglade-entry/src/stream/stream_task.rs
@@ -50,6 +50,13 @@
     let mut recomputed_tokens = 0;
     let mut verdict = ExecutionVerdict::NotRun;
     loop {
+        if host.now() >= order.deadline {
+            return Err(given_up(
+                verdict,
+                RefusalReason::DeadlineExceeded,
+                &order.row.name,
+            ));
+        }
         let Some(server) = host.choose_server(&order.row, &excluded) else {
             return Err(given_up(verdict, RefusalReason::NoServer, &order.row.name));
         };
--- a/crates/teaselglade-settings/src/fault/settings_fault.rs
+++ b/crates/teaselglade-settings/src/fault/settings_fault.rs
@@ -15,6 +15,9 @@
 
 impl fmt::Display for SettingsFault {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        if self.field.is_empty() {
+            return write!(f, "line {}: {}", self.line, self.reason);
+        }
         write!(
             f,
             "line {}, field `{}`: {}",
--- a/crates/teaselglade/src/bin/teaselglade-standins.rs
+++ b/crates/teaselglade/src/bin/teaselglade-standins.rs
@@ -21,6 +21,9 @@
     /// Fleet to stand in for: `corrib` or `dragons-sleeve`.
     #[arg(long, default_value = "corrib")]
     fleet: String,
+    /// Only print the fleet's table.
+    #[arg(long)]
+    print_table: bool,
     /// Port of the log; 0 takes any free one.
     #[arg(long, default_value_t = 0)]
     log_port: u16,
@@ -47,6 +50,10 @@
     start_logging(LogFormat::Text, LevelFilter::Info);
     let plan = FleetPlan::named(&options.fleet);
     let plan = plan.ok_or_else(|| eyre!("no fleet is named `{}`", options.fleet))?;
+    if options.print_table {
+        print!("{}", plan.table);
+        return Ok(());
+    }
     let ports = FleetPorts {
         log: options.log_port,
         host_list: options.host_list_port,
--- a/crates/teaselglade/src/command/table_command.rs
+++ b/crates/teaselglade/src/command/table_command.rs
@@ -88,6 +88,9 @@
             let detail = rejection.to_string();
             let value = json!({ "outcome": "rejected", "detail": detail, "changes": changes });
             let mut told = format!("rejected: {detail}");
+            if !changes.is_empty() {
+                told.push_str("\nyour table (-) and the winner's (+) differ in:");
+            }
             for change in &changes {
                 write!(told, "\n{change}")?;
             }
--- a/crates/teaselglade/tests/processes/main.rs
+++ b/crates/teaselglade/tests/processes/main.rs
@@ -2,4 +2,5 @@
 
 mod faults;
 mod harness;
+mod interface_page;
 mod whole_path;
--- /dev/null
+++ b/crates/teaselglade/tests/tool/main.rs
@@ -0,0 +1,6 @@
+//! Tests of the operators' tool and of the daemons' command lines.
+
+mod daemon_settings;
+mod table_commands;
+mod tool_help;
+mod tool_run;
