feat(entry): book keyed calls through claims in the log

Keyed calls to services that are not idempotent go through the shard's machine; other plain calls through the plain machine and the service's retry budget. A planned stop waits for records that are still to be appended. A caller that sends a key again says so with x-idempotent-repeat; then no refusal says 'not run' unchecked.

--- a/crates/teaselglade-claims/src/shard/shard_machine.rs
+++ b/crates/teaselglade-claims/src/shard/shard_machine.rs
@@ -103,7 +103,13 @@
     /// Returns whether nothing is under way; the machine may then be dropped.
     #[must_use]
     pub fn is_idle(&self) -> bool {
-        self.bookings.is_empty() && self.outbox.is_empty() && !self.reading
+        self.is_settled() && !self.reading
+    }
+
+    /// Returns whether no booking and no record to append is under way.
+    #[must_use]
+    pub fn is_settled(&self) -> bool {
+        self.bookings.is_empty() && self.outbox.is_empty()
     }
 
     /// Takes in an event and returns what is to be done.
--- a/crates/teaselglade-entry/src/booking/plain_task.rs
+++ b/crates/teaselglade-entry/src/booking/plain_task.rs
@@ -1,44 +1,86 @@
-//! Dispatches one call to a plain server.
+//! Carries one call to a plain server to its answer.
 
-use teaselglade_core::id::AttemptId;
-use teaselglade_core::port::{PlainAnswer, PlainCall};
-use teaselglade_core::table::ServiceRow;
-use teaselglade_core::verdict::{ExecutionVerdict, RefusalReason, RequestRefusal};
+use std::sync::Arc;
+use std::time::Duration;
 
+use teaselglade_claims::booking::BookedCall;
+use teaselglade_claims::plain::{PlainAction, PlainEvent, PlainMachine};
+use teaselglade_core::id::ServerKey;
+use teaselglade_core::port::{AttemptError, PlainAnswer};
+use teaselglade_core::time::Timestamp;
+use teaselglade_core::verdict::{RequestRefusal, SendProgress};
+use tokio::time::sleep;
+
+use super::PlainOrder;
 use crate::host::EntryHost;
 
-/// One call to a plain server.
-#[derive(Debug)]
-pub(crate) struct PlainOrder {
-    /// Row of the service.
-    pub(crate) row: ServiceRow,
-    /// Attempt, method, path, headers and body.
-    pub(crate) call: PlainCall,
-}
+const CALL_DEADLINE: Duration = Duration::from_secs(5);
+
+/// Result of one call.
+pub(super) type PlainResult = Result<PlainAnswer, RequestRefusal>;
 
-/// Dispatches a call once.
+/// Carries a call to its answer, with a claim where the call needs one.
 ///
 /// # Errors
 ///
 /// Returns the refusal with its verdict where there is no answer.
-pub(crate) async fn run_plain(
+pub(crate) async fn run_plain(host: &Arc<EntryHost>, order: PlainOrder) -> PlainResult {
+    let deadline = host.now() + CALL_DEADLINE;
+    let key = order.claim_key().map_err(|error| error.refusal())?;
+    host.bookings.budgets().record_first(&order.row.name);
+    let Some(key) = key else {
+        return run_unclaimed(host, &order, deadline).await;
+    };
+    let call = BookedCall {
+        key,
+        digest: order.digest(),
+        repeated: order.repeated,
+        deadline,
+    };
+    super::shard_driver::book(host, call, order).await
+}
+
+/// Sends one attempt to a server that was not tried before.
+pub(super) async fn run_attempt(
     host: &EntryHost,
-    order: PlainOrder,
-) -> Result<PlainAnswer, RequestRefusal> {
-    debug_assert_eq!(
-        order.call.attempt,
-        AttemptId::first(order.call.attempt.request)
-    );
-    let Some(server) = host.choose_server(&order.row, &[]) else {
-        return Err(RequestRefusal::not_run(
-            RefusalReason::NoServer,
-            order.row.name,
-        ));
+    order: &PlainOrder,
+    number: u32,
+    tried: &mut Vec<ServerKey>,
+) -> Result<PlainAnswer, AttemptError> {
+    let Some(server) = host.choose_server(&order.row, tried) else {
+        let detail = format!("no server of {} is left to try", order.row.name);
+        return Err(AttemptError::new(SendProgress::NotSent, detail));
     };
-    let result = host.ports.backend.call(server.address, order.call).await;
+    tried.push(server.key);
+    let result = host
+        .ports
+        .backend
+        .call(server.address, order.attempt(number))
+        .await;
     host.release_server(server.key);
-    result.map_err(|error| {
-        let verdict = ExecutionVerdict::after_attempt(error.progress);
-        RequestRefusal::with_verdict(verdict, RefusalReason::AttemptFailed, error.detail)
-    })
+    if result.is_err() {
+        host.metrics.failed_attempts.inc();
+    }
+    result
+}
+
+async fn run_unclaimed(host: &EntryHost, order: &PlainOrder, deadline: Timestamp) -> PlainResult {
+    let mut machine = PlainMachine::new(order.repeat(), deadline);
+    let mut permit = host.bookings.budgets().permit(&order.row.name);
+    let mut tried = Vec::new();
+    let mut event = PlainEvent::Started;
+    loop {
+        let actions = machine.on_event(host.now(), event, &mut permit);
+        event = PlainEvent::Woken;
+        for action in actions {
+            match action {
+                PlainAction::Dispatch { attempt } => {
+                    let result = run_attempt(host, order, attempt, &mut tried).await;
+                    event = PlainEvent::Attempted(result);
+                }
+                PlainAction::WakeAt(at) => sleep(at.since(host.now())).await,
+                PlainAction::Answer(result) => return result,
+            }
+        }
+    }
 }
--- a/crates/teaselglade-entry/src/caller_api/plain_route.rs
+++ b/crates/teaselglade-entry/src/caller_api/plain_route.rs
@@ -6,7 +6,7 @@
 use teaselglade_core::id::AttemptId;
 use teaselglade_core::port::{PlainAnswer, PlainCall};
 use teaselglade_core::table::ServiceKind;
-use teaselglade_core::verdict::RequestRefusal;
+use teaselglade_core::verdict::{ExecutionVerdict, RequestRefusal};
 use teaselglade_net::server::{empty_answer, read_body};
 use viz::header::{HeaderName, HeaderValue};
 use viz::{Body, Request, RequestExt, Response};
@@ -19,8 +19,11 @@
 /// Header that carries the key of a call that may not be repeated.
 pub(crate) const KEY_HEADER: &str = "idempotency-key";
 
+/// Header by which a caller says that it sent the key before without learning the outcome.
+pub(crate) const REPEATED_HEADER: &str = "x-idempotent-repeat";
+
 /// Headers that concern one connection only or that the system sets itself.
-const OWN_HEADERS: [&str; 10] = [
+const OWN_HEADERS: [&str; 11] = [
     "connection",
     "content-length",
     "host",
@@ -30,24 +33,28 @@
     "trailer",
     "transfer-encoding",
     "upgrade",
+    "x-idempotent-repeat",
     "x-request-id",
 ];
 
 /// Passes a call to a plain server and its answer back.
 pub(crate) async fn call_plain(host: Arc<EntryHost>, request: Request) -> Response {
     let id = host.new_request();
+    let repeated = request.headers().contains_key(REPEATED_HEADER);
     let context = match RequestContext::read(&host, &request, ServiceKind::Plain) {
         Ok(context) => context,
-        Err(refusal) => return refusal_answer(&refusal, Some(id)),
+        Err(refusal) => return refusal_answer(&unclaimed(refusal, repeated), Some(id)),
     };
     let call = match read_call(AttemptId::first(id), request).await {
         Ok(call) => call,
-        Err(refusal) => return refusal_answer(&refusal, Some(id)),
+        Err(refusal) => return refusal_answer(&unclaimed(refusal, repeated), Some(id)),
     };
     let organisation = context.organisation;
     let order = PlainOrder {
+        organisation: organisation.clone(),
         row: context.row,
         call,
+        repeated,
     };
     match run_plain(&host, order).await {
         Ok(answer) => {
@@ -69,6 +76,14 @@
     }
 }
 
+/// Refuses a call before its claim; an earlier call with its key may have run.
+fn unclaimed(mut refusal: RequestRefusal, repeated: bool) -> RequestRefusal {
+    if repeated {
+        refusal.verdict = refusal.verdict.and(ExecutionVerdict::MayHaveRun);
+    }
+    refusal
+}
+
 async fn read_call(attempt: AttemptId, request: Request) -> Result<PlainCall, RequestRefusal> {
     let path = request.param::<String>("path").unwrap_or_default();
     let query = request
--- a/crates/teaselglade-entry/src/host/entry_daemon.rs
+++ b/crates/teaselglade-entry/src/host/entry_daemon.rs
@@ -91,6 +91,9 @@
             () = self.caller_server.stop() => {}
             () = tokio::time::sleep_until(deadline) => {}
         }
+        while !self.host.bookings.is_idle() && Instant::now() < deadline {
+            sleep(DRAIN_POLL).await;
+        }
         self.peer_server.abort();
         self.followers.iter().for_each(JoinHandle::abort);
         log::info!("entry daemon {} stopped", self.host.settings.host);
--- a/crates/teaselglade-entry/src/host/entry_host.rs
+++ b/crates/teaselglade-entry/src/host/entry_host.rs
@@ -11,6 +11,7 @@
 use teaselglade_wire::HostStatus;
 
 use super::EntryPorts;
+use crate::booking::BookingRegister;
 use crate::directory::{BackendDirectory, ServerEntry};
 use crate::metrics::EntryMetrics;
 use crate::placement::{LoadChooser, ServerChooser};
@@ -27,6 +28,8 @@
     pub(crate) ports: EntryPorts,
     /// Counters.
     pub(crate) metrics: EntryMetrics,
+    /// Shards of claims that bookings work with.
+    pub(crate) bookings: BookingRegister,
     /// Streams that callers can come back to.
     pub(crate) streams: StreamRegister,
     /// Start number of this host.
@@ -51,6 +54,7 @@
             settings,
             ports,
             metrics,
+            bookings: BookingRegister::default(),
             streams: StreamRegister::default(),
             incarnation: started.as_millis(),
             directory: Mutex::default(),
