test(processes): kill, freeze and cut off hosts in the middle of a booking

SIGKILL behind the claim, SIGSTOP and SIGCONT of a claimer while another host has its key, the log out, and the log's answers lost before and after their effect.

--- a/crates/teaselglade/tests/processes/main.rs
+++ b/crates/teaselglade/tests/processes/main.rs
@@ -1,5 +1,6 @@
 //! Tests over separate processes: stand-ins, entry daemons and control daemons.
 
+mod bookings;
 mod faults;
 mod harness;
 mod whole_path;
