feat(limits): add demand shares, fair queueing and the admission gate

Fleet-wide limits follow exchanged demands: each host's share is its part of the demand, unused parts are lent out, and a host with stale views never raises its share above an equal part. The admission gate orders organisations by start tags and refuses what would start too late.

--- a/crates/teaselglade-placement/src/admission/mod.rs
+++ b/crates/teaselglade-placement/src/admission/mod.rs
@@ -1,12 +1,9 @@
-//! Whether a request is taken in.
+//! Which requests are dispatched, wait or are refused under load.
 
-mod admission_policy;
-mod always_admit;
+mod admission_gate;
+mod fair_queue;
+mod gate_request;
 
-pub use admission_policy::AdmissionPolicy;
-pub use always_admit::AlwaysAdmit;
-
-use teaselglade_core::verdict::RequestRefusal;
-
-/// Result of an admission.
-pub type Result<T> = std::result::Result<T, RequestRefusal>;
+pub use admission_gate::{AdmissionGate, GateRefusal, GateVerdict};
+pub use fair_queue::FairQueue;
+pub use gate_request::GateRequest;
--- a/crates/teaselglade-placement/src/cost/cost_policy.rs
+++ b/crates/teaselglade-placement/src/cost/cost_policy.rs
@@ -9,7 +9,9 @@
 use super::server_forecast::{ServerForecast, TargetAllowance};
 use super::{CostOptions, PrefixIndex, ReclaimModel, SpeedModel, SpeedSample};
 use crate::baseline::no_server;
-use crate::policy::{Placement, PlacementEvent, PlacementPolicy, PlacementQuery, Result};
+use crate::policy::{
+    Placement, PlacementEvent, PlacementOutlook, PlacementPolicy, PlacementQuery, Result,
+};
 use crate::server::{ServerDirectory, ServerEntry};
 
 const SECONDS_PER_HOUR: f64 = 3_600.0;
@@ -171,14 +173,36 @@
             cost_weight * forecast.cents + loss_weight * forecast.lost_tokens
         };
         let best = timely().min_by(|a, b| score(a).total_cmp(&score(b)));
-        best.map(|forecast| forecast.placement(true))
-            .or_else(|| self.least_late())
+        best.map(|forecast| forecast.placement(PlacementOutlook::OnTarget))
     }
 
-    fn least_late(&self) -> Option<Placement> {
+    fn least_late(&self, directory: &ServerDirectory, query: &PlacementQuery) -> Option<Placement> {
         let forecasts = self.forecasts.iter();
-        let least = forecasts.min_by(|a, b| a.target_use.total_cmp(&b.target_use));
-        least.map(|forecast| forecast.placement(false))
+        let least = forecasts.min_by(|a, b| a.target_use.total_cmp(&b.target_use))?;
+        let allowance = TargetAllowance::new(query, &self.options);
+        let is_possible = self.forecasts.iter().any(|forecast| {
+            let entry = directory.entry(forecast.server);
+            !allowance.is_first_late(self.idle_first_token(forecast, entry, query))
+        });
+        let outlook = if is_possible || allowance.is_gap_late(least.gap_seconds) {
+            PlacementOutlook::LateByLoad
+        } else {
+            PlacementOutlook::LateAnyway
+        };
+        Some(least.placement(outlook))
+    }
+
+    fn idle_first_token(
+        &self,
+        forecast: &ServerForecast,
+        entry: &ServerEntry,
+        query: &PlacementQuery,
+    ) -> f64 {
+        let class = entry.facts.class;
+        let prefill = self.speeds.prefill_seconds(forecast.server, class, 0.0);
+        let gap = self.speeds.gap_seconds(forecast.server, class, 1.0);
+        let computed = f64::from(query.prompt_tokens) - forecast.cached_tokens;
+        computed * prefill + gap + NETWORK_SECONDS
     }
 
     fn dispatch(&mut self, attempt: AttemptId, server: ServerKey, prefix: &[u64], tokens: u32) {
@@ -232,7 +256,9 @@
     ) -> Result<Placement> {
         self.reclaims.count(now, directory);
         self.forecast_all(directory, query);
-        self.choose(query).ok_or_else(no_server)
+        let best = self.choose(query);
+        best.or_else(|| self.least_late(directory, query))
+            .ok_or_else(no_server)
     }
 
     fn observe(&mut self, _now: Timestamp, directory: &ServerDirectory, event: &PlacementEvent) {
--- a/crates/teaselglade-placement/src/cost/server_forecast.rs
+++ b/crates/teaselglade-placement/src/cost/server_forecast.rs
@@ -5,7 +5,7 @@
 use teaselglade_core::id::ServerKey;
 
 use super::CostOptions;
-use crate::policy::{Placement, PlacementQuery};
+use crate::policy::{Placement, PlacementOutlook, PlacementQuery};
 
 /// What a forecast may use of the targets, as factors that bring a late value above 1.
 #[derive(Debug, Clone, Copy)]
@@ -26,6 +26,16 @@
         }
     }
 
+    /// Returns whether the first token alone would be late.
+    pub(super) fn is_first_late(self, first_token_seconds: f64) -> bool {
+        first_token_seconds * self.first_token > 1.0
+    }
+
+    /// Returns whether the token gap alone would be late.
+    pub(super) fn is_gap_late(self, gap_seconds: f64) -> bool {
+        gap_seconds * self.gap > 1.0
+    }
+
     /// Returns the largest part of an allowance that is used; above 1 is late.
     pub(super) fn used(self, first_token_seconds: f64, gap_seconds: f64) -> f64 {
         (first_token_seconds * self.first_token).max(gap_seconds * self.gap)
@@ -48,13 +58,13 @@
 }
 
 impl ServerForecast {
-    pub(super) fn placement(&self, on_target: bool) -> Placement {
+    pub(super) fn placement(&self, outlook: PlacementOutlook) -> Placement {
         Placement {
             server: self.server,
             cached_tokens: self.cached_tokens as u32,
             first_token: Duration::from_secs_f64(self.first_token_seconds),
             token_gap: Duration::from_secs_f64(self.gap_seconds),
-            on_target,
+            outlook,
         }
     }
 }
--- a/crates/teaselglade-placement/src/lib.rs
+++ b/crates/teaselglade-placement/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod admission;
 pub mod baseline;
 pub mod cost;
+pub mod limit;
 pub mod policy;
 pub mod server;
 pub mod subset;
--- a/crates/teaselglade-placement/src/policy/mod.rs
+++ b/crates/teaselglade-placement/src/policy/mod.rs
@@ -9,7 +9,7 @@
 mod server_placement;
 
 pub use hardware_permit::HardwarePermit;
-pub use placement::Placement;
+pub use placement::{Placement, PlacementOutlook};
 pub use placement_event::{PlacementEvent, PrefixChange};
 pub use placement_policy::PlacementPolicy;
 pub use placement_query::PlacementQuery;
--- a/crates/teaselglade-placement/src/policy/placement.rs
+++ b/crates/teaselglade-placement/src/policy/placement.rs
@@ -4,6 +4,18 @@
 
 use teaselglade_core::id::ServerKey;
 
+teaselglade_core::value_type! {
+    /// Whether a placed request is predicted to meet the row's targets.
+    pub enum PlacementOutlook {
+        /// The targets will be met.
+        OnTarget,
+        /// The targets will be missed, and would be missed on idle servers too.
+        LateAnyway,
+        /// The targets will be missed because of the load.
+        LateByLoad,
+    }
+}
+
 /// The answer where a request goes.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Placement {
@@ -16,7 +28,7 @@
     /// Predicted time between two tokens; zero where the policy predicts nothing.
     pub token_gap: Duration,
     /// Whether the row's targets are predicted to be met.
-    pub on_target: bool,
+    pub outlook: PlacementOutlook,
 }
 
 impl Placement {
@@ -28,7 +40,7 @@
             cached_tokens: 0,
             first_token: Duration::ZERO,
             token_gap: Duration::ZERO,
-            on_target: true,
+            outlook: PlacementOutlook::OnTarget,
         }
     }
 }
