--- a/crates/teaselglade-bench/src/lib.rs
+++ b/crates/teaselglade-bench/src/lib.rs
@@ -12,4 +12,4 @@
 
 pub use plan::{BenchPlan, FleetChoice, PolicyChoice};
 pub use report::BenchReport;
-pub use run::run_bench;
+pub use run::{OverloadReport, run_bench, run_overload};
--- a/crates/teaselglade-bench/src/plan/bench_plan.rs
+++ b/crates/teaselglade-bench/src/plan/bench_plan.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use super::{FleetChoice, PolicyChoice};
+use super::{FleetChoice, FleetPlan, PolicyChoice};
 
 teaselglade_core::value_type! {
     /// One bench: a fleet, the policies to compare, and the seeds.
@@ -26,6 +26,12 @@
         pub duration: Duration,
         /// Factor on the offered load.
         pub load: f64,
+        /// Factor on the arrivals during the rush; none for the fleet's own.
+        pub rush_factor: Option<f64>,
+        /// Turns of a conversation; none for the fleet's own.
+        pub turns: Option<u32>,
+        /// Whether the platform takes hosts back.
+        pub reclaims: bool,
     }
 }
 
@@ -39,6 +45,9 @@
             seeds: vec![6],
             duration: Duration::from_mins(15),
             load: 1.0,
+            rush_factor: None,
+            turns: None,
+            reclaims: true,
         }
     }
 
@@ -69,4 +78,33 @@
         self.load = load;
         self
     }
+
+    /// Sets the factor on the arrivals during the rush.
+    #[must_use]
+    pub const fn rush_factor(mut self, factor: f64) -> Self {
+        self.rush_factor = Some(factor);
+        self
+    }
+
+    /// Sets the turns of a conversation.
+    #[must_use]
+    pub const fn turns(mut self, turns: u32) -> Self {
+        self.turns = Some(turns);
+        self
+    }
+
+    /// Sets whether the platform takes hosts back.
+    #[must_use]
+    pub const fn reclaims(mut self, reclaims: bool) -> Self {
+        self.reclaims = reclaims;
+        self
+    }
+
+    pub(crate) fn fleet_plan(&self) -> FleetPlan {
+        let mut fleet = self.fleet.plan();
+        let traffic = &mut fleet.traffic;
+        traffic.rush_factor = self.rush_factor.unwrap_or(traffic.rush_factor);
+        traffic.turns = self.turns.unwrap_or(traffic.turns);
+        fleet
+    }
 }
--- a/crates/teaselglade-bench/src/plan/policy_choice.rs
+++ b/crates/teaselglade-bench/src/plan/policy_choice.rs
@@ -17,6 +17,8 @@
         PrefixAffinity,
         /// Least expected cost.
         Cost,
+        /// Least expected cost behind the admission gate.
+        CostWithAdmission,
         /// Least expected cost, all prices taken as equal.
         CostWithoutPrices,
         /// Least expected cost, no prefix known.
@@ -32,11 +34,12 @@
 
 impl PolicyChoice {
     /// All policies, baselines first.
-    pub const ALL: [Self; 9] = [
+    pub const ALL: [Self; 10] = [
         Self::RoundRobin,
         Self::LeastLoad,
         Self::PrefixAffinity,
         Self::Cost,
+        Self::CostWithAdmission,
         Self::CostWithoutPrices,
         Self::CostWithoutPrefixes,
         Self::CostWithoutReclaims,
@@ -44,6 +47,12 @@
         Self::CostWithoutTargets,
     ];
 
+    /// Returns whether requests pass the admission gate.
+    #[must_use]
+    pub const fn has_admission(self) -> bool {
+        matches!(self, Self::CostWithAdmission)
+    }
+
     /// Makes the policy of one of `entry_hosts` entry hosts.
     #[must_use]
     pub fn build(self, entry_hosts: u32) -> Box<dyn PlacementPolicy> {
@@ -55,7 +64,7 @@
             Self::RoundRobin => return Box::new(RoundRobin::default()),
             Self::LeastLoad => return Box::new(LeastLoad::default()),
             Self::PrefixAffinity => return Box::new(PrefixAffinity::default()),
-            Self::Cost => {}
+            Self::Cost | Self::CostWithAdmission => {}
             Self::CostWithoutPrices => options.use_prices = false,
             Self::CostWithoutPrefixes => options.use_prefixes = false,
             Self::CostWithoutReclaims => options.use_reclaims = false,
@@ -73,6 +82,7 @@
             Self::LeastLoad => "least load",
             Self::PrefixAffinity => "prefix affinity",
             Self::Cost => "cost",
+            Self::CostWithAdmission => "cost, admission",
             Self::CostWithoutPrices => "cost, no prices",
             Self::CostWithoutPrefixes => "cost, no prefixes",
             Self::CostWithoutReclaims => "cost, no reclaims",
--- a/crates/teaselglade-bench/src/report/mod.rs
+++ b/crates/teaselglade-bench/src/report/mod.rs
@@ -9,4 +9,4 @@
 pub use bench_report::BenchReport;
 pub use latency_report::LatencyReport;
 pub use policy_report::PolicyReport;
-pub use policy_tally::{PolicyTally, RequestOutcome};
+pub use policy_tally::{PolicyTally, RequestOutcome, SecondTally};
--- a/crates/teaselglade-bench/src/report/policy_tally.rs
+++ b/crates/teaselglade-bench/src/report/policy_tally.rs
@@ -19,6 +19,15 @@
     Refused,
 }
 
+/// Requests that arrived in one second of a run.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct SecondTally {
+    /// Requests that arrived.
+    pub offered: u32,
+    /// Those that got a whole answer within both targets.
+    pub on_target: u32,
+}
+
 /// Counts of one policy.
 #[derive(Debug, Clone)]
 pub struct PolicyTally {
@@ -44,6 +53,8 @@
     pub busy_cents: f64,
     /// Price of the whole fleet over the run, in euro cents.
     pub whole_fleet_cents: f64,
+    /// Requests of the last run by the second of their arrival.
+    pub seconds: Vec<SecondTally>,
     /// Times to the first token, in microseconds.
     pub first_tokens: Histogram<u64>,
     /// Times between two tokens, in microseconds.
@@ -64,6 +75,7 @@
             held_cents: 0.0,
             busy_cents: 0.0,
             whole_fleet_cents: 0.0,
+            seconds: Vec::new(),
             first_tokens: histogram(),
             gaps: histogram(),
         }
@@ -84,13 +96,21 @@
         self.held_cents += other.held_cents;
         self.busy_cents += other.busy_cents;
         self.whole_fleet_cents += other.whole_fleet_cents;
+        self.seconds.clone_from(&other.seconds);
         merge(&mut self.first_tokens, &other.first_tokens);
         merge(&mut self.gaps, &other.gaps);
     }
 
-    /// Counts the end of a request.
-    pub fn add_outcome(&mut self, outcome: RequestOutcome) {
+    /// Counts the end of a request that arrived `arrived` after the start.
+    pub fn add_outcome(&mut self, arrived: Duration, outcome: RequestOutcome) {
         self.offered += 1;
+        let second = arrived.as_secs() as usize;
+        if self.seconds.len() <= second {
+            self.seconds.resize(second + 1, SecondTally::default());
+        }
+        self.seconds[second].offered += 1;
+        let on_target = matches!(outcome, RequestOutcome::Whole { on_target: true });
+        self.seconds[second].on_target += u32::from(on_target);
         match outcome {
             RequestOutcome::Whole { on_target } => {
                 self.whole += 1;
--- a/crates/teaselglade-bench/src/run/bench_event.rs
+++ b/crates/teaselglade-bench/src/run/bench_event.rs
@@ -18,6 +18,8 @@
 pub(super) enum BenchEvent {
     /// A request arrives at an entry host, or comes back for its next attempt.
     Place { request: usize },
+    /// An entry host tries its waiting requests again.
+    Pump { entry: usize },
     /// An attempt reaches its server.
     Submit { ticket: usize },
     /// A server's step ends.
--- a/crates/teaselglade-bench/src/run/bench_run.rs
+++ b/crates/teaselglade-bench/src/run/bench_run.rs
@@ -7,11 +7,13 @@
 use rand_pcg::Pcg64;
 use teaselglade_core::id::{OrganisationKey, ServerKey};
 use teaselglade_core::time::Timestamp;
+use teaselglade_placement::admission::{AdmissionGate, GateRequest, GateVerdict};
 use teaselglade_placement::policy::{
-    PREFIX_BLOCK_TOKENS, PlacementEvent, PlacementQuery, ServerPlacement,
+    PREFIX_BLOCK_TOKENS, Placement, PlacementEvent, PlacementOutlook, PlacementQuery,
 };
 
 use super::bench_event::{BenchEvent, ServerFeedback};
+use super::entry_state::EntryState;
 use super::event_queue::EventQueue;
 use super::request_state::{AttemptState, RequestState};
 use super::server_state::{SERVICE, ServerState};
@@ -31,6 +33,9 @@
 const REPLACE_REFUSED: f64 = 0.5;
 const ZONE_RECLAIM_AT: f64 = 0.6;
 const SPEED_SPREAD: (f64, f64) = (0.95, 1.1);
+/// Part of the first-token target for which a request may wait at the gate.
+const WAIT_SHARE: f64 = 0.25;
+const PUMP_INTERVAL: Duration = Duration::from_millis(10);
 const DRAIN: Duration = Duration::from_mins(3);
 const SECONDS_PER_HOUR: f64 = 3_600.0;
 
@@ -40,18 +45,19 @@
     fleet: FleetPlan,
     random: Pcg64,
     queue: EventQueue,
-    entries: Vec<ServerPlacement>,
+    entries: Vec<EntryState>,
     servers: Vec<ServerState>,
     requests: Vec<RequestState>,
     attempts: Vec<AttemptState>,
     end: Timestamp,
+    has_reclaims: bool,
     open_requests: usize,
     tally: PolicyTally,
 }
 
 impl BenchRun {
     pub(super) fn new(plan: &BenchPlan, policy: PolicyChoice, seed: u64) -> Self {
-        let fleet = plan.fleet.plan();
+        let fleet = plan.fleet_plan();
         let mut random = Pcg64::seed_from_u64(seed);
         let traffic = fleet
             .traffic
@@ -61,7 +67,7 @@
             .map(|(index, plan)| RequestState::new(index, plan, START))
             .collect::<Vec<_>>();
         let entries = 0..fleet.entry_hosts;
-        let entries = entries.map(|_| ServerPlacement::new(policy.build(fleet.entry_hosts)));
+        let entries = entries.map(|_| EntryState::new(policy, fleet.entry_hosts));
         let mut run = Self {
             entries: entries.collect(),
             open_requests: requests.len(),
@@ -71,6 +77,7 @@
             servers: Vec::new(),
             attempts: Vec::new(),
             end: START + plan.duration,
+            has_reclaims: plan.reclaims,
             tally: PolicyTally::default(),
             fleet,
         };
@@ -98,7 +105,9 @@
             let arrived = self.requests[request].arrived;
             self.queue.push(arrived, BenchEvent::Place { request });
         }
-        self.schedule_zone_reclaim(duration);
+        if self.has_reclaims {
+            self.schedule_zone_reclaim(duration);
+        }
     }
 
     fn schedule_zone_reclaim(&mut self, duration: Duration) {
@@ -123,7 +132,7 @@
     fn add_server(&mut self, now: Timestamp, plan: crate::plan::ServerPlan) {
         let slowness = self.random.random_range(SPEED_SPREAD.0..SPEED_SPREAD.1);
         let server = self.servers.len();
-        if plan.reclaimable {
+        if plan.reclaimable && self.has_reclaims {
             let hourly = self.fleet.zones[plan.zone].reclaims_per_hour;
             let hours = -(1.0 - self.random.random::<f64>()).ln() / hourly;
             let at = now + Duration::from_secs_f64(hours * SECONDS_PER_HOUR);
@@ -131,7 +140,7 @@
         }
         let state = ServerState::new(&self.fleet, plan, slowness);
         for entry in &mut self.entries {
-            entry.add(state.facts());
+            entry.placement.add(state.facts());
         }
         self.servers.push(state);
         self.queue
@@ -140,7 +149,11 @@
 
     fn on_event(&mut self, now: Timestamp, event: BenchEvent) {
         match event {
-            BenchEvent::Place { request } => self.place(now, request),
+            BenchEvent::Place { request } => self.arrive(now, request),
+            BenchEvent::Pump { entry } => {
+                self.entries[entry].has_pump = false;
+                self.pump(now, entry);
+            }
             BenchEvent::Submit { ticket } => self.submit(now, ticket),
             BenchEvent::Step { server } => self.step(now, server),
             BenchEvent::Sample { server } => self.sample(now, server),
@@ -155,23 +168,97 @@
         }
     }
 
-    fn place(&mut self, now: Timestamp, request: usize) {
+    fn arrive(&mut self, now: Timestamp, request: usize) {
+        let state = &self.requests[request];
+        let entry = request % self.entries.len();
+        let is_first = state.attempt.number == 1;
+        let Some(gate) = self.entries[entry].gate.as_mut().filter(|_| is_first) else {
+            self.place(now, request);
+            return;
+        };
+        let target = self.fleet.first_token_target;
+        let offer = GateRequest {
+            request: state.attempt.request,
+            organisation: OrganisationKey::new(state.plan.organisation),
+            weight: 1.0,
+            tokens: f64::from(state.plan.max_tokens),
+            latest_start: now + target.mul_f64(WAIT_SHARE),
+        };
+        match gate.offer(now, offer) {
+            GateVerdict::Waits => self.pump(now, entry),
+            GateVerdict::Refused(_) => self.end_request(request, RequestOutcome::Refused),
+        }
+    }
+
+    fn pump(&mut self, now: Timestamp, entry: usize) {
+        self.expire(now, entry);
+        while let Some(head) = self.entries[entry]
+            .gate
+            .as_ref()
+            .and_then(AdmissionGate::head)
+        {
+            let request = head.request.to_bits() as usize;
+            let query = self.query(now, request);
+            let placement = self.entries[entry].placement.place(now, &query).ok();
+            let is_late = placement
+                .as_ref()
+                .is_some_and(|placement| placement.outlook == PlacementOutlook::LateByLoad);
+            let state = &mut self.entries[entry];
+            let Some(gate) = &mut state.gate else {
+                return;
+            };
+            if is_late {
+                gate.hold_head(now);
+                if !state.has_pump {
+                    state.has_pump = true;
+                    self.queue
+                        .push(now + PUMP_INTERVAL, BenchEvent::Pump { entry });
+                }
+                return;
+            }
+            gate.dispatch_head(now);
+            self.dispatch(now, request, query, placement);
+        }
+    }
+
+    fn expire(&mut self, now: Timestamp, entry: usize) {
+        let gate = self.entries[entry].gate.as_mut();
+        let given_up = gate.map_or_else(Vec::new, |gate| gate.expire(now));
+        for refusal in given_up {
+            let request = refusal.request.to_bits() as usize;
+            self.end_request(request, RequestOutcome::Refused);
+        }
+    }
+
+    fn query(&self, now: Timestamp, request: usize) -> PlacementQuery {
         let state = &self.requests[request];
         let prompt_tokens = state.prompt_tokens();
         let blocks = (prompt_tokens / PREFIX_BLOCK_TOKENS) as usize;
         let organisation = OrganisationKey::new(state.plan.organisation);
-        let waited = now - state.arrived;
-        let targets = (
-            self.fleet.first_token_target.saturating_sub(waited),
-            Some(self.fleet.token_gap_target),
-        );
-        let query = PlacementQuery::new(SERVICE, organisation)
+        let left = (self.fleet.first_token_target).saturating_sub(now - state.arrived);
+        let answer_tokens = state.plan.max_tokens.saturating_sub(state.delivered);
+        PlacementQuery::new(SERVICE, organisation)
             .prompt(prompt_tokens, &state.plan.prefix[..blocks])
-            .answer_tokens(state.plan.max_tokens.saturating_sub(state.delivered).max(1))
-            .targets(targets.0, targets.1)
-            .cost_weight(self.fleet.cost_weight);
+            .answer_tokens(answer_tokens.max(1))
+            .targets(left, Some(self.fleet.token_gap_target))
+            .cost_weight(self.fleet.cost_weight)
+    }
+
+    fn place(&mut self, now: Timestamp, request: usize) {
         let entry = request % self.entries.len();
-        let Ok(placement) = self.entries[entry].place(now, &query) else {
+        let query = self.query(now, request);
+        let placement = self.entries[entry].placement.place(now, &query).ok();
+        self.dispatch(now, request, query, placement);
+    }
+
+    fn dispatch(
+        &mut self,
+        now: Timestamp,
+        request: usize,
+        query: PlacementQuery,
+        placement: Option<Placement>,
+    ) {
+        let Some(placement) = placement else {
             self.end_request(request, RequestOutcome::Refused);
             return;
         };
@@ -187,9 +274,9 @@
             attempt,
             server: placement.server,
             prefix: query.prefix,
-            prompt_tokens,
+            prompt_tokens: query.prompt_tokens,
         };
-        self.entries[entry].observe(now, &dispatched);
+        self.tell(now, request, &dispatched);
         self.queue
             .push(now + NETWORK_DELAY, BenchEvent::Submit { ticket });
     }
@@ -255,8 +342,9 @@
                 computed_tokens,
                 cached_tokens,
             };
-            self.entries[entry].observe(now, &started);
-            self.entries[entry].observe(now, &PlacementEvent::FirstToken { attempt });
+            let entry = &mut self.entries[entry].placement;
+            entry.observe(now, &started);
+            entry.observe(now, &PlacementEvent::FirstToken { attempt });
         }
         if state.first.is_none() {
             state.first = Some(now);
@@ -270,7 +358,7 @@
         state.delivered += 1;
         if token.last {
             self.attempts[token.ticket].is_open = false;
-            self.entries[entry].observe(now, &PlacementEvent::Ended { attempt });
+            self.tell(now, request, &PlacementEvent::Ended { attempt });
             let on_target = self.is_on_target(request);
             self.end_request(request, RequestOutcome::Whole { on_target });
         }
@@ -287,7 +375,7 @@
         let state = &mut self.requests[request];
         state.is_over = true;
         self.open_requests -= 1;
-        self.tally.add_outcome(outcome);
+        self.tally.add_outcome(state.plan.at, outcome);
     }
 
     fn sample(&mut self, now: Timestamp, server: usize) {
@@ -368,8 +456,7 @@
             request, attempt, ..
         } = self.attempts[ticket];
         self.attempts[ticket].is_open = false;
-        let entry = request % self.entries.len();
-        self.entries[entry].observe(now, &PlacementEvent::Ended { attempt });
+        self.tell(now, request, &PlacementEvent::Ended { attempt });
         let state = &mut self.requests[request];
         state.lost_tokens = computed;
         state.attempt = attempt.next();
@@ -388,9 +475,14 @@
         self.add_server(now, plan);
     }
 
+    fn tell(&mut self, now: Timestamp, request: usize, event: &PlacementEvent) {
+        let entry = request % self.entries.len();
+        self.entries[entry].placement.observe(now, event);
+    }
+
     fn tell_all(&mut self, now: Timestamp, event: &PlacementEvent) {
         for entry in &mut self.entries {
-            entry.observe(now, event);
+            entry.placement.observe(now, event);
         }
     }
 
--- a/crates/teaselglade-bench/src/run/mod.rs
+++ b/crates/teaselglade-bench/src/run/mod.rs
@@ -2,11 +2,15 @@
 
 mod bench_event;
 mod bench_run;
+mod entry_state;
 mod event_queue;
 mod hold_meter;
+mod overload;
 mod request_state;
 mod server_state;
 
+pub use overload::{OverloadReport, run_overload};
+
 use crate::plan::BenchPlan;
 use crate::report::{BenchReport, PolicyReport, PolicyTally};
 use bench_run::BenchRun;
--- a/crates/teaselglade-bench/src/workload/mod.rs
+++ b/crates/teaselglade-bench/src/workload/mod.rs
@@ -4,4 +4,5 @@
 mod traffic_plan;
 
 pub use request_plan::RequestPlan;
+pub(crate) use traffic_plan::RUSH;
 pub use traffic_plan::{RequestKind, TrafficPlan};
--- a/crates/teaselglade-bench/src/workload/traffic_plan.rs
+++ b/crates/teaselglade-bench/src/workload/traffic_plan.rs
@@ -12,7 +12,7 @@
 /// Weights of the five organisations: two large ones.
 const ORGANISATION_WEIGHTS: [f64; 5] = [0.4, 0.3, 0.12, 0.1, 0.08];
 /// Part of a run in which the rush is on.
-const RUSH: (f64, f64) = (0.35, 0.55);
+pub(crate) const RUSH: (f64, f64) = (0.35, 0.55);
 const TOKEN_SPREAD: (f64, f64) = (0.6, 1.4);
 const THINK_SPREAD: (f64, f64) = (0.5, 1.5);
 
