--- /dev/null
+++ b/crates/teaselglade-entry/src/booking/plain_task.rs
@@ -0,0 +1,86 @@
+//! Carries one call to a plain server to its answer.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use teaselglade_claims::booking::BookedCall;
+use teaselglade_claims::plain::{PlainAction, PlainEvent, PlainMachine};
+use teaselglade_core::id::ServerKey;
+use teaselglade_core::port::{AttemptError, PlainAnswer};
+use teaselglade_core::time::Timestamp;
+use teaselglade_core::verdict::{RequestRefusal, SendProgress};
+use tokio::time::sleep;
+
+use super::PlainOrder;
+use crate::host::EntryHost;
+
+const CALL_DEADLINE: Duration = Duration::from_secs(5);
+
+/// Result of one call.
+pub(super) type PlainResult = Result<PlainAnswer, RequestRefusal>;
+
+/// Carries a call to its answer, with a claim where the call needs one.
+///
+/// # Errors
+///
+/// Returns the refusal with its verdict where there is no answer.
+pub(crate) async fn run_plain(host: &Arc<EntryHost>, order: PlainOrder) -> PlainResult {
+    let deadline = host.now() + CALL_DEADLINE;
+    let key = order.claim_key().map_err(|error| error.refusal())?;
+    host.bookings.budgets().record_first(&order.row.name);
+    let Some(key) = key else {
+        return run_unclaimed(host, &order, deadline).await;
+    };
+    let call = BookedCall {
+        key,
+        digest: order.digest(),
+        repeated: order.repeated,
+        deadline,
+    };
+    super::shard_driver::book(host, call, order).await
+}
+
+/// Sends one attempt to a server that was not tried before.
+pub(super) async fn run_attempt(
+    host: &EntryHost,
+    order: &PlainOrder,
+    number: u32,
+    tried: &mut Vec<ServerKey>,
+) -> Result<PlainAnswer, AttemptError> {
+    let Some(server) = host.choose_server(&order.row, tried) else {
+        let detail = format!("no server of {} is left to try", order.row.name);
+        return Err(AttemptError::new(SendProgress::NotSent, detail));
+    };
+    tried.push(server.key);
+    let result = host
+        .ports
+        .backend
+        .call(server.address, order.attempt(number))
+        .await;
+    host.release_server(server.key);
+    if result.is_err() {
+        host.metrics.failed_attempts.inc();
+    }
+    result
+}
+
+async fn run_unclaimed(host: &EntryHost, order: &PlainOrder, deadline: Timestamp) -> PlainResult {
+    let mut machine = PlainMachine::new(order.repeat(), deadline);
+    let mut permit = host.bookings.budgets().permit(&order.row.name);
+    let mut tried = Vec::new();
+    let mut event = PlainEvent::Started;
+    loop {
+        let actions = machine.on_event(host.now(), event, &mut permit);
+        event = PlainEvent::Woken;
+        for action in actions {
+            match action {
+                PlainAction::Dispatch { attempt } => {
+                    let result = run_attempt(host, order, attempt, &mut tried).await;
+                    event = PlainEvent::Attempted(result);
+                }
+                PlainAction::WakeAt(at) => sleep(at.since(host.now())).await,
+                PlainAction::Answer(result) => return result,
+            }
+        }
+    }
+}
