feat(request): wait for a cache whose export ends its attempt

Cause: an export may end the exporting attempt before its answer arrives; the cache was then dropped. Change: the closed attempt shortens the wait to 300 ms instead of ending it. Callers that name no line may resume.

--- a/crates/teaselglade-request/src/stream/stream_event.rs
+++ b/crates/teaselglade-request/src/stream/stream_event.rs
@@ -83,8 +83,8 @@
         session: CallerSession,
         /// Index of the first token that the caller lacks.
         from: u32,
-        /// Line that the caller's last token belongs to.
-        line: u16,
+        /// Line that the caller's last token belongs to, where the caller says so.
+        line: Option<u16>,
     },
     /// This entry host is leaving; without a deadline it drains to the end.
     HostStopping {
--- a/crates/teaselglade-request/src/stream/stream_limits.rs
+++ b/crates/teaselglade-request/src/stream/stream_limits.rs
@@ -13,6 +13,8 @@
     pub progress_span: Duration,
     /// Shortest notice in which a KV cache is moved.
     pub least_move_span: Duration,
+    /// Longest wait for a KV cache whose attempt ended; an export may end it.
+    pub move_patience: Duration,
     /// Time kept free before a server's deadline.
     pub leave_margin: Duration,
     /// Time between two placements of an accepted request that found no server.
@@ -36,6 +38,7 @@
             first_token_span: Duration::from_secs(4),
             progress_span: Duration::from_millis(1_500),
             least_move_span: Duration::from_millis(800),
+            move_patience: Duration::from_millis(300),
             leave_margin: Duration::from_millis(200),
             place_pause: Duration::from_millis(250),
             place_patience: Duration::from_secs(5),
--- a/crates/teaselglade-request/src/stream/stream_machine/caller_events.rs
+++ b/crates/teaselglade-request/src/stream/stream_machine/caller_events.rs
@@ -14,7 +14,12 @@
         }
     }
 
-    pub(super) fn on_caller_resumed(&mut self, session: CallerSession, from: u32, line: u16) {
+    pub(super) fn on_caller_resumed(
+        &mut self,
+        session: CallerSession,
+        from: u32,
+        line: Option<u16>,
+    ) {
         if self.phase == StreamPhase::Over {
             let detail = "the answer is no longer kept";
             self.reject_resume(session, RefusalReason::UnknownRequest, detail);
@@ -26,7 +31,7 @@
             return;
         }
         // Another copy's tokens beyond the common ones must not be mixed with this one's.
-        if line != self.line && from as usize > self.shared_tokens {
+        if line.is_some_and(|line| line != self.line) && from as usize > self.shared_tokens {
             let detail = "the copy of the answer that the caller has is lost";
             self.reject_resume(session, RefusalReason::UnknownRequest, detail);
             return;
--- a/crates/teaselglade-request/src/stream/stream_machine/frame_events.rs
+++ b/crates/teaselglade-request/src/stream/stream_machine/frame_events.rs
@@ -48,7 +48,9 @@
         if self.attempt.as_ref().is_none_or(|attempt| attempt.id != id) {
             return;
         }
-        self.counters.cut_attempts += 1;
+        if self.plan.is_none() {
+            self.counters.cut_attempts += 1;
+        }
         let error = AttemptError::new(SendProgress::MaybeSent, "closed without an end");
         self.on_attempt_failed(now, id, &error);
     }
--- a/crates/teaselglade-request/src/stream/stream_machine/plan_events.rs
+++ b/crates/teaselglade-request/src/stream/stream_machine/plan_events.rs
@@ -34,10 +34,10 @@
         same_server: Option<ServerKey>,
     ) {
         if let Some(plan) = &mut self.plan {
-            // The plan goes on; there is no cache left to move.
             plan.give_up_at = now + self.limits.place_patience;
-            if let PlanStep::MovingKv { target, .. } = plan.step {
-                self.start_attempt(now, target, None);
+            // An export may end the attempt, so the cache may still arrive.
+            if let PlanStep::MovingKv { until, .. } = &mut plan.step {
+                *until = (*until).min(now + self.limits.move_patience);
             }
             return;
         }
--- a/crates/teaselglade-request/tests/support/world.rs
+++ b/crates/teaselglade-request/tests/support/world.rs
@@ -366,13 +366,20 @@
                 self.dispatch(host, caller, server, &call);
             }
             StreamAction::MoveKv {
-                ticket, from, to, ..
+                ticket,
+                attempt,
+                from,
+                to,
             } => {
                 let can_move = |server: ServerKey| {
                     let engine = &self.engines[server.index()];
                     !engine.is_dead && !engine.is_frozen && !engine.refuses_kv
                 };
-                let event = if can_move(from) && can_move(to) {
+                let is_moved = can_move(from) && can_move(to);
+                if can_move(from) {
+                    self.end_run(attempt);
+                }
+                let event = if is_moved {
                     self.moves += 1;
                     let handle = "kv".to_owned();
                     StreamEvent::KvMoved { ticket, handle }
@@ -603,6 +610,20 @@
         self.tell(host, caller, event);
     }
 
+    /// Ends a run without an end frame, as an export of its cache does.
+    fn end_run(&mut self, attempt: AttemptId) {
+        let mut runs = self.runs.iter_mut();
+        let run = runs.find(|run| run.attempt == attempt && !run.is_over);
+        let Some(run) = run else {
+            return;
+        };
+        run.is_over = true;
+        let (host, caller, is_silent) = (run.host, run.caller, run.is_silent);
+        if !is_silent {
+            self.tell(host, caller, StreamEvent::AttemptClosed { attempt });
+        }
+    }
+
     fn cancel(&mut self, attempt: AttemptId) {
         let runs = self.runs.iter_mut();
         let cancelled = runs.filter(|run| run.attempt == attempt && !run.is_silent);
@@ -755,7 +776,7 @@
             StreamEvent::CallerResumed {
                 session,
                 from,
-                line,
+                line: Some(line),
             },
         );
     }
