--- a/crates/teaselglade-net/src/logging/log_format.rs
+++ b/crates/teaselglade-net/src/logging/log_format.rs
@@ -2,7 +2,11 @@
 
 use log::LevelFilter;
 use serde::Deserialize;
-use simplelog::{ColorChoice, Config, ConfigBuilder, TermLogger, TerminalMode, WriteLogger};
+use simplelog::{
+    ColorChoice, CombinedLogger, ConfigBuilder, SharedLogger, TermLogger, TerminalMode,
+};
+
+use super::json_logger::JsonLogger;
 
 /// Form of the log's lines.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Deserialize)]
@@ -17,23 +21,15 @@
 
 /// Starts logging to standard error; a second start in one process changes nothing.
 pub fn start_logging(format: LogFormat, level: LevelFilter) {
-    let logger: Box<dyn simplelog::SharedLogger> = match format {
-        LogFormat::Text => TermLogger::new(
-            level,
-            text_config(),
-            TerminalMode::Stderr,
-            ColorChoice::Never,
-        ),
-        LogFormat::Json => WriteLogger::new(level, json_config(), std::io::stderr()),
+    let logger = match format {
+        LogFormat::Text => text_logger(level),
+        LogFormat::Json => JsonLogger::boxed(level),
     };
     // A logger that is set already stays.
-    let _second_start = simplelog::CombinedLogger::init(vec![logger]);
-}
-
-fn text_config() -> Config {
-    ConfigBuilder::new().set_time_format_rfc3339().build()
+    let _second_start = CombinedLogger::init(vec![logger]);
 }
 
-fn json_config() -> Config {
-    ConfigBuilder::new().set_time_format_rfc3339().build()
+fn text_logger(level: LevelFilter) -> Box<dyn SharedLogger> {
+    let config = ConfigBuilder::new().set_time_format_rfc3339().build();
+    TermLogger::new(level, config, TerminalMode::Stderr, ColorChoice::Never)
 }
--- a/crates/teaselglade/tests/processes/main.rs
+++ b/crates/teaselglade/tests/processes/main.rs
@@ -2,6 +2,7 @@
 
 mod bookings;
 mod faults;
+mod fleet_status;
 mod harness;
 mod interface_page;
 mod whole_path;
