--- /dev/null
+++ b/crates/teaselglade-state/tests/table/fake_log.rs
@@ -0,0 +1,83 @@
+//! Log in memory with retention, outages, lost answers and late appends.
+
+use bytes::Bytes;
+use teaselglade_core::port::{LogError, LogPage, LogRecord};
+use teaselglade_core::time::Timestamp;
+
+/// What the next append meets.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum AppendFault {
+    None,
+    LostAfterEffect,
+    LostBeforeEffect,
+    LostAndLate,
+    Refused,
+}
+
+#[derive(Debug, Default)]
+pub struct FakeLog {
+    pub all: Vec<LogRecord>,
+    pub first: u64,
+    pub is_out: bool,
+    pub late: Vec<Bytes>,
+}
+
+impl FakeLog {
+    pub fn append(
+        &mut self,
+        now: Timestamp,
+        body: Bytes,
+        fault: AppendFault,
+    ) -> Result<u64, LogError> {
+        let detail = "fault".to_owned();
+        if self.is_out || fault == AppendFault::Refused {
+            return Err(LogError::Refused { detail });
+        }
+        match fault {
+            AppendFault::LostBeforeEffect => return Err(LogError::Unknown { detail }),
+            AppendFault::LostAndLate => {
+                self.late.push(body);
+                return Err(LogError::Unknown { detail });
+            }
+            _ => {}
+        }
+        let offset = self.push(now, body);
+        match fault {
+            AppendFault::LostAfterEffect => Err(LogError::Unknown { detail }),
+            _ => Ok(offset),
+        }
+    }
+
+    pub fn push(&mut self, now: Timestamp, body: Bytes) -> u64 {
+        let offset = self.all.len() as u64;
+        self.all.push(LogRecord {
+            offset,
+            appended: now,
+            body,
+        });
+        offset
+    }
+
+    pub fn land_late(&mut self, now: Timestamp) {
+        for body in std::mem::take(&mut self.late) {
+            self.push(now, body);
+        }
+    }
+
+    pub fn read(&self, from: u64, most: usize) -> Option<LogPage> {
+        if self.is_out {
+            return None;
+        }
+        let start = from.max(self.first) as usize;
+        let records = self.all.iter().skip(start).take(most);
+        Some(LogPage {
+            first: self.first,
+            end: self.all.len() as u64,
+            records: records.cloned().collect(),
+        })
+    }
+
+    pub fn drop_records(&mut self, count: u64) {
+        self.first = (self.first + count).min(self.all.len() as u64);
+    }
+}
--- /dev/null
+++ b/crates/teaselglade-state/tests/table/keeping.rs
@@ -0,0 +1,116 @@
+//! A late reader always finds a snapshot to start from.
+
+use std::time::Duration;
+
+use proptest::prelude::*;
+use teaselglade_core::port::LogRecord;
+use teaselglade_core::time::Timestamp;
+use teaselglade_state::table::{KeeperDecision, SnapshotKeeper, TableReplica};
+
+use super::fake_log::{AppendFault, FakeLog};
+use super::support::{CLUSTER, ReferenceReplay, body, publication, read_to_end, valid_csv};
+
+const RETENTION: Duration = Duration::from_hours(2);
+const OUTAGE: Duration = Duration::from_hours(1);
+const STEP: Duration = Duration::from_mins(1);
+const LATE_READER_STEPS: u64 = 7;
+const SPAN: Duration = Duration::from_hours(8);
+
+#[derive(Debug)]
+struct KeeperHost {
+    replica: TableReplica,
+    keeper: SnapshotKeeper,
+}
+
+impl KeeperHost {
+    fn new(seed: u64) -> Self {
+        Self {
+            replica: TableReplica::new(CLUSTER),
+            keeper: SnapshotKeeper::new(RETENTION, seed),
+        }
+    }
+
+    fn step(&mut self, now: Timestamp, log: &mut FakeLog, fault: AppendFault) {
+        read_to_end(&mut self.replica, log);
+        if let KeeperDecision::Append { body } = self.keeper.decide(now, &self.replica) {
+            let answer = log.append(now, body, fault);
+            drop(answer);
+        }
+    }
+}
+
+fn drop_old_records(log: &mut FakeLog, now: Timestamp) {
+    let is_old = |record: &&LogRecord| now - record.appended > RETENTION;
+    let dropped = log.all.iter().take_while(is_old).count() as u64;
+    log.first = log.first.max(dropped);
+}
+
+fn run(outage_start: u64, publish_every: u64, losses: &[bool], with_keepers: bool) -> u64 {
+    let mut log = FakeLog::default();
+    let mut hosts = (0..3).map(KeeperHost::new).collect::<Vec<_>>();
+    let mut now = Timestamp::ZERO;
+    let mut published = 0;
+    let mut reference = ReferenceReplay::new();
+    for step in 0..SPAN.as_secs() / STEP.as_secs() {
+        now = now + STEP;
+        let outage = Timestamp::ZERO + Duration::from_secs(outage_start);
+        log.is_out = now >= outage && now < outage + OUTAGE;
+        drop_old_records(&mut log, now);
+        if !log.is_out && step % publish_every == 0 && step < 400 {
+            reference.extend(&log.all);
+            let base = reference.head().0;
+            let change = publication(&format!("p{step}"), base, &valid_csv(step));
+            log.push(now, body(change));
+            published += 1;
+        }
+        let is_lost = losses[step as usize % losses.len()];
+        let fault = if is_lost {
+            AppendFault::LostBeforeEffect
+        } else {
+            AppendFault::None
+        };
+        if with_keepers {
+            for host in &mut hosts {
+                host.step(now, &mut log, fault);
+            }
+        }
+        if step % 100 == 99 {
+            hosts[(step / 100) as usize % 3] = KeeperHost::new(step);
+        }
+        if !log.is_out && step % LATE_READER_STEPS == 0 {
+            let mut late = TableReplica::new(CLUSTER);
+            read_to_end(&mut late, &log);
+            assert!(late.is_caught_up(), "no anchor at {now:?}");
+            reference.extend(&log.all);
+            assert_eq!(late.head().version, reference.head().0);
+        }
+    }
+    log.all.len() as u64 - published
+}
+
+proptest! {
+    #[test]
+    fn late_reader_finds_the_head_over_outages_and_losses(
+        outage_start in 0_u64..24_000,
+        publish_every in 1_u64..200,
+        losses in prop::collection::vec(prop::bool::weighted(0.3), 1..20),
+    ) {
+        run(outage_start, publish_every, &losses, true);
+    }
+}
+
+#[test]
+fn quiet_hour_costs_few_snapshots() {
+    let snapshots = run(20_000, 250, &[false], true);
+    let quarters = SPAN.as_secs() / (RETENTION.as_secs() / 4) + 10;
+    assert!(
+        snapshots <= quarters * 2,
+        "{snapshots} snapshots in 8 hours"
+    );
+}
+
+#[test]
+#[should_panic(expected = "no anchor")]
+fn without_keepers_a_late_reader_finds_nothing() {
+    run(20_000, 250, &[false], false);
+}
--- /dev/null
+++ b/crates/teaselglade-state/tests/table/publishing.rs
@@ -0,0 +1,207 @@
+//! What a publisher reports is what the log decided.
+
+use proptest::prelude::*;
+use std::time::Duration;
+use teaselglade_core::time::Timestamp;
+use teaselglade_state::table::{
+    PublicationRejection, PublishOutcome, PublisherAction, PublisherEvent, TablePublisher,
+    TableReplica, table_changes,
+};
+
+use super::fake_log::{AppendFault, FakeLog};
+use super::support::{CLUSTER, ReferenceReplay, body, publication, valid_csv};
+
+#[derive(Debug, Clone)]
+enum Step {
+    Advance {
+        publisher: usize,
+        fault: AppendFault,
+    },
+    LandLate,
+    Outage {
+        is_out: bool,
+    },
+    Drop {
+        count: u64,
+    },
+    Wait {
+        millis: u64,
+    },
+}
+
+fn steps() -> impl Strategy<Value = Vec<Step>> {
+    let fault = prop_oneof![
+        3 => Just(AppendFault::None),
+        2 => Just(AppendFault::LostAfterEffect),
+        2 => Just(AppendFault::LostBeforeEffect),
+        2 => Just(AppendFault::LostAndLate),
+        1 => Just(AppendFault::Refused),
+    ];
+    let step = prop_oneof![
+        12 => (0_usize..4, fault)
+            .prop_map(|(publisher, fault)| Step::Advance { publisher, fault }),
+        2 => Just(Step::LandLate),
+        1 => any::<bool>().prop_map(|is_out| Step::Outage { is_out }),
+        1 => (1_u64..3).prop_map(|count| Step::Drop { count }),
+        3 => (100_u64..4_000).prop_map(|millis| Step::Wait { millis }),
+    ];
+    prop::collection::vec(step, 1..160)
+}
+
+#[derive(Debug)]
+struct Operator {
+    id: String,
+    publisher: TablePublisher,
+    action: Option<PublisherAction>,
+    outcome: Option<PublishOutcome>,
+}
+
+impl Operator {
+    fn new(number: usize) -> Self {
+        let id = format!("p{number}");
+        let base = number as u64 / 3;
+        let change = publication(&id, base, &valid_csv(number as u64));
+        let mut publisher = TablePublisher::new(TableReplica::new(CLUSTER), change);
+        let actions = publisher.on_event(Timestamp::ZERO, PublisherEvent::Start);
+        Self {
+            id,
+            publisher,
+            action: actions.into_iter().next(),
+            outcome: None,
+        }
+    }
+
+    /// Carries out the outstanding action and hands its result in.
+    fn advance(&mut self, now: Timestamp, log: &mut FakeLog, fault: AppendFault) {
+        let event = match self.action.clone() {
+            Some(PublisherAction::Read { from }) => log
+                .read(from, 3)
+                .map_or(PublisherEvent::ReadFailed, PublisherEvent::PageRead),
+            Some(PublisherAction::Append { body }) => {
+                PublisherEvent::Appended(log.append(now, body, fault))
+            }
+            Some(PublisherAction::WakeAt(at)) if now >= at => PublisherEvent::Wake,
+            _ => return,
+        };
+        let actions = self.publisher.on_event(now, event);
+        self.action = actions.into_iter().next();
+        if let Some(PublisherAction::Finish(outcome)) = &self.action {
+            self.outcome = Some(outcome.clone());
+        }
+    }
+}
+
+fn check(operator: &Operator, log: &FakeLog) -> Result<(), TestCaseError> {
+    let replay = ReferenceReplay::of(&log.all);
+    let version = replay.heads().iter().find(|(_, id)| *id == operator.id);
+    let version = version.map(|(version, _)| *version);
+    match operator.outcome.as_ref().expect("every publisher ends") {
+        PublishOutcome::Accepted { version: told } => prop_assert_eq!(Some(*told), version),
+        PublishOutcome::Rejected(_) => prop_assert_eq!(None, version),
+        PublishOutcome::NotAppended => {
+            let needle = format!("\"{}\"", operator.id);
+            let is_in_log = |record: &teaselglade_core::port::LogRecord| {
+                String::from_utf8_lossy(&record.body).contains(&needle)
+            };
+            prop_assert!(!log.all.iter().any(is_in_log));
+        }
+        PublishOutcome::Unresolved => {}
+    }
+    Ok(())
+}
+
+proptest! {
+    #[test]
+    fn outcome_is_what_the_log_decided(steps in steps()) {
+        let mut now = Timestamp::ZERO;
+        let mut log = FakeLog::default();
+        let mut operators = (0..4).map(Operator::new).collect::<Vec<_>>();
+        for step in steps {
+            match step {
+                Step::Advance { publisher, fault } => {
+                    operators[publisher].advance(now, &mut log, fault);
+                }
+                Step::LandLate => log.land_late(now),
+                Step::Outage { is_out } => log.is_out = is_out,
+                Step::Drop { count } => log.drop_records(count),
+                Step::Wait { millis } => now = now + Duration::from_millis(millis),
+            }
+        }
+        log.is_out = false;
+        while operators.iter().any(|operator| operator.outcome.is_none()) {
+            now = now + Duration::from_millis(100);
+            for operator in &mut operators {
+                operator.advance(now, &mut log, AppendFault::None);
+            }
+        }
+        log.land_late(now);
+        for operator in &operators {
+            check(operator, &log)?;
+        }
+    }
+}
+
+fn publish(log: &mut FakeLog, id: &str, base: u64, csv: &str) -> (PublishOutcome, Duration) {
+    let change = publication(id, base, csv);
+    let publisher = TablePublisher::new(TableReplica::new(CLUSTER), change);
+    let mut operator = Operator {
+        id: id.to_owned(),
+        publisher,
+        action: None,
+        outcome: None,
+    };
+    let start = operator
+        .publisher
+        .on_event(Timestamp::ZERO, PublisherEvent::Start);
+    operator.action = start.into_iter().next();
+    let mut now = Timestamp::ZERO;
+    while operator.outcome.is_none() {
+        operator.advance(now, log, AppendFault::None);
+        now = now + Duration::from_millis(50);
+    }
+    (operator.outcome.expect("ended"), now - Timestamp::ZERO)
+}
+
+#[test]
+fn loser_of_a_race_sees_the_winners_change() {
+    let mut log = FakeLog::default();
+    log.push(Timestamp::ZERO, body(publication("p1", 0, &valid_csv(1))));
+    log.push(Timestamp::ZERO, body(publication("p2", 1, &valid_csv(2))));
+    let (outcome, _) = publish(&mut log, "p3", 1, &valid_csv(3));
+    let PublishOutcome::Rejected(PublicationRejection::StaleBase {
+        winner: Some(winner),
+        head,
+    }) = outcome
+    else {
+        panic!("unexpected outcome {outcome:?}");
+    };
+    assert_eq!((winner.version, head), (2, 2));
+    let changes = table_changes(&valid_csv(1), &winner.csv);
+    insta::assert_snapshot!(changes[0].to_string(), @r"
+    - organisation,halloran,2
+    + organisation,halloran,3
+    ");
+    assert_eq!(log.all.len(), 2, "a stale base costs no append");
+}
+
+#[test]
+fn faulty_table_is_rejected_before_the_append() {
+    let mut log = FakeLog::default();
+    let (outcome, _) = publish(&mut log, "p1", 0, "kind,name\nnonsense,x\n");
+    let is_invalid = matches!(
+        outcome,
+        PublishOutcome::Rejected(PublicationRejection::InvalidTable { .. })
+    );
+    assert!(is_invalid);
+    assert!(log.all.is_empty());
+}
+
+#[test]
+fn outage_ends_as_not_appended() {
+    let mut log = FakeLog {
+        is_out: true,
+        ..FakeLog::default()
+    };
+    let (outcome, _) = publish(&mut log, "p1", 0, &valid_csv(1));
+    assert_eq!(outcome, PublishOutcome::NotAppended);
+}
--- /dev/null
+++ b/crates/teaselglade-state/tests/table_scenarios/main.rs
@@ -0,0 +1,29 @@
+//! Scripted scenarios of the table, compared with snapshots.
+
+#[path = "../table/fake_log.rs"]
+mod fake_log;
+mod table_stage;
+
+use std::path::Path;
+
+use teaselglade_scenario::parse_scenario;
+
+use table_stage::TableStage;
+
+fn run_scenario(path: &Path) -> datatest_stable::Result<()> {
+    let text = std::fs::read_to_string(path)?;
+    let mut stage = TableStage::default();
+    for step in parse_scenario(&text)? {
+        stage.perform(&step)?;
+    }
+    let name = path.file_stem().ok_or("a scenario has a name")?;
+    let mut settings = insta::Settings::clone_current();
+    settings.set_prepend_module_to_snapshot(false);
+    settings.set_snapshot_path("../scenarios/table/snapshots");
+    settings.bind(|| insta::assert_snapshot!(name.to_string_lossy().as_ref(), stage.trace()));
+    Ok(())
+}
+
+datatest_stable::harness! {
+    { test = run_scenario, root = "tests/scenarios/table", pattern = r".*\.scenario$" },
+}
--- /dev/null
+++ b/crates/teaselglade-state/tests/table_scenarios/table_stage.rs
@@ -0,0 +1,187 @@
+//! Meaning of the table scenarios' verbs.
+//!
+//! `publish ID base=N author=NAME weight=N fault=lost|late|dropped|refused` appends a publication;
+//! `read HOST most=N` reads a page; `keep HOST` takes a snapshot and appends it, `keep HOST late=ID`
+//! holds it until `land ID`; `drop N` lets retention run; `peer FROM TO` hands a head over;
+//! `show HOST` and `history HOST` write to the trace.
+
+use std::collections::BTreeMap;
+use std::fmt::Write as _;
+
+use bytes::Bytes;
+use teaselglade_core::time::Timestamp;
+use teaselglade_scenario::{Result, ScenarioStep};
+use teaselglade_state::table::{PublicationEntry, PublicationOutcome, TableReplica, encode_record};
+use teaselglade_wire::{TablePublication, TableRecord};
+
+use super::fake_log::{AppendFault, FakeLog};
+
+const CLUSTER: &str = "halloran";
+
+#[derive(Debug, Default)]
+pub struct TableStage {
+    log: FakeLog,
+    hosts: BTreeMap<String, TableReplica>,
+    held: BTreeMap<String, Bytes>,
+    trace: String,
+}
+
+impl TableStage {
+    pub fn trace(&self) -> &str {
+        &self.trace
+    }
+
+    pub fn perform(&mut self, step: &ScenarioStep) -> Result<()> {
+        let now = Timestamp::ZERO + step.at;
+        match step.verb.as_str() {
+            "publish" => self.publish(now, step),
+            "late" => {
+                self.log.land_late(now);
+                Ok(())
+            }
+            "read" => self.read(step),
+            "keep" => self.keep(now, step),
+            "land" => self.land(now, step),
+            "drop" => {
+                let count = step.word(0)?.parse();
+                self.log
+                    .drop_records(count.map_err(|_error| step.fault("a count"))?);
+                Ok(())
+            }
+            "outage" => {
+                self.log.is_out = step.word(0)? == "on";
+                Ok(())
+            }
+            "peer" => self.peer(step),
+            "show" => self.show(step),
+            "history" => self.history(step),
+            other => Err(step.fault(format!("unknown verb `{other}`"))),
+        }
+    }
+
+    fn publish(&mut self, now: Timestamp, step: &ScenarioStep) -> Result<()> {
+        let id = step.word(0)?.to_owned();
+        let weight = step.value::<String>("weight")?;
+        let publication = TablePublication {
+            cluster: step.opt_value("cluster")?.unwrap_or(CLUSTER.to_owned()),
+            base: step.value("base")?,
+            author: step.value("author")?,
+            csv: format!("kind,name,weight\norganisation,halloran,{weight}\n"),
+            published_ms: now.as_millis(),
+            id: id.clone(),
+        };
+        let fault = match step.opt_value::<String>("fault")?.as_deref() {
+            None => AppendFault::None,
+            Some("lost") => AppendFault::LostAfterEffect,
+            Some("late") => AppendFault::LostAndLate,
+            Some("dropped") => AppendFault::LostBeforeEffect,
+            Some("refused") => AppendFault::Refused,
+            Some(other) => return Err(step.fault(format!("unknown fault `{other}`"))),
+        };
+        let record = TableRecord::Publication(publication);
+        let body = encode_record(&record).map_err(|error| step.fault(error.to_string()))?;
+        let answer = match self.log.append(now, body, fault) {
+            Ok(offset) => format!("offset {offset}"),
+            Err(error) => error.to_string(),
+        };
+        self.note(step, &format!("{id}: {answer}"));
+        Ok(())
+    }
+
+    fn read(&mut self, step: &ScenarioStep) -> Result<()> {
+        let most = step.opt_value("most")?.unwrap_or(100);
+        let log = &self.log;
+        let host = step.word(0)?.to_owned();
+        let replica = self
+            .hosts
+            .entry(host.clone())
+            .or_insert_with(|| TableReplica::new(CLUSTER));
+        let Some(page) = log.read(replica.next_offset(), most) else {
+            self.note(step, &format!("{host}: the log is out"));
+            return Ok(());
+        };
+        let outcomes = replica.on_page(&page);
+        let line = format!("{host}: {outcomes:?}");
+        self.note(step, &line);
+        Ok(())
+    }
+
+    fn keep(&mut self, now: Timestamp, step: &ScenarioStep) -> Result<()> {
+        let record = TableRecord::Snapshot(self.host(step, 0)?.to_snapshot());
+        let body = encode_record(&record).map_err(|error| step.fault(error.to_string()))?;
+        match step.opt_value::<String>("late")? {
+            Some(id) => {
+                self.held.insert(id, body);
+            }
+            None => {
+                self.log.push(now, body);
+            }
+        }
+        Ok(())
+    }
+
+    fn land(&mut self, now: Timestamp, step: &ScenarioStep) -> Result<()> {
+        let body = self.held.remove(step.word(0)?);
+        let body = body.ok_or_else(|| step.fault("no such snapshot"))?;
+        self.log.push(now, body);
+        Ok(())
+    }
+
+    fn peer(&mut self, step: &ScenarioStep) -> Result<()> {
+        let snapshot = self.host(step, 0)?.to_snapshot();
+        let replica = self
+            .hosts
+            .entry(step.word(1)?.to_owned())
+            .or_insert_with(|| TableReplica::new(CLUSTER));
+        let is_raised = replica.on_peer_head(snapshot);
+        self.note(step, &format!("raised: {is_raised}"));
+        Ok(())
+    }
+
+    fn show(&mut self, step: &ScenarioStep) -> Result<()> {
+        let replica = self.host(step, 0)?;
+        let head = replica.head();
+        let line = format!(
+            "{}: version {} by `{}`, caught up: {}, anchored: {}",
+            step.word(0)?,
+            head.version,
+            head.author,
+            replica.is_caught_up(),
+            replica.is_anchored(),
+        );
+        self.note(step, &line);
+        Ok(())
+    }
+
+    fn history(&mut self, step: &ScenarioStep) -> Result<()> {
+        let lines = self.host(step, 0)?.history().map(entry_line);
+        let lines = lines.collect::<Vec<_>>();
+        for line in lines {
+            self.note(step, &line);
+        }
+        Ok(())
+    }
+
+    fn host(&self, step: &ScenarioStep, word: usize) -> Result<&TableReplica> {
+        let host = self.hosts.get(step.word(word)?);
+        host.ok_or_else(|| step.fault("the host has read nothing"))
+    }
+
+    fn note(&mut self, step: &ScenarioStep, line: &str) {
+        writeln!(self.trace, "{:>6}ms {line}", step.at.as_millis()).expect("strings take text");
+    }
+}
+
+fn entry_line(entry: &PublicationEntry) -> String {
+    let outcome = match &entry.outcome {
+        PublicationOutcome::Accepted { version } => format!("accepted as version {version}"),
+        PublicationOutcome::Rejected(rejection) => format!("rejected: {rejection}"),
+    };
+    format!(
+        "{} by `{}` on base {} at {}ms: {outcome}",
+        entry.id,
+        entry.author,
+        entry.base,
+        entry.published.as_millis()
+    )
+}
