feat(control): plan hosts, engines, loads and drains as desired states

Cause: reclaimed hosts have to be replaced, engines loaded and planned removals drained by whichever control daemon holds the lease, with nothing done twice after a lost answer. Ruled out: tokens drawn by the ordering process (a lost answer plus a takeover orders again); orders kept in a stream of ours (the cloud API's list says the same); one owner per service (a data centre's loss would stop its replacements). Change: an order's token is service, slot and generation, derived from the cloud API's list, so that every process makes the same order; list and engines are read back before anything is repeated; spending counts missing slots of other zones at the highest price; engine orders carry the lease's number; engines that ignore numbers are read every 10 s and corrected.

--- /dev/null
+++ b/crates/teaselglade-state/src/control/control_limits.rs
@@ -0,0 +1,63 @@
+//! Times and bounds of the control role.
+
+use std::time::Duration;
+
+/// Times and bounds of the control role.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct ControlLimits {
+    /// Most host orders without an answer.
+    pub open_orders: usize,
+    /// Most calls to engines without an answer.
+    pub open_engine_calls: usize,
+    /// Age from which a list of hosts is too old to order by.
+    pub view_age: Duration,
+    /// Time between two reads of the host list.
+    pub hosts_interval: Duration,
+    /// Time between two reads of the cloud API's hosts.
+    pub cloud_interval: Duration,
+    /// Time between two reads of the notices.
+    pub notices_interval: Duration,
+    /// Time between two reads of an engine that refuses old numbers.
+    pub fenced_interval: Duration,
+    /// Time between two reads of an engine that ignores numbers.
+    pub unfenced_interval: Duration,
+    /// Time after a takeover in which engines that ignore numbers get no order.
+    pub unfenced_wait: Duration,
+    /// Time between two load reports of one server.
+    pub report_interval: Duration,
+    /// Time between two load reports of a server that drains.
+    pub drain_interval: Duration,
+    /// Back-off after the first refusal of an offer.
+    pub first_back_off: Duration,
+    /// Longest back-off.
+    pub longest_back_off: Duration,
+    /// Time in which an offer is avoided after one of its hosts got a notice.
+    pub reclaim_back_off: Duration,
+    /// Time without a place in the host list after which a host counts as failed.
+    pub absent_limit: Duration,
+    /// Time after its deadline at which a notice is forgotten.
+    pub notice_memory: Duration,
+}
+
+impl Default for ControlLimits {
+    fn default() -> Self {
+        Self {
+            open_orders: 8,
+            open_engine_calls: 16,
+            view_age: Duration::from_secs(30),
+            hosts_interval: Duration::from_secs(3),
+            cloud_interval: Duration::from_secs(5),
+            notices_interval: Duration::from_secs(1),
+            fenced_interval: Duration::from_mins(1),
+            unfenced_interval: Duration::from_secs(10),
+            unfenced_wait: Duration::from_secs(5),
+            report_interval: Duration::from_secs(30),
+            drain_interval: Duration::from_secs(2),
+            first_back_off: Duration::from_secs(5),
+            longest_back_off: Duration::from_mins(5),
+            reclaim_back_off: Duration::from_mins(1),
+            absent_limit: Duration::from_mins(5),
+            notice_memory: Duration::from_hours(1),
+        }
+    }
+}
--- /dev/null
+++ b/crates/teaselglade-state/tests/control/hosts.rs
@@ -0,0 +1,154 @@
+//! Hosts are ordered, replaced and given back.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use teaselglade_core::port::HostPurchase;
+use teaselglade_core::table::parse_table;
+use teaselglade_state::control::HostOffer;
+
+use crate::fleet::{CallFaults, Fleet};
+use crate::platform::{FakeHost, Platform};
+
+const MINUTE: Duration = Duration::from_mins(1);
+
+fn offer(zone: &str, purchase: HostPurchase, cents_per_hour: f64) -> HostOffer {
+    HostOffer {
+        zone: zone.to_owned(),
+        class: "l4".to_owned(),
+        purchase,
+        cents_per_hour,
+    }
+}
+
+/// Fleet of one zone with one service.
+fn fleet(columns: &str, values: &str) -> Fleet {
+    let text = format!(
+        "kind,name,first_token_ms,token_gap_ms,{columns}\nmodel,draft-fleet,360,47,{values}\n"
+    );
+    let platform = Platform {
+        table: parse_table(&text).unwrap_or_default(),
+        offers: vec![
+            offer("galway", HostPurchase::Reclaimable, 60.0),
+            offer("galway", HostPurchase::OnDemand, 160.0),
+        ],
+        entry_zones: BTreeSet::from(["galway".to_owned()]),
+        ..Platform::default()
+    };
+    let mut fleet = Fleet::new(platform, 7);
+    fleet.gain("galway", 1);
+    fleet
+}
+
+fn purchases(fleet: &Fleet, purchase: HostPurchase) -> usize {
+    let staying = fleet.platform.staying("draft-fleet");
+    let bought = |host: &&&FakeHost| host.order.purchase == purchase;
+    staying.iter().filter(bought).count()
+}
+
+fn refuse(fleet: &mut Fleet, purchase: HostPurchase) {
+    let kind = ("galway".to_owned(), "l4".to_owned(), purchase);
+    fleet.platform.refused.insert(kind);
+}
+
+#[test]
+fn reclaimable_hosts_are_ordered_first() {
+    let mut fleet = fleet("min_servers", "3");
+    fleet.run(MINUTE);
+    assert_eq!(purchases(&fleet, HostPurchase::Reclaimable), 3);
+    assert_eq!(purchases(&fleet, HostPurchase::OnDemand), 0);
+}
+
+#[test]
+fn on_demand_hosts_are_ordered_where_reclaimable_ones_are_refused() {
+    let mut fleet = fleet("min_servers", "3");
+    refuse(&mut fleet, HostPurchase::Reclaimable);
+    fleet.run(MINUTE);
+    assert_eq!(purchases(&fleet, HostPurchase::OnDemand), 3);
+}
+
+#[test]
+fn refused_orders_back_off() {
+    let mut fleet = fleet("min_servers", "1");
+    refuse(&mut fleet, HostPurchase::Reclaimable);
+    refuse(&mut fleet, HostPurchase::OnDemand);
+    fleet.run(MINUTE * 60);
+    // Each offer: waits double from 2.5 s at least to 150 s at least, so under 32 tries an hour.
+    assert!(fleet.orders_sent <= 2 * 32, "{} orders", fleet.orders_sent);
+}
+
+#[test]
+fn spending_limit_holds_back_orders() {
+    let mut fleet = fleet("min_servers,spend_cents_per_hour", "5,200");
+    fleet.run(MINUTE);
+    // Three reclaimable hosts cost 180 cents; a fourth would cost 240.
+    assert_eq!(fleet.platform.staying("draft-fleet").len(), 3);
+}
+
+#[test]
+fn hosts_outside_of_what_the_row_permits_are_not_ordered() {
+    let mut fleet = fleet("min_servers,classes", "2,h100");
+    fleet.run(MINUTE);
+    assert!(fleet.platform.hosts.is_empty());
+}
+
+#[test]
+fn every_answer_lost_starts_no_host_twice() {
+    let mut fleet = fleet("min_servers", "4");
+    fleet.faults = CallFaults {
+        lost_answers: 0.5,
+        ..CallFaults::default()
+    };
+    fleet.run(MINUTE * 5);
+    assert_eq!(fleet.platform.hosts.len(), 4);
+}
+
+#[test]
+fn noticed_host_is_replaced_before_it_is_gone() {
+    let mut fleet = fleet("min_servers", "2");
+    fleet.run(MINUTE);
+    fleet.platform.notice(0, MINUTE);
+    fleet.run(Duration::from_secs(5));
+    assert_eq!(fleet.platform.staying("draft-fleet").len(), 2);
+}
+
+#[test]
+fn surplus_host_is_drained_before_it_is_given_back() {
+    let mut fleet = fleet("min_servers,fenced", "3,yes");
+    fleet.run(MINUTE * 2);
+    fleet.platform.hosts[2].running = 1;
+    let text = "kind,name,first_token_ms,token_gap_ms,min_servers,fenced
+model,draft-fleet,360,47,2,yes
+";
+    fleet.platform.table = parse_table(text).unwrap_or_default();
+    fleet.publish();
+    fleet.run(MINUTE);
+    let host = &fleet.platform.hosts[2];
+    assert!(host.engine.goal.drain && host.ends.is_none());
+    fleet.platform.hosts[2].running = 0;
+    fleet.run(MINUTE);
+    assert!(fleet.platform.hosts[2].ends.is_some());
+    assert_eq!(fleet.platform.staying("draft-fleet").len(), 2);
+}
+
+#[test]
+fn dead_host_is_given_back_and_replaced() {
+    let mut fleet = fleet("min_servers", "4");
+    fleet.run(MINUTE);
+    fleet.platform.hosts[1].dead = true;
+    fleet.run(MINUTE * 6);
+    assert!(fleet.platform.hosts[1].ends.is_some());
+    let staying = fleet.platform.staying("draft-fleet");
+    assert_eq!(staying.iter().filter(|host| !host.dead).count(), 4);
+}
+
+#[test]
+fn empty_host_list_gives_no_host_back() {
+    let mut fleet = fleet("min_servers", "4");
+    fleet.run(MINUTE);
+    for host in &mut fleet.platform.hosts {
+        host.dead = true;
+    }
+    fleet.run(MINUTE * 30);
+    assert!(fleet.platform.hosts.iter().all(|host| host.ends.is_none()));
+}
--- /dev/null
+++ b/crates/teaselglade-state/tests/control/main.rs
@@ -0,0 +1,7 @@
+//! Tests of the control role.
+
+mod engines;
+mod fleet;
+mod hosts;
+mod platform;
+mod properties;
