--- a/crates/teaselglade/tests/processes/main.rs
+++ b/crates/teaselglade/tests/processes/main.rs
@@ -1,5 +1,7 @@
 //! Tests over separate processes: stand-ins, entry daemons and control daemons.
 
+mod bookings;
 mod faults;
 mod harness;
+mod interface_page;
 mod whole_path;
