feat(control): add the control daemon

Cause: lease, planner and audit trail need a process that carries out what they ask for. Change: one task owns the machines; every call runs on its own and checks the lease's time last of all before it is sent; a withheld call is answered like one whose answer was lost. The clock also counts time in which the host was suspended, which the monotonic clock leaves out.

--- /dev/null
+++ b/crates/teaselglade-control/src/daemon/operator_routes.rs
@@ -0,0 +1,40 @@
+//! Routes for operators.
+
+use std::sync::Arc;
+
+use teaselglade_net::server::{text_answer, with_state};
+use viz::{Response, Router};
+
+use crate::metrics::ControlMetrics;
+
+/// Makes the routes for operators.
+pub(super) fn operator_router(metrics: &Arc<ControlMetrics>) -> Router {
+    Router::new()
+        .get(
+            "/healthz",
+            with_state(metrics, |_metrics, _request| health()),
+        )
+        .get(
+            "/readyz",
+            with_state(metrics, |metrics, _request| readiness(metrics)),
+        )
+        .get(
+            "/metrics",
+            with_state(metrics, |metrics, _request| render(metrics)),
+        )
+}
+
+async fn health() -> Response {
+    text_answer(200, "ok\n")
+}
+
+async fn readiness(metrics: Arc<ControlMetrics>) -> Response {
+    if metrics.table_version.get() > 0 {
+        return text_answer(200, "ready\n");
+    }
+    text_answer(503, "no table yet\n")
+}
+
+async fn render(metrics: Arc<ControlMetrics>) -> Response {
+    text_answer(200, metrics.render())
+}
--- /dev/null
+++ b/crates/teaselglade-control/src/metrics/mod.rs
@@ -0,0 +1,5 @@
+//! Counters of the control daemon.
+
+mod control_metrics;
+
+pub(crate) use control_metrics::ControlMetrics;
--- /dev/null
+++ b/crates/teaselglade-control/src/settings/control_settings.rs
@@ -0,0 +1,120 @@
+//! Settings of one control daemon.
+
+use std::net::SocketAddr;
+use std::path::Path;
+use std::time::Duration;
+
+use log::LevelFilter;
+use teaselglade_net::logging::LogFormat;
+use teaselglade_settings::{Result, SettingsDocument, SettingsObject};
+use teaselglade_state::control::{EngineProfile, HostOffer};
+use teaselglade_state::lease::LeaseTerms;
+
+use super::fleet_settings::{read_offer, read_profile};
+use super::lease_settings::read_terms;
+
+const DEFAULT_RETENTION: Duration = Duration::from_hours(24);
+
+/// Settings of one control daemon.
+///
+/// # Examples
+///
+/// ```
+/// use teaselglade_control::ControlSettings;
+///
+/// let text = r#"{
+///     "host": "galway-e1", "zone": "galway", "cluster": "corrib",
+///     "control": "127.0.0.1:8082",
+///     "log": "127.0.0.1:9001", "host_list": "127.0.0.1:9002", // the platform
+///     "cloud": "127.0.0.1:9003", "weights": "127.0.0.1:9004",
+///     "offers": [
+///         { "zone": "galway", "class": "l4", "purchase": "reclaimable", "cents_per_hour": 60 },
+///     ],
+/// }"#;
+/// let settings = ControlSettings::from_text("control.jsonc", text)?;
+/// assert_eq!(settings.offers.len(), 1);
+/// # Ok::<(), teaselglade_settings::SettingsError>(())
+/// ```
+#[derive(Debug, Clone, PartialEq)]
+pub struct ControlSettings {
+    /// Name of this host.
+    pub host: String,
+    /// Data centre of this host.
+    pub zone: String,
+    /// Name of the cluster.
+    pub cluster: String,
+    /// Address for operators: health, readiness and counters.
+    pub control: SocketAddr,
+    /// Address of the platform's log.
+    pub log: SocketAddr,
+    /// Address of the platform's host list.
+    pub host_list: SocketAddr,
+    /// Address of the cloud API.
+    pub cloud: SocketAddr,
+    /// Address of the weight store.
+    pub weights: SocketAddr,
+    /// Kinds of host that can be ordered.
+    pub offers: Vec<HostOffer>,
+    /// What engines hold; a service without one holds the model of its name.
+    pub profiles: Vec<EngineProfile>,
+    /// Times of the lease.
+    pub lease: LeaseTerms,
+    /// How long the log keeps records.
+    pub retention: Duration,
+    /// Form of the log lines.
+    pub log_format: LogFormat,
+    /// Least level of the log lines.
+    pub log_level: LevelFilter,
+}
+
+impl ControlSettings {
+    /// Reads a settings file.
+    ///
+    /// # Errors
+    ///
+    /// Returns every fault of the file.
+    pub fn from_file(path: impl AsRef<Path>) -> Result<Self> {
+        SettingsDocument::from_file(path)?.read(read_settings)
+    }
+
+    /// Reads settings from a text.
+    ///
+    /// # Errors
+    ///
+    /// Returns every fault of the text.
+    pub fn from_text(file: impl Into<String>, text: impl Into<String>) -> Result<Self> {
+        SettingsDocument::from_text(file, text).read(read_settings)
+    }
+}
+
+fn read_settings(root: &SettingsObject<'_>) -> ControlSettings {
+    ControlSettings {
+        host: root.string("host"),
+        zone: root.string("zone"),
+        cluster: root.string("cluster"),
+        control: root.address("control"),
+        log: root.address("log"),
+        host_list: root.address("host_list"),
+        cloud: root.address("cloud"),
+        weights: root.address("weights"),
+        offers: root.objects("offers", read_offer),
+        profiles: root.objects("profiles", read_profile),
+        lease: root.object("lease", read_terms).unwrap_or_default(),
+        retention: root.opt_millis("retention_ms").unwrap_or(DEFAULT_RETENTION),
+        log_format: log_format(root),
+        log_level: root
+            .opt_parsed("log_level", "one of `error`, `warn`, `info`, `debug`")
+            .unwrap_or(LevelFilter::Info),
+    }
+}
+
+fn log_format(root: &SettingsObject<'_>) -> LogFormat {
+    match root.opt_string("log_format").as_deref() {
+        None | Some("text") => LogFormat::Text,
+        Some("json") => LogFormat::Json,
+        Some(_) => {
+            root.reject("log_format", "expected `text` or `json`");
+            LogFormat::Text
+        }
+    }
+}
--- /dev/null
+++ b/crates/teaselglade-control/src/work/control_calls.rs
@@ -0,0 +1,145 @@
+//! Makes the calls that the planner asks for, while the lease's time lasts.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use teaselglade_core::port::{CloudError, EngineError};
+use teaselglade_state::control::{ControlAction, ControlEvent};
+
+use super::{ControlPorts, TermCell};
+use crate::metrics::ControlMetrics;
+
+/// Time before a reservation is asked for again that was not sent.
+const WITHHELD_RETRY: Duration = Duration::from_secs(1);
+
+/// What a call of the planner needs.
+#[derive(Debug, Clone)]
+pub(super) struct CallContext {
+    pub(super) ports: Arc<ControlPorts>,
+    pub(super) metrics: Arc<ControlMetrics>,
+    pub(super) term: Arc<TermCell>,
+}
+
+impl CallContext {
+    /// Makes the call and returns its answer, where it has one.
+    ///
+    /// The lease's time is checked last of all before the call. A call that is withheld is
+    /// answered like one whose answer was lost, so that the planner reads before it goes on.
+    pub(super) async fn call(self, action: ControlAction) -> Option<ControlEvent> {
+        if self.term.in_force(self.ports.clock.now()).is_none() {
+            self.metrics.withheld_calls.inc();
+            return withheld_answer(action);
+        }
+        let name = call_name(&action);
+        let event = self.send(action).await;
+        let outcome = if event.as_ref().is_some_and(is_success) {
+            "ok"
+        } else {
+            "failed"
+        };
+        self.metrics.calls.with_label_values(&[name, outcome]).inc();
+        event
+    }
+
+    async fn send(&self, action: ControlAction) -> Option<ControlEvent> {
+        let ports = &self.ports;
+        let asked = ports.clock.now();
+        Some(match action {
+            ControlAction::ReadHosts => ControlEvent::Hosts {
+                asked,
+                hosts: ports.host_list.hosts().await.ok()?,
+            },
+            ControlAction::ReadCloud => ControlEvent::Cloud {
+                asked,
+                hosts: ports.cloud.hosts().await.ok()?,
+            },
+            ControlAction::ReadNotices { after } => {
+                ControlEvent::Notices(ports.cloud.notices(after).await.ok()?)
+            }
+            ControlAction::OrderHost(order) => ControlEvent::HostOrdered {
+                token: order.token.clone(),
+                result: ports.cloud.order(order).await,
+            },
+            ControlAction::ReleaseHost(host) => ControlEvent::HostReleased {
+                result: ports.cloud.release(host.clone()).await,
+                host,
+            },
+            ControlAction::ReadEngine { host, address } => ControlEvent::EngineRead {
+                host,
+                result: ports.engines.state(address).await,
+            },
+            ControlAction::OrderEngine {
+                host,
+                address,
+                order,
+            } => ControlEvent::EngineOrdered {
+                host,
+                result: ports.engines.order(address, order).await,
+            },
+            ControlAction::ReadReport { host, address } => ControlEvent::Report {
+                host,
+                asked,
+                report: ports.backend.report(address).await.ok()?,
+            },
+            ControlAction::Reserve { item } => ControlEvent::Reserved {
+                result: ports.weights.reserve(&item).await,
+                item,
+            },
+            ControlAction::Record(_) => return None,
+        })
+    }
+}
+
+fn withheld_answer(action: ControlAction) -> Option<ControlEvent> {
+    let detail = "the lease's time is over".to_owned();
+    Some(match action {
+        ControlAction::OrderHost(order) => ControlEvent::HostOrdered {
+            token: order.token,
+            result: Err(CloudError::Unknown { detail }),
+        },
+        ControlAction::ReleaseHost(host) => ControlEvent::HostReleased {
+            host,
+            result: Err(CloudError::Unknown { detail }),
+        },
+        ControlAction::ReadEngine { host, .. } => ControlEvent::EngineRead {
+            host,
+            result: Err(EngineError::Unknown { detail }),
+        },
+        ControlAction::OrderEngine { host, .. } => ControlEvent::EngineOrdered {
+            host,
+            result: Err(EngineError::Unknown { detail }),
+        },
+        ControlAction::Reserve { item } => ControlEvent::Reserved {
+            item,
+            result: Err(WITHHELD_RETRY),
+        },
+        _ => return None,
+    })
+}
+
+const fn call_name(action: &ControlAction) -> &'static str {
+    match action {
+        ControlAction::ReadHosts => "read_hosts",
+        ControlAction::ReadCloud => "read_cloud",
+        ControlAction::ReadNotices { .. } => "read_notices",
+        ControlAction::OrderHost(_) => "order_host",
+        ControlAction::ReleaseHost(_) => "release_host",
+        ControlAction::ReadEngine { .. } => "read_engine",
+        ControlAction::OrderEngine { .. } => "order_engine",
+        ControlAction::ReadReport { .. } => "read_report",
+        ControlAction::Reserve { .. } => "reserve",
+        ControlAction::Record(_) => "record",
+    }
+}
+
+const fn is_success(event: &ControlEvent) -> bool {
+    match event {
+        ControlEvent::HostOrdered { result, .. } => result.is_ok(),
+        ControlEvent::HostReleased { result, .. } => result.is_ok(),
+        ControlEvent::EngineRead { result, .. } | ControlEvent::EngineOrdered { result, .. } => {
+            result.is_ok()
+        }
+        ControlEvent::Reserved { result, .. } => result.is_ok(),
+        _ => true,
+    }
+}
--- /dev/null
+++ b/crates/teaselglade-control/src/work/control_ports.rs
@@ -0,0 +1,41 @@
+//! Ports that the daemon's parts use.
+
+use std::sync::Arc;
+
+use teaselglade_core::port::{
+    BackendPort, ClockPort, CloudPort, EnginePort, HostListPort, LogPort, WeightPort,
+};
+use teaselglade_net::backend::{BackendClient, EngineClient};
+use teaselglade_net::client::HttpCaller;
+use teaselglade_net::clock::SuspendClock;
+use teaselglade_net::platform::{CloudClient, HostListClient, LogClient, WeightClient};
+
+use crate::settings::ControlSettings;
+
+/// Ports that the daemon's parts use.
+#[derive(Debug)]
+pub(crate) struct ControlPorts {
+    pub(crate) clock: Arc<dyn ClockPort>,
+    pub(crate) log: Arc<dyn LogPort>,
+    pub(crate) host_list: Arc<dyn HostListPort>,
+    pub(crate) cloud: Arc<dyn CloudPort>,
+    pub(crate) weights: Arc<dyn WeightPort>,
+    pub(crate) engines: Arc<dyn EnginePort>,
+    pub(crate) backend: Arc<dyn BackendPort>,
+}
+
+impl ControlPorts {
+    /// Makes the adapters that the settings name.
+    pub(crate) fn connect(settings: &ControlSettings) -> Self {
+        let caller = || Arc::new(HttpCaller::default());
+        Self {
+            clock: Arc::new(SuspendClock::start()),
+            log: Arc::new(LogClient::new(caller(), settings.log)),
+            host_list: Arc::new(HostListClient::new(caller(), settings.host_list)),
+            cloud: Arc::new(CloudClient::new(caller(), settings.cloud)),
+            weights: Arc::new(WeightClient::new(caller(), settings.weights)),
+            engines: Arc::new(EngineClient::new(caller())),
+            backend: Arc::new(BackendClient::new(caller())),
+        }
+    }
+}
--- a/crates/teaselglade-net/src/clock/mod.rs
+++ b/crates/teaselglade-net/src/clock/mod.rs
@@ -1,5 +1,7 @@
-//! The system's clock.
+//! The system's clocks.
 
+mod suspend_clock;
 mod system_clock;
 
+pub use suspend_clock::SuspendClock;
 pub use system_clock::SystemClock;
