--- a/crates/teaselglade-state/src/control/service_roster.rs
+++ b/crates/teaselglade-state/src/control/service_roster.rs
@@ -8,14 +8,21 @@
 
 use super::fleet_view::{FleetView, OrderedHost};
 
+/// Host that keeps a slot.
+#[derive(Debug)]
+struct SlotKeeper {
+    name: HostName,
+    generation: u32,
+    cents_per_hour: f64,
+    runs: bool,
+}
+
 /// One slot as the cloud API shows it.
 #[derive(Debug, Default)]
 struct SlotState {
     /// Highest generation that was ever seen.
     generation: u32,
-    /// Host that keeps the slot, with its generation.
-    keeper: Option<(u32, HostName)>,
-    runs: bool,
+    keeper: Option<SlotKeeper>,
 }
 
 /// Which slots of a service are taken, and what its hosts cost.
@@ -71,20 +78,49 @@
         })
     }
 
-    /// Returns the hosts that are not needed.
+    /// Returns the hosts that are not needed or that cost more than the row allows.
     ///
     /// Hosts that the row no longer permits stay until every slot has a running host.
     pub(super) fn surplus(&self) -> Vec<HostName> {
         let beyond = self.slots.range(self.wanted..);
-        let beyond = beyond.filter_map(|(_, state)| Some(state.keeper.as_ref()?.1.clone()));
-        let mut surplus = beyond.collect::<Vec<_>>();
-        let is_whole = (0..self.wanted).all(|s| self.slots.get(&s).is_some_and(|s| s.runs));
-        if is_whole {
+        let beyond = beyond.filter_map(|(_, state)| state.keeper.as_ref());
+        let beyond = beyond.collect::<Vec<_>>();
+        let leaving = beyond.iter().map(|k| k.cents_per_hour).sum::<f64>();
+        let beyond = beyond.into_iter().chain(self.unpaid(leaving));
+        let mut surplus = beyond.map(|k| k.name.clone()).collect::<Vec<_>>();
+        let runs = |slot: u32| {
+            let keeper = self.slots.get(&slot).and_then(|s| s.keeper.as_ref());
+            keeper.is_some_and(|keeper| keeper.runs)
+        };
+        if (0..self.wanted).all(runs) {
             surplus.extend(self.misfits.iter().cloned());
         }
         surplus
     }
 
+    /// Returns the dearest hosts, until the others cost no more than the row allows.
+    ///
+    /// An order that takes effect long after its answer was lost can bring a dearer host than the
+    /// planner reckoned with.
+    fn unpaid(&self, leaving: f64) -> Vec<&SlotKeeper> {
+        let limit = self.row.max_spend_cents_per_hour;
+        let mut excess = limit.map_or(0.0, |limit| self.cents_per_hour - leaving - limit);
+        let kept = self.slots.range(..self.wanted);
+        let mut kept = kept
+            .filter_map(|(_, state)| state.keeper.as_ref())
+            .collect::<Vec<_>>();
+        kept.sort_by(|a, b| b.cents_per_hour.total_cmp(&a.cents_per_hour));
+        let mut unpaid = Vec::new();
+        for keeper in kept {
+            if excess <= 0.0 {
+                break;
+            }
+            excess -= keeper.cents_per_hour;
+            unpaid.push(keeper);
+        }
+        unpaid
+    }
+
     fn add_foreign(&mut self, cents_per_hour: f64) {
         self.wanted = self.wanted.saturating_sub(1);
         self.cents_per_hour += cents_per_hour;
@@ -112,12 +148,17 @@
             self.misfits.push(host.name.clone());
             return;
         }
-        match &mut state.keeper {
-            Some((kept, _)) if *kept <= slot.generation => self.misfits.push(host.name.clone()),
-            keeper => {
-                let beaten = keeper.replace((slot.generation, host.name.clone()));
-                self.misfits.extend(beaten.map(|(_, name)| name));
-                state.runs = host.state == HostState::Running;
+        let keeper = SlotKeeper {
+            name: host.name.clone(),
+            generation: slot.generation,
+            cents_per_hour: host.cents_per_hour,
+            runs: host.state == HostState::Running,
+        };
+        match &state.keeper {
+            Some(kept) if kept.generation <= keeper.generation => self.misfits.push(keeper.name),
+            _ => {
+                let beaten = state.keeper.replace(keeper);
+                self.misfits.extend(beaten.map(|beaten| beaten.name));
             }
         }
     }
--- a/crates/teaselglade-state/tests/control/hosts.rs
+++ b/crates/teaselglade-state/tests/control/hosts.rs
@@ -85,6 +85,44 @@
     assert_eq!(fleet.platform.staying("draft-fleet").len(), 3);
 }
 
+#[test]
+fn lost_orders_stay_within_the_spending_limit() {
+    let mut fleet = fleet("min_servers,spend_cents_per_hour", "6,350");
+    fleet.faults = CallFaults {
+        lost_answers: 0.3,
+        dropped: 0.3,
+        ..CallFaults::default()
+    };
+    for second in 0..300 {
+        if second % 40 == 0 {
+            refuse(&mut fleet, HostPurchase::Reclaimable);
+        } else if second % 40 == 20 {
+            fleet.platform.refused.clear();
+        }
+        fleet.run(Duration::from_secs(1));
+        let staying = fleet.platform.staying("draft-fleet");
+        let cents = staying.iter().map(|host| host.cents).sum::<f64>();
+        assert!(cents <= 350.0, "{cents} cents after {second} s");
+    }
+}
+
+#[test]
+fn lower_limit_gives_the_dearest_host_back() {
+    let mut fleet = fleet("min_servers,fenced,spend_cents_per_hour", "2,yes,400");
+    refuse(&mut fleet, HostPurchase::Reclaimable);
+    fleet.run(MINUTE * 2);
+    assert_eq!(purchases(&fleet, HostPurchase::OnDemand), 2);
+    fleet.platform.refused.clear();
+    let text = "kind,name,first_token_ms,token_gap_ms,min_servers,fenced,spend_cents_per_hour
+model,draft-fleet,360,47,2,yes,250
+";
+    fleet.platform.table = parse_table(text).unwrap_or_default();
+    fleet.publish();
+    fleet.run(MINUTE * 2);
+    assert_eq!(purchases(&fleet, HostPurchase::OnDemand), 1);
+    assert_eq!(purchases(&fleet, HostPurchase::Reclaimable), 1);
+}
+
 #[test]
 fn hosts_outside_of_what_the_row_permits_are_not_ordered() {
     let mut fleet = fleet("min_servers,classes", "2,h100");
