fix(placement): bring servers that were learned as too slow back into use

Idle reports now ease what is known of a server and of its class. The event loop is split by concern.

--- a/crates/teaselglade-bench/src/run/mod.rs
+++ b/crates/teaselglade-bench/src/run/mod.rs
@@ -2,8 +2,11 @@
 
 mod bench_event;
 mod bench_run;
+mod dispatch_events;
+mod engine_events;
 mod entry_state;
 mod event_queue;
+mod fleet_events;
 mod hold_meter;
 mod overload;
 mod request_state;
--- a/crates/teaselglade-placement/src/cost/cost_policy.rs
+++ b/crates/teaselglade-placement/src/cost/cost_policy.rs
@@ -132,11 +132,10 @@
         f64::from(entry.load.requests()) + f64::from(entry.load.recent_starts()) * others
     }
 
+    /// Returns the prompt tokens that wait on a server, if the other entry hosts sent as many.
     fn waiting(&self, server: ServerKey) -> f64 {
-        self.waiting_tokens
-            .get(server.index())
-            .copied()
-            .unwrap_or_default()
+        let own = self.waiting_tokens.get(server.index());
+        own.copied().unwrap_or_default() * f64::from(self.options.entry_hosts.max(1))
     }
 
     fn cents(&self, entry: &ServerEntry, running: f64, seconds: f64) -> f64 {
@@ -236,6 +235,9 @@
         if !self.options.use_speeds {
             return;
         }
+        if report.running + report.waiting == 0 {
+            self.speeds.ease(server, entry.facts.class);
+        }
         let gap_seconds = report.token_gap_micros as f64 / MICROS_PER_SECOND;
         let sample = SpeedSample {
             running: f64::from(report.running),
--- a/crates/teaselglade-placement/src/cost/speed_model.rs
+++ b/crates/teaselglade-placement/src/cost/speed_model.rs
@@ -9,6 +9,8 @@
 const FIRST_PREFILL_SECONDS: f64 = 0.000_3;
 const FIRST_PREFILL_SECONDS_EACH: f64 = 0.000_02;
 const FACTOR_STEP: f64 = 0.1;
+/// Part of a factor above 1 that an idle report leaves.
+const EASED_PART: f64 = 0.8;
 const FACTOR_RANGE: (f64, f64) = (0.25, 8.0);
 
 /// One report of a server's speed.
@@ -91,6 +93,26 @@
         }
     }
 
+    /// Eases what is known of a server that runs nothing.
+    ///
+    /// A server that was learned to be too slow gets no work, so it would never be measured
+    /// again; easing brings it back into use.
+    pub fn ease(&mut self, server: ServerKey, class: ClassKey) {
+        self.reserve(server, class);
+        let factor = &mut self.factors[server.index()];
+        factor.gap = factor.gap.min(1.0 + (factor.gap - 1.0) * EASED_PART);
+        factor.prefill = factor
+            .prefill
+            .min(1.0 + (factor.prefill - 1.0) * EASED_PART);
+        let speed = &mut self.classes[class.index()];
+        if speed.gap.at(0.0) > FIRST_GAP_SECONDS {
+            speed.gap.add(0.0, FIRST_GAP_SECONDS);
+        }
+        if speed.prefill.at(0.0) > FIRST_PREFILL_SECONDS {
+            speed.prefill.add(0.0, FIRST_PREFILL_SECONDS);
+        }
+    }
+
     /// Returns the seconds between two tokens while `running` requests run.
     #[must_use]
     pub fn gap_seconds(&self, server: ServerKey, class: ClassKey, running: f64) -> f64 {
