--- a/crates/teaselglade-request/tests/support/world.rs
+++ b/crates/teaselglade-request/tests/support/world.rs
@@ -371,29 +371,7 @@
                 from,
                 to,
             } => {
-                let can_move = |server: ServerKey| {
-                    let engine = &self.engines[server.index()];
-                    !engine.is_dead && !engine.is_frozen && !engine.refuses_kv
-                };
-                let is_moved = can_move(from) && can_move(to);
-                if can_move(from) {
-                    self.end_run(attempt);
-                }
-                let event = if is_moved {
-                    self.moves += 1;
-                    let handle = "kv".to_owned();
-                    StreamEvent::KvMoved { ticket, handle }
-                } else {
-                    StreamEvent::KvFailed { ticket }
-                };
-                self.schedule(
-                    KV_MOVE,
-                    WorldEvent::Machine {
-                        host,
-                        caller,
-                        event,
-                    },
-                );
+                self.move_kv(host, caller, ticket, attempt, [from, to]);
             }
             // Frames that are under way when an attempt is cancelled still arrive.
             StreamAction::Cancel { attempt, .. } => self.cancel(attempt),
@@ -452,6 +430,39 @@
         }
     }
 
+    fn move_kv(
+        &mut self,
+        host: usize,
+        caller: usize,
+        ticket: u32,
+        attempt: AttemptId,
+        [from, to]: [ServerKey; 2],
+    ) {
+        let can_move = |server: ServerKey| {
+            let engine = &self.engines[server.index()];
+            !engine.is_dead && !engine.is_frozen && !engine.refuses_kv
+        };
+        let is_moved = can_move(from) && can_move(to);
+        if can_move(from) {
+            self.end_run(attempt);
+        }
+        let event = if is_moved {
+            self.moves += 1;
+            let handle = "kv".to_owned();
+            StreamEvent::KvMoved { ticket, handle }
+        } else {
+            StreamEvent::KvFailed { ticket }
+        };
+        self.schedule(
+            KV_MOVE,
+            WorldEvent::Machine {
+                host,
+                caller,
+                event,
+            },
+        );
+    }
+
     pub(super) fn tell(&mut self, host: usize, caller: usize, event: StreamEvent) {
         self.schedule(
             HOP,
--- a/scripts/start-processes.sh
+++ b/scripts/start-processes.sh
@@ -10,7 +10,7 @@
   dragons-sleeve) zones=(cardiff-a cardiff-b newport) ;;
   *) echo "no fleet is named '$fleet'" >&2; exit 2 ;;
 esac
-cargo build --release --locked --quiet -p teaselglade
+cargo build --release --locked --quiet -p teaselglade -p teaselglade-control
 programs=target/release
 folder=$(mktemp -d)
 pids=()
