feat(demo): run a control daemon in every data centre

Cause: nothing replaced the hosts of the reclaimed data centre. Change: the demo starts a control daemon beside each entry daemon, with an offer for each data centre, class and purchase.

--- a/crates/teaselglade/src/command_line/demo_options.rs
+++ b/crates/teaselglade/src/command_line/demo_options.rs
@@ -18,6 +18,6 @@
     #[arg(long, default_value_t = 20.0)]
     pub rate: f64,
     /// Entry daemons.
-    #[arg(long, default_value_t = 3)]
+    #[arg(long, default_value_t = 4)]
     pub entries: usize,
 }
--- a/crates/teaselglade/src/demo/demo_fleet.rs
+++ b/crates/teaselglade/src/demo/demo_fleet.rs
@@ -5,10 +5,16 @@
 
 use eyre::{Result, eyre};
 use log::LevelFilter;
+use teaselglade_control::{ControlDaemon, ControlSettings};
+use teaselglade_core::port::HostPurchase;
 use teaselglade_entry::{EntryDaemon, EntrySettings};
 use teaselglade_net::logging::LogFormat;
-use teaselglade_standins::fleet::{FleetPlan, FleetPorts, StandInFleet};
+use teaselglade_standins::fleet::{
+    FleetPlan, FleetPorts, ON_DEMAND_FACTOR, StandInFleet, class_cents_per_hour,
+};
 use teaselglade_standins::log::LogLimits;
+use teaselglade_state::control::HostOffer;
+use teaselglade_state::lease::LeaseTerms;
 use teaselglade_state::table::PublishOutcome;
 use teaselglade_wire::{HostEntry, HostRole};
 use tokio::time::sleep;
@@ -20,12 +26,15 @@
 const MAX_READY_POLLS: u32 = 200;
 const ENTRY_CENTS_PER_HOUR: f64 = 2.0;
 const DRAIN: Duration = Duration::from_secs(30);
+const LOG_RETENTION: Duration = Duration::from_hours(24);
+const ORDERED_CLASSES: [&str; 4] = ["old", "mid", "new", "plain"];
 
 /// Stand-ins and daemons of the demo.
 #[derive(Debug)]
 pub(super) struct DemoFleet {
     pub(super) outside: StandInFleet,
     entries: Vec<EntryDaemon>,
+    controls: Vec<ControlDaemon>,
 }
 
 impl DemoFleet {
@@ -37,9 +46,11 @@
         let mut fleet = Self {
             outside,
             entries: Vec::new(),
+            controls: Vec::new(),
         };
         for index in 0..entries {
             fleet.start_entry(plan, index).await?;
+            fleet.start_control(plan, index).await?;
         }
         fleet.wait_ready(plan).await?;
         Ok(fleet)
@@ -55,6 +66,9 @@
 
     /// Stops the daemons gracefully, then the stand-ins.
     pub(super) async fn stop(self) {
+        for control in self.controls {
+            control.stop().await;
+        }
         for entry in self.entries {
             entry.stop().await;
         }
@@ -95,6 +109,29 @@
         Ok(())
     }
 
+    async fn start_control(&mut self, plan: &FleetPlan, index: usize) -> Result<()> {
+        let zone = plan.zones[index % plan.zones.len()].clone();
+        let platform = self.outside.addresses;
+        let settings = ControlSettings {
+            host: format!("{zone}-entry-{index}"),
+            zone,
+            cluster: plan.name.clone(),
+            control: LOOPBACK,
+            log: platform.log,
+            host_list: platform.host_list,
+            cloud: platform.cloud,
+            weights: platform.weights,
+            offers: host_offers(plan),
+            profiles: Vec::new(),
+            lease: LeaseTerms::default(),
+            retention: LOG_RETENTION,
+            log_format: LogFormat::Text,
+            log_level: LevelFilter::Warn,
+        };
+        self.controls.push(ControlDaemon::start(settings).await?);
+        Ok(())
+    }
+
     async fn wait_ready(&self, plan: &FleetPlan) -> Result<()> {
         for _ in 0..MAX_READY_POLLS {
             let survey = FleetSurvey::take(self.outside.addresses.host_list).await?;
@@ -123,3 +160,21 @@
         other => Err(eyre!("the table was not accepted: {other:?}")),
     }
 }
+
+fn host_offers(plan: &FleetPlan) -> Vec<HostOffer> {
+    let mut offers = Vec::new();
+    for zone in &plan.zones {
+        for class in ORDERED_CLASSES {
+            let cents = class_cents_per_hour(class);
+            let offer = |purchase: HostPurchase, cents_per_hour: f64| HostOffer {
+                zone: zone.clone(),
+                class: class.to_owned(),
+                purchase,
+                cents_per_hour,
+            };
+            offers.push(offer(HostPurchase::Reclaimable, cents));
+            offers.push(offer(HostPurchase::OnDemand, cents * ON_DEMAND_FACTOR));
+        }
+    }
+    offers
+}
