fix(net): cut open connections when a server is ended like a crash

Cause: a test of the silent-connection fault failed: the stand-ins never learned a caller's address, so a connection that was open did not go silent for new calls; and ending a server left its open connections running. Ruled out: the client's pool, since both calls came from the same port. Change: our own accept loop over the library's responder; it hands on the caller's address and ends its connections with it.

--- a/crates/teaselglade-standins/src/fault/faulty_route.rs
+++ b/crates/teaselglade-standins/src/fault/faulty_route.rs
@@ -8,12 +8,12 @@
 use futures::future::BoxFuture;
 use futures::stream;
 use teaselglade_net::server::{
-    empty_answer, json_answer, read_body, stream_answer, text_answer, with_state,
+    caller_address, empty_answer, json_answer, read_body, stream_answer, text_answer, with_state,
 };
 use teaselglade_wire::codec::from_json;
 use tokio::time::sleep;
 use viz::header::HeaderValue;
-use viz::{Request, RequestExt, Response, Router};
+use viz::{Request, Response, Router};
 
 use super::{FaultPass, FaultSettings, FaultSwitch};
 
@@ -33,7 +33,7 @@
     let switch = Arc::clone(switch);
     let state = Arc::clone(state);
     move |request| {
-        let pass = switch.pass(request.remote_addr().copied());
+        let pass = switch.pass(caller_address(&request));
         let effect = handle.clone();
         let state = Arc::clone(&state);
         faulty_call(pass, move || effect(state, request, pass))
--- /dev/null
+++ b/crates/teaselglade-standins/tests/adapters/host_list.rs
@@ -0,0 +1,52 @@
+//! Host list client against the host list.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use teaselglade_core::port::{HostListPort, ListedRole};
+use teaselglade_net::platform::HostListClient;
+use teaselglade_standins::host_list::{HostRegister, host_list_router};
+use teaselglade_wire::{HostEntry, HostRole};
+
+use super::support::{new_caller, serve};
+
+fn host(name: &str) -> HostEntry {
+    HostEntry {
+        name: name.to_owned(),
+        incarnation: 3,
+        role: HostRole::Backend,
+        address: "127.0.0.1:9".to_owned(),
+        zone: "galway".to_owned(),
+        class: "old".to_owned(),
+        service: "draft-fleet".to_owned(),
+        cents_per_hour: 40.0,
+        reclaimable: true,
+        leaving: false,
+    }
+}
+
+#[tokio::test]
+async fn changes_are_shown_after_the_lag() {
+    let register = Arc::new(HostRegister::default());
+    let client = HostListClient::new(new_caller(), serve(host_list_router(&register)).await);
+    register.put(host("a"));
+    register.set_lag(Duration::from_hours(1));
+    register.put(host("b"));
+    register.mark_leaving("a");
+    let shown = client.hosts().await.expect("the list");
+    assert_eq!(shown.len(), 1);
+    assert_eq!(shown[0].role, ListedRole::Backend);
+    assert!(!shown[0].leaving);
+}
+
+#[tokio::test]
+async fn malformed_addresses_are_refused() {
+    let register = Arc::new(HostRegister::default());
+    let client = HostListClient::new(new_caller(), serve(host_list_router(&register)).await);
+    register.put(HostEntry {
+        address: "nowhere".to_owned(),
+        ..host("a")
+    });
+    let error = client.hosts().await.expect_err("an error");
+    assert_eq!(error.detail, "address `nowhere`");
+}
