feat(entry): drive streams by the machine, hand them over and relay them

Cause: the simple stream task knew neither notices nor handover, and its retries had no budget. Change: one task drives each stream's machine; the host list's news reaches every stream; a stopping host offers what remains to peers; any host finds the holder by the id's low bits, then by rendezvous hashing, then by asking, and relays the rest. Event ids name the copy of the answer. Found: with eight streams on one host, connections that all go silent spent the retry budget (reserve 3) and six callers were refused. One reconnection per request to a server that caches the whole prefix is now outside the budget.

--- a/crates/teaselglade-entry/src/caller_api/generate_route.rs
+++ b/crates/teaselglade-entry/src/caller_api/generate_route.rs
@@ -21,11 +21,11 @@
         Ok(order) => order,
         Err(refusal) => return refusal_answer(&refusal, None),
     };
-    let record = start_stream(&host, order);
+    let seat = start_stream(&host, order);
     if is_streamed {
-        return event_answer(record, 0).await;
+        return event_answer(seat, 0).await;
     }
-    whole_answer(&record).await
+    whole_answer(&seat.buffer).await
 }
 
 async fn read_order(
--- a/crates/teaselglade-entry/src/caller_api/mod.rs
+++ b/crates/teaselglade-entry/src/caller_api/mod.rs
@@ -9,3 +9,4 @@
 mod stream_answer;
 
 pub(crate) use caller_routes::caller_router;
+pub(crate) use refusal_answer::error_body;
--- a/crates/teaselglade-entry/src/caller_api/resume_route.rs
+++ b/crates/teaselglade-entry/src/caller_api/resume_route.rs
@@ -8,7 +8,9 @@
 
 use super::refusal_answer::refusal_answer;
 use super::stream_answer::event_answer;
+use crate::handover::{find_holder, relay_stream};
 use crate::host::EntryHost;
+use crate::stream::ReaderSeat;
 
 /// Goes on with a stream behind the event that `Last-Event-ID` names.
 pub(crate) async fn resume(host: Arc<EntryHost>, request: Request) -> Response {
@@ -16,16 +18,33 @@
         Ok(place) => place,
         Err(refusal) => return refusal_answer(&refusal, None),
     };
-    match host.streams.find(place.request) {
-        Some(record) => event_answer(record, place.next).await,
-        None => refusal_answer(&unknown(place.request), Some(place.request)),
+    match take_seat(&host, &place).await {
+        Ok(seat) => event_answer(seat, place.next as usize).await,
+        Err(refusal) => refusal_answer(&refusal, Some(place.request)),
     }
 }
 
+async fn take_seat(
+    host: &Arc<EntryHost>,
+    place: &ResumePlace,
+) -> Result<ReaderSeat, RequestRefusal> {
+    let &ResumePlace {
+        request,
+        next,
+        line,
+    } = place;
+    if let Some(seat) = host.streams.attach(request, next, line).await {
+        return seat;
+    }
+    let holder = find_holder(host, request, line).await?;
+    Ok(relay_stream(host, holder, request, next, line))
+}
+
 #[derive(Debug)]
 struct ResumePlace {
     request: RequestId,
-    next: usize,
+    next: u32,
+    line: Option<u16>,
 }
 
 fn read_place(request: &Request) -> Result<ResumePlace, RequestRefusal> {
@@ -42,20 +61,16 @@
         return Ok(ResumePlace {
             request: id,
             next: 0,
+            line: None,
         });
     };
-    let index = last
-        .rsplit('/')
-        .next()
-        .and_then(|index| index.parse::<usize>().ok());
+    let mut parts = last.rsplit('/');
+    let index = parts.next().and_then(|index| index.parse::<u32>().ok());
     let index = index.ok_or_else(|| malformed(format!("Last-Event-ID `{last}`")))?;
+    let line = parts.next().and_then(|line| line.parse::<u16>().ok());
     Ok(ResumePlace {
         request: id,
-        next: index + 1,
+        next: index.saturating_add(1),
+        line,
     })
 }
-
-fn unknown(request: RequestId) -> RequestRefusal {
-    let verdict = ExecutionVerdict::MayHaveRun;
-    RequestRefusal::with_verdict(verdict, RefusalReason::UnknownRequest, request.to_string())
-}
--- a/crates/teaselglade-entry/src/caller_api/stream_answer.rs
+++ b/crates/teaselglade-entry/src/caller_api/stream_answer.rs
@@ -1,9 +1,11 @@
 //! Answers to model requests.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use futures::stream;
 use serde::Serialize;
+use teaselglade_core::verdict::{ExecutionVerdict, RefusalReason, RequestRefusal};
 use teaselglade_net::server::json_answer;
 use teaselglade_wire::codec::to_json;
 use teaselglade_wire::{EndEvent, GenerateAnswer, TokenEvent};
@@ -11,26 +13,27 @@
 use viz::{IntoResponse, Response};
 
 use super::refusal_answer::{error_body, refusal_answer, set_request_header};
-use crate::stream::{StreamRecord, StreamStep};
+use crate::stream::{ReaderSeat, StreamBuffer, StreamStep};
 
 /// Answers with server-sent events from the token at `from` on.
 ///
 /// A request that is refused before its first token gets the refusal as a plain answer.
-pub(crate) async fn event_answer(record: Arc<StreamRecord>, from: usize) -> Response {
-    let request = record.request;
-    let first = record.step(from).await;
+pub(crate) async fn event_answer(seat: ReaderSeat, from: usize) -> Response {
+    let request = seat.buffer.request;
+    let first = seat.buffer.step(from).await;
     if let StreamStep::Refused(refusal) = &first
         && from == 0
     {
         return refusal_answer(refusal, Some(request));
     }
+    let seat = Arc::new(seat);
     let events = stream::unfold(Some(from), move |place| {
-        let record = Arc::clone(&record);
+        let seat = Arc::clone(&seat);
         async move {
             let index = place?;
-            let step = record.step(index).await;
+            let step = seat.buffer.step(index).await;
             let is_last = !matches!(step, StreamStep::Token(_));
-            let event = step_event(&record, index, step);
+            let event = step_event(&seat.buffer, index, step)?;
             Some((event, (!is_last).then_some(index + 1)))
         }
     });
@@ -40,7 +43,7 @@
 }
 
 /// Waits for the whole answer and returns it as one body.
-pub(crate) async fn whole_answer(record: &StreamRecord) -> Response {
+pub(crate) async fn whole_answer(record: &StreamBuffer) -> Response {
     let mut text = String::new();
     let mut index = 0;
     loop {
@@ -60,19 +63,23 @@
             StreamStep::Refused(refusal) => {
                 return refusal_answer(&refusal, Some(record.request));
             }
+            StreamStep::Cut => {
+                return refusal_answer(&cut_refusal(), Some(record.request));
+            }
         }
         index += 1;
     }
 }
 
-fn step_event(record: &StreamRecord, index: usize, step: StreamStep) -> Event {
-    match step {
+/// Makes the event of a step; a cut stream ends without one.
+fn step_event(record: &StreamBuffer, index: usize, step: StreamStep) -> Option<Event> {
+    Some(match step {
         StreamStep::Token(text) => {
             let body = TokenEvent {
                 index: index as u32,
                 text,
             };
-            let id = format!("{}/{index}", record.request);
+            let id = format!("{}/{}/{index}", record.request, record.line);
             Event::default()
                 .id(id)
                 .event("token")
@@ -90,7 +97,15 @@
             let body = error_body(&refusal, Some(record.request));
             Event::default().event("error").data(json_text(&body))
         }
-    }
+        StreamStep::Cut => return None,
+    })
+}
+
+fn cut_refusal() -> RequestRefusal {
+    let detail = "this host stops; ask for the rest of the answer elsewhere";
+    let verdict = ExecutionVerdict::MayHaveRun;
+    RequestRefusal::with_verdict(verdict, RefusalReason::NotReady, detail)
+        .retry_after(Duration::from_millis(100))
 }
 
 fn json_text(body: &impl Serialize) -> String {
--- a/crates/teaselglade-entry/src/directory/backend_directory.rs
+++ b/crates/teaselglade-entry/src/directory/backend_directory.rs
@@ -17,7 +17,10 @@
 
 impl BackendDirectory {
     /// Takes in what the host list shows; "leaving" is never taken back.
-    pub(crate) fn apply(&mut self, hosts: Vec<ListedHost>) {
+    ///
+    /// Returns the servers that are leaving since now.
+    pub(crate) fn apply(&mut self, hosts: Vec<ListedHost>) -> Vec<ServerKey> {
+        let known = self.leaving_servers();
         let (entries, backends): (Vec<_>, Vec<_>) = hosts
             .into_iter()
             .partition(|host| host.role == ListedRole::Entry);
@@ -31,6 +34,9 @@
             .iter_mut()
             .filter(|server| !listed.contains(&server.key));
         dropped.for_each(|server| server.gone = true);
+        let mut leaving = self.leaving_servers();
+        leaving.retain(|server| !known.contains(server));
+        leaving
     }
 
     /// Marks an incarnation of a host as leaving.
@@ -70,6 +76,11 @@
         &self.entry_hosts
     }
 
+    fn leaving_servers(&self) -> Vec<ServerKey> {
+        let leaving = self.servers.iter().filter(|server| server.leaving);
+        leaving.map(|server| server.key).collect()
+    }
+
     fn apply_backend(&mut self, host: ListedHost) -> ServerKey {
         let identity = (host.name.clone(), host.incarnation);
         if let Some(key) = self.keys.get(&identity) {
--- a/crates/teaselglade-entry/src/directory/host_list_follower.rs
+++ b/crates/teaselglade-entry/src/directory/host_list_follower.rs
@@ -7,6 +7,8 @@
 
 use crate::host::EntryHost;
 
+/// Time that a server has left when the host list first shows it as leaving.
+const ASSUMED_NOTICE: Duration = Duration::from_secs(2);
 const POLL_INTERVAL: Duration = Duration::from_millis(500);
 
 /// Takes in the host list again and again.
@@ -16,7 +18,13 @@
     loop {
         ticks.tick().await;
         match host.ports.host_list.hosts().await {
-            Ok(hosts) => host.directory().apply(hosts),
+            Ok(hosts) => {
+                let leaving = host.directory().apply(hosts);
+                let deadline = host.now() + ASSUMED_NOTICE;
+                for server in leaving {
+                    host.streams.announce_leaving(server, deadline);
+                }
+            }
             Err(_error) => host.metrics.host_list_failures.inc(),
         }
     }
--- a/crates/teaselglade-entry/src/host/entry_daemon.rs
+++ b/crates/teaselglade-entry/src/host/entry_daemon.rs
@@ -84,6 +84,8 @@
         self.host.start_draining();
         log::info!("entry daemon {} drains", self.host.settings.host);
         let deadline = Instant::now() + self.host.settings.drain;
+        let stop_at = self.host.now() + self.host.settings.drain;
+        self.host.streams.announce_stop(stop_at);
         while self.host.metrics.open_streams.get() > 0 && Instant::now() < deadline {
             sleep(DRAIN_POLL).await;
         }
--- a/crates/teaselglade-entry/src/host/entry_host.rs
+++ b/crates/teaselglade-entry/src/host/entry_host.rs
@@ -1,23 +1,27 @@
 //! What the parts of one entry daemon share.
 
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
 
 use rand::{RngCore, SeedableRng};
 use rand_pcg::Pcg64Mcg;
-use teaselglade_core::id::{RequestId, ServerKey};
+use teaselglade_core::id::{HostName, RequestId, ServerKey};
+use teaselglade_core::port::ListedHost;
 use teaselglade_core::table::ServiceRow;
 use teaselglade_core::time::Timestamp;
+use teaselglade_request::handover::owner_hint;
 use teaselglade_wire::HostStatus;
 
 use super::EntryPorts;
 use crate::booking::BookingRegister;
 use crate::directory::{BackendDirectory, ServerEntry};
+use crate::handover::HandoverDesk;
 use crate::metrics::EntryMetrics;
 use crate::placement::{LoadChooser, ServerChooser};
 use crate::settings::EntrySettings;
 use crate::shared::TableInForce;
-use crate::stream::StreamRegister;
+use crate::stream::{StreamBudgets, StreamRegister};
 
 /// What the parts of one entry daemon share.
 #[derive(Debug)]
@@ -32,6 +36,10 @@
     pub(crate) bookings: BookingRegister,
     /// Streams that callers can come back to.
     pub(crate) streams: StreamRegister,
+    /// Retry budgets of the model services.
+    pub(crate) budgets: StreamBudgets,
+    /// Records on their way to peers.
+    pub(crate) handovers: HandoverDesk,
     /// Start number of this host.
     pub(crate) incarnation: u64,
     directory: Mutex<BackendDirectory>,
@@ -56,6 +64,8 @@
             metrics,
             bookings: BookingRegister::default(),
             streams: StreamRegister::default(),
+            budgets: StreamBudgets::default(),
+            handovers: HandoverDesk::default(),
             incarnation: started.as_millis(),
             directory: Mutex::default(),
             table: RwLock::default(),
@@ -101,9 +111,40 @@
             .lock()
             .unwrap_or_else(PoisonError::into_inner)
             .fill_bytes(&mut random);
+        // The low bits name the host, so that peers find the stream at once.
+        let hint = owner_hint(&HostName::new(&self.settings.host));
+        random[6..].copy_from_slice(&hint.to_be_bytes());
         RequestId::generate(self.now(), random)
     }
 
+    /// Returns all other entry hosts that are known, leaving ones included.
+    pub(crate) fn all_peers(&self) -> Vec<(HostName, SocketAddr)> {
+        self.peers(|_host| true)
+    }
+
+    /// Returns the other entry hosts that are not leaving.
+    pub(crate) fn live_peers(&self) -> Vec<(HostName, SocketAddr)> {
+        self.peers(|host| !host.leaving)
+    }
+
+    /// Returns the address of a peer.
+    pub(crate) fn peer_address(&self, peer: &HostName) -> Option<SocketAddr> {
+        let peers = self.all_peers().into_iter();
+        peers
+            .filter(|(name, _)| name == peer)
+            .map(|(_, address)| address)
+            .next()
+    }
+
+    fn peers(&self, is_wanted: impl Fn(&ListedHost) -> bool) -> Vec<(HostName, SocketAddr)> {
+        let directory = self.directory();
+        let others = directory.entry_hosts().iter();
+        others
+            .filter(|host| host.name.as_str() != self.settings.host && is_wanted(host))
+            .map(|host| (host.name.clone(), host.address))
+            .collect()
+    }
+
     /// Chooses a server that the row permits, other than the excluded ones.
     pub(crate) fn choose_server(
         &self,
--- a/crates/teaselglade-entry/src/host/entry_ports.rs
+++ b/crates/teaselglade-entry/src/host/entry_ports.rs
@@ -23,11 +23,19 @@
     /// Backend servers.
     pub(crate) backend: Arc<dyn BackendPort>,
     /// Other entry hosts.
-    #[expect(dead_code, reason = "the membership exchange will use it")]
     pub(crate) peer: Arc<dyn PeerPort>,
 }
 
 impl EntryPorts {
+    /// Returns a client of backend servers that uses none of the open connections.
+    #[expect(
+        clippy::unused_self,
+        reason = "ports made for tests will bring their own clients"
+    )]
+    pub(crate) fn fresh_backend(&self) -> Arc<dyn BackendPort> {
+        Arc::new(BackendClient::new(Arc::new(HttpCaller::default())))
+    }
+
     /// Makes the adapters that the settings name.
     pub(crate) fn connect(settings: &EntrySettings) -> Self {
         let caller = || Arc::new(HttpCaller::default());
--- a/crates/teaselglade-entry/src/lib.rs
+++ b/crates/teaselglade-entry/src/lib.rs
@@ -3,6 +3,7 @@
 mod booking;
 mod caller_api;
 mod directory;
+mod handover;
 mod host;
 mod metrics;
 mod peer_api;
--- a/crates/teaselglade-entry/src/peer_api/peer_routes.rs
+++ b/crates/teaselglade-entry/src/peer_api/peer_routes.rs
@@ -5,11 +5,15 @@
 use teaselglade_net::server::{json_answer, text_answer, with_state};
 use viz::{Response, Router};
 
+use crate::handover::{ACCEPT_PATH, ASK_PATH, READ_PATH, accept_stream, ask_stream, read_stream};
 use crate::host::EntryHost;
 
 /// Makes the routes for peers and operators.
 pub(crate) fn peer_router(host: &Arc<EntryHost>) -> Router {
     Router::new()
+        .post(ACCEPT_PATH, with_state(host, accept_stream))
+        .post(ASK_PATH, with_state(host, ask_stream))
+        .post(READ_PATH, with_state(host, read_stream))
         .get("/status", with_state(host, |host, _request| status(host)))
         .get("/metrics", with_state(host, |host, _request| metrics(host)))
         .get("/healthz", with_state(host, |_host, _request| health()))
--- a/crates/teaselglade-entry/src/stream/stream_record.rs
+++ b/crates/teaselglade-entry/src/stream/stream_buffer.rs
@@ -3,28 +3,9 @@
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
 use teaselglade_core::id::RequestId;
-use teaselglade_core::table::ServiceRow;
-use teaselglade_core::time::Timestamp;
 use teaselglade_core::verdict::RequestRefusal;
 use tokio::sync::Notify;
 
-/// What a caller asked for.
-#[derive(Debug, Clone)]
-pub(crate) struct StreamOrder {
-    /// Organisation of the caller.
-    pub(crate) organisation: String,
-    /// Row of the service.
-    pub(crate) row: ServiceRow,
-    /// When the whole answer must be there.
-    pub(crate) deadline: Timestamp,
-    /// Prompt.
-    pub(crate) prompt: String,
-    /// Most tokens of the answer.
-    pub(crate) max_tokens: u32,
-    /// Adapter to apply.
-    pub(crate) adapter: Option<String>,
-}
-
 /// End of a stream that got its whole answer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) struct StreamEnd {
@@ -43,41 +24,58 @@
     End(StreamEnd),
     /// The request is given up.
     Refused(RequestRefusal),
+    /// This host no longer has the stream; the reader must come back.
+    Cut,
 }
 
 #[derive(Debug, Default)]
-struct RecordState {
+struct BufferState {
     tokens: Vec<String>,
     outcome: Option<std::result::Result<StreamEnd, RequestRefusal>>,
+    is_closed: bool,
 }
 
 /// Tokens and outcome of one request.
 #[derive(Debug)]
-pub(crate) struct StreamRecord {
+pub(crate) struct StreamBuffer {
     /// Id of the request.
     pub(crate) request: RequestId,
-    state: Mutex<RecordState>,
+    /// Line that the tokens belong to.
+    pub(crate) line: u16,
+    /// Index of the first token that is kept.
+    first: usize,
+    state: Mutex<BufferState>,
     changed: Notify,
 }
 
-impl StreamRecord {
-    /// Makes the record of a request without tokens.
-    pub(crate) fn new(request: RequestId) -> Self {
+impl StreamBuffer {
+    /// Makes a buffer that holds the tokens from index `first` on.
+    pub(crate) fn new(request: RequestId, line: u16, first: usize, tokens: Vec<String>) -> Self {
+        let state = BufferState {
+            tokens,
+            ..BufferState::default()
+        };
         Self {
             request,
-            state: Mutex::default(),
+            line,
+            first,
+            state: Mutex::new(state),
             changed: Notify::new(),
         }
     }
 
-    /// Returns the tokens so far.
-    pub(crate) fn tokens(&self) -> Vec<String> {
-        self.lock().tokens.clone()
+    /// Returns the index of the next token.
+    pub(crate) fn end(&self) -> usize {
+        self.first + self.lock().tokens.len()
     }
 
-    /// Adds the next token.
-    pub(crate) fn push(&self, token: String) {
-        self.lock().tokens.push(token);
+    /// Adds the token at `index`, unless it is there.
+    pub(crate) fn push(&self, index: usize, token: String) {
+        let mut state = self.lock();
+        if self.first + state.tokens.len() == index {
+            state.tokens.push(token);
+        }
+        drop(state);
         self.changed.notify_waiters();
     }
 
@@ -87,6 +85,12 @@
         self.changed.notify_waiters();
     }
 
+    /// Sends the readers away behind the last token.
+    pub(crate) fn close(&self) {
+        self.lock().is_closed = true;
+        self.changed.notify_waiters();
+    }
+
     /// Waits for what comes at `index`.
     pub(crate) async fn step(&self, index: usize) -> StreamStep {
         loop {
@@ -100,18 +104,21 @@
         }
     }
 
-    fn present_step(&self, index: usize) -> Option<StreamStep> {
+    /// Returns what is there at `index`.
+    pub(crate) fn present_step(&self, index: usize) -> Option<StreamStep> {
         let state = self.lock();
-        if let Some(token) = state.tokens.get(index) {
+        let place = index.checked_sub(self.first)?;
+        if let Some(token) = state.tokens.get(place) {
             return Some(StreamStep::Token(token.clone()));
         }
-        match state.outcome.clone()? {
-            Ok(end) => Some(StreamStep::End(end)),
-            Err(refusal) => Some(StreamStep::Refused(refusal)),
+        match state.outcome.clone() {
+            Some(Ok(end)) => Some(StreamStep::End(end)),
+            Some(Err(refusal)) => Some(StreamStep::Refused(refusal)),
+            None => state.is_closed.then_some(StreamStep::Cut),
         }
     }
 
-    fn lock(&self) -> MutexGuard<'_, RecordState> {
+    fn lock(&self) -> MutexGuard<'_, BufferState> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
--- a/crates/teaselglade-entry/src/stream/stream_task.rs
+++ b/crates/teaselglade-entry/src/stream/stream_task.rs
@@ -1,140 +1,246 @@
-//! Drives one stream from its first dispatch to its end.
+//! Task that drives one stream's machine.
 
+use std::collections::VecDeque;
 use std::sync::Arc;
 use std::time::Duration;
 
-use futures::StreamExt;
-use teaselglade_core::id::{AttemptId, ServerKey};
-use teaselglade_core::port::{AttemptError, EngineEvent, GenerateCall};
-use teaselglade_core::verdict::{ExecutionVerdict, RefusalReason, RequestRefusal, SendProgress};
-use tokio::time::{sleep, timeout};
+use teaselglade_core::table::ServiceRow;
+use teaselglade_core::time::Timestamp;
+use teaselglade_core::verdict::RequestRefusal;
+use teaselglade_request::stream::{
+    CallerSession, RestartCause, StreamAction, StreamCounters, StreamEvent, StreamLimits,
+    StreamMachine, StreamRecord, StreamRequest,
+};
+use tokio::sync::{mpsc, oneshot};
+use tokio::time::sleep;
 
-use super::{StreamEnd, StreamOrder, StreamRecord};
-use crate::directory::ServerEntry;
+use super::running_attempts::RunningAttempts;
+use super::stream_register::RegisteredStream;
+use super::{CommandSender, ReaderSeat, StreamBuffer, StreamCommand, StreamEnd, StreamOrder};
 use crate::host::EntryHost;
 
-const MAX_ATTEMPTS: u32 = 4;
-const PROGRESS_TIMEOUT: Duration = Duration::from_secs(2);
-const KEPT_AFTER_END: Duration = Duration::from_mins(1);
-const RETRY_AFTER: Duration = Duration::from_secs(1);
+/// Longest sleep between two looks at the clock.
+const LONGEST_SLEEP: Duration = Duration::from_mins(1);
 
-/// Starts a stream on a task of its own.
-pub(crate) fn start_stream(host: &Arc<EntryHost>, order: StreamOrder) -> Arc<StreamRecord> {
-    let record = Arc::new(StreamRecord::new(host.new_request()));
-    host.streams.insert(&record);
+/// Starts a stream on a task of its own and returns its caller's seat.
+pub(crate) fn start_stream(host: &Arc<EntryHost>, order: StreamOrder) -> ReaderSeat {
+    let request = StreamRequest {
+        id: host.new_request(),
+        organisation: order.organisation,
+        service: order.row.name.clone(),
+        prompt: order.prompt,
+        max_tokens: order.max_tokens,
+        adapter: order.adapter,
+        priority: 0,
+        deadline: order.deadline,
+    };
+    let buffer = Arc::new(StreamBuffer::new(request.id, 0, 0, Vec::new()));
+    let machine = StreamMachine::new(request, StreamLimits::default());
+    let commands = spawn_task(host, order.row, machine, &buffer);
+    ReaderSeat::first(buffer, commands)
+}
+
+/// Goes on with a stream whose record came from a peer.
+pub(crate) fn resume_stream(host: &Arc<EntryHost>, row: ServiceRow, record: StreamRecord) {
+    let buffer = StreamBuffer::new(
+        record.request.id,
+        record.generation,
+        0,
+        record.delivered.clone(),
+    );
+    let machine = StreamMachine::resume(record, StreamLimits::default(), host.now());
+    spawn_task(host, row, machine, &Arc::new(buffer));
+}
+
+fn spawn_task(
+    host: &Arc<EntryHost>,
+    row: ServiceRow,
+    machine: StreamMachine,
+    buffer: &Arc<StreamBuffer>,
+) -> CommandSender {
+    let (commands, received) = mpsc::unbounded_channel();
+    host.streams.insert(RegisteredStream {
+        buffer: Arc::clone(buffer),
+        generation: machine.generation(),
+        commands: commands.clone(),
+    });
     host.metrics.open_streams.inc();
-    tokio::spawn(run_stream(Arc::clone(host), order, Arc::clone(&record)));
-    record
+    let task = StreamTask {
+        host: Arc::clone(host),
+        attempts: RunningAttempts::new(Arc::clone(host), commands.clone()),
+        row,
+        machine,
+        buffer: Arc::clone(buffer),
+        commands: commands.clone(),
+        session: CallerSession::default(),
+        pending: VecDeque::new(),
+        rejected: None,
+        timer: None,
+        counted: StreamCounters::default(),
+        is_open: true,
+    };
+    tokio::spawn(task.run(received));
+    commands
 }
 
-async fn run_stream(host: Arc<EntryHost>, order: StreamOrder, record: Arc<StreamRecord>) {
-    let outcome = attempt_until_whole(&host, &order, &record).await;
-    let label = if outcome.is_ok() { "whole" } else { "refused" };
-    host.metrics
-        .requests
-        .with_label_values(&[order.organisation.as_str(), label])
-        .inc();
-    record.finish(outcome);
-    host.metrics.open_streams.dec();
-    sleep(KEPT_AFTER_END).await;
-    host.streams.remove(record.request);
+#[derive(Debug)]
+struct StreamTask {
+    host: Arc<EntryHost>,
+    row: ServiceRow,
+    machine: StreamMachine,
+    buffer: Arc<StreamBuffer>,
+    commands: CommandSender,
+    attempts: RunningAttempts,
+    session: CallerSession,
+    pending: VecDeque<StreamEvent>,
+    rejected: Option<RequestRefusal>,
+    timer: Option<Timestamp>,
+    counted: StreamCounters,
+    is_open: bool,
 }
 
-async fn attempt_until_whole(
-    host: &EntryHost,
-    order: &StreamOrder,
-    record: &StreamRecord,
-) -> Result<StreamEnd, RequestRefusal> {
-    let mut attempt = AttemptId::first(record.request);
-    let mut excluded = Vec::<ServerKey>::new();
-    let mut recomputed_tokens = 0;
-    let mut verdict = ExecutionVerdict::NotRun;
-    loop {
-        if host.now() >= order.deadline {
-            return Err(given_up(
-                verdict,
-                RefusalReason::DeadlineExceeded,
-                &order.row.name,
-            ));
-        }
-        let Some(server) = host.choose_server(&order.row, &excluded) else {
-            return Err(given_up(verdict, RefusalReason::NoServer, &order.row.name));
-        };
-        let result = run_attempt(host, order, record, attempt, &server).await;
-        host.release_server(server.key);
-        match result {
-            Ok(mut end) => {
-                end.recomputed_tokens = recomputed_tokens;
-                return Ok(end);
+impl StreamTask {
+    async fn run(mut self, mut received: mpsc::UnboundedReceiver<StreamCommand>) {
+        self.apply(StreamEvent::Admitted { prefer: None });
+        while !self.machine.is_over() {
+            let now = self.host.now();
+            let span = self.timer.map_or(LONGEST_SLEEP, |at| at - now);
+            tokio::select! {
+                biased;
+                command = received.recv() => match command {
+                    Some(command) => self.take(command),
+                    None => break,
+                },
+                () = sleep(span) => {
+                    if self.timer.is_some_and(|at| at <= self.host.now()) {
+                        self.timer = None;
+                        self.apply(StreamEvent::TimerFired);
+                    }
+                }
             }
-            Err(error) => {
-                host.metrics.failed_attempts.inc();
-                verdict = verdict.and(ExecutionVerdict::after_attempt(error.progress));
-                if attempt.number >= MAX_ATTEMPTS {
-                    return Err(given_up(
-                        verdict,
-                        RefusalReason::AttemptFailed,
-                        &error.detail,
-                    ));
+        }
+        self.attempts.release_all();
+        self.host.streams.remove(&self.buffer);
+        self.buffer.close();
+    }
+
+    fn take(&mut self, command: StreamCommand) {
+        match command {
+            StreamCommand::Event(event) => {
+                if let StreamEvent::AttemptFailed { attempt, .. }
+                | StreamEvent::AttemptClosed { attempt } = &event
+                {
+                    self.attempts.finish(*attempt);
                 }
-                excluded.push(server.key);
-                recomputed_tokens += record.tokens().len() as u32;
-                host.metrics
-                    .recomputed_tokens
-                    .inc_by(record.tokens().len() as u64);
-                attempt = attempt.next();
+                self.apply(event);
             }
+            StreamCommand::Attach { from, line, reply } => self.attach(from, line, reply),
         }
     }
-}
 
-fn given_up(verdict: ExecutionVerdict, reason: RefusalReason, detail: &str) -> RequestRefusal {
-    RequestRefusal::with_verdict(verdict, reason, detail).retry_after(RETRY_AFTER)
-}
+    fn attach(
+        &mut self,
+        from: u32,
+        line: Option<u16>,
+        reply: oneshot::Sender<Result<CallerSession, RequestRefusal>>,
+    ) {
+        self.session = self.session.next();
+        let session = self.session;
+        // The buffer already has every token that was delivered.
+        let from = from.max(self.buffer.end() as u32);
+        self.apply(StreamEvent::CallerResumed {
+            session,
+            from,
+            line,
+        });
+        let answer = self.rejected.take().map_or(Ok(session), Err);
+        if reply.send(answer).is_err() {
+            self.apply(StreamEvent::CallerGone { session });
+        }
+    }
 
-async fn run_attempt(
-    host: &EntryHost,
-    order: &StreamOrder,
-    record: &StreamRecord,
-    attempt: AttemptId,
-    server: &ServerEntry,
-) -> Result<StreamEnd, AttemptError> {
-    let call = GenerateCall {
-        attempt,
-        prompt: order.prompt.clone(),
-        max_tokens: order.max_tokens,
-        delivered: record.tokens(),
-        adapter: order.adapter.clone(),
-        priority: 0,
-        kv_handle: None,
-    };
-    let mut next = call.delivered.len() as u32;
-    let mut stream = host.ports.backend.generate(server.address, call).await?;
-    loop {
-        let event = timeout(PROGRESS_TIMEOUT, stream.events.next()).await;
-        let event = event.map_err(|_elapsed| broken("the stream makes no progress"))?;
-        match event.ok_or_else(|| broken("the stream ended early"))?? {
-            EngineEvent::Token {
-                attempt: of,
-                index,
-                text,
-            } if of == attempt && index == next => {
-                record.push(text);
-                host.metrics.tokens.inc();
-                next += 1;
+    fn apply(&mut self, event: StreamEvent) {
+        self.pending.push_back(event);
+        while let Some(event) = self.pending.pop_front() {
+            let now = self.host.now();
+            let actions = self.machine.on_event(now, event);
+            for action in actions {
+                self.carry_out(now, action);
+            }
+        }
+        self.count();
+    }
+
+    fn carry_out(&mut self, now: Timestamp, action: StreamAction) {
+        match action {
+            StreamAction::Place {
+                ticket, exclude, ..
+            } => {
+                let event = self.attempts.place(ticket, &self.row, &exclude);
+                self.pending.push_back(event);
             }
-            EngineEvent::End { attempt: of, total } if of == attempt && total == next => {
-                return Ok(StreamEnd {
-                    tokens: total,
-                    recomputed_tokens: 0,
-                });
+            StreamAction::AskRetry { ticket, retry } => {
+                let deadline = self.machine.request().deadline;
+                let budgets = &self.host.budgets;
+                let decision = budgets.ask(&self.row.name, now, deadline, retry);
+                let event = StreamEvent::RetryDecided { ticket, decision };
+                self.pending.push_back(event);
             }
-            EngineEvent::Started { .. } => {}
-            _ => host.metrics.dropped_frames.inc(),
+            StreamAction::Dispatch {
+                server,
+                call,
+                cause,
+                fresh_connection,
+            } => {
+                if cause == RestartCause::First {
+                    self.host.budgets.record_first(&self.row.name);
+                }
+                self.attempts.start(server, call, fresh_connection);
+            }
+            StreamAction::MoveKv {
+                ticket,
+                attempt,
+                from,
+                to,
+            } => self.attempts.move_kv(ticket, attempt, from, to),
+            StreamAction::Cancel { server, attempt } => self.attempts.cancel(server, attempt),
+            StreamAction::Deliver { index, text } => {
+                self.host.metrics.tokens.inc();
+                self.buffer.push(index as usize, text);
+            }
+            StreamAction::Finish { total, recomputed } => self.buffer.finish(Ok(StreamEnd {
+                tokens: total,
+                recomputed_tokens: recomputed,
+            })),
+            StreamAction::Refuse { refusal } => self.buffer.finish(Err(refusal)),
+            StreamAction::RejectResume { refusal, .. } => self.rejected = Some(refusal),
+            StreamAction::HandOver { mut record } => {
+                record.server = self.attempts.host_name(self.machine.server());
+                let commands = self.commands.clone();
+                self.host.handovers.offer(&self.host, *record, commands);
+            }
+            StreamAction::CloseCaller => self.buffer.close(),
+            StreamAction::SetTimer { at } => self.timer = Some(at),
+            StreamAction::Expire => {}
         }
     }
-}
 
-fn broken(detail: &str) -> AttemptError {
-    AttemptError::new(SendProgress::MaybeSent, detail)
+    fn count(&mut self) {
+        let present = *self.machine.counters();
+        let metrics = &self.host.metrics;
+        let recomputed = present.recomputed_tokens() - self.counted.recomputed_tokens();
+        metrics.recomputed_tokens.inc_by(u64::from(recomputed));
+        let dropped = present.dropped_frames() - self.counted.dropped_frames();
+        metrics.dropped_frames.inc_by(u64::from(dropped));
+        let retried = present.retried_attempts() - self.counted.retried_attempts();
+        metrics.failed_attempts.inc_by(u64::from(retried));
+        self.counted = present;
+        if self.is_open && !self.machine.is_open() {
+            self.is_open = false;
+            metrics.open_streams.dec();
+            let organisation = self.machine.request().organisation.as_str();
+            let labels = [organisation, self.machine.outcome_name()];
+            metrics.requests.with_label_values(&labels).inc();
+        }
+    }
 }
--- a/crates/teaselglade-request/src/stream/stream_counters.rs
+++ b/crates/teaselglade-request/src/stream/stream_counters.rs
@@ -28,6 +28,12 @@
         self.recomputed.iter().sum()
     }
 
+    /// Returns the attempts that replaced one that failed or went silent.
+    #[must_use]
+    pub const fn retried_attempts(&self) -> u32 {
+        self.attempts[RestartCause::Fault as usize] + self.attempts[RestartCause::Silence as usize]
+    }
+
     /// Returns all frames that were dropped.
     #[must_use]
     pub const fn dropped_frames(&self) -> u32 {
--- a/crates/teaselglade-request/src/stream/stream_machine/frame_events.rs
+++ b/crates/teaselglade-request/src/stream/stream_machine/frame_events.rs
@@ -41,7 +41,7 @@
         self.settled = self.settled.and(verdict);
         let cause = self.loss_cause(attempt.server, RestartCause::Fault);
         self.failed.push(attempt.server);
-        self.replace_attempt(now, cause, None);
+        self.replace_attempt(now, cause, None, false);
     }
 
     pub(super) fn on_attempt_closed(&mut self, now: Timestamp, id: AttemptId) {
@@ -78,12 +78,13 @@
         // A new connection to the same server comes first, since its cache holds the prefix.
         let same_server = (attempt.started && !is_leaving).then_some(server);
         let same_server = same_server.filter(|_| !attempt.reconnected || attempt.tokens > 0);
+        let is_cheap = same_server.is_some() && attempt.tokens > 0;
         if same_server.is_none() {
             self.failed.push(server);
         }
         self.cancel_attempt();
         let cause = self.loss_cause(server, RestartCause::Silence);
-        self.replace_attempt(now, cause, same_server);
+        self.replace_attempt(now, cause, same_server, is_cheap);
     }
 
     /// Returns `otherwise` unless the lost attempt's server had announced its departure.
@@ -174,7 +175,7 @@
         let cause = self.loss_cause(attempt.server, RestartCause::Fault);
         self.failed.push(attempt.server);
         self.cancel_attempt();
-        self.replace_attempt(now, cause, None);
+        self.replace_attempt(now, cause, None, false);
     }
 }
 
--- a/crates/teaselglade-request/src/stream/stream_machine/mod.rs
+++ b/crates/teaselglade-request/src/stream/stream_machine/mod.rs
@@ -94,6 +94,8 @@
     shared_tokens: usize,
     last_attempt: u32,
     retries: u32,
+    /// Whether the request used its reconnection outside the budget.
+    has_reconnected: bool,
     last_ticket: u32,
     attempt: Option<ActiveAttempt>,
     plan: Option<AttemptPlan>,
@@ -150,6 +152,7 @@
             line: record.generation,
             last_attempt: first_attempt(record.generation),
             retries: record.retries,
+            has_reconnected: false,
             last_ticket: 0,
             attempt: None,
             plan: None,
@@ -216,6 +219,18 @@
         )
     }
 
+    /// Returns the name of how the stream stands.
+    #[must_use]
+    pub const fn outcome_name(&self) -> &'static str {
+        match self.phase {
+            StreamPhase::New | StreamPhase::Active => "open",
+            StreamPhase::HandingOver { .. } => "handing_over",
+            StreamPhase::Whole { .. } => "whole",
+            StreamPhase::Refused { .. } => "refused",
+            StreamPhase::Over => "left",
+        }
+    }
+
     /// Returns the generation of the stream's record.
     #[must_use]
     pub const fn generation(&self) -> u16 {
--- a/crates/teaselglade-request/src/stream/stream_machine/plan_events.rs
+++ b/crates/teaselglade-request/src/stream/stream_machine/plan_events.rs
@@ -27,11 +27,15 @@
     }
 
     /// Plans the attempt that replaces one that is gone.
+    ///
+    /// A cheap one continues on a server that caches the whole prefix, and adds next to no load.
+    /// Each request has one of these outside the retry budget.
     pub(super) fn replace_attempt(
         &mut self,
         now: Timestamp,
         cause: RestartCause,
         same_server: Option<ServerKey>,
+        is_cheap: bool,
     ) {
         if let Some(plan) = &mut self.plan {
             plan.give_up_at = now + self.limits.place_patience;
@@ -53,6 +57,11 @@
             return;
         }
         self.start_plan(now, cause, same_server);
+        if is_cheap && !self.has_reconnected {
+            self.has_reconnected = true;
+            self.end_delay(now);
+            return;
+        }
         self.ask_budget();
     }
 
--- a/crates/teaselglade-request/tests/request/streams.rs
+++ b/crates/teaselglade-request/tests/request/streams.rs
@@ -5,6 +5,8 @@
 use proptest::prelude::*;
 use teaselglade_core::verdict::ExecutionVerdict;
 
+use teaselglade_request::retry::BudgetLimits;
+
 use crate::support::{Fault, Outcome, World, WorldSetup};
 
 const ENGINES: usize = 4;
@@ -69,8 +71,14 @@
 }
 
 fn run_world(seed: u64, faults: &[(u64, Fault)]) -> World {
+    let budget = WorldSetup::default().budget;
+    run_budgeted_world(seed, faults, budget)
+}
+
+fn run_budgeted_world(seed: u64, faults: &[(u64, Fault)], budget: BudgetLimits) -> World {
     let mut world = World::new(&WorldSetup {
         seed,
+        budget,
         ..WorldSetup::default()
     });
     for (at_ms, fault) in faults {
@@ -111,7 +119,7 @@
         seed in any::<u64>(),
         faults in plan(announced_fault()),
     ) {
-        let world = run_world(seed, &faults);
+        let world = run_budgeted_world(seed, &faults, BudgetLimits::default());
         check_safety(&world)?;
         for (index, caller) in world.callers.iter().enumerate() {
             prop_assert_eq!(&caller.outcome, &Some(Outcome::Whole), "caller {}", index);
--- a/crates/teaselglade-request/tests/support/world.rs
+++ b/crates/teaselglade-request/tests/support/world.rs
@@ -371,21 +371,7 @@
                 from,
                 to,
             } => {
-                let can_move = |server: ServerKey| {
-                    let engine = &self.engines[server.index()];
-                    !engine.is_dead && !engine.is_frozen && !engine.refuses_kv
-                };
-                let is_moved = can_move(from) && can_move(to);
-                if can_move(from) {
-                    self.end_run(attempt);
-                }
-                let event = if is_moved {
-                    self.moves += 1;
-                    let handle = "kv".to_owned();
-                    StreamEvent::KvMoved { ticket, handle }
-                } else {
-                    StreamEvent::KvFailed { ticket }
-                };
+                let event = self.move_cache(ticket, attempt, from, to);
                 self.schedule(
                     KV_MOVE,
                     WorldEvent::Machine {
@@ -610,6 +596,29 @@
         self.tell(host, caller, event);
     }
 
+    fn move_cache(
+        &mut self,
+        ticket: u32,
+        attempt: AttemptId,
+        from: ServerKey,
+        to: ServerKey,
+    ) -> StreamEvent {
+        let can_move = |server: ServerKey| {
+            let engine = &self.engines[server.index()];
+            !engine.is_dead && !engine.is_frozen && !engine.refuses_kv
+        };
+        let is_moved = can_move(from) && can_move(to);
+        if can_move(from) {
+            self.end_run(attempt);
+        }
+        if !is_moved {
+            return StreamEvent::KvFailed { ticket };
+        }
+        self.moves += 1;
+        let handle = "kv".to_owned();
+        StreamEvent::KvMoved { ticket, handle }
+    }
+
     /// Ends a run without an end frame, as an export of its cache does.
     fn end_run(&mut self, attempt: AttemptId) {
         let mut runs = self.runs.iter_mut();
--- a/crates/teaselglade-wire/src/generated.rs
+++ b/crates/teaselglade-wire/src/generated.rs
@@ -2723,6 +2723,349 @@
         value.parse()
     }
 }
+///Question whether a peer holds a stream.
+///
+/// <details><summary>JSON schema</summary>
+///
+/// ```json
+///{
+///  "description": "Question whether a peer holds a stream.",
+///  "type": "object",
+///  "required": [
+///    "request"
+///  ],
+///  "properties": {
+///    "request": {
+///      "description": "Id of the request.",
+///      "type": "string"
+///    }
+///  }
+///}
+/// ```
+/// </details>
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct PeerStreamAsk {
+    ///Id of the request.
+    pub request: ::std::string::String,
+}
+impl ::std::convert::From<&PeerStreamAsk> for PeerStreamAsk {
+    fn from(value: &PeerStreamAsk) -> Self {
+        value.clone()
+    }
+}
+///Answer to the question whether a peer holds a stream.
+///
+/// <details><summary>JSON schema</summary>
+///
+/// ```json
+///{
+///  "description": "Answer to the question whether a peer holds a stream.",
+///  "type": "object",
+///  "required": [
+///    "generation",
+///    "held",
+///    "line"
+///  ],
+///  "properties": {
+///    "generation": {
+///      "description": "Generation of its record.",
+///      "type": "integer",
+///      "format": "uint16",
+///      "minimum": 0.0
+///    },
+///    "held": {
+///      "description": "Whether the peer holds it.",
+///      "type": "boolean"
+///    },
+///    "line": {
+///      "description": "Line of its copy.",
+///      "type": "integer",
+///      "format": "uint16",
+///      "minimum": 0.0
+///    }
+///  }
+///}
+/// ```
+/// </details>
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct PeerStreamHolder {
+    ///Generation of its record.
+    pub generation: u16,
+    ///Whether the peer holds it.
+    pub held: bool,
+    ///Line of its copy.
+    pub line: u16,
+}
+impl ::std::convert::From<&PeerStreamHolder> for PeerStreamHolder {
+    fn from(value: &PeerStreamHolder) -> Self {
+        value.clone()
+    }
+}
+///Tokens of a stream that a peer holds.
+///
+/// <details><summary>JSON schema</summary>
+///
+/// ```json
+///{
+///  "description": "Tokens of a stream that a peer holds.",
+///  "type": "object",
+///  "required": [
+///    "gone",
+///    "line",
+///    "tokens"
+///  ],
+///  "properties": {
+///    "end": {
+///      "$ref": "#/definitions/EndEvent"
+///    },
+///    "gone": {
+///      "description": "Whether the peer no longer holds the stream.",
+///      "type": "boolean"
+///    },
+///    "line": {
+///      "description": "Line of the tokens.",
+///      "type": "integer",
+///      "format": "uint16",
+///      "minimum": 0.0
+///    },
+///    "refused": {
+///      "$ref": "#/definitions/ErrorBody"
+///    },
+///    "tokens": {
+///      "description": "Tokens from the index on.",
+///      "type": "array",
+///      "items": {
+///        "type": "string"
+///      }
+///    }
+///  }
+///}
+/// ```
+/// </details>
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct PeerStreamPart {
+    #[serde(default, skip_serializing_if = "::std::option::Option::is_none")]
+    pub end: ::std::option::Option<EndEvent>,
+    ///Whether the peer no longer holds the stream.
+    pub gone: bool,
+    ///Line of the tokens.
+    pub line: u16,
+    #[serde(default, skip_serializing_if = "::std::option::Option::is_none")]
+    pub refused: ::std::option::Option<ErrorBody>,
+    ///Tokens from the index on.
+    pub tokens: ::std::vec::Vec<::std::string::String>,
+}
+impl ::std::convert::From<&PeerStreamPart> for PeerStreamPart {
+    fn from(value: &PeerStreamPart) -> Self {
+        value.clone()
+    }
+}
+///Request for the tokens of a stream that a peer holds.
+///
+/// <details><summary>JSON schema</summary>
+///
+/// ```json
+///{
+///  "description": "Request for the tokens of a stream that a peer holds.",
+///  "type": "object",
+///  "required": [
+///    "from",
+///    "request"
+///  ],
+///  "properties": {
+///    "from": {
+///      "description": "Index of the first token.",
+///      "type": "integer",
+///      "format": "uint32",
+///      "minimum": 0.0
+///    },
+///    "line": {
+///      "description": "Line of the caller's last token.",
+///      "type": "integer",
+///      "format": "uint16",
+///      "minimum": 0.0
+///    },
+///    "request": {
+///      "description": "Id of the request.",
+///      "type": "string"
+///    }
+///  }
+///}
+/// ```
+/// </details>
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct PeerStreamRead {
+    ///Index of the first token.
+    pub from: u32,
+    ///Line of the caller's last token.
+    #[serde(default, skip_serializing_if = "::std::option::Option::is_none")]
+    pub line: ::std::option::Option<u16>,
+    ///Id of the request.
+    pub request: ::std::string::String,
+}
+impl ::std::convert::From<&PeerStreamRead> for PeerStreamRead {
+    fn from(value: &PeerStreamRead) -> Self {
+        value.clone()
+    }
+}
+///Record of a stream that a peer hands over.
+///
+/// <details><summary>JSON schema</summary>
+///
+/// ```json
+///{
+///  "description": "Record of a stream that a peer hands over.",
+///  "type": "object",
+///  "required": [
+///    "delivered",
+///    "generation",
+///    "left_ms",
+///    "max_tokens",
+///    "organisation",
+///    "priority",
+///    "prompt",
+///    "request",
+///    "retries",
+///    "service"
+///  ],
+///  "properties": {
+///    "adapter": {
+///      "description": "Adapter to apply.",
+///      "type": "string"
+///    },
+///    "delivered": {
+///      "description": "Tokens accepted so far.",
+///      "type": "array",
+///      "items": {
+///        "type": "string"
+///      }
+///    },
+///    "generation": {
+///      "description": "Number of handovers.",
+///      "type": "integer",
+///      "format": "uint16",
+///      "minimum": 0.0
+///    },
+///    "left_ms": {
+///      "description": "Time left until the request's deadline, in milliseconds.",
+///      "type": "integer",
+///      "format": "uint64",
+///      "minimum": 0.0
+///    },
+///    "max_tokens": {
+///      "description": "Most tokens of the answer.",
+///      "type": "integer",
+///      "format": "uint32",
+///      "minimum": 0.0
+///    },
+///    "organisation": {
+///      "description": "Organisation of the caller.",
+///      "type": "string"
+///    },
+///    "priority": {
+///      "description": "Higher goes first.",
+///      "type": "integer",
+///      "format": "int32"
+///    },
+///    "prompt": {
+///      "description": "Prompt.",
+///      "type": "string"
+///    },
+///    "request": {
+///      "description": "Id of the request.",
+///      "type": "string"
+///    },
+///    "retries": {
+///      "description": "Retries after faults.",
+///      "type": "integer",
+///      "format": "uint32",
+///      "minimum": 0.0
+///    },
+///    "server": {
+///      "description": "Host of the last attempt's server.",
+///      "type": "string"
+///    },
+///    "service": {
+///      "description": "Service of the request.",
+///      "type": "string"
+///    },
+///    "total": {
+///      "description": "Tokens of the answer, where it is whole.",
+///      "type": "integer",
+///      "format": "uint32",
+///      "minimum": 0.0
+///    }
+///  }
+///}
+/// ```
+/// </details>
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct PeerStreamRecord {
+    ///Adapter to apply.
+    #[serde(default, skip_serializing_if = "::std::option::Option::is_none")]
+    pub adapter: ::std::option::Option<::std::string::String>,
+    ///Tokens accepted so far.
+    pub delivered: ::std::vec::Vec<::std::string::String>,
+    ///Number of handovers.
+    pub generation: u16,
+    ///Time left until the request's deadline, in milliseconds.
+    pub left_ms: u64,
+    ///Most tokens of the answer.
+    pub max_tokens: u32,
+    ///Organisation of the caller.
+    pub organisation: ::std::string::String,
+    ///Higher goes first.
+    pub priority: i32,
+    ///Prompt.
+    pub prompt: ::std::string::String,
+    ///Id of the request.
+    pub request: ::std::string::String,
+    ///Retries after faults.
+    pub retries: u32,
+    ///Host of the last attempt's server.
+    #[serde(default, skip_serializing_if = "::std::option::Option::is_none")]
+    pub server: ::std::option::Option<::std::string::String>,
+    ///Service of the request.
+    pub service: ::std::string::String,
+    ///Tokens of the answer, where it is whole.
+    #[serde(default, skip_serializing_if = "::std::option::Option::is_none")]
+    pub total: ::std::option::Option<u32>,
+}
+impl ::std::convert::From<&PeerStreamRecord> for PeerStreamRecord {
+    fn from(value: &PeerStreamRecord) -> Self {
+        value.clone()
+    }
+}
+///Answer to a handed-over record.
+///
+/// <details><summary>JSON schema</summary>
+///
+/// ```json
+///{
+///  "description": "Answer to a handed-over record.",
+///  "type": "object",
+///  "required": [
+///    "accepted"
+///  ],
+///  "properties": {
+///    "accepted": {
+///      "description": "Whether the peer holds the record.",
+///      "type": "boolean"
+///    }
+///  }
+///}
+/// ```
+/// </details>
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct PeerStreamReply {
+    ///Whether the peer holds the record.
+    pub accepted: bool,
+}
+impl ::std::convert::From<&PeerStreamReply> for PeerStreamReply {
+    fn from(value: &PeerStreamReply) -> Self {
+        value.clone()
+    }
+}
 ///How a host is paid for.
 ///
 /// <details><summary>JSON schema</summary>
--- a/crates/teaselglade-wire/src/lib.rs
+++ b/crates/teaselglade-wire/src/lib.rs
@@ -19,6 +19,7 @@
     EndEvent, EngineCancel, EngineExport, EngineFrame, EngineGenerate, EngineHandle, EngineImport,
     EngineLoad, EngineOrder, EngineState, ErrorBody, GenerateAnswer, GenerateBody, HostEntries,
     HostEntry, HostRole, HostStatus, LeaseRecord, LogAppended, LogEntries, LogEntry, PeerExchange,
-    PeerMember, PeerNotice, PeerSlice, PeerState, PurchaseKind, ShardBatch, ShardEntry, TableHead,
-    TablePublication, TableRecord, TableSnapshot, TokenEvent, Verdict, WeightReserve,
+    PeerMember, PeerNotice, PeerSlice, PeerState, PeerStreamAsk, PeerStreamHolder, PeerStreamPart,
+    PeerStreamRead, PeerStreamRecord, PeerStreamReply, PurchaseKind, ShardBatch, ShardEntry,
+    TableHead, TablePublication, TableRecord, TableSnapshot, TokenEvent, Verdict, WeightReserve,
 };
