test(streams): stop, kill and freeze over processes; final answers under arbitrary events

Cause: switching mechanisms off showed gaps: no test failed when a refused request's plan went on, when open attempts were left out of the verdict, or when two copies of an answer could be mixed. Change: a property feeds stale and repeated events to the machine; direct tests cover copies and the frozen record; three tests over processes stop, kill and freeze a host.

--- a/crates/teaselglade-entry/src/handover/handover_desk.rs
+++ b/crates/teaselglade-entry/src/handover/handover_desk.rs
@@ -72,6 +72,11 @@
         self.drive(host, offered);
     }
 
+    /// Returns whether no record is on its way.
+    pub(crate) fn is_idle(&self) -> bool {
+        self.lock().machine.is_idle()
+    }
+
     fn drive(&self, host: &Arc<EntryHost>, event: HandoverEvent) {
         let actions = self.lock().machine.on_event(host.now(), event);
         for action in actions {
--- a/crates/teaselglade-entry/src/host/entry_daemon.rs
+++ b/crates/teaselglade-entry/src/host/entry_daemon.rs
@@ -86,7 +86,7 @@
         let deadline = Instant::now() + self.host.settings.drain;
         let stop_at = self.host.now() + self.host.settings.drain;
         self.host.streams.announce_stop(stop_at);
-        while self.host.metrics.open_streams.get() > 0 && Instant::now() < deadline {
+        while self.has_streams() && Instant::now() < deadline {
             sleep(DRAIN_POLL).await;
         }
         tokio::select! {
@@ -101,6 +101,10 @@
         log::info!("entry daemon {} stopped", self.host.settings.host);
     }
 
+    fn has_streams(&self) -> bool {
+        self.host.metrics.open_streams.get() > 0 || !self.host.handovers.is_idle()
+    }
+
     /// Ends the daemon at once, as a crash would.
     pub fn abort(self) {
         self.caller_server.abort();
--- a/crates/teaselglade-request/tests/request/main.rs
+++ b/crates/teaselglade-request/tests/request/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the decisions about one request.
 
+mod final_answers;
 mod handover;
 mod retry;
 mod streams;
--- a/crates/teaselglade/src/caller/caller_client.rs
+++ b/crates/teaselglade/src/caller/caller_client.rs
@@ -51,7 +51,7 @@
             let result = match progress.report.request.clone() {
                 None => self.follow(start_call(entry, query), &mut progress).await,
                 Some(request) => {
-                    let call = resume_call(entry, &request, progress.report.tokens.len());
+                    let call = resume_call(entry, &request, &progress.last_event);
                     self.follow(call, &mut progress).await
                 }
             };
@@ -147,12 +147,12 @@
         .head_timeout(HEAD_TIMEOUT)
 }
 
-fn resume_call(entry: SocketAddr, request: &str, received: usize) -> HttpCall {
+fn resume_call(entry: SocketAddr, request: &str, last_event: &str) -> HttpCall {
     let call = HttpCall::get(entry, format!("/v1/requests/{request}")).head_timeout(HEAD_TIMEOUT);
-    match received.checked_sub(1) {
-        Some(last) => call.header("last-event-id", format!("{request}/{last}")),
-        None => call,
+    if last_event.is_empty() {
+        return call;
     }
+    call.header("last-event-id", last_event)
 }
 
 fn plain_report(answer: HttpAnswer) -> PlainReport {
@@ -171,6 +171,8 @@
     report: StreamReport,
     started: Instant,
     last: Option<Instant>,
+    /// Id of the last token's event; empty before the first.
+    last_event: String,
 }
 
 impl StreamProgress {
@@ -190,6 +192,7 @@
             report,
             started: Instant::now(),
             last: None,
+            last_event: String::new(),
         }
     }
 
@@ -203,6 +206,7 @@
                     return Err(format!("token {} came out of order", token.index));
                 }
                 self.note_token(token.text);
+                self.last_event.clone_from(&event.id);
                 Ok(None)
             }
             "end" => {
--- /dev/null
+++ b/crates/teaselglade/tests/processes/handover.rs
@@ -0,0 +1,124 @@
+//! Streams whose entry host leaves, and servers that stop without closing connections.
+
+use std::time::Duration;
+
+use hyper::Method;
+use teaselglade::caller::{CallerClient, StreamQuery, StreamReport};
+use teaselglade_net::client::HttpCall;
+use teaselglade_standins::engine::answer_text;
+use teaselglade_standins::fleet::{FleetAddresses, FleetPlan};
+use teaselglade_wire::HostEntries;
+use teaselglade_wire::codec::{from_json, to_json};
+use tokio::time::sleep;
+
+use super::harness::{TestFleet, TestProcess};
+
+const TOKENS: u32 = 120;
+const STREAMS: usize = 16;
+const UNDER_WAY: Duration = Duration::from_millis(500);
+const SHORT_DRAIN: Duration = Duration::from_secs(3);
+
+fn query(index: usize) -> StreamQuery {
+    StreamQuery {
+        organisation: "dragons-sleeve".to_owned(),
+        service: "patter-engine".to_owned(),
+        prompt: format!("a long script for trick {index}"),
+        max_tokens: TOKENS,
+    }
+}
+
+async fn run_streams(fleet: &TestFleet) -> Vec<StreamReport> {
+    let entries = fleet.callers();
+    let client = CallerClient::default();
+    let streams = (0..STREAMS).map(|index| {
+        let (client, entries) = (&client, &entries);
+        async move { client.generate(entries, &query(index)).await }
+    });
+    futures::future::join_all(streams).await
+}
+
+fn assert_whole(reports: &[StreamReport]) {
+    for (index, report) in reports.iter().enumerate() {
+        assert!(report.is_whole(), "{report:?}");
+        assert_eq!(report.text(), answer_text(&query(index).prompt, TOKENS));
+    }
+}
+
+/// Starts more stand-ins as a process of their own and lists one of their engines.
+async fn add_engine_process(fleet: &TestFleet) -> TestProcess {
+    let program = env!("CARGO_BIN_EXE_teaselglade-standins");
+    let (process, line) = TestProcess::start(program, &["--fleet", &fleet.plan.name]);
+    let platform = from_json::<FleetAddresses>(line.as_bytes()).expect("addresses");
+    let answer = fleet
+        .call(HttpCall::get(platform.host_list, "/hosts"))
+        .await;
+    let listed = from_json::<HostEntries>(&answer.body).expect("the host list");
+    let mut hosts = listed.hosts.into_iter();
+    let engine = hosts.find(|host| host.service == "patter-engine");
+    let mut engine = engine.expect("a model engine");
+    engine.name = format!("{}-frozen", engine.name);
+    let body = to_json(&engine).expect("the host is encoded");
+    let put = HttpCall::new(Method::PUT, fleet.platform.host_list, "/hosts").body(body);
+    fleet.call(put).await;
+    process
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn streams_go_on_at_a_peer_when_their_entry_host_stops() {
+    let plan = FleetPlan::dragons_sleeve();
+    let mut fleet = TestFleet::start_with_drain(plan, 3, SHORT_DRAIN).await;
+    let stop = async {
+        sleep(UNDER_WAY).await;
+        fleet.entries[0].process.signal("TERM");
+    };
+    let (reports, ()) = tokio::join!(run_streams(&fleet), stop);
+    assert_whole(&reports);
+    assert!(reports.iter().all(|report| report.resumes > 0));
+    assert!(
+        fleet.entries[0].process.wait(),
+        "the daemon ends with success"
+    );
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn streams_learn_the_truth_when_their_entry_host_is_killed() {
+    let mut fleet = TestFleet::start(FleetPlan::dragons_sleeve(), 2).await;
+    let entries = fleet.callers();
+    let client = CallerClient::default();
+    let question = query(0);
+    let stream = client.generate(&entries, &question);
+    let kill = async {
+        sleep(UNDER_WAY).await;
+        fleet.entries[0].process.kill();
+    };
+    let (report, ()) = tokio::join!(stream, kill);
+    let outcome = format!("{:?}", report.outcome);
+    assert!(!report.is_whole(), "a cut stream passed as whole");
+    assert!(outcome.contains("MayHaveRun"), "{outcome}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn streams_survive_an_engine_that_freezes() {
+    let mut fleet = TestFleet::start(FleetPlan::dragons_sleeve(), 0).await;
+    let engine = add_engine_process(&fleet).await;
+    fleet.start_entry(0).await;
+    sleep(Duration::from_secs(1)).await;
+    let freeze = async {
+        sleep(UNDER_WAY).await;
+        engine.signal("STOP");
+        sleep(Duration::from_secs(5)).await;
+        engine.signal("CONT");
+    };
+    let (reports, ()) = tokio::join!(run_streams(&fleet), freeze);
+    assert_whole(&reports);
+    assert_ne!(failed_attempts(&fleet).await, 0, "no stream met the engine");
+}
+
+async fn failed_attempts(fleet: &TestFleet) -> u64 {
+    let peers = fleet.entries[0].addresses.peers;
+    let answer = fleet.call(HttpCall::get(peers, "/metrics")).await;
+    let text = String::from_utf8_lossy(&answer.body);
+    let mut lines = text.lines();
+    let count = lines.find_map(|line| line.strip_prefix("teaselglade_failed_attempts_total "));
+    count.and_then(|count| count.parse().ok()).unwrap_or(0)
+}
--- a/crates/teaselglade/tests/processes/harness.rs
+++ b/crates/teaselglade/tests/processes/harness.rs
@@ -18,6 +18,7 @@
 use tokio::time::sleep;
 
 const POLL: Duration = Duration::from_millis(25);
+const DEFAULT_DRAIN: Duration = Duration::from_secs(30);
 const MAX_POLLS: u32 = 800;
 
 /// One program; it is killed when the value is dropped.
@@ -92,6 +93,8 @@
     pub platform: FleetAddresses,
     /// Entry daemons.
     pub entries: Vec<EntryProcess>,
+    /// Longest time of a graceful stop.
+    pub drain: Duration,
     /// HTTP client for the stand-ins.
     pub caller: HttpCaller,
     /// Folder for settings files.
@@ -102,6 +105,11 @@
 impl TestFleet {
     /// Starts the stand-ins, publishes the table and starts `entries` ready entry daemons.
     pub async fn start(plan: FleetPlan, entries: usize) -> Self {
+        Self::start_with_drain(plan, entries, DEFAULT_DRAIN).await
+    }
+
+    /// Starts a fleet whose entry daemons take at most `drain` for a graceful stop.
+    pub async fn start_with_drain(plan: FleetPlan, entries: usize, drain: Duration) -> Self {
         let program = env!("CARGO_BIN_EXE_teaselglade-standins");
         let (standins, line) = TestProcess::start(program, &["--fleet", &plan.name]);
         let platform = from_json::<FleetAddresses>(line.as_bytes()).expect("addresses");
@@ -110,6 +118,7 @@
             platform,
             entries: Vec::new(),
             caller: HttpCaller::default(),
+            drain,
             folder: TempDir::new().expect("a folder for settings"),
             _standins: standins,
         };
@@ -129,8 +138,13 @@
         let settings = format!(
             "{{ \"host\": \"{host}\", \"zone\": \"{zone}\", \"cluster\": \"{}\", // one host\n\
              \"callers\": \"127.0.0.1:0\", \"peers\": \"127.0.0.1:0\",\n\
-             \"log\": \"{}\", \"host_list\": \"{}\", \"cloud\": \"{}\" }}",
-            self.plan.name, self.platform.log, self.platform.host_list, self.platform.cloud,
+             \"log\": \"{}\", \"host_list\": \"{}\", \"cloud\": \"{}\",\n\
+             \"drain_ms\": {} }}",
+            self.plan.name,
+            self.platform.log,
+            self.platform.host_list,
+            self.platform.cloud,
+            self.drain.as_millis(),
         );
         fs::write(&path, settings).expect("the settings are written");
         let program = env!("CARGO_BIN_EXE_teaselglade-entry");
--- a/crates/teaselglade/tests/processes/main.rs
+++ b/crates/teaselglade/tests/processes/main.rs
@@ -3,6 +3,7 @@
 mod bookings;
 mod faults;
 mod fleet_status;
+mod handover;
 mod harness;
 mod interface_page;
 mod whole_path;
