feat(claims): start a shard's reader at the first record that can matter

It now searches by the log's own clock for the first record that can still concern a claimable key. The property test failed on the first try, which took the probe's page for the next one and lost the records between; mended.

--- /dev/null
+++ b/crates/teaselglade-claims/benches/shard.rs
@@ -0,0 +1,151 @@
+//! Time of the shard's fold and of one booking, and bytes of its records.
+
+use std::hint::black_box;
+use std::time::Duration;
+
+use criterion::{BenchmarkId, Criterion, Throughput, criterion_group, criterion_main};
+use teaselglade_claims::booking::{BookedCall, BookingKey};
+use teaselglade_claims::key::{KeyWindow, RequestDigest, ScopedKey};
+use teaselglade_claims::record::{ClaimId, ClaimOutcome, ClaimRecord, ShardRecord, encode_batch};
+use teaselglade_claims::shard::{ClaimOptions, ShardAction, ShardEvent, ShardMachine};
+use teaselglade_claims::view::ShardView;
+use teaselglade_core::port::{LogPage, LogRecord, PlainAnswer};
+use teaselglade_core::time::Timestamp;
+
+const SIZES: [u32; 3] = [100, 1_000, 10_000];
+const ANSWER: &str = "{\"method\":\"POST\",\"path\":\"/book\",\"ticket\":\"CB-20261203-000147\",\
+                      \"state\":\"booked\",\"shop\":\"galway\",\"deposit_cents\":2500}";
+
+fn scoped_key(number: u32) -> ScopedKey {
+    let text = format!("0193a1b2-0000-7000-8000-{number:012x}");
+    let key = text.parse().expect("a key");
+    ScopedKey::new("halloran-galway", "ticket-desk", key)
+}
+
+fn answer() -> PlainAnswer {
+    PlainAnswer {
+        status: 200,
+        headers: vec![("content-type".to_owned(), "application/json".to_owned())],
+        body: ANSWER.into(),
+    }
+}
+
+fn records(bookings: u32) -> Vec<LogRecord> {
+    let entries = (0..bookings).flat_map(|number| {
+        let claim = ClaimRecord {
+            key: scoped_key(number),
+            claim: ClaimId::from_bits(u128::from(number)),
+            digest: RequestDigest::of("POST", "/book", b"deposit"),
+        };
+        let settle = claim.settle(ClaimOutcome::of_answer(&answer()));
+        [ShardRecord::Claim(claim), ShardRecord::Settle(settle)]
+    });
+    let bodies = entries.map(|entry| encode_batch(&[entry]).expect("encodes"));
+    let records = bodies.zip(0..).map(|(body, offset)| LogRecord {
+        offset,
+        appended: scoped_key(0).key.created(),
+        body,
+    });
+    records.collect()
+}
+
+fn page(records: Vec<LogRecord>) -> LogPage {
+    LogPage {
+        first: 0,
+        end: records.len() as u64,
+        records,
+    }
+}
+
+fn fold(bench: &mut Criterion) {
+    let sample = records(1);
+    println!(
+        "bytes: claim {}, settle {}",
+        sample[0].body.len(),
+        sample[1].body.len()
+    );
+    let mut group = bench.benchmark_group("fold");
+    for bookings in SIZES {
+        let page = page(records(bookings));
+        group.throughput(Throughput::Elements(u64::from(bookings)));
+        group.bench_with_input(
+            BenchmarkId::from_parameter(bookings),
+            &page,
+            |bench, page| {
+                bench.iter(|| {
+                    let mut view = ShardView::new(KeyWindow::default());
+                    view.apply_page(black_box(page));
+                    view
+                });
+            },
+        );
+    }
+    group.finish();
+}
+
+fn book_once(machine: &mut ShardMachine, now: Timestamp, number: u32, log: &mut Vec<LogRecord>) {
+    let booking = BookingKey::new(u64::from(number));
+    let call = BookedCall {
+        key: scoped_key(number),
+        digest: RequestDigest::of("POST", "/book", b"deposit"),
+        repeated: false,
+        deadline: now + Duration::from_secs(5),
+    };
+    let mut events = vec![ShardEvent::Booked { booking, call }];
+    while let Some(event) = events.pop() {
+        for action in machine.on_event(now, event) {
+            match action {
+                ShardAction::Append { body } => {
+                    let offset = log.len() as u64;
+                    log.push(LogRecord {
+                        offset,
+                        appended: now,
+                        body,
+                    });
+                    events.push(ShardEvent::Appended(Ok(offset)));
+                }
+                ShardAction::Read { from, .. } => {
+                    let page = LogPage {
+                        first: 0,
+                        end: log.len() as u64,
+                        records: log[from as usize..].to_vec(),
+                    };
+                    events.insert(0, ShardEvent::Read(Ok(page)));
+                }
+                ShardAction::Dispatch { booking, .. } => events.push(ShardEvent::Attempted {
+                    booking,
+                    result: Ok(answer()),
+                    may_retry: false,
+                }),
+                ShardAction::Answer { .. } | ShardAction::WakeAt(_) => {}
+            }
+        }
+    }
+}
+
+fn book(bench: &mut Criterion) {
+    let now = scoped_key(0).key.created();
+    let mut group = bench.benchmark_group("book");
+    for bookings in SIZES {
+        group.throughput(Throughput::Elements(u64::from(bookings)));
+        group.bench_function(BenchmarkId::from_parameter(bookings), |bench| {
+            bench.iter(|| {
+                let mut machine = ShardMachine::new(ClaimOptions::default(), [7; 32]);
+                let mut log = Vec::new();
+                for number in 0..bookings {
+                    book_once(&mut machine, now, number, &mut log);
+                }
+                assert_eq!(machine.counters().dispatches, u64::from(bookings));
+                machine
+            });
+        });
+    }
+    group.finish();
+}
+
+criterion_group! {
+    name = benches;
+    config = Criterion::default().sample_size(10).measurement_time(Duration::from_secs(2));
+    targets = fold, book
+}
+criterion_main!(benches);
--- a/crates/teaselglade-claims/src/shard/claim_options.rs
+++ b/crates/teaselglade-claims/src/shard/claim_options.rs
@@ -29,6 +29,8 @@
     pub outage_pause: Duration,
     /// Time for which appends pause after a lost answer.
     pub append_pause: Duration,
+    /// Most records of a shard that are read without a search for the first useful one.
+    pub short_shard: u64,
 }
 
 impl ClaimOptions {
@@ -46,6 +48,13 @@
         self
     }
 
+    /// Sets the most records of a shard that are read without a search.
+    #[must_use]
+    pub const fn with_short_shard(mut self, records: u64) -> Self {
+        self.short_shard = records;
+        self
+    }
+
     /// Sets the longest wait for the outcome of another claim.
     #[must_use]
     pub fn with_attach_limit(mut self, span: impl Into<Duration>) -> Self {
@@ -63,6 +72,7 @@
             poll_wait: Duration::from_millis(500),
             outage_pause: Duration::from_secs(1),
             append_pause: Duration::from_millis(50),
+            short_shard: 16,
         }
     }
 }
--- a/crates/teaselglade-claims/src/shard/mod.rs
+++ b/crates/teaselglade-claims/src/shard/mod.rs
@@ -9,6 +9,7 @@
 mod shard_action;
 mod shard_event;
 mod shard_machine;
+mod shard_seek;
 
 pub use claim_counters::ClaimCounters;
 pub use claim_options::ClaimOptions;
--- a/crates/teaselglade-claims/src/shard/reading.rs
+++ b/crates/teaselglade-claims/src/shard/reading.rs
@@ -11,6 +11,8 @@
 use crate::record::ClaimId;
 use crate::view::{ClaimFate, ClaimSighting};
 
+const MOST_RECORDS: u32 = 1_000;
+
 impl ShardMachine {
     pub(super) fn on_read(&mut self, now: Timestamp, result: Result<LogPage, LogError>) {
         self.reading = false;
@@ -19,6 +21,20 @@
             return;
         };
         self.out_until = Timestamp::ZERO;
+        if let Some(seek) = &mut self.seek {
+            let Some(start) = seek.on_page(&page) else {
+                return;
+            };
+            self.seek = None;
+            self.view.start_at(start);
+            if page
+                .records
+                .first()
+                .is_some_and(|record| record.offset != start)
+            {
+                return;
+            }
+        }
         let news = self.view.apply_page(&page);
         self.at_end = news.reached_end;
         for sighting in news.sightings {
@@ -46,8 +62,19 @@
         };
         self.reading = true;
         self.counters.reads += 1;
-        let from = self.view.next();
-        self.actions.push(ShardAction::Read { from, wait });
+        let action = match &self.seek {
+            Some(seek) => ShardAction::Read {
+                from: seek.probe(),
+                most: 1,
+                wait: Duration::ZERO,
+            },
+            None => ShardAction::Read {
+                from: self.view.next(),
+                most: MOST_RECORDS,
+                wait,
+            },
+        };
+        self.actions.push(action);
     }
 
     fn on_sighting(&mut self, now: Timestamp, sighting: ClaimSighting) {
--- a/crates/teaselglade-claims/src/shard/shard_action.rs
+++ b/crates/teaselglade-claims/src/shard/shard_action.rs
@@ -14,6 +14,8 @@
     Read {
         /// Offset to read from.
         from: u64,
+        /// Most records to read.
+        most: u32,
         /// Longest wait for a record.
         wait: Duration,
     },
--- a/crates/teaselglade-claims/src/shard/shard_machine.rs
+++ b/crates/teaselglade-claims/src/shard/shard_machine.rs
@@ -10,6 +10,7 @@
 use teaselglade_core::verdict::ExecutionVerdict;
 
 use super::outbox::Outbox;
+use super::shard_seek::ShardSeek;
 use super::{ClaimCounters, ClaimOptions, ShardAction, ShardEvent, refusals};
 use crate::booking::{
     BookedCall, Booking, BookingAnswer, BookingKey, BookingPhase, BookingResult, ClaimSend,
@@ -45,13 +46,15 @@
 /// let mut machine = ShardMachine::new(ClaimOptions::default(), [7; 32]);
 /// let booking = BookingKey::new(0);
 /// let actions = machine.on_event(now, ShardEvent::Booked { booking, call });
-/// assert!(matches!(actions[0], ShardAction::Read { from: 0, wait: Duration::ZERO }));
+/// assert!(matches!(actions[0], ShardAction::Read { from: 0, most: 1, wait: Duration::ZERO }));
 /// # Ok::<(), teaselglade_claims::key::KeyError>(())
 /// ```
 #[derive(Debug, Clone)]
 pub struct ShardMachine {
     pub(super) options: ClaimOptions,
     pub(super) view: ShardView,
+    /// Search for the place to start at, before the first page.
+    pub(super) seek: Option<ShardSeek>,
     pub(super) bookings: BTreeMap<BookingKey, Booking>,
     pub(super) outbox: Outbox,
     pub(super) counters: ClaimCounters,
@@ -75,6 +78,10 @@
         Self {
             options,
             view: ShardView::new(options.window),
+            seek: Some(ShardSeek::new(
+                options.window.min_retention(),
+                options.short_shard,
+            )),
             bookings: BTreeMap::new(),
             outbox: Outbox::default(),
             counters: ClaimCounters::default(),
--- a/crates/teaselglade-claims/src/view/shard_view.rs
+++ b/crates/teaselglade-claims/src/view/shard_view.rs
@@ -104,6 +104,11 @@
         entry.map_or(KeyState::Free, |entry| entry.state.clone())
     }
 
+    /// Starts reading at an offset behind records that cannot matter any more.
+    pub const fn start_at(&mut self, offset: u64) {
+        self.next = offset;
+    }
+
     /// Takes in a page of records.
     pub fn apply_page(&mut self, page: &LogPage) -> PageNews {
         self.check_gap(page.first);
--- a/crates/teaselglade-claims/tests/claims/at_most_once.rs
+++ b/crates/teaselglade-claims/tests/claims/at_most_once.rs
@@ -15,7 +15,9 @@
     let window = KeyWindow::default()
         .with_oldest(Duration::from_secs(20))
         .with_ahead(Duration::from_secs(2));
-    ClaimOptions::default().with_window(window)
+    ClaimOptions::default()
+        .with_window(window)
+        .with_short_shard(2)
 }
 
 /// The shortest retention under which the window is safe.
--- a/crates/teaselglade-claims/tests/world/fleet.rs
+++ b/crates/teaselglade-claims/tests/world/fleet.rs
@@ -14,7 +14,7 @@
 use teaselglade_core::verdict::{ExecutionVerdict, SendProgress};
 
 use super::log_model::LogModel;
-use super::task::HostRun;
+use super::task::{HostRun, LogQuery};
 use super::{AppendFate, AttemptFate, CallPlan, FaultChances, Task};
 
 pub const START: Timestamp = Timestamp::from_millis(1_700_000_000_000);
@@ -149,7 +149,7 @@
             Task::Perform(run, action) => self.perform(run, action),
             Task::Append(run, body, fate) => self.append(run, body, fate),
             Task::Land(body) => self.land(body),
-            Task::Read(run, from, wait) => self.read(run, from, wait),
+            Task::Read(run, query) => self.read(run, query),
             Task::EndPoll(run) => self.end_poll(run),
             Task::Execute(call) => self.execute(call),
             Task::Crash(host) => self.crash(host),
@@ -254,8 +254,9 @@
     fn perform(&mut self, run: HostRun, action: ShardAction) {
         match action {
             ShardAction::WakeAt(_) => self.deliver(run, ShardEvent::Woken),
-            ShardAction::Read { from, wait } => {
-                self.at(self.now + HOP, Task::Read(run, from, wait));
+            ShardAction::Read { from, most, wait } => {
+                let query = LogQuery { from, most, wait };
+                self.at(self.now + HOP, Task::Read(run, query));
             }
             ShardAction::Append { body } => {
                 let fate = self.append_fate();
@@ -310,8 +311,8 @@
 
     fn land_now(&mut self, body: bytes::Bytes) -> u64 {
         let offset = self.log.append(self.now, body);
-        for (run, from) in std::mem::take(&mut self.log.polls) {
-            self.serve(run, from);
+        for (run, query) in std::mem::take(&mut self.log.polls) {
+            self.serve(run, query);
         }
         offset
     }
@@ -334,14 +335,14 @@
         self.at(after, Task::Deliver(run, ShardEvent::Read(Err(error))));
     }
 
-    fn read(&mut self, run: HostRun, from: u64, wait: Duration) {
+    fn read(&mut self, run: HostRun, query: LogQuery) {
         if self.log.out || self.random.random_bool(self.chances.read) {
             self.fail_read(run);
-        } else if from < self.log.end() || wait.is_zero() {
-            self.serve(run, from);
+        } else if query.from < self.log.end() || query.wait.is_zero() {
+            self.serve(run, query);
         } else {
-            self.log.polls.push((run, from));
-            self.at(self.now + wait, Task::EndPoll(run));
+            self.log.polls.push((run, query));
+            self.at(self.now + query.wait, Task::EndPoll(run));
         }
     }
 
@@ -349,13 +350,13 @@
         let polls = std::mem::take(&mut self.log.polls);
         let (ended, kept) = polls.into_iter().partition(|(poll, _)| *poll == run);
         self.log.polls = kept;
-        for (run, from) in Vec::<(HostRun, u64)>::into_iter(ended) {
-            self.serve(run, from);
+        for (run, query) in Vec::<(HostRun, LogQuery)>::into_iter(ended) {
+            self.serve(run, query);
         }
     }
 
-    fn serve(&mut self, run: HostRun, from: u64) {
-        let page = self.log.page(self.now, from);
+    fn serve(&mut self, run: HostRun, query: LogQuery) {
+        let page = self.log.page(self.now, query);
         self.at(
             self.now + HOP,
             Task::Deliver(run, ShardEvent::Read(Ok(page))),
--- a/crates/teaselglade-claims/tests/world/log_model.rs
+++ b/crates/teaselglade-claims/tests/world/log_model.rs
@@ -6,7 +6,7 @@
 use teaselglade_core::port::{LogPage, LogRecord};
 use teaselglade_core::time::Timestamp;
 
-use super::task::HostRun;
+use super::task::{HostRun, LogQuery};
 
 const PAGE: usize = 3;
 
@@ -16,7 +16,7 @@
     pub out: bool,
     pub first: u64,
     pub records: Vec<LogRecord>,
-    pub polls: Vec<(HostRun, u64)>,
+    pub polls: Vec<(HostRun, LogQuery)>,
 }
 
 impl LogModel {
@@ -44,11 +44,12 @@
         self.records.len() as u64
     }
 
-    pub fn page(&mut self, now: Timestamp, from: u64) -> LogPage {
+    pub fn page(&mut self, now: Timestamp, query: LogQuery) -> LogPage {
         let old = |record: &LogRecord| record.appended + self.retention < now;
         self.first = self.records.iter().take_while(|r| old(r)).count() as u64;
-        let start = from.max(self.first).min(self.end()) as usize;
-        let records = self.records[start..].iter().take(PAGE).cloned().collect();
+        let most = PAGE.min(query.most as usize);
+        let start = query.from.max(self.first).min(self.end()) as usize;
+        let records = self.records[start..].iter().take(most).cloned().collect();
         LogPage {
             first: self.first,
             end: self.end(),
--- a/crates/teaselglade-claims/tests/world/task.rs
+++ b/crates/teaselglade-claims/tests/world/task.rs
@@ -1,5 +1,7 @@
 //! What is due at some time.
 
+use std::time::Duration;
+
 use bytes::Bytes;
 use teaselglade_claims::shard::{ShardAction, ShardEvent};
 
@@ -12,6 +14,14 @@
     pub run: u32,
 }
 
+/// One read of the log.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct LogQuery {
+    pub from: u64,
+    pub most: u32,
+    pub wait: Duration,
+}
+
 #[derive(Debug, Clone)]
 pub enum Task {
     Send(CallPlan),
@@ -20,7 +30,7 @@
     Perform(HostRun, ShardAction),
     Append(HostRun, Bytes, AppendFate),
     Land(Bytes),
-    Read(HostRun, u64, std::time::Duration),
+    Read(HostRun, LogQuery),
     EndPoll(HostRun),
     Execute(u64),
     Crash(usize),
--- a/crates/teaselglade-entry/src/booking/shard_driver.rs
+++ b/crates/teaselglade-entry/src/booking/shard_driver.rs
@@ -21,9 +21,15 @@
 use super::plain_task::{PlainResult, run_attempt};
 use crate::host::EntryHost;
 
-const MOST_RECORDS: u32 = 1_000;
 const REPLAYED_HEADER: &str = "x-idempotent-replayed";
 
+#[derive(Debug, Clone, Copy)]
+struct LogQuery {
+    from: u64,
+    most: u32,
+    wait: Duration,
+}
+
 #[derive(Debug)]
 struct WaitingCaller {
     order: Arc<PlainOrder>,
@@ -122,8 +128,8 @@
 fn perform(host: &Arc<EntryHost>, driver: &Arc<ShardDriver>, action: ShardAction) {
     let (host, driver) = (Arc::clone(host), Arc::clone(driver));
     match action {
-        ShardAction::Read { from, wait } => {
-            tokio::spawn(read(host, driver, from, wait));
+        ShardAction::Read { from, most, wait } => {
+            tokio::spawn(read(host, driver, LogQuery { from, most, wait }));
         }
         ShardAction::Append { body } => {
             tokio::spawn(append(host, driver, body));
@@ -146,9 +152,10 @@
     }
 }
 
-async fn read(host: Arc<EntryHost>, driver: Arc<ShardDriver>, from: u64, wait: Duration) {
+async fn read(host: Arc<EntryHost>, driver: Arc<ShardDriver>, query: LogQuery) {
     let log = &host.ports.log;
-    let result = log.read(&driver.stream, from, MOST_RECORDS, wait).await;
+    let LogQuery { from, most, wait } = query;
+    let result = log.read(&driver.stream, from, most, wait).await;
     if result.is_err() {
         host.metrics.log_failures.inc();
     }
