feat(control): read the lists of hosts seldom when idle; record changes whose answer was lost

Cause: reading both lists each few seconds is 430 KB a time at 1,200 servers, far over 6 KB/s for the node that holds the lease; and an order whose answer was lost had no entry in the audit trail. Ruled out: caching by an entity tag (the platform's lists have none that we know of). Change: both lists are read 5 s after a change and ever more seldom up to 3 min; work that is wanted on lists older than 30 s asks for a read first. What is read back after a lost answer is recorded.

--- /dev/null
+++ b/crates/teaselglade-state/examples/control_cost.rs
@@ -0,0 +1,189 @@
+//! Prints what leases and control cost at several sizes of the fleet.
+//!
+//! Run with `cargo run --release -p teaselglade-state --example control_cost`.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use teaselglade_core::id::{HostIncarnation, HostName};
+use teaselglade_core::port::{
+    CloudHost, EngineGoal, EngineStatus, HostOrder, HostPurchase, HostState, ListedHost, ListedRole,
+};
+use teaselglade_core::table::parse_table;
+use teaselglade_core::time::Timestamp;
+use teaselglade_state::control::{
+    ControlAction, ControlEvent, ControlLimits, ControlOptions, ControlPlanner, ControlTerm,
+    HostSlot,
+};
+use teaselglade_state::lease::LeaseNumber;
+use teaselglade_wire::codec::to_json;
+use teaselglade_wire::{CloudEntry, CloudOrder, CloudState, HostEntry, HostRole, PurchaseKind};
+
+const SIZES: [usize; 4] = [75, 300, 1_200, 4_800];
+const ZONES: usize = 16;
+const SERVICES: usize = 10;
+const TICKS: u64 = 2_000;
+
+fn main() {
+    println!("servers tick_us lists_us cloud_list_bytes host_list_bytes calls_per_tick");
+    for servers in SIZES {
+        measure(servers);
+    }
+}
+
+fn measure(servers: usize) {
+    let mut planner = planner(servers);
+    let mut now = Timestamp::from_millis(1_000);
+    let term = ControlTerm {
+        number: LeaseNumber(7),
+        until: Timestamp::from_micros(u64::MAX),
+    };
+    planner.on_event(now, ControlEvent::Lease(Some(term)));
+    let lists = Instant::now();
+    read_lists(&mut planner, now, servers);
+    let lists = lists.elapsed();
+    let mut spent = Duration::ZERO;
+    let mut calls = 0;
+    for _tick in 0..TICKS {
+        now = now + Duration::from_secs(1);
+        let start = Instant::now();
+        let actions = planner.on_event(now, ControlEvent::Tick);
+        spent += start.elapsed();
+        calls += actions.len();
+        for action in actions {
+            answer(&mut planner, now, servers, action);
+        }
+    }
+    let cloud = to_json(&cloud_entry(&cloud_host(servers - 1))).map_or(0, |json| json.len());
+    let listed = to_json(&host_entry(servers - 1)).map_or(0, |json| json.len());
+    println!(
+        "{servers} {:.1} {} {} {} {:.2}",
+        spent.as_secs_f64() * 1e6 / TICKS as f64,
+        lists.as_micros(),
+        cloud * servers,
+        listed * servers,
+        calls as f64 / TICKS as f64
+    );
+}
+
+fn planner(servers: usize) -> ControlPlanner {
+    let mut planner = ControlPlanner::new(ControlOptions {
+        host: "z0-e1".to_owned(),
+        zone: "z0".to_owned(),
+        offers: Vec::new(),
+        profiles: Vec::new(),
+        limits: ControlLimits::default(),
+        seed: 1,
+    });
+    let mut text = "kind,name,first_token_ms,token_gap_ms,fenced,min_servers\n".to_owned();
+    for service in 0..SERVICES {
+        let share = servers.div_ceil(SERVICES);
+        let row = format!("model,service-{service},360,47,yes,{share}\n");
+        text.push_str(&row);
+    }
+    let table = parse_table(&text).unwrap_or_default();
+    planner.on_event(Timestamp::ZERO, ControlEvent::Table(table));
+    planner
+}
+
+fn read_lists(planner: &mut ControlPlanner, asked: Timestamp, servers: usize) {
+    let hosts = (0..servers).map(listed_host).collect();
+    planner.on_event(asked, ControlEvent::Hosts { asked, hosts });
+    let hosts = (0..servers).map(cloud_host).collect();
+    planner.on_event(asked, ControlEvent::Cloud { asked, hosts });
+}
+
+fn answer(planner: &mut ControlPlanner, now: Timestamp, servers: usize, action: ControlAction) {
+    match action {
+        ControlAction::ReadCloud => read_lists(planner, now, servers),
+        ControlAction::ReadEngine { host, .. } => {
+            let index = host.as_str()[1..].parse().unwrap_or(0);
+            let result = Ok(engine_status(index));
+            planner.on_event(now, ControlEvent::EngineRead { host, result });
+        }
+        ControlAction::OrderEngine { host, order, .. } => {
+            let result = Ok(order);
+            planner.on_event(now, ControlEvent::EngineOrdered { host, result });
+        }
+        _ => {}
+    }
+}
+
+fn engine_status(index: usize) -> EngineStatus {
+    EngineStatus {
+        number: 7,
+        goal: EngineGoal {
+            model: Some(service(index)),
+            ..EngineGoal::default()
+        },
+    }
+}
+
+fn service(index: usize) -> String {
+    format!("service-{}", index % SERVICES)
+}
+
+fn zone(index: usize) -> String {
+    format!("z{}", (index / SERVICES) % ZONES)
+}
+
+fn cloud_host(index: usize) -> CloudHost {
+    CloudHost {
+        name: HostName::new(format!("h{index}")),
+        state: HostState::Running,
+        order: HostOrder {
+            token: HostSlot::new(service(index), (index / SERVICES) as u32, 1).token(),
+            service: service(index),
+            zone: zone(index),
+            class: "mid".to_owned(),
+            purchase: HostPurchase::Reclaimable,
+        },
+        cents_per_hour: 60.0,
+    }
+}
+
+fn listed_host(index: usize) -> ListedHost {
+    ListedHost {
+        name: HostName::new(format!("h{index}")),
+        incarnation: HostIncarnation(1),
+        role: ListedRole::Backend,
+        address: SocketAddr::from(([127, 0, 0, 1], 9_000)),
+        zone: zone(index),
+        class: "mid".to_owned(),
+        service: service(index),
+        cents_per_hour: 60.0,
+        reclaimable: true,
+        leaving: false,
+    }
+}
+
+fn cloud_entry(host: &CloudHost) -> CloudEntry {
+    CloudEntry {
+        name: host.name.to_string(),
+        state: CloudState::Running,
+        order: CloudOrder {
+            token: host.order.token.clone(),
+            service: host.order.service.clone(),
+            zone: host.order.zone.clone(),
+            class: host.order.class.clone(),
+            purchase: PurchaseKind::Reclaimable,
+        },
+        cents_per_hour: host.cents_per_hour,
+    }
+}
+
+fn host_entry(index: usize) -> HostEntry {
+    let host = listed_host(index);
+    HostEntry {
+        name: host.name.to_string(),
+        incarnation: 1,
+        role: HostRole::Backend,
+        address: host.address.to_string(),
+        zone: host.zone,
+        class: host.class,
+        service: host.service,
+        cents_per_hour: host.cents_per_hour,
+        reclaimable: true,
+        leaving: false,
+    }
+}
--- a/crates/teaselglade-state/src/control/control_limits.rs
+++ b/crates/teaselglade-state/src/control/control_limits.rs
@@ -11,10 +11,10 @@
     pub open_engine_calls: usize,
     /// Age from which a list of hosts is too old to order by.
     pub view_age: Duration,
-    /// Time between two reads of the host list.
-    pub hosts_interval: Duration,
-    /// Time between two reads of the cloud API's hosts.
-    pub cloud_interval: Duration,
+    /// Time between two reads of both lists of hosts after a change.
+    pub busy_interval: Duration,
+    /// Time between two reads of both lists of hosts when nothing changes.
+    pub idle_interval: Duration,
     /// Time between two reads of the notices.
     pub notices_interval: Duration,
     /// Time between two reads of an engine that refuses old numbers.
@@ -45,13 +45,13 @@
             open_orders: 8,
             open_engine_calls: 16,
             view_age: Duration::from_secs(30),
-            hosts_interval: Duration::from_secs(3),
-            cloud_interval: Duration::from_secs(5),
+            busy_interval: Duration::from_secs(5),
+            idle_interval: Duration::from_mins(3),
             notices_interval: Duration::from_secs(1),
             fenced_interval: Duration::from_mins(1),
-            unfenced_interval: Duration::from_secs(10),
+            unfenced_interval: Duration::from_secs(15),
             unfenced_wait: Duration::from_secs(5),
-            report_interval: Duration::from_secs(30),
+            report_interval: Duration::from_mins(1),
             drain_interval: Duration::from_secs(2),
             first_back_off: Duration::from_secs(5),
             longest_back_off: Duration::from_mins(5),
--- a/crates/teaselglade-state/src/control/control_planner.rs
+++ b/crates/teaselglade-state/src/control/control_planner.rs
@@ -3,26 +3,20 @@
 use std::collections::BTreeMap;
 
 use teaselglade_core::id::HostName;
-use teaselglade_core::port::{CloudError, CloudHost, EngineError, EngineStatus, ReclaimNotice};
+use teaselglade_core::port::{CloudError, CloudHost, HostState, ReclaimNotice};
 use teaselglade_core::time::Timestamp;
-use teaselglade_wire::{AuditAction, AuditEntry};
+use teaselglade_wire::AuditEntry;
 
 use super::engine_planner::{EnginePlanner, EngineStep};
+use super::entry_author::EntryAuthor;
 use super::fleet_view::{DatedReport, FleetView};
+use super::list_schedule::ListSchedule;
 use super::offer_market::OfferMarket;
 use super::removal_planner::RemovalPlanner;
 use super::service_roster::ServiceRoster;
 use super::slot_planner::{SlotPlanner, SlotStep};
 use super::{ControlAction, ControlEvent, ControlLimits, ControlOptions, ControlTerm};
 
-/// Times of the next periodic reads.
-#[derive(Debug, Clone, Copy, Default)]
-struct ReadTimes {
-    hosts: Timestamp,
-    cloud: Timestamp,
-    notices: Timestamp,
-}
-
 /// Planner of the control role in one process; it acts only while it has the lease.
 ///
 /// All it orders is a desired state under a name that anyone would choose alike, and a new holder
@@ -53,7 +47,7 @@
 /// ```
 #[derive(Debug)]
 pub struct ControlPlanner {
-    host: String,
+    author: EntryAuthor,
     zone: String,
     limits: ControlLimits,
     term: Option<ControlTerm>,
@@ -63,7 +57,8 @@
     slots: SlotPlanner,
     removals: RemovalPlanner,
     engines: EnginePlanner,
-    reads: ReadTimes,
+    lists: ListSchedule,
+    next_notices: Timestamp,
     next_reports: BTreeMap<HostName, Timestamp>,
 }
 
@@ -72,7 +67,7 @@
     #[must_use]
     pub fn new(options: ControlOptions) -> Self {
         Self {
-            host: options.host,
+            author: EntryAuthor::new(options.host),
             zone: options.zone,
             limits: options.limits,
             term: None,
@@ -82,7 +77,8 @@
             slots: SlotPlanner::default(),
             removals: RemovalPlanner::default(),
             engines: EnginePlanner::new(options.profiles),
-            reads: ReadTimes::default(),
+            lists: ListSchedule::default(),
+            next_notices: Timestamp::ZERO,
             next_reports: BTreeMap::new(),
         }
     }
@@ -109,9 +105,12 @@
         match event {
             ControlEvent::Tick => {}
             ControlEvent::Lease(term) => self.note_lease(now, term),
-            ControlEvent::Table(table) => self.view.table = Some(table),
+            ControlEvent::Table(table) => {
+                self.view.table = Some(table);
+                self.lists.hurry(&self.limits);
+            }
             ControlEvent::Hosts { asked, hosts } => self.view.note_hosts(asked, hosts),
-            ControlEvent::Cloud { asked, hosts } => self.note_cloud(asked, hosts),
+            ControlEvent::Cloud { asked, hosts } => return self.note_cloud(now, asked, hosts),
             ControlEvent::Notices(notices) => return self.note_notices(now, notices),
             ControlEvent::HostOrdered { token, result } => {
                 return self
@@ -125,9 +124,15 @@
                     .into_iter()
                     .collect();
             }
-            ControlEvent::EngineRead { host, result } => self.engines.note_read(now, &host, result),
+            ControlEvent::EngineRead { host, result } => {
+                let change = self.engines.note_read(now, &host, result);
+                let entry = |change| self.author.engine_changed(now, &host, &change);
+                return change.map(entry).into_iter().collect();
+            }
             ControlEvent::EngineOrdered { host, result } => {
-                return self.note_engine(now, &host, result).into_iter().collect();
+                let change = self.engines.note_order(now, &host, result);
+                let entry = |change| self.author.engine_changed(now, &host, &change);
+                return change.map(entry).into_iter().collect();
             }
             ControlEvent::Report {
                 host,
@@ -149,37 +154,46 @@
         let number = term.map(|term| term.number);
         if number.is_some() && number != self.term.map(|term| term.number) {
             self.gained = now;
-            self.reads = ReadTimes::default();
+            self.lists = ListSchedule::default();
+            self.next_notices = now;
             self.next_reports.clear();
             self.slots.reset();
             self.removals.reset();
             self.engines.reset();
         }
         self.term = term;
+        self.author.note_term(term);
     }
 
-    fn note_cloud(&mut self, asked: Timestamp, hosts: Vec<CloudHost>) {
+    fn note_cloud(
+        &mut self,
+        now: Timestamp,
+        asked: Timestamp,
+        hosts: Vec<CloudHost>,
+    ) -> Vec<AuditEntry> {
         for host in &hosts {
             self.market.note_price(host);
         }
         self.view.note_cloud(asked, hosts);
-        self.slots.note_cloud(asked);
         self.removals.note_cloud(asked);
+        let found = self.slots.note_cloud(asked, &self.view);
+        let entries = found.iter().map(|host| self.author.host_ordered(now, host));
+        entries.collect()
     }
 
     fn note_notices(&mut self, now: Timestamp, notices: Vec<ReclaimNotice>) -> Vec<AuditEntry> {
         let fresh = self.view.note_notices(now, notices, &self.limits);
         let until = now + self.limits.reclaim_back_off;
-        let mut entries = Vec::new();
-        for notice in fresh {
+        for notice in &fresh {
+            self.lists.hurry(&self.limits);
             if let Some(ordered) = self.view.cloud.get(&notice.host) {
                 self.market.avoid(&ordered.host.order, until);
             }
-            let to = format!("taken back at_ms={}", notice.deadline.as_millis());
-            let subject = notice.host.to_string();
-            entries.push(self.entry(now, AuditAction::NoticeReceived, subject, Some(to)));
         }
+        let entries = fresh.iter();
         entries
+            .map(|notice| self.author.notice_received(now, notice))
+            .collect()
     }
 
     fn note_ordered(
@@ -189,17 +203,17 @@
         result: &Result<CloudHost, CloudError>,
     ) -> Option<AuditEntry> {
         let order = self.slots.note_answer(now, token, result)?;
-        let kind = format!("{} {} {:?}", order.zone, order.class, order.purchase);
+        self.lists.hurry(&self.limits);
         match result {
+            Ok(host) if matches!(host.state, HostState::Leaving | HostState::Gone) => None,
             Ok(host) => {
                 self.market.note_started(host);
-                let to = format!("{} {kind}", host.name);
-                Some(self.entry(now, AuditAction::HostOrdered, token, Some(to)))
+                Some(self.author.host_ordered(now, host))
             }
             Err(CloudError::Refused { retry_after, .. }) => {
                 self.market
                     .note_refusal(now, &order, *retry_after, &self.limits);
-                Some(self.entry(now, AuditAction::HostRefused, token, Some(kind)))
+                Some(self.author.host_refused(now, &order))
             }
             Err(CloudError::Unknown { .. }) => None,
         }
@@ -212,33 +226,31 @@
         result: &Result<(), CloudError>,
     ) -> Option<AuditEntry> {
         self.removals.note_answer(now, host);
+        self.lists.hurry(&self.limits);
         result.as_ref().ok()?;
-        Some(self.entry(now, AuditAction::HostReleased, host.as_str(), None))
-    }
-
-    fn note_engine(
-        &mut self,
-        now: Timestamp,
-        host: &HostName,
-        result: Result<EngineStatus, EngineError>,
-    ) -> Option<AuditEntry> {
-        let change = self.engines.note_order(now, host, result)?;
-        let action = if change.is_correction {
-            AuditAction::EngineCorrected
-        } else {
-            AuditAction::EngineOrdered
-        };
-        let to = change.to.to_string();
-        let mut entry = self.entry(now, action, host.as_str(), Some(to));
-        entry.from = change.from.map(|from| from.to_string());
-        Some(entry)
+        Some(self.author.host_released(now, host))
     }
 
     fn plan(&mut self, now: Timestamp, term: ControlTerm, actions: &mut Vec<ControlAction>) {
         self.plan_reads(now, actions);
-        if !self.view.is_current(now, self.gained, &self.limits) {
+        if !self.view.is_known(self.gained) {
+            self.lists.hurry(&self.limits);
             return;
         }
+        self.plan_hosts(now, actions);
+        actions.extend(self.engines.plan(EngineStep {
+            now,
+            term,
+            gained: self.gained,
+            zone: &self.zone,
+            view: &self.view,
+            draining: self.removals.draining(),
+            limits: &self.limits,
+        }));
+        self.plan_reports(now, actions);
+    }
+
+    fn plan_hosts(&mut self, now: Timestamp, actions: &mut Vec<ControlAction>) {
         let rosters = ServiceRoster::all(&self.view);
         let step = SlotStep {
             now,
@@ -247,33 +259,28 @@
             rosters: &rosters,
             market: &self.market,
         };
+        if !self.view.is_current(now, &self.limits) {
+            if self.slots.has_work(step) || RemovalPlanner::has_work(step) {
+                self.lists.hurry(&self.limits);
+            }
+            return;
+        }
         let orders = self.slots.plan(step, &self.limits);
         actions.extend(orders.into_iter().map(ControlAction::OrderHost));
         let released = self.removals.plan(step, &self.engines, &self.limits);
         actions.extend(released.into_iter().map(ControlAction::ReleaseHost));
-        actions.extend(self.engines.plan(EngineStep {
-            now,
-            term,
-            gained: self.gained,
-            zone: &self.zone,
-            view: &self.view,
-            draining: self.removals.draining(),
-            limits: &self.limits,
-        }));
-        self.plan_reports(now, actions);
     }
 
     fn plan_reads(&mut self, now: Timestamp, actions: &mut Vec<ControlAction>) {
-        if now >= self.reads.hosts {
-            self.reads.hosts = now + self.limits.hosts_interval;
-            actions.push(ControlAction::ReadHosts);
+        if self.view.has_starting(&self.zone) {
+            self.lists.hurry(&self.limits);
         }
-        if now >= self.reads.cloud {
-            self.reads.cloud = now + self.limits.cloud_interval;
+        if self.lists.is_due(now, &self.limits) {
+            actions.push(ControlAction::ReadHosts);
             actions.push(ControlAction::ReadCloud);
         }
-        if now >= self.reads.notices {
-            self.reads.notices = now + self.limits.notices_interval;
+        if now >= self.next_notices {
+            self.next_notices = now + self.limits.notices_interval;
             let after = self.view.last_notice;
             actions.push(ControlAction::ReadNotices { after });
         }
@@ -301,22 +308,4 @@
             }
         }
     }
-
-    fn entry(
-        &self,
-        now: Timestamp,
-        action: AuditAction,
-        subject: impl Into<String>,
-        to: Option<String>,
-    ) -> AuditEntry {
-        AuditEntry {
-            actor: self.host.clone(),
-            action,
-            subject: subject.into(),
-            from: None,
-            to,
-            at_ms: now.as_millis(),
-            number: self.term.map(|term| term.number.0),
-        }
-    }
 }
--- a/crates/teaselglade-state/src/control/engine_planner.rs
+++ b/crates/teaselglade-state/src/control/engine_planner.rs
@@ -7,7 +7,7 @@
 use teaselglade_core::table::ServiceKind;
 use teaselglade_core::time::Timestamp;
 
-use super::engine_record::EngineRecord;
+use super::engine_record::{EngineChange, EngineRecord};
 use super::fleet_view::FleetView;
 use super::weight_queue::WeightQueue;
 use super::{ControlAction, ControlLimits, ControlTerm, EngineProfile};
@@ -25,15 +25,6 @@
     pub(super) limits: &'a ControlLimits,
 }
 
-/// Answer to an order with the change that it made.
-#[derive(Debug, Clone, PartialEq)]
-pub(super) struct EngineChange {
-    pub(super) from: Option<EngineGoal>,
-    pub(super) to: EngineGoal,
-    /// Whether the engine had left a state that was confirmed before.
-    pub(super) is_correction: bool,
-}
-
 /// Orders the engines of one zone until each has its desired state.
 #[derive(Debug, Default)]
 pub(super) struct EnginePlanner {
@@ -66,21 +57,23 @@
         &mut self.weights
     }
 
-    /// Notes a state that was read.
+    /// Notes a state that was read and returns the change that an order without answer made.
     pub(super) fn note_read(
         &mut self,
         now: Timestamp,
         host: &HostName,
         result: Result<EngineStatus, EngineError>,
-    ) {
-        let Some(engine) = self.engines.get_mut(host) else {
-            return;
-        };
+    ) -> Option<EngineChange> {
+        let engine = self.engines.get_mut(host)?;
         engine.in_flight = false;
-        match result {
-            Ok(status) => engine.note_status(now, status),
-            Err(_unread) => engine.status = None,
-        }
+        let Ok(status) = result else {
+            engine.status = None;
+            return None;
+        };
+        let unanswered = engine.unanswered.take();
+        let made = unanswered.filter(|change| change.to == status.goal);
+        engine.note_status(now, status);
+        made
     }
 
     /// Notes the answer to an order and returns the change that it made.
@@ -94,26 +87,20 @@
         engine.in_flight = false;
         // Every order is read back, whatever its answer.
         engine.next_read = now;
+        let ordered = engine.unanswered.take();
         match result {
             Ok(status) => {
-                let from = engine.status.take().map(|status| status.goal);
-                let to = status.goal.clone();
-                let is_correction =
-                    engine.confirmed.as_ref() == Some(&to) && from != engine.confirmed;
-                engine.confirmed = Some(to.clone());
+                engine.confirmed = Some(status.goal.clone());
                 engine.note_status(now, status);
                 self.weights.clear(host);
-                (from.as_ref() != Some(&to)).then_some(EngineChange {
-                    from,
-                    to,
-                    is_correction,
-                })
+                ordered.filter(|change| change.from.as_ref() != Some(&change.to))
             }
             Err(EngineError::Fenced) => {
                 engine.is_fenced = true;
                 None
             }
             Err(EngineError::Unknown { .. }) => {
+                engine.unanswered = ordered;
                 engine.status = None;
                 None
             }
@@ -195,6 +182,7 @@
             return asks.then_some(ControlAction::Reserve { item });
         }
         engine.in_flight = true;
+        engine.unanswered = Some(engine.change_to(goal.clone()));
         Some(ControlAction::OrderEngine {
             host: host.name.clone(),
             address: engine.address,
--- a/crates/teaselglade-state/src/control/engine_record.rs
+++ b/crates/teaselglade-state/src/control/engine_record.rs
@@ -6,6 +6,15 @@
 use teaselglade_core::port::{EngineGoal, EngineStatus};
 use teaselglade_core::time::Timestamp;
 
+/// Change that an order made.
+#[derive(Debug, Clone, PartialEq)]
+pub(super) struct EngineChange {
+    pub(super) from: Option<EngineGoal>,
+    pub(super) to: EngineGoal,
+    /// Whether the engine had left a state that was confirmed before.
+    pub(super) is_correction: bool,
+}
+
 /// What the control role knows of one engine.
 #[derive(Debug, Clone)]
 pub(super) struct EngineRecord {
@@ -19,6 +28,8 @@
     pub(super) next_read: Timestamp,
     /// Time at which the engine was first known to drain.
     pub(super) drained_since: Option<Timestamp>,
+    /// State before and after an order whose answer was lost.
+    pub(super) unanswered: Option<EngineChange>,
     /// State that was ordered and confirmed last, to tell a correction from a first order.
     pub(super) confirmed: Option<EngineGoal>,
 }
@@ -33,10 +44,22 @@
             is_fenced: false,
             next_read: Timestamp::ZERO,
             drained_since: None,
+            unanswered: None,
             confirmed: None,
         }
     }
 
+    /// Returns the change that an order to take `to` makes now.
+    pub(super) fn change_to(&self, to: EngineGoal) -> EngineChange {
+        let from = self.status.as_ref().map(|status| status.goal.clone());
+        let is_correction = self.confirmed.as_ref() == Some(&to) && from != self.confirmed;
+        EngineChange {
+            from,
+            to,
+            is_correction,
+        }
+    }
+
     pub(super) fn note_status(&mut self, now: Timestamp, status: EngineStatus) {
         if !status.goal.drain {
             self.drained_since = None;
--- a/crates/teaselglade-state/src/control/fleet_view.rs
+++ b/crates/teaselglade-state/src/control/fleet_view.rs
@@ -95,19 +95,27 @@
         fresh
     }
 
-    /// Returns whether both lists were read after `since` and are not too old at `now`.
-    pub(super) fn is_current(
-        &self,
-        now: Timestamp,
-        since: Timestamp,
-        limits: &ControlLimits,
-    ) -> bool {
-        let current = |at: Option<Timestamp>| {
-            at.is_some_and(|at| at >= since && now.since(at) <= limits.view_age)
-        };
+    /// Returns whether both lists were read after `since`.
+    pub(super) fn is_known(&self, since: Timestamp) -> bool {
+        let known = |at: Option<Timestamp>| at.is_some_and(|at| at >= since);
+        known(self.listed_at) && known(self.cloud_at)
+    }
+
+    /// Returns whether both lists are young enough at `now` to order hosts by them.
+    pub(super) fn is_current(&self, now: Timestamp, limits: &ControlLimits) -> bool {
+        let current = |at: Option<Timestamp>| at.is_some_and(|at| now.since(at) <= limits.view_age);
         current(self.listed_at) && current(self.cloud_at)
     }
 
+    /// Returns whether a host of `zone` is starting.
+    pub(super) fn has_starting(&self, zone: &str) -> bool {
+        let starts = |ordered: &OrderedHost| {
+            let host = &ordered.host;
+            host.order.zone == zone && host.state == HostState::Starting && self.stays(host)
+        };
+        self.cloud.values().any(starts)
+    }
+
     /// Returns whether the host will be taken back.
     pub(super) fn is_noticed(&self, name: &HostName) -> bool {
         let Some(notice) = self.notices.get(name) else {
--- a/crates/teaselglade-state/src/control/removal_planner.rs
+++ b/crates/teaselglade-state/src/control/removal_planner.rs
@@ -45,6 +45,11 @@
         self.released.retain(|_, at| *at >= asked);
     }
 
+    /// Returns whether a host is to be drained or given back.
+    pub(super) fn has_work(step: SlotStep<'_>) -> bool {
+        !surplus(step).is_empty()
+    }
+
     /// Returns the hosts to give back now.
     pub(super) fn plan(
         &mut self,
--- a/crates/teaselglade-state/src/control/slot_planner.rs
+++ b/crates/teaselglade-state/src/control/slot_planner.rs
@@ -15,8 +15,10 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum OrderStage {
     InFlight,
-    /// Answered, or given up, at this time; the next list of hosts decides.
+    /// Answered at this time; the next list of hosts decides.
     Settled(Timestamp),
+    /// Given up at this time; the next list of hosts tells whether it took effect.
+    Unknown(Timestamp),
 }
 
 /// Order whose host the list of hosts does not show yet.
@@ -53,11 +55,21 @@
     }
 
     /// Notes that the cloud API's hosts were read; orders settled before are shown by them.
-    pub(super) fn note_cloud(&mut self, asked: Timestamp) {
+    ///
+    /// Returns the hosts of orders whose answer was lost.
+    pub(super) fn note_cloud(&mut self, asked: Timestamp, view: &FleetView) -> Vec<CloudHost> {
+        let mut found = Vec::new();
         self.open.retain(|_, open| match open.stage {
             OrderStage::InFlight => true,
             OrderStage::Settled(at) => at >= asked,
+            OrderStage::Unknown(at) => {
+                if at < asked {
+                    found.extend(find_host(view, &open.slot).cloned());
+                }
+                at >= asked
+            }
         });
+        found
     }
 
     /// Notes an answer and returns the order that it answers.
@@ -68,7 +80,10 @@
         result: &Result<CloudHost, CloudError>,
     ) -> Option<HostOrder> {
         let open = self.open.get_mut(token)?;
-        open.stage = OrderStage::Settled(now);
+        open.stage = match result {
+            Err(CloudError::Unknown { .. }) => OrderStage::Unknown(now),
+            _ => OrderStage::Settled(now),
+        };
         let order = open.order.clone();
         match result {
             Ok(host) if matches!(host.state, HostState::Leaving | HostState::Gone) => {
@@ -86,12 +101,14 @@
         Some(order)
     }
 
+    /// Returns whether there is an order to make.
+    pub(super) fn has_work(&self, step: SlotStep<'_>) -> bool {
+        !self.propose(step).is_empty()
+    }
+
     /// Returns the orders to make now.
     pub(super) fn plan(&mut self, step: SlotStep<'_>, limits: &ControlLimits) -> Vec<HostOrder> {
-        let mut orders = Vec::new();
-        for roster in step.rosters.values() {
-            self.plan_service(step, roster, &mut orders);
-        }
+        let mut orders = self.propose(step);
         let in_flight = self.open.values();
         let in_flight = in_flight.filter(|o| o.stage == OrderStage::InFlight);
         orders.truncate(limits.open_orders.saturating_sub(in_flight.count()));
@@ -101,6 +118,14 @@
         orders.into_iter().map(|open| open.order).collect()
     }
 
+    fn propose(&self, step: SlotStep<'_>) -> Vec<OpenOrder> {
+        let mut orders = Vec::new();
+        for roster in step.rosters.values() {
+            self.plan_service(step, roster, &mut orders);
+        }
+        orders
+    }
+
     fn plan_service(
         &self,
         step: SlotStep<'_>,
@@ -169,15 +194,18 @@
     fn open_cents(&self, row: &ServiceRow, view: &FleetView) -> f64 {
         let open = self.open.values();
         let open = open.filter(|open| open.slot.service == row.name);
-        let is_shown = |open: &&OpenOrder| {
-            let mut hosts = view.cloud.values();
-            hosts.any(|ordered| ordered.slot.as_ref() == Some(&open.slot))
-        };
-        let hidden = open.filter(|open| !is_shown(open));
+        let hidden = open.filter(|open| find_host(view, &open.slot).is_none());
         hidden.map(|open| open.cents_per_hour).sum()
     }
 }
 
+/// Returns the host that was ordered for a slot.
+fn find_host<'a>(view: &'a FleetView, slot: &HostSlot) -> Option<&'a CloudHost> {
+    let mut hosts = view.cloud.values();
+    let found = hosts.find(|ordered| ordered.slot.as_ref() == Some(slot));
+    found.map(|ordered| &ordered.host)
+}
+
 /// Returns the zone whose holder orders a slot: spread over the zones that have control.
 fn home_zone(
     view: &FleetView,
