--- a/crates/teaselglade-control/src/work/table_follower.rs
+++ b/crates/teaselglade-control/src/work/table_follower.rs
@@ -14,6 +14,8 @@
 
 const READ_WAIT: Duration = Duration::from_secs(2);
 const RETRY_WAIT: Duration = Duration::from_millis(500);
+/// Polls of the lease between two reads of a daemon without it.
+const IDLE_POLLS: u32 = 20;
 const MOST_RECORDS: u32 = 100;
 
 /// What following the table needs.
@@ -40,6 +42,9 @@
                 replica.on_page(&page);
                 follower.put_in_force(&replica, &mut version).await;
                 follower.keep_snapshot(&stream, &replica).await;
+                if replica.is_caught_up() {
+                    follower.wait_without_lease().await;
+                }
             }
             Err(_error) => {
                 follower.metrics.log_failures.inc();
@@ -50,6 +55,16 @@
 }
 
 impl TableFollower {
+    /// Waits while this daemon has no lease, so that few daemons read the log all the time.
+    async fn wait_without_lease(&self) {
+        for _poll in 0..IDLE_POLLS {
+            if self.term.in_force(self.ports.clock.now()).is_some() {
+                return;
+            }
+            sleep(RETRY_WAIT).await;
+        }
+    }
+
     async fn put_in_force(&self, replica: &TableReplica, version: &mut u64) {
         let head = replica.head();
         if !replica.is_caught_up() || head.version <= *version {
--- a/crates/teaselglade-state/examples/control_cost.rs
+++ b/crates/teaselglade-state/examples/control_cost.rs
@@ -29,6 +29,13 @@
     for servers in SIZES {
         measure(servers);
     }
+    println!("peak resident set: {}", peak_memory());
+}
+
+fn peak_memory() -> String {
+    let status = std::fs::read_to_string("/proc/self/status").unwrap_or_default();
+    let peak = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+    peak.unwrap_or("unknown").trim().to_owned()
 }
 
 fn measure(servers: usize) {
--- a/crates/teaselglade-state/src/control/control_planner.rs
+++ b/crates/teaselglade-state/src/control/control_planner.rs
@@ -190,7 +190,9 @@
                 self.market.avoid(&ordered.host.order, until);
             }
         }
-        let entries = fresh.iter();
+        let is_here =
+            |notice: &&ReclaimNotice| self.view.zone(&notice.host) == Some(self.zone.as_str());
+        let entries = fresh.iter().filter(is_here);
         entries
             .map(|notice| self.author.notice_received(now, notice))
             .collect()
--- a/crates/teaselglade-state/src/control/fleet_view.rs
+++ b/crates/teaselglade-state/src/control/fleet_view.rs
@@ -125,6 +125,13 @@
         listed.is_none_or(|host| host.incarnation <= notice.incarnation)
     }
 
+    /// Returns the zone of a host.
+    pub(super) fn zone(&self, name: &HostName) -> Option<&str> {
+        let ordered = self.cloud.get(name);
+        let ordered = ordered.map(|ordered| ordered.host.order.zone.as_str());
+        ordered.or_else(|| self.servers.get(name).map(|host| host.zone.as_str()))
+    }
+
     /// Returns whether a host of the cloud API stays.
     pub(super) fn stays(&self, host: &CloudHost) -> bool {
         let is_up = matches!(host.state, HostState::Starting | HostState::Running);
