--- /dev/null
+++ b/crates/teaselglade-placement/tests/limits/main.rs
@@ -0,0 +1,5 @@
+//! Limits, fairness and admission.
+
+mod fairness;
+mod gate;
+mod shares;
