feat(entry): place by the cost policy, within limits and behind the gate

The entry daemon chose by its own dispatches alone. It now polls load reports and cache events of its subset of servers, places by least expected cost, checks the limits of organisation and service and refuses what would start too late. Stand-in engines hash prefixes with the same function as the placement, so that their cache events mean the same blocks; BackendPort reads them.

--- a/crates/teaselglade-core/src/port/backend_port.rs
+++ b/crates/teaselglade-core/src/port/backend_port.rs
@@ -129,6 +129,26 @@
     pub kv_free: f64,
 }
 
+/// One change of an engine's prefix cache.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CacheChange {
+    /// Number of the event; a gap means lost events.
+    pub sequence: u64,
+    /// Whether the prefix was stored; else it was evicted.
+    pub stored: bool,
+    /// Hash of the prefix.
+    pub prefix: u64,
+}
+
+/// Changes of an engine's prefix cache, late and with gaps.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CacheChanges {
+    /// Number to ask for next.
+    pub next: u64,
+    /// The changes, by number.
+    pub changes: Vec<CacheChange>,
+}
+
 /// Calls to backend servers.
 pub trait BackendPort: Debug + Send + Sync {
     /// Starts an attempt and returns its frames.
@@ -157,4 +177,11 @@
 
     /// Reads a server's load report.
     fn report(&self, server: SocketAddr) -> PortFuture<'_, Result<ServerReport, AttemptError>>;
+
+    /// Reads the changes of an engine's prefix cache from a number on.
+    fn cache_changes(
+        &self,
+        server: SocketAddr,
+        from: u64,
+    ) -> PortFuture<'_, Result<CacheChanges, AttemptError>>;
 }
--- a/crates/teaselglade-core/src/port/mod.rs
+++ b/crates/teaselglade-core/src/port/mod.rs
@@ -12,8 +12,8 @@
 
 pub use attempt_error::AttemptError;
 pub use backend_port::{
-    BackendPort, EngineEvent, EngineStream, EventStream, GenerateCall, KvTransfer, PlainAnswer,
-    PlainCall, ServerReport,
+    BackendPort, CacheChange, CacheChanges, EngineEvent, EngineStream, EventStream, GenerateCall,
+    KvTransfer, PlainAnswer, PlainCall, ServerReport,
 };
 pub use clock_port::ClockPort;
 pub use cloud_port::{
--- a/crates/teaselglade-entry/src/caller_api/generate_route.rs
+++ b/crates/teaselglade-entry/src/caller_api/generate_route.rs
@@ -13,6 +13,7 @@
 use super::request_context::{MAX_BODY_BYTES, RequestContext, body_refusal};
 use super::stream_answer::{event_answer, whole_answer};
 use crate::host::EntryHost;
+use crate::placement::{PlacementOrder, admit};
 use crate::stream::{StreamOrder, start_stream};
 
 /// Takes a model request and answers with a stream or with one body.
@@ -21,6 +22,17 @@
         Ok(order) => order,
         Err(refusal) => return refusal_answer(&refusal, None),
     };
+    let placement = PlacementOrder::model(
+        &order.organisation,
+        &order.row,
+        &order.prompt,
+        &[],
+        order.max_tokens,
+    );
+    let _pass = match admit(&host, placement).await {
+        Ok(pass) => pass,
+        Err(refusal) => return refusal_answer(&refusal, None),
+    };
     let record = start_stream(&host, order);
     if is_streamed {
         return event_answer(record, 0).await;
--- a/crates/teaselglade-entry/src/directory/backend_directory.rs
+++ b/crates/teaselglade-entry/src/directory/backend_directory.rs
@@ -47,14 +47,9 @@
         self.servers.get(key.index())
     }
 
-    /// Returns the servers of a service that take new work.
-    pub(crate) fn open_servers<'a>(
-        &'a self,
-        service: &'a str,
-    ) -> impl Iterator<Item = &'a ServerEntry> {
-        self.servers
-            .iter()
-            .filter(move |server| server.is_open() && server.service == service)
+    /// Returns the servers that take new work.
+    pub(crate) fn open(&self) -> impl Iterator<Item = &ServerEntry> {
+        self.servers.iter().filter(|server| server.is_open())
     }
 
     /// Returns how many servers take new work.
--- a/crates/teaselglade-entry/src/directory/host_list_follower.rs
+++ b/crates/teaselglade-entry/src/directory/host_list_follower.rs
@@ -16,7 +16,10 @@
     loop {
         ticks.tick().await;
         match host.ports.host_list.hosts().await {
-            Ok(hosts) => host.directory().apply(hosts),
+            Ok(hosts) => {
+                host.directory().apply(hosts);
+                host.sync_placement();
+            }
             Err(_error) => host.metrics.host_list_failures.inc(),
         }
     }
--- a/crates/teaselglade-entry/src/directory/server_entry.rs
+++ b/crates/teaselglade-entry/src/directory/server_entry.rs
@@ -2,19 +2,16 @@
 
 use std::net::SocketAddr;
 
-use teaselglade_core::id::{HostIncarnation, HostName, ServerKey};
+use teaselglade_core::id::{HostName, ServerKey};
 use teaselglade_core::port::ListedHost;
 
 /// One backend server in the arena.
-#[expect(dead_code, reason = "placement will read price and identity")]
 #[derive(Debug, Clone)]
 pub(crate) struct ServerEntry {
     /// Key of the server.
     pub(crate) key: ServerKey,
     /// Host of the server.
     pub(crate) host: HostName,
-    /// Start number of the host.
-    pub(crate) incarnation: HostIncarnation,
     /// Address of the server.
     pub(crate) address: SocketAddr,
     /// Service of the server.
@@ -39,7 +36,6 @@
         Self {
             key,
             host: host.name,
-            incarnation: host.incarnation,
             address: host.address,
             service: host.service,
             zone: host.zone,
--- a/crates/teaselglade-entry/src/host/entry_daemon.rs
+++ b/crates/teaselglade-entry/src/host/entry_daemon.rs
@@ -14,6 +14,7 @@
 use crate::directory::follow_host_list;
 use crate::metrics::EntryMetrics;
 use crate::peer_api::peer_router;
+use crate::placement::poll_servers;
 use crate::settings::EntrySettings;
 use crate::shared::follow_table;
 
@@ -56,6 +57,7 @@
         let followers = vec![
             tokio::spawn(follow_table(Arc::clone(&host))),
             tokio::spawn(follow_host_list(Arc::clone(&host))),
+            tokio::spawn(poll_servers(Arc::clone(&host))),
         ];
         let caller_server = callers.start(caller_router(&host));
         let peer_server = peers.start(peer_router(&host));
--- a/crates/teaselglade-entry/src/host/entry_host.rs
+++ b/crates/teaselglade-entry/src/host/entry_host.rs
@@ -1,20 +1,22 @@
 //! What the parts of one entry daemon share.
 
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
 
 use rand::{RngCore, SeedableRng};
 use rand_pcg::Pcg64Mcg;
-use teaselglade_core::id::{RequestId, ServerKey};
+use teaselglade_core::id::{AttemptId, RequestId, ServerKey};
 use teaselglade_core::table::ServiceRow;
 use teaselglade_core::time::Timestamp;
+use teaselglade_placement::policy::PlacementEvent;
 use teaselglade_wire::HostStatus;
 
 use super::EntryPorts;
 use crate::booking::BookingRegister;
 use crate::directory::{BackendDirectory, ServerEntry};
 use crate::metrics::EntryMetrics;
-use crate::placement::{LoadChooser, ServerChooser};
+use crate::placement::{PlacementDesk, PlacementOrder};
 use crate::settings::EntrySettings;
 use crate::shared::TableInForce;
 use crate::stream::StreamRegister;
@@ -36,7 +38,7 @@
     pub(crate) incarnation: u64,
     directory: Mutex<BackendDirectory>,
     table: RwLock<Arc<TableInForce>>,
-    chooser: Mutex<Box<dyn ServerChooser>>,
+    placement: Mutex<PlacementDesk>,
     random: Mutex<Pcg64Mcg>,
     draining: AtomicBool,
 }
@@ -51,6 +53,7 @@
         let started = ports.clock.now();
         let seed = started.as_micros() ^ u64::from(std::process::id()) << 32;
         Arc::new(Self {
+            placement: Mutex::new(PlacementDesk::new(&settings.host)),
             settings,
             ports,
             metrics,
@@ -59,7 +62,6 @@
             incarnation: started.as_millis(),
             directory: Mutex::default(),
             table: RwLock::default(),
-            chooser: Mutex::new(Box::new(LoadChooser::default())),
             random: Mutex::new(Pcg64Mcg::seed_from_u64(seed)),
             draining: AtomicBool::new(false),
         })
@@ -91,6 +93,7 @@
         self.metrics
             .table_version
             .set(i64::try_from(table.version).unwrap_or(i64::MAX));
+        self.placement().set_table(self.now(), &table.rows);
         *present = Arc::new(table);
     }
 
@@ -110,20 +113,54 @@
         row: &ServiceRow,
         excluded: &[ServerKey],
     ) -> Option<ServerEntry> {
-        let directory = self.directory();
-        let permitted = |server: &&ServerEntry| {
-            row.permits(&server.class, &server.zone, server.cents_per_hour)
-                && !excluded.contains(&server.key)
-        };
-        let candidates = directory.open_servers(&row.name).filter(permitted);
-        let candidates = candidates.map(|server| server.key).collect::<Vec<_>>();
-        let server = self.chooser().choose(&candidates)?;
-        directory.server(server).cloned()
+        let order = PlacementOrder::plain(row, excluded);
+        let server = self.placement().choose(self.now(), &order)?;
+        self.directory().server(server).cloned()
     }
 
     /// Notes that a dispatch to a server ended.
     pub(crate) fn release_server(&self, server: ServerKey) {
-        self.chooser().release(server);
+        self.placement().release(self.now(), server);
+    }
+
+    /// Chooses a server for an attempt of a model request and counts the dispatch.
+    pub(crate) fn dispatch_to_server(
+        &self,
+        attempt: AttemptId,
+        order: &PlacementOrder,
+    ) -> Option<ServerEntry> {
+        let now = self.now();
+        let mut placement = self.placement();
+        let server = placement.place(now, order).ok()?;
+        placement.dispatched(now, attempt, server, order);
+        drop(placement);
+        self.directory().server(server).cloned()
+    }
+
+    /// Tells the placement what became of an attempt.
+    pub(crate) fn observe_attempt(&self, event: &PlacementEvent) {
+        self.placement().observe(self.now(), event);
+    }
+
+    /// Returns placement, limits and admission.
+    pub(crate) fn placement(&self) -> MutexGuard<'_, PlacementDesk> {
+        self.placement
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Shows the placement which servers the directory has.
+    pub(crate) fn sync_placement(&self) {
+        let directory = self.directory();
+        self.placement().sync(self.now(), &directory);
+    }
+
+    /// Returns the servers whose reports the placement wants, with their addresses.
+    pub(crate) fn polled_servers(&self) -> Vec<(ServerKey, SocketAddr)> {
+        let servers = self.placement().servers();
+        let directory = self.directory();
+        let entries = servers.into_iter().filter_map(|key| directory.server(key));
+        entries.map(|entry| (entry.key, entry.address)).collect()
     }
 
     /// Returns whether the daemon is stopping.
@@ -156,8 +193,4 @@
             peers: directory.entry_hosts().len() as u32,
         }
     }
-
-    fn chooser(&self) -> MutexGuard<'_, Box<dyn ServerChooser>> {
-        self.chooser.lock().unwrap_or_else(PoisonError::into_inner)
-    }
 }
--- /dev/null
+++ b/crates/teaselglade-entry/src/placement/admission_waiter.rs
@@ -0,0 +1,69 @@
+//! Waits at the gate on behalf of one request.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use teaselglade_core::id::RequestId;
+use teaselglade_core::verdict::RequestRefusal;
+use teaselglade_placement::limit::LimitedRequest;
+use tokio::time::sleep;
+
+use super::PlacementOrder;
+use crate::host::EntryHost;
+
+const ASK_INTERVAL: Duration = Duration::from_millis(5);
+
+/// Counts a request against its limits until it is dropped.
+#[derive(Debug)]
+pub(crate) struct AdmissionPass {
+    host: Arc<EntryHost>,
+    limited: LimitedRequest,
+}
+
+impl Drop for AdmissionPass {
+    fn drop(&mut self) {
+        self.host.placement().end_limited(&self.limited);
+    }
+}
+
+/// Leaves the gate when its request's caller goes away.
+#[derive(Debug)]
+struct GateSeat<'a> {
+    host: &'a EntryHost,
+    request: RequestId,
+}
+
+impl Drop for GateSeat<'_> {
+    fn drop(&mut self) {
+        self.host.placement().leave_gate(self.request);
+    }
+}
+
+/// Checks the limits and waits for the turn of a model request.
+///
+/// # Errors
+///
+/// Refuses with "not run" and when to come back.
+pub(crate) async fn admit(
+    host: &Arc<EntryHost>,
+    order: PlacementOrder,
+) -> Result<AdmissionPass, RequestRefusal> {
+    let service = order.row.name.clone();
+    let limited = LimitedRequest::new(&order.organisation, &service, order.answer_tokens);
+    host.placement().check_limits(host.now(), &limited)?;
+    let pass = AdmissionPass {
+        host: Arc::clone(host),
+        limited,
+    };
+    let request = host.new_request();
+    host.placement().offer(host.now(), request, order)?;
+    let seat = GateSeat { host, request };
+    loop {
+        let outcome = host.placement().ask_gate(host.now(), &service, request);
+        if let Some(outcome) = outcome {
+            drop(seat);
+            return outcome.map(|()| pass);
+        }
+        sleep(ASK_INTERVAL).await;
+    }
+}
--- a/crates/teaselglade-entry/src/placement/mod.rs
+++ b/crates/teaselglade-entry/src/placement/mod.rs
@@ -1,7 +1,12 @@
-//! Chooses backend servers for requests.
+//! Places requests at backend servers, within the fleet's limits.
 
-mod load_chooser;
-mod server_chooser;
+mod admission_waiter;
+mod key_map;
+mod placement_desk;
+mod placement_order;
+mod server_poller;
 
-pub(crate) use load_chooser::LoadChooser;
-pub(crate) use server_chooser::ServerChooser;
+pub(crate) use admission_waiter::admit;
+pub(crate) use placement_desk::PlacementDesk;
+pub(crate) use placement_order::PlacementOrder;
+pub(crate) use server_poller::poll_servers;
--- a/crates/teaselglade-entry/src/stream/stream_task.rs
+++ b/crates/teaselglade-entry/src/stream/stream_task.rs
@@ -7,11 +7,13 @@
 use teaselglade_core::id::{AttemptId, ServerKey};
 use teaselglade_core::port::{AttemptError, EngineEvent, GenerateCall};
 use teaselglade_core::verdict::{ExecutionVerdict, RefusalReason, RequestRefusal, SendProgress};
+use teaselglade_placement::policy::PlacementEvent;
 use tokio::time::{sleep, timeout};
 
 use super::{StreamEnd, StreamOrder, StreamRecord};
 use crate::directory::ServerEntry;
 use crate::host::EntryHost;
+use crate::placement::PlacementOrder;
 
 const MAX_ATTEMPTS: u32 = 4;
 const PROGRESS_TIMEOUT: Duration = Duration::from_secs(2);
@@ -57,11 +59,20 @@
                 &order.row.name,
             ));
         }
-        let Some(server) = host.choose_server(&order.row, &excluded) else {
+        let delivered = record.tokens();
+        let placement = PlacementOrder::model(
+            &order.organisation,
+            &order.row,
+            &order.prompt,
+            &delivered,
+            order.max_tokens,
+        );
+        let placement = placement.excluding(&excluded);
+        let Some(server) = host.dispatch_to_server(attempt, &placement) else {
             return Err(given_up(verdict, RefusalReason::NoServer, &order.row.name));
         };
         let result = run_attempt(host, order, record, attempt, &server).await;
-        host.release_server(server.key);
+        host.observe_attempt(&PlacementEvent::Ended { attempt });
         match result {
             Ok(mut end) => {
                 end.recomputed_tokens = recomputed_tokens;
@@ -108,7 +119,8 @@
         priority: 0,
         kv_handle: None,
     };
-    let mut next = call.delivered.len() as u32;
+    let first = call.delivered.len() as u32;
+    let mut next = first;
     let mut stream = host.ports.backend.generate(server.address, call).await?;
     loop {
         let event = timeout(PROGRESS_TIMEOUT, stream.events.next()).await;
@@ -119,6 +131,9 @@
                 index,
                 text,
             } if of == attempt && index == next => {
+                if next == first {
+                    host.observe_attempt(&PlacementEvent::FirstToken { attempt });
+                }
                 record.push(text);
                 host.metrics.tokens.inc();
                 next += 1;
@@ -129,7 +144,15 @@
                     recomputed_tokens: 0,
                 });
             }
-            EngineEvent::Started { .. } => {}
+            EngineEvent::Started {
+                attempt: of,
+                computed_tokens,
+                cached_tokens,
+            } if of == attempt => host.observe_attempt(&PlacementEvent::Started {
+                attempt,
+                computed_tokens,
+                cached_tokens,
+            }),
             _ => host.metrics.dropped_frames.inc(),
         }
     }
--- a/crates/teaselglade-net/src/backend/backend_client.rs
+++ b/crates/teaselglade-net/src/backend/backend_client.rs
@@ -9,12 +9,15 @@
 use serde::Serialize;
 use teaselglade_core::id::AttemptId;
 use teaselglade_core::port::{
-    AttemptError, BackendPort, EngineStream, GenerateCall, KvTransfer, PlainAnswer, PlainCall,
-    PortFuture, ServerReport,
+    AttemptError, BackendPort, CacheChange, CacheChanges, EngineStream, GenerateCall, KvTransfer,
+    PlainAnswer, PlainCall, PortFuture, ServerReport,
 };
 use teaselglade_core::verdict::SendProgress;
 use teaselglade_wire::codec::{from_json, to_json};
-use teaselglade_wire::{EngineCancel, EngineExport, EngineGenerate, EngineHandle, EngineLoad};
+use teaselglade_wire::{
+    CacheChange as WireChange, CacheEvents, EngineCancel, EngineExport, EngineGenerate,
+    EngineHandle, EngineLoad,
+};
 
 use super::engine_frames::read_events;
 use crate::client::{HttpAnswer, HttpCall, HttpCaller};
@@ -136,6 +139,25 @@
             kv_free: load.kv_free,
         })
     }
+
+    async fn read_cache_changes(
+        &self,
+        server: SocketAddr,
+        from: u64,
+    ) -> Result<CacheChanges, AttemptError> {
+        let path = format!("/cache-events?from={from}");
+        let answer = self.caller.call(HttpCall::get(server, path)).await?;
+        let events = decode::<CacheEvents>(&answer)?;
+        let changes = events.events.into_iter().map(|event| CacheChange {
+            sequence: event.sequence,
+            stored: event.change == WireChange::Stored,
+            prefix: event.prefix,
+        });
+        Ok(CacheChanges {
+            next: events.next,
+            changes: changes.collect(),
+        })
+    }
 }
 
 impl BackendPort for BackendClient {
@@ -170,6 +192,14 @@
     fn report(&self, server: SocketAddr) -> PortFuture<'_, Result<ServerReport, AttemptError>> {
         Box::pin(self.read_report(server))
     }
+
+    fn cache_changes(
+        &self,
+        server: SocketAddr,
+        from: u64,
+    ) -> PortFuture<'_, Result<CacheChanges, AttemptError>> {
+        Box::pin(self.read_cache_changes(server, from))
+    }
 }
 
 fn encode(message: &impl Serialize) -> Result<bytes::Bytes, AttemptError> {
--- a/crates/teaselglade-placement/src/cost/cost_policy.rs
+++ b/crates/teaselglade-placement/src/cost/cost_policy.rs
@@ -74,11 +74,6 @@
         }
     }
 
-    /// Changes how many entry hosts dispatch to the same servers.
-    pub fn set_entry_hosts(&mut self, entry_hosts: u32) {
-        self.options.entry_hosts = entry_hosts.max(1);
-    }
-
     fn forecast_all(&mut self, directory: &ServerDirectory, query: &PlacementQuery) {
         self.cached.clear();
         self.cached.resize(directory.len(), 0);
@@ -301,6 +296,9 @@
                     self.reclaims.notice(facts.zone);
                 }
             }
+            PlacementEvent::EntryHostsChanged { count } => {
+                self.options.entry_hosts = (*count).max(1);
+            }
             PlacementEvent::Gone { server } => {
                 self.noticed.remove(server);
                 self.prefixes.forget(*server);
--- a/crates/teaselglade-placement/src/policy/placement_event.rs
+++ b/crates/teaselglade-placement/src/policy/placement_event.rs
@@ -74,6 +74,11 @@
         /// When the host stops.
         deadline: Timestamp,
     },
+    /// The number of entry hosts that dispatch to the same servers changed.
+    EntryHostsChanged {
+        /// The entry hosts, this one included.
+        count: u32,
+    },
     /// A server is gone.
     Gone {
         /// The server.
--- a/crates/teaselglade-placement/src/policy/server_placement.rs
+++ b/crates/teaselglade-placement/src/policy/server_placement.rs
@@ -107,6 +107,7 @@
             PlacementEvent::Gone { server } => self.directory.advance(*server, ServerState::Gone),
             PlacementEvent::Started { .. }
             | PlacementEvent::FirstToken { .. }
+            | PlacementEvent::EntryHostsChanged { .. }
             | PlacementEvent::CacheChanged { .. } => {}
         }
         self.policy.observe(now, &self.directory, event);
--- a/crates/teaselglade-standins/src/engine/prefix_cache.rs
+++ b/crates/teaselglade-standins/src/engine/prefix_cache.rs
@@ -1,11 +1,8 @@
 //! Prompt prefixes that an engine keeps.
 
 use std::collections::HashMap;
-use std::collections::hash_map::DefaultHasher;
-use std::hash::{Hash, Hasher};
 
-/// Words in one block of a prefix.
-const BLOCK_WORDS: usize = 16;
+use teaselglade_placement::policy::{PREFIX_BLOCK_TOKENS, prefix_blocks};
 
 /// A prefix that was stored or evicted.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -26,7 +23,7 @@
 impl PrefixCache {
     pub(super) fn new(capacity_tokens: usize) -> Self {
         Self {
-            capacity_blocks: capacity_tokens / BLOCK_WORDS,
+            capacity_blocks: capacity_tokens / PREFIX_BLOCK_TOKENS as usize,
             clock: 0,
             blocks: HashMap::new(),
         }
@@ -70,13 +67,9 @@
     }
 }
 
-fn block_hashes<'a>(words: &'a [&'a str]) -> impl Iterator<Item = (u64, u32)> + 'a {
-    let mut hasher = DefaultHasher::new();
-    words
-        .chunks_exact(BLOCK_WORDS)
-        .enumerate()
-        .map(move |(index, block)| {
-            block.hash(&mut hasher);
-            (hasher.finish(), ((index + 1) * BLOCK_WORDS) as u32)
-        })
+fn block_hashes(words: &[&str]) -> impl Iterator<Item = (u64, u32)> + use<> {
+    let blocks = prefix_blocks(words.iter().copied());
+    (1..)
+        .zip(blocks)
+        .map(|(count, block)| (block, count * PREFIX_BLOCK_TOKENS))
 }
