--- a/crates/teaselglade-entry/src/caller_api/generate_route.rs
+++ b/crates/teaselglade-entry/src/caller_api/generate_route.rs
@@ -29,15 +29,15 @@
         &[],
         order.max_tokens,
     );
-    let _pass = match admit(&host, placement).await {
+    let pass = match admit(&host, placement).await {
         Ok(pass) => pass,
         Err(refusal) => return refusal_answer(&refusal, None),
     };
-    let record = start_stream(&host, order);
+    let seat = start_stream(&host, order, pass);
     if is_streamed {
-        return event_answer(record, 0).await;
+        return event_answer(seat, 0).await;
     }
-    whole_answer(&record).await
+    whole_answer(&seat.buffer).await
 }
 
 async fn read_order(
--- a/crates/teaselglade-entry/src/placement/mod.rs
+++ b/crates/teaselglade-entry/src/placement/mod.rs
@@ -6,7 +6,7 @@
 mod placement_order;
 mod server_poller;
 
-pub(crate) use admission_waiter::admit;
+pub(crate) use admission_waiter::{AdmissionPass, admit};
 pub(crate) use placement_desk::PlacementDesk;
 pub(crate) use placement_order::PlacementOrder;
 pub(crate) use server_poller::poll_servers;
