--- a/crates/teaselglade-entry/src/directory/host_list_follower.rs
+++ b/crates/teaselglade-entry/src/directory/host_list_follower.rs
@@ -20,6 +20,7 @@
         match host.ports.host_list.hosts().await {
             Ok(hosts) => {
                 let leaving = host.directory().apply(hosts);
+                host.sync_placement();
                 let deadline = host.now() + ASSUMED_NOTICE;
                 for server in leaving {
                     host.streams.announce_leaving(server, deadline);
--- a/crates/teaselglade-entry/src/stream/running_attempts.rs
+++ b/crates/teaselglade-entry/src/stream/running_attempts.rs
@@ -5,28 +5,29 @@
 use std::sync::Arc;
 
 use teaselglade_core::id::{AttemptId, ServerKey};
-use teaselglade_core::port::{AttemptError, GenerateCall, KvTransfer};
-use teaselglade_core::table::ServiceRow;
-use teaselglade_core::verdict::{RefusalReason, RequestRefusal, SendProgress};
+use teaselglade_core::port::{AttemptError, EngineEvent, GenerateCall, KvTransfer};
+use teaselglade_core::verdict::SendProgress;
+use teaselglade_placement::policy::PlacementEvent;
 use teaselglade_request::stream::StreamEvent;
 use tokio::task::AbortHandle;
 
 use super::attempt_reader::read_attempt;
 use super::{CommandSender, StreamCommand};
 use crate::host::EntryHost;
+use crate::placement::PlacementOrder;
 
 #[derive(Debug)]
 struct RunningAttempt {
-    server: ServerKey,
     reader: AbortHandle,
+    has_token: bool,
 }
 
-/// Attempts of one stream at backend servers, and the server chosen for the next one.
+/// Attempts of one stream at backend servers, and what was placed last.
 #[derive(Debug)]
 pub(super) struct RunningAttempts {
     host: Arc<EntryHost>,
     commands: CommandSender,
-    chosen: Option<ServerKey>,
+    placed: Option<PlacementOrder>,
     running: HashMap<AttemptId, RunningAttempt>,
 }
 
@@ -36,33 +37,23 @@
         Self {
             host,
             commands,
-            chosen: None,
+            placed: None,
             running: HashMap::new(),
         }
     }
 
     /// Chooses a server for the next attempt.
-    pub(super) fn place(
-        &mut self,
-        ticket: u32,
-        row: &ServiceRow,
-        exclude: &[ServerKey],
-    ) -> StreamEvent {
-        self.give_back_choice();
-        let Some(entry) = self.host.choose_server(row, exclude) else {
-            let refusal = RequestRefusal::not_run(RefusalReason::NoServer, &row.name);
-            return StreamEvent::NotPlaced { ticket, refusal };
-        };
-        let server = entry.key;
-        self.chosen = Some(server);
-        StreamEvent::Placed { ticket, server }
+    pub(super) fn place(&mut self, ticket: u32, order: PlacementOrder) -> StreamEvent {
+        let placed = self.host.placement().place(self.host.now(), &order);
+        self.placed = Some(order);
+        match placed {
+            Ok(server) => StreamEvent::Placed { ticket, server },
+            Err(refusal) => StreamEvent::NotPlaced { ticket, refusal },
+        }
     }
 
     /// Starts an attempt on a task of its own.
     pub(super) fn start(&mut self, server: ServerKey, call: GenerateCall, fresh_connection: bool) {
-        if self.chosen == Some(server) {
-            self.chosen = None;
-        }
         let attempt = call.attempt;
         let Some(address) = self.address(server) else {
             let error = AttemptError::new(SendProgress::NotSent, "the server is unknown");
@@ -74,16 +65,45 @@
         } else {
             Arc::clone(&self.host.ports.backend)
         };
+        if let Some(order) = &self.placed {
+            let now = self.host.now();
+            self.host
+                .placement()
+                .dispatched(now, attempt, server, order);
+        }
         let reading = read_attempt(backend, address, call, self.commands.clone());
         let reader = tokio::spawn(reading).abort_handle();
-        self.running
-            .insert(attempt, RunningAttempt { server, reader });
+        self.running.insert(
+            attempt,
+            RunningAttempt {
+                reader,
+                has_token: false,
+            },
+        );
+    }
+
+    /// Tells the placement what an attempt's first frames say.
+    pub(super) fn observe_frame(&mut self, frame: &EngineEvent) {
+        match frame {
+            EngineEvent::Started {
+                attempt,
+                computed_tokens,
+                cached_tokens,
+            } => self.host.observe_attempt(&PlacementEvent::Started {
+                attempt: *attempt,
+                computed_tokens: *computed_tokens,
+                cached_tokens: *cached_tokens,
+            }),
+            EngineEvent::Token { attempt, .. } => self.observe_token(*attempt),
+            EngineEvent::End { .. } => {}
+        }
     }
 
     /// Notes that an attempt ended by itself.
     pub(super) fn finish(&mut self, attempt: AttemptId) {
-        if let Some(running) = self.running.remove(&attempt) {
-            self.host.release_server(running.server);
+        if self.running.remove(&attempt).is_some() {
+            self.host
+                .observe_attempt(&PlacementEvent::Ended { attempt });
         }
     }
 
@@ -93,7 +113,8 @@
             return;
         };
         running.reader.abort();
-        self.host.release_server(server);
+        self.host
+            .observe_attempt(&PlacementEvent::Ended { attempt });
         let Some(address) = self.address(server) else {
             return;
         };
@@ -129,16 +150,21 @@
 
     /// Stops reading every attempt.
     pub(super) fn release_all(&mut self) {
-        self.give_back_choice();
-        for (_, running) in self.running.drain() {
+        for (attempt, running) in self.running.drain() {
             running.reader.abort();
-            self.host.release_server(running.server);
+            self.host
+                .observe_attempt(&PlacementEvent::Ended { attempt });
         }
     }
 
-    fn give_back_choice(&mut self) {
-        if let Some(server) = self.chosen.take() {
-            self.host.release_server(server);
+    fn observe_token(&mut self, attempt: AttemptId) {
+        let Some(running) = self.running.get_mut(&attempt) else {
+            return;
+        };
+        if !running.has_token {
+            running.has_token = true;
+            self.host
+                .observe_attempt(&PlacementEvent::FirstToken { attempt });
         }
     }
 
--- a/crates/teaselglade-entry/src/stream/stream_task.rs
+++ b/crates/teaselglade-entry/src/stream/stream_task.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use teaselglade_core::id::ServerKey;
 use teaselglade_core::table::ServiceRow;
 use teaselglade_core::time::Timestamp;
 use teaselglade_core::verdict::RequestRefusal;
@@ -18,12 +19,17 @@
 use super::stream_register::RegisteredStream;
 use super::{CommandSender, ReaderSeat, StreamBuffer, StreamCommand, StreamEnd, StreamOrder};
 use crate::host::EntryHost;
+use crate::placement::{AdmissionPass, PlacementOrder};
 
 /// Longest sleep between two looks at the clock.
 const LONGEST_SLEEP: Duration = Duration::from_mins(1);
 
 /// Starts a stream on a task of its own and returns its caller's seat.
-pub(crate) fn start_stream(host: &Arc<EntryHost>, order: StreamOrder) -> ReaderSeat {
+pub(crate) fn start_stream(
+    host: &Arc<EntryHost>,
+    order: StreamOrder,
+    pass: AdmissionPass,
+) -> ReaderSeat {
     let request = StreamRequest {
         id: host.new_request(),
         organisation: order.organisation,
@@ -36,7 +42,7 @@
     };
     let buffer = Arc::new(StreamBuffer::new(request.id, 0, 0, Vec::new()));
     let machine = StreamMachine::new(request, StreamLimits::default());
-    let commands = spawn_task(host, order.row, machine, &buffer);
+    let commands = spawn_task(host, order.row, machine, &buffer, Some(pass));
     ReaderSeat::first(buffer, commands)
 }
 
@@ -49,7 +55,7 @@
         record.delivered.clone(),
     );
     let machine = StreamMachine::resume(record, StreamLimits::default(), host.now());
-    spawn_task(host, row, machine, &Arc::new(buffer));
+    spawn_task(host, row, machine, &Arc::new(buffer), None);
 }
 
 fn spawn_task(
@@ -57,6 +63,7 @@
     row: ServiceRow,
     machine: StreamMachine,
     buffer: &Arc<StreamBuffer>,
+    pass: Option<AdmissionPass>,
 ) -> CommandSender {
     let (commands, received) = mpsc::unbounded_channel();
     host.streams.insert(RegisteredStream {
@@ -78,6 +85,7 @@
         timer: None,
         counted: StreamCounters::default(),
         is_open: true,
+        pass,
     };
     tokio::spawn(task.run(received));
     commands
@@ -97,6 +105,7 @@
     timer: Option<Timestamp>,
     counted: StreamCounters,
     is_open: bool,
+    pass: Option<AdmissionPass>,
 }
 
 impl StreamTask {
@@ -127,6 +136,9 @@
     fn take(&mut self, command: StreamCommand) {
         match command {
             StreamCommand::Event(event) => {
+                if let StreamEvent::Frame(frame) = &event {
+                    self.attempts.observe_frame(frame);
+                }
                 if let StreamEvent::AttemptFailed { attempt, .. }
                 | StreamEvent::AttemptClosed { attempt } = &event
                 {
@@ -176,7 +188,8 @@
             StreamAction::Place {
                 ticket, exclude, ..
             } => {
-                let event = self.attempts.place(ticket, &self.row, &exclude);
+                let order = self.placement_order(&exclude);
+                let event = self.attempts.place(ticket, order);
                 self.pending.push_back(event);
             }
             StreamAction::AskRetry { ticket, retry } => {
@@ -225,6 +238,18 @@
         }
     }
 
+    fn placement_order(&self, exclude: &[ServerKey]) -> PlacementOrder {
+        let request = self.machine.request();
+        PlacementOrder::model(
+            &request.organisation,
+            &self.row,
+            &request.prompt,
+            &self.buffer.tokens(),
+            request.max_tokens,
+        )
+        .excluding(exclude)
+    }
+
     fn count(&mut self) {
         let present = *self.machine.counters();
         let metrics = &self.host.metrics;
@@ -237,6 +262,7 @@
         self.counted = present;
         if self.is_open && !self.machine.is_open() {
             self.is_open = false;
+            self.pass = None;
             metrics.open_streams.dec();
             let organisation = self.machine.request().organisation.as_str();
             let labels = [organisation, self.machine.outcome_name()];
