feat(state): exchange membership, notices and table versions among entry hosts

Cause: the host list lags, and news has to reach 390 hosts in 3 s at a traffic per node that does not grow with the fleet. Ruled out: a whole member list per exchange (grows with the fleet) and waiting for the regular exchange alone (a test shows that it misses 3 s). Change: machine, messages, property tests, virtual fleet and a measurement as an example.

--- a/crates/teaselglade-state/src/lib.rs
+++ b/crates/teaselglade-state/src/lib.rs
@@ -2,4 +2,5 @@
 
 pub mod audit;
 pub mod lease;
+pub mod membership;
 pub mod table;
--- /dev/null
+++ b/crates/teaselglade-state/src/membership/membership_machine.rs
@@ -0,0 +1,446 @@
+//! Decides what entry hosts tell one another, and when.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use rand::seq::SliceRandom;
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use teaselglade_core::id::{HostIncarnation, HostKey, HostName};
+use teaselglade_core::port::{ListedHost, ListedRole};
+use teaselglade_core::time::Timestamp;
+
+use super::member_arena::MemberArena;
+use super::message_check::MAX_DEMAND_BYTES;
+use super::notice_set::NoticeSet;
+use super::rumour_queue::{RumourQueue, RumourTopic};
+use super::send_budget::SendBudget;
+use super::{
+    LeavingNotice, MemberEntry, MemberLiveness, MembershipAction, MembershipCounts,
+    MembershipEvent, MembershipSettings, MessageRefusal,
+};
+
+const EXCHANGE_INTERVAL: Duration = Duration::from_secs(1);
+const PUSH_INTERVAL: Duration = Duration::from_millis(200);
+const PUSH_FAN_OUT: usize = 3;
+const MISSED_CALLS_TO_SUSPECT: u32 = 2;
+const SUSPICION_TIME: Duration = Duration::from_secs(4);
+const FAILED_PROBE_INTERVAL: Duration = Duration::from_secs(10);
+const FORGET_INTERVAL: Duration = Duration::from_mins(1);
+const FORGET_FAILED_AFTER: Duration = Duration::from_hours(2);
+const PULL_TIMEOUT: Duration = Duration::from_millis(500);
+
+#[derive(Debug, Clone, Copy)]
+pub(super) struct TablePull {
+    pub(super) version: u64,
+    pub(super) until: Timestamp,
+}
+
+/// Exchange with the other entry hosts: membership, notices, table versions, demand shares.
+///
+/// Once a second the machine exchanges digests and differences with one peer; that call is the
+/// heartbeat too. News is pushed to a few random peers at once, a bounded number of times.
+///
+/// # Examples
+///
+/// ```
+/// use teaselglade_core::id::HostName;
+/// use teaselglade_core::time::Timestamp;
+/// use teaselglade_state::membership::{MembershipEvent, MembershipMachine, MembershipSettings};
+///
+/// let host = HostName::new("galway-e1");
+/// let settings = MembershipSettings::new("halloran", host, "127.0.0.1:8081".parse()?);
+/// let mut machine = MembershipMachine::new(Timestamp::ZERO, settings);
+/// let actions = machine.on_event(machine.next_wake(), MembershipEvent::Tick);
+/// assert!(actions.is_empty(), "nobody is known yet");
+/// # Ok::<(), std::net::AddrParseError>(())
+/// ```
+#[derive(Debug, Clone)]
+pub struct MembershipMachine {
+    pub(super) settings: MembershipSettings,
+    pub(super) random: Pcg64Mcg,
+    pub(super) own: MemberEntry,
+    pub(super) members: MemberArena,
+    pub(super) notices: NoticeSet,
+    pub(super) rumours: RumourQueue,
+    pub(super) budget: SendBudget,
+    pub(super) counts: MembershipCounts,
+    pub(super) table_version: u64,
+    pub(super) pull: Option<TablePull>,
+    pub(super) demand: String,
+    pub(super) next_slice: u16,
+    heartbeat_order: Vec<HostKey>,
+    next_exchange: Timestamp,
+    next_push: Timestamp,
+    next_failed_probe: Timestamp,
+    next_forget: Timestamp,
+}
+
+impl MembershipMachine {
+    /// Makes the machine of a host that starts now.
+    #[must_use]
+    pub fn new(now: Timestamp, settings: MembershipSettings) -> Self {
+        let mut random = Pcg64Mcg::seed_from_u64(settings.seed);
+        let offset = EXCHANGE_INTERVAL.mul_f64(random.random::<f64>());
+        Self {
+            own: settings.to_member(),
+            settings,
+            random,
+            members: MemberArena::default(),
+            notices: NoticeSet::default(),
+            rumours: RumourQueue::default(),
+            budget: SendBudget::new(now),
+            counts: MembershipCounts::default(),
+            table_version: 0,
+            pull: None,
+            demand: String::new(),
+            next_slice: 0,
+            heartbeat_order: Vec::new(),
+            next_exchange: now + offset,
+            next_push: now,
+            next_failed_probe: now + FAILED_PROBE_INTERVAL,
+            next_forget: now + FORGET_INTERVAL,
+        }
+    }
+
+    /// Handles an event and returns what to do.
+    pub fn on_event(&mut self, now: Timestamp, event: MembershipEvent) -> Vec<MembershipAction> {
+        let mut actions = Vec::new();
+        match event {
+            MembershipEvent::Tick => self.on_tick(now, &mut actions),
+            MembershipEvent::HostList(hosts) => self.on_host_list(now, hosts, &mut actions),
+            MembershipEvent::Request { token, body } => {
+                self.on_request(now, token, &body, &mut actions);
+            }
+            MembershipEvent::AnswerReceived { peer, body } => {
+                self.on_answer(now, &peer, &body, &mut actions);
+            }
+            MembershipEvent::CallFailed { peer } => self.on_call_failed(now, &peer, &mut actions),
+            MembershipEvent::NoticeSeen(notice) => self.merge_notice(now, notice, &mut actions),
+            MembershipEvent::TableAdopted { version } => self.on_table(version),
+            MembershipEvent::DemandSet { demand } => self.set_demand(demand),
+        }
+        actions
+    }
+
+    /// Returns when the next [`MembershipEvent::Tick`] is due.
+    #[must_use]
+    pub fn next_wake(&self) -> Timestamp {
+        if self.has_news_to_push() {
+            return self.next_exchange.min(self.next_push);
+        }
+        self.next_exchange
+    }
+
+    /// Returns the entry of a host, where it is known.
+    #[must_use]
+    pub fn member(&self, name: &HostName) -> Option<&MemberEntry> {
+        self.members.entry(name)
+    }
+
+    /// Returns the other entry hosts that are known.
+    pub fn members(&self) -> impl Iterator<Item = &MemberEntry> {
+        self.members.slots().map(|slot| &slot.entry)
+    }
+
+    /// Returns the other entry hosts that answer.
+    pub fn live_members(&self) -> impl Iterator<Item = &MemberEntry> {
+        self.members()
+            .filter(|entry| entry.liveness == MemberLiveness::Alive)
+    }
+
+    /// Returns whether an incarnation of a host is leaving.
+    #[must_use]
+    pub fn is_leaving(&self, host: &HostName, incarnation: HostIncarnation) -> bool {
+        self.notices.is_leaving(host, incarnation)
+    }
+
+    /// Returns counts of the exchange.
+    #[must_use]
+    pub const fn counts(&self) -> MembershipCounts {
+        self.counts
+    }
+
+    fn on_tick(&mut self, now: Timestamp, actions: &mut Vec<MembershipAction>) {
+        if now >= self.next_exchange {
+            self.next_exchange = now + self.jittered(EXCHANGE_INTERVAL);
+            self.fail_suspects(now, actions);
+            if let Some(peer) = self.next_heartbeat_peer() {
+                self.send_exchange(peer, true, actions);
+            }
+        }
+        if self.has_news_to_push() && now >= self.next_push {
+            self.next_push = now + PUSH_INTERVAL;
+            self.push_news(now, actions);
+        }
+        if now >= self.next_failed_probe {
+            self.next_failed_probe = now + self.jittered(FAILED_PROBE_INTERVAL);
+            if let Some(peer) = self.random_failed_peer() {
+                self.send_exchange(peer, true, actions);
+            }
+        }
+        if now >= self.next_forget {
+            self.next_forget = now + FORGET_INTERVAL;
+            self.forget_old(now);
+        }
+    }
+
+    fn has_news_to_push(&self) -> bool {
+        self.settings.pushes_news && !self.rumours.is_empty()
+    }
+
+    fn jittered(&mut self, interval: Duration) -> Duration {
+        interval.mul_f64(self.random.random_range(0.9..1.1))
+    }
+
+    fn push_news(&mut self, now: Timestamp, actions: &mut Vec<MembershipAction>) {
+        if !self.budget.has_room(now) {
+            self.counts.deferred_rounds += 1;
+            return;
+        }
+        let mut peers = Vec::with_capacity(PUSH_FAN_OUT);
+        for _ in 0..PUSH_FAN_OUT {
+            let peer = self.random_peer();
+            peers.extend(peer.filter(|peer| !peers.contains(peer)));
+        }
+        for peer in peers {
+            self.send_exchange(peer, false, actions);
+        }
+    }
+
+    /// Takes peers in a shuffled round, so that each is asked once a round.
+    fn next_heartbeat_peer(&mut self) -> Option<HostKey> {
+        for _ in 0..2 {
+            while let Some(key) = self.heartbeat_order.pop() {
+                if self.is_reachable(key) {
+                    return Some(key);
+                }
+            }
+            self.heartbeat_order = self.members.keys().collect();
+            self.heartbeat_order.shuffle(&mut self.random);
+        }
+        None
+    }
+
+    fn random_peer(&mut self) -> Option<HostKey> {
+        let keys = self.members.keys().filter(|key| self.is_reachable(*key));
+        let keys = keys.collect::<Vec<_>>();
+        self.pick(&keys)
+    }
+
+    fn random_failed_peer(&mut self) -> Option<HostKey> {
+        let keys = self.members.keys().filter(|key| !self.is_reachable(*key));
+        let keys = keys.collect::<Vec<_>>();
+        self.pick(&keys)
+    }
+
+    fn pick(&mut self, keys: &[HostKey]) -> Option<HostKey> {
+        if keys.is_empty() {
+            return None;
+        }
+        Some(keys[self.random.random_range(0..keys.len())])
+    }
+
+    fn is_reachable(&self, key: HostKey) -> bool {
+        let slot = self.members.get(key);
+        slot.is_some_and(|slot| slot.entry.is_reachable())
+    }
+
+    fn send_exchange(
+        &mut self,
+        key: HostKey,
+        with_digests: bool,
+        actions: &mut Vec<MembershipAction>,
+    ) {
+        let Some(slot) = self.members.get(key) else {
+            return;
+        };
+        let (peer, address) = (slot.entry.name.clone(), slot.entry.address);
+        let Some(body) = self.compose_request(&peer, with_digests) else {
+            return;
+        };
+        actions.push(MembershipAction::Send {
+            peer,
+            address,
+            body,
+        });
+    }
+
+    fn on_request(
+        &mut self,
+        now: Timestamp,
+        token: u64,
+        body: &Bytes,
+        actions: &mut Vec<MembershipAction>,
+    ) {
+        let message = match self.accept_message(body) {
+            Ok(message) => message,
+            Err(refusal) => {
+                actions.push(MembershipAction::Refuse { token, refusal });
+                return;
+            }
+        };
+        self.merge_message(now, &message, actions);
+        match self.compose_answer(now, &message) {
+            Some(body) => actions.push(MembershipAction::Answer { token, body }),
+            None => actions.push(MembershipAction::Refuse {
+                token,
+                refusal: MessageRefusal::Malformed,
+            }),
+        }
+    }
+
+    fn on_answer(
+        &mut self,
+        now: Timestamp,
+        peer: &HostName,
+        body: &Bytes,
+        actions: &mut Vec<MembershipAction>,
+    ) {
+        match self.accept_message(body) {
+            Ok(message) if message.from.name == peer.as_str() => {
+                self.merge_message(now, &message, actions);
+            }
+            // Another process has taken over the peer's address.
+            Ok(_) | Err(_) => self.on_call_failed(now, peer, actions),
+        }
+    }
+
+    fn on_call_failed(
+        &mut self,
+        now: Timestamp,
+        peer: &HostName,
+        actions: &mut Vec<MembershipAction>,
+    ) {
+        let Some(key) = self.members.find(peer) else {
+            return;
+        };
+        let Some(slot) = self.members.get_mut(key) else {
+            return;
+        };
+        slot.missed_calls += 1;
+        let missed = slot.missed_calls;
+        if slot.entry.liveness != MemberLiveness::Alive {
+            return;
+        }
+        if missed < MISSED_CALLS_TO_SUSPECT {
+            self.send_exchange(key, true, actions);
+            return;
+        }
+        let suspect = MemberEntry {
+            liveness: MemberLiveness::Suspect,
+            ..slot.entry.clone()
+        };
+        self.merge_member(now, suspect, actions);
+    }
+
+    fn fail_suspects(&mut self, now: Timestamp, actions: &mut Vec<MembershipAction>) {
+        let is_overdue = |key: &HostKey| {
+            self.members.get(*key).is_some_and(|slot| {
+                let is_suspect = slot.entry.liveness == MemberLiveness::Suspect;
+                is_suspect && now - slot.changed >= SUSPICION_TIME
+            })
+        };
+        let overdue = self.members.keys().filter(is_overdue).collect::<Vec<_>>();
+        for key in overdue {
+            let Some(slot) = self.members.get(key) else {
+                continue;
+            };
+            let failed = MemberEntry {
+                liveness: MemberLiveness::Failed,
+                ..slot.entry.clone()
+            };
+            self.members.put(now, failed.clone());
+            actions.push(MembershipAction::MemberChanged(failed));
+        }
+    }
+
+    fn on_host_list(
+        &mut self,
+        now: Timestamp,
+        hosts: Vec<ListedHost>,
+        actions: &mut Vec<MembershipAction>,
+    ) {
+        for host in hosts {
+            let is_entry = host.role == ListedRole::Entry;
+            if host.leaving {
+                let notice = LeavingNotice {
+                    host: host.name.clone(),
+                    incarnation: host.incarnation,
+                    is_entry,
+                    issued: now,
+                    deadline: now,
+                };
+                self.merge_notice(now, notice, actions);
+            }
+            if is_entry {
+                self.merge_listed(now, host, actions);
+            }
+        }
+    }
+
+    /// Takes a listed host in; the list never changes what is known of an incarnation.
+    fn merge_listed(
+        &mut self,
+        now: Timestamp,
+        host: ListedHost,
+        actions: &mut Vec<MembershipAction>,
+    ) {
+        let entry = MemberEntry {
+            name: host.name,
+            incarnation: host.incarnation,
+            sequence: 0,
+            liveness: MemberLiveness::Alive,
+            address: host.address,
+            zone: host.zone,
+        };
+        let known = self.members.entry(&entry.name);
+        let is_news = known.is_none_or(|known| entry.incarnation > known.incarnation);
+        if is_news && entry.name != self.own.name {
+            self.members.put(now, entry.clone());
+            actions.push(MembershipAction::MemberChanged(entry));
+        }
+    }
+
+    fn on_table(&mut self, version: u64) {
+        if version > self.table_version {
+            self.table_version = version;
+            self.pull = self.pull.filter(|pull| pull.version > version);
+            self.rumours.start(RumourTopic::Table);
+        }
+    }
+
+    fn set_demand(&mut self, demand: String) {
+        if demand.len() <= MAX_DEMAND_BYTES {
+            self.demand = demand;
+        }
+    }
+
+    fn forget_old(&mut self, now: Timestamp) {
+        self.notices.forget_old(now);
+        let is_old = |key: &HostKey| {
+            self.members.get(*key).is_some_and(|slot| {
+                !slot.entry.is_reachable() && now - slot.changed >= FORGET_FAILED_AFTER
+            })
+        };
+        let old = self.members.keys().filter(is_old).collect::<Vec<_>>();
+        for key in old {
+            self.members.forget(key);
+        }
+    }
+
+    /// Returns whether a pull of the version may start now.
+    pub(super) fn start_pull(&mut self, now: Timestamp, version: u64) -> bool {
+        let is_running = self
+            .pull
+            .is_some_and(|pull| pull.version >= version && now < pull.until);
+        if is_running || version <= self.table_version {
+            return false;
+        }
+        self.pull = Some(TablePull {
+            version,
+            until: now + PULL_TIMEOUT,
+        });
+        true
+    }
+}
--- /dev/null
+++ b/crates/teaselglade-state/tests/membership/spreading.rs
@@ -0,0 +1,84 @@
+//! News reaches every host in time, at a traffic that does not grow with the fleet.
+
+use std::time::Duration;
+
+use proptest::prelude::*;
+use teaselglade_core::id::HostName;
+
+use super::virtual_fleet::{NetworkFaults, VirtualFleet};
+
+const DESIGN_NODES: usize = 390;
+const NOTICE_BOUND: Duration = Duration::from_secs(3);
+const TABLE_BOUND: Duration = Duration::from_secs(6);
+const BYTES_PER_SECOND: f64 = 6_000.0;
+
+fn all_know(fleet: &VirtualFleet, host: &HostName) -> bool {
+    let mut nodes = fleet.nodes.iter().filter(|node| !node.is_down);
+    nodes.all(|node| node.leaving_seen.contains_key(host))
+}
+
+fn notice_reaches_all(fleet: &mut VirtualFleet, at: usize) -> bool {
+    fleet.notice(at, "galway-s7");
+    let end = fleet.now + NOTICE_BOUND;
+    fleet.run_until(end, |fleet| all_know(fleet, &HostName::new("galway-s7")))
+}
+
+#[test]
+fn notice_reaches_the_design_size_in_3_seconds() {
+    let mut fleet = VirtualFleet::new(DESIGN_NODES, 1, true);
+    fleet.run_for(Duration::from_secs(2));
+    assert!(notice_reaches_all(&mut fleet, 17));
+}
+
+#[test]
+#[should_panic(expected = "notice_reaches_all")]
+fn without_pushed_news_a_notice_is_late() {
+    let mut fleet = VirtualFleet::new(DESIGN_NODES, 1, false);
+    fleet.run_for(Duration::from_secs(2));
+    assert!(notice_reaches_all(&mut fleet, 17));
+}
+
+#[test]
+fn table_is_in_force_at_the_design_size_in_6_seconds() {
+    let mut fleet = VirtualFleet::new(DESIGN_NODES, 2, true);
+    fleet.run_for(Duration::from_secs(2));
+    fleet.adopt_table(3, 1);
+    let end = fleet.now + TABLE_BOUND;
+    assert!(fleet.run_until(end, |fleet| fleet.nodes.iter().all(|node| node.table == 1)));
+}
+
+#[test]
+fn quiet_traffic_stays_within_the_budget_at_any_size() {
+    for size in [8, 64, DESIGN_NODES] {
+        let mut fleet = VirtualFleet::new(size, 3, true);
+        let span = Duration::from_secs(30);
+        fleet.run_for(span);
+        for node in &fleet.nodes {
+            let sent = node.machine.counts().sent_bytes as f64 / span.as_secs_f64();
+            assert!(sent <= BYTES_PER_SECOND, "{sent} bytes a second at {size}");
+        }
+    }
+}
+
+proptest! {
+    #[test]
+    fn notice_spreads_over_loss_duplication_and_replacement(
+        size in 4_usize..24,
+        seed in any::<u64>(),
+        loss in 0.0_f64..0.2,
+        duplication in 0.0_f64..0.5,
+        replaced in 1_usize..4,
+    ) {
+        let mut fleet = VirtualFleet::new(size, seed, true);
+        fleet.faults = NetworkFaults { loss, duplication, ..NetworkFaults::default() };
+        fleet.run_for(Duration::from_secs(3));
+        fleet.notice(0, "galway-s7");
+        fleet.adopt_table(0, 5);
+        fleet.run_for(Duration::from_millis(300));
+        (1..=replaced).for_each(|index| fleet.replace(index));
+        fleet.run_for(Duration::from_secs(12));
+        let host = HostName::new("galway-s7");
+        prop_assert!(all_know(&fleet, &host));
+        prop_assert!(fleet.nodes.iter().all(|node| node.table == 5));
+    }
+}
