fix(request): charge a retry for the work that it does again

Ruled out: a larger reserve, which lets a fault of the whole fleet multiply the load beyond 1.2. Change: a retry costs the part of the request's work that it repeats; one behind an attempt without a token costs all, as before. The bound on retries becomes the same bound on repeated work (a whole retry costs 1).

--- a/crates/teaselglade-entry/src/stream/stream_budgets.rs
+++ b/crates/teaselglade-entry/src/stream/stream_budgets.rs
@@ -4,7 +4,7 @@
 use std::sync::{Mutex, PoisonError};
 
 use teaselglade_core::time::Timestamp;
-use teaselglade_request::retry::{BudgetLimits, RetryBudget, RetryDecision};
+use teaselglade_request::retry::{BudgetLimits, RetryBudget, RetryCost, RetryDecision};
 
 /// Retry budgets of the model services, one for each.
 #[derive(Debug, Default)]
@@ -25,8 +25,9 @@
         now: Timestamp,
         deadline: Timestamp,
         retry: u32,
+        cost: RetryCost,
     ) -> RetryDecision {
-        self.with_budget(service, |budget| budget.ask(now, deadline, retry))
+        self.with_budget(service, |budget| budget.ask(now, deadline, retry, cost))
     }
 
     fn with_budget<T>(&self, service: &str, change: impl FnOnce(&mut RetryBudget) -> T) -> T {
--- a/crates/teaselglade-entry/src/stream/stream_task.rs
+++ b/crates/teaselglade-entry/src/stream/stream_task.rs
@@ -192,10 +192,14 @@
                 let event = self.attempts.place(ticket, order);
                 self.pending.push_back(event);
             }
-            StreamAction::AskRetry { ticket, retry } => {
+            StreamAction::AskRetry {
+                ticket,
+                retry,
+                cost,
+            } => {
                 let deadline = self.machine.request().deadline;
                 let budgets = &self.host.budgets;
-                let decision = budgets.ask(&self.row.name, now, deadline, retry);
+                let decision = budgets.ask(&self.row.name, now, deadline, retry, cost);
                 let event = StreamEvent::RetryDecided { ticket, decision };
                 self.pending.push_back(event);
             }
--- a/crates/teaselglade-request/tests/support/world.rs
+++ b/crates/teaselglade-request/tests/support/world.rs
@@ -357,9 +357,13 @@
             } => {
                 self.place(host, caller, ticket, &exclude);
             }
-            StreamAction::AskRetry { ticket, retry } => {
+            StreamAction::AskRetry {
+                ticket,
+                retry,
+                cost,
+            } => {
                 let deadline = self.now + REQUEST_SPAN;
-                let decision = self.hosts[host].budget.ask(self.now, deadline, retry);
+                let decision = self.hosts[host].budget.ask(self.now, deadline, retry, cost);
                 self.tell(host, caller, StreamEvent::RetryDecided { ticket, decision });
             }
             StreamAction::Dispatch { server, call, .. } => {
