fix(net): give up pooled connections behind a plain call without an answer

With connections gone silent 3 of 8 bookings went unanswered, one for each silent connection of the pool towards the chosen server; the same test now passes its bound of 2 (one towards the log, one towards the servers). Adds the planned stop of a booking host, with repeated signals, as a process test.

--- a/crates/teaselglade-net/src/backend/backend_client.rs
+++ b/crates/teaselglade-net/src/backend/backend_client.rs
@@ -17,7 +17,7 @@
 use teaselglade_wire::{EngineCancel, EngineExport, EngineGenerate, EngineHandle, EngineLoad};
 
 use super::engine_frames::read_events;
-use crate::client::{HttpAnswer, HttpCall, HttpCaller};
+use crate::client::{CallError, HttpAnswer, HttpCall, HttpCaller};
 
 const HEAD_TIMEOUT: Duration = Duration::from_secs(2);
 const PLAIN_TIMEOUT: Duration = Duration::from_secs(5);
@@ -110,10 +110,8 @@
         if let Some(key) = call.key {
             request = request.header("idempotency-key", key);
         }
-        let answer = self
-            .caller
-            .call(request.head_timeout(PLAIN_TIMEOUT))
-            .await?;
+        let result = self.caller.call(request.head_timeout(PLAIN_TIMEOUT)).await;
+        let answer = result.map_err(|error| self.plain_failure(error))?;
         if answer.header(NOT_RUN_HEADER).is_some() {
             return Err(status_error(true, answer.status));
         }
@@ -124,6 +122,14 @@
         })
     }
 
+    /// Gives up the pooled connections, since others may have gone silent as well.
+    fn plain_failure(&self, error: CallError) -> AttemptError {
+        if error.progress == SendProgress::MaybeSent {
+            self.caller.renew_connections();
+        }
+        error.into()
+    }
+
     async fn read_report(&self, server: SocketAddr) -> Result<ServerReport, AttemptError> {
         let answer = self.caller.call(HttpCall::get(server, "/load")).await?;
         let load = decode::<EngineLoad>(&answer)?;
--- a/crates/teaselglade/tests/processes/bookings.rs
+++ b/crates/teaselglade/tests/processes/bookings.rs
@@ -191,3 +191,55 @@
         }
     }
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_planned_stop_lets_a_booking_end_and_keeps_its_outcome() {
+    let mut fleet = TestFleet::start(FleetPlan::corrib(), ENTRIES).await;
+    slow_servers(&fleet, 1_500).await;
+    let key = new_key();
+    let stop = async {
+        wait_for_claim(&fleet, &key).await;
+        for _ in 0..3 {
+            fleet.entries[0].process.signal("TERM");
+        }
+    };
+    let (first, ()) = tokio::join!(book(&fleet, 0, &key, false), stop);
+    assert_eq!(first, Told::Answered);
+    assert!(
+        fleet.entries[0].process.wait(),
+        "the daemon ends with success"
+    );
+    slow_servers(&fleet, 0).await;
+    assert_eq!(book(&fleet, 1, &key, true).await, Told::Answered);
+    assert_eq!(executions(&fleet, &key).await, 1);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn bookings_go_on_when_open_connections_go_silent() {
+    let fleet = TestFleet::start(FleetPlan::corrib(), 1).await;
+    let warm = (0..8).map(|_| async {
+        let key = new_key();
+        assert_eq!(book(&fleet, 0, &key, false).await, Told::Answered);
+    });
+    futures::future::join_all(warm).await;
+    fleet
+        .set_faults(fleet.platform.log, "{\"silence\":true}")
+        .await;
+    for server in fleet.servers(SERVICE).await {
+        let address = server.address.parse().expect("an address");
+        fleet.set_faults(address, "{\"silence\":true}").await;
+    }
+    let mut unanswered = 0;
+    for _ in 0..8 {
+        let key = new_key();
+        let told = book(&fleet, 0, &key, false).await;
+        let runs = executions(&fleet, &key).await;
+        assert_eq!(runs, u32::from(told == Told::Answered), "{told:?}");
+        unanswered += u32::from(told != Told::Answered);
+    }
+    // One call finds the silence towards the log, one towards the servers.
+    assert!(
+        unanswered <= 2,
+        "{unanswered} of 8 bookings went unanswered"
+    );
+}
