--- a/crates/teaselglade-claims/src/shard/claim_options.rs
+++ b/crates/teaselglade-claims/src/shard/claim_options.rs
@@ -23,6 +23,8 @@
     pub claim_limit: Duration,
     /// Longest wait for the outcome of another claim.
     pub attach_limit: Duration,
+    /// Age from which an unsettled claim of another host is not waited for.
+    pub stale_after: Duration,
     /// Longest wait of one read for a new record.
     pub poll_wait: Duration,
     /// Time for which the log is left alone after a failure.
@@ -69,6 +71,7 @@
             window: KeyWindow::default(),
             claim_limit: Duration::from_secs(2),
             attach_limit: Duration::from_secs(3),
+            stale_after: Duration::from_secs(10),
             poll_wait: Duration::from_millis(500),
             outage_pause: Duration::from_secs(1),
             append_pause: Duration::from_millis(50),
--- a/crates/teaselglade-claims/src/shard/deciding.rs
+++ b/crates/teaselglade-claims/src/shard/deciding.rs
@@ -111,6 +111,10 @@
             KeyState::Held { digest, .. } if digest != booking.call.digest => {
                 self.answer(key, Err(refusals::key_reused()));
             }
+            KeyState::Held { since, .. } if now > since + self.options.stale_after => {
+                let pause = self.pause();
+                self.answer(key, Err(refusals::undecided(pause)));
+            }
             KeyState::Held { .. } => self.attach(now, key, booking),
             KeyState::Done { digest, outcome } => {
                 self.counters.replays += 1;
--- a/crates/teaselglade-claims/src/view/key_state.rs
+++ b/crates/teaselglade-claims/src/view/key_state.rs
@@ -1,5 +1,7 @@
 //! State of one key.
 
+use teaselglade_core::time::Timestamp;
+
 use crate::key::RequestDigest;
 use crate::record::{ClaimId, ClaimOutcome};
 
@@ -15,6 +17,8 @@
         claim: ClaimId,
         /// Digest of its request.
         digest: RequestDigest,
+        /// Time of its record on the log's clock.
+        since: Timestamp,
     },
     /// The call of the key is settled for good.
     Done {
--- a/crates/teaselglade-claims/src/view/shard_view.rs
+++ b/crates/teaselglade-claims/src/view/shard_view.rs
@@ -171,6 +171,7 @@
                 entry.state = KeyState::Held {
                     claim: record.claim,
                     digest: record.digest,
+                    since: appended,
                 };
                 ClaimFate::Owner
             }
