--- a/crates/teaselglade-entry/src/stream/stream_buffer.rs
+++ b/crates/teaselglade-entry/src/stream/stream_buffer.rs
@@ -69,6 +69,11 @@
         self.first + self.lock().tokens.len()
     }
 
+    /// Returns the tokens that are kept.
+    pub(crate) fn tokens(&self) -> Vec<String> {
+        self.lock().tokens.clone()
+    }
+
     /// Adds the token at `index`, unless it is there.
     pub(crate) fn push(&self, index: usize, token: String) {
         let mut state = self.lock();
--- a/crates/teaselglade-state/src/lib.rs
+++ b/crates/teaselglade-state/src/lib.rs
@@ -3,4 +3,5 @@
 pub mod audit;
 pub mod control;
 pub mod lease;
+pub mod membership;
 pub mod table;
--- a/crates/teaselglade/tests/processes/main.rs
+++ b/crates/teaselglade/tests/processes/main.rs
@@ -6,4 +6,5 @@
 mod handover;
 mod harness;
 mod interface_page;
+mod limits;
 mod whole_path;
