--- a/crates/teaselglade-entry/src/booking/plain_order.rs
+++ b/crates/teaselglade-entry/src/booking/plain_order.rs
@@ -5,6 +5,7 @@
 use teaselglade_core::id::AttemptId;
 use teaselglade_core::port::PlainCall;
 use teaselglade_core::table::ServiceRow;
+use teaselglade_core::time::Timestamp;
 
 const SAFE_METHODS: [&str; 3] = ["GET", "HEAD", "OPTIONS"];
 
@@ -19,6 +20,8 @@
     pub(crate) call: PlainCall,
     /// Whether the caller says that it sent the key before without learning the outcome.
     pub(crate) repeated: bool,
+    /// Time by which the caller wants an answer.
+    pub(crate) deadline: Timestamp,
 }
 
 impl PlainOrder {
--- a/crates/teaselglade-entry/src/booking/plain_task.rs
+++ b/crates/teaselglade-entry/src/booking/plain_task.rs
@@ -1,21 +1,17 @@
 //! Carries one call to a plain server to its answer.
 
 use std::sync::Arc;
-use std::time::Duration;
 
 use teaselglade_claims::booking::BookedCall;
 use teaselglade_claims::plain::{PlainAction, PlainEvent, PlainMachine};
 use teaselglade_core::id::ServerKey;
 use teaselglade_core::port::{AttemptError, PlainAnswer};
-use teaselglade_core::time::Timestamp;
 use teaselglade_core::verdict::{RequestRefusal, SendProgress};
 use tokio::time::sleep;
 
 use super::PlainOrder;
 use crate::host::EntryHost;
 
-const CALL_DEADLINE: Duration = Duration::from_secs(5);
-
 /// Result of one call.
 pub(super) type PlainResult = Result<PlainAnswer, RequestRefusal>;
 
@@ -25,17 +21,16 @@
 ///
 /// Returns the refusal with its verdict where there is no answer.
 pub(crate) async fn run_plain(host: &Arc<EntryHost>, order: PlainOrder) -> PlainResult {
-    let deadline = host.now() + CALL_DEADLINE;
     let key = order.claim_key().map_err(|error| error.refusal())?;
     host.bookings.budgets().record_first(&order.row.name);
     let Some(key) = key else {
-        return run_unclaimed(host, &order, deadline).await;
+        return run_unclaimed(host, &order).await;
     };
     let call = BookedCall {
         key,
         digest: order.digest(),
         repeated: order.repeated,
-        deadline,
+        deadline: order.deadline,
     };
     super::shard_driver::book(host, call, order).await
 }
@@ -64,8 +59,8 @@
     result
 }
 
-async fn run_unclaimed(host: &EntryHost, order: &PlainOrder, deadline: Timestamp) -> PlainResult {
-    let mut machine = PlainMachine::new(order.repeat(), deadline);
+async fn run_unclaimed(host: &EntryHost, order: &PlainOrder) -> PlainResult {
+    let mut machine = PlainMachine::new(order.repeat(), order.deadline);
     let mut permit = host.bookings.budgets().permit(&order.row.name);
     let mut tried = Vec::new();
     let mut event = PlainEvent::Started;
--- a/crates/teaselglade-entry/src/caller_api/plain_route.rs
+++ b/crates/teaselglade-entry/src/caller_api/plain_route.rs
@@ -64,6 +64,7 @@
         row: context.row,
         call,
         repeated,
+        deadline: context.deadline,
     };
     let outcome = run_plain(&host, order).await;
     drop(pass);
