--- /dev/null
+++ b/crates/teaselglade-claims/src/shard/appending.rs
@@ -0,0 +1,98 @@
+//! Appends to the shard and what becomes of them.
+
+use std::collections::BTreeMap;
+
+use teaselglade_core::port::LogError;
+use teaselglade_core::time::Timestamp;
+
+use super::{ShardAction, ShardMachine};
+use crate::booking::{Booking, BookingKey, BookingPhase, ClaimSend};
+use crate::record::{ClaimId, ShardRecord, encode_batch};
+
+impl ShardMachine {
+    pub(super) fn on_appended(&mut self, now: Timestamp, result: Result<u64, LogError>) {
+        let entries = self.outbox.end_append();
+        let Err(error) = result else {
+            return;
+        };
+        let mut claims = Vec::new();
+        let mut settles = Vec::new();
+        for entry in entries {
+            match entry {
+                ShardRecord::Claim(record) => claims.push(record.claim),
+                ShardRecord::Settle(record) => settles.push(record),
+            }
+        }
+        self.outbox.requeue(settles);
+        match error {
+            LogError::Refused { .. } => {
+                self.forget_claims(&claims);
+                self.enter_outage(now);
+            }
+            LogError::Unknown { .. } => {
+                self.append_from = now + self.options.append_pause;
+                self.mark_lost(&claims);
+            }
+        }
+    }
+
+    pub(super) fn append_queued(&mut self, now: Timestamp) {
+        if self.outbox.is_appending() || now < self.out_until || now < self.append_from {
+            return;
+        }
+        let dropped = self.outbox.drop_stale(self.options.window, now);
+        self.counters.dropped_entries += dropped as u64;
+        if !self.outbox.has_queued() {
+            return;
+        }
+        let epoch = self.view.epoch();
+        let batch = self.outbox.take_batch();
+        let claims = batch.iter().filter_map(|entry| match entry {
+            ShardRecord::Claim(record) => Some(record.claim),
+            ShardRecord::Settle(_) => None,
+        });
+        let claims = claims.collect::<Vec<_>>();
+        self.counters.appends += 1;
+        self.counters.entries += batch.len() as u64;
+        let body = encode_batch(batch).expect("the codec takes every entry");
+        mark_sent(&mut self.bookings, &claims, epoch);
+        self.actions.push(ShardAction::Append { body });
+    }
+
+    /// Makes bookings whose claims had no effect refusable without a withdrawal.
+    fn forget_claims(&mut self, claims: &[ClaimId]) {
+        for booking in self.bookings.values_mut() {
+            let refused = matches!(&booking.phase,
+                BookingPhase::Claiming { record, .. } if claims.contains(&record.claim));
+            if refused {
+                booking.phase = BookingPhase::CatchingUp;
+            }
+        }
+    }
+
+    fn mark_lost(&mut self, claims: &[ClaimId]) {
+        let next_read = self.counters.reads + 1;
+        for booking in self.bookings.values_mut() {
+            if let BookingPhase::Claiming { record, send, .. } = &mut booking.phase
+                && claims.contains(&record.claim)
+            {
+                *send = ClaimSend::Lost { read: next_read };
+            }
+        }
+    }
+}
+
+fn mark_sent(bookings: &mut BTreeMap<BookingKey, Booking>, claims: &[ClaimId], present_epoch: u32) {
+    for booking in bookings.values_mut() {
+        if let BookingPhase::Claiming {
+            record,
+            epoch,
+            send,
+        } = &mut booking.phase
+            && claims.contains(&record.claim)
+        {
+            *epoch = present_epoch;
+            *send = ClaimSend::Sent;
+        }
+    }
+}
--- a/crates/teaselglade-claims/src/shard/mod.rs
+++ b/crates/teaselglade-claims/src/shard/mod.rs
@@ -1,5 +1,6 @@
 //! Machine that carries one host's bookings of one shard.
 
+mod appending;
 mod claim_counters;
 mod claim_options;
 mod deciding;
--- a/crates/teaselglade-claims/src/shard/shard_machine.rs
+++ b/crates/teaselglade-claims/src/shard/shard_machine.rs
@@ -5,17 +5,15 @@
 
 use rand::{Rng as _, SeedableRng as _};
 use rand_pcg::Pcg64;
-use teaselglade_core::port::{AttemptError, LogError, PlainAnswer};
+use teaselglade_core::port::{AttemptError, PlainAnswer};
 use teaselglade_core::time::Timestamp;
 use teaselglade_core::verdict::ExecutionVerdict;
 
 use super::outbox::Outbox;
 use super::shard_seek::ShardSeek;
 use super::{ClaimCounters, ClaimOptions, ShardAction, ShardEvent, refusals};
-use crate::booking::{
-    BookedCall, Booking, BookingAnswer, BookingKey, BookingPhase, BookingResult, ClaimSend,
-};
-use crate::record::{ClaimId, ClaimOutcome, ClaimRecord, ShardRecord, encode_batch};
+use crate::booking::{BookedCall, Booking, BookingAnswer, BookingKey, BookingPhase, BookingResult};
+use crate::record::{ClaimId, ClaimOutcome, ClaimRecord, ShardRecord};
 use crate::view::ShardView;
 
 const MAX_ATTEMPTS: u32 = 3;
@@ -66,7 +64,7 @@
     /// Time until which the log is left alone.
     pub(super) out_until: Timestamp,
     /// Time until which appends pause.
-    append_from: Timestamp,
+    pub(super) append_from: Timestamp,
     wake: Option<Timestamp>,
     random: Pcg64,
 }
@@ -170,54 +168,6 @@
         self.outbox.push(entry);
     }
 
-    fn on_appended(&mut self, now: Timestamp, result: Result<u64, LogError>) {
-        let entries = self.outbox.end_append();
-        let Err(error) = result else {
-            return;
-        };
-        let mut claims = Vec::new();
-        let mut settles = Vec::new();
-        for entry in entries {
-            match entry {
-                ShardRecord::Claim(record) => claims.push(record.claim),
-                ShardRecord::Settle(record) => settles.push(record),
-            }
-        }
-        self.outbox.requeue(settles);
-        match error {
-            LogError::Refused { .. } => {
-                self.forget_claims(&claims);
-                self.enter_outage(now);
-            }
-            LogError::Unknown { .. } => {
-                self.append_from = now + self.options.append_pause;
-                self.mark_lost(&claims);
-            }
-        }
-    }
-
-    /// Makes bookings whose claims had no effect refusable without a withdrawal.
-    fn forget_claims(&mut self, claims: &[ClaimId]) {
-        for booking in self.bookings.values_mut() {
-            let refused = matches!(&booking.phase,
-                BookingPhase::Claiming { record, .. } if claims.contains(&record.claim));
-            if refused {
-                booking.phase = BookingPhase::CatchingUp;
-            }
-        }
-    }
-
-    fn mark_lost(&mut self, claims: &[ClaimId]) {
-        let next_read = self.counters.reads + 1;
-        for booking in self.bookings.values_mut() {
-            if let BookingPhase::Claiming { record, send, .. } = &mut booking.phase
-                && claims.contains(&record.claim)
-            {
-                *send = ClaimSend::Lost { read: next_read };
-            }
-        }
-    }
-
     fn on_attempted(
         &mut self,
         now: Timestamp,
@@ -273,29 +223,6 @@
             .push(ShardAction::Dispatch { booking, attempt });
     }
 
-    fn append_queued(&mut self, now: Timestamp) {
-        if self.outbox.is_appending() || now < self.out_until || now < self.append_from {
-            return;
-        }
-        let dropped = self.outbox.drop_stale(self.options.window, now);
-        self.counters.dropped_entries += dropped as u64;
-        if !self.outbox.has_queued() {
-            return;
-        }
-        let epoch = self.view.epoch();
-        let batch = self.outbox.take_batch();
-        let claims = batch.iter().filter_map(|entry| match entry {
-            ShardRecord::Claim(record) => Some(record.claim),
-            ShardRecord::Settle(_) => None,
-        });
-        let claims = claims.collect::<Vec<_>>();
-        self.counters.appends += 1;
-        self.counters.entries += batch.len() as u64;
-        let body = encode_batch(batch).expect("the codec takes every entry");
-        mark_sent(&mut self.bookings, &claims, epoch);
-        self.actions.push(ShardAction::Append { body });
-    }
-
     fn wake_when_due(&mut self, now: Timestamp) {
         let due = self.bookings.values().filter_map(Booking::due).min();
         let flush = (self.outbox.has_queued() && !self.outbox.is_appending())
@@ -310,21 +237,6 @@
     }
 }
 
-fn mark_sent(bookings: &mut BTreeMap<BookingKey, Booking>, claims: &[ClaimId], present_epoch: u32) {
-    for booking in bookings.values_mut() {
-        if let BookingPhase::Claiming {
-            record,
-            epoch,
-            send,
-        } = &mut booking.phase
-            && claims.contains(&record.claim)
-        {
-            *epoch = present_epoch;
-            *send = ClaimSend::Sent;
-        }
-    }
-}
-
 fn first_hand(answer: PlainAnswer) -> BookingAnswer {
     BookingAnswer {
         status: answer.status,
--- /dev/null
+++ b/crates/teaselglade-claims/tests/world/fleet_callers.rs
@@ -0,0 +1,113 @@
+//! The fleet's callers.
+
+use std::time::Duration;
+
+use rand::Rng as _;
+use teaselglade_claims::booking::{BookedCall, BookingKey, BookingResult};
+use teaselglade_claims::key::{RequestDigest, ScopedKey};
+use teaselglade_claims::shard::ShardEvent;
+use teaselglade_core::verdict::ExecutionVerdict;
+
+use super::fleet::HOP;
+use super::{CallPlan, CallRecord, Fleet, Task};
+
+const CALLER_PATIENCE: Duration = Duration::from_secs(6);
+const DEADLINE: Duration = Duration::from_secs(5);
+
+impl Fleet {
+    pub(super) fn send(&mut self, plan: CallPlan) {
+        let id = self.calls.len() as u64;
+        let key = ScopedKey::new("corrib", "ticket-desk", self.key(plan.key));
+        let call = BookedCall {
+            key,
+            digest: RequestDigest::of("POST", "/tickets", &plan.body.to_le_bytes()),
+            repeated: self.is_unresolved(plan.key),
+            deadline: self.host_time(plan.host) + DEADLINE,
+        };
+        self.note(format!("call {id} key={} host={}", plan.key, plan.host));
+        self.calls.push(CallRecord {
+            plan,
+            sent: self.now,
+            answered: None,
+            executed: Vec::new(),
+            timed_out: false,
+        });
+        let booking = BookingKey::new(id);
+        let run = self.present_run(plan.host);
+        self.at(
+            self.now + HOP,
+            Task::Deliver(run, ShardEvent::Booked { booking, call }),
+        );
+        self.at(self.now + CALLER_PATIENCE, Task::CallerTimeout(id));
+        if plan.calls > 1 && self.random.random_bool(self.chances.hedge) {
+            let second = self.next_plan(plan);
+            self.at(
+                self.now + HOP * 5,
+                Task::Send(CallPlan { calls: 1, ..second }),
+            );
+        }
+    }
+
+    pub(super) fn time_out(&mut self, call: u64) {
+        let record = &mut self.calls[call as usize];
+        if record.answered.is_some() {
+            return;
+        }
+        record.timed_out = true;
+        let plan = record.plan;
+        self.note(format!("call {call} got no answer"));
+        self.call_again(plan);
+    }
+
+    fn call_again(&mut self, plan: CallPlan) {
+        if plan.calls <= 1 {
+            return;
+        }
+        let plan = self.next_plan(plan);
+        let longest = if self.random.random_bool(0.1) {
+            400_000
+        } else {
+            3_000
+        };
+        let pause = Duration::from_millis(self.random.random_range(0..longest));
+        self.at(self.now + pause, Task::Send(plan));
+    }
+
+    fn next_plan(&self, plan: CallPlan) -> CallPlan {
+        CallPlan {
+            host: (plan.host + 1) % self.hosts.len(),
+            calls: plan.calls - 1,
+            ..plan
+        }
+    }
+
+    /// Whether the caller has sent this key without being told "not run".
+    fn is_unresolved(&self, key: u32) -> bool {
+        let earlier = self.calls.iter().filter(|call| call.plan.key == key);
+        let is_not_run = |call: &CallRecord| {
+            let told = call
+                .answered
+                .as_ref()
+                .and_then(|(_, result)| result.as_ref().err());
+            told.is_some_and(|refusal| refusal.verdict == ExecutionVerdict::NotRun)
+        };
+        earlier.into_iter().any(|call| !is_not_run(call))
+    }
+
+    pub(super) fn answer(&mut self, booking: BookingKey, result: BookingResult) {
+        let record = &mut self.calls[booking.index()];
+        if record.timed_out {
+            return;
+        }
+        let text = match &result {
+            Ok(answer) => format!("{} replayed={}", answer.status, answer.replayed),
+            Err(refusal) => format!("{:?} {:?}", refusal.verdict, refusal.reason),
+        };
+        let plan = result.is_err().then_some(record.plan);
+        record.answered = Some((self.now, result));
+        self.note(format!("call {} answered: {text}", booking.index()));
+        if let Some(plan) = plan {
+            self.call_again(plan);
+        }
+    }
+}
--- a/crates/teaselglade-claims/tests/world/mod.rs
+++ b/crates/teaselglade-claims/tests/world/mod.rs
@@ -2,6 +2,8 @@
 
 mod checker;
 mod fleet;
+mod fleet_callers;
+mod fleet_log;
 mod log_model;
 mod plan;
 mod task;
