--- a/crates/teaselglade-state/tests/control/fleet.rs
+++ b/crates/teaselglade-state/tests/control/fleet.rs
@@ -66,6 +66,8 @@
     pub profiles: Vec<EngineProfile>,
     pub trace: Vec<String>,
     pub orders_sent: u64,
+    /// Reads of the cloud API's hosts.
+    pub list_reads: u64,
     nodes: Vec<FleetNode>,
     due: BTreeMap<(Timestamp, u64), Due>,
     random: Pcg64Mcg,
@@ -81,6 +83,7 @@
             profiles: Vec::new(),
             trace: Vec::new(),
             orders_sent: 0,
+            list_reads: 0,
             nodes: Vec::new(),
             due: BTreeMap::new(),
             random: Pcg64Mcg::seed_from_u64(seed),
@@ -232,6 +235,7 @@
             return;
         }
         self.orders_sent += u64::from(matches!(action, ControlAction::OrderHost(_)));
+        self.list_reads += u64::from(matches!(action, ControlAction::ReadCloud));
         let now = self.platform.now;
         let epoch = self.nodes[node].epoch;
         let draw = self.random.random_range(0.0..1.0);
--- a/crates/teaselglade-state/tests/control/hosts.rs
+++ b/crates/teaselglade-state/tests/control/hosts.rs
@@ -190,3 +190,31 @@
     fleet.run(MINUTE * 30);
     assert!(fleet.platform.hosts.iter().all(|host| host.ends.is_none()));
 }
+
+#[test]
+fn on_demand_hosts_are_ordered_where_the_target_is_missed() {
+    let mut fleet = fleet("min_servers", "2");
+    fleet.run(MINUTE * 2);
+    // The target between two tokens is 47 ms.
+    fleet.platform.token_gap_micros = 60_000;
+    fleet.run(MINUTE * 2);
+    let text = "kind,name,first_token_ms,token_gap_ms,min_servers
+model,draft-fleet,360,47,3
+";
+    fleet.platform.table = parse_table(text).unwrap_or_default();
+    fleet.publish();
+    fleet.run(MINUTE);
+    assert_eq!(purchases(&fleet, HostPurchase::Reclaimable), 2);
+    assert_eq!(purchases(&fleet, HostPurchase::OnDemand), 1);
+}
+
+#[test]
+fn idle_lists_are_read_within_the_traffic_budget() {
+    let mut fleet = fleet("min_servers", "3");
+    fleet.run(MINUTE * 10);
+    let before = fleet.list_reads;
+    fleet.run(MINUTE * 60);
+    let reads = fleet.list_reads - before;
+    // Both lists have 430 KB at 1,200 servers; 6 KB a second are 21,600 KB an hour.
+    assert!(reads * 430 <= 21_600, "{reads} reads");
+}
--- a/crates/teaselglade-state/tests/control/platform.rs
+++ b/crates/teaselglade-state/tests/control/platform.rs
@@ -68,6 +68,8 @@
     /// Fetches that the weight store still grants, and how fast it grants more.
     pub fetches: u32,
     pub reservations: u32,
+    /// Time between two tokens in load reports.
+    pub token_gap_micros: u64,
     pub loads: u32,
 }
 
@@ -196,7 +198,7 @@
             running: host.running,
             waiting: 0,
             tokens_per_second: 0.0,
-            token_gap_micros: 10_000,
+            token_gap_micros: self.token_gap_micros,
             prefill_tokens_per_second: 1.0,
             kv_free: 1.0,
         })
