--- a/crates/teaselglade-entry/src/host/entry_daemon.rs
+++ b/crates/teaselglade-entry/src/host/entry_daemon.rs
@@ -14,6 +14,7 @@
 use crate::directory::follow_host_list;
 use crate::metrics::EntryMetrics;
 use crate::peer_api::peer_router;
+use crate::placement::poll_servers;
 use crate::settings::EntrySettings;
 use crate::shared::follow_table;
 
@@ -56,6 +57,7 @@
         let followers = vec![
             tokio::spawn(follow_table(Arc::clone(&host))),
             tokio::spawn(follow_host_list(Arc::clone(&host))),
+            tokio::spawn(poll_servers(Arc::clone(&host))),
         ];
         let caller_server = callers.start(caller_router(&host));
         let peer_server = peers.start(peer_router(&host));
@@ -84,7 +86,9 @@
         self.host.start_draining();
         log::info!("entry daemon {} drains", self.host.settings.host);
         let deadline = Instant::now() + self.host.settings.drain;
-        while self.host.metrics.open_streams.get() > 0 && Instant::now() < deadline {
+        let stop_at = self.host.now() + self.host.settings.drain;
+        self.host.streams.announce_stop(stop_at);
+        while self.has_streams() && Instant::now() < deadline {
             sleep(DRAIN_POLL).await;
         }
         tokio::select! {
@@ -99,6 +103,10 @@
         log::info!("entry daemon {} stopped", self.host.settings.host);
     }
 
+    fn has_streams(&self) -> bool {
+        self.host.metrics.open_streams.get() > 0 || !self.host.handovers.is_idle()
+    }
+
     /// Ends the daemon at once, as a crash would.
     pub fn abort(self) {
         self.caller_server.abort();
--- /dev/null
+++ b/crates/teaselglade-entry/src/stream/running_attempts.rs
@@ -0,0 +1,180 @@
+//! Attempts of one stream at backend servers.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use teaselglade_core::id::{AttemptId, ServerKey};
+use teaselglade_core::port::{AttemptError, EngineEvent, GenerateCall, KvTransfer};
+use teaselglade_core::verdict::SendProgress;
+use teaselglade_placement::policy::PlacementEvent;
+use teaselglade_request::stream::StreamEvent;
+use tokio::task::AbortHandle;
+
+use super::attempt_reader::read_attempt;
+use super::{CommandSender, StreamCommand};
+use crate::host::EntryHost;
+use crate::placement::PlacementOrder;
+
+#[derive(Debug)]
+struct RunningAttempt {
+    reader: AbortHandle,
+    has_token: bool,
+}
+
+/// Attempts of one stream at backend servers, and what was placed last.
+#[derive(Debug)]
+pub(super) struct RunningAttempts {
+    host: Arc<EntryHost>,
+    commands: CommandSender,
+    placed: Option<PlacementOrder>,
+    running: HashMap<AttemptId, RunningAttempt>,
+}
+
+impl RunningAttempts {
+    /// Makes the attempts of a stream that has none.
+    pub(super) fn new(host: Arc<EntryHost>, commands: CommandSender) -> Self {
+        Self {
+            host,
+            commands,
+            placed: None,
+            running: HashMap::new(),
+        }
+    }
+
+    /// Chooses a server for the next attempt.
+    pub(super) fn place(&mut self, ticket: u32, order: PlacementOrder) -> StreamEvent {
+        let placed = self.host.placement().place(self.host.now(), &order);
+        self.placed = Some(order);
+        match placed {
+            Ok(server) => StreamEvent::Placed { ticket, server },
+            Err(refusal) => StreamEvent::NotPlaced { ticket, refusal },
+        }
+    }
+
+    /// Starts an attempt on a task of its own.
+    pub(super) fn start(&mut self, server: ServerKey, call: GenerateCall, fresh_connection: bool) {
+        let attempt = call.attempt;
+        let Some(address) = self.address(server) else {
+            let error = AttemptError::new(SendProgress::NotSent, "the server is unknown");
+            self.tell(StreamEvent::AttemptFailed { attempt, error });
+            return;
+        };
+        let backend = if fresh_connection {
+            self.host.ports.fresh_backend()
+        } else {
+            Arc::clone(&self.host.ports.backend)
+        };
+        if let Some(order) = &self.placed {
+            let now = self.host.now();
+            self.host
+                .placement()
+                .dispatched(now, attempt, server, order);
+        }
+        let reading = read_attempt(backend, address, call, self.commands.clone());
+        let reader = tokio::spawn(reading).abort_handle();
+        self.running.insert(
+            attempt,
+            RunningAttempt {
+                reader,
+                has_token: false,
+            },
+        );
+    }
+
+    /// Tells the placement what an attempt's first frames say.
+    pub(super) fn observe_frame(&mut self, frame: &EngineEvent) {
+        match frame {
+            EngineEvent::Started {
+                attempt,
+                computed_tokens,
+                cached_tokens,
+            } => self.host.observe_attempt(&PlacementEvent::Started {
+                attempt: *attempt,
+                computed_tokens: *computed_tokens,
+                cached_tokens: *cached_tokens,
+            }),
+            EngineEvent::Token { attempt, .. } => self.observe_token(*attempt),
+            EngineEvent::End { .. } => {}
+        }
+    }
+
+    /// Notes that an attempt ended by itself.
+    pub(super) fn finish(&mut self, attempt: AttemptId) {
+        if self.running.remove(&attempt).is_some() {
+            self.host
+                .observe_attempt(&PlacementEvent::Ended { attempt });
+        }
+    }
+
+    /// Stops reading an attempt and tells its server.
+    pub(super) fn cancel(&mut self, server: ServerKey, attempt: AttemptId) {
+        let Some(running) = self.running.remove(&attempt) else {
+            return;
+        };
+        running.reader.abort();
+        self.host
+            .observe_attempt(&PlacementEvent::Ended { attempt });
+        let Some(address) = self.address(server) else {
+            return;
+        };
+        let backend = Arc::clone(&self.host.ports.backend);
+        tokio::spawn(async move { backend.cancel(address, attempt).await });
+    }
+
+    /// Moves an attempt's KV cache on a task of its own.
+    pub(super) fn move_kv(&self, ticket: u32, attempt: AttemptId, from: ServerKey, to: ServerKey) {
+        let (Some(source), Some(target)) = (self.address(from), self.address(to)) else {
+            self.tell(StreamEvent::KvFailed { ticket });
+            return;
+        };
+        let backend = Arc::clone(&self.host.ports.backend);
+        let commands = self.commands.clone();
+        tokio::spawn(async move {
+            let transfer = KvTransfer { attempt, target };
+            let event = match backend.move_kv(source, transfer).await {
+                Ok(handle) => StreamEvent::KvMoved { ticket, handle },
+                Err(_error) => StreamEvent::KvFailed { ticket },
+            };
+            // A stream that is over needs no cache.
+            let _over = commands.send(StreamCommand::Event(event));
+        });
+    }
+
+    /// Returns the host name of a server.
+    pub(super) fn host_name(&self, server: Option<ServerKey>) -> Option<String> {
+        let directory = self.host.directory();
+        let entry = directory.server(server?)?;
+        Some(entry.host.as_str().to_owned())
+    }
+
+    /// Stops reading every attempt.
+    pub(super) fn release_all(&mut self) {
+        for (attempt, running) in self.running.drain() {
+            running.reader.abort();
+            self.host
+                .observe_attempt(&PlacementEvent::Ended { attempt });
+        }
+    }
+
+    fn observe_token(&mut self, attempt: AttemptId) {
+        let Some(running) = self.running.get_mut(&attempt) else {
+            return;
+        };
+        if !running.has_token {
+            running.has_token = true;
+            self.host
+                .observe_attempt(&PlacementEvent::FirstToken { attempt });
+        }
+    }
+
+    fn address(&self, server: ServerKey) -> Option<SocketAddr> {
+        let directory = self.host.directory();
+        directory.server(server).map(|entry| entry.address)
+    }
+
+    fn tell(&self, event: StreamEvent) {
+        // A stream that is over needs no news.
+        let _over = self.commands.send(StreamCommand::Event(event));
+    }
+}
--- a/crates/teaselglade/tests/processes/main.rs
+++ b/crates/teaselglade/tests/processes/main.rs
@@ -3,6 +3,8 @@
 mod bookings;
 mod faults;
 mod fleet_status;
+mod handover;
 mod harness;
 mod interface_page;
+mod limits;
 mod whole_path;
