test(control): let the woken daemon learn of its loss from nothing but its clock

Cause: frozen_holder_... passed with every check of the term switched off: the woken daemon read the other's grant within milliseconds. The log is down when it wakes now, and it wakes with orders that it tried before.

--- a/crates/teaselglade-control/tests/daemon/data_centre.rs
+++ b/crates/teaselglade-control/tests/daemon/data_centre.rs
@@ -11,6 +11,7 @@
 use teaselglade_core::port::{LogPort, StreamName};
 use teaselglade_net::client::{HttpCall, HttpCaller};
 use teaselglade_net::platform::LogClient;
+use teaselglade_standins::fault::FaultSettings;
 use teaselglade_standins::fleet::{FleetPlan, FleetPorts, StandInFleet};
 use teaselglade_standins::log::LogLimits;
 use teaselglade_state::audit::{AuditFilter, AuditLine, AuditReader};
@@ -203,10 +204,19 @@
     }
 
     /// Sets the faults of the cloud API.
-    pub async fn fault_cloud(&self, faults: &teaselglade_standins::fault::FaultSettings) {
+    pub async fn fault_cloud(&self, faults: &FaultSettings) {
+        self.fault(self.standins.addresses.cloud, faults).await;
+    }
+
+    /// Sets the faults of the log.
+    pub async fn fault_log(&self, faults: &FaultSettings) {
+        self.fault(self.standins.addresses.log, faults).await;
+    }
+
+    async fn fault(&self, standin: SocketAddr, faults: &FaultSettings) {
         let body = to_json(faults).expect("the faults are encoded");
-        let call = HttpCall::post(self.standins.addresses.cloud, "/faults", body);
-        let answer = self.caller.call(call).await.expect("the cloud API answers");
+        let answer = self.caller.call(HttpCall::post(standin, "/faults", body));
+        let answer = answer.await.expect("the stand-in answers");
         assert!(answer.is_success());
     }
 
--- a/crates/teaselglade-control/tests/daemon/faults.rs
+++ b/crates/teaselglade-control/tests/daemon/faults.rs
@@ -23,9 +23,6 @@
     first.wait_for_lease().await;
     let second = centre.start_control("galway-e2");
     centre.wait_for_hosts(2).await;
-    let orders = first.orders().await;
-    first.signal("STOP");
-    second.wait_for_lease().await;
     // Whoever believes to hold the lease has two hosts to order, and keeps trying.
     let refuse_starts = true;
     centre
@@ -35,12 +32,25 @@
         })
         .await;
     centre.publish(4).await;
+    // Both orders are refused and back off, so none is in flight when the signal comes.
+    first.wait_for(FAILED_ORDERS, 2).await;
+    let orders = first.orders().await;
+    first.signal("STOP");
+    second.wait_for_lease().await;
     second.wait_for(FAILED_ORDERS, 1).await;
+    // The woken daemon cannot learn of the other one from the log, only from its own clock.
+    let down = true;
+    centre
+        .fault_log(&FaultSettings {
+            down,
+            ..FaultSettings::default()
+        })
+        .await;
     first.signal("CONT");
-    first.wait_for("teaselglade_table_version", 2).await;
     sleep(PLANNING_TIME).await;
     assert_eq!(first.counter("teaselglade_lease_held").await, 0);
     assert_eq!(first.orders().await, orders);
+    centre.fault_log(&FaultSettings::default()).await;
     centre.fault_cloud(&FaultSettings::default()).await;
     centre.wait_for_hosts(4).await;
     assert_eq!(centre.started(), 4);
