--- a/crates/teaselglade/tests/processes/handover.rs
+++ b/crates/teaselglade/tests/processes/handover.rs
@@ -57,6 +57,8 @@
     let engine = hosts.find(|host| host.service == "patter-engine");
     let mut engine = engine.expect("a model engine");
     engine.name = format!("{}-frozen", engine.name);
+    // The cheapest engine gets streams for sure.
+    engine.cents_per_hour = 1.0;
     let body = to_json(&engine).expect("the host is encoded");
     let put = HttpCall::new(Method::PUT, fleet.platform.host_list, "/hosts").body(body);
     fleet.call(put).await;
