feat(entry): exchange membership, notices and table versions with peers

Cause: each daemon read the log alone, so a log outage kept fresh hosts out, and 'leaving' waited for the host list. Tests over processes: publication in force, fresh host during a log outage (not ready while nobody answers), frozen host.

--- a/crates/teaselglade-entry/src/directory/backend_directory.rs
+++ b/crates/teaselglade-entry/src/directory/backend_directory.rs
@@ -34,7 +34,6 @@
     }
 
     /// Marks an incarnation of a host as leaving.
-    #[expect(dead_code, reason = "called once notices arrive from peers")]
     pub(crate) fn mark_leaving(&mut self, host: &HostName, incarnation: HostIncarnation) {
         let key = self.keys.get(&(host.clone(), incarnation));
         if let Some(server) = key.and_then(|key| self.servers.get_mut(key.index())) {
--- a/crates/teaselglade-entry/src/directory/host_list_follower.rs
+++ b/crates/teaselglade-entry/src/directory/host_list_follower.rs
@@ -3,9 +3,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use teaselglade_core::port::ListedHost;
+use teaselglade_state::membership::MembershipEvent;
 use tokio::time::{MissedTickBehavior, interval};
 
 use crate::host::EntryHost;
+use crate::shared::tell_membership;
 
 const POLL_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -16,8 +19,15 @@
     loop {
         ticks.tick().await;
         match host.ports.host_list.hosts().await {
-            Ok(hosts) => host.directory().apply(hosts),
+            Ok(hosts) => take_hosts(&host, hosts),
             Err(_error) => host.metrics.host_list_failures.inc(),
         }
     }
 }
+
+/// Takes hosts in; one that peers know to be leaving is leaving, whatever the list says.
+fn take_hosts(host: &Arc<EntryHost>, mut hosts: Vec<ListedHost>) {
+    tell_membership(host, MembershipEvent::HostList(hosts.clone()));
+    host.shared.mark_leaving(&mut hosts);
+    host.directory().apply(hosts);
+}
--- a/crates/teaselglade-entry/src/host/entry_daemon.rs
+++ b/crates/teaselglade-entry/src/host/entry_daemon.rs
@@ -15,7 +15,7 @@
 use crate::metrics::EntryMetrics;
 use crate::peer_api::peer_router;
 use crate::settings::EntrySettings;
-use crate::shared::follow_table;
+use crate::shared::{follow_notices, follow_table, run_exchange, survey_head};
 
 const DRAIN_POLL: Duration = Duration::from_millis(20);
 
@@ -44,17 +44,21 @@
     /// # Errors
     ///
     /// Fails where an address cannot be bound.
-    pub async fn start(settings: EntrySettings) -> Result<Self> {
+    pub async fn start(mut settings: EntrySettings) -> Result<Self> {
         let callers = HttpServer::bind(settings.callers).await?;
         let peers = HttpServer::bind(settings.peers).await?;
         let addresses = DaemonAddresses {
             callers: callers.address()?,
             peers: peers.address()?,
         };
+        settings.peers = addresses.peers;
         let ports = EntryPorts::connect(&settings);
         let host = EntryHost::new(settings, ports, EntryMetrics::new()?);
         let followers = vec![
             tokio::spawn(follow_table(Arc::clone(&host))),
+            tokio::spawn(survey_head(Arc::clone(&host))),
+            tokio::spawn(run_exchange(Arc::clone(&host))),
+            tokio::spawn(follow_notices(Arc::clone(&host))),
             tokio::spawn(follow_host_list(Arc::clone(&host))),
         ];
         let caller_server = callers.start(caller_router(&host));
--- a/crates/teaselglade-entry/src/host/entry_host.rs
+++ b/crates/teaselglade-entry/src/host/entry_host.rs
@@ -16,7 +16,7 @@
 use crate::metrics::EntryMetrics;
 use crate::placement::{LoadChooser, ServerChooser};
 use crate::settings::EntrySettings;
-use crate::shared::TableInForce;
+use crate::shared::{SharedState, TableInForce};
 use crate::stream::StreamRegister;
 
 /// What the parts of one entry daemon share.
@@ -32,6 +32,8 @@
     pub(crate) bookings: BookingRegister,
     /// Streams that callers can come back to.
     pub(crate) streams: StreamRegister,
+    /// What this host shares with its peers.
+    pub(crate) shared: SharedState,
     /// Start number of this host.
     pub(crate) incarnation: u64,
     directory: Mutex<BackendDirectory>,
@@ -51,6 +53,7 @@
         let started = ports.clock.now();
         let seed = started.as_micros() ^ u64::from(std::process::id()) << 32;
         Arc::new(Self {
+            shared: SharedState::new(started, &settings, seed),
             settings,
             ports,
             metrics,
@@ -138,7 +141,7 @@
 
     /// Returns whether the daemon takes new requests.
     pub(crate) fn is_ready(&self) -> bool {
-        !self.is_draining() && self.table().version > 0
+        !self.is_draining() && self.shared.is_head_known() && self.table().version > 0
     }
 
     /// Returns what this host says of itself.
@@ -153,7 +156,7 @@
             table_version: self.table().version,
             streams: self.metrics.open_streams.get().max(0) as u32,
             servers: directory.open_count() as u32,
-            peers: directory.entry_hosts().len() as u32,
+            peers: self.shared.peer_count() as u32,
         }
     }
 
--- a/crates/teaselglade-entry/src/host/entry_ports.rs
+++ b/crates/teaselglade-entry/src/host/entry_ports.rs
@@ -2,12 +2,12 @@
 
 use std::sync::Arc;
 
-use teaselglade_core::port::{BackendPort, ClockPort, HostListPort, LogPort, PeerPort};
+use teaselglade_core::port::{BackendPort, ClockPort, CloudPort, HostListPort, LogPort, PeerPort};
 use teaselglade_net::backend::BackendClient;
 use teaselglade_net::client::HttpCaller;
 use teaselglade_net::clock::SystemClock;
 use teaselglade_net::peer::PeerClient;
-use teaselglade_net::platform::{HostListClient, LogClient};
+use teaselglade_net::platform::{CloudClient, HostListClient, LogClient};
 
 use crate::settings::EntrySettings;
 
@@ -20,10 +20,11 @@
     pub(crate) log: Arc<dyn LogPort>,
     /// Host list.
     pub(crate) host_list: Arc<dyn HostListPort>,
+    /// Cloud API, where notices are read from it.
+    pub(crate) cloud: Option<Arc<dyn CloudPort>>,
     /// Backend servers.
     pub(crate) backend: Arc<dyn BackendPort>,
     /// Other entry hosts.
-    #[expect(dead_code, reason = "the membership exchange will use it")]
     pub(crate) peer: Arc<dyn PeerPort>,
 }
 
@@ -35,6 +36,9 @@
             clock: Arc::new(SystemClock::start()),
             log: Arc::new(LogClient::new(caller(), settings.log)),
             host_list: Arc::new(HostListClient::new(caller(), settings.host_list)),
+            cloud: settings
+                .cloud
+                .map(|address| Arc::new(CloudClient::new(caller(), address)) as _),
             backend: Arc::new(BackendClient::new(caller())),
             peer: Arc::new(PeerClient::new(caller())),
         }
--- a/crates/teaselglade-entry/src/metrics/entry_metrics.rs
+++ b/crates/teaselglade-entry/src/metrics/entry_metrics.rs
@@ -20,6 +20,10 @@
     pub(crate) host_list_failures: IntCounter,
     /// Failed calls to the log.
     pub(crate) log_failures: IntCounter,
+    /// Failed calls to peers.
+    pub(crate) peer_failures: IntCounter,
+    /// Refused messages of peers.
+    pub(crate) peer_refusals: IntCounter,
     /// Streams in progress.
     pub(crate) open_streams: IntGauge,
     /// Version of the table in force.
@@ -67,6 +71,11 @@
                 "Failed reads of the host list.",
             )?,
             log_failures: counter("teaselglade_log_failures_total", "Failed calls to the log.")?,
+            peer_failures: counter("teaselglade_peer_failures_total", "Failed calls to peers.")?,
+            peer_refusals: counter(
+                "teaselglade_peer_refusals_total",
+                "Refused messages of peers.",
+            )?,
             open_streams: gauge("teaselglade_open_streams", "Streams in progress.")?,
             table_version: gauge(
                 "teaselglade_table_version",
--- a/crates/teaselglade-entry/src/peer_api/peer_routes.rs
+++ b/crates/teaselglade-entry/src/peer_api/peer_routes.rs
@@ -6,10 +6,16 @@
 use viz::{Response, Router};
 
 use crate::host::EntryHost;
+use crate::shared::{
+    EXCHANGE_PATH, HEAD_PATH, TABLE_PATH, answer_exchange, answer_head, answer_table,
+};
 
 /// Makes the routes for peers and operators.
 pub(crate) fn peer_router(host: &Arc<EntryHost>) -> Router {
     Router::new()
+        .post(EXCHANGE_PATH, with_state(host, answer_exchange))
+        .post(HEAD_PATH, with_state(host, answer_head))
+        .post(TABLE_PATH, with_state(host, answer_table))
         .get("/status", with_state(host, |host, _request| status(host)))
         .get("/metrics", with_state(host, |host, _request| metrics(host)))
         .get("/healthz", with_state(host, |_host, _request| health()))
@@ -30,7 +36,7 @@
     let why = if host.is_draining() {
         "draining\n"
     } else {
-        "no table yet\n"
+        "the table in force is not known yet\n"
     };
     text_answer(503, why)
 }
--- /dev/null
+++ b/crates/teaselglade-entry/src/shared/exchange_driver.rs
@@ -0,0 +1,107 @@
+//! Carries out what the membership machine decides.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use teaselglade_core::id::HostName;
+use teaselglade_core::port::PeerError;
+use teaselglade_state::membership::{LeavingNotice, MembershipAction, MembershipEvent};
+use teaselglade_wire::TableSnapshot;
+use teaselglade_wire::codec::from_msgpack;
+use tokio::time::sleep;
+
+use super::peer_answers::{EXCHANGE_PATH, TABLE_PATH};
+use super::table_follower::put_in_force;
+use crate::host::EntryHost;
+
+const LONGEST_SLEEP: Duration = Duration::from_millis(200);
+
+/// Runs the exchange with the other entry hosts.
+pub(crate) async fn run_exchange(host: Arc<EntryHost>) {
+    loop {
+        let wake = host.shared.membership().next_wake();
+        let pause = (wake - host.now()).min(LONGEST_SLEEP);
+        tokio::select! {
+            () = sleep(pause) => {}
+            () = host.shared.news.notified() => {}
+        }
+        tell_membership(&host, MembershipEvent::Tick);
+    }
+}
+
+/// Hands an event to the membership machine and carries out its actions.
+pub(crate) fn tell_membership(host: &Arc<EntryHost>, event: MembershipEvent) {
+    let is_tick = matches!(event, MembershipEvent::Tick);
+    let now = host.now();
+    let actions = host.shared.membership().on_event(now, event);
+    for action in actions {
+        perform(host, action);
+    }
+    if !is_tick {
+        host.shared.news.notify_one();
+    }
+}
+
+/// Carries out one action; answers are sent by the route that asked for them.
+pub(super) fn perform(host: &Arc<EntryHost>, action: MembershipAction) {
+    match action {
+        MembershipAction::Send {
+            peer,
+            address,
+            body,
+        } => {
+            tokio::spawn(exchange(Arc::clone(host), peer, address, body));
+        }
+        MembershipAction::PullTable { address, .. } => {
+            tokio::spawn(pull_table(Arc::clone(host), address));
+        }
+        MembershipAction::HostLeaving(notice) => note_leaving(host, &notice),
+        MembershipAction::MemberChanged(entry) => {
+            log::info!("entry host {} is {:?}", entry.name, entry.liveness);
+        }
+        MembershipAction::DemandReceived { .. }
+        | MembershipAction::Answer { .. }
+        | MembershipAction::Refuse { .. } => {}
+    }
+}
+
+fn note_leaving(host: &EntryHost, notice: &LeavingNotice) {
+    log::info!("host {} is leaving", notice.host);
+    host.directory()
+        .mark_leaving(&notice.host, notice.incarnation);
+}
+
+async fn exchange(host: Arc<EntryHost>, peer: HostName, address: SocketAddr, body: Bytes) {
+    let event = match host.ports.peer.send(address, EXCHANGE_PATH, body).await {
+        Ok(body) => MembershipEvent::AnswerReceived { peer, body },
+        Err(_error) => {
+            host.metrics.peer_failures.inc();
+            MembershipEvent::CallFailed { peer }
+        }
+    };
+    tell_membership(&host, event);
+}
+
+async fn pull_table(host: Arc<EntryHost>, address: SocketAddr) {
+    if fetch_table(&host, address).await.is_err() {
+        host.metrics.peer_failures.inc();
+    }
+}
+
+/// Fetches a peer's table and puts it in force where it is newer.
+pub(super) async fn fetch_table(
+    host: &Arc<EntryHost>,
+    address: SocketAddr,
+) -> Result<(), PeerError> {
+    let answer = host.ports.peer.send(address, TABLE_PATH, Bytes::new());
+    let snapshot = from_msgpack::<TableSnapshot>(&answer.await?).map_err(|error| PeerError {
+        detail: error.to_string(),
+    })?;
+    host.shared.replica().on_peer_head(snapshot);
+    if host.shared.is_head_known() {
+        put_in_force(host);
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/teaselglade-entry/src/shared/head_surveyor.rs
@@ -0,0 +1,85 @@
+//! Learns the table's head from peers while the log is out.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures::StreamExt;
+use futures::stream::FuturesUnordered;
+use teaselglade_core::id::HostName;
+use teaselglade_core::port::PeerError;
+use teaselglade_state::table::{HeadSurvey, SurveyVerdict};
+use teaselglade_wire::TableHead;
+use teaselglade_wire::codec::from_msgpack;
+use tokio::time::sleep;
+
+use super::exchange_driver::fetch_table;
+use super::peer_answers::HEAD_PATH;
+use super::table_follower::put_in_force;
+use crate::host::EntryHost;
+
+const SURVEY_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Asks the listed entry hosts until the head is known, from them or from the log.
+pub(crate) async fn survey_head(host: Arc<EntryHost>) {
+    loop {
+        sleep(SURVEY_INTERVAL).await;
+        if host.shared.is_head_known() {
+            return;
+        }
+        ask_peers(&host).await;
+    }
+}
+
+async fn ask_peers(host: &Arc<EntryHost>) {
+    let peers = listed_peers(host);
+    let mut survey = HeadSurvey::new(host.settings.cluster.as_str(), peers.keys().cloned());
+    let calls = peers.iter().map(|(name, address)| async move {
+        let answer = host.ports.peer.send(*address, HEAD_PATH, Bytes::new());
+        (name, answer.await)
+    });
+    let mut calls = calls.collect::<FuturesUnordered<_>>();
+    while let Some((name, answer)) = calls.next().await {
+        match read_head(answer) {
+            Some(head) => survey.on_answer(name, &head),
+            None => survey.on_failure(name),
+        }
+    }
+    let SurveyVerdict::Sufficient {
+        host: peer,
+        version,
+    } = survey.verdict()
+    else {
+        return;
+    };
+    let Some(address) = peers.get(&peer) else {
+        return;
+    };
+    if fetch_table(host, *address).await.is_err() {
+        host.metrics.peer_failures.inc();
+        return;
+    }
+    let is_adopted = host.shared.replica().head().version >= version;
+    if is_adopted {
+        log::info!("table version {version} was learnt from peers");
+        host.shared.set_head_known();
+        put_in_force(host);
+    }
+}
+
+fn listed_peers(host: &EntryHost) -> HashMap<HostName, SocketAddr> {
+    let directory = host.directory();
+    let others = directory
+        .entry_hosts()
+        .iter()
+        .filter(|peer| peer.name.as_str() != host.settings.host);
+    others
+        .map(|peer| (peer.name.clone(), peer.address))
+        .collect()
+}
+
+fn read_head(answer: Result<Bytes, PeerError>) -> Option<TableHead> {
+    from_msgpack(&answer.ok()?).ok()
+}
--- /dev/null
+++ b/crates/teaselglade-entry/src/shared/notice_follower.rs
@@ -0,0 +1,43 @@
+//! Follows the cloud API's notices of reclaim.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use teaselglade_core::port::ReclaimNotice;
+use teaselglade_state::membership::{LeavingNotice, MembershipEvent};
+use tokio::time::sleep;
+
+use super::tell_membership;
+use crate::host::EntryHost;
+
+const POLL_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Reads notices where this host reads for its data centre, and passes them to peers.
+pub(crate) async fn follow_notices(host: Arc<EntryHost>) {
+    let Some(cloud) = host.ports.cloud.clone() else {
+        return;
+    };
+    let mut seen = 0;
+    loop {
+        sleep(POLL_INTERVAL).await;
+        if !host.shared.membership().is_platform_reader() {
+            continue;
+        }
+        for notice in cloud.notices(seen).await.unwrap_or_default() {
+            seen = seen.max(notice.number);
+            tell_notice(&host, notice);
+        }
+    }
+}
+
+fn tell_notice(host: &Arc<EntryHost>, notice: ReclaimNotice) {
+    let is_entry = host.shared.membership().member(&notice.host).is_some();
+    let notice = LeavingNotice {
+        host: notice.host,
+        incarnation: notice.incarnation,
+        is_entry,
+        issued: host.now(),
+        deadline: notice.deadline,
+    };
+    tell_membership(host, MembershipEvent::NoticeSeen(notice));
+}
--- /dev/null
+++ b/crates/teaselglade-entry/src/shared/peer_answers.rs
@@ -0,0 +1,68 @@
+//! Answers to other entry hosts.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use teaselglade_net::peer::PEER_CONTENT_TYPE;
+use teaselglade_net::server::{read_body, stream_answer, text_answer};
+use teaselglade_state::membership::{MAX_MESSAGE_BYTES, MembershipAction, MembershipEvent};
+use teaselglade_wire::codec::to_msgpack;
+use viz::{Request, Response};
+
+use super::exchange_driver::perform;
+use crate::host::EntryHost;
+
+/// Path of the exchange.
+pub(crate) const EXCHANGE_PATH: &str = "/peer/exchange";
+
+/// Path at which a host tells which table version it has in force.
+pub(crate) const HEAD_PATH: &str = "/peer/head";
+
+/// Path at which a host hands its table over.
+pub(crate) const TABLE_PATH: &str = "/peer/table";
+
+/// Answers a message of the exchange.
+pub(crate) async fn answer_exchange(host: Arc<EntryHost>, request: Request) -> Response {
+    let Ok(body) = read_body(request, MAX_MESSAGE_BYTES).await else {
+        host.metrics.peer_refusals.inc();
+        return text_answer(413, "the message is too long\n");
+    };
+    let now = host.now();
+    let event = MembershipEvent::Request { token: 0, body };
+    let actions = host.shared.membership().on_event(now, event);
+    let mut response = text_answer(500, "no answer\n");
+    for action in actions {
+        match action {
+            MembershipAction::Answer { body, .. } => response = peer_answer(body),
+            MembershipAction::Refuse { refusal, .. } => {
+                host.metrics.peer_refusals.inc();
+                response = text_answer(400, format!("{refusal}\n"));
+            }
+            other => perform(&host, other),
+        }
+    }
+    host.shared.news.notify_one();
+    response
+}
+
+/// Tells which table version is in force here.
+pub(crate) async fn answer_head(host: Arc<EntryHost>, _request: Request) -> Response {
+    let is_known = host.shared.is_head_known();
+    encoded(&host.shared.replica().to_table_head(is_known))
+}
+
+/// Hands the table over.
+pub(crate) async fn answer_table(host: Arc<EntryHost>, _request: Request) -> Response {
+    encoded(&host.shared.replica().to_snapshot())
+}
+
+fn encoded(message: &impl serde::Serialize) -> Response {
+    match to_msgpack(message) {
+        Ok(body) => peer_answer(body),
+        Err(error) => text_answer(500, error.to_string()),
+    }
+}
+
+fn peer_answer(body: Bytes) -> Response {
+    stream_answer(200, PEER_CONTENT_TYPE, futures::stream::iter([Ok(body)]))
+}
--- a/crates/teaselglade-state/src/membership/membership_machine.rs
+++ b/crates/teaselglade-state/src/membership/membership_machine.rs
@@ -15,6 +15,7 @@
 use super::notice_set::NoticeSet;
 use super::rumour_queue::{RumourQueue, RumourTopic};
 use super::send_budget::SendBudget;
+use super::slice_digest::name_hash;
 use super::{
     LeavingNotice, MemberEntry, MemberLiveness, MembershipAction, MembershipCounts,
     MembershipEvent, MembershipSettings, MessageRefusal,
@@ -28,6 +29,7 @@
 const FAILED_PROBE_INTERVAL: Duration = Duration::from_secs(10);
 const FORGET_INTERVAL: Duration = Duration::from_mins(1);
 const FORGET_FAILED_AFTER: Duration = Duration::from_hours(2);
+const READERS_PER_ZONE: usize = 2;
 const PULL_TIMEOUT: Duration = Duration::from_millis(500);
 
 #[derive(Debug, Clone, Copy)]
@@ -155,6 +157,20 @@
         self.notices.is_leaving(host, incarnation)
     }
 
+    /// Returns whether this host reads the platform's slow sources for its data centre.
+    ///
+    /// The first few live hosts by a hash of their names do; the others hear from peers. With
+    /// other views of who lives there are more or fewer readers for a while, which is harmless.
+    #[must_use]
+    pub fn is_platform_reader(&self) -> bool {
+        let own_hash = name_hash(&self.own.name);
+        let ahead = self.live_members().filter(|entry| {
+            let is_staying = !self.is_leaving(&entry.name, entry.incarnation);
+            is_staying && entry.zone == self.own.zone && name_hash(&entry.name) < own_hash
+        });
+        ahead.count() < READERS_PER_ZONE
+    }
+
     /// Returns counts of the exchange.
     #[must_use]
     pub const fn counts(&self) -> MembershipCounts {
--- a/crates/teaselglade/tests/processes/main.rs
+++ b/crates/teaselglade/tests/processes/main.rs
@@ -5,4 +5,5 @@
 mod fleet_status;
 mod harness;
 mod interface_page;
+mod table_in_force;
 mod whole_path;
