--- /dev/null
+++ b/crates/teaselglade-state/tests/membership_scenarios/main.rs
@@ -0,0 +1,29 @@
+//! Scripted scenarios of the exchange, compared with snapshots.
+
+mod membership_stage;
+#[path = "../membership/virtual_fleet.rs"]
+mod virtual_fleet;
+
+use std::path::Path;
+
+use teaselglade_scenario::parse_scenario;
+
+use membership_stage::MembershipStage;
+
+fn run_scenario(path: &Path) -> datatest_stable::Result<()> {
+    let text = std::fs::read_to_string(path)?;
+    let mut stage = MembershipStage::new();
+    for step in parse_scenario(&text)? {
+        stage.perform(&step)?;
+    }
+    let name = path.file_stem().ok_or("a scenario has a name")?;
+    let mut settings = insta::Settings::clone_current();
+    settings.set_prepend_module_to_snapshot(false);
+    settings.set_snapshot_path("../scenarios/membership/snapshots");
+    settings.bind(|| insta::assert_snapshot!(name.to_string_lossy().as_ref(), stage.trace()));
+    Ok(())
+}
+
+datatest_stable::harness! {
+    { test = run_scenario, root = "tests/scenarios/membership", pattern = r".*\.scenario$" },
+}
