--- a/crates/teaselglade-entry/src/directory/backend_directory.rs
+++ b/crates/teaselglade-entry/src/directory/backend_directory.rs
@@ -17,7 +17,10 @@
 
 impl BackendDirectory {
     /// Takes in what the host list shows; "leaving" is never taken back.
-    pub(crate) fn apply(&mut self, hosts: Vec<ListedHost>) {
+    ///
+    /// Returns the servers that are leaving since now.
+    pub(crate) fn apply(&mut self, hosts: Vec<ListedHost>) -> Vec<ServerKey> {
+        let known = self.leaving_servers();
         let (entries, backends): (Vec<_>, Vec<_>) = hosts
             .into_iter()
             .partition(|host| host.role == ListedRole::Entry);
@@ -31,14 +34,22 @@
             .iter_mut()
             .filter(|server| !listed.contains(&server.key));
         dropped.for_each(|server| server.gone = true);
+        let mut leaving = self.leaving_servers();
+        leaving.retain(|server| !known.contains(server));
+        leaving
     }
 
-    /// Marks an incarnation of a host as leaving.
-    pub(crate) fn mark_leaving(&mut self, host: &HostName, incarnation: HostIncarnation) {
-        let key = self.keys.get(&(host.clone(), incarnation));
-        if let Some(server) = key.and_then(|key| self.servers.get_mut(key.index())) {
-            server.leaving = true;
-        }
+    /// Marks an incarnation of a host as leaving and returns its server, where that is news.
+    pub(crate) fn mark_leaving(
+        &mut self,
+        host: &HostName,
+        incarnation: HostIncarnation,
+    ) -> Option<ServerKey> {
+        let key = *self.keys.get(&(host.clone(), incarnation))?;
+        let server = self.servers.get_mut(key.index())?;
+        let is_news = !server.leaving;
+        server.leaving = true;
+        is_news.then_some(key)
     }
 
     /// Returns a server.
@@ -46,14 +57,9 @@
         self.servers.get(key.index())
     }
 
-    /// Returns the servers of a service that take new work.
-    pub(crate) fn open_servers<'a>(
-        &'a self,
-        service: &'a str,
-    ) -> impl Iterator<Item = &'a ServerEntry> {
-        self.servers
-            .iter()
-            .filter(move |server| server.is_open() && server.service == service)
+    /// Returns the servers that take new work.
+    pub(crate) fn open(&self) -> impl Iterator<Item = &ServerEntry> {
+        self.servers.iter().filter(|server| server.is_open())
     }
 
     /// Returns how many servers take new work.
@@ -69,6 +75,11 @@
         &self.entry_hosts
     }
 
+    fn leaving_servers(&self) -> Vec<ServerKey> {
+        let leaving = self.servers.iter().filter(|server| server.leaving);
+        leaving.map(|server| server.key).collect()
+    }
+
     fn apply_backend(&mut self, host: ListedHost) -> ServerKey {
         let identity = (host.name.clone(), host.incarnation);
         if let Some(key) = self.keys.get(&identity) {
--- a/crates/teaselglade-entry/src/directory/host_list_follower.rs
+++ b/crates/teaselglade-entry/src/directory/host_list_follower.rs
@@ -10,6 +10,8 @@
 use crate::host::EntryHost;
 use crate::shared::tell_membership;
 
+/// Time that a server has left when the host list first shows it as leaving.
+pub(crate) const ASSUMED_NOTICE: Duration = Duration::from_secs(2);
 const POLL_INTERVAL: Duration = Duration::from_millis(500);
 
 /// Takes in the host list again and again.
@@ -29,5 +31,10 @@
 fn take_hosts(host: &Arc<EntryHost>, mut hosts: Vec<ListedHost>) {
     tell_membership(host, MembershipEvent::HostList(hosts.clone()));
     host.shared.mark_leaving(&mut hosts);
-    host.directory().apply(hosts);
+    let leaving = host.directory().apply(hosts);
+    host.sync_placement();
+    let deadline = host.now() + ASSUMED_NOTICE;
+    for server in leaving {
+        host.streams.announce_leaving(server, deadline);
+    }
 }
--- a/crates/teaselglade-entry/src/host/entry_host.rs
+++ b/crates/teaselglade-entry/src/host/entry_host.rs
@@ -1,23 +1,28 @@
 //! What the parts of one entry daemon share.
 
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
 
 use rand::{RngCore, SeedableRng};
 use rand_pcg::Pcg64Mcg;
-use teaselglade_core::id::{RequestId, ServerKey};
+use teaselglade_core::id::{HostName, RequestId, ServerKey};
+use teaselglade_core::port::ListedHost;
 use teaselglade_core::table::ServiceRow;
 use teaselglade_core::time::Timestamp;
+use teaselglade_placement::policy::PlacementEvent;
+use teaselglade_request::handover::owner_hint;
 use teaselglade_wire::HostStatus;
 
 use super::EntryPorts;
 use crate::booking::BookingRegister;
 use crate::directory::{BackendDirectory, ServerEntry};
+use crate::handover::HandoverDesk;
 use crate::metrics::EntryMetrics;
-use crate::placement::{LoadChooser, ServerChooser};
+use crate::placement::{PlacementDesk, PlacementOrder};
 use crate::settings::EntrySettings;
 use crate::shared::{SharedState, TableInForce};
-use crate::stream::StreamRegister;
+use crate::stream::{StreamBudgets, StreamRegister};
 
 /// What the parts of one entry daemon share.
 #[derive(Debug)]
@@ -34,11 +39,15 @@
     pub(crate) streams: StreamRegister,
     /// What this host shares with its peers.
     pub(crate) shared: SharedState,
+    /// Retry budgets of the model services.
+    pub(crate) budgets: StreamBudgets,
+    /// Records on their way to peers.
+    pub(crate) handovers: HandoverDesk,
     /// Start number of this host.
     pub(crate) incarnation: u64,
     directory: Mutex<BackendDirectory>,
     table: RwLock<Arc<TableInForce>>,
-    chooser: Mutex<Box<dyn ServerChooser>>,
+    placement: Mutex<PlacementDesk>,
     random: Mutex<Pcg64Mcg>,
     draining: AtomicBool,
 }
@@ -54,15 +63,17 @@
         let seed = started.as_micros() ^ u64::from(std::process::id()) << 32;
         Arc::new(Self {
             shared: SharedState::new(started, &settings, seed),
+            placement: Mutex::new(PlacementDesk::new(&settings.host)),
             settings,
             ports,
             metrics,
             bookings: BookingRegister::default(),
             streams: StreamRegister::default(),
+            budgets: StreamBudgets::default(),
+            handovers: HandoverDesk::default(),
             incarnation: started.as_millis(),
             directory: Mutex::default(),
             table: RwLock::default(),
-            chooser: Mutex::new(Box::new(LoadChooser::default())),
             random: Mutex::new(Pcg64Mcg::seed_from_u64(seed)),
             draining: AtomicBool::new(false),
         })
@@ -94,6 +105,7 @@
         self.metrics
             .table_version
             .set(i64::try_from(table.version).unwrap_or(i64::MAX));
+        self.placement().set_table(self.now(), &table.rows);
         *present = Arc::new(table);
     }
 
@@ -104,29 +116,80 @@
             .lock()
             .unwrap_or_else(PoisonError::into_inner)
             .fill_bytes(&mut random);
+        // The low bits name the host, so that peers find the stream at once.
+        let hint = owner_hint(&HostName::new(&self.settings.host));
+        random[6..].copy_from_slice(&hint.to_be_bytes());
         RequestId::generate(self.now(), random)
     }
 
+    /// Returns all other entry hosts that are known, leaving ones included.
+    pub(crate) fn all_peers(&self) -> Vec<(HostName, SocketAddr)> {
+        self.peers(|_host| true)
+    }
+
+    /// Returns the other entry hosts that are not leaving.
+    pub(crate) fn live_peers(&self) -> Vec<(HostName, SocketAddr)> {
+        self.peers(|host| !host.leaving)
+    }
+
+    /// Returns the address of a peer.
+    pub(crate) fn peer_address(&self, peer: &HostName) -> Option<SocketAddr> {
+        let peers = self.all_peers().into_iter();
+        peers
+            .filter(|(name, _)| name == peer)
+            .map(|(_, address)| address)
+            .next()
+    }
+
+    fn peers(&self, is_wanted: impl Fn(&ListedHost) -> bool) -> Vec<(HostName, SocketAddr)> {
+        let directory = self.directory();
+        let others = directory.entry_hosts().iter();
+        others
+            .filter(|host| host.name.as_str() != self.settings.host && is_wanted(host))
+            .map(|host| (host.name.clone(), host.address))
+            .collect()
+    }
+
     /// Chooses a server that the row permits, other than the excluded ones.
     pub(crate) fn choose_server(
         &self,
         row: &ServiceRow,
         excluded: &[ServerKey],
     ) -> Option<ServerEntry> {
-        let directory = self.directory();
-        let permitted = |server: &&ServerEntry| {
-            row.permits(&server.class, &server.zone, server.cents_per_hour)
-                && !excluded.contains(&server.key)
-        };
-        let candidates = directory.open_servers(&row.name).filter(permitted);
-        let candidates = candidates.map(|server| server.key).collect::<Vec<_>>();
-        let server = self.chooser().choose(&candidates)?;
-        directory.server(server).cloned()
+        let order = PlacementOrder::plain(row, excluded);
+        let server = self.placement().choose(self.now(), &order)?;
+        self.directory().server(server).cloned()
     }
 
     /// Notes that a dispatch to a server ended.
     pub(crate) fn release_server(&self, server: ServerKey) {
-        self.chooser().release(server);
+        self.placement().release(self.now(), server);
+    }
+
+    /// Tells the placement what became of an attempt.
+    pub(crate) fn observe_attempt(&self, event: &PlacementEvent) {
+        self.placement().observe(self.now(), event);
+    }
+
+    /// Returns placement, limits and admission.
+    pub(crate) fn placement(&self) -> MutexGuard<'_, PlacementDesk> {
+        self.placement
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Shows the placement which servers the directory has.
+    pub(crate) fn sync_placement(&self) {
+        let directory = self.directory();
+        self.placement().sync(self.now(), &directory);
+    }
+
+    /// Returns the servers whose reports the placement wants, with their addresses.
+    pub(crate) fn polled_servers(&self) -> Vec<(ServerKey, SocketAddr)> {
+        let servers = self.placement().servers();
+        let directory = self.directory();
+        let entries = servers.into_iter().filter_map(|key| directory.server(key));
+        entries.map(|entry| (entry.key, entry.address)).collect()
     }
 
     /// Returns whether the daemon is stopping.
@@ -159,8 +222,4 @@
             peers: self.shared.peer_count() as u32,
         }
     }
-
-    fn chooser(&self) -> MutexGuard<'_, Box<dyn ServerChooser>> {
-        self.chooser.lock().unwrap_or_else(PoisonError::into_inner)
-    }
 }
--- a/crates/teaselglade-entry/src/host/entry_ports.rs
+++ b/crates/teaselglade-entry/src/host/entry_ports.rs
@@ -29,6 +29,15 @@
 }
 
 impl EntryPorts {
+    /// Returns a client of backend servers that uses none of the open connections.
+    #[expect(
+        clippy::unused_self,
+        reason = "ports made for tests will bring their own clients"
+    )]
+    pub(crate) fn fresh_backend(&self) -> Arc<dyn BackendPort> {
+        Arc::new(BackendClient::new(Arc::new(HttpCaller::default())))
+    }
+
     /// Makes the adapters that the settings name.
     pub(crate) fn connect(settings: &EntrySettings) -> Self {
         let caller = || Arc::new(HttpCaller::default());
--- a/crates/teaselglade-entry/src/peer_api/peer_routes.rs
+++ b/crates/teaselglade-entry/src/peer_api/peer_routes.rs
@@ -5,6 +5,7 @@
 use teaselglade_net::server::{json_answer, text_answer, with_state};
 use viz::{Response, Router};
 
+use crate::handover::{ACCEPT_PATH, ASK_PATH, READ_PATH, accept_stream, ask_stream, read_stream};
 use crate::host::EntryHost;
 use crate::shared::{
     EXCHANGE_PATH, HEAD_PATH, TABLE_PATH, answer_exchange, answer_head, answer_table,
@@ -16,6 +17,9 @@
         .post(EXCHANGE_PATH, with_state(host, answer_exchange))
         .post(HEAD_PATH, with_state(host, answer_head))
         .post(TABLE_PATH, with_state(host, answer_table))
+        .post(ACCEPT_PATH, with_state(host, accept_stream))
+        .post(ASK_PATH, with_state(host, ask_stream))
+        .post(READ_PATH, with_state(host, read_stream))
         .get("/status", with_state(host, |host, _request| status(host)))
         .get("/metrics", with_state(host, |host, _request| metrics(host)))
         .get("/healthz", with_state(host, |_host, _request| health()))
--- a/crates/teaselglade/tests/processes/main.rs
+++ b/crates/teaselglade/tests/processes/main.rs
@@ -3,7 +3,9 @@
 mod bookings;
 mod faults;
 mod fleet_status;
+mod handover;
 mod harness;
 mod interface_page;
+mod limits;
 mod table_in_force;
 mod whole_path;
