--- a/crates/teaselglade-entry/src/directory/host_list_follower.rs
+++ b/crates/teaselglade-entry/src/directory/host_list_follower.rs
@@ -4,26 +4,27 @@
 use std::time::Duration;
 
 use teaselglade_core::port::ListedHost;
-use teaselglade_state::membership::MembershipEvent;
-use tokio::time::{MissedTickBehavior, interval};
+use teaselglade_state::membership::{MembershipEvent, list_poll_interval};
+use tokio::time::sleep;
 
 use crate::host::EntryHost;
 use crate::shared::tell_membership;
 
 /// Time that a server has left when the host list first shows it as leaving.
 pub(crate) const ASSUMED_NOTICE: Duration = Duration::from_secs(2);
-const POLL_INTERVAL: Duration = Duration::from_millis(500);
 
-/// Takes in the host list again and again.
+/// Takes in the host list again and again, the longer it is the more seldom.
 pub(crate) async fn follow_host_list(host: Arc<EntryHost>) {
-    let mut ticks = interval(POLL_INTERVAL);
-    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut interval = list_poll_interval(0);
     loop {
-        ticks.tick().await;
         match host.ports.host_list.hosts().await {
-            Ok(hosts) => take_hosts(&host, hosts),
+            Ok(hosts) => {
+                interval = list_poll_interval(hosts.len());
+                take_hosts(&host, hosts);
+            }
             Err(_error) => host.metrics.host_list_failures.inc(),
         }
+        sleep(interval).await;
     }
 }
 
--- a/crates/teaselglade-state/src/membership/mod.rs
+++ b/crates/teaselglade-state/src/membership/mod.rs
@@ -6,6 +6,7 @@
 mod exchange_merge;
 mod exchange_message;
 mod leaving_notice;
+mod list_pace;
 mod member_arena;
 mod member_entry;
 mod membership_counts;
@@ -19,6 +20,7 @@
 mod slice_digest;
 
 pub use leaving_notice::LeavingNotice;
+pub use list_pace::list_poll_interval;
 pub use member_entry::{MemberEntry, MemberLiveness};
 pub use membership_counts::MembershipCounts;
 pub use membership_machine::MembershipMachine;
--- a/crates/teaselglade-state/tests/membership/spreading.rs
+++ b/crates/teaselglade-state/tests/membership/spreading.rs
@@ -4,6 +4,7 @@
 
 use proptest::prelude::*;
 use teaselglade_core::id::HostName;
+use teaselglade_state::membership::list_poll_interval;
 
 use super::virtual_fleet::{NetworkFaults, VirtualFleet};
 
@@ -82,3 +83,13 @@
         prop_assert!(fleet.nodes.iter().all(|node| node.table == 5));
     }
 }
+
+/// The list of the design size, read at its pace, leaves half of the budget to the rest.
+#[test]
+fn host_list_is_read_within_the_budget() {
+    const DESIGN_HOSTS: usize = 390 + 1_200;
+    const BYTES_PER_LISTED_HOST: f64 = 280.0;
+    let interval = list_poll_interval(DESIGN_HOSTS).as_secs_f64();
+    let rate = DESIGN_HOSTS as f64 * BYTES_PER_LISTED_HOST / interval;
+    assert!(rate <= BYTES_PER_SECOND / 2.0, "{rate} bytes a second");
+}
