test(processes): a notice of reclaim does not wait for the host list

Cause: the path from the cloud's notice to every entry host had no test over processes. With the notices not followed all three daemons kept the zone in use.

--- a/crates/teaselglade/tests/processes/table_in_force.rs
+++ b/crates/teaselglade/tests/processes/table_in_force.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use hyper::Method;
+use teaselglade_net::client::HttpCall;
 use teaselglade_standins::fleet::FleetPlan;
 use tokio::time::sleep;
 
@@ -77,3 +79,22 @@
     fleet.entries[0].process.signal("CONT");
     wait_for_version(&fleet, &[0, 1, 2], 2).await;
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn notice_of_reclaim_does_not_wait_for_the_host_list() {
+    let fleet = TestFleet::start(FleetPlan::dragons_sleeve(), ENTRIES).await;
+    let before = fleet.status(&fleet.entries[0]).await.servers;
+    let lag = HttpCall::new(Method::PUT, fleet.platform.host_list, "/lag/600000");
+    fleet.call(lag).await;
+    let order = "{\"zone\":\"newport\",\"notice_ms\":60000}";
+    let reclaim = HttpCall::post(fleet.platform.cloud, "/reclaim", order);
+    fleet.call(reclaim).await;
+    for entry in &fleet.entries {
+        let mut polls = 0;
+        while fleet.status(entry).await.servers == before {
+            polls += 1;
+            assert!(polls < MAX_POLLS, "{} still uses the zone", entry.host);
+            sleep(POLL).await;
+        }
+    }
+}
