--- a/crates/teaselglade-entry/src/directory/backend_directory.rs
+++ b/crates/teaselglade-entry/src/directory/backend_directory.rs
@@ -39,13 +39,17 @@
         leaving
     }
 
-    /// Marks an incarnation of a host as leaving.
-    #[expect(dead_code, reason = "called once notices arrive from peers")]
-    pub(crate) fn mark_leaving(&mut self, host: &HostName, incarnation: HostIncarnation) {
-        let key = self.keys.get(&(host.clone(), incarnation));
-        if let Some(server) = key.and_then(|key| self.servers.get_mut(key.index())) {
-            server.leaving = true;
-        }
+    /// Marks an incarnation of a host as leaving and returns its server, where that is news.
+    pub(crate) fn mark_leaving(
+        &mut self,
+        host: &HostName,
+        incarnation: HostIncarnation,
+    ) -> Option<ServerKey> {
+        let key = *self.keys.get(&(host.clone(), incarnation))?;
+        let server = self.servers.get_mut(key.index())?;
+        let is_news = !server.leaving;
+        server.leaving = true;
+        is_news.then_some(key)
     }
 
     /// Returns a server.
--- a/crates/teaselglade-entry/src/host/entry_host.rs
+++ b/crates/teaselglade-entry/src/host/entry_host.rs
@@ -21,7 +21,7 @@
 use crate::metrics::EntryMetrics;
 use crate::placement::{PlacementDesk, PlacementOrder};
 use crate::settings::EntrySettings;
-use crate::shared::TableInForce;
+use crate::shared::{SharedState, TableInForce};
 use crate::stream::{StreamBudgets, StreamRegister};
 
 /// What the parts of one entry daemon share.
@@ -37,6 +37,8 @@
     pub(crate) bookings: BookingRegister,
     /// Streams that callers can come back to.
     pub(crate) streams: StreamRegister,
+    /// What this host shares with its peers.
+    pub(crate) shared: SharedState,
     /// Retry budgets of the model services.
     pub(crate) budgets: StreamBudgets,
     /// Records on their way to peers.
@@ -60,6 +62,7 @@
         let started = ports.clock.now();
         let seed = started.as_micros() ^ u64::from(std::process::id()) << 32;
         Arc::new(Self {
+            shared: SharedState::new(started, &settings, seed),
             placement: Mutex::new(PlacementDesk::new(&settings.host)),
             settings,
             ports,
@@ -201,7 +204,7 @@
 
     /// Returns whether the daemon takes new requests.
     pub(crate) fn is_ready(&self) -> bool {
-        !self.is_draining() && self.table().version > 0
+        !self.is_draining() && self.shared.is_head_known() && self.table().version > 0
     }
 
     /// Returns what this host says of itself.
@@ -216,7 +219,7 @@
             table_version: self.table().version,
             streams: self.metrics.open_streams.get().max(0) as u32,
             servers: directory.open_count() as u32,
-            peers: directory.entry_hosts().len() as u32,
+            peers: self.shared.peer_count() as u32,
         }
     }
 }
--- a/crates/teaselglade/tests/processes/main.rs
+++ b/crates/teaselglade/tests/processes/main.rs
@@ -7,4 +7,5 @@
 mod harness;
 mod interface_page;
 mod limits;
+mod table_in_force;
 mod whole_path;
