--- a/crates/teaselglade-entry/src/host/entry_daemon.rs
+++ b/crates/teaselglade-entry/src/host/entry_daemon.rs
@@ -16,7 +16,7 @@
 use crate::peer_api::peer_router;
 use crate::placement::poll_servers;
 use crate::settings::EntrySettings;
-use crate::shared::follow_table;
+use crate::shared::{follow_notices, follow_table, run_exchange, survey_head};
 
 const DRAIN_POLL: Duration = Duration::from_millis(20);
 
@@ -45,17 +45,21 @@
     /// # Errors
     ///
     /// Fails where an address cannot be bound.
-    pub async fn start(settings: EntrySettings) -> Result<Self> {
+    pub async fn start(mut settings: EntrySettings) -> Result<Self> {
         let callers = HttpServer::bind(settings.callers).await?;
         let peers = HttpServer::bind(settings.peers).await?;
         let addresses = DaemonAddresses {
             callers: callers.address()?,
             peers: peers.address()?,
         };
+        settings.peers = addresses.peers;
         let ports = EntryPorts::connect(&settings);
         let host = EntryHost::new(settings, ports, EntryMetrics::new()?);
         let followers = vec![
             tokio::spawn(follow_table(Arc::clone(&host))),
+            tokio::spawn(survey_head(Arc::clone(&host))),
+            tokio::spawn(run_exchange(Arc::clone(&host))),
+            tokio::spawn(follow_notices(Arc::clone(&host))),
             tokio::spawn(follow_host_list(Arc::clone(&host))),
             tokio::spawn(poll_servers(Arc::clone(&host))),
         ];
--- a/crates/teaselglade-entry/src/host/entry_host.rs
+++ b/crates/teaselglade-entry/src/host/entry_host.rs
@@ -21,7 +21,7 @@
 use crate::metrics::EntryMetrics;
 use crate::placement::{PlacementDesk, PlacementOrder};
 use crate::settings::EntrySettings;
-use crate::shared::TableInForce;
+use crate::shared::{SharedState, TableInForce};
 use crate::stream::{StreamBudgets, StreamRegister};
 
 /// What the parts of one entry daemon share.
@@ -41,6 +41,8 @@
     pub(crate) budgets: StreamBudgets,
     /// Records on their way to peers.
     pub(crate) handovers: HandoverDesk,
+    /// What this host shares with its peers.
+    pub(crate) shared: SharedState,
     /// Start number of this host.
     pub(crate) incarnation: u64,
     directory: Mutex<BackendDirectory>,
@@ -61,6 +63,7 @@
         let seed = started.as_micros() ^ u64::from(std::process::id()) << 32;
         Arc::new(Self {
             placement: Mutex::new(PlacementDesk::new(&settings.host)),
+            shared: SharedState::new(started, &settings, seed),
             settings,
             ports,
             metrics,
@@ -181,6 +184,17 @@
         self.placement().sync(self.now(), &directory);
     }
 
+    /// Tells the streams which servers are leaving.
+    pub(crate) fn announce_leaving(
+        &self,
+        servers: impl IntoIterator<Item = ServerKey>,
+        deadline: Timestamp,
+    ) {
+        for server in servers {
+            self.streams.announce_leaving(server, deadline);
+        }
+    }
+
     /// Returns the servers whose reports the placement wants, with their addresses.
     pub(crate) fn polled_servers(&self) -> Vec<(ServerKey, SocketAddr)> {
         let servers = self.placement().servers();
@@ -201,7 +215,7 @@
 
     /// Returns whether the daemon takes new requests.
     pub(crate) fn is_ready(&self) -> bool {
-        !self.is_draining() && self.table().version > 0
+        !self.is_draining() && self.shared.is_head_known() && self.table().version > 0
     }
 
     /// Returns what this host says of itself.
@@ -216,7 +230,7 @@
             table_version: self.table().version,
             streams: self.metrics.open_streams.get().max(0) as u32,
             servers: directory.open_count() as u32,
-            peers: directory.entry_hosts().len() as u32,
+            peers: self.shared.peer_count() as u32,
         }
     }
 }
--- a/crates/teaselglade/tests/processes/handover.rs
+++ b/crates/teaselglade/tests/processes/handover.rs
@@ -16,6 +16,7 @@
 const TOKENS: u32 = 120;
 const STREAMS: usize = 16;
 const UNDER_WAY: Duration = Duration::from_millis(500);
+const CHEAPEST_CENTS_PER_HOUR: f64 = 0.1;
 const SHORT_DRAIN: Duration = Duration::from_secs(3);
 
 fn query(index: usize) -> StreamQuery {
@@ -57,6 +58,8 @@
     let engine = hosts.find(|host| host.service == "patter-engine");
     let mut engine = engine.expect("a model engine");
     engine.name = format!("{}-frozen", engine.name);
+    // Placement goes by cost, so the cheapest engine is sure to get streams.
+    engine.cents_per_hour = CHEAPEST_CENTS_PER_HOUR;
     let body = to_json(&engine).expect("the host is encoded");
     let put = HttpCall::new(Method::PUT, fleet.platform.host_list, "/hosts").body(body);
     fleet.call(put).await;
