--- a/crates/teaselglade-entry/src/directory/host_list_follower.rs
+++ b/crates/teaselglade-entry/src/directory/host_list_follower.rs
@@ -34,8 +34,5 @@
     host.shared.mark_leaving(&mut hosts);
     let leaving = host.directory().apply(hosts);
     host.sync_placement();
-    let deadline = host.now() + ASSUMED_NOTICE;
-    for server in leaving {
-        host.streams.announce_leaving(server, deadline);
-    }
+    host.announce_leaving(leaving, host.now() + ASSUMED_NOTICE);
 }
--- a/crates/teaselglade-entry/src/shared/exchange_driver.rs
+++ b/crates/teaselglade-entry/src/shared/exchange_driver.rs
@@ -17,11 +17,18 @@
 use crate::directory::ASSUMED_NOTICE;
 use crate::host::EntryHost;
 
+const DEMAND_INTERVAL: Duration = Duration::from_secs(1);
 const LONGEST_SLEEP: Duration = Duration::from_millis(200);
 
 /// Runs the exchange with the other entry hosts.
 pub(crate) async fn run_exchange(host: Arc<EntryHost>) {
+    let mut demand_due = host.now();
     loop {
+        if host.now() >= demand_due {
+            demand_due = host.now() + DEMAND_INTERVAL;
+            let demand = host.placement().demand_text(host.now());
+            tell_membership(&host, MembershipEvent::DemandSet { demand });
+        }
         let wake = host.shared.membership().next_wake();
         let pause = (wake - host.now()).min(LONGEST_SLEEP);
         tokio::select! {
@@ -62,9 +69,10 @@
         MembershipAction::MemberChanged(entry) => {
             log::info!("entry host {} is {:?}", entry.name, entry.liveness);
         }
-        MembershipAction::DemandReceived { .. }
-        | MembershipAction::Answer { .. }
-        | MembershipAction::Refuse { .. } => {}
+        MembershipAction::DemandReceived { peer, demand } => {
+            host.placement().hear_demand(host.now(), &peer, &demand);
+        }
+        MembershipAction::Answer { .. } | MembershipAction::Refuse { .. } => {}
     }
 }
 
@@ -83,7 +91,7 @@
     } else {
         host.now() + ASSUMED_NOTICE
     };
-    host.streams.announce_leaving(server, deadline);
+    host.announce_leaving([server], deadline);
 }
 
 async fn exchange(host: Arc<EntryHost>, peer: HostName, address: SocketAddr, body: Bytes) {
