--- a/crates/teaselglade/src/demo/demo_summary.rs
+++ b/crates/teaselglade/src/demo/demo_summary.rs
@@ -1,5 +1,6 @@
 //! Totals of one demo.
 
+use std::collections::BTreeMap;
 use std::fmt;
 
 use serde::{Deserialize, Serialize};
@@ -17,6 +18,8 @@
     pub whole: u64,
     /// Requests refused with the verdict "not run".
     pub refused_not_run: u64,
+    /// Refusals by reason.
+    pub refusals: BTreeMap<String, u64>,
     /// Requests that ended with "may have run".
     pub may_have_run: u64,
     /// Accepted requests without a whole, right answer.
@@ -59,6 +62,9 @@
         writeln!(f, "accepted               {}", self.accepted)?;
         writeln!(f, "whole                  {}", self.whole)?;
         writeln!(f, "refused, not run       {}", self.refused_not_run)?;
+        for (reason, count) in &self.refusals {
+            writeln!(f, "  {reason:<20} {count}")?;
+        }
         writeln!(f, "may have run           {}", self.may_have_run)?;
         writeln!(f, "lost                   {}", self.lost)?;
         writeln!(f, "duplicated executions  {}", self.duplicated_executions)?;
--- a/crates/teaselglade/src/demo/demo_tally.rs
+++ b/crates/teaselglade/src/demo/demo_tally.rs
@@ -4,7 +4,7 @@
 
 use hdrhistogram::Histogram;
 use teaselglade_core::table::ServiceRow;
-use teaselglade_wire::Verdict;
+use teaselglade_wire::{ErrorBody, Verdict};
 
 use super::DemoSummary;
 use crate::caller::{PlainReport, StreamOutcome, StreamReport};
@@ -44,7 +44,7 @@
     pub(super) fn note_stream(&mut self, report: &StreamReport, expected: &str, row: &ServiceRow) {
         match &report.outcome {
             StreamOutcome::Refused(refusal) if report.tokens.is_empty() => {
-                self.note_refusal(refusal.verdict);
+                self.note_refusal(refusal);
             }
             StreamOutcome::Whole(end) => {
                 self.summary.accepted += 1;
@@ -73,7 +73,7 @@
                 if refusal.verdict == Verdict::NotRun {
                     self.refused_keys.push(key.to_owned());
                 }
-                self.note_refusal(refusal.verdict);
+                self.note_refusal(refusal);
             }
             PlainReport::Answered { .. } | PlainReport::Lost { .. } => {
                 self.summary.accepted += 1;
@@ -96,8 +96,10 @@
         self.summary
     }
 
-    const fn note_refusal(&mut self, verdict: Verdict) {
-        match verdict {
+    fn note_refusal(&mut self, refusal: &ErrorBody) {
+        let reason = refusal.reason.clone();
+        *self.summary.refusals.entry(reason).or_insert(0) += 1;
+        match refusal.verdict {
             Verdict::NotRun => self.summary.refused_not_run += 1,
             Verdict::MayHaveRun | Verdict::Ran => self.summary.may_have_run += 1,
         }
