--- a/crates/teaselglade-state/src/membership/membership_machine.rs
+++ b/crates/teaselglade-state/src/membership/membership_machine.rs
@@ -3,11 +3,9 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use rand::seq::SliceRandom;
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use teaselglade_core::id::{HostIncarnation, HostKey, HostName};
-use teaselglade_core::port::{ListedHost, ListedRole};
 use teaselglade_core::time::Timestamp;
 
 use super::member_arena::MemberArena;
@@ -17,18 +15,15 @@
 use super::send_budget::SendBudget;
 use super::slice_digest::name_hash;
 use super::{
-    LeavingNotice, MemberEntry, MemberLiveness, MembershipAction, MembershipCounts,
-    MembershipEvent, MembershipSettings, MessageRefusal,
+    MemberEntry, MemberLiveness, MembershipAction, MembershipCounts, MembershipEvent,
+    MembershipSettings, MessageRefusal,
 };
 
 const EXCHANGE_INTERVAL: Duration = Duration::from_secs(1);
 const PUSH_INTERVAL: Duration = Duration::from_millis(200);
 const PUSH_FAN_OUT: usize = 3;
-const MISSED_CALLS_TO_SUSPECT: u32 = 3;
-const SUSPICION_TIME: Duration = Duration::from_secs(4);
 const FAILED_PROBE_INTERVAL: Duration = Duration::from_secs(10);
 const FORGET_INTERVAL: Duration = Duration::from_mins(1);
-const FORGET_FAILED_AFTER: Duration = Duration::from_hours(2);
 const READERS_PER_ZONE: usize = 2;
 const PULL_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -71,7 +66,7 @@
     pub(super) pull: Option<TablePull>,
     pub(super) demand: String,
     pub(super) next_slice: u16,
-    heartbeat_order: Vec<HostKey>,
+    pub(super) heartbeat_order: Vec<HostKey>,
     next_exchange: Timestamp,
     next_push: Timestamp,
     next_failed_probe: Timestamp,
@@ -224,45 +219,7 @@
         }
     }
 
-    /// Takes peers in a shuffled round, so that each is asked once a round.
-    fn next_heartbeat_peer(&mut self) -> Option<HostKey> {
-        for _ in 0..2 {
-            while let Some(key) = self.heartbeat_order.pop() {
-                if self.is_reachable(key) {
-                    return Some(key);
-                }
-            }
-            self.heartbeat_order = self.members.keys().collect();
-            self.heartbeat_order.shuffle(&mut self.random);
-        }
-        None
-    }
-
-    fn random_peer(&mut self) -> Option<HostKey> {
-        let keys = self.members.keys().filter(|key| self.is_reachable(*key));
-        let keys = keys.collect::<Vec<_>>();
-        self.pick(&keys)
-    }
-
-    fn random_failed_peer(&mut self) -> Option<HostKey> {
-        let keys = self.members.keys().filter(|key| !self.is_reachable(*key));
-        let keys = keys.collect::<Vec<_>>();
-        self.pick(&keys)
-    }
-
-    fn pick(&mut self, keys: &[HostKey]) -> Option<HostKey> {
-        if keys.is_empty() {
-            return None;
-        }
-        Some(keys[self.random.random_range(0..keys.len())])
-    }
-
-    fn is_reachable(&self, key: HostKey) -> bool {
-        let slot = self.members.get(key);
-        slot.is_some_and(|slot| slot.entry.is_reachable())
-    }
-
-    fn send_exchange(
+    pub(super) fn send_exchange(
         &mut self,
         key: HostKey,
         with_digests: bool,
@@ -322,102 +279,6 @@
         }
     }
 
-    fn on_call_failed(
-        &mut self,
-        now: Timestamp,
-        peer: &HostName,
-        actions: &mut Vec<MembershipAction>,
-    ) {
-        let Some(key) = self.members.find(peer) else {
-            return;
-        };
-        let Some(slot) = self.members.get_mut(key) else {
-            return;
-        };
-        slot.missed_calls += 1;
-        let missed = slot.missed_calls;
-        if slot.entry.liveness != MemberLiveness::Alive {
-            return;
-        }
-        if missed < MISSED_CALLS_TO_SUSPECT {
-            self.send_exchange(key, true, actions);
-            return;
-        }
-        let suspect = MemberEntry {
-            liveness: MemberLiveness::Suspect,
-            ..slot.entry.clone()
-        };
-        self.merge_member(now, suspect, actions);
-    }
-
-    fn fail_suspects(&mut self, now: Timestamp, actions: &mut Vec<MembershipAction>) {
-        let is_overdue = |key: &HostKey| {
-            self.members.get(*key).is_some_and(|slot| {
-                let is_suspect = slot.entry.liveness == MemberLiveness::Suspect;
-                is_suspect && now - slot.changed >= SUSPICION_TIME
-            })
-        };
-        let overdue = self.members.keys().filter(is_overdue).collect::<Vec<_>>();
-        for key in overdue {
-            let Some(slot) = self.members.get(key) else {
-                continue;
-            };
-            let failed = MemberEntry {
-                liveness: MemberLiveness::Failed,
-                ..slot.entry.clone()
-            };
-            self.members.put(now, failed.clone());
-            actions.push(MembershipAction::MemberChanged(failed));
-        }
-    }
-
-    fn on_host_list(
-        &mut self,
-        now: Timestamp,
-        hosts: Vec<ListedHost>,
-        actions: &mut Vec<MembershipAction>,
-    ) {
-        for host in hosts {
-            let is_entry = host.role == ListedRole::Entry;
-            if host.leaving {
-                let notice = LeavingNotice {
-                    host: host.name.clone(),
-                    incarnation: host.incarnation,
-                    is_entry,
-                    issued: now,
-                    deadline: now,
-                };
-                self.merge_notice(now, notice, actions);
-            }
-            if is_entry {
-                self.merge_listed(now, host, actions);
-            }
-        }
-    }
-
-    /// Takes a listed host in; the list never changes what is known of an incarnation.
-    fn merge_listed(
-        &mut self,
-        now: Timestamp,
-        host: ListedHost,
-        actions: &mut Vec<MembershipAction>,
-    ) {
-        let entry = MemberEntry {
-            name: host.name,
-            incarnation: host.incarnation,
-            sequence: 0,
-            liveness: MemberLiveness::Alive,
-            address: host.address,
-            zone: host.zone,
-        };
-        let known = self.members.entry(&entry.name);
-        let is_news = known.is_none_or(|known| entry.incarnation > known.incarnation);
-        if is_news && entry.name != self.own.name {
-            self.members.put(now, entry.clone());
-            actions.push(MembershipAction::MemberChanged(entry));
-        }
-    }
-
     fn on_table(&mut self, version: u64) {
         if version > self.table_version {
             self.table_version = version;
@@ -432,19 +293,6 @@
         }
     }
 
-    fn forget_old(&mut self, now: Timestamp) {
-        self.notices.forget_old(now);
-        let is_old = |key: &HostKey| {
-            self.members.get(*key).is_some_and(|slot| {
-                !slot.entry.is_reachable() && now - slot.changed >= FORGET_FAILED_AFTER
-            })
-        };
-        let old = self.members.keys().filter(is_old).collect::<Vec<_>>();
-        for key in old {
-            self.members.forget(key);
-        }
-    }
-
     /// Returns whether a pull of the version may start now.
     pub(super) fn start_pull(&mut self, now: Timestamp, version: u64) -> bool {
         let is_running = self
--- a/crates/teaselglade-state/src/membership/mod.rs
+++ b/crates/teaselglade-state/src/membership/mod.rs
@@ -5,6 +5,8 @@
 
 mod exchange_merge;
 mod exchange_message;
+mod failure_watch;
+mod host_list_merge;
 mod leaving_notice;
 mod list_pace;
 mod member_arena;
@@ -15,6 +17,7 @@
 mod membership_settings;
 mod message_check;
 mod notice_set;
+mod peer_choice;
 mod rumour_queue;
 mod send_budget;
 mod slice_digest;
--- a/crates/teaselglade-state/src/table/mod.rs
+++ b/crates/teaselglade-state/src/table/mod.rs
@@ -5,11 +5,13 @@
 
 mod head_survey;
 mod publication_entry;
+mod publication_history;
 mod publisher_message;
 mod record_codec;
 mod replay_outcome;
 mod row_change;
 mod snapshot_keeper;
+mod snapshot_merge;
 mod table_publisher;
 mod table_replica;
 mod table_version;
--- /dev/null
+++ b/crates/teaselglade-state/src/table/publication_history.rs
@@ -0,0 +1,51 @@
+//! Remembers publications and versions, a bounded number of each.
+
+use std::collections::VecDeque;
+
+use super::{PublicationEntry, PublicationOutcome, TableVersion};
+
+const MAX_VERSIONS: usize = 32;
+const MAX_ENTRIES: usize = 512;
+
+/// The latest publications and versions.
+#[derive(Debug, Clone, Default)]
+pub(super) struct PublicationHistory {
+    versions: VecDeque<TableVersion>,
+    entries: VecDeque<PublicationEntry>,
+}
+
+impl PublicationHistory {
+    pub(super) fn add_version(&mut self, version: TableVersion) {
+        push_bounded(&mut self.versions, MAX_VERSIONS, version);
+    }
+
+    pub(super) fn add_entry(&mut self, entry: PublicationEntry) {
+        push_bounded(&mut self.entries, MAX_ENTRIES, entry);
+    }
+
+    pub(super) fn version(&self, version: u64) -> Option<&TableVersion> {
+        self.versions.iter().find(|known| known.version == version)
+    }
+
+    pub(super) fn entries(&self) -> impl Iterator<Item = &PublicationEntry> {
+        self.entries.iter()
+    }
+
+    /// Returns the outcome of a publication; of several records the accepted one counts.
+    pub(super) fn outcome(&self, id: &str) -> Option<&PublicationOutcome> {
+        let outcomes = || {
+            let entries = self.entries.iter().filter(|entry| entry.id == id);
+            entries.map(|entry| &entry.outcome)
+        };
+        let is_accepted =
+            |outcome: &&PublicationOutcome| matches!(outcome, PublicationOutcome::Accepted { .. });
+        outcomes().find(is_accepted).or_else(|| outcomes().next())
+    }
+}
+
+fn push_bounded<T>(queue: &mut VecDeque<T>, most: usize, entry: T) {
+    if queue.len() == most {
+        queue.pop_front();
+    }
+    queue.push_back(entry);
+}
--- a/crates/teaselglade-state/src/table/table_replica.rs
+++ b/crates/teaselglade-state/src/table/table_replica.rs
@@ -1,20 +1,16 @@
 //! Replays the table's stream into versions.
 
-use std::collections::VecDeque;
-
 use teaselglade_core::port::{LogPage, LogRecord};
 use teaselglade_core::table::parse_table;
 use teaselglade_core::time::Timestamp;
 use teaselglade_wire::{TableHead, TablePublication, TableRecord, TableSnapshot};
 
+use super::publication_history::PublicationHistory;
 use super::{
     MAX_TABLE_BYTES, PublicationEntry, PublicationOutcome, PublicationRejection, ReplayCounts,
     ReplayOutcome, SkipReason, TableVersion, decode_record,
 };
 
-const MAX_VERSIONS: usize = 32;
-const MAX_HISTORY: usize = 512;
-
 /// Copy of the table that replays the log; every reader comes to the same versions.
 ///
 /// The first valid publication on a base wins. Versions only go upwards. A reader that misses
@@ -33,18 +29,17 @@
 /// ```
 #[derive(Debug, Clone)]
 pub struct TableReplica {
-    cluster: String,
-    covered: u64,
-    scanned: u64,
-    floor: u64,
-    is_anchored: bool,
-    is_caught_up: bool,
-    needed_since: Option<Timestamp>,
-    needed_records: u64,
-    head: TableVersion,
-    versions: VecDeque<TableVersion>,
-    history: VecDeque<PublicationEntry>,
-    counts: ReplayCounts,
+    pub(super) cluster: String,
+    pub(super) covered: u64,
+    pub(super) scanned: u64,
+    pub(super) floor: u64,
+    pub(super) is_anchored: bool,
+    pub(super) is_caught_up: bool,
+    pub(super) needed_since: Option<Timestamp>,
+    pub(super) needed_records: u64,
+    pub(super) head: TableVersion,
+    pub(super) history: PublicationHistory,
+    pub(super) counts: ReplayCounts,
 }
 
 impl TableReplica {
@@ -61,8 +56,7 @@
             needed_since: None,
             needed_records: 0,
             head: TableVersion::default(),
-            versions: VecDeque::new(),
-            history: VecDeque::new(),
+            history: PublicationHistory::default(),
             counts: ReplayCounts::default(),
         }
     }
@@ -109,28 +103,6 @@
         }
     }
 
-    /// Adopts a peer's head and returns whether the version in force went up.
-    ///
-    /// A head that covers no more of the log than this replica knows is ignored.
-    pub fn on_peer_head(&mut self, snapshot: TableSnapshot) -> bool {
-        if snapshot.cluster != self.cluster {
-            self.counts.foreign += 1;
-            return false;
-        }
-        if snapshot.through <= self.covered {
-            return false;
-        }
-        if snapshot.version < self.head.version || !is_valid_head(&snapshot) {
-            self.counts.conflicts += 1;
-            return false;
-        }
-        self.covered = snapshot.through;
-        self.is_anchored = self.covered >= self.floor;
-        self.is_caught_up = false;
-        self.forget_needed();
-        self.raise_head(snapshot.into())
-    }
-
     /// Returns the version in force.
     #[must_use]
     pub const fn head(&self) -> &TableVersion {
@@ -196,12 +168,12 @@
     /// Returns an accepted version, where it is still remembered.
     #[must_use]
     pub fn version(&self, version: u64) -> Option<&TableVersion> {
-        self.versions.iter().find(|known| known.version == version)
+        self.history.version(version)
     }
 
     /// Returns publications, accepted and rejected, oldest first.
     pub fn history(&self) -> impl Iterator<Item = &PublicationEntry> {
-        self.history.iter()
+        self.history.entries()
     }
 
     /// Returns what the log decided on a publication, where that was read.
@@ -209,13 +181,7 @@
     /// Of several records with the same id the accepted one counts.
     #[must_use]
     pub fn publication(&self, id: &str) -> Option<&PublicationOutcome> {
-        let outcomes = || {
-            let entries = self.history.iter().filter(|entry| entry.id == id);
-            entries.map(|entry| &entry.outcome)
-        };
-        let is_accepted =
-            |outcome: &&PublicationOutcome| matches!(outcome, PublicationOutcome::Accepted { .. });
-        outcomes().find(is_accepted).or_else(|| outcomes().next())
+        self.history.outcome(id)
     }
 
     /// Returns counts of what was replayed.
@@ -231,11 +197,6 @@
         self.scanned = first;
     }
 
-    fn forget_needed(&mut self) {
-        self.needed_since = None;
-        self.needed_records = 0;
-    }
-
     fn replay_records(&mut self, page: &LogPage, outcomes: &mut Vec<ReplayOutcome>) {
         let covered = self.covered;
         let records = page.records.iter();
@@ -248,7 +209,7 @@
         }
     }
 
-    fn decode(&mut self, record: &LogRecord) -> Result<TableRecord, SkipReason> {
+    pub(super) fn decode(&mut self, record: &LogRecord) -> Result<TableRecord, SkipReason> {
         let Ok(decoded) = decode_record(&record.body) else {
             self.counts.malformed += 1;
             return Err(SkipReason::Malformed);
@@ -272,22 +233,18 @@
                 version: self.head.version + 1,
             },
         };
-        push_bounded(
-            &mut self.history,
-            MAX_HISTORY,
-            PublicationEntry {
-                offset: record.offset,
-                id: publication.id.clone(),
-                base: publication.base,
-                author: publication.author.clone(),
-                published: Timestamp::from_millis(publication.published_ms),
-                appended: record.appended,
-                outcome: outcome.clone(),
-            },
-        );
+        self.history.add_entry(PublicationEntry {
+            offset: record.offset,
+            id: publication.id.clone(),
+            base: publication.base,
+            author: publication.author.clone(),
+            published: Timestamp::from_millis(publication.published_ms),
+            appended: record.appended,
+            outcome: outcome.clone(),
+        });
         if let PublicationOutcome::Accepted { version } = outcome {
             self.counts.accepted += 1;
-            self.raise_head(accepted_version(version, publication));
+            self.raise_head(TableVersion::from_publication(version, publication));
         } else {
             self.counts.rejected += 1;
         }
@@ -308,71 +265,16 @@
         Some(PublicationRejection::InvalidTable { faults })
     }
 
-    fn check_snapshot(&mut self, record: &LogRecord, snapshot: &TableSnapshot) -> ReplayOutcome {
-        let is_tight = snapshot.through == record.offset;
-        if !is_tight {
-            return ReplayOutcome::SnapshotSeen;
-        }
-        if snapshot.version != self.head.version || snapshot.id != self.head.id {
-            self.counts.conflicts += 1;
-            return ReplayOutcome::SnapshotConflict;
-        }
-        self.needed_since = Some(record.appended);
-        self.needed_records = 1;
-        ReplayOutcome::SnapshotSeen
-    }
-
-    /// Looks for a snapshot behind which the log still keeps every record.
-    fn find_anchor(&mut self, page: &LogPage) -> Option<ReplayOutcome> {
-        for record in &page.records {
-            let Ok(TableRecord::Snapshot(snapshot)) = self.decode(record) else {
-                continue;
-            };
-            let is_covered = (page.first..=record.offset).contains(&snapshot.through);
-            if is_covered && is_valid_head(&snapshot) && snapshot.version >= self.head.version {
-                return Some(self.adopt_anchor(snapshot));
-            }
-        }
-        let behind_page = page.records.last().map_or(0, |record| record.offset + 1);
-        self.scanned = self.scanned.max(self.floor).max(behind_page);
-        None
-    }
-
-    fn adopt_anchor(&mut self, snapshot: TableSnapshot) -> ReplayOutcome {
-        let version = snapshot.version;
-        self.counts.adopted += 1;
-        self.is_anchored = true;
-        self.covered = snapshot.through;
-        self.forget_needed();
-        self.raise_head(snapshot.into());
-        ReplayOutcome::SnapshotAdopted { version }
-    }
-
-    fn raise_head(&mut self, version: TableVersion) -> bool {
+    pub(super) fn raise_head(&mut self, version: TableVersion) -> bool {
         if version.version <= self.head.version {
             return false;
         }
-        push_bounded(&mut self.versions, MAX_VERSIONS, version.clone());
+        self.history.add_version(version.clone());
         self.head = version;
         true
     }
 }
 
-fn accepted_version(version: u64, publication: TablePublication) -> TableVersion {
-    TableVersion {
-        version,
-        id: publication.id,
-        base: publication.base,
-        author: publication.author,
-        csv: publication.csv,
-        published: Timestamp::from_millis(publication.published_ms),
-    }
-}
-
-fn is_valid_head(snapshot: &TableSnapshot) -> bool {
-    snapshot.version == 0 || table_faults(&snapshot.csv).is_none()
-}
-
 pub(super) fn table_faults(csv: &str) -> Option<String> {
     if csv.len() > MAX_TABLE_BYTES {
         return Some(format!(
@@ -382,10 +284,3 @@
     }
     parse_table(csv).err().map(|error| error.to_string())
 }
-
-fn push_bounded<T>(queue: &mut VecDeque<T>, most: usize, entry: T) {
-    if queue.len() == most {
-        queue.pop_front();
-    }
-    queue.push_back(entry);
-}
--- a/crates/teaselglade-state/src/table/table_version.rs
+++ b/crates/teaselglade-state/src/table/table_version.rs
@@ -1,7 +1,7 @@
 //! One accepted version of the table.
 
 use teaselglade_core::time::Timestamp;
-use teaselglade_wire::TableSnapshot;
+use teaselglade_wire::{TablePublication, TableSnapshot};
 
 teaselglade_core::value_type! {
     /// One accepted version of the table.
@@ -32,6 +32,17 @@
 }
 
 impl TableVersion {
+    pub(super) fn from_publication(version: u64, publication: TablePublication) -> Self {
+        Self {
+            version,
+            id: publication.id,
+            base: publication.base,
+            author: publication.author,
+            csv: publication.csv,
+            published: Timestamp::from_millis(publication.published_ms),
+        }
+    }
+
     /// Returns the version as a snapshot that covers the log before offset `through`.
     #[must_use]
     pub fn to_snapshot(&self, cluster: &str, through: u64) -> TableSnapshot {
