fix(state): give demand shares room for 32 rows, and never leave old ones in the slot

Cause: placement sends up to 32 shares, some 1.2 KB by reckoning; the slot held 512 bytes and kept the old text in silence when a new one was longer. Change: 1,536 bytes, an empty slot and a count for longer ones; pushes carry none.

--- a/crates/teaselglade-state/src/membership/exchange_message.rs
+++ b/crates/teaselglade-state/src/membership/exchange_message.rs
@@ -20,6 +20,7 @@
     pub(super) fn compose_request(&mut self, peer: &HostName, with_digests: bool) -> Option<Bytes> {
         let mut message = self.empty_message();
         if with_digests {
+            message.demand.clone_from(&self.demand);
             self.add_digests(&mut message);
         }
         self.add_doubt(peer, &mut message);
@@ -34,6 +35,10 @@
     ) -> Option<Bytes> {
         let mut message = self.empty_message();
         self.add_doubt(&HostName::new(request.from.name.as_str()), &mut message);
+        let is_regular = !request.digests.is_empty();
+        if is_regular {
+            message.demand.clone_from(&self.demand);
+        }
         for digest in &request.digests {
             self.add_difference(request.slices, digest, &mut message);
         }
@@ -54,7 +59,7 @@
             digests: Vec::new(),
             members: Vec::new(),
             notices: Vec::new(),
-            demand: self.demand.clone(),
+            demand: String::new(),
         }
     }
 
--- a/crates/teaselglade-state/src/membership/membership_machine.rs
+++ b/crates/teaselglade-state/src/membership/membership_machine.rs
@@ -287,10 +287,15 @@
         }
     }
 
+    /// Sets the demand; one that is too long leaves the slot empty, so that none stays stale.
     fn set_demand(&mut self, demand: String) {
-        if demand.len() <= MAX_DEMAND_BYTES {
-            self.demand = demand;
+        let is_oversized = demand.len() > MAX_DEMAND_BYTES;
+        if is_oversized {
+            self.counts.oversized += 1;
+            self.demand.clear();
+            return;
         }
+        self.demand = demand;
     }
 
     /// Returns whether a pull of the version may start now.
--- a/crates/teaselglade-state/src/membership/message_check.rs
+++ b/crates/teaselglade-state/src/membership/message_check.rs
@@ -16,7 +16,7 @@
 pub const MAX_MESSAGE_BYTES: usize = 8 * 1024;
 
 /// Most bytes of a host's demand shares.
-pub const MAX_DEMAND_BYTES: usize = 512;
+pub const MAX_DEMAND_BYTES: usize = 1_536;
 
 /// Why a message was refused.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/crates/teaselglade-state/tests/membership/hardening.rs
+++ b/crates/teaselglade-state/tests/membership/hardening.rs
@@ -8,8 +8,8 @@
     MAX_MESSAGE_BYTES, MembershipAction, MembershipEvent, MembershipMachine, MembershipSettings,
     MessageRefusal, PROTOCOL,
 };
-use teaselglade_wire::codec::to_msgpack;
-use teaselglade_wire::{PeerExchange, PeerMember, PeerState};
+use teaselglade_wire::codec::{from_msgpack, to_msgpack};
+use teaselglade_wire::{PeerExchange, PeerMember, PeerSlice, PeerState};
 
 fn machine() -> MembershipMachine {
     let address = "127.0.0.1:1".parse().expect("an address");
@@ -100,6 +100,26 @@
     assert!(!send(&mut machine, encoded(|_| {})).iter().any(is_pull));
 }
 
+#[test]
+fn oversized_demand_of_this_host_is_not_sent() {
+    let mut machine = machine();
+    let now = Timestamp::ZERO;
+    for demand in ["shares".to_owned(), "x".repeat(4_000)] {
+        machine.on_event(now, MembershipEvent::DemandSet { demand });
+    }
+    let regular = encoded(|message| message.digests.push(PeerSlice { index: 0, hash: 0 }));
+    let actions = send(&mut machine, regular);
+    let answers = actions.iter().filter_map(|action| match action {
+        MembershipAction::Answer { body, .. } => from_msgpack::<PeerExchange>(body).ok(),
+        _ => None,
+    });
+    assert_eq!(
+        answers.last().map(|answer| answer.demand),
+        Some(String::new())
+    );
+    assert_eq!(machine.counts().oversized, 1);
+}
+
 proptest! {
     #[test]
     fn garbage_never_panics(body in prop::collection::vec(any::<u8>(), 0..400)) {
