--- /dev/null
+++ b/crates/teaselglade/benches/relay.rs
@@ -0,0 +1,263 @@
+//! Speed of one entry daemon, paired with calling the engine directly.
+//!
+//! `cargo bench -p teaselglade --bench relay` prints added latency, tokens a second with a
+//! thousand open streams, and memory for each open stream.
+
+#[path = "../tests/processes/harness.rs"]
+#[expect(dead_code, reason = "the bench needs only a part of the harness")]
+mod harness;
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use futures::{StreamExt, stream};
+use hdrhistogram::Histogram;
+use http_body_util::BodyExt;
+use hyper::Method;
+use teaselglade_net::client::{HttpCall, HttpCaller};
+use teaselglade_net::server::{HttpServer, json_answer, read_body, stream_answer, with_state};
+use teaselglade_standins::fleet::FleetPlan;
+use teaselglade_wire::codec::{from_json, to_json};
+use teaselglade_wire::{CacheEvents, EngineFrame, EngineGenerate, EngineLoad, HostEntry, HostRole};
+use tokio::time::sleep;
+use viz::{Request, Response, Router};
+
+use harness::TestFleet;
+
+const MAX_BODY_BYTES: usize = 1024 * 1024;
+const SINGLE_CALLS: u32 = 500;
+const STREAMS: usize = 1_000;
+const TOKENS: u32 = 200;
+const HELD_TOKENS: u32 = 1;
+const LONG: Duration = Duration::from_mins(1);
+const TABLE: &str = "\
+kind,name,first_token_ms,token_gap_ms
+organisation,halloran-dublin,,
+model,draft-fleet,600000,60000
+plain,ticket-desk,1000,
+";
+
+/// Engine that sends its frames as fast as they are read.
+#[derive(Debug)]
+struct FloodEngine;
+
+fn line(frame: &EngineFrame) -> io::Result<Bytes> {
+    let mut line = to_json(frame).map_err(io::Error::other)?.to_vec();
+    line.push(b'\n');
+    Ok(line.into())
+}
+
+async fn generate(_engine: Arc<FloodEngine>, request: Request) -> Response {
+    let body = read_body(request, MAX_BODY_BYTES).await.expect("a body");
+    let call = from_json::<EngineGenerate>(&body).expect("an order");
+    let is_held = call.prompt.contains("held");
+    let (request, attempt) = (call.request, call.attempt);
+    let started = EngineFrame::Started {
+        request: request.clone(),
+        attempt,
+        computed_tokens: 1,
+        cached_tokens: 0,
+    };
+    let tokens = (0..call.max_tokens).map({
+        let request = request.clone();
+        move |index| EngineFrame::Token {
+            request: request.clone(),
+            attempt,
+            index,
+            text: "ring ".to_owned(),
+        }
+    });
+    let end = EngineFrame::End {
+        request,
+        attempt,
+        total: call.max_tokens,
+    };
+    let frames = std::iter::once(started).chain(tokens);
+    let frames = stream::iter(frames.map(|frame| line(&frame)));
+    let last = stream::once(async move {
+        if is_held {
+            sleep(LONG).await;
+        }
+        line(&end)
+    });
+    stream_answer(200, "application/x-ndjson", frames.chain(last))
+}
+
+async fn load(_engine: Arc<FloodEngine>, _request: Request) -> Response {
+    let load = EngineLoad {
+        running: 0,
+        waiting: 0,
+        tokens_per_second: 0.0,
+        token_gap_micros: 0,
+        prefill_tokens_per_second: 0.0,
+        kv_free: 1.0,
+    };
+    json_answer(200, &load)
+}
+
+async fn cache_events(_engine: Arc<FloodEngine>, _request: Request) -> Response {
+    let events = CacheEvents {
+        next: 0,
+        events: Vec::new(),
+    };
+    json_answer(200, &events)
+}
+
+async fn start_engine(fleet: &TestFleet) -> SocketAddr {
+    let server = HttpServer::bind("127.0.0.1:0".parse().expect("an address"));
+    let server = server.await.expect("a port");
+    let address = server.address().expect("an address");
+    let engine = Arc::new(FloodEngine);
+    let router = Router::new()
+        .post("/generate", with_state(&engine, generate))
+        .get("/load", with_state(&engine, load))
+        .get("/cache-events", with_state(&engine, cache_events));
+    let _running = server.start(router);
+    let host = HostEntry {
+        name: "galway-flood".to_owned(),
+        incarnation: 1,
+        role: HostRole::Backend,
+        address: address.to_string(),
+        zone: "galway".to_owned(),
+        class: "flood".to_owned(),
+        service: "draft-fleet".to_owned(),
+        cents_per_hour: 0.01,
+        reclaimable: false,
+        leaving: false,
+    };
+    let body = to_json(&host).expect("the host is encoded");
+    let put = HttpCall::new(Method::PUT, fleet.platform.host_list, "/hosts").body(body);
+    fleet.call(put).await;
+    sleep(Duration::from_secs(2)).await;
+    address
+}
+
+fn relayed(entry: SocketAddr, prompt: &str, tokens: u32) -> HttpCall {
+    let body = format!("{{\"prompt\":\"{prompt}\",\"max_tokens\":{tokens}}}");
+    HttpCall::post(entry, "/v1/services/draft-fleet/generate", body)
+        .header("x-organisation", "halloran-dublin")
+        .head_timeout(LONG)
+}
+
+fn direct(engine: SocketAddr, prompt: &str, tokens: u32) -> HttpCall {
+    let order = EngineGenerate {
+        request: uuid::Uuid::now_v7().to_string(),
+        attempt: 1,
+        prompt: prompt.to_owned(),
+        max_tokens: tokens,
+        delivered: Vec::new(),
+        priority: 0,
+        adapter: None,
+        kv_handle: None,
+    };
+    let body = to_json(&order).expect("the order is encoded");
+    HttpCall::post(engine, "/generate", body).head_timeout(LONG)
+}
+
+/// Reads an answer to its end and returns its bytes.
+async fn drain(caller: &HttpCaller, call: HttpCall) -> usize {
+    let response = caller.open(call).await.expect("an answer");
+    assert!(response.status().is_success(), "{}", response.status());
+    let mut body = response.into_body();
+    let mut bytes = 0;
+    while let Some(frame) = body.frame().await {
+        bytes += frame.expect("a frame").data_ref().map_or(0, Bytes::len);
+    }
+    bytes
+}
+
+async fn latencies(caller: &HttpCaller, call: impl Fn() -> HttpCall) -> Histogram<u64> {
+    let mut micros = Histogram::new(3).expect("a histogram");
+    for _ in 0..SINGLE_CALLS {
+        let start = Instant::now();
+        drain(caller, call()).await;
+        micros.saturating_record(start.elapsed().as_micros() as u64);
+    }
+    micros
+}
+
+/// Returns tokens a second over many streams at once.
+async fn throughput(caller: &Arc<HttpCaller>, call: impl Fn() -> HttpCall) -> f64 {
+    let start = Instant::now();
+    let streams = (0..STREAMS).map(|_| {
+        let (caller, call) = (Arc::clone(caller), call());
+        tokio::spawn(async move { drain(&caller, call).await })
+    });
+    for ended in futures::future::join_all(streams.collect::<Vec<_>>()).await {
+        ended.expect("the stream ends");
+    }
+    (STREAMS as f64 * f64::from(TOKENS)) / start.elapsed().as_secs_f64()
+}
+
+fn resident_kilobytes(pid: u32) -> u64 {
+    let status = std::fs::read_to_string(format!("/proc/{pid}/status")).unwrap_or_default();
+    let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+    let digits = line.and_then(|line| line.split_whitespace().next());
+    digits.and_then(|digits| digits.parse().ok()).unwrap_or(0)
+}
+
+async fn measure_latency(caller: &HttpCaller, entry: SocketAddr, engine: SocketAddr) {
+    for round in 1..=3 {
+        let plain = latencies(caller, || direct(engine, "a ring", 1)).await;
+        let through = latencies(caller, || relayed(entry, "a ring", 1)).await;
+        for quantile in [0.5, 0.99] {
+            let (direct, relayed) = (
+                plain.value_at_quantile(quantile),
+                through.value_at_quantile(quantile),
+            );
+            let ratio = relayed as f64 / direct as f64;
+            println!(
+                "round {round} q{quantile}: direct {direct} us, relayed {relayed} us, ratio {ratio:.2}"
+            );
+        }
+    }
+}
+
+async fn measure_throughput(caller: &Arc<HttpCaller>, entry: SocketAddr, engine: SocketAddr) {
+    for round in 1..=3 {
+        let plain = throughput(caller, || direct(engine, "a ring", TOKENS)).await;
+        let through = throughput(caller, || relayed(entry, "a ring", TOKENS)).await;
+        println!(
+            "round {round}: direct {plain:.0} tokens/s, relayed {through:.0} tokens/s, ratio {:.3}",
+            through / plain
+        );
+    }
+}
+
+async fn measure_memory(caller: &Arc<HttpCaller>, entry: SocketAddr, pid: u32) {
+    let mut before = resident_kilobytes(pid);
+    for size in [250, 500, 1_000] {
+        let held = (0..size).map(|_| {
+            let caller = Arc::clone(caller);
+            tokio::spawn(async move {
+                let call = relayed(entry, "held", HELD_TOKENS);
+                caller.open(call).await.expect("an answer")
+            })
+        });
+        let held = futures::future::join_all(held.collect::<Vec<_>>()).await;
+        sleep(Duration::from_millis(700)).await;
+        let after = resident_kilobytes(pid);
+        let each = after.saturating_sub(before) as f64 / f64::from(size);
+        println!("{size} open streams: {before} to {after} KB, {each:.1} KB each");
+        drop(held);
+        sleep(Duration::from_secs(1)).await;
+        before = resident_kilobytes(pid);
+    }
+}
+
+#[tokio::main]
+async fn main() {
+    let mut plan = FleetPlan::corrib();
+    TABLE.clone_into(&mut plan.table);
+    let fleet = TestFleet::start(plan, 1).await;
+    let engine = start_engine(&fleet).await;
+    let entry = fleet.callers()[0];
+    let pid = fleet.entries[0].process.id();
+    let caller = Arc::new(HttpCaller::default());
+    measure_memory(&caller, entry, pid).await;
+    measure_latency(&caller, entry, engine).await;
+    measure_throughput(&caller, entry, engine).await;
+}
--- a/crates/teaselglade/tests/processes/harness.rs
+++ b/crates/teaselglade/tests/processes/harness.rs
@@ -46,7 +46,7 @@
 
     /// Sends a signal by name, such as `STOP`, to this process only.
     pub fn signal(&self, name: &str) {
-        let pid = self.child.id().to_string();
+        let pid = self.id().to_string();
         let status = Command::new("kill").args(["-s", name, &pid]).status();
         assert!(
             status.expect("kill runs").success(),
@@ -54,6 +54,11 @@
         );
     }
 
+    /// Returns the id of the process.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Kills the process at once.
     pub fn kill(&mut self) {
         // A process that ended by itself needs no kill.
