--- a/crates/teaselglade-entry/src/directory/backend_directory.rs
+++ b/crates/teaselglade-entry/src/directory/backend_directory.rs
@@ -39,17 +39,17 @@
         leaving
     }
 
-    /// Marks an incarnation of a host as leaving, and returns its server where that is news.
+    /// Marks an incarnation of a host as leaving and returns its server, where that is news.
     pub(crate) fn mark_leaving(
         &mut self,
         host: &HostName,
         incarnation: HostIncarnation,
     ) -> Option<ServerKey> {
-        let key = self.keys.get(&(host.clone(), incarnation))?;
+        let key = *self.keys.get(&(host.clone(), incarnation))?;
         let server = self.servers.get_mut(key.index())?;
         let is_news = !server.leaving;
         server.leaving = true;
-        is_news.then_some(*key)
+        is_news.then_some(key)
     }
 
     /// Returns a server.
@@ -57,6 +57,13 @@
         self.servers.get(key.index())
     }
 
+    /// Returns the server on a host, where it takes new work.
+    pub(crate) fn server_on(&self, host: &str) -> Option<ServerKey> {
+        let mut open = self.open();
+        let server = open.find(|server| server.host.as_str() == host);
+        server.map(|server| server.key)
+    }
+
     /// Returns the servers that take new work.
     pub(crate) fn open(&self) -> impl Iterator<Item = &ServerEntry> {
         self.servers.iter().filter(|server| server.is_open())
--- a/crates/teaselglade-entry/src/host/entry_host.rs
+++ b/crates/teaselglade-entry/src/host/entry_host.rs
@@ -37,12 +37,12 @@
     pub(crate) bookings: BookingRegister,
     /// Streams that callers can come back to.
     pub(crate) streams: StreamRegister,
+    /// What this host shares with its peers.
+    pub(crate) shared: SharedState,
     /// Retry budgets of the model services.
     pub(crate) budgets: StreamBudgets,
     /// Records on their way to peers.
     pub(crate) handovers: HandoverDesk,
-    /// What this host shares with its peers.
-    pub(crate) shared: SharedState,
     /// Start number of this host.
     pub(crate) incarnation: u64,
     directory: Mutex<BackendDirectory>,
@@ -62,8 +62,8 @@
         let started = ports.clock.now();
         let seed = started.as_micros() ^ u64::from(std::process::id()) << 32;
         Arc::new(Self {
-            placement: Mutex::new(PlacementDesk::new(&settings.host)),
             shared: SharedState::new(started, &settings, seed),
+            placement: Mutex::new(PlacementDesk::new(&settings.host)),
             settings,
             ports,
             metrics,
--- a/crates/teaselglade-entry/src/peer_api/peer_routes.rs
+++ b/crates/teaselglade-entry/src/peer_api/peer_routes.rs
@@ -14,12 +14,12 @@
 /// Makes the routes for peers and operators.
 pub(crate) fn peer_router(host: &Arc<EntryHost>) -> Router {
     Router::new()
-        .post(ACCEPT_PATH, with_state(host, accept_stream))
-        .post(ASK_PATH, with_state(host, ask_stream))
-        .post(READ_PATH, with_state(host, read_stream))
         .post(EXCHANGE_PATH, with_state(host, answer_exchange))
         .post(HEAD_PATH, with_state(host, answer_head))
         .post(TABLE_PATH, with_state(host, answer_table))
+        .post(ACCEPT_PATH, with_state(host, accept_stream))
+        .post(ASK_PATH, with_state(host, ask_stream))
+        .post(READ_PATH, with_state(host, read_stream))
         .get("/status", with_state(host, |host, _request| status(host)))
         .get("/metrics", with_state(host, |host, _request| metrics(host)))
         .get("/healthz", with_state(host, |_host, _request| health()))
--- a/crates/teaselglade-entry/src/shared/exchange_driver.rs
+++ b/crates/teaselglade-entry/src/shared/exchange_driver.rs
@@ -14,6 +14,7 @@
 
 use super::peer_answers::{EXCHANGE_PATH, TABLE_PATH};
 use super::table_follower::put_in_force;
+use crate::directory::ASSUMED_NOTICE;
 use crate::host::EntryHost;
 
 const DEMAND_INTERVAL: Duration = Duration::from_secs(1);
@@ -77,11 +78,20 @@
 
 fn note_leaving(host: &EntryHost, notice: &LeavingNotice) {
     log::info!("host {} is leaving", notice.host);
-    let server = host
+    let marked = host
         .directory()
         .mark_leaving(&notice.host, notice.incarnation);
+    let Some(server) = marked else {
+        return;
+    };
     host.sync_placement();
-    host.announce_leaving(server, notice.deadline);
+    let is_deadline_told = notice.deadline > notice.issued;
+    let deadline = if is_deadline_told {
+        notice.deadline
+    } else {
+        host.now() + ASSUMED_NOTICE
+    };
+    host.announce_leaving([server], deadline);
 }
 
 async fn exchange(host: Arc<EntryHost>, peer: HostName, address: SocketAddr, body: Bytes) {
--- a/crates/teaselglade/tests/processes/handover.rs
+++ b/crates/teaselglade/tests/processes/handover.rs
@@ -58,7 +58,7 @@
     let engine = hosts.find(|host| host.service == "patter-engine");
     let mut engine = engine.expect("a model engine");
     engine.name = format!("{}-frozen", engine.name);
-    // Placement goes by cost, so the cheapest engine is sure to get streams.
+    // The cheapest engine gets streams for sure.
     engine.cents_per_hour = CHEAPEST_CENTS_PER_HOUR;
     let body = to_json(&engine).expect("the host is encoded");
     let put = HttpCall::new(Method::PUT, fleet.platform.host_list, "/hosts").body(body);
