--- /dev/null
+++ b/crates/teaselglade-bench/tests/bench/main.rs
@@ -0,0 +1,4 @@
+//! The bench: its engine model, its repeatability and the stated targets on short runs.
+
+mod engine;
+mod targets;
