--- a/crates/teaselglade/tests/processes/faults.rs
+++ b/crates/teaselglade/tests/processes/faults.rs
@@ -12,6 +12,7 @@
 
 const TOKENS: u32 = 80;
 const STREAMS: usize = 12;
+const BETWEEN_SIGNALS: Duration = Duration::from_millis(100);
 const UNDER_WAY: Duration = Duration::from_millis(300);
 
 fn query(index: usize) -> StreamQuery {
@@ -45,7 +46,10 @@
     let mut fleet = TestFleet::start(FleetPlan::dragons_sleeve(), 1).await;
     let stop = async {
         sleep(UNDER_WAY).await;
-        fleet.entries[0].process.signal("TERM");
+        for _ in 0..3 {
+            fleet.entries[0].process.signal("TERM");
+            sleep(BETWEEN_SIGNALS).await;
+        }
     };
     let (reports, ()) = tokio::join!(run_streams(&fleet), stop);
     assert_whole(&reports);
