feat(entry): hand streams over when this entry host is announced to leave

Cause: only SIGTERM started a handover; a reclaim that the platform announces did not. Change: a notice for this host, or a change of its entry in the host list, makes the host take nothing new and hand its streams over before the deadline. A list that shows an earlier start is passed over.

--- a/crates/teaselglade-entry/src/directory/host_list_follower.rs
+++ b/crates/teaselglade-entry/src/directory/host_list_follower.rs
@@ -7,6 +7,7 @@
 use teaselglade_state::membership::{MembershipEvent, list_poll_interval};
 use tokio::time::sleep;
 
+use crate::handover::leave_by_list;
 use crate::host::EntryHost;
 use crate::shared::tell_membership;
 
@@ -38,4 +39,5 @@
     for server in leaving {
         host.streams.announce_leaving(server, deadline);
     }
+    leave_by_list(host, deadline);
 }
--- a/crates/teaselglade-entry/src/handover/mod.rs
+++ b/crates/teaselglade-entry/src/handover/mod.rs
@@ -2,12 +2,14 @@
 
 mod handover_desk;
 mod holder_finder;
+mod own_departure;
 mod peer_streams;
 mod record_codec;
 mod stream_relay;
 
 pub(crate) use handover_desk::HandoverDesk;
 pub(crate) use holder_finder::find_holder;
+pub(crate) use own_departure::{OwnListing, leave_by_list, leave_by_notice};
 pub(crate) use peer_streams::{accept_stream, ask_stream, read_stream};
 pub(crate) use stream_relay::relay_stream;
 
--- a/crates/teaselglade-entry/src/host/entry_host.rs
+++ b/crates/teaselglade-entry/src/host/entry_host.rs
@@ -17,7 +17,7 @@
 use super::EntryPorts;
 use crate::booking::BookingRegister;
 use crate::directory::{BackendDirectory, ServerEntry};
-use crate::handover::HandoverDesk;
+use crate::handover::{HandoverDesk, OwnListing};
 use crate::metrics::EntryMetrics;
 use crate::placement::{PlacementDesk, PlacementOrder};
 use crate::settings::EntrySettings;
@@ -43,6 +43,8 @@
     pub(crate) budgets: StreamBudgets,
     /// Records on their way to peers.
     pub(crate) handovers: HandoverDesk,
+    /// What the host list said of this host.
+    pub(crate) listing: OwnListing,
     /// Start number of this host.
     pub(crate) incarnation: u64,
     directory: Mutex<BackendDirectory>,
@@ -71,6 +73,7 @@
             streams: StreamRegister::default(),
             budgets: StreamBudgets::default(),
             handovers: HandoverDesk::default(),
+            listing: OwnListing::default(),
             incarnation: started.as_millis(),
             directory: Mutex::default(),
             table: RwLock::default(),
--- a/crates/teaselglade-entry/src/shared/exchange_driver.rs
+++ b/crates/teaselglade-entry/src/shared/exchange_driver.rs
@@ -15,6 +15,7 @@
 use super::peer_answers::{EXCHANGE_PATH, TABLE_PATH};
 use super::table_follower::put_in_force;
 use crate::directory::ASSUMED_NOTICE;
+use crate::handover::leave_by_notice;
 use crate::host::EntryHost;
 
 const LONGEST_SLEEP: Duration = Duration::from_millis(200);
@@ -70,6 +71,15 @@
 
 fn note_leaving(host: &EntryHost, notice: &LeavingNotice) {
     log::info!("host {} is leaving", notice.host);
+    let is_deadline_told = notice.deadline > notice.issued;
+    let deadline = if is_deadline_told {
+        notice.deadline
+    } else {
+        host.now() + ASSUMED_NOTICE
+    };
+    if notice.host.as_str() == host.settings.host {
+        leave_by_notice(host, notice.incarnation, deadline);
+    }
     let marked = host
         .directory()
         .mark_leaving(&notice.host, notice.incarnation);
@@ -77,12 +87,6 @@
         return;
     };
     host.sync_placement();
-    let is_deadline_told = notice.deadline > notice.issued;
-    let deadline = if is_deadline_told {
-        notice.deadline
-    } else {
-        host.now() + ASSUMED_NOTICE
-    };
     host.streams.announce_leaving(server, deadline);
 }
 
--- a/crates/teaselglade-request/src/stream/stream_machine/caller_events.rs
+++ b/crates/teaselglade-request/src/stream/stream_machine/caller_events.rs
@@ -56,6 +56,9 @@
         let Some(deadline) = deadline else {
             return;
         };
+        if self.host_deadline.is_some_and(|known| known <= deadline) {
+            return;
+        }
         self.host_deadline = Some(deadline);
         let span = deadline - Timestamp::ZERO;
         let span = span.saturating_sub(self.limits.handover_span);
--- a/crates/teaselglade/tests/processes/handover.rs
+++ b/crates/teaselglade/tests/processes/handover.rs
@@ -82,6 +82,31 @@
     );
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn streams_go_on_at_a_peer_when_their_entry_host_is_reclaimed() {
+    let mut fleet = TestFleet::start(FleetPlan::dragons_sleeve(), 3).await;
+    let reclaim = async {
+        sleep(UNDER_WAY).await;
+        list_as_leaving(&fleet, &fleet.entries[0].host).await;
+    };
+    let (reports, ()) = tokio::join!(run_streams(&fleet), reclaim);
+    fleet.entries[0].process.kill();
+    assert_whole(&reports);
+    assert!(reports.iter().any(|report| report.resumes > 0));
+}
+
+async fn list_as_leaving(fleet: &TestFleet, host: &str) {
+    let list = HttpCall::get(fleet.platform.host_list, "/hosts");
+    let answer = fleet.call(list).await;
+    let listed = from_json::<HostEntries>(&answer.body).expect("the host list");
+    let mut hosts = listed.hosts.into_iter();
+    let mut entry = hosts.find(|entry| entry.name == host).expect("the host");
+    entry.leaving = true;
+    let body = to_json(&entry).expect("the host is encoded");
+    let put = HttpCall::new(Method::PUT, fleet.platform.host_list, "/hosts").body(body);
+    fleet.call(put).await;
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn streams_learn_the_truth_when_their_entry_host_is_killed() {
     let mut fleet = TestFleet::start(FleetPlan::dragons_sleeve(), 2).await;
