--- a/crates/teaselglade-entry/src/directory/host_list_follower.rs
+++ b/crates/teaselglade-entry/src/directory/host_list_follower.rs
@@ -7,6 +7,7 @@
 use teaselglade_state::membership::{MembershipEvent, list_poll_interval};
 use tokio::time::sleep;
 
+use crate::handover::leave_by_list;
 use crate::host::EntryHost;
 use crate::shared::tell_membership;
 
@@ -34,5 +35,7 @@
     host.shared.mark_leaving(&mut hosts);
     let leaving = host.directory().apply(hosts);
     host.sync_placement();
-    host.announce_leaving(leaving, host.now() + ASSUMED_NOTICE);
+    let deadline = host.now() + ASSUMED_NOTICE;
+    host.announce_leaving(leaving, deadline);
+    leave_by_list(host, deadline);
 }
--- /dev/null
+++ b/crates/teaselglade/src/bin/teaselglade-control.rs
@@ -0,0 +1,12 @@
+//! Control daemon of one entry host.
+
+use std::process::ExitCode;
+
+use teaselglade::program::{ControlProgram, run_daemon};
+
+#[global_allocator]
+static ALLOCATOR: mimalloc::MiMalloc = mimalloc::MiMalloc;
+
+fn main() -> ExitCode {
+    run_daemon::<ControlProgram>()
+}
--- a/crates/teaselglade/tests/processes/whole_path.rs
+++ b/crates/teaselglade/tests/processes/whole_path.rs
@@ -24,6 +24,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn stream_and_booking_are_served_by_separate_processes() {
     let fleet = TestFleet::start(FleetPlan::corrib(), ENTRIES).await;
+    let mut controls = [0, 1].map(|index| fleet.start_control(index));
     let client = CallerClient::default();
     for entry in fleet.callers() {
         let report = client.generate(&[entry], &query("assess a ring")).await;
@@ -44,6 +45,10 @@
             "{booked:?}"
         );
     }
+    for control in &mut controls {
+        control.signal("TERM");
+        assert!(control.wait(), "the control daemon ends with success");
+    }
 }
 
 #[tokio::test(flavor = "multi_thread")]
