--- a/crates/teaselglade-entry/src/stream/stream_budgets.rs
+++ b/crates/teaselglade-entry/src/stream/stream_budgets.rs
@@ -5,6 +5,9 @@
 
 use teaselglade_request::retry::{BudgetLimits, RetryBudget};
 
+/// Retries that can be saved up: the batch of one server, which is lost as a whole.
+const BATCH_RESERVE: f64 = 64.0;
+
 /// Retry budgets of the model services, one for each.
 #[derive(Debug, Default)]
 pub(crate) struct StreamBudgets {
@@ -20,9 +23,13 @@
     ) -> T {
         let mut budgets = self.budgets.lock().unwrap_or_else(PoisonError::into_inner);
         let seed = u64::from(std::process::id());
+        let limits = BudgetLimits {
+            reserve: BATCH_RESERVE,
+            ..BudgetLimits::default()
+        };
         let budget = budgets
             .entry(service.to_owned())
-            .or_insert_with(|| RetryBudget::new(BudgetLimits::default(), seed));
+            .or_insert_with(|| RetryBudget::new(limits, seed));
         change(budget)
     }
 }
