--- a/crates/teaselglade-entry/src/directory/host_list_follower.rs
+++ b/crates/teaselglade-entry/src/directory/host_list_follower.rs
@@ -36,8 +36,6 @@
     let leaving = host.directory().apply(hosts);
     host.sync_placement();
     let deadline = host.now() + ASSUMED_NOTICE;
-    for server in leaving {
-        host.streams.announce_leaving(server, deadline);
-    }
+    host.announce_leaving(leaving, deadline);
     leave_by_list(host, deadline);
 }
--- a/crates/teaselglade-entry/src/host/entry_host.rs
+++ b/crates/teaselglade-entry/src/host/entry_host.rs
@@ -187,6 +187,17 @@
         self.placement().sync(self.now(), &directory);
     }
 
+    /// Tells the streams which servers are leaving.
+    pub(crate) fn announce_leaving(
+        &self,
+        servers: impl IntoIterator<Item = ServerKey>,
+        deadline: Timestamp,
+    ) {
+        for server in servers {
+            self.streams.announce_leaving(server, deadline);
+        }
+    }
+
     /// Returns the servers whose reports the placement wants, with their addresses.
     pub(crate) fn polled_servers(&self) -> Vec<(ServerKey, SocketAddr)> {
         let servers = self.placement().servers();
--- a/crates/teaselglade-entry/src/placement/demand_calls.rs
+++ b/crates/teaselglade-entry/src/placement/demand_calls.rs
@@ -12,10 +12,6 @@
 
 impl PlacementDesk {
     /// Returns this host's demands as text that rides on the membership's messages.
-    #[expect(
-        dead_code,
-        reason = "called once the membership exchange runs in the daemon"
-    )]
     pub(crate) fn demand_text(&mut self, now: Timestamp) -> String {
         let message = self.limiter.message(now);
         to_msgpack(&message).map_or_else(
@@ -25,10 +21,6 @@
     }
 
     /// Takes in a peer's demands; text that cannot be read is ignored.
-    #[expect(
-        dead_code,
-        reason = "called once the membership exchange runs in the daemon"
-    )]
     pub(crate) fn hear_demand(&mut self, now: Timestamp, peer: &HostName, text: &str) {
         let Ok(body) = BASE64_STANDARD_NO_PAD.decode(text) else {
             return;
--- a/crates/teaselglade-entry/src/shared/exchange_driver.rs
+++ b/crates/teaselglade-entry/src/shared/exchange_driver.rs
@@ -18,11 +18,18 @@
 use crate::handover::leave_by_notice;
 use crate::host::EntryHost;
 
+const DEMAND_INTERVAL: Duration = Duration::from_secs(1);
 const LONGEST_SLEEP: Duration = Duration::from_millis(200);
 
 /// Runs the exchange with the other entry hosts.
 pub(crate) async fn run_exchange(host: Arc<EntryHost>) {
+    let mut demand_due = host.now();
     loop {
+        if host.now() >= demand_due {
+            demand_due = host.now() + DEMAND_INTERVAL;
+            let demand = host.placement().demand_text(host.now());
+            tell_membership(&host, MembershipEvent::DemandSet { demand });
+        }
         let wake = host.shared.membership().next_wake();
         let pause = (wake - host.now()).min(LONGEST_SLEEP);
         tokio::select! {
@@ -63,9 +70,10 @@
         MembershipAction::MemberChanged(entry) => {
             log::info!("entry host {} is {:?}", entry.name, entry.liveness);
         }
-        MembershipAction::DemandReceived { .. }
-        | MembershipAction::Answer { .. }
-        | MembershipAction::Refuse { .. } => {}
+        MembershipAction::DemandReceived { peer, demand } => {
+            host.placement().hear_demand(host.now(), &peer, &demand);
+        }
+        MembershipAction::Answer { .. } | MembershipAction::Refuse { .. } => {}
     }
 }
 
@@ -87,7 +95,7 @@
         return;
     };
     host.sync_placement();
-    host.streams.announce_leaving(server, deadline);
+    host.announce_leaving([server], deadline);
 }
 
 async fn exchange(host: Arc<EntryHost>, peer: HostName, address: SocketAddr, body: Bytes) {
--- a/crates/teaselglade/tests/processes/handover.rs
+++ b/crates/teaselglade/tests/processes/handover.rs
@@ -16,6 +16,7 @@
 const TOKENS: u32 = 120;
 const STREAMS: usize = 16;
 const UNDER_WAY: Duration = Duration::from_millis(500);
+const CHEAPEST_CENTS_PER_HOUR: f64 = 0.1;
 const SHORT_DRAIN: Duration = Duration::from_secs(3);
 
 fn query(index: usize) -> StreamQuery {
@@ -58,7 +59,7 @@
     let mut engine = engine.expect("a model engine");
     engine.name = format!("{}-frozen", engine.name);
     // The cheapest engine gets streams for sure.
-    engine.cents_per_hour = 1.0;
+    engine.cents_per_hour = CHEAPEST_CENTS_PER_HOUR;
     let body = to_json(&engine).expect("the host is encoded");
     let put = HttpCall::new(Method::PUT, fleet.platform.host_list, "/hosts").body(body);
     fleet.call(put).await;
