fix(booking): say "may have run" where only the caller could know better

Cause: with the log out, a caller that repeated a key without our repeat header was told "not run", although its earlier call may have run. Ruled out: asking peers, since the host that ran the key may be gone; the age of the key, since a caller repeats at once after a crash. Change: the header is turned round (x-idempotent-first). Without it a refusal made without the log says "may have run"; requests faulty in themselves stay "not run". Before: no test told the case apart. After: processes 24 passed, among them a_key_that_ran_is_never_told_not_run_while_the_log_is_out.

--- a/crates/teaselglade-entry/src/booking/booking_register.rs
+++ b/crates/teaselglade-entry/src/booking/booking_register.rs
@@ -9,7 +9,6 @@
 use teaselglade_claims::key::ShardKey;
 use teaselglade_core::time::Timestamp;
 
-use super::service_budgets::ServiceBudgets;
 use super::shard_driver::ShardDriver;
 
 /// Time after which an idle shard is forgotten; reading it again is always safe.
@@ -19,7 +18,6 @@
 #[derive(Debug, Default)]
 pub(crate) struct BookingRegister {
     drivers: Mutex<BTreeMap<ShardKey, Arc<ShardDriver>>>,
-    budgets: ServiceBudgets,
     next: AtomicU64,
 }
 
@@ -40,11 +38,6 @@
         Arc::clone(driver)
     }
 
-    /// Returns the retry budgets of the plain services.
-    pub(super) const fn budgets(&self) -> &ServiceBudgets {
-        &self.budgets
-    }
-
     /// Returns a key for a new booking.
     pub(super) fn new_booking(&self) -> BookingKey {
         BookingKey::new(self.next.fetch_add(1, Ordering::Relaxed))
--- a/crates/teaselglade-entry/src/booking/mod.rs
+++ b/crates/teaselglade-entry/src/booking/mod.rs
@@ -3,7 +3,7 @@
 mod booking_register;
 mod plain_order;
 mod plain_task;
-mod service_budgets;
+mod service_permit;
 mod shard_driver;
 
 pub(crate) use booking_register::BookingRegister;
--- a/crates/teaselglade-entry/src/booking/plain_task.rs
+++ b/crates/teaselglade-entry/src/booking/plain_task.rs
@@ -7,9 +7,11 @@
 use teaselglade_core::id::ServerKey;
 use teaselglade_core::port::{AttemptError, PlainAnswer};
 use teaselglade_core::verdict::{RequestRefusal, SendProgress};
+use teaselglade_request::retry::RetryBudget;
 use tokio::time::sleep;
 
 use super::PlainOrder;
+use super::service_permit::ServicePermit;
 use crate::host::EntryHost;
 
 /// Result of one call.
@@ -22,7 +24,8 @@
 /// Returns the refusal with its verdict where there is no answer.
 pub(crate) async fn run_plain(host: &Arc<EntryHost>, order: PlainOrder) -> PlainResult {
     let key = order.claim_key().map_err(|error| error.refusal())?;
-    host.bookings.budgets().record_first(&order.row.name);
+    host.budgets
+        .with_budget(&order.row.name, RetryBudget::record_first);
     let Some(key) = key else {
         return run_unclaimed(host, &order).await;
     };
@@ -61,7 +64,7 @@
 
 async fn run_unclaimed(host: &EntryHost, order: &PlainOrder) -> PlainResult {
     let mut machine = PlainMachine::new(order.repeat(), order.deadline);
-    let mut permit = host.bookings.budgets().permit(&order.row.name);
+    let mut permit = ServicePermit::new(&host.budgets, &order.row.name);
     let mut tried = Vec::new();
     let mut event = PlainEvent::Started;
     loop {
--- /dev/null
+++ b/crates/teaselglade-entry/src/booking/service_permit.rs
@@ -0,0 +1,33 @@
+//! Permit for retries of one plain service.
+
+use teaselglade_claims::plain::{PermitDecision, RetryPermit};
+use teaselglade_core::time::Timestamp;
+use teaselglade_request::retry::RetryDecision;
+
+use crate::retry::ServiceBudgets;
+
+/// Permit for retries of one plain service.
+#[derive(Debug)]
+pub(super) struct ServicePermit<'a> {
+    budgets: &'a ServiceBudgets,
+    service: &'a str,
+}
+
+impl<'a> ServicePermit<'a> {
+    /// Makes the permit of a service.
+    pub(super) const fn new(budgets: &'a ServiceBudgets, service: &'a str) -> Self {
+        Self { budgets, service }
+    }
+}
+
+impl RetryPermit for ServicePermit<'_> {
+    fn ask(&mut self, now: Timestamp, deadline: Timestamp, retry: u32) -> PermitDecision {
+        let decision = self
+            .budgets
+            .with_budget(self.service, |budget| budget.ask(now, deadline, retry));
+        match decision {
+            RetryDecision::Granted { delay } => PermitDecision::Granted { delay },
+            RetryDecision::Denied { retry_after } => PermitDecision::Denied { retry_after },
+        }
+    }
+}
--- a/crates/teaselglade-entry/src/booking/shard_driver.rs
+++ b/crates/teaselglade-entry/src/booking/shard_driver.rs
@@ -19,6 +19,7 @@
 
 use super::PlainOrder;
 use super::plain_task::{PlainResult, run_attempt};
+use super::service_permit::ServicePermit;
 use crate::host::EntryHost;
 
 const REPLAYED_HEADER: &str = "x-idempotent-replayed";
@@ -210,7 +211,7 @@
     if ExecutionVerdict::after_attempt(error.progress) != ExecutionVerdict::NotRun {
         return false;
     }
-    let mut permit = host.bookings.budgets().permit(&order.row.name);
+    let mut permit = ServicePermit::new(&host.budgets, &order.row.name);
     match permit.ask(host.now(), deadline, attempt) {
         PermitDecision::Granted { delay } => {
             sleep(delay).await;
--- a/crates/teaselglade-entry/src/caller_api/plain_route.rs
+++ b/crates/teaselglade-entry/src/caller_api/plain_route.rs
@@ -6,7 +6,7 @@
 use teaselglade_core::id::AttemptId;
 use teaselglade_core::port::{PlainAnswer, PlainCall};
 use teaselglade_core::table::ServiceKind;
-use teaselglade_core::verdict::{ExecutionVerdict, RequestRefusal};
+use teaselglade_core::verdict::{ExecutionVerdict, RefusalReason, RequestRefusal};
 use teaselglade_net::server::{empty_answer, read_body};
 use viz::header::{HeaderName, HeaderValue};
 use viz::{Body, Request, RequestExt, Response};
@@ -20,8 +20,8 @@
 /// Header that carries the key of a call that may not be repeated.
 pub(crate) const KEY_HEADER: &str = "idempotency-key";
 
-/// Header by which a caller says that it sent the key before without learning the outcome.
-pub(crate) const REPEATED_HEADER: &str = "x-idempotent-repeat";
+/// Header by which a caller says that it never sent the key before.
+pub(crate) const FIRST_HEADER: &str = "x-idempotent-first";
 
 /// Headers that concern one connection only or that the system sets itself.
 const OWN_HEADERS: [&str; 11] = [
@@ -34,14 +34,14 @@
     "trailer",
     "transfer-encoding",
     "upgrade",
-    "x-idempotent-repeat",
+    "x-idempotent-first",
     "x-request-id",
 ];
 
 /// Passes a call to a plain server and its answer back.
 pub(crate) async fn call_plain(host: Arc<EntryHost>, request: Request) -> Response {
     let id = host.new_request();
-    let repeated = request.headers().contains_key(REPEATED_HEADER);
+    let repeated = may_be_repeated(&request);
     let context = match RequestContext::read(&host, &request, ServiceKind::Plain) {
         Ok(context) => context,
         Err(refusal) => return refusal_answer(&unclaimed(refusal, repeated), Some(id)),
@@ -88,9 +88,28 @@
     }
 }
 
+/// Returns whether an earlier call with the same key may have run.
+///
+/// Only the caller can know that there was none.
+fn may_be_repeated(request: &Request) -> bool {
+    let is_first = request
+        .header::<_, String>(FIRST_HEADER)
+        .is_some_and(|value| value == "true");
+    request.headers().contains_key(KEY_HEADER) && !is_first
+}
+
 /// Refuses a call before its claim; an earlier call with its key may have run.
+///
+/// A request that is faulty in itself never ran, whatever became of another one with its key.
 fn unclaimed(mut refusal: RequestRefusal, repeated: bool) -> RequestRefusal {
-    if repeated {
+    let is_faulty = matches!(
+        refusal.reason,
+        RefusalReason::BadRequest
+            | RefusalReason::TooLarge
+            | RefusalReason::UnknownOrganisation
+            | RefusalReason::UnknownService
+    );
+    if repeated && !is_faulty {
         refusal.verdict = refusal.verdict.and(ExecutionVerdict::MayHaveRun);
     }
     refusal
--- a/crates/teaselglade-entry/src/host/entry_host.rs
+++ b/crates/teaselglade-entry/src/host/entry_host.rs
@@ -20,9 +20,10 @@
 use crate::handover::{HandoverDesk, OwnListing};
 use crate::metrics::EntryMetrics;
 use crate::placement::{PlacementDesk, PlacementOrder};
+use crate::retry::ServiceBudgets;
 use crate::settings::EntrySettings;
 use crate::shared::{SharedState, TableInForce};
-use crate::stream::{StreamBudgets, StreamRegister};
+use crate::stream::StreamRegister;
 
 /// What the parts of one entry daemon share.
 #[derive(Debug)]
@@ -39,8 +40,8 @@
     pub(crate) streams: StreamRegister,
     /// What this host shares with its peers.
     pub(crate) shared: SharedState,
-    /// Retry budgets of the model services.
-    pub(crate) budgets: StreamBudgets,
+    /// Retry budgets of the services.
+    pub(crate) budgets: ServiceBudgets,
     /// Records on their way to peers.
     pub(crate) handovers: HandoverDesk,
     /// What the host list said of this host.
@@ -71,7 +72,7 @@
             metrics,
             bookings: BookingRegister::default(),
             streams: StreamRegister::default(),
-            budgets: StreamBudgets::default(),
+            budgets: ServiceBudgets::default(),
             handovers: HandoverDesk::default(),
             listing: OwnListing::default(),
             incarnation: started.as_millis(),
--- a/crates/teaselglade-entry/src/lib.rs
+++ b/crates/teaselglade-entry/src/lib.rs
@@ -8,6 +8,7 @@
 mod metrics;
 mod peer_api;
 mod placement;
+mod retry;
 mod settings;
 mod shared;
 mod stream;
--- /dev/null
+++ b/crates/teaselglade-entry/src/retry/mod.rs
@@ -0,0 +1,5 @@
+//! Retry budgets of the services.
+
+mod service_budgets;
+
+pub(crate) use service_budgets::ServiceBudgets;
--- a/crates/teaselglade-entry/src/stream/mod.rs
+++ b/crates/teaselglade-entry/src/stream/mod.rs
@@ -3,7 +3,6 @@
 mod attempt_reader;
 mod reader_seat;
 mod running_attempts;
-mod stream_budgets;
 mod stream_buffer;
 mod stream_command;
 mod stream_order;
@@ -11,7 +10,6 @@
 mod stream_task;
 
 pub(crate) use reader_seat::ReaderSeat;
-pub(crate) use stream_budgets::StreamBudgets;
 pub(crate) use stream_buffer::{StreamBuffer, StreamEnd, StreamStep};
 pub(crate) use stream_command::{CommandSender, StreamCommand};
 pub(crate) use stream_order::StreamOrder;
--- a/crates/teaselglade/src/caller/caller_client.rs
+++ b/crates/teaselglade/src/caller/caller_client.rs
@@ -70,7 +70,7 @@
         }
     }
 
-    /// Calls a plain server through an entry host.
+    /// Calls a plain server through an entry host, with a key that was never sent before.
     pub async fn call_plain(
         &self,
         entry: SocketAddr,
@@ -84,7 +84,9 @@
             .header("x-organisation", organisation)
             .head_timeout(HEAD_TIMEOUT);
         if let Some(key) = key {
-            call = call.header("idempotency-key", key);
+            call = call
+                .header("idempotency-key", key)
+                .header("x-idempotent-first", "true");
         }
         match self.caller.call(call).await {
             Ok(answer) => plain_report(answer),
--- a/crates/teaselglade/tests/processes/bookings.rs
+++ b/crates/teaselglade/tests/processes/bookings.rs
@@ -38,8 +38,8 @@
         .header("x-organisation", ORGANISATION)
         .header("idempotency-key", key)
         .head_timeout(PATIENCE);
-    if repeated {
-        call = call.header("x-idempotent-repeat", "true");
+    if !repeated {
+        call = call.header("x-idempotent-first", "true");
     }
     let answer = fleet.caller.call(call).await;
     answer.map_or(Told::Nothing, |answer| told(&answer))
@@ -168,6 +168,24 @@
     assert_eq!(executions(&fleet, &key).await, 1);
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_key_that_ran_is_never_told_not_run_while_the_log_is_out() {
+    let fleet = TestFleet::start(FleetPlan::corrib(), ENTRIES).await;
+    let key = new_key();
+    assert_eq!(book(&fleet, 0, &key, false).await, Told::Answered);
+    fleet
+        .set_faults(fleet.platform.log, "{\"down\":true}")
+        .await;
+    for entry in 1..ENTRIES {
+        // The caller repeats its key as it is, without a word on repeats.
+        let told = book(&fleet, entry, &key, true).await;
+        assert_eq!(told, Told::Refused(Verdict::MayHaveRun));
+    }
+    fleet.set_faults(fleet.platform.log, "{}").await;
+    book_until_answered(&fleet, &[1, 2], &key, true).await;
+    assert_eq!(executions(&fleet, &key).await, 1);
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn lost_answers_of_the_log_lead_to_one_run() {
     let fleet = TestFleet::start(FleetPlan::corrib(), ENTRIES).await;
