--- a/crates/teaselglade/src/lib.rs
+++ b/crates/teaselglade/src/lib.rs
@@ -6,3 +6,4 @@
 pub mod demo;
 pub mod operation;
 pub mod output;
+pub mod program;
--- /dev/null
+++ b/crates/teaselglade/src/program/mod.rs
@@ -0,0 +1,10 @@
+//! What the programs of both daemons have in common.
+
+mod control_program;
+mod daemon_options;
+mod daemon_program;
+mod entry_program;
+
+pub use control_program::ControlProgram;
+pub use daemon_program::{DaemonProgram, run_daemon};
+pub use entry_program::EntryProgram;
--- a/crates/teaselglade/tests/processes/harness.rs
+++ b/crates/teaselglade/tests/processes/harness.rs
@@ -178,6 +178,27 @@
         });
     }
 
+    /// Starts a control daemon in the plan's first data centre.
+    pub fn start_control(&self, index: usize) -> TestProcess {
+        let zone = &self.plan.zones[0];
+        let host = format!("{zone}-control-{index}");
+        let path = self.folder.path().join(format!("{host}.jsonc"));
+        let platform = &self.platform;
+        let settings = format!(
+            "{{ \"host\": \"{host}\", \"zone\": \"{zone}\", \"cluster\": \"{}\",\n\
+             \"control\": \"127.0.0.1:0\", \"log\": \"{}\", \"host_list\": \"{}\",\n\
+             \"cloud\": \"{}\", \"weights\": \"{}\", \"offers\": [\n\
+             {{ \"zone\": \"{zone}\", \"class\": \"mid\", \"purchase\": \"reclaimable\",\n\
+             \"cents_per_hour\": 90 }}] }}",
+            self.plan.name, platform.log, platform.host_list, platform.cloud, platform.weights,
+        );
+        fs::write(&path, settings).expect("the settings are written");
+        let program = env!("CARGO_BIN_EXE_teaselglade-control");
+        let path = path.display().to_string();
+        let (process, _addresses) = TestProcess::start(program, &["--config", &path]);
+        process
+    }
+
     /// Returns the callers' addresses of all entry daemons.
     pub fn callers(&self) -> Vec<SocketAddr> {
         self.entries
--- a/scripts/start-processes.sh
+++ b/scripts/start-processes.sh
@@ -10,7 +10,7 @@
   dragons-sleeve) zones=(cardiff-a cardiff-b newport) ;;
   *) echo "no fleet is named '$fleet'" >&2; exit 2 ;;
 esac
-cargo build --release --locked --quiet -p teaselglade -p teaselglade-control
+cargo build --release --locked --quiet -p teaselglade
 programs=target/release
 folder=$(mktemp -d)
 pids=()
@@ -62,20 +62,27 @@
   echo "entry host $host: callers reach http://$(field "$folder/$host.json" callers)"
 done
 
-if [ -x "$programs/teaselglade-control" ]; then
-  for index in 0 1; do
-    host=${zones[0]}-control-$index
-    cat > "$folder/$host.jsonc" <<JSON
+offers=""
+for class in old mid new plain; do
+  case $class in old) cents=40 ;; mid) cents=90 ;; new) cents=160 ;; *) cents=8 ;; esac
+  offers+="{\"zone\": \"${zones[0]}\", \"class\": \"$class\", \"purchase\": \"reclaimable\","
+  offers+=" \"cents_per_hour\": $cents},"
+done
+for index in 0 1; do
+  host=${zones[0]}-control-$index
+  cat > "$folder/$host.jsonc" <<JSON
 {
   "host": "$host", "zone": "${zones[0]}", "cluster": "$fleet",
-  "listen": "127.0.0.1:0",
-  "log": "$log", "host_list": "$host_list", "cloud": "$cloud", "weights": "$weights"
+  "control": "127.0.0.1:0",
+  "log": "$log", "host_list": "$host_list", "cloud": "$cloud", "weights": "$weights",
+  "offers": [${offers%,}]
 }
 JSON
-    "$programs/teaselglade-control" --config "$folder/$host.jsonc" > "$folder/$host.json" &
-    pids+=($!)
-  done
-fi
+  "$programs/teaselglade-control" --config "$folder/$host.jsonc" > "$folder/$host.json" &
+  pids+=($!)
+  wait_line "$folder/$host.json"
+  echo "control daemon $host: operators reach http://$(field "$folder/$host.json" control)"
+done
 
 cat <<TEXT
 
