refactor(daemons): one registry of counters, one daemon error, one stream load

Cause: duplicates showed the registry and the error of both daemons and the streams of two process tests standing twice.

--- a/crates/teaselglade-control/src/metrics/control_metrics.rs
+++ b/crates/teaselglade-control/src/metrics/control_metrics.rs
@@ -1,11 +1,12 @@
 //! Counters of the control daemon.
 
-use prometheus::{Encoder, IntCounter, IntCounterVec, IntGauge, Opts, Registry, TextEncoder};
+use prometheus::{IntCounter, IntCounterVec, IntGauge};
+use teaselglade_net::metrics::{MetricRegistry, Result};
 
 /// Counters of the control daemon.
 #[derive(Debug)]
 pub(crate) struct ControlMetrics {
-    registry: Registry,
+    registry: MetricRegistry,
     /// Calls by what they asked for and how they ended.
     pub(crate) calls: IntCounterVec,
     /// Calls that were not made because the lease's time was over.
@@ -30,45 +31,35 @@
     /// # Errors
     ///
     /// Fails where two counters have the same name.
-    pub(crate) fn new() -> prometheus::Result<Self> {
-        let registry = Registry::new();
-        let counter = |name: &str, help: &str| -> prometheus::Result<IntCounter> {
-            let counter = IntCounter::new(name, help)?;
-            registry.register(Box::new(counter.clone()))?;
-            Ok(counter)
-        };
-        let gauge = |name: &str, help: &str| -> prometheus::Result<IntGauge> {
-            let gauge = IntGauge::new(name, help)?;
-            registry.register(Box::new(gauge.clone()))?;
-            Ok(gauge)
-        };
-        let opts = Opts::new(
-            "teaselglade_control_calls_total",
-            "Calls by what they asked for and how they ended.",
-        );
-        let calls = IntCounterVec::new(opts, &["call", "outcome"])?;
-        registry.register(Box::new(calls.clone()))?;
+    pub(crate) fn new() -> Result<Self> {
+        let registry = MetricRegistry::default();
         Ok(Self {
-            calls,
-            withheld_calls: counter(
+            calls: registry.counters(
+                "teaselglade_control_calls_total",
+                "Calls by what they asked for and how they ended.",
+                &["call", "outcome"],
+            )?,
+            withheld_calls: registry.counter(
                 "teaselglade_control_withheld_calls_total",
                 "Calls that were not made because the lease's time was over.",
             )?,
-            log_failures: counter("teaselglade_log_failures_total", "Failed calls to the log.")?,
-            log_appends: counter("teaselglade_log_appends_total", "Appends to the log.")?,
-            dropped_entries: gauge(
+            log_failures: registry
+                .counter("teaselglade_log_failures_total", "Failed calls to the log.")?,
+            log_appends: registry
+                .counter("teaselglade_log_appends_total", "Appends to the log.")?,
+            dropped_entries: registry.gauge(
                 "teaselglade_audit_dropped_entries",
                 "Entries of the audit trail that were dropped.",
             )?,
-            lease_held: gauge(
+            lease_held: registry.gauge(
                 "teaselglade_lease_held",
                 "Whether this daemon holds the lease.",
             )?,
-            lease_number: gauge(
+            lease_number: registry.gauge(
                 "teaselglade_lease_number",
                 "Fencing number of the lease that this daemon held last.",
             )?,
-            table_version: gauge(
+            table_version: registry.gauge(
                 "teaselglade_table_version",
                 "Version of the table in force.",
             )?,
@@ -78,11 +69,6 @@
 
     /// Returns all counters in the text format.
     pub(crate) fn render(&self) -> String {
-        let mut text = Vec::new();
-        let encoded = TextEncoder::new().encode(&self.registry.gather(), &mut text);
-        if let Err(error) = encoded {
-            return format!("# {error}\n");
-        }
-        String::from_utf8_lossy(&text).into_owned()
+        self.registry.render()
     }
 }
--- a/crates/teaselglade-entry/src/metrics/entry_metrics.rs
+++ b/crates/teaselglade-entry/src/metrics/entry_metrics.rs
@@ -1,11 +1,12 @@
 //! Counters of the entry daemon.
 
-use prometheus::{Encoder, IntCounter, IntCounterVec, IntGauge, Opts, Registry, TextEncoder};
+use prometheus::{IntCounter, IntCounterVec, IntGauge};
+use teaselglade_net::metrics::{MetricRegistry, Result};
 
 /// Counters of the entry daemon.
 #[derive(Debug)]
 pub(crate) struct EntryMetrics {
-    registry: Registry,
+    registry: MetricRegistry,
     /// Requests by organisation and outcome.
     pub(crate) requests: IntCounterVec,
     /// Tokens passed to callers.
@@ -36,48 +37,39 @@
     /// # Errors
     ///
     /// Fails where two counters have the same name.
-    pub(crate) fn new() -> prometheus::Result<Self> {
-        let registry = Registry::new();
-        let counter = |name: &str, help: &str| -> prometheus::Result<IntCounter> {
-            let counter = IntCounter::new(name, help)?;
-            registry.register(Box::new(counter.clone()))?;
-            Ok(counter)
-        };
-        let gauge = |name: &str, help: &str| -> prometheus::Result<IntGauge> {
-            let gauge = IntGauge::new(name, help)?;
-            registry.register(Box::new(gauge.clone()))?;
-            Ok(gauge)
-        };
-        let opts = Opts::new(
-            "teaselglade_requests_total",
-            "Requests by organisation and outcome.",
-        );
-        let requests = IntCounterVec::new(opts, &["organisation", "outcome"])?;
-        registry.register(Box::new(requests.clone()))?;
+    pub(crate) fn new() -> Result<Self> {
+        let registry = MetricRegistry::default();
         Ok(Self {
-            requests,
-            tokens: counter("teaselglade_tokens_total", "Tokens passed to callers.")?,
-            recomputed_tokens: counter(
+            requests: registry.counters(
+                "teaselglade_requests_total",
+                "Requests by organisation and outcome.",
+                &["organisation", "outcome"],
+            )?,
+            tokens: registry.counter("teaselglade_tokens_total", "Tokens passed to callers.")?,
+            recomputed_tokens: registry.counter(
                 "teaselglade_recomputed_tokens_total",
                 "Tokens computed again after a loss.",
             )?,
-            dropped_frames: counter(
+            dropped_frames: registry.counter(
                 "teaselglade_dropped_frames_total",
                 "Frames that belonged to no open attempt.",
             )?,
-            failed_attempts: counter("teaselglade_failed_attempts_total", "Attempts that failed.")?,
-            host_list_failures: counter(
+            failed_attempts: registry
+                .counter("teaselglade_failed_attempts_total", "Attempts that failed.")?,
+            host_list_failures: registry.counter(
                 "teaselglade_host_list_failures_total",
                 "Failed reads of the host list.",
             )?,
-            log_failures: counter("teaselglade_log_failures_total", "Failed calls to the log.")?,
-            peer_failures: counter("teaselglade_peer_failures_total", "Failed calls to peers.")?,
-            peer_refusals: counter(
+            log_failures: registry
+                .counter("teaselglade_log_failures_total", "Failed calls to the log.")?,
+            peer_failures: registry
+                .counter("teaselglade_peer_failures_total", "Failed calls to peers.")?,
+            peer_refusals: registry.counter(
                 "teaselglade_peer_refusals_total",
                 "Refused messages of peers.",
             )?,
-            open_streams: gauge("teaselglade_open_streams", "Streams in progress.")?,
-            table_version: gauge(
+            open_streams: registry.gauge("teaselglade_open_streams", "Streams in progress.")?,
+            table_version: registry.gauge(
                 "teaselglade_table_version",
                 "Version of the table in force.",
             )?,
@@ -87,11 +79,6 @@
 
     /// Returns all counters in the text format.
     pub(crate) fn render(&self) -> String {
-        let mut text = Vec::new();
-        let encoded = TextEncoder::new().encode(&self.registry.gather(), &mut text);
-        if let Err(error) = encoded {
-            return format!("# {error}\n");
-        }
-        String::from_utf8_lossy(&text).into_owned()
+        self.registry.render()
     }
 }
--- /dev/null
+++ b/crates/teaselglade-net/src/daemon/mod.rs
@@ -0,0 +1,8 @@
+//! What both daemons have in common.
+
+mod daemon_error;
+
+pub use daemon_error::DaemonError;
+
+/// Result of starting a daemon.
+pub type Result<T> = std::result::Result<T, DaemonError>;
--- a/crates/teaselglade-net/src/lib.rs
+++ b/crates/teaselglade-net/src/lib.rs
@@ -5,7 +5,9 @@
 pub mod backend;
 pub mod client;
 pub mod clock;
+pub mod daemon;
 pub mod logging;
+pub mod metrics;
 pub mod peer;
 pub mod platform;
 pub mod server;
--- a/crates/teaselglade/tests/processes/handover.rs
+++ b/crates/teaselglade/tests/processes/handover.rs
@@ -3,48 +3,24 @@
 use std::time::Duration;
 
 use hyper::Method;
-use teaselglade::caller::{CallerClient, StreamQuery, StreamReport};
+use teaselglade::caller::CallerClient;
 use teaselglade_net::client::HttpCall;
-use teaselglade_standins::engine::answer_text;
 use teaselglade_standins::fleet::{FleetAddresses, FleetPlan};
 use teaselglade_wire::HostEntries;
 use teaselglade_wire::codec::{from_json, to_json};
 use tokio::time::sleep;
 
 use super::harness::{TestFleet, TestProcess};
+use super::stream_load::StreamLoad;
 
-const TOKENS: u32 = 120;
-const STREAMS: usize = 16;
+const LOAD: StreamLoad = StreamLoad {
+    streams: 16,
+    tokens: 120,
+};
 const UNDER_WAY: Duration = Duration::from_millis(500);
 const CHEAPEST_CENTS_PER_HOUR: f64 = 0.1;
 const SHORT_DRAIN: Duration = Duration::from_secs(3);
 
-fn query(index: usize) -> StreamQuery {
-    StreamQuery {
-        organisation: "dragons-sleeve".to_owned(),
-        service: "patter-engine".to_owned(),
-        prompt: format!("a long script for trick {index}"),
-        max_tokens: TOKENS,
-    }
-}
-
-async fn run_streams(fleet: &TestFleet) -> Vec<StreamReport> {
-    let entries = fleet.callers();
-    let client = CallerClient::default();
-    let streams = (0..STREAMS).map(|index| {
-        let (client, entries) = (&client, &entries);
-        async move { client.generate(entries, &query(index)).await }
-    });
-    futures::future::join_all(streams).await
-}
-
-fn assert_whole(reports: &[StreamReport]) {
-    for (index, report) in reports.iter().enumerate() {
-        assert!(report.is_whole(), "{report:?}");
-        assert_eq!(report.text(), answer_text(&query(index).prompt, TOKENS));
-    }
-}
-
 /// Starts more stand-ins as a process of their own and lists one of their engines.
 async fn add_engine_process(fleet: &TestFleet) -> TestProcess {
     let program = env!("CARGO_BIN_EXE_teaselglade-standins");
@@ -74,8 +50,8 @@
         sleep(UNDER_WAY).await;
         fleet.entries[0].process.signal("TERM");
     };
-    let (reports, ()) = tokio::join!(run_streams(&fleet), stop);
-    assert_whole(&reports);
+    let (reports, ()) = tokio::join!(LOAD.run(&fleet), stop);
+    LOAD.assert_whole(&reports);
     assert!(reports.iter().all(|report| report.resumes > 0));
     assert!(
         fleet.entries[0].process.wait(),
@@ -90,9 +66,9 @@
         sleep(UNDER_WAY).await;
         list_as_leaving(&fleet, &fleet.entries[0].host).await;
     };
-    let (reports, ()) = tokio::join!(run_streams(&fleet), reclaim);
+    let (reports, ()) = tokio::join!(LOAD.run(&fleet), reclaim);
     fleet.entries[0].process.kill();
-    assert_whole(&reports);
+    LOAD.assert_whole(&reports);
     assert!(reports.iter().any(|report| report.resumes > 0));
 }
 
@@ -113,7 +89,7 @@
     let mut fleet = TestFleet::start(FleetPlan::dragons_sleeve(), 2).await;
     let entries = fleet.callers();
     let client = CallerClient::default();
-    let question = query(0);
+    let question = LOAD.query(0);
     let stream = client.generate(&entries, &question);
     let kill = async {
         sleep(UNDER_WAY).await;
@@ -137,8 +113,8 @@
         sleep(Duration::from_secs(5)).await;
         engine.signal("CONT");
     };
-    let (reports, ()) = tokio::join!(run_streams(&fleet), freeze);
-    assert_whole(&reports);
+    let (reports, ()) = tokio::join!(LOAD.run(&fleet), freeze);
+    LOAD.assert_whole(&reports);
     assert_ne!(failed_attempts(&fleet).await, 0, "no stream met the engine");
 }
 
--- a/crates/teaselglade/tests/processes/main.rs
+++ b/crates/teaselglade/tests/processes/main.rs
@@ -7,5 +7,6 @@
 mod harness;
 mod interface_page;
 mod limits;
+mod stream_load;
 mod table_in_force;
 mod whole_path;
