--- a/crates/teaselglade/tests/processes/faults.rs
+++ b/crates/teaselglade/tests/processes/faults.rs
@@ -14,6 +14,7 @@
     tokens: 80,
 };
 const BETWEEN_SIGNALS: Duration = Duration::from_millis(100);
+const BETWEEN_RECLAIMS: Duration = Duration::from_millis(600);
 const UNDER_WAY: Duration = Duration::from_millis(300);
 
 #[tokio::test(flavor = "multi_thread")]
@@ -49,6 +50,28 @@
     LOAD.assert_whole(&reports);
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn streams_survive_two_reclaims_while_the_control_daemon_dies_and_starts_are_refused() {
+    let fleet = TestFleet::start(FleetPlan::dragons_sleeve(), 2).await;
+    let mut control = fleet.start_control(0);
+    let reclaims = async {
+        fleet
+            .set_faults(fleet.platform.cloud, "{\"refuse_starts\":true}")
+            .await;
+        sleep(UNDER_WAY).await;
+        for zone in ["newport", "swansea"] {
+            let order = format!("{{\"zone\":\"{zone}\",\"notice_ms\":400}}");
+            fleet
+                .call(HttpCall::post(fleet.platform.cloud, "/reclaim", order))
+                .await;
+            control.kill();
+            sleep(BETWEEN_RECLAIMS).await;
+        }
+    };
+    let (reports, ()) = tokio::join!(LOAD.run(&fleet), reclaims);
+    LOAD.assert_whole(&reports);
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn streams_survive_connections_that_go_silent() {
     let fleet = TestFleet::start(FleetPlan::dragons_sleeve(), 1).await;
--- a/crates/teaselglade/tests/processes/handover.rs
+++ b/crates/teaselglade/tests/processes/handover.rs
@@ -3,20 +3,23 @@
 use std::time::Duration;
 
 use hyper::Method;
-use teaselglade::caller::CallerClient;
+use teaselglade::caller::{CallerClient, StreamQuery};
 use teaselglade_net::client::HttpCall;
 use teaselglade_standins::fleet::{FleetAddresses, FleetPlan};
-use teaselglade_wire::HostEntries;
 use teaselglade_wire::codec::{from_json, to_json};
+use teaselglade_wire::{ErrorBody, HostEntries, Verdict};
 use tokio::time::sleep;
 
 use super::harness::{TestFleet, TestProcess};
 use super::stream_load::StreamLoad;
 
+const TOKENS: u32 = 120;
 const LOAD: StreamLoad = StreamLoad {
     streams: 16,
-    tokens: 120,
+    tokens: TOKENS,
 };
+const MAX_RESUMES: u32 = 40;
+const PATIENCE: Duration = Duration::from_secs(30);
 const UNDER_WAY: Duration = Duration::from_millis(500);
 const CHEAPEST_CENTS_PER_HOUR: f64 = 0.1;
 const SHORT_DRAIN: Duration = Duration::from_secs(3);
@@ -126,3 +129,47 @@
     let count = lines.find_map(|line| line.strip_prefix("teaselglade_failed_attempts_total "));
     count.and_then(|count| count.parse().ok()).unwrap_or(0)
 }
+
+/// Starts a stream, reads its head and leaves; returns the id of the request.
+async fn start_and_leave(fleet: &TestFleet, question: &StreamQuery) -> String {
+    let body = format!(
+        "{{\"prompt\":\"{}\",\"max_tokens\":{}}}",
+        question.prompt, question.max_tokens
+    );
+    let path = format!("/v1/services/{}/generate", question.service);
+    let call = HttpCall::post(fleet.callers()[0], path, body)
+        .header("x-organisation", question.organisation.as_str());
+    let response = fleet.caller.open(call).await.expect("a stream");
+    let id = response.headers().get("x-request-id").expect("an id");
+    id.to_str().expect("text").to_owned()
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_silent_peer_is_not_waited_for_and_its_stream_goes_on_when_it_wakes() {
+    let fleet = TestFleet::start(FleetPlan::dragons_sleeve(), 2).await;
+    let question = LOAD.query(0);
+    let request = start_and_leave(&fleet, &question).await;
+    fleet.entries[0].process.signal("STOP");
+    let resume = || HttpCall::get(fleet.callers()[1], format!("/v1/requests/{request}"));
+    let answer = fleet.caller.call(resume().head_timeout(PATIENCE)).await;
+    let answer = answer.expect("an answer without the peer");
+    let refusal = from_json::<ErrorBody>(&answer.body).expect("an error body");
+    assert_eq!(refusal.verdict, Verdict::MayHaveRun, "{refusal:?}");
+    fleet.entries[0].process.signal("CONT");
+    let mut body = String::new();
+    for _ in 0..MAX_RESUMES {
+        sleep(UNDER_WAY).await;
+        let answer = fleet.caller.call(resume().head_timeout(PATIENCE)).await;
+        let answer = answer.expect("an answer");
+        if answer.is_success() {
+            body = String::from_utf8_lossy(&answer.body).into_owned();
+            break;
+        }
+    }
+    assert_eq!(
+        body.matches("event:token").count(),
+        TOKENS as usize,
+        "{body}"
+    );
+    assert!(body.contains("event:end"), "{body}");
+}
--- a/crates/teaselglade/tests/processes/whole_path.rs
+++ b/crates/teaselglade/tests/processes/whole_path.rs
@@ -1,11 +1,15 @@
 //! A stream and a booking from one end to the other, and requests that are malformed.
 
+use std::net::SocketAddr;
+
 use teaselglade::caller::{CallerClient, PlainReport, StreamQuery};
 use teaselglade_net::client::{HttpAnswer, HttpCall};
 use teaselglade_standins::engine::answer_text;
 use teaselglade_standins::fleet::FleetPlan;
 use teaselglade_wire::codec::from_json;
 use teaselglade_wire::{ErrorBody, Verdict};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
 
 use super::harness::TestFleet;
 
@@ -89,6 +93,34 @@
     assert!(report.is_whole(), "{report:?}");
 }
 
+/// Sends a request whose body ends before its length and returns the whole answer.
+async fn send_truncated(entry: SocketAddr) -> String {
+    let mut stream = TcpStream::connect(entry).await.expect("a connection");
+    let request = "POST /v1/services/draft-fleet/generate HTTP/1.1\r\nhost: entry\r\n\
+        x-organisation: halloran-galway\r\ncontent-length: 100\r\n\r\n{\"prompt\":\"cut";
+    stream
+        .write_all(request.as_bytes())
+        .await
+        .expect("the request is sent");
+    stream.shutdown().await.expect("the sending side closes");
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).await.expect("an answer");
+    answer
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn truncated_request_is_refused_as_not_run_and_the_daemon_goes_on() {
+    let fleet = TestFleet::start(FleetPlan::corrib(), 1).await;
+    let entry = fleet.callers()[0];
+    let answer = send_truncated(entry).await;
+    assert!(answer.starts_with("HTTP/1.1 400"), "{answer}");
+    assert!(answer.contains("\"verdict\":\"not_run\""), "{answer}");
+    let report = CallerClient::default()
+        .generate(&[entry], &query("assess a brooch"))
+        .await;
+    assert!(report.is_whole(), "{report:?}");
+}
+
 fn assert_refused(answer: &HttpAnswer, status: u16, reason: &str) {
     let body = from_json::<ErrorBody>(&answer.body).expect("an error body");
     assert_eq!(answer.status, status, "{body:?}");
