fix(claims): let bookings of an idle shard wait for a fresh read

Ruled out: a second run, since the verdict was the careful one; only a certain answer was withheld. Change: a read that does not wait says that the view is not at the shard's end until it is read.

--- a/crates/teaselglade-claims/src/shard/reading.rs
+++ b/crates/teaselglade-claims/src/shard/reading.rs
@@ -55,10 +55,12 @@
         let Some(waits) = phases.filter_map(read_wait).min() else {
             return;
         };
-        let wait = match waits {
-            ReadWait::Now => Duration::ZERO,
-            ReadWait::Poll if !self.at_end => Duration::ZERO,
-            ReadWait::Poll => self.options.poll_wait,
+        // What an idle shard last read may be old; bookings wait for the end of this read.
+        self.at_end &= waits == ReadWait::Poll;
+        let wait = if self.at_end {
+            self.options.poll_wait
+        } else {
+            Duration::ZERO
         };
         self.reading = true;
         self.counters.reads += 1;
