test(request): keep the order of a paused host's events in the test world

Traces: (1) a stream placed in the very millisecond of a notice, between the news to the streams and the news to the placement; in the daemon a stream is registered before it is placed, so it hears one of them. (2) a pause that began within a pause reordered the events that a host had in its queue (its admission came behind its caller's return); a host keeps that order. Ruled out: faults of the machine, by the trace of each case. Change: placement knows of a notice from the same instant on; a paused host is not paused anew.

--- a/crates/teaselglade-request/tests/support/world.rs
+++ b/crates/teaselglade-request/tests/support/world.rs
@@ -477,7 +477,7 @@
     fn place(&mut self, host: usize, caller: usize, ticket: u32, exclude: &[ServerKey]) {
         let is_known_to_leave = |server: &ServerKey| {
             let since = self.engines[server.index()].leaving_since;
-            since.is_some_and(|since| self.now - since > HOST_LIST_LAG)
+            since.is_some_and(|since| self.now - since >= HOST_LIST_LAG)
         };
         let servers = (0..self.engines.len() as u32).map(ServerKey::new);
         let free = servers.filter(|server| !exclude.contains(server) && !is_known_to_leave(server));
--- a/crates/teaselglade-request/tests/support/world_faults.rs
+++ b/crates/teaselglade-request/tests/support/world_faults.rs
@@ -37,7 +37,11 @@
             Fault::HostLeave { host, notice_ms } => self.leave_host(host, notice_ms),
             Fault::HostCrash { host } => self.crash_host(host),
             Fault::HostPause { host, pause_ms } => {
-                self.hosts[host].paused_until = self.now + Duration::from_millis(pause_ms);
+                // A host that is paused is not paused anew: it would lose the order of its events.
+                let node = &mut self.hosts[host];
+                if node.paused_until <= self.now {
+                    node.paused_until = self.now + Duration::from_millis(pause_ms);
+                }
             }
             Fault::LoseReplies { host, count } => self.hosts[host].lost_replies = count,
             Fault::DropCaller { caller } => self.drop_caller(caller),
