fix(request): let a host that was paused hear the news before it acts

An entry host paused for 3.5 s woke; its timer for a silent stream came before the notice that waited in the same queue, so it called the leaving server again. Ruled out: the world, since a real host's timers and sockets come in any order after SIGCONT. Change: a timer that is a second late tells that the host was paused; due steps wait 50 ms more, in which the news is heard.

--- a/crates/teaselglade-request/src/stream/stream_machine/due_times.rs
+++ b/crates/teaselglade-request/src/stream/stream_machine/due_times.rs
@@ -1,5 +1,7 @@
 //! What happens at a time rather than by an event.
 
+use std::time::Duration;
+
 use teaselglade_core::time::Timestamp;
 use teaselglade_core::verdict::RefusalReason;
 
@@ -7,8 +9,23 @@
 use crate::stream::StreamAction;
 use crate::stream::attempt_plan::AttemptPlan;
 
+/// Lateness of a timer that tells a paused host from a busy one.
+const LATE_WAKE: Duration = Duration::from_secs(1);
+/// Time in which a host that was paused hears what happened meanwhile.
+const SETTLE_SPAN: Duration = Duration::from_millis(50);
+
 impl StreamMachine {
+    /// Holds due steps back where the host was paused, until it heard the news of that time.
+    pub(super) fn note_late_wake(&mut self, now: Timestamp) {
+        if self.armed.is_some_and(|armed| armed + LATE_WAKE <= now) {
+            self.settle_until = now + SETTLE_SPAN;
+        }
+    }
+
     pub(super) fn check_due(&mut self, now: Timestamp) {
+        if now < self.settle_until {
+            return;
+        }
         match &self.phase {
             StreamPhase::Active => self.check_active(now),
             StreamPhase::Whole { until, .. } | StreamPhase::Refused { until, .. } => {
@@ -47,9 +64,10 @@
     }
 
     pub(super) fn arm_timer(&mut self) {
-        let Some(at) = self.wake_at() else {
+        let Some(due) = self.wake_at() else {
             return;
         };
+        let at = due.max(self.settle_until);
         if self.armed.is_none_or(|armed| at < armed) {
             self.armed = Some(at);
             self.actions.push(StreamAction::SetTimer { at });
--- a/crates/teaselglade-request/src/stream/stream_machine/mod.rs
+++ b/crates/teaselglade-request/src/stream/stream_machine/mod.rs
@@ -107,6 +107,8 @@
     handover_at: Option<Timestamp>,
     host_deadline: Option<Timestamp>,
     armed: Option<Timestamp>,
+    /// Until when a host that was paused hears what happened meanwhile.
+    settle_until: Timestamp,
     held: Vec<StreamEvent>,
     counters: StreamCounters,
     actions: Vec<StreamAction>,
@@ -163,6 +165,7 @@
             handover_at: None,
             host_deadline: None,
             armed: None,
+            settle_until: Timestamp::ZERO,
             held: Vec::new(),
             counters: StreamCounters::default(),
             actions: Vec::new(),
@@ -171,6 +174,7 @@
 
     /// Takes an event and returns what has to be done, in order.
     pub fn on_event(&mut self, now: Timestamp, event: StreamEvent) -> Vec<StreamAction> {
+        self.note_late_wake(now);
         if self.armed.is_some_and(|armed| armed <= now) {
             self.armed = None;
         }
