refactor(request): split the test world by engines and handover

Change: placement and frames, and handover and callers, in files of their own; functions and checks as before.

--- a/crates/teaselglade-request/tests/support/mod.rs
+++ b/crates/teaselglade-request/tests/support/mod.rs
@@ -4,7 +4,9 @@
 mod engine;
 mod fault;
 mod world;
+mod world_engines;
 mod world_faults;
+mod world_handover;
 
 pub use caller::{Caller, Outcome};
 pub use engine::{Engine, EngineRun};
--- a/crates/teaselglade-request/tests/support/world.rs
+++ b/crates/teaselglade-request/tests/support/world.rs
@@ -3,33 +3,29 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use rand::{Rng, SeedableRng};
+use rand::SeedableRng;
 use rand_pcg::Pcg32;
-use teaselglade_core::id::{AttemptId, HostName, RequestId, ServerKey};
-use teaselglade_core::port::{AttemptError, EngineEvent, GenerateCall};
+use teaselglade_core::id::{AttemptId, ServerKey};
 use teaselglade_core::time::Timestamp;
-use teaselglade_core::verdict::{RefusalReason, RequestRefusal, SendProgress};
-use teaselglade_request::handover::{
-    HandoverAction, HandoverEvent, HandoverLimits, HandoverMachine, HolderAnswer, HolderSearch,
-    PeerReply, SearchAction,
-};
+use teaselglade_core::verdict::{RefusalReason, RequestRefusal};
+use teaselglade_request::handover::{HandoverEvent, HandoverLimits, HandoverMachine};
 use teaselglade_request::retry::{BudgetLimits, RetryBudget};
 use teaselglade_request::stream::{
     CallerSession, StreamAction, StreamEvent, StreamLimits, StreamMachine, StreamRecord,
     StreamRequest,
 };
 
-use super::engine::{ROOT_HASH, extend_hash};
+use super::world_handover::request_id;
 use super::{Caller, Engine, EngineRun, Fault, Outcome};
 
-const HOP: Duration = Duration::from_millis(2);
-const TOKEN_GAP: Duration = Duration::from_millis(20);
+pub(super) const HOP: Duration = Duration::from_millis(2);
+pub(super) const TOKEN_GAP: Duration = Duration::from_millis(20);
 pub(super) const HOST_LIST_LAG: Duration = Duration::from_millis(5);
-const KV_MOVE: Duration = Duration::from_millis(120);
-const HEAD_TIMEOUT: Duration = Duration::from_secs(2);
-const COME_BACK: Duration = Duration::from_millis(40);
-const REQUEST_SPAN: Duration = Duration::from_mins(1);
-const PROMPT_TOKENS: u32 = 50;
+pub(super) const KV_MOVE: Duration = Duration::from_millis(120);
+pub(super) const HEAD_TIMEOUT: Duration = Duration::from_secs(2);
+pub(super) const COME_BACK: Duration = Duration::from_millis(40);
+pub(super) const REQUEST_SPAN: Duration = Duration::from_mins(1);
+pub(super) const PROMPT_TOKENS: u32 = 50;
 
 /// Size and limits of a world.
 #[derive(Debug, Clone, Copy)]
@@ -131,8 +127,8 @@
     pub(super) lost_replies: u32,
     pub(super) slots: BTreeMap<usize, Slot>,
     pub(super) records: BTreeMap<usize, StreamRecord>,
-    handover: HandoverMachine,
-    budget: RetryBudget,
+    pub(super) handover: HandoverMachine,
+    pub(super) budget: RetryBudget,
 }
 
 /// The fleet.
@@ -154,7 +150,7 @@
     pub(super) runs: Vec<EngineRun>,
     queue: BTreeMap<(Timestamp, u64), WorldEvent>,
     last_event: u64,
-    random: Pcg32,
+    pub(super) random: Pcg32,
 }
 
 impl World {
@@ -473,367 +469,4 @@
             },
         );
     }
-
-    fn place(&mut self, host: usize, caller: usize, ticket: u32, exclude: &[ServerKey]) {
-        let is_known_to_leave = |server: &ServerKey| {
-            let since = self.engines[server.index()].leaving_since;
-            since.is_some_and(|since| self.now - since >= HOST_LIST_LAG)
-        };
-        let servers = (0..self.engines.len() as u32).map(ServerKey::new);
-        let free = servers.filter(|server| !exclude.contains(server) && !is_known_to_leave(server));
-        let free = free.collect::<Vec<_>>();
-        let event = if free.is_empty() {
-            let refusal = RequestRefusal::not_run(RefusalReason::NoServer, "none");
-            StreamEvent::NotPlaced { ticket, refusal }
-        } else {
-            let server = free[self.random.random_range(0..free.len())];
-            StreamEvent::Placed { ticket, server }
-        };
-        self.tell(host, caller, event);
-    }
-
-    fn dispatch(&mut self, host: usize, caller: usize, server: ServerKey, call: &GenerateCall) {
-        self.dispatches += 1;
-        let now = self.now;
-        let attempt = call.attempt;
-        let engine = &mut self.engines[server.index()];
-        let fail = |progress| StreamEvent::AttemptFailed {
-            attempt,
-            error: AttemptError::new(progress, "stand-in"),
-        };
-        if engine.is_dead {
-            self.tell(host, caller, fail(SendProgress::NotSent));
-            return;
-        }
-        if engine.is_frozen {
-            let event = fail(SendProgress::MaybeSent);
-            self.schedule(
-                HEAD_TIMEOUT,
-                WorldEvent::Machine {
-                    host,
-                    caller,
-                    event,
-                },
-            );
-            return;
-        }
-        if let Some(since) = engine.leaving_since {
-            engine.late_work.push(now - since);
-        }
-        self.executions[caller] += 1;
-        let hash = call
-            .delivered
-            .iter()
-            .fold(ROOT_HASH, |hash, text| extend_hash(hash, text));
-        let next = call.delivered.len() as u32;
-        let computed_tokens = if call.kv_handle.is_some() {
-            0
-        } else {
-            PROMPT_TOKENS + next
-        };
-        let cached_tokens = PROMPT_TOKENS + next - computed_tokens;
-        self.runs.push(EngineRun {
-            engine: server.index(),
-            host,
-            caller,
-            attempt,
-            next,
-            hash,
-            is_silent: false,
-            is_stalled: false,
-            is_over: false,
-        });
-        let run = self.runs.len() - 1;
-        self.send_frame(
-            run,
-            EngineEvent::Started {
-                attempt,
-                computed_tokens,
-                cached_tokens,
-            },
-        );
-        self.schedule(TOKEN_GAP, WorldEvent::RunStep { run });
-    }
-
-    fn step_run(&mut self, run: usize) {
-        let engine = self.runs[run].engine;
-        if self.runs[run].is_over || self.engines[engine].is_dead {
-            return;
-        }
-        if self.engines[engine].is_frozen {
-            self.runs[run].is_stalled = true;
-            return;
-        }
-        let attempt = self.runs[run].attempt;
-        if self.runs[run].next == self.setup.answer_tokens {
-            self.runs[run].is_over = true;
-            let total = self.setup.answer_tokens;
-            self.send_frame(run, EngineEvent::End { attempt, total });
-            return;
-        }
-        let index = self.runs[run].next;
-        let text = self.runs[run].sample();
-        self.send_frame(
-            run,
-            EngineEvent::Token {
-                attempt,
-                index,
-                text,
-            },
-        );
-        self.schedule(TOKEN_GAP, WorldEvent::RunStep { run });
-    }
-
-    fn send_frame(&mut self, run: usize, frame: EngineEvent) {
-        let EngineRun {
-            engine,
-            host,
-            caller,
-            is_silent,
-            ..
-        } = self.runs[run];
-        if is_silent {
-            return;
-        }
-        let event = StreamEvent::Frame(frame);
-        match self.engines[engine].mangle.pop() {
-            Some(Fault::Lose { .. }) => return,
-            Some(Fault::Delay { .. }) => {
-                self.schedule(
-                    TOKEN_GAP * 3,
-                    WorldEvent::Machine {
-                        host,
-                        caller,
-                        event,
-                    },
-                );
-                return;
-            }
-            Some(Fault::Duplicate { .. }) => self.tell(host, caller, event.clone()),
-            Some(Fault::Misroute { .. }) => {
-                let other = (caller + 1) % self.callers.len();
-                self.tell(host, other, event.clone());
-            }
-            _ => {}
-        }
-        self.tell(host, caller, event);
-    }
-
-    /// Ends a run without an end frame, as an export of its cache does.
-    fn end_run(&mut self, attempt: AttemptId) {
-        let mut runs = self.runs.iter_mut();
-        let run = runs.find(|run| run.attempt == attempt && !run.is_over);
-        let Some(run) = run else {
-            return;
-        };
-        run.is_over = true;
-        let (host, caller, is_silent) = (run.host, run.caller, run.is_silent);
-        if !is_silent {
-            self.tell(host, caller, StreamEvent::AttemptClosed { attempt });
-        }
-    }
-
-    fn cancel(&mut self, attempt: AttemptId) {
-        let runs = self.runs.iter_mut();
-        let cancelled = runs.filter(|run| run.attempt == attempt && !run.is_silent);
-        cancelled.for_each(|run| run.is_over = true);
-    }
-
-    fn offer(&mut self, host: usize, caller: usize, record: StreamRecord) {
-        let request = record.request.id;
-        let generation = record.generation;
-        self.hosts[host].records.insert(caller, record);
-        let peers = (0..self.hosts.len()).filter(|peer| {
-            *peer != host && self.hosts[*peer].is_up && !self.hosts[*peer].is_leaving
-        });
-        let peers = peers.map(host_name).collect();
-        self.drive_handover(host, HandoverEvent::PeersChanged { peers });
-        self.drive_handover(
-            host,
-            HandoverEvent::Offered {
-                request,
-                generation,
-            },
-        );
-    }
-
-    fn drive_handover(&mut self, host: usize, event: HandoverEvent) {
-        if !self.hosts[host].is_up {
-            return;
-        }
-        let actions = self.hosts[host].handover.on_event(self.now, event);
-        for action in actions {
-            match action {
-                HandoverAction::Send {
-                    request,
-                    peer,
-                    generation,
-                } => {
-                    let mut record = self.hosts[host].records[&caller_of(request)].clone();
-                    record.generation = generation;
-                    let record = Box::new(record);
-                    let to = host_of(&peer);
-                    self.schedule(
-                        HOP,
-                        WorldEvent::Record {
-                            from: host,
-                            to,
-                            record,
-                        },
-                    );
-                }
-                HandoverAction::Done { request } => {
-                    self.tell(host, caller_of(request), StreamEvent::HandoverDone);
-                }
-                HandoverAction::Failed {
-                    request,
-                    generation,
-                } => {
-                    let event = StreamEvent::HandoverFailed { generation };
-                    self.tell(host, caller_of(request), event);
-                }
-            }
-        }
-    }
-
-    fn take_record(&mut self, from: usize, to: usize, record: StreamRecord) {
-        let request = record.request.id;
-        let caller = caller_of(request);
-        let peer = host_name(to);
-        let node = &mut self.hosts[to];
-        let mut reply = PeerReply::Accepted;
-        if !node.is_up {
-            reply = PeerReply::Unknown;
-        } else if node.is_leaving {
-            reply = PeerReply::Refused;
-        } else if node
-            .slots
-            .get(&caller)
-            .is_none_or(|slot| slot.machine.generation() < record.generation)
-        {
-            let slot = Slot {
-                machine: StreamMachine::resume(record, self.setup.limits, self.now),
-                session: CallerSession::default(),
-                connection: None,
-                opening: BTreeMap::new(),
-            };
-            node.slots.insert(caller, slot);
-            self.drive(to, caller, StreamEvent::Admitted { prefer: None });
-        }
-        if self.hosts[from].lost_replies > 0 {
-            self.hosts[from].lost_replies -= 1;
-            reply = PeerReply::Unknown;
-        }
-        let event = HandoverEvent::Replied {
-            request,
-            peer,
-            reply,
-        };
-        self.schedule(HOP, WorldEvent::Reply { host: from, event });
-    }
-
-    /// Ends a caller's connection; the caller comes back.
-    pub(super) fn cut_caller(&mut self, caller: usize, connection: Option<u32>) {
-        let is_present = connection == Some(self.callers[caller].connection);
-        if is_present && self.callers[caller].outcome.is_none() {
-            self.callers[caller].connection += 1;
-            let connection = self.callers[caller].connection;
-            self.schedule(COME_BACK, WorldEvent::Reconnect { caller, connection });
-        }
-    }
-
-    fn reconnect(&mut self, caller: usize, connection: u32) {
-        if self.callers[caller].connection != connection {
-            return;
-        }
-        let from = self.callers[caller].tokens.len() as u32;
-        let line = self.callers[caller].line;
-        let is_up = |host: &usize| self.hosts[*host].is_up;
-        let up = (0..self.hosts.len()).filter(is_up).collect::<Vec<_>>();
-        if up.is_empty() {
-            return;
-        }
-        let entry = up[self.random.random_range(0..up.len())];
-        let holder = if self.hosts[entry].slots.contains_key(&caller) {
-            Ok(entry)
-        } else {
-            self.search(entry, caller)
-        };
-        let host = match holder {
-            Ok(host) => host,
-            Err(refusal) => {
-                self.schedule(
-                    HOP,
-                    WorldEvent::Refuse {
-                        caller,
-                        connection,
-                        refusal,
-                    },
-                );
-                return;
-            }
-        };
-        let Some(slot) = self.hosts[host].slots.get_mut(&caller) else {
-            return;
-        };
-        slot.session = slot.session.next();
-        let session = slot.session;
-        slot.opening.insert(session, connection);
-        self.drive(
-            host,
-            caller,
-            StreamEvent::CallerResumed {
-                session,
-                from,
-                line: Some(line),
-            },
-        );
-    }
-
-    fn search(&self, entry: usize, caller: usize) -> Result<usize, RequestRefusal> {
-        let peers = (0..self.hosts.len()).filter(|peer| *peer != entry);
-        let peers = peers.map(host_name).collect::<Vec<_>>();
-        let (mut search, mut actions) =
-            HolderSearch::start(request_id(caller), self.callers[caller].line, &peers);
-        while let Some(action) = actions.pop() {
-            match action {
-                SearchAction::Ask { peer } => {
-                    let answer = self.answer_search(host_of(&peer), caller);
-                    actions.extend(search.on_answer(&peer, answer));
-                }
-                SearchAction::Found { peer } => return Ok(host_of(&peer)),
-                SearchAction::NotFound { refusal } => return Err(refusal),
-            }
-        }
-        unreachable!("a search ends with an answer")
-    }
-
-    fn answer_search(&self, host: usize, caller: usize) -> HolderAnswer {
-        let node = &self.hosts[host];
-        match node.slots.get(&caller).filter(|_| node.is_up) {
-            Some(slot) => HolderAnswer::Holds {
-                generation: slot.machine.generation(),
-                line: slot.machine.line(),
-            },
-            None if node.is_up => HolderAnswer::NotHere,
-            None => HolderAnswer::Unknown,
-        }
-    }
-}
-
-fn request_id(caller: usize) -> RequestId {
-    RequestId::from_bits(caller as u128 + 1)
-}
-
-fn caller_of(request: RequestId) -> usize {
-    request.to_bits() as usize - 1
-}
-
-fn host_name(host: usize) -> HostName {
-    HostName::new(format!("entry-{host}"))
-}
-
-fn host_of(name: &HostName) -> usize {
-    let digits = name.as_str().trim_start_matches("entry-");
-    digits.parse().expect("names end with the index")
 }
