--- a/crates/teaselglade-control/src/settings/control_settings.rs
+++ b/crates/teaselglade-control/src/settings/control_settings.rs
@@ -101,20 +101,11 @@
         profiles: root.objects("profiles", read_profile),
         lease: root.object("lease", read_terms).unwrap_or_default(),
         retention: root.opt_millis("retention_ms").unwrap_or(DEFAULT_RETENTION),
-        log_format: log_format(root),
+        log_format: root
+            .opt_parsed("log_format", "`text` or `json`")
+            .unwrap_or_default(),
         log_level: root
             .opt_parsed("log_level", "one of `error`, `warn`, `info`, `debug`")
             .unwrap_or(LevelFilter::Info),
     }
 }
-
-fn log_format(root: &SettingsObject<'_>) -> LogFormat {
-    match root.opt_string("log_format").as_deref() {
-        None | Some("text") => LogFormat::Text,
-        Some("json") => LogFormat::Json,
-        Some(_) => {
-            root.reject("log_format", "expected `text` or `json`");
-            LogFormat::Text
-        }
-    }
-}
--- a/crates/teaselglade-entry/src/settings/entry_settings.rs
+++ b/crates/teaselglade-entry/src/settings/entry_settings.rs
@@ -83,20 +83,11 @@
         host_list: root.address("host_list"),
         cloud: root.opt_address("cloud"),
         drain: root.opt_millis("drain_ms").unwrap_or(DEFAULT_DRAIN),
-        log_format: log_format(root),
+        log_format: root
+            .opt_parsed("log_format", "`text` or `json`")
+            .unwrap_or_default(),
         log_level: root
             .opt_parsed("log_level", "one of `error`, `warn`, `info`, `debug`")
             .unwrap_or(LevelFilter::Info),
     }
 }
-
-fn log_format(root: &SettingsObject<'_>) -> LogFormat {
-    match root.opt_string("log_format").as_deref() {
-        None | Some("text") => LogFormat::Text,
-        Some("json") => LogFormat::Json,
-        Some(_) => {
-            root.reject("log_format", "expected `text` or `json`");
-            LogFormat::Text
-        }
-    }
-}
--- a/crates/teaselglade-net/src/logging/mod.rs
+++ b/crates/teaselglade-net/src/logging/mod.rs
@@ -3,4 +3,4 @@
 mod json_logger;
 mod log_format;
 
-pub use log_format::{LogFormat, start_logging};
+pub use log_format::{LogFormat, LogFormatError, start_logging};
