--- a/crates/teaselglade-core/src/port/log_port.rs
+++ b/crates/teaselglade-core/src/port/log_port.rs
@@ -42,6 +42,12 @@
         Self(format!("leases-{zone}"))
     }
 
+    /// Returns the stream of decided usage reports.
+    #[must_use]
+    pub fn usage() -> Self {
+        Self("usage".to_owned())
+    }
+
     /// Returns the stream of the audit trail.
     #[must_use]
     pub fn audit() -> Self {
--- /dev/null
+++ b/crates/teaselglade-host/src/duty/duty_driver.rs
@@ -0,0 +1,451 @@
+//! Holds the lease of the duties and does them.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use teaselglade_core::port::{ClockPort, LogPort, StreamName};
+use teaselglade_core::time::Timestamp;
+use teaselglade_net::clock::SuspendClock;
+use teaselglade_routing::scaling::{FleetPlanner, OrderOutcome, ServerOrder};
+use teaselglade_routing::table::ServiceSpec;
+use teaselglade_routing::usage::WindowCounts;
+use teaselglade_state::lease::{
+    LeaseAction, LeaseEvent, LeaseHolder, LeaseIdentity, LeaseNumber, LeaseTerms,
+};
+use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
+use tokio::time::{MissedTickBehavior, interval};
+use tracing::{info, warn};
+
+use super::ReportLog;
+use crate::port::{DutyError, DutyPort, DutyTerm};
+use crate::settings::DutyBounds;
+use crate::state::HostState;
+
+/// Name of the one lease for all duties.
+const LEASE_NAME: &str = "duties";
+/// Time between two looks at the lease and the duties.
+const TICK: Duration = Duration::from_millis(100);
+/// Time between two plans of the servers.
+const PLAN_INTERVAL: Duration = Duration::from_millis(500);
+/// Most records of one read.
+const PAGE_RECORDS: u32 = 512;
+/// Windows before the present one whose reports are sent once more by a new holder.
+const RESENT_WINDOWS: u64 = 3;
+/// Pause after a failed step of the reports.
+const REPORT_PAUSE: Duration = Duration::from_millis(500);
+
+/// Returns the times of the lease for the platform's bounds.
+///
+/// A holder that cannot renew stops acting within the bound, and a rival waits longer than that.
+#[must_use]
+pub fn lease_terms(bounds: &DutyBounds) -> LeaseTerms {
+    let term = bounds.lease;
+    LeaseTerms {
+        term,
+        margin: term / 5,
+        renew_interval: term / 3,
+        takeover_wait: term + term / 5,
+        takeover_jitter: term / 5,
+        read_interval: term * 2 / 3,
+        resolve_interval: term / 10,
+    }
+}
+
+/// Something that a call under the duties brought.
+#[derive(Debug)]
+enum DutyNews {
+    Lease(LeaseEvent),
+    Ordered(ServerOrder, OrderOutcome, LeaseNumber, bool),
+    Reports(ReportLog, BTreeSet<u64>, LeaseNumber, bool),
+}
+
+/// Holds the lease of the duties and does them.
+#[derive(Debug)]
+pub struct DutyDriver {
+    host: Arc<HostState>,
+    port: Arc<dyn DutyPort>,
+    log: Arc<dyn LogPort>,
+    clock: SuspendClock,
+    holder: LeaseHolder,
+    planners: BTreeMap<String, FleetPlanner>,
+    planned_at: Timestamp,
+    /// Number that the platform told to be out of date.
+    fenced: Option<LeaseNumber>,
+    reports: ReportLog,
+    reported: BTreeSet<u64>,
+    is_reporting: bool,
+    report_after: Timestamp,
+    sender: UnboundedSender<DutyNews>,
+    news: UnboundedReceiver<DutyNews>,
+}
+
+impl DutyDriver {
+    /// Makes the driver of a host; `port` does the duties.
+    #[must_use]
+    pub fn new(host: Arc<HostState>, port: Arc<dyn DutyPort>) -> Self {
+        let identity = LeaseIdentity {
+            host: host.settings.name.clone(),
+            start: host.start,
+        };
+        let terms = lease_terms(&host.settings.duties);
+        let (sender, news) = unbounded_channel();
+        Self {
+            log: Arc::clone(&host.ports.log),
+            clock: SuspendClock::start(),
+            holder: LeaseHolder::new(identity, terms, host.start),
+            planners: BTreeMap::new(),
+            planned_at: Timestamp::ZERO,
+            fenced: None,
+            reports: ReportLog::default(),
+            reported: BTreeSet::new(),
+            is_reporting: false,
+            report_after: Timestamp::ZERO,
+            sender,
+            news,
+            host,
+            port,
+        }
+    }
+
+    /// Holds the lease and does the duties until the host stops; then gives the lease up.
+    pub async fn run(mut self) {
+        let mut ticks = interval(TICK);
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let stopping = self.host.stopping.clone();
+        let mut is_stopping = false;
+        while !self.holder.is_released() {
+            tokio::select! {
+                () = stopping.cancelled(), if !is_stopping => {
+                    is_stopping = true;
+                    self.on_lease(LeaseEvent::Stop);
+                }
+                Some(news) = self.news.recv() => self.on_news(news),
+                _tick = ticks.tick() => {
+                    self.on_lease(LeaseEvent::Tick);
+                    self.do_duties();
+                }
+            }
+        }
+    }
+
+    fn on_news(&mut self, news: DutyNews) {
+        match news {
+            DutyNews::Lease(event) => self.on_lease(event),
+            DutyNews::Ordered(order, outcome, number, is_fenced) => {
+                let now = self.host.now();
+                if let Some(planner) = self.planners.get_mut(&order.service) {
+                    planner.note_outcome(now, &order, outcome);
+                }
+                self.note_fenced(number, is_fenced);
+            }
+            DutyNews::Reports(reports, reported, number, is_fenced) => {
+                self.is_reporting = false;
+                self.report_after = self.host.now() + REPORT_PAUSE;
+                let mut decisions = self.host.decide();
+                for counts in reports.since(0) {
+                    decisions.usage.note_decided(counts.window);
+                }
+                drop(decisions);
+                self.reports = reports;
+                self.reported = reported;
+                self.note_fenced(number, is_fenced);
+            }
+        }
+    }
+
+    fn on_lease(&mut self, event: LeaseEvent) {
+        let now = self.clock.now();
+        let actions = self.holder.on_event(now, event);
+        for action in actions {
+            self.carry_out(action);
+        }
+    }
+
+    fn carry_out(&mut self, action: LeaseAction) {
+        match action {
+            LeaseAction::Read { from, most } => self.read_lease(from, most),
+            LeaseAction::Append(body) => self.append_lease(body),
+            LeaseAction::Gained(number) => {
+                info!(event = "duties_gained", number = fencing_number(number));
+                self.host.metrics.holds_duties.set(1);
+                self.planners.clear();
+                self.reported.clear();
+            }
+            LeaseAction::Lost(number) => {
+                info!(event = "duties_lost", number = fencing_number(number));
+                self.host.metrics.holds_duties.set(0);
+            }
+        }
+    }
+
+    fn read_lease(&self, from: u64, most: u32) {
+        let (host, log, sender) = (
+            Arc::clone(&self.host),
+            Arc::clone(&self.log),
+            self.sender.clone(),
+        );
+        tokio::spawn(async move {
+            let stream = StreamName::leases(LEASE_NAME);
+            let event = match log.read(&stream, from, most, Duration::ZERO).await {
+                Ok(page) => {
+                    host.note_call("read_lease", None);
+                    LeaseEvent::Read(page)
+                }
+                Err(error) => {
+                    host.note_call("read_lease", Some(&error));
+                    LeaseEvent::ReadFailed
+                }
+            };
+            // The receiver ends only with the host.
+            let _stopped = sender.send(DutyNews::Lease(event));
+        });
+    }
+
+    fn append_lease(&self, body: Bytes) {
+        let (host, log, sender) = (
+            Arc::clone(&self.host),
+            Arc::clone(&self.log),
+            self.sender.clone(),
+        );
+        tokio::spawn(async move {
+            let stream = StreamName::leases(LEASE_NAME);
+            let event = match log.append(&stream, body).await {
+                Ok(_offset) => {
+                    host.note_call("append_lease", None);
+                    LeaseEvent::Appended
+                }
+                Err(error) => {
+                    host.note_call("append_lease", Some(&error));
+                    LeaseEvent::AppendFailed
+                }
+            };
+            // The receiver ends only with the host.
+            let _stopped = sender.send(DutyNews::Lease(event));
+        });
+    }
+
+    /// Returns the number under which the host may act now.
+    fn number_in_force(&self) -> Option<LeaseNumber> {
+        let number = self.holder.number_in_force(self.clock.now());
+        number.filter(|number| self.fenced != Some(*number))
+    }
+
+    fn note_fenced(&mut self, number: LeaseNumber, is_fenced: bool) {
+        if is_fenced && self.fenced != Some(number) {
+            warn!(event = "duties_fenced", number = fencing_number(number));
+            self.fenced = Some(number);
+        }
+    }
+
+    fn do_duties(&mut self) {
+        let Some(number) = self.number_in_force() else {
+            return;
+        };
+        let duties = &self.host.settings.duties;
+        let (reports, orders) = (duties.reports_usage, duties.orders_servers);
+        if orders && self.host.now().since(self.planned_at) >= PLAN_INTERVAL {
+            self.planned_at = self.host.now();
+            self.plan_servers(number);
+        }
+        if reports && !self.is_reporting && self.host.now() >= self.report_after {
+            self.report_usage(number);
+        }
+    }
+
+    fn plan_servers(&mut self, number: LeaseNumber) {
+        let Some(held) = self.host.table() else {
+            return;
+        };
+        for service in &held.table.spec().services {
+            for order in self.plan_service(service) {
+                self.send_order(order, number);
+            }
+        }
+    }
+
+    fn plan_service(&mut self, service: &ServiceSpec) -> Vec<ServerOrder> {
+        let Some(scaling) = &service.scaling else {
+            return Vec::new();
+        };
+        let now = self.host.now();
+        let mut decisions = self.host.decide();
+        let busy = decisions.busy_servers(now, &service.name);
+        let stock = decisions.stock(&service.name, &scaling.zone_prices);
+        drop(decisions);
+        let planner = self
+            .planners
+            .entry(service.name.clone())
+            .or_insert_with(|| FleetPlanner::new(&service.name));
+        let orders = planner.plan(now, scaling, &stock, busy);
+        for order in &orders {
+            info!(
+                event = "servers_ordered",
+                service = order.service,
+                zone = order.zone,
+                reclaimable = order.reclaimable,
+                desired = order.desired,
+                busy,
+                needed = planner.needed(),
+                stock = ?stock.get(&order.zone),
+            );
+        }
+        orders
+    }
+
+    fn send_order(&self, order: ServerOrder, number: LeaseNumber) {
+        let term = self.term(number);
+        let (host, port, sender) = (
+            Arc::clone(&self.host),
+            Arc::clone(&self.port),
+            self.sender.clone(),
+        );
+        tokio::spawn(async move {
+            let sent = port.order_servers(&term, &order).await;
+            let (outcome, is_fenced) = match &sent {
+                Ok(()) => (OrderOutcome::Taken, false),
+                Err(DutyError::NoneThere { detail }) => {
+                    info!(event = "no_servers_there", zone = order.zone, detail);
+                    (OrderOutcome::NoneThere, false)
+                }
+                Err(DutyError::Fenced { .. }) => (OrderOutcome::Failed, true),
+                Err(_failed) => (OrderOutcome::Failed, false),
+            };
+            let failure = sent.err().filter(|_| outcome == OrderOutcome::Failed);
+            let failure = failure
+                .as_ref()
+                .map(|error| error as &dyn std::fmt::Display);
+            host.note_call("order_servers", failure);
+            // The receiver ends only with the host.
+            let _stopped = sender.send(DutyNews::Ordered(order, outcome, number, is_fenced));
+        });
+    }
+
+    fn report_usage(&mut self, number: LeaseNumber) {
+        let wall = self.host.wall();
+        let span = self.host.settings.duties.usage_window.as_micros() as u64;
+        let present = wall.as_micros() / span.max(1);
+        let mut decisions = self.host.decide();
+        let due = decisions
+            .usage
+            .due(wall)
+            .map(|window| decisions.usage.total(window));
+        drop(decisions);
+        let oldest = present.saturating_sub(RESENT_WINDOWS);
+        let is_open = |counts: &&WindowCounts| !self.reported.contains(&counts.window);
+        let unsent = self.reports.since(oldest).filter(is_open).count();
+        if due.is_none() && unsent == 0 {
+            return;
+        }
+        self.is_reporting = true;
+        let reporter = UsageReporter {
+            host: Arc::clone(&self.host),
+            port: Arc::clone(&self.port),
+            log: Arc::clone(&self.log),
+            term: self.term(number),
+            reports: self.reports.clone(),
+            reported: self.reported.clone(),
+            oldest,
+        };
+        let sender = self.sender.clone();
+        tokio::spawn(async move {
+            let (reports, reported, is_fenced) = reporter.run(due).await;
+            let news = DutyNews::Reports(reports, reported, number, is_fenced);
+            // The receiver ends only with the host.
+            let _stopped = sender.send(news);
+        });
+    }
+
+    fn term(&self, number: LeaseNumber) -> DutyTerm {
+        DutyTerm {
+            holder: self.host.settings.name.clone(),
+            number: fencing_number(number),
+        }
+    }
+}
+
+/// Returns the fencing number of a lease; the platform counts from 1.
+const fn fencing_number(number: LeaseNumber) -> u64 {
+    number.0 + 1
+}
+
+/// Decides a window's report in the log and sends what was decided.
+struct UsageReporter {
+    host: Arc<HostState>,
+    port: Arc<dyn DutyPort>,
+    log: Arc<dyn LogPort>,
+    term: DutyTerm,
+    reports: ReportLog,
+    reported: BTreeSet<u64>,
+    oldest: u64,
+}
+
+impl UsageReporter {
+    async fn run(mut self, due: Option<WindowCounts>) -> (ReportLog, BTreeSet<u64>, bool) {
+        let is_current = self.read_on().await;
+        if let Some(counts) = due.filter(|_| is_current) {
+            if self.reports.decided(counts.window).is_none() {
+                self.decide(&counts).await;
+            }
+        }
+        let is_fenced = self.send_decided().await;
+        (self.reports, self.reported, is_fenced)
+    }
+
+    /// Appends a report; what the log then tells first of the window counts.
+    async fn decide(&mut self, counts: &WindowCounts) {
+        let Ok(body) = rmp_serde::to_vec(counts) else {
+            return;
+        };
+        let appended = self.log.append(&StreamName::usage(), body.into()).await;
+        let failure = appended.as_ref().err();
+        let failure = failure.map(|error| error as &dyn std::fmt::Display);
+        self.host.note_call("append_usage", failure);
+        info!(event = "usage_decided", window = counts.window, counts = ?counts.counts);
+        self.read_on().await;
+    }
+
+    async fn send_decided(&mut self) -> bool {
+        let decided = self.reports.since(self.oldest);
+        let unsent: Vec<WindowCounts> = decided
+            .filter(|counts| !self.reported.contains(&counts.window))
+            .cloned()
+            .collect();
+        for counts in unsent {
+            let sent = self.port.report_usage(&self.term, &counts).await;
+            let failure = sent.as_ref().err();
+            let failure = failure.map(|error| error as &dyn std::fmt::Display);
+            self.host.note_call("report_usage", failure);
+            match sent {
+                Ok(()) => {
+                    info!(event = "usage_reported", window = counts.window);
+                    self.reported.insert(counts.window);
+                }
+                Err(DutyError::Fenced { .. } | DutyError::NoneThere { .. }) => return true,
+                Err(_failed) => {}
+            }
+        }
+        false
+    }
+
+    /// Reads the decided reports up to the end of the log; returns whether it got there.
+    async fn read_on(&mut self) -> bool {
+        loop {
+            let from = self.reports.next_offset();
+            let stream = StreamName::usage();
+            let read = self
+                .log
+                .read(&stream, from, PAGE_RECORDS, Duration::ZERO)
+                .await;
+            let failure = read.as_ref().err();
+            let failure = failure.map(|error| error as &dyn std::fmt::Display);
+            self.host.note_call("read_usage", failure);
+            match read {
+                Ok(page) if self.reports.on_page(&page) => return true,
+                Ok(_page) => {}
+                Err(_failed) => return false,
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/teaselglade-host/src/duty/mod.rs
@@ -0,0 +1,7 @@
+//! Duties of one host at a time.
+
+mod duty_driver;
+mod report_log;
+
+pub use duty_driver::{DutyDriver, lease_terms};
+pub use report_log::ReportLog;
--- /dev/null
+++ b/crates/teaselglade-host/src/follow/server_follower.rs
@@ -0,0 +1,146 @@
+//! Follows the servers' entries.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use teaselglade_routing::fleet::{FleetView, ServerSheet};
+use tokio::time::sleep;
+use tracing::{debug, info};
+
+use super::FAILURE_PAUSE;
+use crate::port::{Feed, FeedItem, FeedPage, StoreError};
+use crate::state::HostState;
+
+/// Time between two reads of servers' entries.
+///
+/// A leaving server has to be known well within the 2 s for which it still takes requests.
+const POLL_INTERVAL: Duration = Duration::from_millis(300);
+/// Time without an answer after which the store counts as having been away.
+const AWAY_SPAN: Duration = Duration::from_millis(1_500);
+/// Time after which all entries are read again, should changes have been missed.
+const WHOLE_READ_INTERVAL: Duration = Duration::from_secs(30);
+
+/// Follows the servers' entries for the life of the host.
+pub async fn follow_servers(host: Arc<HostState>) {
+    loop {
+        match host.ports.feeds.latest(Feed::Servers).await {
+            Ok(page) => {
+                host.note_call("read_servers", None);
+                note_answer(&host);
+                let next = page.next;
+                take_listing(&host, page);
+                follow_from(&host, next).await;
+            }
+            Err(error) => {
+                host.note_call("read_servers", Some(&error));
+                sleep(FAILURE_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn follow_from(host: &HostState, mut next: u64) {
+    let begun = host.now();
+    while host.now().since(begun) < WHOLE_READ_INTERVAL {
+        sleep(POLL_INTERVAL).await;
+        let polled = host
+            .ports
+            .feeds
+            .changes(Feed::Servers, next, Duration::ZERO);
+        match polled.await {
+            Ok(page) => {
+                host.note_call("poll_servers", None);
+                note_answer(host);
+                next = page.next;
+                take_changes(host, page);
+            }
+            Err(StoreError::HistoryLost) => {
+                info!(event = "history_lost", feed = "servers", next);
+                return;
+            }
+            Err(error) => {
+                host.note_call("poll_servers", Some(&error));
+                sleep(FAILURE_PAUSE).await;
+            }
+        }
+    }
+}
+
+/// Notes that the store answers, and whether it had been away.
+fn note_answer(host: &HostState) {
+    let now = host.now();
+    let mut decisions = host.decide();
+    if now.since(decisions.store_answered_at) >= AWAY_SPAN {
+        decisions.fleet.note_store_back(now);
+    }
+    decisions.store_answered_at = now;
+    decisions.news_at = now;
+}
+
+fn take_listing(host: &HostState, page: FeedPage) {
+    let now = host.now();
+    let mut sheets = Vec::new();
+    for item in page.items {
+        match item {
+            FeedItem::Server(sheet) => sheets.push(sheet),
+            FeedItem::Unreadable { key, detail } => pass_over(host, &key, &detail),
+            FeedItem::ServerRemoved(_) | FeedItem::Table(_) | FeedItem::Host(_) => {}
+        }
+    }
+    let count = sheets.len();
+    host.decide().fleet.note_all(now, sheets);
+    info!(event = "servers_listed", count);
+}
+
+fn take_changes(host: &HostState, page: FeedPage) {
+    for item in page.items {
+        match item {
+            FeedItem::Server(sheet) => take_sheet(host, sheet),
+            FeedItem::ServerRemoved(id) => take_removal(host, &id),
+            FeedItem::Unreadable { key, detail } => pass_over(host, &key, &detail),
+            FeedItem::Table(_) | FeedItem::Host(_) => {}
+        }
+    }
+    host.decide().fleet.expire(host.now());
+}
+
+fn take_sheet(host: &HostState, sheet: ServerSheet) {
+    let now = host.now();
+    let id = sheet.id.clone();
+    let mut decisions = host.decide();
+    let before = phase_name(&decisions.fleet, &id);
+    decisions.fleet.note_sheet(now, sheet);
+    let after = phase_name(&decisions.fleet, &id);
+    drop(decisions);
+    if before != after {
+        info!(event = "server", id, before, after, source = "entry");
+    }
+}
+
+fn take_removal(host: &HostState, id: &str) {
+    let now = host.now();
+    let mut decisions = host.decide();
+    let before = phase_name(&decisions.fleet, id);
+    let removed = decisions.fleet.note_removed(now, id);
+    let after = phase_name(&decisions.fleet, id);
+    if let Some(server) = removed.filter(|server| !decisions.fleet.takes_work(*server)) {
+        decisions.forget_server(server);
+    }
+    drop(decisions);
+    info!(event = "server", id, before, after, source = "removal");
+}
+
+fn phase_name(fleet: &FleetView, id: &str) -> &'static str {
+    use teaselglade_routing::fleet::ServerPhase;
+    match fleet.find(id).map(|key| fleet.server(key).phase) {
+        Some(ServerPhase::Ready) => "ready",
+        Some(ServerPhase::Lapsed { .. }) => "lapsed",
+        Some(ServerPhase::Leaving) => "leaving",
+        None => "unknown",
+    }
+}
+
+fn pass_over(host: &HostState, key: &str, detail: &str) {
+    host.metrics.unreadable_records.inc();
+    debug!(event = "record_passed_over", feed = "servers", key, detail);
+}
--- /dev/null
+++ b/crates/teaselglade-host/src/ingress/side_listeners.rs
@@ -0,0 +1,66 @@
+//! Answers whether the host is ready, and serves its counters.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use teaselglade_net::server::{HttpServer, ServerHandle};
+use viz::{IntoResponse, Request, Response, Router, StatusCode};
+
+use crate::state::HostState;
+
+/// Listeners beside that for callers.
+#[derive(Debug)]
+pub struct SideListeners {
+    readiness: ServerHandle,
+    metrics: Option<ServerHandle>,
+}
+
+impl SideListeners {
+    /// Binds and serves the readiness address, and counters where an address is given.
+    ///
+    /// # Errors
+    ///
+    /// Fails where an address cannot be bound.
+    pub async fn start(host: &Arc<HostState>, metrics: Option<SocketAddr>) -> io::Result<Self> {
+        let path = host.ports.messages.readiness_path();
+        let asked = Arc::clone(host);
+        let router = Router::new().get(path, move |_request: Request| {
+            let asked = Arc::clone(&asked);
+            async move { Ok::<Response, viz::Error>(readiness(&asked)) }
+        });
+        let readiness = HttpServer::bind(host.settings.listen.readiness).await?;
+        let metrics = match metrics {
+            Some(address) => Some(HttpServer::bind(address).await?.start(metrics_router(host))),
+            None => None,
+        };
+        Ok(Self {
+            readiness: readiness.start(router),
+            metrics,
+        })
+    }
+
+    /// Stops listening at once.
+    pub fn abort(self) {
+        self.readiness.abort();
+        if let Some(metrics) = self.metrics {
+            metrics.abort();
+        }
+    }
+}
+
+fn readiness(host: &HostState) -> Response {
+    if host.is_ready() {
+        StatusCode::OK.into_response()
+    } else {
+        StatusCode::SERVICE_UNAVAILABLE.into_response()
+    }
+}
+
+fn metrics_router(host: &Arc<HostState>) -> Router {
+    let host = Arc::clone(host);
+    Router::new().get("/metrics", move |_request: Request| {
+        let host = Arc::clone(&host);
+        async move { Ok::<Response, viz::Error>(host.metrics.render().into_response()) }
+    })
+}
--- /dev/null
+++ b/crates/teaselglade-host/src/journal/mod.rs
@@ -0,0 +1,9 @@
+//! Structured log lines on standard output, bounded and never blocking.
+
+mod decision_log;
+mod line_budget;
+mod log_start;
+
+pub use decision_log::{DecisionLog, PlacedLine, RequestLine};
+pub use line_budget::{LineBudget, SuppressedLines};
+pub use log_start::{LogGuard, start_log};
--- /dev/null
+++ b/crates/teaselglade-host/src/metrics/host_metrics.rs
@@ -0,0 +1,124 @@
+//! Counters and histograms of a serving host.
+
+use prometheus::{HistogramVec, IntCounter, IntCounterVec, IntGauge, IntGaugeVec};
+use teaselglade_net::metrics::{MetricRegistry, Result};
+
+/// Bounds of latency buckets in seconds, from a plain call in the own zone to a long stream.
+const LATENCY_BOUNDS: [f64; 12] = [
+    0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.6, 0.8, 1.2, 2.5, 5.0, 10.0,
+];
+
+/// Counters and histograms of a serving host.
+#[derive(Debug)]
+pub struct HostMetrics {
+    registry: MetricRegistry,
+    /// Final answers by service, organisation and outcome.
+    pub answers: IntCounterVec,
+    /// Refusals by reason.
+    pub refusals: IntCounterVec,
+    /// Attempts at servers by service and how they ended.
+    pub attempts: IntCounterVec,
+    /// Seconds from a request's arrival to its answer or first event, by service.
+    pub first_seconds: HistogramVec,
+    /// Seconds from a request's arrival to the end of its answer, by service.
+    pub whole_seconds: HistogramVec,
+    /// Requests in progress.
+    pub in_progress: IntGauge,
+    /// Connections opened to servers.
+    pub connections: IntCounter,
+    /// Calls to the store and the platform's API by name and outcome.
+    pub platform_calls: IntCounterVec,
+    /// Digests by direction.
+    pub digests: IntCounterVec,
+    /// Records of the store that were passed over.
+    pub unreadable_records: IntCounter,
+    /// Version of the table in force.
+    pub table_version: IntGauge,
+    /// Servers that take work, by service.
+    pub servers: IntGaugeVec,
+    /// Whether this host holds the duties.
+    pub holds_duties: IntGauge,
+    /// Log lines that were not written, by cause.
+    pub dropped_lines: IntCounterVec,
+}
+
+impl HostMetrics {
+    /// Registers all counters.
+    ///
+    /// # Errors
+    ///
+    /// Fails where two counters have one name, which is a fault of this function.
+    pub fn new() -> Result<Self> {
+        let registry = MetricRegistry::default();
+        let r = &registry;
+        Ok(Self {
+            answers: r.counters(
+                "teaselglade_answers_total",
+                "Final answers.",
+                &["service", "organisation", "outcome"],
+            )?,
+            refusals: r.counters("teaselglade_refusals_total", "Refusals.", &["reason"])?,
+            attempts: r.counters(
+                "teaselglade_attempts_total",
+                "Attempts at servers.",
+                &["service", "outcome"],
+            )?,
+            first_seconds: r.histogram(
+                "teaselglade_first_seconds",
+                "Time to the answer or its first event.",
+                &["service"],
+                &LATENCY_BOUNDS,
+            )?,
+            whole_seconds: r.histogram(
+                "teaselglade_whole_seconds",
+                "Time to the end of the answer.",
+                &["service"],
+                &LATENCY_BOUNDS,
+            )?,
+            in_progress: r.gauge("teaselglade_requests_in_progress", "Requests in progress.")?,
+            connections: r.counter(
+                "teaselglade_server_connections_total",
+                "Connections opened to servers.",
+            )?,
+            platform_calls: r.counters(
+                "teaselglade_platform_calls_total",
+                "Calls to the store and the platform's API.",
+                &["call", "outcome"],
+            )?,
+            digests: r.counters(
+                "teaselglade_digests_total",
+                "Digests of hosts.",
+                &["direction"],
+            )?,
+            unreadable_records: r.counter(
+                "teaselglade_unreadable_records_total",
+                "Records of the store that were passed over.",
+            )?,
+            table_version: r.gauge(
+                "teaselglade_table_version",
+                "Version of the table in force.",
+            )?,
+            servers: r.gauges(
+                "teaselglade_servers",
+                "Servers that take work.",
+                &["service"],
+            )?,
+            holds_duties: r.gauge(
+                "teaselglade_holds_duties",
+                "1 where this host holds the duties.",
+            )?,
+            dropped_lines: r.counters(
+                "teaselglade_log_lines_dropped_total",
+                "Log lines that were not written.",
+                &["cause"],
+            )?,
+            registry,
+        })
+    }
+
+    /// Returns all counters in the text format.
+    #[must_use]
+    pub fn render(&self) -> String {
+        self.registry.render()
+    }
+}
--- /dev/null
+++ b/crates/teaselglade-host/src/metrics/mod.rs
@@ -0,0 +1,5 @@
+//! Counters and histograms of a serving host.
+
+mod host_metrics;
+
+pub use host_metrics::HostMetrics;
--- /dev/null
+++ b/crates/teaselglade-host/src/peer/peer_state.rs
@@ -0,0 +1,20 @@
+//! What a host knows that a peer may lack.
+
+use bytes::Bytes;
+use serde::{Deserialize, Serialize};
+use teaselglade_routing::fleet::{Departure, ServerSheet};
+
+/// What a host knows that a peer may lack.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct PeerState {
+    /// Version of the table; 0 for none.
+    pub version: u64,
+    /// Table as published; empty where the peer has this version.
+    pub table: Bytes,
+    /// Servers that take work.
+    pub servers: Vec<ServerSheet>,
+    /// Servers that leave.
+    pub departures: Vec<Departure>,
+    /// Age of the newest news of servers, in milliseconds.
+    pub news_age_ms: u64,
+}
--- /dev/null
+++ b/crates/teaselglade-host/src/relay/call_context.rs
@@ -0,0 +1,93 @@
+//! One request on its way through this host.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use hyper::http::uri::PathAndQuery;
+use hyper::{HeaderMap, Method};
+use teaselglade_core::time::Timestamp;
+use teaselglade_routing::engine::PromptShape;
+use teaselglade_routing::table::{RouteRow, ServiceSpec};
+
+use crate::journal::RequestLine;
+use crate::state::HostState;
+
+/// One request on its way through this host.
+#[derive(Debug)]
+pub(super) struct CallContext {
+    pub(super) host: Arc<HostState>,
+    /// Id of the caller's attempt.
+    pub(super) id: String,
+    pub(super) route: RouteRow,
+    pub(super) service: ServiceSpec,
+    pub(super) organisation: Option<String>,
+    /// Version of the table that the request was judged by.
+    pub(super) table: u64,
+    /// Rank of the organisation or the route, 0 first.
+    pub(super) rank: u8,
+    pub(super) prompt: Option<PromptShape>,
+    /// Last event that the caller has.
+    pub(super) resume_after: Option<u64>,
+    pub(super) method: Method,
+    pub(super) target: PathAndQuery,
+    /// Headers that pass through.
+    pub(super) headers: HeaderMap,
+    pub(super) body: Bytes,
+    pub(super) arrived: Timestamp,
+    /// When the final answer is due: the caller's deadline or the route's timeout.
+    pub(super) due: Timestamp,
+}
+
+impl CallContext {
+    /// Returns the time that is left.
+    pub(super) fn left(&self) -> Duration {
+        self.due.since(self.host.now())
+    }
+
+    /// Returns the time that is left until the answer is late.
+    pub(super) fn on_time_left(&self) -> Duration {
+        (self.arrived + self.route.target).since(self.host.now())
+    }
+
+    /// Returns the time since the request arrived.
+    pub(super) fn elapsed(&self) -> Duration {
+        self.host.now().since(self.arrived)
+    }
+
+    /// Returns what log lines say of the request.
+    pub(super) fn line(&self) -> RequestLine<'_> {
+        RequestLine {
+            id: &self.id,
+            route: &self.route.name,
+            organisation: self.organisation.as_deref().unwrap_or_default(),
+            table: self.table,
+            elapsed: self.elapsed(),
+        }
+    }
+
+    /// Counts that the request began to run.
+    pub(super) fn count_run(&self) {
+        if let Some(organisation) = &self.organisation {
+            let wall = self.host.wall();
+            self.host.decide().usage.count(wall, organisation);
+        }
+    }
+
+    /// Logs and counts the end of an answer that was passed on.
+    pub(super) fn note_answered(&self, server: &str, status: u16, outcome: &str, first: Duration) {
+        let organisation = self.organisation.as_deref().unwrap_or_default();
+        let labels = [self.service.name.as_str(), organisation, outcome];
+        let metrics = &self.host.metrics;
+        metrics.answers.with_label_values(&labels).inc();
+        let service = &[self.service.name.as_str()];
+        let whole = metrics.whole_seconds.with_label_values(service);
+        whole.observe(self.elapsed().as_secs_f64());
+        let first_seconds = metrics.first_seconds.with_label_values(service);
+        first_seconds.observe(first.as_secs_f64());
+        let now = self.host.now();
+        self.host
+            .log
+            .answered(now, &self.line(), server, status, outcome, first);
+    }
+}
--- /dev/null
+++ b/crates/teaselglade-host/src/relay/plain_relay.rs
@@ -0,0 +1,330 @@
+//! Relays a plain call.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures::StreamExt;
+use futures::future::BoxFuture;
+use futures::stream::FuturesUnordered;
+use http_body_util::{BodyExt, Limited};
+use hyper::{HeaderMap, Response, StatusCode};
+use teaselglade_core::id::ServerKey;
+use teaselglade_core::verdict::{ExecutionVerdict, RefusalReason, RequestRefusal};
+use teaselglade_request::retry::RetryDecision;
+use teaselglade_routing::attempt::{AttemptLedger, AttemptOutcome, NextStep};
+use teaselglade_routing::plain::{PlainQuery, ServerLoad};
+use tokio::time::{sleep, timeout};
+
+use super::answer_body::whole_body;
+use super::call_context::CallContext;
+use super::header_filter::passing_headers;
+use super::server_call::{FailedCall, call_server};
+use super::{CallerAnswer, Result};
+
+/// Largest answer of a plain call.
+const MAX_ANSWER_BYTES: usize = 16 * 1024 * 1024;
+/// Part of the target after which a call that may be repeated is sent to a second server.
+const HEDGE_SHARE: f64 = 0.6;
+/// Time to come back after a rejection; some calls' time.
+const REJECTED_RETRY: Duration = Duration::from_millis(150);
+
+/// Whole answer of a server.
+#[derive(Debug)]
+struct WholeAnswer {
+    status: StatusCode,
+    headers: HeaderMap,
+    body: Bytes,
+    load: Option<ServerLoad>,
+}
+
+type AttemptEnd = (ServerKey, std::result::Result<WholeAnswer, FailedCall>);
+type OpenAttempts = FuturesUnordered<BoxFuture<'static, AttemptEnd>>;
+
+/// Attempts of one plain call.
+struct PlainAttempts {
+    context: Arc<CallContext>,
+    ledger: AttemptLedger,
+    open: OpenAttempts,
+    /// Answer that a server failed with, passed on where no better one comes.
+    failure: Option<(ServerKey, WholeAnswer)>,
+}
+
+/// Relays a plain call and returns the whole answer.
+pub(super) async fn relay_plain(context: &Arc<CallContext>) -> Result<CallerAnswer> {
+    let ledger = AttemptLedger::new(context.route.repeat, context.route.max_attempts);
+    let mut attempts = PlainAttempts {
+        context: Arc::clone(context),
+        ledger,
+        open: FuturesUnordered::new(),
+        failure: None,
+    };
+    attempts.start()?;
+    match timeout(context.left(), attempts.run()).await {
+        Ok(ended) => ended,
+        Err(_elapsed) => {
+            if let Some((server, answer)) = attempts.failure.take() {
+                return Ok(attempts.pass_on(server, answer));
+            }
+            let detail = "no answer before the deadline";
+            Err(RequestRefusal::with_verdict(
+                ExecutionVerdict::MayHaveRun,
+                RefusalReason::DeadlineExceeded,
+                detail,
+            ))
+        }
+    }
+}
+
+impl PlainAttempts {
+    async fn run(&mut self) -> Result<CallerAnswer> {
+        let hedge_after = self.context.route.target.mul_f64(HEDGE_SHARE);
+        let hedge = sleep(hedge_after);
+        tokio::pin!(hedge);
+        let mut may_hedge = true;
+        loop {
+            tokio::select! {
+                Some((server, ended)) = self.open.next() => {
+                    if let Some(answer) = self.note_end(server, ended).await? {
+                        return Ok(answer);
+                    }
+                }
+                () = &mut hedge, if may_hedge => {
+                    may_hedge = false;
+                    self.start_hedge();
+                }
+            }
+        }
+    }
+
+    /// Places the call and starts an attempt.
+    fn start(&mut self) -> Result<()> {
+        let context = &self.context;
+        let host = &context.host;
+        let now = host.now();
+        let tried = self.ledger.tried();
+        let query = PlainQuery {
+            service: &context.service.name,
+            zone: &host.settings.zone,
+            tried: &tried,
+        };
+        let mut decisions = host.decide();
+        let decisions = &mut *decisions;
+        let server = decisions.plains.place(now, &decisions.fleet, &query)?;
+        let sheet = &decisions.fleet.server(server).sheet;
+        let placed = crate::journal::PlacedLine {
+            server: &sheet.id,
+            attempt: self.ledger.attempts() + 1,
+            predicted: None,
+            new_tokens: 0,
+            tokens_ahead: 0,
+            news_age: now.since(decisions.news_at),
+        };
+        host.log.placed(now, &context.line(), &placed);
+        self.ledger.begin(server);
+        let seat = PlainSeat {
+            context: Arc::clone(context),
+            server,
+        };
+        self.open.push(Box::pin(async move {
+            let ended = whole_answer(&seat).await;
+            (server, ended)
+        }));
+        Ok(())
+    }
+
+    /// Starts a second attempt beside a slow first one, where the budget grants it.
+    fn start_hedge(&mut self) {
+        if !self.ledger.may_hedge() || self.open.is_empty() {
+            return;
+        }
+        let context = &self.context;
+        let now = context.host.now();
+        let retry = self.ledger.attempts();
+        let asked = context
+            .host
+            .decide()
+            .ask_retry(now, context.due, &context.service.name, retry);
+        if matches!(asked, RetryDecision::Granted { .. }) {
+            // Without a second server the first attempt goes on alone.
+            let _no_other_server = self.start();
+        }
+    }
+
+    async fn note_end(
+        &mut self,
+        server: ServerKey,
+        ended: std::result::Result<WholeAnswer, FailedCall>,
+    ) -> Result<Option<CallerAnswer>> {
+        let context = Arc::clone(&self.context);
+        let host = &context.host;
+        let now = host.now();
+        let failed = match ended {
+            Ok(answer) => {
+                context.count_run();
+                let is_good = answer.status.is_success() || answer.status.is_client_error();
+                let mut decisions = host.decide();
+                decisions
+                    .plains
+                    .note_answer(now, server, is_good, answer.load);
+                drop(decisions);
+                if is_good || !context.route.repeat.allows_repeat() {
+                    return Ok(Some(self.pass_on(server, answer)));
+                }
+                let detail = format!("answered {}", answer.status.as_u16());
+                self.failure = Some((server, answer));
+                FailedCall::new(AttemptOutcome::Failed, detail)
+            }
+            Err(failed) => {
+                self.note_failure(server, &failed);
+                failed
+            }
+        };
+        let next = self.ledger.end(server, failed.outcome);
+        self.log_end(server, &failed, next);
+        self.follow(next, &failed).await
+    }
+
+    /// Does what follows a failed attempt.
+    async fn follow(
+        &mut self,
+        next: NextStep,
+        failed: &FailedCall,
+    ) -> Result<Option<CallerAnswer>> {
+        let context = Arc::clone(&self.context);
+        match next {
+            NextStep::Reconnect => {
+                if self.start().is_ok() {
+                    return Ok(None);
+                }
+            }
+            NextStep::AskBudget => {
+                let now = context.host.now();
+                let retry = self.ledger.attempts();
+                let service = &context.service.name;
+                let asked = context
+                    .host
+                    .decide()
+                    .ask_retry(now, context.due, service, retry);
+                if let RetryDecision::Granted { delay } = asked {
+                    sleep(delay).await;
+                    if self.start().is_ok() {
+                        return Ok(None);
+                    }
+                }
+            }
+            NextStep::GiveUp(_verdict) => {}
+        }
+        if !self.open.is_empty() {
+            return Ok(None);
+        }
+        if let Some((server, answer)) = self.failure.take() {
+            return Ok(Some(self.pass_on(server, answer)));
+        }
+        Err(give_up(self.ledger.verdict(), failed))
+    }
+
+    fn note_failure(&self, server: ServerKey, failed: &FailedCall) {
+        let host = &self.context.host;
+        let now = host.now();
+        if failed.outcome.may_have_run() {
+            self.context.count_run();
+        }
+        let mut decisions = host.decide();
+        match failed.outcome {
+            AttemptOutcome::Misdirected => decisions.fleet.note_replaced(now, server),
+            AttemptOutcome::Rejected => {}
+            _ => decisions.plains.note_failure(now, server),
+        }
+    }
+
+    fn log_end(&self, server: ServerKey, failed: &FailedCall, next: NextStep) {
+        let context = &self.context;
+        let host = &context.host;
+        let outcome = outcome_name(failed.outcome);
+        let labels = [context.service.name.as_str(), outcome];
+        host.metrics.attempts.with_label_values(&labels).inc();
+        let id = host.decide().fleet.server(server).sheet.id.clone();
+        let next = step_name(next);
+        host.log
+            .attempt_ended(host.now(), &context.id, &id, outcome, &failed.detail, next);
+    }
+
+    fn pass_on(&self, server: ServerKey, answer: WholeAnswer) -> CallerAnswer {
+        let context = &self.context;
+        let host = &context.host;
+        let outcome = if answer.status.is_success() {
+            "whole"
+        } else {
+            "server_failed"
+        };
+        let id = host.decide().fleet.server(server).sheet.id.clone();
+        context.note_answered(&id, answer.status.as_u16(), outcome, context.elapsed());
+        let mut passed = Response::new(whole_body(answer.body));
+        *passed.status_mut() = answer.status;
+        *passed.headers_mut() = passing_headers(&answer.headers, host.ports.messages.as_ref());
+        passed
+    }
+}
+
+/// A call that counts at its server until it is over.
+struct PlainSeat {
+    context: Arc<CallContext>,
+    server: ServerKey,
+}
+
+impl Drop for PlainSeat {
+    fn drop(&mut self) {
+        self.context.host.decide().plains.note_ended(self.server);
+    }
+}
+
+async fn whole_answer(seat: &PlainSeat) -> std::result::Result<WholeAnswer, FailedCall> {
+    let answer = call_server(&seat.context, seat.server, None).await?;
+    let collected = Limited::new(answer.body, MAX_ANSWER_BYTES).collect().await;
+    let body = collected.map_err(|error| {
+        FailedCall::new(
+            AttemptOutcome::Broken,
+            format!("the answer is cut: {error}"),
+        )
+    })?;
+    answer.connection.give_back(&answer.headers);
+    Ok(WholeAnswer {
+        status: answer.status,
+        headers: answer.headers,
+        body: body.to_bytes(),
+        load: answer.head.load,
+    })
+}
+
+/// Returns the final answer of a request whose attempts all failed.
+pub(super) fn give_up(verdict: ExecutionVerdict, failed: &FailedCall) -> RequestRefusal {
+    let detail = failed.detail.clone();
+    let refusal = RequestRefusal::with_verdict(verdict, RefusalReason::AttemptFailed, detail);
+    match verdict {
+        ExecutionVerdict::NotRun => refusal.retry_after(REJECTED_RETRY),
+        ExecutionVerdict::MayHaveRun | ExecutionVerdict::Ran => refusal,
+    }
+}
+
+/// Returns the name of an outcome in log lines and counters.
+pub(super) const fn outcome_name(outcome: AttemptOutcome) -> &'static str {
+    match outcome {
+        AttemptOutcome::Unreachable => "unreachable",
+        AttemptOutcome::Rejected => "rejected",
+        AttemptOutcome::Misdirected => "misdirected",
+        AttemptOutcome::Broken => "broken",
+        AttemptOutcome::Failed => "failed",
+        AttemptOutcome::Silent => "silent",
+    }
+}
+
+/// Returns the name of a step in log lines.
+pub(super) const fn step_name(step: NextStep) -> &'static str {
+    match step {
+        NextStep::Reconnect => "reconnect",
+        NextStep::AskBudget => "ask_budget",
+        NextStep::GiveUp(ExecutionVerdict::NotRun) => "give_up_not_run",
+        NextStep::GiveUp(_) => "give_up_may_have_run",
+    }
+}
--- /dev/null
+++ b/crates/teaselglade-host/src/relay/stream_relay.rs
@@ -0,0 +1,438 @@
+//! Relays a stream of events.
+
+use std::collections::VecDeque;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures::stream::unfold;
+use http_body_util::{BodyExt, Limited, StreamBody};
+use hyper::body::{Frame, Incoming};
+use hyper::{HeaderMap, Response, StatusCode};
+use teaselglade_core::verdict::{ExecutionVerdict, RefusalReason, RequestRefusal};
+use teaselglade_request::retry::RetryDecision;
+use teaselglade_routing::attempt::{AttemptLedger, AttemptOutcome, NextStep};
+use teaselglade_routing::event::EventSplitter;
+use teaselglade_routing::table::RepeatRule;
+use tokio::time::{Instant, sleep, sleep_until};
+
+use super::answer_body::{AnswerBody, RelayCut, whole_body};
+use super::call_context::CallContext;
+use super::header_filter::passing_headers;
+use super::plain_relay::{give_up, outcome_name, step_name};
+use super::server_call::{FailedCall, ServerAnswer, call_server};
+use super::stream_seat::StreamSeat;
+use super::{CallerAnswer, Result};
+use crate::upstream::LeasedConnection;
+
+/// Largest body of an answer on a stream's route that is no stream.
+const MAX_FAILURE_BYTES: usize = 1024 * 1024;
+/// Times the longest pause on target after which a stream that may be resumed is moved.
+const STALL_GAPS: f64 = 2.5;
+/// Times the target after which a stream without a first event is moved.
+const STALL_TARGETS: f64 = 1.6;
+/// Longest pause of routes that name none.
+const DEFAULT_GAP: Duration = Duration::from_millis(800);
+
+/// An answer that a server has begun.
+#[derive(Debug)]
+struct OpenStream {
+    seat: StreamSeat,
+    connection: LeasedConnection,
+    headers: HeaderMap,
+    body: Incoming,
+}
+
+/// What comes next of a stream.
+#[derive(Debug)]
+enum StreamStep {
+    /// Whole events.
+    Events(Bytes),
+    /// The answer is whole.
+    End,
+    /// The attempt failed.
+    Failed(FailedCall),
+}
+
+/// A stream on its way to the caller.
+#[derive(Debug)]
+struct StreamRelay {
+    context: Arc<CallContext>,
+    ledger: AttemptLedger,
+    open: Option<OpenStream>,
+    splitter: EventSplitter,
+    ready: VecDeque<Bytes>,
+    /// Last event that was passed on.
+    last_event: Option<u64>,
+    status: StatusCode,
+    first: Option<Duration>,
+    is_over: bool,
+}
+
+/// Relays a stream; its answer begins with the first event.
+pub(super) async fn relay_stream(context: &Arc<CallContext>) -> Result<CallerAnswer> {
+    let ledger = AttemptLedger::new(context.route.repeat, context.route.max_attempts);
+    let mut relay = StreamRelay {
+        context: Arc::clone(context),
+        ledger,
+        open: None,
+        splitter: EventSplitter::default(),
+        ready: VecDeque::new(),
+        last_event: context.resume_after,
+        status: StatusCode::OK,
+        first: None,
+        is_over: false,
+    };
+    let mut is_continued = false;
+    loop {
+        let failed = match relay.begin(is_continued).await? {
+            Begun::Answer(answer) => return Ok(answer),
+            Begun::Stream(headers) => return Ok(relay.into_answer(&headers)),
+            Begun::Failed(failed) => failed,
+        };
+        relay.prepare_next(failed).await?;
+        is_continued = true;
+    }
+}
+
+/// What came of the begin of an attempt.
+enum Begun {
+    /// The server answered without a stream.
+    Answer(CallerAnswer),
+    /// The first event is there; the head's headers.
+    Stream(HeaderMap),
+    /// The attempt failed.
+    Failed((StreamSeat, FailedCall)),
+}
+
+impl StreamRelay {
+    /// Starts an attempt and waits for its first event.
+    async fn begin(&mut self, is_continued: bool) -> Result<Begun> {
+        let context = Arc::clone(&self.context);
+        let tried = self.ledger.tried();
+        let attempt = self.ledger.attempts() + 1;
+        let seat = StreamSeat::take(&context, &tried, attempt, is_continued)?;
+        self.ledger.begin(seat.seat.server);
+        let stall = self.first_stall(&seat);
+        let called = tokio::select! {
+            called = call_server(&context, seat.seat.server, self.last_event) => called,
+            () = stalled(stall) => Err(stall_failure()),
+        };
+        let answer = match called {
+            Ok(answer) => answer,
+            Err(failed) => return Ok(Begun::Failed((seat, failed))),
+        };
+        if !answer.status.is_success() {
+            return Ok(Begun::Answer(self.pass_failure(&seat, answer).await?));
+        }
+        self.status = answer.status;
+        let headers = answer.headers.clone();
+        self.open = Some(OpenStream {
+            seat,
+            connection: answer.connection,
+            headers: answer.headers,
+            body: answer.body,
+        });
+        match self.step(stall).await {
+            StreamStep::Events(events) => self.ready.push_back(events),
+            StreamStep::End => {}
+            StreamStep::Failed(failed) => {
+                return Ok(match self.open.take() {
+                    Some(open) => Begun::Failed((open.seat, failed)),
+                    None => return Err(give_up(self.ledger.verdict(), &failed)),
+                });
+            }
+        }
+        Ok(Begun::Stream(headers))
+    }
+
+    /// Decides whether a failed stream is tried elsewhere; returns its final answer otherwise.
+    async fn prepare_next(&mut self, failed: (StreamSeat, FailedCall)) -> Result<()> {
+        let (seat, failed) = failed;
+        let next = self.note_failure(&seat, &failed);
+        drop(seat);
+        if self.may_go_on(next).await {
+            return Ok(());
+        }
+        if failed.outcome == AttemptOutcome::Silent {
+            return Err(RequestRefusal::with_verdict(
+                ExecutionVerdict::MayHaveRun,
+                RefusalReason::DeadlineExceeded,
+                failed.detail,
+            ));
+        }
+        Err(give_up(self.ledger.verdict(), &failed))
+    }
+
+    async fn may_go_on(&mut self, next: NextStep) -> bool {
+        match next {
+            NextStep::Reconnect => true,
+            NextStep::AskBudget => {
+                let context = &self.context;
+                let now = context.host.now();
+                let retry = self.ledger.attempts();
+                let service = &context.service.name;
+                let asked = context
+                    .host
+                    .decide()
+                    .ask_retry(now, context.due, service, retry);
+                let RetryDecision::Granted { delay } = asked else {
+                    return false;
+                };
+                sleep(delay).await;
+                true
+            }
+            NextStep::GiveUp(_verdict) => false,
+        }
+    }
+
+    fn note_failure(&mut self, seat: &StreamSeat, failed: &FailedCall) -> NextStep {
+        let context = &self.context;
+        let host = &context.host;
+        let now = host.now();
+        let server = seat.seat.server;
+        let mut decisions = host.decide();
+        match failed.outcome {
+            AttemptOutcome::Misdirected => decisions.fleet.note_replaced(now, server),
+            AttemptOutcome::Rejected => {}
+            _ => decisions.engines.note_failure(now, server),
+        }
+        drop(decisions);
+        let next = self.ledger.end(server, failed.outcome);
+        let outcome = outcome_name(failed.outcome);
+        let labels = [context.service.name.as_str(), outcome];
+        host.metrics.attempts.with_label_values(&labels).inc();
+        let step = step_name(next);
+        host.log.attempt_ended(
+            now,
+            &context.id,
+            &seat.server,
+            outcome,
+            &failed.detail,
+            step,
+        );
+        next
+    }
+
+    async fn pass_failure(
+        &mut self,
+        seat: &StreamSeat,
+        answer: ServerAnswer,
+    ) -> Result<CallerAnswer> {
+        let context = &self.context;
+        let collected = Limited::new(answer.body, MAX_FAILURE_BYTES).collect().await;
+        let body = match collected {
+            Ok(body) => body.to_bytes(),
+            Err(error) => {
+                let detail = format!("the answer is cut: {error}");
+                let failed = FailedCall::new(AttemptOutcome::Broken, detail);
+                return Err(give_up(ExecutionVerdict::MayHaveRun, &failed));
+            }
+        };
+        answer.connection.give_back(&answer.headers);
+        let status = answer.status;
+        context.note_answered(
+            &seat.server,
+            status.as_u16(),
+            "server_failed",
+            context.elapsed(),
+        );
+        let mut passed = Response::new(whole_body(body));
+        *passed.status_mut() = status;
+        let messages = context.host.ports.messages.as_ref();
+        *passed.headers_mut() = passing_headers(&answer.headers, messages);
+        Ok(passed)
+    }
+
+    fn into_answer(self, headers: &HeaderMap) -> CallerAnswer {
+        let messages = Arc::clone(&self.context.host.ports.messages);
+        let status = self.status;
+        let events = unfold(self, |mut relay| async move {
+            let frame = relay.next().await?;
+            Some((frame.map(Frame::data), relay))
+        });
+        let body: AnswerBody = StreamBody::new(events).boxed_unsync();
+        let mut answer = Response::new(body);
+        *answer.status_mut() = status;
+        *answer.headers_mut() = passing_headers(headers, messages.as_ref());
+        answer
+    }
+
+    /// Returns the next events for the caller; none behind the last.
+    async fn next(&mut self) -> Option<std::result::Result<Bytes, RelayCut>> {
+        loop {
+            if let Some(events) = self.ready.pop_front() {
+                return Some(Ok(events));
+            }
+            if self.is_over {
+                return None;
+            }
+            let gap = self.context.route.gap_target.unwrap_or(DEFAULT_GAP);
+            let stall = self
+                .may_resume()
+                .then(|| Instant::now() + gap.mul_f64(STALL_GAPS));
+            match self.step(stall).await {
+                StreamStep::Events(events) => self.ready.push_back(events),
+                StreamStep::End => {}
+                StreamStep::Failed(failed) => {
+                    if !self.resume(failed).await {
+                        self.is_over = true;
+                        self.log_over("cut");
+                        return Some(Err(RelayCut));
+                    }
+                }
+            }
+        }
+    }
+
+    /// Goes on behind the last event at another server, where that is allowed.
+    async fn resume(&mut self, mut failed: FailedCall) -> bool {
+        loop {
+            let Some(open) = self.open.take() else {
+                return false;
+            };
+            // The connection is closed first, so that the server before stops.
+            let seat = open.seat;
+            drop((open.body, open.connection));
+            self.splitter = EventSplitter::default();
+            let next = self.note_failure(&seat, &failed);
+            drop(seat);
+            if !self.may_go_on(next).await {
+                return false;
+            }
+            match self.begin(true).await {
+                Ok(Begun::Stream(_headers)) => return true,
+                Ok(Begun::Failed((seat, again))) => {
+                    let next = self.note_failure(&seat, &again);
+                    drop(seat);
+                    if !self.may_go_on(next).await {
+                        return false;
+                    }
+                    failed = again;
+                }
+                Ok(Begun::Answer(_failure)) => return false,
+                Err(_refusal) => return false,
+            }
+        }
+    }
+
+    /// Waits for whole events, the end, or a failure of the open attempt.
+    async fn step(&mut self, stall: Option<Instant>) -> StreamStep {
+        loop {
+            let left = self.context.left();
+            let Some(open) = self.open.as_mut() else {
+                return StreamStep::Failed(FailedCall::new(AttemptOutcome::Broken, "no attempt"));
+            };
+            let frame = tokio::select! {
+                frame = open.body.frame() => frame,
+                () = sleep(left) => {
+                    let detail = "not whole before the deadline";
+                    return StreamStep::Failed(FailedCall::new(AttemptOutcome::Silent, detail));
+                }
+                () = stalled(stall) => return StreamStep::Failed(stall_failure()),
+            };
+            match frame {
+                Some(Ok(frame)) => {
+                    let Ok(data) = frame.into_data() else {
+                        continue;
+                    };
+                    let events = self.take_events(&data);
+                    if !events.is_empty() {
+                        return StreamStep::Events(events);
+                    }
+                }
+                Some(Err(error)) => {
+                    let detail = format!("the stream broke: {error}");
+                    return StreamStep::Failed(FailedCall::new(AttemptOutcome::Broken, detail));
+                }
+                None if self.splitter.has_rest() => {
+                    let detail = "the stream ended within an event";
+                    return StreamStep::Failed(FailedCall::new(AttemptOutcome::Broken, detail));
+                }
+                None => {
+                    self.finish();
+                    return StreamStep::End;
+                }
+            }
+        }
+    }
+
+    /// Returns the whole events that the bytes complete, without those that the caller has.
+    fn take_events(&mut self, data: &Bytes) -> Bytes {
+        let is_first = self.first.is_none();
+        let pieces = self.splitter.push(data);
+        if pieces.is_empty() {
+            return Bytes::new();
+        }
+        if let Some(open) = self.open.as_mut() {
+            open.seat.begin();
+        }
+        if is_first {
+            self.first = Some(self.context.elapsed());
+            self.context.count_run();
+        }
+        let mut events = Vec::new();
+        for piece in pieces {
+            let is_known =
+                matches!((piece.id, self.last_event), (Some(id), Some(last)) if id <= last);
+            if is_known {
+                continue;
+            }
+            self.last_event = piece.id.or(self.last_event);
+            events.push(piece.bytes);
+        }
+        match events.len() {
+            1 => events.swap_remove(0),
+            _ => events.concat().into(),
+        }
+    }
+
+    fn finish(&mut self) {
+        self.is_over = true;
+        if let Some(open) = self.open.take() {
+            open.connection.give_back(&open.headers);
+            self.log_over_at(&open.seat.server, "whole");
+        }
+    }
+
+    /// Returns when a stream without a first event is moved; never where it may not.
+    fn first_stall(&self, seat: &StreamSeat) -> Option<Instant> {
+        let target = self.context.route.target.mul_f64(STALL_TARGETS);
+        let span = target.max(seat.seat.predicted.mul_f64(STALL_TARGETS));
+        self.may_resume().then(|| Instant::now() + span)
+    }
+
+    fn may_resume(&self) -> bool {
+        self.context.route.repeat == RepeatRule::Resume && self.ledger.may_send()
+    }
+
+    fn log_over(&self, outcome: &str) {
+        let server = self.open.as_ref().map(|open| open.seat.server.clone());
+        self.log_over_at(&server.unwrap_or_default(), outcome);
+    }
+
+    fn log_over_at(&self, server: &str, outcome: &str) {
+        let first = self.first.unwrap_or_else(|| self.context.elapsed());
+        let status = self.status.as_u16();
+        self.context.note_answered(server, status, outcome, first);
+    }
+}
+
+impl Drop for StreamRelay {
+    fn drop(&mut self) {
+        if !self.is_over && self.open.is_some() {
+            self.log_over("caller_left");
+        }
+    }
+}
+
+async fn stalled(at: Option<Instant>) {
+    match at {
+        Some(at) => sleep_until(at).await,
+        None => std::future::pending().await,
+    }
+}
+
+fn stall_failure() -> FailedCall {
+    FailedCall::new(AttemptOutcome::Silent, "no event for too long")
+}
--- /dev/null
+++ b/crates/teaselglade-host/src/settings/mod.rs
@@ -0,0 +1,5 @@
+//! Settings of a serving host.
+
+mod host_settings;
+
+pub use host_settings::{DutyBounds, HostSettings, ListenAddresses};
--- /dev/null
+++ b/crates/teaselglade-host/src/state/decisions.rs
@@ -0,0 +1,143 @@
+//! The decision machines of a host.
+
+use std::collections::{BTreeMap, HashMap};
+use std::time::Duration;
+
+use teaselglade_core::id::ServerKey;
+use teaselglade_core::time::Timestamp;
+use teaselglade_request::retry::{BudgetLimits, RetryBudget, RetryDecision};
+use teaselglade_routing::engine::EnginePlacer;
+use teaselglade_routing::exchange::{PeerRoster, ServiceDemand};
+use teaselglade_routing::fleet::FleetView;
+use teaselglade_routing::plain::PlainPlacer;
+use teaselglade_routing::quota::QuotaBoard;
+use teaselglade_routing::scaling::ZoneStock;
+use teaselglade_routing::usage::UsageLedger;
+
+use crate::settings::HostSettings;
+
+/// Hosts that are reckoned with until peers are heard; a small fleet with its spare hosts.
+const ASSUMED_HOSTS: u32 = 16;
+/// Age from which a peer's demand no longer counts.
+const DEMAND_SPAN: Duration = Duration::from_secs(3);
+
+/// The decision machines of a host.
+#[derive(Debug)]
+pub struct Decisions {
+    /// Backend servers.
+    pub fleet: FleetView,
+    /// Placement of streams.
+    pub engines: EnginePlacer,
+    /// Placement of plain calls.
+    pub plains: PlainPlacer,
+    /// Quotas of organisations.
+    pub quotas: QuotaBoard,
+    /// Requests that began to run.
+    pub usage: UsageLedger,
+    /// Other hosts.
+    pub roster: PeerRoster,
+    /// Time of the latest news of servers.
+    pub news_at: Timestamp,
+    /// Time of the store's latest answer about servers.
+    pub store_answered_at: Timestamp,
+    budgets: HashMap<String, RetryBudget>,
+    peer_demand: HashMap<String, (Timestamp, Vec<ServiceDemand>)>,
+    seed: u64,
+}
+
+impl Decisions {
+    /// Makes the machines of a host that knows nothing yet.
+    #[must_use]
+    pub fn new(settings: &HostSettings, seed: u64) -> Self {
+        Self {
+            fleet: FleetView::default(),
+            engines: EnginePlacer::new(seed),
+            plains: PlainPlacer::new(seed),
+            quotas: QuotaBoard::new(ASSUMED_HOSTS),
+            usage: UsageLedger::new(settings.duties.usage_window),
+            roster: PeerRoster::new(&settings.name, seed),
+            news_at: Timestamp::ZERO,
+            store_answered_at: Timestamp::ZERO,
+            budgets: HashMap::new(),
+            peer_demand: HashMap::new(),
+            seed,
+        }
+    }
+
+    /// Counts the first attempt of a request towards its service's retry budget.
+    pub fn record_first(&mut self, service: &str) {
+        self.budget(service).record_first();
+    }
+
+    /// Asks the service's retry budget for one more attempt.
+    pub fn ask_retry(
+        &mut self,
+        now: Timestamp,
+        due: Timestamp,
+        service: &str,
+        retry: u32,
+    ) -> RetryDecision {
+        self.budget(service).ask(now, due, retry)
+    }
+
+    /// Takes in a peer's demand.
+    pub fn hear_demand(&mut self, now: Timestamp, peer: &str, demand: Vec<ServiceDemand>) {
+        self.peer_demand.insert(peer.to_owned(), (now, demand));
+    }
+
+    /// Frees all that a host that is gone was reckoned with.
+    pub fn forget_peer(&mut self, peer: &str) {
+        self.quotas.forget(peer);
+        self.peer_demand.remove(peer);
+    }
+
+    /// Returns how many servers of a service the fleet's demand keeps busy with reading.
+    pub fn busy_servers(&mut self, now: Timestamp, service: &str) -> f64 {
+        let own = self.engines.demand(now).into_iter();
+        let own = own
+            .filter(|(name, _)| name == service)
+            .map(|(_, tokens)| tokens);
+        let fresh = self
+            .peer_demand
+            .values()
+            .filter(|(heard, _)| now.since(*heard) < DEMAND_SPAN);
+        let heard = fresh
+            .flat_map(|(_, demand)| demand)
+            .filter(|demand| demand.service == service)
+            .map(|demand| demand.tokens);
+        let tokens: f64 = own.chain(heard).sum();
+        tokens / self.engines.speed(service).tokens_per_second()
+    }
+
+    /// Returns the servers of a service that take work, by zone.
+    #[must_use]
+    pub fn stock(&self, service: &str, zones: &[(String, f64)]) -> BTreeMap<String, ZoneStock> {
+        let mut stock: BTreeMap<String, ZoneStock> = zones
+            .iter()
+            .map(|(zone, _)| (zone.clone(), ZoneStock::default()))
+            .collect();
+        for (_, server) in self.fleet.of_service(service) {
+            let zone = stock.entry(server.sheet.zone.clone()).or_default();
+            if server.sheet.reclaimable {
+                zone.reclaimable += 1;
+            } else {
+                zone.regular += 1;
+            }
+        }
+        stock
+    }
+
+    /// Forgets what was learned of a server that is gone.
+    pub fn forget_server(&mut self, server: ServerKey) {
+        self.engines.note_gone(server);
+        self.plains.forget(server);
+    }
+
+    fn budget(&mut self, service: &str) -> &mut RetryBudget {
+        let seed = self.seed;
+        let budgets = &mut self.budgets;
+        budgets
+            .entry(service.to_owned())
+            .or_insert_with(|| RetryBudget::new(BudgetLimits::default(), seed))
+    }
+}
--- /dev/null
+++ b/crates/teaselglade-host/src/state/host_state.rs
@@ -0,0 +1,168 @@
+//! What the parts of a host share.
+
+use std::collections::HashMap;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
+use std::time::{SystemTime, UNIX_EPOCH};
+
+use teaselglade_core::port::ClockPort;
+use teaselglade_core::time::Timestamp;
+use teaselglade_net::clock::SystemClock;
+use teaselglade_routing::table::RouteTable;
+use tokio_util::sync::CancellationToken;
+use tracing::{info, warn};
+
+use super::{Decisions, HostPorts, TableInForce};
+use crate::journal::DecisionLog;
+use crate::metrics::HostMetrics;
+use crate::port::PublishedTable;
+use crate::settings::HostSettings;
+use crate::upstream::ConnectionPool;
+
+const GOLDEN_RATIO: f64 = 0.618_033_988_749_894_9;
+
+/// What the parts of a host share.
+#[derive(Debug)]
+pub struct HostState {
+    /// Settings.
+    pub settings: HostSettings,
+    /// Ports.
+    pub ports: HostPorts,
+    /// Counters.
+    pub metrics: HostMetrics,
+    /// Lines of decisions on requests.
+    pub log: DecisionLog,
+    /// Connections to servers.
+    pub pool: ConnectionPool,
+    /// Cancelled when the host begins to stop.
+    pub stopping: CancellationToken,
+    /// Time of the start in Unix microseconds; it tells incarnations apart.
+    pub start: u64,
+    clock: SystemClock,
+    table: RwLock<Option<Arc<TableInForce>>>,
+    decisions: Mutex<Decisions>,
+    draws: AtomicU64,
+    /// Calls to the platform that fail at present, and since when.
+    lost_calls: Mutex<HashMap<&'static str, Timestamp>>,
+}
+
+impl HostState {
+    /// Makes the state of a host that knows nothing yet.
+    ///
+    /// # Errors
+    ///
+    /// Fails where counters cannot be registered.
+    pub fn new(settings: HostSettings, ports: HostPorts) -> prometheus::Result<Arc<Self>> {
+        let clock = SystemClock::start();
+        let start = clock.now().as_micros();
+        let decisions = Mutex::new(Decisions::new(&settings, start));
+        Ok(Arc::new(Self {
+            settings,
+            ports,
+            metrics: HostMetrics::new()?,
+            log: DecisionLog::default(),
+            pool: ConnectionPool::default(),
+            stopping: CancellationToken::new(),
+            start,
+            clock,
+            table: RwLock::new(None),
+            decisions,
+            draws: AtomicU64::new(start % 1_000),
+            lost_calls: Mutex::default(),
+        }))
+    }
+
+    /// Returns the present time on the monotonic clock.
+    #[must_use]
+    pub fn now(&self) -> Timestamp {
+        self.clock.now()
+    }
+
+    /// Returns a number from 0 to 1, by which a request's service is drawn.
+    #[must_use]
+    pub fn draw(&self) -> f64 {
+        let number = self.draws.fetch_add(1, Ordering::Relaxed);
+        // Multiples of the golden ratio fill the range evenly, so that shares hold for few requests.
+        ((number as f64 + 1.0) * GOLDEN_RATIO).fract()
+    }
+
+    /// Returns the present wall time, which may jump.
+    #[must_use]
+    pub fn wall(&self) -> Timestamp {
+        let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
+        Timestamp::ZERO + since_epoch.unwrap_or_default()
+    }
+
+    /// Returns the decision machines; the guard must not be held across a wait.
+    pub fn decide(&self) -> MutexGuard<'_, Decisions> {
+        self.decisions
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Returns the table in force.
+    #[must_use]
+    pub fn table(&self) -> Option<Arc<TableInForce>> {
+        let table = self.table.read().unwrap_or_else(PoisonError::into_inner);
+        table.clone()
+    }
+
+    /// Returns the version of the table in force, or 0.
+    #[must_use]
+    pub fn table_version(&self) -> u64 {
+        self.table().map_or(0, |held| held.table.version())
+    }
+
+    /// Puts a version of the table in force where it is newer; returns whether it was.
+    pub fn put_in_force(&self, published: PublishedTable, source: &str) -> bool {
+        let version = published.spec.version;
+        let mut slot = self.table.write().unwrap_or_else(PoisonError::into_inner);
+        let held = slot.as_ref().map_or(0, |held| held.table.version());
+        if slot.is_some() && version <= held {
+            return false;
+        }
+        let table = RouteTable::new(published.spec);
+        self.decide()
+            .quotas
+            .set_quotas(self.now(), &table.spec().organisations);
+        *slot = Some(Arc::new(TableInForce {
+            table,
+            raw: published.raw,
+        }));
+        drop(slot);
+        self.metrics.table_version.set(version as i64);
+        info!(event = "table_in_force", version, before = held, source);
+        true
+    }
+
+    /// Returns whether the host can serve: it has a table and knows servers, and does not stop.
+    #[must_use]
+    pub fn is_ready(&self) -> bool {
+        !self.stopping.is_cancelled()
+            && self.table().is_some()
+            && self.decide().news_at > Timestamp::ZERO
+    }
+
+    /// Counts a call to the platform and logs where a dependency was lost or regained.
+    pub fn note_call(&self, call: &'static str, error: Option<&dyn std::fmt::Display>) {
+        let outcome = if error.is_some() { "failed" } else { "ok" };
+        let counter = &self.metrics.platform_calls;
+        counter.with_label_values(&[call, outcome]).inc();
+        let mut lost = self
+            .lost_calls
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        match (error, lost.contains_key(call)) {
+            (Some(error), false) => {
+                warn!(event = "dependency_lost", call, error = %error);
+                lost.insert(call, self.now());
+            }
+            (None, true) => {
+                let since = lost.remove(call).unwrap_or_default();
+                let away_ms = self.now().since(since).as_millis() as u64;
+                info!(event = "dependency_regained", call, away_ms);
+            }
+            _ => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/teaselglade-host/src/upstream/mod.rs
@@ -0,0 +1,10 @@
+//! Connections to backend servers.
+
+mod connection_pool;
+mod send_error;
+
+pub use connection_pool::{ConnectionPool, LeasedConnection};
+pub use send_error::SendError;
+
+/// Result of a call to a server.
+pub type Result<T> = std::result::Result<T, SendError>;
--- a/crates/teaselglade-net/src/metrics/metric_registry.rs
+++ b/crates/teaselglade-net/src/metrics/metric_registry.rs
@@ -1,6 +1,9 @@
 //! Registry of a daemon's counters and gauges.
 
-use prometheus::{Encoder, IntCounter, IntCounterVec, IntGauge, Opts, Registry, TextEncoder};
+use prometheus::{
+    Encoder, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts,
+    Registry, TextEncoder,
+};
 
 use super::Result;
 
@@ -56,6 +59,35 @@
         Ok(gauge)
     }
 
+    /// Makes and registers gauges that labels tell apart.
+    ///
+    /// # Errors
+    ///
+    /// Fails where a name is malformed or taken.
+    pub fn gauges(&self, name: &str, help: &str, labels: &[&str]) -> Result<IntGaugeVec> {
+        let gauges = IntGaugeVec::new(Opts::new(name, help), labels)?;
+        self.registry.register(Box::new(gauges.clone()))?;
+        Ok(gauges)
+    }
+
+    /// Makes and registers histograms that labels tell apart.
+    ///
+    /// # Errors
+    ///
+    /// Fails where a name is malformed or taken, or the bounds do not grow.
+    pub fn histogram(
+        &self,
+        name: &str,
+        help: &str,
+        labels: &[&str],
+        bounds: &[f64],
+    ) -> Result<HistogramVec> {
+        let options = HistogramOpts::new(name, help).buckets(bounds.to_vec());
+        let histogram = HistogramVec::new(options, labels)?;
+        self.registry.register(Box::new(histogram.clone()))?;
+        Ok(histogram)
+    }
+
     /// Returns all counters and gauges in the text format.
     #[must_use]
     pub fn render(&self) -> String {
--- a/crates/teaselglade-net/src/server/http_server.rs
+++ b/crates/teaselglade-net/src/server/http_server.rs
@@ -18,6 +18,21 @@
 const BACKLOG: u32 = 4_096;
 const ACCEPT_RETRY: Duration = Duration::from_millis(50);
 
+/// Binds a listening socket that holds bursts of new connections.
+///
+/// # Errors
+///
+/// Fails where the address cannot be bound.
+pub fn bind_listener(address: SocketAddr) -> io::Result<TcpListener> {
+    let socket = match address {
+        SocketAddr::V4(_) => TcpSocket::new_v4()?,
+        SocketAddr::V6(_) => TcpSocket::new_v6()?,
+    };
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    socket.listen(BACKLOG)
+}
+
 /// Listening socket that is not served yet.
 #[derive(Debug)]
 pub struct HttpServer {
@@ -31,13 +46,7 @@
     ///
     /// Fails where the address cannot be bound.
     pub async fn bind(address: SocketAddr) -> io::Result<Self> {
-        let socket = match address {
-            SocketAddr::V4(_) => TcpSocket::new_v4()?,
-            SocketAddr::V6(_) => TcpSocket::new_v6()?,
-        };
-        socket.set_reuseaddr(true)?;
-        socket.bind(address)?;
-        let listener = socket.listen(BACKLOG)?;
+        let listener = bind_listener(address)?;
         Ok(Self { listener })
     }
 
--- /dev/null
+++ b/crates/teaselglade-routing/src/engine/engine_placer.rs
@@ -0,0 +1,480 @@
+//! Chooses the engine that a stream goes to, or turns the stream away.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg32;
+use teaselglade_core::id::ServerKey;
+use teaselglade_core::time::Timestamp;
+use teaselglade_core::verdict::{RefusalReason, RequestRefusal};
+use teaselglade_placement::limit::DemandMeter;
+
+use super::{CacheMap, EngineLoad, EngineSpeed, PlacedPrompt, PromptShape, Result};
+use crate::fleet::{FleetView, ServerHealth};
+use crate::table::EngineSpec;
+
+/// Part of the target within which the first event has to be predicted.
+///
+/// The rest covers what peers send to the same engine before this host hears of it.
+const TARGET_SHARE: f64 = 0.9;
+/// Part of the target up to which others' work may delay a prompt that is late by its own size.
+const WAIT_SHARE: f64 = 0.4;
+/// Weight of the engine time that a placement takes from later requests, beside its own delay.
+const WORK_WEIGHT: f64 = 1.0;
+/// Delay for each request beyond the slots of an engine; about a slot's turn at full load.
+const SLOT_WAIT: Duration = Duration::from_millis(25);
+/// Delay where an engine's memory is full: others have to end first.
+const MEMORY_WAIT: Duration = Duration::from_millis(400);
+/// Part of an engine's memory that running requests may fill before prompts wait.
+const MEMORY_SHARE: f64 = 0.9;
+/// Age from which what a peer has at the engines is no longer reckoned with.
+const LOAD_SPAN: Duration = Duration::from_millis(1_500);
+/// Time for which placements are passed on; a few intervals of the exchange, as news gets lost.
+const PLACED_SPAN: Duration = Duration::from_millis(700);
+/// Shortest time to come back that a refusal names.
+const MIN_RETRY: Duration = Duration::from_millis(150);
+/// Longest time to come back that a refusal names.
+const MAX_RETRY: Duration = Duration::from_secs(2);
+/// Difference in predicted time below which engines count as equal.
+const EQUAL_SPAN_MS: f64 = 2.0;
+
+/// Number of a placed stream at its host.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct EngineTicket(u64);
+
+/// The question where a stream goes.
+#[derive(Debug, Clone)]
+pub struct EngineQuery<'a> {
+    /// Service.
+    pub service: &'a str,
+    /// What the engines are like.
+    pub spec: &'a EngineSpec,
+    /// Size and parts of the prompt.
+    pub prompt: &'a PromptShape,
+    /// Time from now to the first event within which the answer is on time.
+    pub target: Duration,
+    /// Time from now until the caller no longer waits.
+    pub patience: Duration,
+    /// Servers that were tried.
+    pub tried: &'a [ServerKey],
+    /// Whether the stream was begun before, so that it must not be turned away.
+    pub is_continued: bool,
+}
+
+/// Where a stream goes.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct EngineSeat {
+    /// Number to name in later calls.
+    pub ticket: EngineTicket,
+    /// Engine.
+    pub server: ServerKey,
+    /// Predicted time to the first event.
+    pub predicted: Duration,
+    /// Prompt tokens that the engine has to read.
+    pub new_tokens: u32,
+    /// Prompt tokens that wait before them, of all hosts.
+    pub tokens_ahead: f64,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct OpenStream {
+    server: ServerKey,
+    sent: Timestamp,
+    waiting_tokens: f64,
+    memory_tokens: f64,
+    tokens_ahead: f64,
+}
+
+#[derive(Debug, Clone, Copy, Default)]
+struct OwnLoad {
+    waiting_tokens: f64,
+    requests: u32,
+    memory_tokens: f64,
+}
+
+#[derive(Debug, Clone)]
+struct PeerLoads {
+    heard: Timestamp,
+    loads: HashMap<u64, EngineLoad>,
+}
+
+/// Sum of what all peers have at one engine.
+#[derive(Debug, Clone, Copy, Default)]
+struct OtherLoad {
+    waiting_tokens: f64,
+    requests: f64,
+    memory_tokens: f64,
+}
+
+/// One engine as a placement sees it.
+#[derive(Debug, Clone, Copy)]
+struct Candidate {
+    server: ServerKey,
+    predicted: Duration,
+    /// Time to read this prompt alone.
+    own_span: Duration,
+    new_tokens: u32,
+    tokens_ahead: f64,
+    cost_ms: f64,
+    preference: u64,
+}
+
+/// Chooses the engine that a stream goes to, or turns the stream away.
+///
+/// An engine's cost is the predicted time to the first event plus the engine time that the
+/// placement takes from later requests; so a prompt goes where its shared parts are, until the
+/// queue there costs more than reading them again elsewhere. Where no engine has the parts, all
+/// hosts rank engines alike by the parts' hash, so that the next prompt with the same parts finds
+/// them. A stream is turned away at once where others' work would make it late; one that is late
+/// by its own size runs where the wait is short. Answers load above what the engines can read.
+///
+/// # Examples
+///
+/// ```
+/// use std::time::Duration;
+/// use teaselglade_core::time::Timestamp;
+/// use teaselglade_routing::engine::{EnginePlacer, EngineQuery, PromptShape};
+/// use teaselglade_routing::fleet::FleetView;
+/// use teaselglade_routing::table::EngineSpec;
+///
+/// let mut placer = EnginePlacer::new(1);
+/// let prompt = PromptShape::new(900, 80, [(1, 900)]);
+/// let spec = EngineSpec { slots: 64, memory_tokens: 500_000.0, event_tokens: 4 };
+/// let query = EngineQuery {
+///     service: "draft-fleet",
+///     spec: &spec,
+///     prompt: &prompt,
+///     target: Duration::from_millis(500),
+///     patience: Duration::from_secs(10),
+///     tried: &[],
+///     is_continued: false,
+/// };
+/// let refusal = placer.place(Timestamp::ZERO, &FleetView::default(), &query).unwrap_err();
+/// assert!(refusal.retry_after.is_some());
+/// ```
+#[derive(Debug)]
+pub struct EnginePlacer {
+    cache: CacheMap,
+    speeds: HashMap<String, EngineSpeed>,
+    open: HashMap<EngineTicket, OpenStream>,
+    own: HashMap<ServerKey, OwnLoad>,
+    health: HashMap<ServerKey, ServerHealth>,
+    peers: HashMap<String, PeerLoads>,
+    others: HashMap<u64, OtherLoad>,
+    placed: Vec<(Timestamp, PlacedPrompt)>,
+    /// Prompt tokens that have to be read, by service, refused ones included.
+    demand: HashMap<String, DemandMeter>,
+    last_ticket: u64,
+    random: Pcg32,
+}
+
+impl EnginePlacer {
+    /// Makes a placer without load; `seed` feeds the spread of return times.
+    #[must_use]
+    pub fn new(seed: u64) -> Self {
+        Self {
+            cache: CacheMap::default(),
+            speeds: HashMap::new(),
+            open: HashMap::new(),
+            own: HashMap::new(),
+            health: HashMap::new(),
+            peers: HashMap::new(),
+            others: HashMap::new(),
+            placed: Vec::new(),
+            demand: HashMap::new(),
+            last_ticket: 0,
+            random: Pcg32::seed_from_u64(seed),
+        }
+    }
+
+    /// Chooses an engine and books the stream there.
+    ///
+    /// # Errors
+    ///
+    /// Refuses as "not run" where no engine takes work, or where the answer would be late for the
+    /// load there is.
+    pub fn place(
+        &mut self,
+        now: Timestamp,
+        fleet: &FleetView,
+        query: &EngineQuery<'_>,
+    ) -> Result<EngineSeat> {
+        let best = self.best_candidate(now, fleet, query);
+        let read = best.map_or(query.prompt.prompt_tokens, |best| best.new_tokens);
+        let meter = self.demand.entry(query.service.to_owned()).or_default();
+        meter.add(now, f64::from(read));
+        let best = best.ok_or_else(|| self.no_server())?;
+        if !query.is_continued {
+            self.check_admission(query, best)?;
+        }
+        Ok(self.book(now, fleet, query, best))
+    }
+
+    /// Notes the first event of a stream.
+    pub fn note_first_event(&mut self, now: Timestamp, service: &str, ticket: EngineTicket) {
+        let Some(stream) = self.open.get_mut(&ticket) else {
+            return;
+        };
+        let tokens = stream.waiting_tokens;
+        stream.waiting_tokens = 0.0;
+        let ahead = stream.tokens_ahead;
+        let (server, elapsed) = (stream.server, now.since(stream.sent));
+        if let Some(load) = self.own.get_mut(&server) {
+            load.waiting_tokens = (load.waiting_tokens - tokens).max(0.0);
+        }
+        let speed = self.speeds.entry(service.to_owned()).or_default();
+        speed.learn(tokens + ahead, elapsed);
+        self.health.entry(server).or_default().record_answer(true);
+    }
+
+    /// Notes that a stream is over at its engine, in whatever way.
+    pub fn note_ended(&mut self, ticket: EngineTicket) {
+        let Some(stream) = self.open.remove(&ticket) else {
+            return;
+        };
+        let Some(load) = self.own.get_mut(&stream.server) else {
+            return;
+        };
+        load.waiting_tokens = (load.waiting_tokens - stream.waiting_tokens).max(0.0);
+        load.memory_tokens = (load.memory_tokens - stream.memory_tokens).max(0.0);
+        load.requests = load.requests.saturating_sub(1);
+        if load.requests == 0 {
+            self.own.remove(&stream.server);
+        }
+    }
+
+    /// Notes that a server could not be reached, or broke a stream off.
+    pub fn note_failure(&mut self, now: Timestamp, server: ServerKey) {
+        self.health
+            .entry(server)
+            .or_default()
+            .record_unreachable(now);
+    }
+
+    /// Notes that a server lost its memory or is gone.
+    pub fn note_gone(&mut self, server: ServerKey) {
+        self.cache.forget(server);
+        self.health.remove(&server);
+    }
+
+    /// Takes in what a peer has at the engines and where it sent prompts.
+    pub fn hear(
+        &mut self,
+        now: Timestamp,
+        fleet: &FleetView,
+        peer: &str,
+        loads: &[EngineLoad],
+        placed: &[PlacedPrompt],
+    ) {
+        let record = PeerLoads {
+            heard: now,
+            loads: loads.iter().map(|load| (load.server, *load)).collect(),
+        };
+        self.peers.insert(peer.to_owned(), record);
+        self.sum_others(now);
+        for prompt in placed {
+            if let Some(server) = fleet.find_hash(prompt.server) {
+                self.cache.mark(now, server, prompt.chain);
+            }
+        }
+    }
+
+    /// Returns what this host has at the engines, for its peers.
+    #[must_use]
+    pub fn loads(&self, fleet: &FleetView) -> Vec<EngineLoad> {
+        let loads = self.own.iter().map(|(server, load)| EngineLoad {
+            server: fleet.server(*server).hash,
+            waiting_tokens: load.waiting_tokens as u32,
+            requests: load.requests.min(u32::from(u16::MAX)) as u16,
+            memory_tokens: load.memory_tokens as u32,
+        });
+        loads.collect()
+    }
+
+    /// Returns where this host sent prompts lately, for its peers.
+    pub fn recent_prompts(&mut self, now: Timestamp) -> Vec<PlacedPrompt> {
+        self.placed.retain(|(at, _)| now.since(*at) < PLACED_SPAN);
+        self.placed.iter().map(|(_, prompt)| *prompt).collect()
+    }
+
+    /// Returns the prompt tokens a second that this host's callers ask to have read, by service.
+    pub fn demand(&mut self, now: Timestamp) -> Vec<(String, f64)> {
+        let rates = self.demand.iter_mut();
+        rates
+            .map(|(service, meter)| (service.clone(), meter.rate(now)))
+            .collect()
+    }
+
+    /// Returns how fast the engines of a service read.
+    #[must_use]
+    pub fn speed(&self, service: &str) -> EngineSpeed {
+        self.speeds.get(service).copied().unwrap_or_default()
+    }
+
+    /// Drops what is too old to tell anything.
+    pub fn prune(&mut self, now: Timestamp) {
+        self.cache.prune(now);
+        self.peers
+            .retain(|_, peer| now.since(peer.heard) < LOAD_SPAN);
+        self.sum_others(now);
+    }
+
+    fn best_candidate(
+        &self,
+        now: Timestamp,
+        fleet: &FleetView,
+        query: &EngineQuery<'_>,
+    ) -> Option<Candidate> {
+        let servers = fleet.of_service(query.service);
+        let untried = servers.filter(|(key, _)| !query.tried.contains(key));
+        let candidates: Vec<Candidate> = untried
+            .map(|(key, server)| self.candidate(now, query, key, server.hash))
+            .collect();
+        let sound = candidates.iter().filter(|candidate| {
+            let health = self.health.get(&candidate.server);
+            !health.is_some_and(|health| health.is_avoided(now))
+        });
+        let best = sound.min_by(|a, b| a.compare(b));
+        best.or_else(|| candidates.iter().min_by(|a, b| a.compare(b)))
+            .copied()
+    }
+
+    fn candidate(
+        &self,
+        now: Timestamp,
+        query: &EngineQuery<'_>,
+        server: ServerKey,
+        hash: u64,
+    ) -> Candidate {
+        let own = self.own.get(&server).copied().unwrap_or_default();
+        let others = self.others.get(&hash).copied().unwrap_or_default();
+        let speed = self.speed(query.service);
+        let cached = self.cache.cached_tokens(now, server, query.prompt);
+        let new_tokens = query.prompt.prompt_tokens.saturating_sub(cached);
+        let tokens_ahead = own.waiting_tokens + others.waiting_tokens;
+        let own_span = speed.time_to_read(f64::from(new_tokens));
+        let mut predicted = speed.time_to_read(f64::from(new_tokens) + tokens_ahead);
+        let requests = f64::from(own.requests) + others.requests;
+        let beyond = requests + 1.0 - f64::from(query.spec.slots);
+        if beyond > 0.0 {
+            predicted += SLOT_WAIT.mul_f64(beyond);
+        }
+        let memory = own.memory_tokens + others.memory_tokens;
+        let needed = memory + f64::from(query.prompt.total_tokens());
+        if needed > query.spec.memory_tokens * MEMORY_SHARE {
+            predicted += MEMORY_WAIT;
+        }
+        let failures = self
+            .health
+            .get(&server)
+            .map_or(0.0, ServerHealth::failure_share);
+        let cost = predicted.as_secs_f64()
+            + own_span.as_secs_f64() * WORK_WEIGHT
+            + failures * query.target.as_secs_f64();
+        Candidate {
+            server,
+            predicted,
+            own_span,
+            new_tokens,
+            tokens_ahead,
+            cost_ms: cost * 1_000.0,
+            preference: preference(query.prompt, hash),
+        }
+    }
+
+    fn check_admission(&mut self, query: &EngineQuery<'_>, best: Candidate) -> Result<()> {
+        let target = query.target.mul_f64(TARGET_SHARE);
+        let wait = best.predicted.saturating_sub(best.own_span);
+        let is_late_by_size = best.own_span > target;
+        let is_on_time = best.predicted <= target;
+        let is_short_wait = is_late_by_size && wait <= query.target.mul_f64(WAIT_SHARE);
+        if (is_on_time || is_short_wait) && best.predicted < query.patience {
+            return Ok(());
+        }
+        let spread = self.random.random_range(1.0..1.6);
+        let room_in = best.predicted.saturating_sub(target).mul_f64(spread);
+        let detail = format!(
+            "first event predicted in {} ms, wanted in {} ms",
+            best.predicted.as_millis(),
+            query.target.as_millis()
+        );
+        let refusal = RequestRefusal::not_run(RefusalReason::PredictedLate, detail);
+        Err(refusal.retry_after(room_in.clamp(MIN_RETRY, MAX_RETRY)))
+    }
+
+    fn book(
+        &mut self,
+        now: Timestamp,
+        fleet: &FleetView,
+        query: &EngineQuery<'_>,
+        best: Candidate,
+    ) -> EngineSeat {
+        self.last_ticket += 1;
+        let ticket = EngineTicket(self.last_ticket);
+        let stream = OpenStream {
+            server: best.server,
+            sent: now,
+            waiting_tokens: f64::from(best.new_tokens),
+            memory_tokens: f64::from(query.prompt.total_tokens()),
+            tokens_ahead: best.tokens_ahead,
+        };
+        self.open.insert(ticket, stream);
+        let load = self.own.entry(best.server).or_default();
+        load.waiting_tokens += stream.waiting_tokens;
+        load.memory_tokens += stream.memory_tokens;
+        load.requests += 1;
+        let server = fleet.server(best.server).hash;
+        for part in &query.prompt.parts {
+            self.cache.mark(now, best.server, part.chain);
+        }
+        for part in query.prompt.parts.iter().rev().skip(1) {
+            let chain = part.chain;
+            self.placed.push((now, PlacedPrompt { server, chain }));
+        }
+        EngineSeat {
+            ticket,
+            server: best.server,
+            predicted: best.predicted,
+            new_tokens: best.new_tokens,
+            tokens_ahead: best.tokens_ahead,
+        }
+    }
+
+    fn sum_others(&mut self, now: Timestamp) {
+        self.others.clear();
+        let fresh = self
+            .peers
+            .values()
+            .filter(|peer| now.since(peer.heard) < LOAD_SPAN);
+        for load in fresh.flat_map(|peer| peer.loads.values()) {
+            let sum = self.others.entry(load.server).or_default();
+            sum.waiting_tokens += f64::from(load.waiting_tokens);
+            sum.requests += f64::from(load.requests);
+            sum.memory_tokens += f64::from(load.memory_tokens);
+        }
+    }
+
+    fn no_server(&mut self) -> RequestRefusal {
+        let spread = self.random.random_range(1.0..2.0);
+        let refusal = RequestRefusal::not_run(RefusalReason::NoServer, "no engine takes work");
+        refusal.retry_after(MIN_RETRY.mul_f64(2.0 * spread))
+    }
+}
+
+impl Candidate {
+    /// Orders candidates by cost; among equal ones the hash of the prompt decides.
+    fn compare(&self, other: &Self) -> std::cmp::Ordering {
+        let (a, b) = (self.cost_ms / EQUAL_SPAN_MS, other.cost_ms / EQUAL_SPAN_MS);
+        let by_cost = (a.round() as i64).cmp(&(b.round() as i64));
+        by_cost.then(other.preference.cmp(&self.preference))
+    }
+}
+
+/// Returns the rank of a server for a prompt, the same at every host.
+fn preference(prompt: &PromptShape, server: u64) -> u64 {
+    let shared = prompt.parts.iter().rev().nth(1).or(prompt.parts.last());
+    let chain = shared.map_or(0, |part| part.chain);
+    let mixed = (chain ^ server.rotate_left(32)).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+    (mixed ^ (mixed >> 29)).wrapping_mul(0xbf58_476d_1ce4_e5b9)
+}
--- /dev/null
+++ b/crates/teaselglade-routing/src/engine/prompt_shape.rs
@@ -0,0 +1,68 @@
+//! Size and parts of a prompt whose text stays opaque.
+
+const FNV_OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
+const FNV_PRIME: u64 = 0x0100_0000_01b3;
+
+teaselglade_core::value_type! {
+    /// One part of a prompt.
+    #[derive(Copy)]
+    pub struct PromptPart {
+        /// Hash over the ids of this part and of all parts before it.
+        pub chain: u64,
+        /// Tokens of this part.
+        pub tokens: u32,
+    }
+}
+
+teaselglade_core::value_type! {
+    /// Size and parts of a prompt whose text stays opaque.
+    #[derive(Default)]
+    pub struct PromptShape {
+        /// Tokens of the prompt.
+        pub prompt_tokens: u32,
+        /// Most tokens of the answer.
+        pub output_tokens: u32,
+        /// Parts in their order; the last one belongs to the request or its session.
+        pub parts: Vec<PromptPart>,
+    }
+}
+
+impl PromptShape {
+    /// Makes the shape of a prompt from the ids and tokens of its parts.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use teaselglade_routing::engine::PromptShape;
+    ///
+    /// let one = PromptShape::new(1_460, 80, [(7, 800), (8, 660)]);
+    /// let other = PromptShape::new(1_500, 80, [(7, 800), (9, 700)]);
+    /// assert_eq!(one.parts[0], other.parts[0]);
+    /// assert_ne!(one.parts[1].chain, other.parts[1].chain);
+    /// ```
+    #[must_use]
+    pub fn new(
+        prompt_tokens: u32,
+        output_tokens: u32,
+        parts: impl IntoIterator<Item = (u64, u32)>,
+    ) -> Self {
+        let mut chain = FNV_OFFSET;
+        let parts = parts.into_iter().map(|(id, tokens)| {
+            for byte in id.to_le_bytes() {
+                chain = (chain ^ u64::from(byte)).wrapping_mul(FNV_PRIME);
+            }
+            PromptPart { chain, tokens }
+        });
+        Self {
+            prompt_tokens,
+            output_tokens,
+            parts: parts.collect(),
+        }
+    }
+
+    /// Returns prompt and output tokens together.
+    #[must_use]
+    pub const fn total_tokens(&self) -> u32 {
+        self.prompt_tokens.saturating_add(self.output_tokens)
+    }
+}
--- /dev/null
+++ b/crates/teaselglade-routing/src/event/mod.rs
@@ -0,0 +1,5 @@
+//! Events of a streamed answer.
+
+mod event_splitter;
+
+pub use event_splitter::{EventPiece, EventSplitter};
--- /dev/null
+++ b/crates/teaselglade-routing/src/exchange/host_digest.rs
@@ -0,0 +1,57 @@
+//! What one host tells its peers several times a second.
+
+use std::net::SocketAddr;
+
+use serde::{Deserialize, Serialize};
+
+use crate::engine::{EngineLoad, PlacedPrompt};
+use crate::fleet::Departure;
+use crate::quota::PeerSpend;
+use crate::usage::WindowCounts;
+
+/// Where a host takes digests.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PeerAddress {
+    /// Name of the host.
+    pub name: String,
+    /// Address for datagrams and calls of peers.
+    pub address: SocketAddr,
+}
+
+/// Prompt tokens that callers of one host ask to have read.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct ServiceDemand {
+    /// Service.
+    pub service: String,
+    /// Tokens a second.
+    pub tokens: f64,
+}
+
+/// What one host tells its peers several times a second.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct HostDigest {
+    /// Name and address of the host.
+    pub host: PeerAddress,
+    /// Time of its start in Unix microseconds; it tells incarnations apart.
+    pub start: u64,
+    /// Number of the digest within the incarnation.
+    pub number: u64,
+    /// Version of the table in force there; 0 for none.
+    pub table: u64,
+    /// Whether the host reads the store at present.
+    pub reads_store: bool,
+    /// What it admitted of quotas.
+    pub spend: PeerSpend,
+    /// What it has at engines.
+    pub loads: Vec<EngineLoad>,
+    /// Where it sent prompts lately.
+    pub placed: Vec<PlacedPrompt>,
+    /// Prompt tokens that its callers ask to have read.
+    pub demand: Vec<ServiceDemand>,
+    /// What began to run there.
+    pub usage: Vec<WindowCounts>,
+    /// Servers that leave, as far as it heard lately.
+    pub departures: Vec<Departure>,
+    /// Some of the hosts that it knows.
+    pub peers: Vec<PeerAddress>,
+}
--- /dev/null
+++ b/crates/teaselglade-routing/src/exchange/mod.rs
@@ -0,0 +1,22 @@
+//! What hosts tell each other.
+
+mod host_digest;
+mod peer_roster;
+
+pub use host_digest::{HostDigest, PeerAddress, ServiceDemand};
+pub use peer_roster::PeerRoster;
+pub use teaselglade_placement::subset::rendezvous_weight;
+
+/// Returns the hash by which hosts call a name among themselves.
+///
+/// # Examples
+///
+/// ```
+/// use teaselglade_routing::exchange::name_hash;
+///
+/// assert_ne!(name_hash("i-1"), name_hash("i-2"));
+/// ```
+#[must_use]
+pub fn name_hash(name: &str) -> u64 {
+    rendezvous_weight("", name)
+}
--- /dev/null
+++ b/crates/teaselglade-routing/src/exchange/peer_roster.rs
@@ -0,0 +1,174 @@
+//! The other hosts that this one knows.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use rand::SeedableRng;
+use rand::seq::IteratorRandom;
+use rand_pcg::Pcg32;
+use teaselglade_core::time::Timestamp;
+
+use super::PeerAddress;
+
+/// Most peers that get one round's digest; the cost of a round does not grow with the fleet.
+const MAX_FAN_OUT: usize = 12;
+/// Most peers that a digest names.
+const NAMED_PEERS: usize = 8;
+/// Time of silence after which a host is taken to be gone for good.
+///
+/// Longer than any cut of the deployments' sheets, so that the part of a quota that a host behind
+/// a cut may still use stays reserved.
+const FORGET_AFTER: Duration = Duration::from_secs(15);
+
+#[derive(Debug, Clone)]
+struct PeerEntry {
+    address: SocketAddr,
+    start: u64,
+    number: u64,
+    heard: Timestamp,
+}
+
+/// The other hosts that this one knows, from seeds, the store and digests.
+///
+/// # Examples
+///
+/// ```
+/// use teaselglade_core::time::Timestamp;
+/// use teaselglade_routing::exchange::PeerRoster;
+///
+/// let mut roster = PeerRoster::new("edge-1", 7);
+/// roster.add_seeds(["127.0.0.1:7600".parse()?]);
+/// assert_eq!(roster.targets(Timestamp::ZERO).len(), 1);
+/// # Ok::<(), std::net::AddrParseError>(())
+/// ```
+#[derive(Debug)]
+pub struct PeerRoster {
+    own_name: String,
+    seeds: Vec<SocketAddr>,
+    peers: BTreeMap<String, PeerEntry>,
+    random: Pcg32,
+}
+
+impl PeerRoster {
+    /// Makes an empty roster.
+    #[must_use]
+    pub fn new(own_name: impl Into<String>, seed: u64) -> Self {
+        Self {
+            own_name: own_name.into(),
+            seeds: Vec::new(),
+            peers: BTreeMap::new(),
+            random: Pcg32::seed_from_u64(seed),
+        }
+    }
+
+    /// Adds addresses at which hosts may be found.
+    pub fn add_seeds(&mut self, seeds: impl IntoIterator<Item = SocketAddr>) {
+        for seed in seeds {
+            if !self.seeds.contains(&seed) {
+                self.seeds.push(seed);
+            }
+        }
+    }
+
+    /// Notes a host that somebody else knows.
+    pub fn note_named(&mut self, now: Timestamp, peer: &PeerAddress) {
+        if peer.name == self.own_name {
+            return;
+        }
+        let entry = PeerEntry {
+            address: peer.address,
+            start: 0,
+            number: 0,
+            heard: now,
+        };
+        self.peers.entry(peer.name.clone()).or_insert(entry);
+    }
+
+    /// Notes a digest and returns whether it is newer than all that was heard of its host.
+    pub fn note_heard(
+        &mut self,
+        now: Timestamp,
+        peer: &PeerAddress,
+        start: u64,
+        number: u64,
+    ) -> bool {
+        if peer.name == self.own_name {
+            return false;
+        }
+        let known = self.peers.get(&peer.name);
+        if known.is_some_and(|known| (known.start, known.number) >= (start, number)) {
+            return false;
+        }
+        let entry = PeerEntry {
+            address: peer.address,
+            start,
+            number,
+            heard: now,
+        };
+        self.peers.insert(peer.name.clone(), entry);
+        true
+    }
+
+    /// Returns the addresses that get this round's digest.
+    pub fn targets(&mut self, now: Timestamp) -> Vec<SocketAddr> {
+        let known: Vec<SocketAddr> = self.peers.values().map(|peer| peer.address).collect();
+        let mut targets = known
+            .iter()
+            .copied()
+            .choose_multiple(&mut self.random, MAX_FAN_OUT);
+        let few_heard = self.heard_within(now, Duration::from_secs(2)) < 2;
+        if few_heard || known.is_empty() {
+            let unknown = self.seeds.iter().filter(|seed| !known.contains(seed));
+            targets.extend(unknown.copied());
+        }
+        targets
+    }
+
+    /// Returns some known hosts, for a digest.
+    pub fn named(&mut self) -> Vec<PeerAddress> {
+        let peers = self.peers.iter().map(|(name, peer)| PeerAddress {
+            name: name.clone(),
+            address: peer.address,
+        });
+        peers.choose_multiple(&mut self.random, NAMED_PEERS)
+    }
+
+    /// Returns how many peers are known.
+    #[must_use]
+    pub fn known(&self) -> usize {
+        self.peers.len()
+    }
+
+    /// Returns the addresses of all peers that were heard of lately, latest first.
+    #[must_use]
+    pub fn heard(&self) -> Vec<SocketAddr> {
+        let mut peers: Vec<&PeerEntry> = self.peers.values().collect();
+        peers.sort_by_key(|peer| std::cmp::Reverse(peer.heard));
+        peers.iter().map(|peer| peer.address).collect()
+    }
+
+    /// Returns how many peers were heard of within a span.
+    #[must_use]
+    pub fn heard_within(&self, now: Timestamp, span: Duration) -> usize {
+        let peers = self.peers.values();
+        peers
+            .filter(|peer| peer.start > 0 && now.since(peer.heard) < span)
+            .count()
+    }
+
+    /// Forgets hosts that were silent for long and returns their names.
+    pub fn expire(&mut self, now: Timestamp) -> Vec<String> {
+        let is_gone = |peer: &PeerEntry| now.since(peer.heard) >= FORGET_AFTER;
+        let gone: Vec<String> = self
+            .peers
+            .iter()
+            .filter(|(_, peer)| is_gone(peer))
+            .map(|(name, _)| name.clone())
+            .collect();
+        for name in &gone {
+            self.peers.remove(name);
+        }
+        gone
+    }
+}
--- /dev/null
+++ b/crates/teaselglade-routing/src/fleet/fleet_view.rs
@@ -0,0 +1,337 @@
+//! The backend servers that a host knows, by incarnation.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+use teaselglade_core::id::ServerKey;
+use teaselglade_core::time::Timestamp;
+
+use super::{ServerSheet, SheetState};
+use crate::exchange::name_hash;
+
+/// Time after the store's return in which lapsed entries come back.
+const LAPSE_GRACE: Duration = Duration::from_millis(2_000);
+/// Time for which departures are passed on to peers; twice what any host needs to hear one.
+const DEPARTURE_NEWS: Duration = Duration::from_secs(10);
+
+/// Whether an incarnation of a server takes new work.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum ServerPhase {
+    /// It takes new work.
+    Ready,
+    /// Its entry went while the store was away; it takes work unless the entry stays missing.
+    Lapsed {
+        /// When it counts as gone.
+        until: Timestamp,
+    },
+    /// It leaves, or is gone; this is never undone.
+    Leaving,
+}
+
+/// One incarnation of a server.
+#[derive(Debug, Clone)]
+pub struct KnownServer {
+    /// What it says of itself.
+    pub sheet: ServerSheet,
+    /// Hash of its name, by which peers call it.
+    pub hash: u64,
+    /// Whether it takes new work.
+    pub phase: ServerPhase,
+    /// When its leaving was learned.
+    left_at: Option<Timestamp>,
+    /// When the platform stops it, where that is known.
+    pub gone_at: Option<Timestamp>,
+    /// Whether its entry is gone too.
+    pub is_removed: bool,
+    /// When the entry was last written, as far as this host saw.
+    pub heard_at: Timestamp,
+}
+
+/// Last entry of an incarnation that was removed.
+#[derive(Debug, Clone, Copy)]
+struct RetiredEntry {
+    born: u64,
+    beat: u64,
+    was_draining: bool,
+}
+
+/// The leaving of one incarnation, as peers pass it on.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Departure {
+    /// Server.
+    pub id: String,
+    /// Its incarnation.
+    pub born: u64,
+}
+
+/// The backend servers that a host knows, by incarnation.
+///
+/// # Examples
+///
+/// ```
+/// use teaselglade_routing::fleet::FleetView;
+///
+/// let fleet = FleetView::default();
+/// assert_eq!(fleet.of_service("draft-fleet").count(), 0);
+/// ```
+#[derive(Debug, Clone, Default)]
+pub struct FleetView {
+    servers: Vec<KnownServer>,
+    by_id: HashMap<String, ServerKey>,
+    by_hash: HashMap<u64, ServerKey>,
+    by_service: HashMap<String, Vec<ServerKey>>,
+    /// Last entry of each incarnation that was removed, by server.
+    retired: HashMap<String, RetiredEntry>,
+    /// Departures heard of incarnations whose entry is not known yet.
+    early_departures: HashMap<String, u64>,
+    /// Last time at which the store answered after it had been away.
+    store_back: Option<Timestamp>,
+}
+
+impl FleetView {
+    /// Takes in a server's entry and returns its key where the entry is current.
+    ///
+    /// An older incarnation is passed over, and a leaving one stays so whatever it says later.
+    pub fn note_sheet(&mut self, now: Timestamp, sheet: ServerSheet) -> Option<ServerKey> {
+        let known = self.by_id.get(&sheet.id).copied();
+        match known {
+            Some(key) if self.server(key).sheet.born > sheet.born => None,
+            Some(key) if self.server(key).sheet.born == sheet.born => {
+                if self.server(key).sheet.beat <= sheet.beat {
+                    self.update(now, key, sheet);
+                }
+                Some(key)
+            }
+            None if self.was_retired(&sheet) => None,
+            _ => {
+                if let Some(old) = known {
+                    self.retire(now, old);
+                }
+                Some(self.add(now, sheet))
+            }
+        }
+    }
+
+    /// Takes in that a server's entry was removed.
+    pub fn note_removed(&mut self, now: Timestamp, id: &str) -> Option<ServerKey> {
+        let key = self.by_id.get(id).copied()?;
+        let grace_end = self.store_back.map(|back| back + LAPSE_GRACE);
+        let lapse = grace_end.filter(|until| now < *until);
+        let server = &mut self.servers[key.index()];
+        match (lapse, server.phase) {
+            (Some(until), ServerPhase::Ready) => server.phase = ServerPhase::Lapsed { until },
+            (Some(_), ServerPhase::Lapsed { .. }) => {}
+            _ => self.retire(now, key),
+        }
+        Some(key)
+    }
+
+    /// Takes in that a peer knows an incarnation to leave.
+    pub fn note_departure(&mut self, now: Timestamp, departure: &Departure) {
+        match self.by_id.get(&departure.id).copied() {
+            Some(key) if self.server(key).sheet.born == departure.born => self.leave(now, key),
+            Some(key) if self.server(key).sheet.born > departure.born => {}
+            _ => {
+                let id = departure.id.clone();
+                self.early_departures.insert(id, departure.born);
+            }
+        }
+    }
+
+    /// Takes in that another server answers at this one's address.
+    pub fn note_replaced(&mut self, now: Timestamp, key: ServerKey) {
+        self.leave(now, key);
+    }
+
+    /// Takes in that the store answers again after it had been away.
+    pub fn note_store_back(&mut self, now: Timestamp) {
+        self.store_back = Some(now);
+    }
+
+    /// Takes in all entries at once; a server without one was removed.
+    pub fn note_all(&mut self, now: Timestamp, sheets: Vec<ServerSheet>) {
+        let listed: Vec<ServerKey> = sheets
+            .into_iter()
+            .filter_map(|sheet| self.note_sheet(now, sheet))
+            .collect();
+        let missing: Vec<String> = self
+            .by_id
+            .iter()
+            .filter(|(_, key)| !listed.contains(key))
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in missing {
+            self.note_removed(now, &id);
+        }
+    }
+
+    /// Counts lapsed servers as gone whose entries did not come back in time.
+    pub fn expire(&mut self, now: Timestamp) {
+        let expired: Vec<ServerKey> = self
+            .by_id
+            .values()
+            .copied()
+            .filter(|key| match self.server(*key).phase {
+                ServerPhase::Lapsed { until } => until <= now,
+                ServerPhase::Ready | ServerPhase::Leaving => false,
+            })
+            .collect();
+        for key in expired {
+            self.retire(now, key);
+        }
+    }
+
+    /// Returns a server by its key.
+    #[must_use]
+    pub fn server(&self, key: ServerKey) -> &KnownServer {
+        &self.servers[key.index()]
+    }
+
+    /// Returns the current incarnation of a server.
+    #[must_use]
+    pub fn find(&self, id: &str) -> Option<ServerKey> {
+        self.by_id.get(id).copied()
+    }
+
+    /// Returns the current incarnation of the server whose name has this hash.
+    #[must_use]
+    pub fn find_hash(&self, hash: u64) -> Option<ServerKey> {
+        self.by_hash.get(&hash).copied()
+    }
+
+    /// Returns the servers of a service that take new work.
+    pub fn of_service(&self, service: &str) -> impl Iterator<Item = (ServerKey, &KnownServer)> {
+        let keys = self.by_service.get(service).into_iter().flatten();
+        let servers = keys.map(|key| (*key, self.server(*key)));
+        servers.filter(|(_, server)| server.phase != ServerPhase::Leaving)
+    }
+
+    /// Returns all servers of a service whose entries stand, leaving ones included.
+    pub fn listed(&self, service: &str) -> impl Iterator<Item = &KnownServer> {
+        let keys = self.by_service.get(service).into_iter().flatten();
+        let servers = keys.map(|key| self.server(*key));
+        servers.filter(|server| !server.is_removed)
+    }
+
+    /// Returns whether a server takes new work.
+    #[must_use]
+    pub fn takes_work(&self, key: ServerKey) -> bool {
+        self.server(key).phase != ServerPhase::Leaving
+    }
+
+    /// Returns the entries of all servers that take new work.
+    #[must_use]
+    pub fn sheets(&self) -> Vec<ServerSheet> {
+        let servers = self.by_id.values().map(|key| self.server(*key));
+        let working = servers.filter(|server| server.phase != ServerPhase::Leaving);
+        working.map(|server| server.sheet.clone()).collect()
+    }
+
+    /// Returns the departures that peers may not know yet.
+    #[must_use]
+    pub fn departures(&self, now: Timestamp) -> Vec<Departure> {
+        let is_news = |server: &&KnownServer| {
+            let left_at = server.left_at;
+            left_at.is_some_and(|left| now.since(left) < DEPARTURE_NEWS)
+        };
+        let recent = self.servers.iter().filter(is_news);
+        let departures = recent.map(|server| Departure {
+            id: server.sheet.id.clone(),
+            born: server.sheet.born,
+        });
+        departures.collect()
+    }
+
+    /// Returns whether an entry was written before its incarnation was removed.
+    ///
+    /// Delayed heartbeats may be stored after the removal; only a newer heartbeat of a server that
+    /// was not draining tells that it is still there.
+    fn was_retired(&self, sheet: &ServerSheet) -> bool {
+        self.retired.get(&sheet.id).is_some_and(|retired| {
+            let is_delayed = retired.was_draining || sheet.beat <= retired.beat;
+            sheet.born < retired.born || (sheet.born == retired.born && is_delayed)
+        })
+    }
+
+    fn add(&mut self, now: Timestamp, sheet: ServerSheet) -> ServerKey {
+        let key = ServerKey::new(self.servers.len() as u32);
+        let is_departed = self
+            .early_departures
+            .remove(&sheet.id)
+            .is_some_and(|born| born >= sheet.born);
+        let leaves = is_departed || sheet.state == SheetState::Draining;
+        self.by_id.insert(sheet.id.clone(), key);
+        let hash = name_hash(&sheet.id);
+        self.by_hash.insert(hash, key);
+        let of_service = self.by_service.entry(sheet.service.clone()).or_default();
+        of_service.push(key);
+        self.servers.push(KnownServer {
+            phase: ServerPhase::Ready,
+            left_at: None,
+            gone_at: sheet.leaves_in.map(|span| now + span),
+            is_removed: false,
+            heard_at: now,
+            hash,
+            sheet,
+        });
+        if leaves {
+            self.leave(now, key);
+        }
+        key
+    }
+
+    fn update(&mut self, now: Timestamp, key: ServerKey, sheet: ServerSheet) {
+        let leaves = sheet.state == SheetState::Draining;
+        let server = &mut self.servers[key.index()];
+        server.heard_at = now;
+        if let Some(span) = sheet.leaves_in {
+            server.gone_at = Some(now + span);
+        }
+        if matches!(server.phase, ServerPhase::Lapsed { .. }) {
+            server.phase = ServerPhase::Ready;
+        }
+        let moved = server.sheet.service != sheet.service;
+        let old_service = std::mem::replace(&mut server.sheet, sheet).service;
+        if moved {
+            let service = self.servers[key.index()].sheet.service.clone();
+            if let Some(keys) = self.by_service.get_mut(&old_service) {
+                keys.retain(|known| *known != key);
+            }
+            self.by_service.entry(service).or_default().push(key);
+        }
+        if leaves {
+            self.leave(now, key);
+        }
+    }
+
+    fn leave(&mut self, now: Timestamp, key: ServerKey) {
+        let server = &mut self.servers[key.index()];
+        if server.phase != ServerPhase::Leaving {
+            server.phase = ServerPhase::Leaving;
+            server.left_at = Some(now);
+        }
+    }
+
+    /// Marks an incarnation as gone for good; its arena entry stays for requests in progress.
+    fn retire(&mut self, now: Timestamp, key: ServerKey) {
+        self.leave(now, key);
+        let server = &mut self.servers[key.index()];
+        server.is_removed = true;
+        let (id, service) = (server.sheet.id.clone(), server.sheet.service.clone());
+        let entry = RetiredEntry {
+            born: server.sheet.born,
+            beat: server.sheet.beat,
+            was_draining: server.sheet.state == SheetState::Draining,
+        };
+        self.retired.insert(id.clone(), entry);
+        if self.by_id.get(&id) == Some(&key) {
+            self.by_id.remove(&id);
+            let hash = self.server(key).hash;
+            self.by_hash.remove(&hash);
+        }
+        if let Some(keys) = self.by_service.get_mut(&service) {
+            keys.retain(|known| *known != key);
+        }
+    }
+}
--- /dev/null
+++ b/crates/teaselglade-routing/src/fleet/server_sheet.rs
@@ -0,0 +1,42 @@
+//! What a backend server says of itself.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+teaselglade_core::value_type! {
+    /// Whether a server takes new work.
+    pub enum SheetState {
+        /// It does.
+        Ready,
+        /// It finishes what it has and then leaves.
+        Draining,
+    }
+}
+
+teaselglade_core::value_type! {
+    /// What a backend server says of itself.
+    pub struct ServerSheet {
+        /// Its name; a server that starts again may keep it.
+        pub id: String,
+        /// Unix millisecond of its start; with the id it names one incarnation.
+        pub born: u64,
+        /// Number of the heartbeat that wrote the entry; it grows within an incarnation.
+        pub beat: u64,
+        /// Service that it belongs to.
+        pub service: String,
+        /// Address that takes requests.
+        pub address: SocketAddr,
+        /// Zone that it stands in.
+        pub zone: String,
+        /// Requests that it runs at a time; none where it does not say.
+        pub slots: Option<u32>,
+        /// Whether it takes new work.
+        pub state: SheetState,
+        /// Whether the platform may take it back.
+        pub reclaimable: bool,
+        /// Time until it is gone, where that is known.
+        pub leaves_in: Option<Duration>,
+        /// How much longer it is slow after its start.
+        pub warm_up: Duration,
+    }
+}
--- /dev/null
+++ b/crates/teaselglade-routing/src/lib.rs
@@ -0,0 +1,16 @@
+//! Decisions of a serving host on routed requests.
+//!
+//! A route carries an opaque request to a service: a plain call or a stream of events. This crate
+//! decides which requests are let in, where they run, whether they are repeated, how many servers
+//! are held and what is reported. Nothing here does I/O, reads a clock or starts a task.
+
+pub mod attempt;
+pub mod engine;
+pub mod event;
+pub mod exchange;
+pub mod fleet;
+pub mod plain;
+pub mod quota;
+pub mod scaling;
+pub mod table;
+pub mod usage;
--- /dev/null
+++ b/crates/teaselglade-routing/src/quota/mod.rs
@@ -0,0 +1,5 @@
+//! Quotas of organisations over all hosts together.
+
+mod quota_board;
+
+pub use quota_board::{PeerSpend, QuotaBoard, SpendReport};
--- /dev/null
+++ b/crates/teaselglade-routing/src/quota/quota_board.rs
@@ -0,0 +1,238 @@
+//! Holds all hosts together to each organisation's quota.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+use teaselglade_core::time::Timestamp;
+use teaselglade_core::verdict::{RefusalReason, RequestRefusal};
+
+use crate::table::{OrganisationSpec, QuotaSpec, QuotaUnit};
+
+/// Age from which a peer's last report no longer tells what it spends.
+///
+/// Four lost reports in a row at the interval of the exchange.
+const SILENT_AFTER: Duration = Duration::from_millis(1_200);
+/// Part of a quota's burst that may be used; the rest covers what is spent before peers hear.
+const BURST_SHARE: f64 = 0.5;
+/// Most quotas' worth of debt, in seconds of the rate, so that a wrong report wears off.
+const MAX_DEBT_SECONDS: f64 = 2.0;
+/// Time constant of the smoothed spending rate.
+const RATE_SPAN: Duration = Duration::from_secs(1);
+/// Shortest time to come back that a refusal names.
+const MIN_RETRY: Duration = Duration::from_millis(100);
+
+/// What one host spent of a quota since its start.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub struct SpendReport {
+    /// Units admitted since the host's start.
+    pub total: f64,
+    /// Units admitted a second, smoothed.
+    pub rate: f64,
+}
+
+/// What a peer reported, by organisation.
+pub type PeerSpend = HashMap<String, SpendReport>;
+
+#[derive(Debug, Clone)]
+struct PeerRecord {
+    start: u64,
+    heard: Timestamp,
+    spend: PeerSpend,
+}
+
+#[derive(Debug, Clone)]
+struct QuotaState {
+    quota: QuotaSpec,
+    /// Units that all hosts together may still use now, as far as this host knows.
+    level: f64,
+    updated: Timestamp,
+    own_total: f64,
+    own_rate: f64,
+}
+
+/// Holds all hosts together to each organisation's quota.
+///
+/// Every host keeps the fleet's whole bucket: it takes off what it admits at once and what peers
+/// admit when they report it. So one large request finds room although the host's own share would
+/// not carry it, and what is spent twice at the edge of a quota is taken off the bucket later. While
+/// peers are silent, each group of hosts that hear one another keeps to its part of the rate, so
+/// that the sum stays in bounds. Answers one organisation sending many times its usual load.
+///
+/// # Examples
+///
+/// ```
+/// use teaselglade_core::time::Timestamp;
+/// use teaselglade_routing::quota::QuotaBoard;
+/// use teaselglade_routing::table::{OrganisationSpec, QuotaSpec, QuotaUnit};
+///
+/// let organisation = OrganisationSpec {
+///     name: "halloran".to_owned(),
+///     keys: Vec::new(),
+///     priority: None,
+///     quota: Some(QuotaSpec {
+///         unit: QuotaUnit::Tokens,
+///         rate: 1_000.0,
+///         burst: 1_000.0,
+///         plain_units: 200.0,
+///     }),
+/// };
+/// let mut board = QuotaBoard::new(1);
+/// let now = Timestamp::from_millis(1_000);
+/// board.set_quotas(now, &[organisation]);
+/// assert!(board.admit(now, "halloran", Some(900)).is_ok());
+/// let refusal = board.admit(now, "halloran", Some(900)).unwrap_err();
+/// assert!(refusal.retry_after.is_some());
+/// ```
+#[derive(Debug, Clone)]
+pub struct QuotaBoard {
+    quotas: HashMap<String, QuotaState>,
+    peers: HashMap<String, PeerRecord>,
+    /// Hosts that are reckoned with before any was heard of.
+    assumed_hosts: u32,
+}
+
+impl QuotaBoard {
+    /// Makes a board; `assumed_hosts` are reckoned with until peers are heard.
+    #[must_use]
+    pub fn new(assumed_hosts: u32) -> Self {
+        Self {
+            quotas: HashMap::new(),
+            peers: HashMap::new(),
+            assumed_hosts: assumed_hosts.max(1),
+        }
+    }
+
+    /// Puts the quotas of a table in force; what was spent keeps counting.
+    pub fn set_quotas(&mut self, now: Timestamp, organisations: &[OrganisationSpec]) {
+        let mut old = std::mem::take(&mut self.quotas);
+        for organisation in organisations {
+            let Some(quota) = organisation.quota.clone() else {
+                continue;
+            };
+            let state = match old.remove(&organisation.name) {
+                Some(known) => QuotaState { quota, ..known },
+                None => QuotaState {
+                    level: capacity(&quota),
+                    quota,
+                    updated: now,
+                    own_total: 0.0,
+                    own_rate: 0.0,
+                },
+            };
+            self.quotas.insert(organisation.name.clone(), state);
+        }
+    }
+
+    /// Takes in what a peer reported; `start` tells its incarnations apart.
+    pub fn hear(&mut self, now: Timestamp, peer: &str, start: u64, spend: PeerSpend) {
+        let known = self.peers.get(peer);
+        for (name, report) in &spend {
+            let gained = match known {
+                Some(known) if known.start == start => {
+                    let before = known.spend.get(name).map_or(0.0, |before| before.total);
+                    report.total - before
+                }
+                Some(_restarted) => report.total,
+                // Most of what an unknown peer spent is long past.
+                None => 0.0,
+            };
+            if let Some(state) = self.quotas.get_mut(name) {
+                state.level -= gained.max(0.0);
+            }
+        }
+        let record = PeerRecord {
+            start,
+            heard: now,
+            spend,
+        };
+        self.peers.insert(peer.to_owned(), record);
+    }
+
+    /// Frees the part of a peer that is gone for good.
+    pub fn forget(&mut self, peer: &str) {
+        self.peers.remove(peer);
+    }
+
+    /// Admits a request, or refuses it as "not run" with a time to come back.
+    ///
+    /// # Errors
+    ///
+    /// Refuses where the organisation's quota is used up.
+    pub fn admit(
+        &mut self,
+        now: Timestamp,
+        organisation: &str,
+        tokens: Option<u32>,
+    ) -> Result<(), RequestRefusal> {
+        let share = self.group_share(now);
+        let Some(state) = self.quotas.get_mut(organisation) else {
+            return Ok(());
+        };
+        state.refill(now, share);
+        let units = match state.quota.unit {
+            QuotaUnit::Requests => 1.0,
+            QuotaUnit::Tokens => tokens.map_or(state.quota.plain_units, f64::from),
+        };
+        let rate = (state.quota.rate * share).max(f64::MIN_POSITIVE);
+        if state.level <= 0.0 {
+            let wait = Duration::try_from_secs_f64((units - state.level) / rate);
+            let detail = format!("quota of {organisation} is used up in all zones");
+            let refusal = RequestRefusal::not_run(RefusalReason::OverLimit, detail);
+            return Err(refusal.retry_after(wait.unwrap_or(Duration::MAX).max(MIN_RETRY)));
+        }
+        state.level -= units;
+        state.own_total += units;
+        state.own_rate += units / RATE_SPAN.as_secs_f64();
+        Ok(())
+    }
+
+    /// Returns what this host spent, for its peers.
+    pub fn report(&mut self, now: Timestamp) -> PeerSpend {
+        let share = self.group_share(now);
+        let reports = self.quotas.iter_mut().map(|(name, state)| {
+            state.refill(now, share);
+            let report = SpendReport {
+                total: state.own_total,
+                rate: state.own_rate,
+            };
+            (name.clone(), report)
+        });
+        reports.collect()
+    }
+
+    /// Returns what all hosts may still use of a quota now, as far as this host knows.
+    #[must_use]
+    pub fn level(&self, organisation: &str) -> Option<f64> {
+        self.quotas.get(organisation).map(|state| state.level)
+    }
+
+    /// Returns the part of each rate that this host and the peers that it hears may use.
+    fn group_share(&self, now: Timestamp) -> f64 {
+        if self.peers.is_empty() {
+            return 1.0 / f64::from(self.assumed_hosts);
+        }
+        let heard = self
+            .peers
+            .values()
+            .filter(|peer| now.since(peer.heard) < SILENT_AFTER)
+            .count();
+        (heard + 1) as f64 / (self.peers.len() + 1) as f64
+    }
+}
+
+impl QuotaState {
+    fn refill(&mut self, now: Timestamp, share: f64) {
+        let seconds = now.since(self.updated).as_secs_f64();
+        self.updated = self.updated.max(now);
+        let rate = self.quota.rate * share;
+        let least = -self.quota.rate * MAX_DEBT_SECONDS - self.quota.burst;
+        let most = capacity(&self.quota) * share;
+        self.level = (self.level + rate * seconds).clamp(least, most);
+        self.own_rate *= (-seconds / RATE_SPAN.as_secs_f64()).exp();
+    }
+}
+
+fn capacity(quota: &QuotaSpec) -> f64 {
+    (quota.burst * BURST_SHARE).max(quota.rate * BURST_SHARE)
+}
--- /dev/null
+++ b/crates/teaselglade-routing/src/table/route_table.rs
@@ -0,0 +1,104 @@
+//! One version of the table, indexed for look-ups.
+
+use std::collections::HashMap;
+
+use teaselglade_core::verdict::RefusalReason;
+
+use super::{OrganisationSpec, RouteRow, ServiceSpec, TableSpec};
+
+/// Who sends a request, as the table in force tells it.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum Caller<'a> {
+    /// The route is public, or the table has no organisations.
+    Anonymous,
+    /// The key belongs to this organisation.
+    Organisation(&'a OrganisationSpec),
+}
+
+/// One version of the table, indexed for look-ups.
+///
+/// # Examples
+///
+/// ```
+/// use teaselglade_routing::table::{RouteTable, TableSpec};
+///
+/// let table = RouteTable::new(TableSpec::default());
+/// assert!(table.route("shop.example", "/repairs/1").is_none());
+/// ```
+#[derive(Debug, Clone, Default)]
+pub struct RouteTable {
+    spec: TableSpec,
+    /// Index of each route by host, then by path prefix.
+    by_host: HashMap<String, HashMap<String, usize>>,
+    by_key: HashMap<String, usize>,
+}
+
+impl RouteTable {
+    /// Indexes a version of the table.
+    #[must_use]
+    pub fn new(spec: TableSpec) -> Self {
+        let mut by_host: HashMap<String, HashMap<String, usize>> = HashMap::new();
+        for (index, route) in spec.routes.iter().enumerate() {
+            let prefixes = by_host.entry(route.host.clone()).or_default();
+            prefixes.insert(route.path_prefix.clone(), index);
+        }
+        let organisations = spec.organisations.iter().enumerate();
+        let keys = organisations.flat_map(|(index, organisation)| {
+            organisation
+                .keys
+                .iter()
+                .map(move |key| (key.clone(), index))
+        });
+        let by_key = keys.collect();
+        Self {
+            spec,
+            by_host,
+            by_key,
+        }
+    }
+
+    /// Returns the version.
+    #[must_use]
+    pub const fn version(&self) -> u64 {
+        self.spec.version
+    }
+
+    /// Returns the content.
+    #[must_use]
+    pub const fn spec(&self) -> &TableSpec {
+        &self.spec
+    }
+
+    /// Returns the route with the longest prefix of `path`, which has no query.
+    #[must_use]
+    pub fn route(&self, host: &str, path: &str) -> Option<&RouteRow> {
+        let prefixes = self.by_host.get(host)?;
+        let slashes = path.rmatch_indices('/').map(|(index, _)| index);
+        let mut found = slashes.filter_map(|index| prefixes.get(&path[..=index]));
+        found.next().map(|index| &self.spec.routes[*index])
+    }
+
+    /// Returns the service with this name.
+    #[must_use]
+    pub fn service(&self, name: &str) -> Option<&ServiceSpec> {
+        self.spec
+            .services
+            .iter()
+            .find(|service| service.name == name)
+    }
+
+    /// Returns who sends a request with this key on this route.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`RefusalReason::UnknownOrganisation`] where the route needs a key and none or an
+    /// unknown one was sent.
+    pub fn caller(&self, route: &RouteRow, key: Option<&str>) -> Result<Caller<'_>, RefusalReason> {
+        let known = key.and_then(|key| self.by_key.get(key));
+        match known {
+            Some(index) => Ok(Caller::Organisation(&self.spec.organisations[*index])),
+            None if route.public || self.spec.organisations.is_empty() => Ok(Caller::Anonymous),
+            None => Err(RefusalReason::UnknownOrganisation),
+        }
+    }
+}
--- /dev/null
+++ b/crates/teaselglade-routing/src/usage/mod.rs
@@ -0,0 +1,5 @@
+//! Requests that began to run, by organisation and window of wall time.
+
+mod usage_ledger;
+
+pub use usage_ledger::{UsageLedger, WindowCounts};
--- /dev/null
+++ b/crates/teaselglade/src/bin/teaselglade-host.rs
@@ -0,0 +1,12 @@
+//! Serving host on the users' platform.
+
+use std::process::ExitCode;
+
+use teaselglade::program::run_host;
+
+#[global_allocator]
+static ALLOCATOR: mimalloc::MiMalloc = mimalloc::MiMalloc;
+
+fn main() -> ExitCode {
+    run_host()
+}
--- a/crates/teaselglade/src/program/daemon_program.rs
+++ b/crates/teaselglade/src/program/daemon_program.rs
@@ -12,7 +12,7 @@
 
 use super::daemon_options::DaemonOptions;
 
-const FAULTY_SETTINGS: u8 = 2;
+pub(super) const FAULTY_SETTINGS: u8 = 2;
 
 /// A daemon that can run as a process.
 pub trait DaemonProgram: Sized + Send {
