feat(host): few readers of the store, first stock kept, return times of quotas

Ruled out: the store's rates (no call was refused). Change: FleetPlanner keeps the stock that stood before the first load and plans by three shares of an engine's time; two hosts read servers' entries and pass changes on in digests; three hosts take part in the lease; QuotaBoard lets small requests into a bounded debt, reckons on what peers spend since their report, promises return times one behind the other, and gives back what did not run.

--- a/crates/teaselglade-host/src/duty/duty_driver.rs
+++ b/crates/teaselglade-host/src/duty/duty_driver.rs
@@ -25,6 +25,8 @@
 
 /// Name of the one lease for all duties.
 const LEASE_NAME: &str = "duties";
+/// Hosts that take part in the lease; two stand in for its holder.
+const CANDIDATES: usize = 3;
 /// Time between two looks at the lease and the duties.
 const TICK: Duration = Duration::from_millis(100);
 /// Time between two plans of the servers.
@@ -69,6 +71,8 @@
     log: Arc<dyn LogPort>,
     clock: SuspendClock,
     holder: LeaseHolder,
+    turn: u64,
+    is_candidate: bool,
     planners: BTreeMap<String, FleetPlanner>,
     planned_at: Timestamp,
     /// Number that the platform told to be out of date.
@@ -85,16 +89,13 @@
     /// Makes the driver of a host; `port` does the duties.
     #[must_use]
     pub fn new(host: Arc<HostState>, port: Arc<dyn DutyPort>) -> Self {
-        let identity = LeaseIdentity {
-            host: host.settings.name.clone(),
-            start: host.start,
-        };
-        let terms = lease_terms(&host.settings.duties);
         let (sender, news) = unbounded_channel();
         Self {
             log: Arc::clone(&host.ports.log),
             clock: SuspendClock::start(),
-            holder: LeaseHolder::new(identity, terms, host.start),
+            holder: new_holder(&host, 0),
+            turn: 0,
+            is_candidate: true,
             planners: BTreeMap::new(),
             planned_at: Timestamp::ZERO,
             fenced: None,
@@ -115,7 +116,7 @@
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
         let stopping = self.host.stopping.clone();
         let mut is_stopping = false;
-        while !self.holder.is_released() {
+        while !(self.holder.is_released() || is_stopping && !self.is_candidate) {
             tokio::select! {
                 () = stopping.cancelled(), if !is_stopping => {
                     is_stopping = true;
@@ -123,6 +124,7 @@
                 }
                 Some(news) = self.news.recv() => self.on_news(news),
                 _tick = ticks.tick() => {
+                    self.follow_candidacy();
                     self.on_lease(LeaseEvent::Tick);
                     self.do_duties();
                 }
@@ -156,6 +158,9 @@
     }
 
     fn on_lease(&mut self, event: LeaseEvent) {
+        if !self.is_candidate && event == LeaseEvent::Tick {
+            return;
+        }
         let now = self.clock.now();
         let actions = self.holder.on_event(now, event);
         for action in actions {
@@ -163,6 +168,20 @@
         }
     }
 
+    /// Takes part in the lease only while few hosts go before this one.
+    ///
+    /// A host that takes part again knows nothing of what happened meanwhile, so it begins anew.
+    fn follow_candidacy(&mut self) {
+        let now = self.host.now();
+        let is_candidate = self.host.decide().roster.rank(now) < CANDIDATES;
+        let is_idle = self.holder.number_in_force(self.clock.now()).is_none();
+        if is_candidate && !self.is_candidate {
+            self.turn += 1;
+            self.holder = new_holder(&self.host, self.turn);
+        }
+        self.is_candidate = is_candidate || !is_idle;
+    }
+
     fn carry_out(&mut self, action: LeaseAction) {
         match action {
             LeaseAction::Read { from, most } => self.read_lease(from, most),
@@ -287,7 +306,7 @@
                 reclaimable = order.reclaimable,
                 desired = order.desired,
                 busy,
-                needed = planner.needed(),
+                peak = planner.peak(),
                 stock = ?stock.get(&order.zone),
             );
         }
@@ -365,6 +384,15 @@
     }
 }
 
+/// Makes a holder; `turn` counts the times that this process took part in the lease.
+fn new_holder(host: &HostState, turn: u64) -> LeaseHolder {
+    let identity = LeaseIdentity {
+        host: host.settings.name.clone(),
+        start: host.start + turn,
+    };
+    LeaseHolder::new(identity, lease_terms(&host.settings.duties), host.start)
+}
+
 /// Returns the fencing number of a lease; the platform counts from 1.
 const fn fencing_number(number: LeaseNumber) -> u64 {
     number.0 + 1
--- a/crates/teaselglade-host/src/follow/server_follower.rs
+++ b/crates/teaselglade-host/src/follow/server_follower.rs
@@ -15,8 +15,10 @@
 ///
 /// A leaving server has to be known well within the 2 s for which it still takes requests.
 const POLL_INTERVAL: Duration = Duration::from_millis(300);
-/// Time without an answer after which the store counts as having been away.
-const AWAY_SPAN: Duration = Duration::from_millis(1_500);
+/// Time between two reads of a host whose peers read for it and pass changes on.
+const IDLE_POLL_INTERVAL: Duration = Duration::from_millis(3_000);
+/// Hosts that read servers' entries for all; the second one stands in for the first.
+const READERS: usize = 2;
 /// Time after which all entries are read again, should changes have been missed.
 const WHOLE_READ_INTERVAL: Duration = Duration::from_secs(30);
 
@@ -32,7 +34,7 @@
                 follow_from(&host, next).await;
             }
             Err(error) => {
-                host.note_call("read_servers", Some(&error));
+                note_failure(&host, "read_servers", &error);
                 sleep(FAILURE_PAUSE).await;
             }
         }
@@ -41,8 +43,14 @@
 
 async fn follow_from(host: &HostState, mut next: u64) {
     let begun = host.now();
+    let mut polled_at = begun;
     while host.now().since(begun) < WHOLE_READ_INTERVAL {
         sleep(POLL_INTERVAL).await;
+        if !is_reader(host) && host.now().since(polled_at) < IDLE_POLL_INTERVAL {
+            host.decide().fleet.expire(host.now());
+            continue;
+        }
+        polled_at = host.now();
         let polled = host
             .ports
             .feeds
@@ -59,22 +67,27 @@
                 return;
             }
             Err(error) => {
-                host.note_call("poll_servers", Some(&error));
+                note_failure(host, "poll_servers", &error);
                 sleep(FAILURE_PAUSE).await;
             }
         }
     }
 }
 
-/// Notes that the store answers, and whether it had been away.
+/// Returns whether this host is among those that read for all.
+fn is_reader(host: &HostState) -> bool {
+    host.decide().roster.reader_rank(host.now()) < READERS
+}
+
 fn note_answer(host: &HostState) {
     let now = host.now();
-    let mut decisions = host.decide();
-    if now.since(decisions.store_answered_at) >= AWAY_SPAN {
-        decisions.fleet.note_store_back(now);
-    }
-    decisions.store_answered_at = now;
-    decisions.news_at = now;
+    host.decide().note_store_answer(now);
+}
+
+fn note_failure(host: &HostState, call: &'static str, error: &StoreError) {
+    host.note_call(call, Some(error));
+    let now = host.now();
+    host.decide().note_store_failure(now);
 }
 
 fn take_listing(host: &HostState, page: FeedPage) {
--- a/crates/teaselglade-host/src/peer/digest_exchange.rs
+++ b/crates/teaselglade-host/src/peer/digest_exchange.rs
@@ -106,7 +106,9 @@
             start: host.start,
             number: self.number,
             table,
-            reads_store: now.since(decisions.store_answered_at) < DIGEST_INTERVAL * 5,
+            reads_store: decisions.reads_store(),
+            news_age_ms: now.since(decisions.news_at).as_millis() as u64,
+            news: decisions.fleet.news(now),
             spend: decisions.quotas.report(now),
             loads: decisions.engines.loads(&decisions.fleet),
             placed: decisions.engines.recent_prompts(now),
@@ -139,15 +141,16 @@
         let name = digest.host.name.clone();
         let mut guard = host.decide();
         let decisions = &mut *guard;
-        let is_new = decisions
-            .roster
-            .note_heard(now, &digest.host, digest.start, digest.number);
-        if !is_new {
+        if !decisions.roster.note_heard(now, &digest) {
             return;
         }
         for peer in &digest.peers {
             decisions.roster.note_named(now, peer);
         }
+        for sheet in digest.news {
+            decisions.fleet.note_sheet(now, sheet);
+        }
+        decisions.note_news(now, Duration::from_millis(digest.news_age_ms));
         for departure in &digest.departures {
             decisions.fleet.note_departure(now, departure);
         }
--- a/crates/teaselglade-host/src/relay/call_context.rs
+++ b/crates/teaselglade-host/src/relay/call_context.rs
@@ -7,6 +7,7 @@
 use hyper::http::uri::PathAndQuery;
 use hyper::{HeaderMap, Method};
 use teaselglade_core::time::Timestamp;
+use teaselglade_core::verdict::{ExecutionVerdict, RequestRefusal};
 use teaselglade_routing::engine::PromptShape;
 use teaselglade_routing::table::{RouteRow, ServiceSpec};
 
@@ -66,6 +67,17 @@
         }
     }
 
+    /// Gives back what a request took of its quota that did not run.
+    pub(super) fn refund_quota(&self, refusal: &RequestRefusal) {
+        if refusal.verdict != ExecutionVerdict::NotRun {
+            return;
+        }
+        if let Some(organisation) = &self.organisation {
+            let tokens = self.prompt.as_ref().map(PromptShape::total_tokens);
+            self.host.decide().quotas.refund(organisation, tokens);
+        }
+    }
+
     /// Counts that the request began to run.
     pub(super) fn count_run(&self) {
         if let Some(organisation) = &self.organisation {
--- a/crates/teaselglade-host/src/relay/call_intake.rs
+++ b/crates/teaselglade-host/src/relay/call_intake.rs
@@ -82,6 +82,7 @@
     match relayed {
         Ok(answer) => answer,
         Err(refusal) => {
+            context.refund_quota(&refusal);
             let organisation = context.organisation.as_deref().unwrap_or_default();
             let labels = [context.service.name.as_str(), organisation, "refused"];
             context
--- a/crates/teaselglade-host/src/state/decisions.rs
+++ b/crates/teaselglade-host/src/state/decisions.rs
@@ -18,6 +18,8 @@
 
 /// Hosts that are reckoned with until peers are heard; a small fleet with its spare hosts.
 const ASSUMED_HOSTS: u32 = 16;
+/// Time without an answer after which the store counts as having been away.
+const AWAY_SPAN: Duration = Duration::from_millis(1_000);
 /// Age from which a peer's demand no longer counts.
 const DEMAND_SPAN: Duration = Duration::from_secs(3);
 
@@ -38,8 +40,8 @@
     pub roster: PeerRoster,
     /// Time of the latest news of servers.
     pub news_at: Timestamp,
-    /// Time of the store's latest answer about servers.
-    pub store_answered_at: Timestamp,
+    /// Since when the store has not answered this host about servers.
+    store_lost_at: Option<Timestamp>,
     budgets: HashMap<String, RetryBudget>,
     peer_demand: HashMap<String, (Timestamp, Vec<ServiceDemand>)>,
     seed: u64,
@@ -57,13 +59,41 @@
             usage: UsageLedger::new(settings.duties.usage_window),
             roster: PeerRoster::new(&settings.name, seed),
             news_at: Timestamp::ZERO,
-            store_answered_at: Timestamp::ZERO,
+            store_lost_at: None,
             budgets: HashMap::new(),
             peer_demand: HashMap::new(),
             seed,
         }
     }
 
+    /// Notes that the store answered about servers.
+    pub fn note_store_answer(&mut self, now: Timestamp) {
+        let lost_at = self.store_lost_at.take();
+        if lost_at.is_some_and(|lost| now.since(lost) >= AWAY_SPAN) {
+            self.fleet.note_store_back(now);
+        }
+        self.news_at = now;
+    }
+
+    /// Notes that the store did not answer about servers.
+    pub fn note_store_failure(&mut self, now: Timestamp) {
+        self.store_lost_at.get_or_insert(now);
+    }
+
+    /// Notes news of servers that were this old when a peer passed them on.
+    pub fn note_news(&mut self, now: Timestamp, age: Duration) {
+        let told = Timestamp::from_micros(now.as_micros().saturating_sub(age.as_micros() as u64));
+        if self.news_at > Timestamp::ZERO {
+            self.news_at = self.news_at.max(told);
+        }
+    }
+
+    /// Returns whether the store answers this host at present.
+    #[must_use]
+    pub const fn reads_store(&self) -> bool {
+        self.store_lost_at.is_none()
+    }
+
     /// Counts the first attempt of a request towards its service's retry budget.
     pub fn record_first(&mut self, service: &str) {
         self.budget(service).record_first();
--- a/crates/teaselglade-routing/src/exchange/host_digest.rs
+++ b/crates/teaselglade-routing/src/exchange/host_digest.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::engine::{EngineLoad, PlacedPrompt};
-use crate::fleet::Departure;
+use crate::fleet::{Departure, ServerSheet};
 use crate::quota::PeerSpend;
 use crate::usage::WindowCounts;
 
@@ -38,8 +38,12 @@
     pub number: u64,
     /// Version of the table in force there; 0 for none.
     pub table: u64,
-    /// Whether the host reads the store at present.
+    /// Whether the store answers this host at present.
     pub reads_store: bool,
+    /// Age of the host's latest news of servers, in milliseconds.
+    pub news_age_ms: u64,
+    /// Entries of servers that changed lately.
+    pub news: Vec<ServerSheet>,
     /// What it admitted of quotas.
     pub spend: PeerSpend,
     /// What it has at engines.
--- a/crates/teaselglade-routing/src/exchange/peer_roster.rs
+++ b/crates/teaselglade-routing/src/exchange/peer_roster.rs
@@ -9,7 +9,7 @@
 use rand_pcg::Pcg32;
 use teaselglade_core::time::Timestamp;
 
-use super::PeerAddress;
+use super::{HostDigest, PeerAddress};
 
 /// Most peers that get one round's digest; the cost of a round does not grow with the fleet.
 const MAX_FAN_OUT: usize = 12;
@@ -21,12 +21,17 @@
 /// a cut may still use stays reserved.
 const FORGET_AFTER: Duration = Duration::from_secs(15);
 
+/// Time of silence after which a host no longer counts as present; five lost digests in a row.
+const PRESENT_SPAN: Duration = Duration::from_millis(1_100);
+
 #[derive(Debug, Clone)]
 struct PeerEntry {
     address: SocketAddr,
     start: u64,
     number: u64,
     heard: Timestamp,
+    /// Whether the store answered the host when it was last heard.
+    reads_store: bool,
 }
 
 /// The other hosts that this one knows, from seeds, the store and digests.
@@ -81,18 +86,14 @@
             start: 0,
             number: 0,
             heard: now,
+            reads_store: false,
         };
         self.peers.entry(peer.name.clone()).or_insert(entry);
     }
 
     /// Notes a digest and returns whether it is newer than all that was heard of its host.
-    pub fn note_heard(
-        &mut self,
-        now: Timestamp,
-        peer: &PeerAddress,
-        start: u64,
-        number: u64,
-    ) -> bool {
+    pub fn note_heard(&mut self, now: Timestamp, digest: &HostDigest) -> bool {
+        let (peer, start, number) = (&digest.host, digest.start, digest.number);
         if peer.name == self.own_name {
             return false;
         }
@@ -105,6 +106,7 @@
             start,
             number,
             heard: now,
+            reads_store: digest.reads_store,
         };
         self.peers.insert(peer.name.clone(), entry);
         true
@@ -157,6 +159,26 @@
             .count()
     }
 
+    /// Returns how many present hosts go before this one by name.
+    #[must_use]
+    pub fn rank(&self, now: Timestamp) -> usize {
+        self.before(now, |_| true)
+    }
+
+    /// Returns how many present hosts that the store answers go before this one by name.
+    #[must_use]
+    pub fn reader_rank(&self, now: Timestamp) -> usize {
+        self.before(now, |peer| peer.reads_store)
+    }
+
+    fn before(&self, now: Timestamp, counts: impl Fn(&PeerEntry) -> bool) -> usize {
+        let earlier = self.peers.range(..self.own_name.clone());
+        let present = earlier.filter(|(_, peer)| {
+            peer.start > 0 && now.since(peer.heard) < PRESENT_SPAN && counts(peer)
+        });
+        present.count()
+    }
+
     /// Forgets hosts that were silent for long and returns their names.
     pub fn expire(&mut self, now: Timestamp) -> Vec<String> {
         let is_gone = |peer: &PeerEntry| now.since(peer.heard) >= FORGET_AFTER;
--- a/crates/teaselglade-routing/src/fleet/fleet_view.rs
+++ b/crates/teaselglade-routing/src/fleet/fleet_view.rs
@@ -15,6 +15,9 @@
 /// Time for which departures are passed on to peers; twice what any host needs to hear one.
 const DEPARTURE_NEWS: Duration = Duration::from_secs(10);
 
+/// Time for which changed entries are passed on to peers; a few digests, as some get lost.
+const CHANGE_NEWS: Duration = Duration::from_millis(1_500);
+
 /// Whether an incarnation of a server takes new work.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum ServerPhase {
@@ -44,8 +47,8 @@
     pub gone_at: Option<Timestamp>,
     /// Whether its entry is gone too.
     pub is_removed: bool,
-    /// When the entry was last written, as far as this host saw.
-    pub heard_at: Timestamp,
+    /// When more than the heartbeat's number changed last.
+    changed_at: Timestamp,
 }
 
 /// Last entry of an incarnation that was removed.
@@ -63,6 +66,8 @@
     pub id: String,
     /// Its incarnation.
     pub born: u64,
+    /// Whether its entry is gone too.
+    pub is_removed: bool,
 }
 
 /// The backend servers that a host knows, by incarnation.
@@ -130,7 +135,13 @@
     /// Takes in that a peer knows an incarnation to leave.
     pub fn note_departure(&mut self, now: Timestamp, departure: &Departure) {
         match self.by_id.get(&departure.id).copied() {
-            Some(key) if self.server(key).sheet.born == departure.born => self.leave(now, key),
+            Some(key) if self.server(key).sheet.born == departure.born => {
+                if departure.is_removed {
+                    self.retire(now, key);
+                } else {
+                    self.leave(now, key);
+                }
+            }
             Some(key) if self.server(key).sheet.born > departure.born => {}
             _ => {
                 let id = departure.id.clone();
@@ -228,6 +239,14 @@
         working.map(|server| server.sheet.clone()).collect()
     }
 
+    /// Returns the entries of servers that changed lately, which peers may not know yet.
+    #[must_use]
+    pub fn news(&self, now: Timestamp) -> Vec<ServerSheet> {
+        let servers = self.by_id.values().map(|key| self.server(*key));
+        let changed = servers.filter(|server| now.since(server.changed_at) < CHANGE_NEWS);
+        changed.map(|server| server.sheet.clone()).collect()
+    }
+
     /// Returns the departures that peers may not know yet.
     #[must_use]
     pub fn departures(&self, now: Timestamp) -> Vec<Departure> {
@@ -239,6 +258,7 @@
         let departures = recent.map(|server| Departure {
             id: server.sheet.id.clone(),
             born: server.sheet.born,
+            is_removed: server.is_removed,
         });
         departures.collect()
     }
@@ -271,7 +291,7 @@
             left_at: None,
             gone_at: sheet.leaves_in.map(|span| now + span),
             is_removed: false,
-            heard_at: now,
+            changed_at: now,
             hash,
             sheet,
         });
@@ -284,7 +304,12 @@
     fn update(&mut self, now: Timestamp, key: ServerKey, sheet: ServerSheet) {
         let leaves = sheet.state == SheetState::Draining;
         let server = &mut self.servers[key.index()];
-        server.heard_at = now;
+        let is_changed = server.sheet.state != sheet.state
+            || server.sheet.address != sheet.address
+            || server.sheet.service != sheet.service;
+        if is_changed {
+            server.changed_at = now;
+        }
         if let Some(span) = sheet.leaves_in {
             server.gone_at = Some(now + span);
         }
--- a/crates/teaselglade-routing/src/quota/quota_board.rs
+++ b/crates/teaselglade-routing/src/quota/quota_board.rs
@@ -13,10 +13,19 @@
 ///
 /// Four lost reports in a row at the interval of the exchange.
 const SILENT_AFTER: Duration = Duration::from_millis(1_200);
-/// Part of a quota's burst that may be used; the rest covers what is spent before peers hear.
-const BURST_SHARE: f64 = 0.5;
 /// Most quotas' worth of debt, in seconds of the rate, so that a wrong report wears off.
 const MAX_DEBT_SECONDS: f64 = 2.0;
+/// Units, in seconds of the rate, up to which a request counts as small.
+const SMALL_SECONDS: f64 = 0.02;
+/// Debt, in seconds of the rate, up to which small requests are let in.
+///
+/// All plain calls of an organisation together ask for about a hundredth of its tokens, so one large
+/// prompt that used up the bucket must not turn bookings away.
+const SMALL_DEBT_SECONDS: f64 = 1.0;
+/// Longest time for which a peer's spending is reckoned on at the rate that it reported.
+const EXTRAPOLATED_SPAN: Duration = Duration::from_millis(600);
+/// Longest time to come back that a refusal names.
+const MAX_RETRY: Duration = Duration::from_secs(4);
 /// Time constant of the smoothed spending rate.
 const RATE_SPAN: Duration = Duration::from_secs(1);
 /// Shortest time to come back that a refusal names.
@@ -49,6 +58,8 @@
     updated: Timestamp,
     own_total: f64,
     own_rate: f64,
+    /// Until when what was turned away and told to come back uses the quota.
+    promised_until: Timestamp,
 }
 
 /// Holds all hosts together to each organisation's quota.
@@ -118,6 +129,7 @@
                     updated: now,
                     own_total: 0.0,
                     own_rate: 0.0,
+                    promised_until: now,
                 },
             };
             self.quotas.insert(organisation.name.clone(), state);
@@ -138,7 +150,8 @@
                 None => 0.0,
             };
             if let Some(state) = self.quotas.get_mut(name) {
-                state.level -= gained.max(0.0);
+                // A refund makes the total of a peer smaller.
+                state.level -= gained;
             }
         }
         let record = PeerRecord {
@@ -166,25 +179,38 @@
         tokens: Option<u32>,
     ) -> Result<(), RequestRefusal> {
         let share = self.group_share(now);
+        let coming = self.coming(now, organisation);
         let Some(state) = self.quotas.get_mut(organisation) else {
             return Ok(());
         };
         state.refill(now, share);
-        let units = match state.quota.unit {
-            QuotaUnit::Requests => 1.0,
-            QuotaUnit::Tokens => tokens.map_or(state.quota.plain_units, f64::from),
-        };
-        let rate = (state.quota.rate * share).max(f64::MIN_POSITIVE);
-        if state.level <= 0.0 {
-            let wait = Duration::try_from_secs_f64((units - state.level) / rate);
-            let detail = format!("quota of {organisation} is used up in all zones");
-            let refusal = RequestRefusal::not_run(RefusalReason::OverLimit, detail);
-            return Err(refusal.retry_after(wait.unwrap_or(Duration::MAX).max(MIN_RETRY)));
+        let units = state.units(tokens);
+        if state.has_room(units, coming) {
+            state.spend(units);
+            return Ok(());
+        }
+        let wait = state.promise(now, units, coming, share);
+        let detail = format!("quota of {organisation} is used up in all zones");
+        let refusal = RequestRefusal::not_run(RefusalReason::OverLimit, detail);
+        Err(refusal.retry_after(wait))
+    }
+
+    /// Gives back what a request took that was admitted and did not run.
+    pub fn refund(&mut self, organisation: &str, tokens: Option<u32>) {
+        if let Some(state) = self.quotas.get_mut(organisation) {
+            let units = state.units(tokens);
+            state.spend(-units);
         }
-        state.level -= units;
-        state.own_total += units;
-        state.own_rate += units / RATE_SPAN.as_secs_f64();
-        Ok(())
+    }
+
+    /// Returns what peers are reckoned to have admitted since they reported.
+    fn coming(&self, now: Timestamp, organisation: &str) -> f64 {
+        let spending = self.peers.values().filter_map(|peer| {
+            let age = now.since(peer.heard).min(EXTRAPOLATED_SPAN);
+            let report = peer.spend.get(organisation)?;
+            Some(report.rate * age.as_secs_f64())
+        });
+        spending.sum()
     }
 
     /// Returns what this host spent, for its peers.
@@ -222,6 +248,45 @@
 }
 
 impl QuotaState {
+    fn units(&self, tokens: Option<u32>) -> f64 {
+        match self.quota.unit {
+            QuotaUnit::Requests => 1.0,
+            QuotaUnit::Tokens => tokens.map_or(self.quota.plain_units, f64::from),
+        }
+    }
+
+    fn has_room(&self, units: f64, coming: f64) -> bool {
+        let is_small = units <= self.quota.rate * SMALL_SECONDS;
+        let debt = if is_small {
+            self.quota.rate * SMALL_DEBT_SECONDS
+        } else {
+            0.0
+        };
+        self.level - coming + debt > 0.0
+    }
+
+    fn spend(&mut self, units: f64) {
+        self.level -= units;
+        self.own_total += units;
+        self.own_rate = (self.own_rate + units / RATE_SPAN.as_secs_f64()).max(0.0);
+    }
+
+    /// Returns when a request that is turned away finds room.
+    ///
+    /// Each one is told a time behind those that were told before, so that they do not all come
+    /// back at once for the same room.
+    fn promise(&mut self, now: Timestamp, units: f64, coming: f64, share: f64) -> Duration {
+        let rate = (self.quota.rate * share).max(f64::MIN_POSITIVE);
+        let span = |units: f64| Duration::try_from_secs_f64(units.max(0.0) / rate);
+        let debt = span(coming - self.level)
+            .unwrap_or(MAX_RETRY)
+            .min(MAX_RETRY);
+        let own = span(units).unwrap_or(MAX_RETRY).min(MAX_RETRY);
+        let room_at = self.promised_until.max(now + debt);
+        self.promised_until = room_at + own;
+        room_at.since(now).clamp(MIN_RETRY, MAX_RETRY)
+    }
+
     fn refill(&mut self, now: Timestamp, share: f64) {
         let seconds = now.since(self.updated).as_secs_f64();
         self.updated = self.updated.max(now);
@@ -233,6 +298,11 @@
     }
 }
 
+/// Returns the most units that are saved up; a second of the rate where no burst is named.
 fn capacity(quota: &QuotaSpec) -> f64 {
-    (quota.burst * BURST_SHARE).max(quota.rate * BURST_SHARE)
+    if quota.burst > 0.0 {
+        quota.burst
+    } else {
+        quota.rate
+    }
 }
--- a/crates/teaselglade-routing/src/scaling/fleet_planner.rs
+++ b/crates/teaselglade-routing/src/scaling/fleet_planner.rs
@@ -7,20 +7,28 @@
 
 use crate::table::ScalingSpec;
 
-/// Part of an engine's time that reading prompts may take, so that the rest meets the targets.
-const READ_SHARE: f64 = 0.35;
-/// Fewest servers that are held beside those that the load needs.
+/// Part of an engine's time that reading prompts may take where servers are cheap.
+const ROOMY_SHARE: f64 = 0.33;
+/// Part of an engine's time up to which prompts are read without long queues.
+const NEEDED_SHARE: f64 = 0.6;
+/// Part of an engine's time up to which a service lives through the loss of a zone.
+const EMERGENCY_SHARE: f64 = 0.85;
+/// Servers that are held beside those that the load keeps busy, against uneven arrivals.
 const SPARE_SERVERS: f64 = 1.0;
 /// Part of its last value that the remembered peak of the demand keeps in a second.
-const PEAK_DECAY: f64 = 0.97;
+const PEAK_DECAY: f64 = 0.9;
+/// Busy servers below which a service counts as not in use yet.
+const IDLE_BUSY: f64 = 0.2;
+/// Time after the first load in which the servers that stood before it are kept.
+///
+/// Caches are cold then, so that the load reads more than it will later.
+const LEARN_SPAN: Duration = Duration::from_secs(6);
 /// Time after which an order that shows no effect is sent again, beside the time to boot.
 const EFFECT_SPAN: Duration = Duration::from_millis(1_500);
 /// Time for which a zone that has no servers to offer is not asked.
 const DRY_SPAN: Duration = Duration::from_millis(2_500);
 /// Time for which enough reclaimable servers have to stand before others are given back.
 const STABLE_SPAN: Duration = Duration::from_millis(1_500);
-/// Time after the start of planning in which nothing is given back, as demand is not known.
-const LEARN_SPAN: Duration = Duration::from_millis(1_000);
 
 /// Servers of one kind in one zone that the platform is asked for.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -66,10 +74,12 @@
 
 /// Decides how many servers of one service are held, where and of which kind.
 ///
-/// The load needs a number of servers. Reclaimable ones stand in all zones, as many as carry the
-/// load when the zone with most of them is taken back; other servers fill what is missing, in the
-/// cheapest zones, and are given back when the reclaimable ones stand again. Answers zones that
-/// are taken back one after the other while nothing reclaimable is to be had.
+/// Reclaimable servers stand in all zones, with room to spare when the zone with most of them is
+/// taken back. Others are held only where these do not carry the load, or would not after the loss
+/// of one more zone; they stand in the cheapest zones and are given back when reclaimable ones
+/// stand again. What stood before the first load is replaced one for one until the load is known.
+/// Answers zones that are taken back one after the other while nothing reclaimable is to be had,
+/// and traffic that starts all at once.
 ///
 /// # Examples
 ///
@@ -94,10 +104,12 @@
 #[derive(Debug, Clone)]
 pub struct FleetPlanner {
     service: String,
-    started: Option<Timestamp>,
     /// Remembered peak of the servers that the load keeps busy.
     peak: f64,
     peak_at: Option<Timestamp>,
+    /// Servers that stood before the first load.
+    first_stock: u32,
+    loaded_since: Option<Timestamp>,
     last: BTreeMap<OrderKey, LastOrder>,
     dry_until: BTreeMap<OrderKey, Timestamp>,
     enough_since: Option<Timestamp>,
@@ -109,9 +121,10 @@
     pub fn new(service: impl Into<String>) -> Self {
         Self {
             service: service.into(),
-            started: None,
             peak: 0.0,
             peak_at: None,
+            first_stock: 0,
+            loaded_since: None,
             last: BTreeMap::new(),
             dry_until: BTreeMap::new(),
             enough_since: None,
@@ -128,23 +141,16 @@
         stock: &BTreeMap<String, ZoneStock>,
         busy: f64,
     ) -> Vec<ServerOrder> {
-        let started = *self.started.get_or_insert(now);
-        self.note_demand(now, busy);
-        let needed = self.needed();
-        let reclaimable = self.reclaimable_targets(spec, needed);
-        let standing: u32 = stock.values().map(|zone| zone.reclaimable).sum();
-        let most_in_zone = stock.values().map(|zone| zone.reclaimable).max();
-        let surviving = standing - most_in_zone.unwrap_or(0);
-        let regular = self.regular_targets(now, started, spec, stock, needed, surviving);
-        let wanted = reclaimable
+        self.note_demand(now, busy, stock);
+        let reclaimable = self.reclaimable_targets(now, spec);
+        let regular = self.regular_targets(now, spec, stock);
+        let reclaimable = reclaimable
+            .into_iter()
+            .map(|(zone, count)| (zone, true, count));
+        let regular = regular
             .into_iter()
-            .map(|(zone, desired)| (zone, true, desired))
-            .chain(
-                regular
-                    .into_iter()
-                    .map(|(zone, desired)| (zone, false, desired)),
-            );
-        let wanted: Vec<(String, bool, u32)> = wanted.collect();
+            .map(|(zone, count)| (zone, false, count));
+        let wanted: Vec<(String, bool, u32)> = reclaimable.chain(regular).collect();
         wanted
             .into_iter()
             .filter_map(|(zone, is_reclaimable, desired)| {
@@ -176,28 +182,54 @@
         }
     }
 
-    /// Returns how many servers the load needs, spare ones included.
+    /// Returns the remembered peak of the servers that the load keeps busy.
     #[must_use]
-    pub fn needed(&self) -> u32 {
-        (self.peak / READ_SHARE + SPARE_SERVERS).ceil() as u32
+    pub const fn peak(&self) -> f64 {
+        self.peak
     }
 
-    fn note_demand(&mut self, now: Timestamp, busy: f64) {
+    /// Returns how many servers the load needs where each may read for `share` of its time.
+    #[must_use]
+    pub fn needed(&self, now: Timestamp, share: f64) -> u32 {
+        let by_load = if self.peak < IDLE_BUSY {
+            0
+        } else {
+            (self.peak / share + SPARE_SERVERS).ceil() as u32
+        };
+        let is_learning = self
+            .loaded_since
+            .is_none_or(|since| now.since(since) < LEARN_SPAN);
+        if is_learning {
+            by_load.max(self.first_stock)
+        } else {
+            by_load.max(1)
+        }
+    }
+
+    fn note_demand(&mut self, now: Timestamp, busy: f64, stock: &BTreeMap<String, ZoneStock>) {
         let elapsed = self.peak_at.map_or(Duration::ZERO, |at| now.since(at));
         self.peak_at = Some(now);
         let decayed = self.peak * PEAK_DECAY.powf(elapsed.as_secs_f64());
         self.peak = decayed.max(busy);
+        if self.loaded_since.is_none() {
+            if busy >= IDLE_BUSY {
+                self.loaded_since = Some(now);
+            } else if self.first_stock == 0 {
+                let zones = stock.values();
+                self.first_stock = zones.map(|zone| zone.reclaimable + zone.regular).sum();
+            }
+        }
     }
 
     /// Returns how many reclaimable servers every zone should have.
-    fn reclaimable_targets(&self, spec: &ScalingSpec, needed: u32) -> Vec<(String, u32)> {
+    fn reclaimable_targets(&self, now: Timestamp, spec: &ScalingSpec) -> Vec<(String, u32)> {
         if spec.reclaimable_price.is_none() {
             return Vec::new();
         }
         let zones = spec.zone_prices.len() as u32;
         let carrying = zones.saturating_sub(1).max(1);
-        let most = spec.max_servers.saturating_sub(spec.min_servers);
-        let each = needed.div_ceil(carrying).clamp(1, most.max(1));
+        let each = self.needed(now, ROOMY_SHARE).div_ceil(carrying);
+        let each = each.clamp(1, spec.max_servers.max(1));
         let zones = spec.zone_prices.iter();
         zones.map(|(zone, _)| (zone.clone(), each)).collect()
     }
@@ -206,40 +238,49 @@
     fn regular_targets(
         &mut self,
         now: Timestamp,
-        started: Timestamp,
         spec: &ScalingSpec,
         stock: &BTreeMap<String, ZoneStock>,
-        needed: u32,
-        surviving: u32,
     ) -> Vec<(String, u32)> {
-        let missing = needed.saturating_sub(surviving);
+        let reclaimable: u32 = stock.values().map(|zone| zone.reclaimable).sum();
+        let most_in_zone = stock.values().map(|zone| zone.reclaimable).max();
+        let surviving = reclaimable - most_in_zone.unwrap_or(0);
+        let coming = self.coming(now, spec, stock);
+        let by_load = self
+            .needed(now, NEEDED_SHARE)
+            .saturating_sub(reclaimable + coming);
+        let by_danger = self
+            .needed(now, EMERGENCY_SHARE)
+            .saturating_sub(surviving + coming);
+        let missing = by_load.max(by_danger);
         let standing: u32 = stock.values().map(|zone| zone.regular).sum();
-        let enough = standing > missing;
-        if !enough {
+        if standing <= missing {
             self.enough_since = None;
         }
-        let since = enough.then(|| *self.enough_since.get_or_insert(now));
-        let may_shrink = since.is_some_and(|since| now.since(since) >= STABLE_SPAN)
-            && now.since(started) >= LEARN_SPAN;
-        let total = if may_shrink {
+        let is_stable =
+            standing > missing && now.since(*self.enough_since.get_or_insert(now)) >= STABLE_SPAN;
+        let total = if is_stable {
             missing
         } else {
             standing.max(missing)
         };
-        let mut zones: Vec<(&String, f64)> = spec
-            .zone_prices
-            .iter()
-            .map(|(zone, price)| (zone, *price))
-            .collect();
-        zones.sort_by(|a, b| a.1.total_cmp(&b.1));
-        if !may_shrink && total == standing {
-            let keep = zones.into_iter().map(|(zone, _)| {
-                let regular = stock.get(zone).map_or(0, |stock| stock.regular);
-                (zone.clone(), regular)
-            });
-            return keep.collect();
-        }
-        spread(total, spec.max_servers, &zones)
+        fill_cheapest(total, spec, stock)
+    }
+
+    /// Returns how many reclaimable servers were ordered and have to boot still.
+    fn coming(
+        &self,
+        now: Timestamp,
+        spec: &ScalingSpec,
+        stock: &BTreeMap<String, ZoneStock>,
+    ) -> u32 {
+        let taken = self.last.iter().filter(|((_, is_reclaimable), last)| {
+            *is_reclaimable && last.is_taken && now.since(last.at) < spec.boot + EFFECT_SPAN
+        });
+        let coming = taken.map(|((zone, _), last)| {
+            let standing = stock.get(zone).map_or(0, |zone| zone.reclaimable);
+            last.desired.saturating_sub(standing)
+        });
+        coming.sum()
     }
 
     fn order(
@@ -286,13 +327,35 @@
     }
 }
 
-/// Spreads servers over zones, one at a time, beginning with the cheapest.
-fn spread(total: u32, most: u32, zones: &[(&String, f64)]) -> Vec<(String, u32)> {
-    let count = (zones.len() as u32).max(1);
-    let rest = total % count;
-    let spread = zones.iter().enumerate().map(|(index, (zone, _))| {
-        let extra = u32::from((index as u32) < rest);
-        ((*zone).clone(), (total / count + extra).min(most))
-    });
-    spread.collect()
+/// Fills zones with servers that are not reclaimable, the cheapest first.
+///
+/// Those that stand are kept where they are as long as that many are wanted.
+fn fill_cheapest(
+    total: u32,
+    spec: &ScalingSpec,
+    stock: &BTreeMap<String, ZoneStock>,
+) -> Vec<(String, u32)> {
+    let mut zones: Vec<(&String, f64)> = spec
+        .zone_prices
+        .iter()
+        .map(|(zone, price)| (zone, *price))
+        .collect();
+    zones.sort_by(|a, b| a.1.total_cmp(&b.1));
+    let mut targets: BTreeMap<&String, u32> = BTreeMap::new();
+    let mut left = total;
+    for (zone, _) in &zones {
+        let standing = stock.get(*zone).map_or(0, |zone| zone.regular).min(left);
+        targets.insert(zone, standing);
+        left -= standing;
+    }
+    for (zone, _) in &zones {
+        let reclaimable = stock.get(*zone).map_or(0, |zone| zone.reclaimable);
+        let target = targets.entry(zone).or_default();
+        let room = spec.max_servers.saturating_sub(reclaimable + *target);
+        let added = room.min(left);
+        *target += added;
+        left -= added;
+    }
+    let targets = targets.into_iter();
+    targets.map(|(zone, count)| (zone.clone(), count)).collect()
 }
