--- a/crates/teaselglade-host/src/duty/duty_driver.rs
+++ b/crates/teaselglade-host/src/duty/duty_driver.rs
@@ -342,7 +342,7 @@
     }
 
     fn report_usage(&mut self, number: LeaseNumber) {
-        let wall = self.host.wall();
+        let wall = HostState::wall();
         let span = self.host.settings.duties.usage_window.as_micros() as u64;
         let present = wall.as_micros() / span.max(1);
         let mut decisions = self.host.decide();
@@ -369,8 +369,8 @@
         };
         let sender = self.sender.clone();
         tokio::spawn(async move {
-            let (reports, reported, is_fenced) = reporter.run(due).await;
-            let news = DutyNews::Reports(reports, reported, number, is_fenced);
+            let (decided, sent, is_fenced) = reporter.run(due).await;
+            let news = DutyNews::Reports(decided, sent, number, is_fenced);
             // The receiver ends only with the host.
             let _stopped = sender.send(news);
         });
@@ -412,10 +412,10 @@
 impl UsageReporter {
     async fn run(mut self, due: Option<WindowCounts>) -> (ReportLog, BTreeSet<u64>, bool) {
         let is_current = self.read_on().await;
-        if let Some(counts) = due.filter(|_| is_current) {
-            if self.reports.decided(counts.window).is_none() {
-                self.decide(&counts).await;
-            }
+        if let Some(counts) = due.filter(|_| is_current)
+            && self.reports.decided(counts.window).is_none()
+        {
+            self.decide(&counts).await;
         }
         let is_fenced = self.send_decided().await;
         (self.reports, self.reported, is_fenced)
--- a/crates/teaselglade-host/src/follow/server_follower.rs
+++ b/crates/teaselglade-host/src/follow/server_follower.rs
@@ -16,7 +16,7 @@
 /// A leaving server has to be known well within the 2 s for which it still takes requests.
 const POLL_INTERVAL: Duration = Duration::from_millis(300);
 /// Time between two reads of a host whose peers read for it and pass changes on.
-const IDLE_POLL_INTERVAL: Duration = Duration::from_millis(3_000);
+const IDLE_POLL_INTERVAL: Duration = Duration::from_secs(3);
 /// Hosts that read servers' entries for all; the second one stands in for the first.
 const READERS: usize = 2;
 /// Time after which all entries are read again, should changes have been missed.
--- a/crates/teaselglade-host/src/host/serving_host.rs
+++ b/crates/teaselglade-host/src/host/serving_host.rs
@@ -171,6 +171,6 @@
     for service in &held.table.spec().services {
         let count = decisions.fleet.of_service(&service.name).count();
         let gauge = host.metrics.servers.with_label_values(&[&service.name]);
-        gauge.set(count as i64);
+        gauge.set(count.cast_signed() as i64);
     }
 }
--- a/crates/teaselglade-host/src/peer/digest_exchange.rs
+++ b/crates/teaselglade-host/src/peer/digest_exchange.rs
@@ -87,7 +87,7 @@
     fn digest(&mut self) -> (HostDigest, Vec<SocketAddr>) {
         self.number += 1;
         let host = &self.host;
-        let (now, wall) = (host.now(), host.wall());
+        let (now, wall) = (host.now(), HostState::wall());
         let table = host.table_version();
         let mut decisions = host.decide();
         for name in decisions.roster.expire(now) {
@@ -137,7 +137,7 @@
 
     fn apply(&self, digest: HostDigest) {
         let host = &self.host;
-        let (now, wall) = (host.now(), host.wall());
+        let (now, wall) = (host.now(), HostState::wall());
         let name = digest.host.name.clone();
         let mut guard = host.decide();
         let decisions = &mut *guard;
--- a/crates/teaselglade-host/src/port/message_port.rs
+++ b/crates/teaselglade-host/src/port/message_port.rs
@@ -54,8 +54,6 @@
     pub server: &'a str,
     /// Organisation of the caller.
     pub organisation: Option<&'a str>,
-    /// Rank at the engine, 0 first.
-    pub rank: Option<u8>,
     /// Last event that was passed on.
     pub resume_after: Option<u64>,
 }
--- a/crates/teaselglade-host/src/relay/call_context.rs
+++ b/crates/teaselglade-host/src/relay/call_context.rs
@@ -25,8 +25,6 @@
     pub(super) organisation: Option<String>,
     /// Version of the table that the request was judged by.
     pub(super) table: u64,
-    /// Rank of the organisation or the route, 0 first.
-    pub(super) rank: u8,
     pub(super) prompt: Option<PromptShape>,
     /// Last event that the caller has.
     pub(super) resume_after: Option<u64>,
@@ -81,7 +79,7 @@
     /// Counts that the request began to run.
     pub(super) fn count_run(&self) {
         if let Some(organisation) = &self.organisation {
-            let wall = self.host.wall();
+            let wall = HostState::wall();
             self.host.decide().usage.count(wall, organisation);
         }
     }
--- a/crates/teaselglade-host/src/relay/call_intake.rs
+++ b/crates/teaselglade-host/src/relay/call_intake.rs
@@ -126,10 +126,10 @@
         RequestRefusal::not_run(RefusalReason::UnknownService, detail)
     })?;
     let messages = &host.ports.messages;
-    let head = messages
+    let call = messages
         .read_call(&parts.headers)
         .map_err(|error| bad_request(error.to_string()))?;
-    let caller = table.caller(route, head.key.as_deref()).map_err(|reason| {
+    let caller = table.caller(route, call.key.as_deref()).map_err(|reason| {
         let detail = format!("route {} needs a key that is in force", route.name);
         RequestRefusal::not_run(reason, detail)
     })?;
@@ -138,7 +138,10 @@
         Caller::Anonymous => None,
     };
     let now = host.now();
-    let tokens = head.prompt.as_ref().map(|prompt| prompt.total_tokens());
+    let tokens = call
+        .prompt
+        .as_ref()
+        .map(teaselglade_routing::engine::PromptShape::total_tokens);
     let service = route.service(host.draw());
     let service = table.service(service).cloned().ok_or_else(|| {
         let detail = format!("service {service} is not in the table");
@@ -150,19 +153,16 @@
     }
     decisions.record_first(&service.name);
     drop(decisions);
-    let patience = head.patience.unwrap_or(route.timeout).min(route.timeout);
+    let patience = call.patience.unwrap_or(route.timeout).min(route.timeout);
     let target = parts.uri.path_and_query().cloned();
     Ok(CallContext {
-        id: head.attempt,
+        id: call.attempt,
         organisation: organisation.map(|organisation| organisation.name.clone()),
         table: table.version(),
-        rank: organisation
-            .and_then(|organisation| organisation.priority)
-            .unwrap_or(route.priority),
         route: route.clone(),
         service,
-        prompt: head.prompt,
-        resume_after: head.resume_after,
+        prompt: call.prompt,
+        resume_after: call.resume_after,
         method: parts.method.clone(),
         target: target.unwrap_or_else(|| PathAndQuery::from_static("/")),
         headers: passing_headers(&parts.headers, messages.as_ref()),
--- a/crates/teaselglade-host/src/relay/server_call.rs
+++ b/crates/teaselglade-host/src/relay/server_call.rs
@@ -101,7 +101,7 @@
     if !connection.is_reused {
         host.metrics.connections.inc();
     }
-    let request = outgoing_request(context, &id, resume_after).map_err(unreachable)?;
+    let request = outgoing_request(context, &id, resume_after);
     let sent = connection.send(request).await;
     let response = sent.map_err(|error| {
         let is_unsent = error.progress == SendProgress::NotSent;
@@ -125,13 +125,12 @@
     context: &CallContext,
     server: &str,
     resume_after: Option<u64>,
-) -> Result<Request<Full<Bytes>>, String> {
+) -> Request<Full<Bytes>> {
     let mut headers = context.headers.clone();
     let head = OutgoingHead {
         patience: context.left(),
         server,
         organisation: context.organisation.as_deref(),
-        rank: None,
         resume_after: resume_after.or(context.resume_after),
     };
     context.host.ports.messages.write_call(&mut headers, &head);
@@ -142,7 +141,7 @@
     *request.method_mut() = context.method.clone();
     *request.uri_mut() = Uri::from(context.target.clone());
     *request.headers_mut() = headers;
-    Ok(request)
+    request
 }
 
 /// Takes an answer only where it belongs to this request and says that the server ran it.
--- a/crates/teaselglade-host/src/relay/stream_seat.rs
+++ b/crates/teaselglade-host/src/relay/stream_seat.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use teaselglade_core::id::ServerKey;
-use teaselglade_routing::engine::{EngineQuery, EngineSeat};
+use teaselglade_routing::engine::{EngineQuery, EngineSeat, PromptShape};
 
 use super::Result;
 use super::call_context::CallContext;
@@ -29,7 +29,7 @@
     ) -> Result<Self> {
         let host = &context.host;
         let now = host.now();
-        let no_prompt = Default::default();
+        let no_prompt = PromptShape::default();
         let no_engine = teaselglade_routing::table::EngineSpec {
             slots: u32::MAX,
             memory_tokens: f64::INFINITY,
--- a/crates/teaselglade-host/src/state/decisions.rs
+++ b/crates/teaselglade-host/src/state/decisions.rs
@@ -19,7 +19,7 @@
 /// Hosts that are reckoned with until peers are heard; a small fleet with its spare hosts.
 const ASSUMED_HOSTS: u32 = 16;
 /// Time without an answer after which the store counts as having been away.
-const AWAY_SPAN: Duration = Duration::from_millis(1_000);
+const AWAY_SPAN: Duration = Duration::from_secs(1);
 /// Age from which a peer's demand no longer counts.
 const DEMAND_SPAN: Duration = Duration::from_secs(3);
 
--- a/crates/teaselglade-host/src/state/host_state.rs
+++ b/crates/teaselglade-host/src/state/host_state.rs
@@ -88,7 +88,7 @@
 
     /// Returns the present wall time, which may jump.
     #[must_use]
-    pub fn wall(&self) -> Timestamp {
+    pub fn wall() -> Timestamp {
         let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
         Timestamp::ZERO + since_epoch.unwrap_or_default()
     }
@@ -130,7 +130,7 @@
             raw: published.raw,
         }));
         drop(slot);
-        self.metrics.table_version.set(version as i64);
+        self.metrics.table_version.set(version.cast_signed());
         info!(event = "table_in_force", version, before = held, source);
         true
     }
--- a/crates/teaselglade-routing/src/engine/cache_map.rs
+++ b/crates/teaselglade-routing/src/engine/cache_map.rs
@@ -40,7 +40,7 @@
     pub fn mark(&mut self, now: Timestamp, server: ServerKey, chain: u64) {
         let uses = self.parts.entry(chain).or_default();
         match uses.iter_mut().find(|(known, _)| *known == server) {
-            Some((_, used)) => *used = (*used).max(now),
+            Some((_, latest)) => *latest = (*latest).max(now),
             None => uses.push((server, now)),
         }
     }
--- a/crates/teaselglade-routing/src/engine/engine_speed.rs
+++ b/crates/teaselglade-routing/src/engine/engine_speed.rs
@@ -55,13 +55,13 @@
 
     /// Returns the time until the first event where `tokens` have to be read.
     #[must_use]
-    pub fn time_to_read(&self, tokens: f64) -> Duration {
+    pub fn time_to_read(self, tokens: f64) -> Duration {
         BASE_SPAN + Duration::from_secs_f64(tokens.max(0.0) / self.tokens_per_ms / 1_000.0)
     }
 
     /// Returns the tokens that one engine reads in a second.
     #[must_use]
-    pub fn tokens_per_second(&self) -> f64 {
+    pub fn tokens_per_second(self) -> f64 {
         self.tokens_per_ms * 1_000.0
     }
 }
--- a/crates/teaselglade-routing/src/fleet/fleet_view.rs
+++ b/crates/teaselglade-routing/src/fleet/fleet_view.rs
@@ -11,7 +11,7 @@
 use crate::exchange::name_hash;
 
 /// Time after the store's return in which lapsed entries come back.
-const LAPSE_GRACE: Duration = Duration::from_millis(2_000);
+const LAPSE_GRACE: Duration = Duration::from_secs(2);
 /// Time for which departures are passed on to peers; twice what any host needs to hear one.
 const DEPARTURE_NEWS: Duration = Duration::from_secs(10);
 
--- a/crates/teaselglade-routing/src/fleet/server_health.rs
+++ b/crates/teaselglade-routing/src/fleet/server_health.rs
@@ -10,7 +10,7 @@
 /// nothing for one that crashed, and one that only dropped a connection is back soon.
 const FIRST_PAUSE: Duration = Duration::from_millis(500);
 /// Longest time for which a server is avoided; three heartbeats.
-const LONGEST_PAUSE: Duration = Duration::from_millis(4_000);
+const LONGEST_PAUSE: Duration = Duration::from_secs(4);
 /// Weight of one answer in the share of failed answers; about the last ten count.
 const FAILURE_WEIGHT: f64 = 0.1;
 
--- a/crates/teaselglade-routing/src/usage/usage_ledger.rs
+++ b/crates/teaselglade-routing/src/usage/usage_ledger.rs
@@ -11,7 +11,7 @@
 /// Time after a window's end for which peers' last counts may be under way.
 const SETTLE_SPAN: Duration = Duration::from_millis(800);
 /// Time after a window's end after which a silent peer's last counts have to do.
-const SILENT_SPAN: Duration = Duration::from_millis(5_000);
+const SILENT_SPAN: Duration = Duration::from_secs(5);
 
 /// Counts of one window at one host.
 #[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
--- a/crates/teaselglade-routing/tests/routing/engines.rs
+++ b/crates/teaselglade-routing/tests/routing/engines.rs
@@ -197,7 +197,7 @@
 fn a_prompt_that_is_late_by_its_own_size_runs_where_nothing_waits() {
     let engines = Engines::new();
     let mut placer = EnginePlacer::new(7);
-    let placed = (0..SERVERS as u64 * 3).filter(|id| {
+    let let_in = (0..SERVERS as u64 * 3).filter(|id| {
         let prompt = PromptShape::new(90_000, 120, [(*id, 90_000)]);
         let query = EngineQuery {
             service: "draft-fleet",
@@ -210,7 +210,7 @@
         };
         placer.place(at(0), &engines.fleet, &query).is_ok()
     });
-    assert_eq!(placed.count(), SERVERS, "one on each engine");
+    assert_eq!(let_in.count(), SERVERS, "one on each engine");
 }
 
 #[test]
--- a/crates/teaselglade-routing/tests/routing/plains.rs
+++ b/crates/teaselglade-routing/tests/routing/plains.rs
@@ -33,10 +33,10 @@
     let mut placer = PlainPlacer::new(1);
     let first = placer.place(at(0), &fleet, &QUERY).expect("a server");
     assert_eq!(first, keys[0]);
-    let placed: Vec<ServerKey> = (0..8)
+    let chosen: Vec<ServerKey> = (0..8)
         .map(|_| placer.place(at(0), &fleet, &QUERY).expect("a server"))
         .collect();
-    assert!(keys.iter().all(|key| placed.contains(key)), "{placed:?}");
+    assert!(keys.iter().all(|key| chosen.contains(key)), "{chosen:?}");
 }
 
 #[test]
--- a/crates/teaselglade-routing/tests/routing/quotas.rs
+++ b/crates/teaselglade-routing/tests/routing/quotas.rs
@@ -102,10 +102,15 @@
     let mut board = QuotaBoard::new(9);
     board.set_quotas(at(0), &[organisation("corrib", "k", 47_000.0)]);
     for peer in 0..8 {
-        board.hear(at(0), &format!("edge-{peer}"), 1, Default::default());
+        board.hear(
+            at(0),
+            &format!("edge-{peer}"),
+            1,
+            std::collections::HashMap::default(),
+        );
     }
-    assert!(board.admit(at(10), "corrib", Some(17_000)).is_ok());
-    assert!(board.admit(at(20), "corrib", Some(17_000)).is_ok());
+    board.admit(at(10), "corrib", Some(17_000)).unwrap();
+    board.admit(at(20), "corrib", Some(17_000)).unwrap();
 }
 
 #[test]
@@ -113,7 +118,7 @@
     let mut board = QuotaBoard::new(1);
     board.set_quotas(at(0), &[organisation("corrib", "k", 47_000.0)]);
     while board.admit(at(10), "corrib", Some(8_000)).is_ok() {}
-    assert!(board.admit(at(11), "corrib", None).is_ok());
+    board.admit(at(11), "corrib", None).unwrap();
 }
 
 #[test]
@@ -138,7 +143,7 @@
     let mut board = QuotaBoard::new(1);
     board.set_quotas(at(0), &[organisation("corrib", "k", 47_000.0)]);
     let before = board.level("corrib");
-    assert!(board.admit(at(0), "corrib", Some(9_000)).is_ok());
+    board.admit(at(0), "corrib", Some(9_000)).unwrap();
     board.refund("corrib", Some(9_000));
     assert_eq!(board.level("corrib"), before);
 }
--- a/crates/teaselglade-routing/tests/routing/routes.rs
+++ b/crates/teaselglade-routing/tests/routing/routes.rs
@@ -56,8 +56,8 @@
         })
         .to_vec();
     let draws = (0..1_000).map(|draw| split.service(f64::from(draw) / 1_000.0));
-    let drawn: Vec<&str> = draws.collect();
-    let count = |name| drawn.iter().filter(|drawn| **drawn == name).count();
+    let services: Vec<&str> = draws.collect();
+    let count = |name| services.iter().filter(|service| **service == name).count();
     assert_eq!((count("old"), count("new"), count("none")), (900, 100, 0));
     assert_eq!(split.service(1.0), "new");
 }
