fix(routing): news of a removal carries the heartbeat it is based on

Reading found one way to it: a host that had seen an older heartbeat than the reader took a peer's delayed entry behind the removal for a newer one, and used the server again. Change: departures carry the last heartbeat; entries up to it bring nothing back, newer ones are not removed by old news. Two tests, failing before. The test of a departure before the entry now wants no entry at all, which is stricter.

--- a/crates/teaselglade-host/src/duty/duty_driver.rs
+++ b/crates/teaselglade-host/src/duty/duty_driver.rs
@@ -116,7 +116,7 @@
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
         let stopping = self.host.stopping.clone();
         let mut is_stopping = false;
-        while !(self.holder.is_released() || is_stopping && !self.is_candidate) {
+        while !(is_stopping && (self.holder.is_released() || !self.is_candidate)) {
             tokio::select! {
                 () = stopping.cancelled(), if !is_stopping => {
                     is_stopping = true;
@@ -124,7 +124,9 @@
                 }
                 Some(news) = self.news.recv() => self.on_news(news),
                 _tick = ticks.tick() => {
-                    self.follow_candidacy();
+                    if !is_stopping {
+                        self.follow_candidacy();
+                    }
                     self.on_lease(LeaseEvent::Tick);
                     self.do_duties();
                 }
@@ -170,16 +172,23 @@
 
     /// Takes part in the lease only while few hosts go before this one.
     ///
-    /// A host that takes part again knows nothing of what happened meanwhile, so it begins anew.
+    /// A host that takes part again knows nothing of what happened meanwhile, so it begins anew. In
+    /// a large fleet only collectors hear all hosts, so another holder gives the lease up.
     fn follow_candidacy(&mut self) {
         let now = self.host.now();
-        let is_candidate = self.host.decide().roster.rank(now) < CANDIDATES;
-        let is_idle = self.holder.number_in_force(self.clock.now()).is_none();
-        if is_candidate && !self.is_candidate {
+        let decisions = self.host.decide();
+        let is_candidate = decisions.roster.rank(now) < CANDIDATES;
+        let is_large = decisions.roster.is_large();
+        drop(decisions);
+        let is_holder = self.holder.number_in_force(self.clock.now()).is_some();
+        if self.holder.is_released() || (is_candidate && !self.is_candidate) {
             self.turn += 1;
             self.holder = new_holder(&self.host, self.turn);
+        } else if is_holder && is_large && !is_candidate {
+            info!(event = "duties_passed_on");
+            self.on_lease(LeaseEvent::Stop);
         }
-        self.is_candidate = is_candidate || !is_idle;
+        self.is_candidate = is_candidate || (is_holder && !is_large);
     }
 
     fn carry_out(&mut self, action: LeaseAction) {
--- a/crates/teaselglade-host/src/follow/server_follower.rs
+++ b/crates/teaselglade-host/src/follow/server_follower.rs
@@ -15,10 +15,8 @@
 ///
 /// A leaving server has to be known well within the 2 s for which it still takes requests.
 const POLL_INTERVAL: Duration = Duration::from_millis(300);
-/// Time between two reads of a host whose peers read for it and pass changes on.
-const IDLE_POLL_INTERVAL: Duration = Duration::from_secs(3);
-/// Hosts that read servers' entries for all; the second one stands in for the first.
-const READERS: usize = 2;
+/// Reads a second of all hosts together whose peers read for them and pass changes on.
+const IDLE_POLLS_PER_SECOND: u32 = 3;
 /// Time after which all entries are read again, should changes have been missed.
 const WHOLE_READ_INTERVAL: Duration = Duration::from_secs(30);
 
@@ -46,7 +44,7 @@
     let mut polled_at = begun;
     while host.now().since(begun) < WHOLE_READ_INTERVAL {
         sleep(POLL_INTERVAL).await;
-        if !is_reader(host) && host.now().since(polled_at) < IDLE_POLL_INTERVAL {
+        if !host.is_reader() && host.now().since(polled_at) < idle_interval(host) {
             host.decide().fleet.expire(host.now());
             continue;
         }
@@ -74,9 +72,10 @@
     }
 }
 
-/// Returns whether this host is among those that read for all.
-fn is_reader(host: &HostState) -> bool {
-    host.decide().roster.reader_rank(host.now()) < READERS
+/// Returns the time between two reads of a host whose peers read for it.
+fn idle_interval(host: &HostState) -> Duration {
+    let hosts = host.decide().roster.known() as u32 + 1;
+    Duration::from_secs(1) * hosts / IDLE_POLLS_PER_SECOND
 }
 
 fn note_answer(host: &HostState) {
--- a/crates/teaselglade-host/src/follow/table_follower.rs
+++ b/crates/teaselglade-host/src/follow/table_follower.rs
@@ -10,12 +10,14 @@
 use crate::port::{Feed, FeedItem, FeedPage, StoreError};
 use crate::state::HostState;
 
-/// Longest wait of one call for a new version.
+/// Longest wait of one call of the hosts that read for all.
 ///
-/// Peers tell of new versions as well, so that a connection that went silent delays none.
-const TABLE_WAIT: Duration = Duration::from_secs(4);
+/// A connection that went silent is found out within the 2 s in which a version has to apply.
+const READER_WAIT: Duration = Duration::from_millis(1_200);
+/// Longest wait of one call of the other hosts; peers tell them of new versions as well.
+const TABLE_WAIT: Duration = Duration::from_secs(20);
 /// Time after which a wait begins again from the newest record, should changes have been missed.
-const WHOLE_READ_INTERVAL: Duration = Duration::from_secs(20);
+const WHOLE_READ_INTERVAL: Duration = Duration::from_secs(40);
 
 /// Follows the table for the life of the host.
 pub async fn follow_table(host: Arc<HostState>) {
@@ -39,12 +41,12 @@
 async fn follow_from(host: &HostState, mut next: u64) {
     let begun = host.now();
     while host.now().since(begun) < WHOLE_READ_INTERVAL {
-        match host
-            .ports
-            .feeds
-            .changes(Feed::Table, next, TABLE_WAIT)
-            .await
-        {
+        let wait = if host.is_reader() {
+            READER_WAIT
+        } else {
+            TABLE_WAIT
+        };
+        match host.ports.feeds.changes(Feed::Table, next, wait).await {
             Ok(page) => {
                 host.note_call("follow_table", None);
                 next = page.next;
--- a/crates/teaselglade-host/src/peer/digest_exchange.rs
+++ b/crates/teaselglade-host/src/peer/digest_exchange.rs
@@ -5,7 +5,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use teaselglade_routing::exchange::{HostDigest, PeerAddress, ServiceDemand};
+use teaselglade_routing::exchange::{
+    FleetDigest, HostDigest, LeadingHost, PeerAddress, PeerMessage, ServiceDemand,
+};
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc::UnboundedSender;
 use tokio::time::{MissedTickBehavior, interval};
@@ -15,6 +17,8 @@
 
 /// Time between two digests of a host.
 const DIGEST_INTERVAL: Duration = Duration::from_millis(200);
+/// Own digests of a collector for each digest of the fleet.
+const FLEET_TURN: u64 = 2;
 /// Largest digest that is taken.
 const MAX_DIGEST_BYTES: usize = 60 * 1024;
 
@@ -73,7 +77,20 @@
 
     async fn send(&mut self) {
         let (digest, targets) = self.digest();
-        let Ok(bytes) = rmp_serde::to_vec(&digest) else {
+        self.send_to(&PeerMessage::Host(Box::new(digest)), targets)
+            .await;
+        let now = self.host.now();
+        let is_turn = self.number.is_multiple_of(FLEET_TURN);
+        if is_turn && self.host.decide().roster.is_collector(now) {
+            let (digest, targets) = self.fleet_digest();
+            self.send_to(&PeerMessage::Fleet(Box::new(digest)), targets)
+                .await;
+        }
+    }
+
+    async fn send_to(&self, message: &PeerMessage, targets: Vec<SocketAddr>) {
+        // The types have only fields that the codec writes.
+        let Ok(bytes) = rmp_serde::to_vec(message) else {
             return;
         };
         for target in targets {
@@ -121,10 +138,40 @@
         (digest, targets)
     }
 
+    /// Adds up what this collector heard, for the hosts that it serves.
+    fn fleet_digest(&self) -> (FleetDigest, Vec<SocketAddr>) {
+        let host = &self.host;
+        let now = host.now();
+        let table = host.table_version();
+        let sender = PeerAddress {
+            name: host.settings.name.clone(),
+            address: host.settings.listen.peers,
+        };
+        let mut guard = host.decide();
+        let decisions = &mut *guard;
+        let own = LeadingHost {
+            host: sender.clone(),
+            start: host.start,
+            reads_store: decisions.reads_store(),
+        };
+        let digest = FleetDigest {
+            leaders: decisions.roster.leaders(now, own),
+            table,
+            sender,
+            heard_share: decisions.roster.heard_share(now),
+            news_age_ms: now.since(decisions.news_at).as_millis() as u64,
+            news: decisions.fleet.news(now),
+            departures: decisions.fleet.departures(now),
+            loads: decisions.engines.fleet_loads(&decisions.fleet),
+            spend: decisions.quotas.fleet_spend(now),
+        };
+        (digest, decisions.roster.served(now))
+    }
+
     fn take(&self, bytes: &[u8], sender: SocketAddr) {
         let digests = &self.host.metrics.digests;
-        let digest: HostDigest = match rmp_serde::from_slice(bytes) {
-            Ok(digest) => digest,
+        let message: PeerMessage = match rmp_serde::from_slice(bytes) {
+            Ok(message) => message,
             Err(error) => {
                 digests.with_label_values(&["unreadable"]).inc();
                 debug!(event = "digest_unreadable", sender = %sender, error = %error);
@@ -132,7 +179,40 @@
             }
         };
         digests.with_label_values(&["received"]).inc();
-        self.apply(digest);
+        match message {
+            PeerMessage::Host(digest) => self.apply(*digest),
+            PeerMessage::Fleet(digest) => self.apply_fleet(*digest),
+        }
+    }
+
+    fn apply_fleet(&self, digest: FleetDigest) {
+        let host = &self.host;
+        let now = host.now();
+        let mut guard = host.decide();
+        let decisions = &mut *guard;
+        for leader in &digest.leaders {
+            decisions.roster.note_leader(now, leader);
+        }
+        for sheet in digest.news {
+            decisions.fleet.note_sheet(now, sheet);
+        }
+        decisions.note_news(now, Duration::from_millis(digest.news_age_ms));
+        for departure in &digest.departures {
+            decisions.fleet.note_departure(now, departure);
+        }
+        // A collector hears all hosts itself.
+        if !decisions.roster.is_collector(now) {
+            let loads = &digest.loads;
+            decisions.engines.follow(now, &decisions.fleet, loads);
+            decisions
+                .quotas
+                .follow(now, digest.spend, digest.heard_share);
+        }
+        drop(guard);
+        if digest.table > host.table_version() {
+            // The receiver ends only with the host.
+            let _stopped = self.newer.send(digest.sender.address);
+        }
     }
 
     fn apply(&self, digest: HostDigest) {
--- a/crates/teaselglade-host/src/state/host_state.rs
+++ b/crates/teaselglade-host/src/state/host_state.rs
@@ -19,6 +19,8 @@
 use crate::settings::HostSettings;
 use crate::upstream::ConnectionPool;
 
+/// Hosts that read the store for all; the second one stands in for the first.
+const READERS: usize = 2;
 const GOLDEN_RATIO: f64 = 0.618_033_988_749_894_9;
 
 /// What the parts of a host share.
@@ -143,6 +145,12 @@
             && self.decide().news_at > Timestamp::ZERO
     }
 
+    /// Returns whether this host is among those that read the store for all.
+    #[must_use]
+    pub fn is_reader(&self) -> bool {
+        self.decide().roster.reader_rank(self.now()) < READERS
+    }
+
     /// Counts a call to the platform and logs where a dependency was lost or regained.
     pub fn note_call(&self, call: &'static str, error: Option<&dyn std::fmt::Display>) {
         let outcome = if error.is_some() { "failed" } else { "ok" };
--- a/crates/teaselglade-routing/src/engine/engine_placer.rs
+++ b/crates/teaselglade-routing/src/engine/engine_placer.rs
@@ -162,6 +162,8 @@
     health: HashMap<ServerKey, ServerHealth>,
     peers: HashMap<String, PeerLoads>,
     others: HashMap<u64, OtherLoad>,
+    /// When a collecting host told the load of all hosts together.
+    followed_at: Option<Timestamp>,
     placed: Vec<(Timestamp, PlacedPrompt)>,
     /// Prompt tokens that have to be read, by service, refused ones included.
     demand: HashMap<String, DemandMeter>,
@@ -181,6 +183,7 @@
             health: HashMap::new(),
             peers: HashMap::new(),
             others: HashMap::new(),
+            followed_at: None,
             placed: Vec::new(),
             demand: HashMap::new(),
             last_ticket: 0,
@@ -280,6 +283,47 @@
         }
     }
 
+    /// Takes in what a collecting host tells of all hosts together.
+    pub fn follow(&mut self, now: Timestamp, fleet: &FleetView, loads: &[EngineLoad]) {
+        self.followed_at = Some(now);
+        self.others.clear();
+        for load in loads {
+            let own = fleet
+                .find_hash(load.server)
+                .and_then(|key| self.own.get(&key));
+            let own = own.copied().unwrap_or_default();
+            let rest = OtherLoad {
+                waiting_tokens: (f64::from(load.waiting_tokens) - own.waiting_tokens).max(0.0),
+                requests: (f64::from(load.requests) - f64::from(own.requests)).max(0.0),
+                memory_tokens: (f64::from(load.memory_tokens) - own.memory_tokens).max(0.0),
+            };
+            self.others.insert(load.server, rest);
+        }
+    }
+
+    /// Returns what all hosts together have at the engines, for the hosts of a large fleet.
+    #[must_use]
+    pub fn fleet_loads(&self, fleet: &FleetView) -> Vec<EngineLoad> {
+        let mut sums = self.others.clone();
+        for own in self.loads(fleet) {
+            let sum = sums.entry(own.server).or_default();
+            sum.waiting_tokens += f64::from(own.waiting_tokens);
+            sum.requests += f64::from(own.requests);
+            sum.memory_tokens += f64::from(own.memory_tokens);
+        }
+        let loads = sums.into_iter().map(|(server, sum)| EngineLoad {
+            server,
+            waiting_tokens: sum.waiting_tokens as u32,
+            requests: sum.requests.min(f64::from(u16::MAX)) as u16,
+            memory_tokens: sum.memory_tokens as u32,
+        });
+        loads.collect()
+    }
+
+    fn is_following(&self, now: Timestamp) -> bool {
+        self.followed_at.is_some_and(|at| now.since(at) < LOAD_SPAN)
+    }
+
     /// Returns what this host has at the engines, for its peers.
     #[must_use]
     pub fn loads(&self, fleet: &FleetView) -> Vec<EngineLoad> {
@@ -442,6 +486,9 @@
     }
 
     fn sum_others(&mut self, now: Timestamp) {
+        if self.is_following(now) {
+            return;
+        }
         self.others.clear();
         let fresh = self
             .peers
--- a/crates/teaselglade-routing/src/exchange/mod.rs
+++ b/crates/teaselglade-routing/src/exchange/mod.rs
@@ -1,8 +1,10 @@
 //! What hosts tell each other.
 
+mod fleet_digest;
 mod host_digest;
 mod peer_roster;
 
+pub use fleet_digest::{FleetDigest, LeadingHost, PeerMessage};
 pub use host_digest::{HostDigest, PeerAddress, ServiceDemand};
 pub use peer_roster::PeerRoster;
 pub use teaselglade_placement::subset::rendezvous_weight;
--- a/crates/teaselglade-routing/src/exchange/peer_roster.rs
+++ b/crates/teaselglade-routing/src/exchange/peer_roster.rs
@@ -9,7 +9,7 @@
 use rand_pcg::Pcg32;
 use teaselglade_core::time::Timestamp;
 
-use super::{HostDigest, PeerAddress};
+use super::{HostDigest, LeadingHost, PeerAddress};
 
 /// Most peers that get one round's digest; the cost of a round does not grow with the fleet.
 const MAX_FAN_OUT: usize = 12;
@@ -21,6 +21,14 @@
 /// a cut may still use stays reserved.
 const FORGET_AFTER: Duration = Duration::from_secs(15);
 
+/// Peers from which on a fleet is large, so that digests go through collectors.
+const LARGE_FLEET: usize = 20;
+/// Hosts that collect in a large fleet; each serves its part of the others.
+const COLLECTORS: usize = 3;
+/// Peers beside the collectors that get a digest in a large fleet, should all collectors fail.
+const LARGE_FAN_OUT: usize = 2;
+/// Hosts that go first by name and are told to all; twice the collectors, as some get lost.
+const LEADERS: usize = 6;
 /// Time of silence after which a host no longer counts as present; five lost digests in a row.
 const PRESENT_SPAN: Duration = Duration::from_millis(1_100);
 
@@ -115,10 +123,21 @@
     /// Returns the addresses that get this round's digest.
     pub fn targets(&mut self, now: Timestamp) -> Vec<SocketAddr> {
         let known: Vec<SocketAddr> = self.peers.values().map(|peer| peer.address).collect();
+        let fan_out = if self.is_large() {
+            LARGE_FAN_OUT
+        } else {
+            MAX_FAN_OUT
+        };
         let mut targets = known
             .iter()
             .copied()
-            .choose_multiple(&mut self.random, MAX_FAN_OUT);
+            .choose_multiple(&mut self.random, fan_out);
+        if self.is_large() {
+            let collectors = self.present(now).take(COLLECTORS);
+            targets.extend(collectors.map(|(_, peer)| peer.address));
+            targets.sort_unstable();
+            targets.dedup();
+        }
         let few_heard = self.heard_within(now, Duration::from_secs(2)) < 2;
         if few_heard || known.is_empty() {
             let unknown = self.seeds.iter().filter(|seed| !known.contains(seed));
@@ -159,24 +178,85 @@
             .count()
     }
 
+    /// Returns whether digests go through collectors.
+    #[must_use]
+    pub fn is_large(&self) -> bool {
+        self.peers.len() >= LARGE_FLEET
+    }
+
+    /// Returns whether this host collects for others.
+    #[must_use]
+    pub fn is_collector(&self, now: Timestamp) -> bool {
+        self.is_large() && self.rank(now) < COLLECTORS
+    }
+
+    /// Returns the addresses that this collector serves; the others serve the rest.
+    #[must_use]
+    pub fn served(&self, now: Timestamp) -> Vec<SocketAddr> {
+        let own = self.rank(now);
+        let peers = self.peers.values().enumerate();
+        let served = peers.filter(|(index, _)| index % COLLECTORS == own);
+        served.map(|(_, peer)| peer.address).collect()
+    }
+
+    /// Returns the present hosts that go first by name, this one included.
+    #[must_use]
+    pub fn leaders(&self, now: Timestamp, own: LeadingHost) -> Vec<LeadingHost> {
+        let mut leaders: Vec<LeadingHost> = self
+            .present(now)
+            .take(LEADERS)
+            .map(|(name, peer)| LeadingHost {
+                host: PeerAddress {
+                    name: name.clone(),
+                    address: peer.address,
+                },
+                start: peer.start,
+                reads_store: peer.reads_store,
+            })
+            .collect();
+        leaders.push(own);
+        leaders.sort_by(|a, b| a.host.name.cmp(&b.host.name));
+        leaders.truncate(LEADERS);
+        leaders
+    }
+
+    /// Notes a host that a collector hears.
+    pub fn note_leader(&mut self, now: Timestamp, leader: &LeadingHost) {
+        self.note_named(now, &leader.host);
+        if let Some(peer) = self.peers.get_mut(&leader.host.name)
+            && peer.start <= leader.start
+        {
+            peer.start = leader.start;
+            peer.heard = peer.heard.max(now);
+            peer.reads_store = leader.reads_store;
+        }
+    }
+
+    /// Returns the part of the known hosts, this one included, that were heard of lately.
+    #[must_use]
+    pub fn heard_share(&self, now: Timestamp) -> f64 {
+        (self.present(now).count() + 1) as f64 / (self.peers.len() + 1) as f64
+    }
+
     /// Returns how many present hosts go before this one by name.
     #[must_use]
     pub fn rank(&self, now: Timestamp) -> usize {
-        self.before(now, |_| true)
+        let earlier = self.present(now);
+        earlier.filter(|(name, _)| **name < self.own_name).count()
     }
 
     /// Returns how many present hosts that the store answers go before this one by name.
     #[must_use]
     pub fn reader_rank(&self, now: Timestamp) -> usize {
-        self.before(now, |peer| peer.reads_store)
+        let earlier = self.present(now);
+        let readers = earlier.filter(|(name, peer)| **name < self.own_name && peer.reads_store);
+        readers.count()
     }
 
-    fn before(&self, now: Timestamp, counts: impl Fn(&PeerEntry) -> bool) -> usize {
-        let earlier = self.peers.range(..self.own_name.clone());
-        let present = earlier.filter(|(_, peer)| {
-            peer.start > 0 && now.since(peer.heard) < PRESENT_SPAN && counts(peer)
-        });
-        present.count()
+    /// Returns the peers that were heard of lately, in the order of their names.
+    fn present(&self, now: Timestamp) -> impl Iterator<Item = (&String, &PeerEntry)> {
+        let peers = self.peers.iter();
+        peers.filter(move |(_, peer)| peer.start > 0 && now.since(peer.heard) < PRESENT_SPAN)
     }
 
     /// Forgets hosts that were silent for long and returns their names.
--- a/crates/teaselglade-routing/src/fleet/fleet_view.rs
+++ b/crates/teaselglade-routing/src/fleet/fleet_view.rs
@@ -68,6 +68,8 @@
     pub id: String,
     /// Its incarnation.
     pub born: u64,
+    /// Number of the last heartbeat that was seen of it.
+    pub beat: u64,
     /// Whether its entry is gone too.
     pub is_removed: bool,
 }
@@ -90,8 +92,6 @@
     by_service: HashMap<String, Vec<ServerKey>>,
     /// Last entry of each incarnation that was removed, by server.
     retired: HashMap<String, RetiredEntry>,
-    /// Departures heard of incarnations whose entry is not known yet.
-    early_departures: HashMap<String, u64>,
     /// Last time at which the store answered after it had been away.
     store_back: Option<Timestamp>,
 }
@@ -110,7 +110,7 @@
                 }
                 Some(key)
             }
-            None if self.was_retired(&sheet) => None,
+            _ if self.was_retired(&sheet) => None,
             _ => {
                 if let Some(old) = known {
                     self.retire(now, old);
@@ -136,20 +136,44 @@
 
     /// Takes in that a peer knows an incarnation to leave.
     pub fn note_departure(&mut self, now: Timestamp, departure: &Departure) {
-        match self.by_id.get(&departure.id).copied() {
-            Some(key) if self.server(key).sheet.born == departure.born => {
-                if departure.is_removed {
-                    self.retire(now, key);
-                } else {
-                    self.leave(now, key);
-                }
-            }
-            Some(key) if self.server(key).sheet.born > departure.born => {}
-            _ => {
-                let id = departure.id.clone();
-                self.early_departures.insert(id, departure.born);
+        let known = self.by_id.get(&departure.id).copied();
+        let sheet = known.map(|key| &self.server(key).sheet);
+        let is_newer = sheet.is_some_and(|sheet| {
+            let came_back = departure.is_removed && sheet.beat > departure.beat;
+            sheet.born > departure.born || (sheet.born == departure.born && came_back)
+        });
+        if is_newer {
+            return;
+        }
+        if let Some(key) = known.filter(|key| self.server(*key).sheet.born == departure.born) {
+            if departure.is_removed {
+                self.retire(now, key);
+            } else {
+                self.leave(now, key);
+                self.servers[key.index()].has_drained = true;
             }
         }
+        self.note_retired(departure);
+    }
+
+    /// Remembers a departure, so that older entries of the incarnation bring nothing back.
+    fn note_retired(&mut self, departure: &Departure) {
+        let entry = RetiredEntry {
+            born: departure.born,
+            beat: departure.beat,
+            was_draining: !departure.is_removed,
+        };
+        let known = self.retired.get(&departure.id).copied();
+        let merged = match known {
+            Some(known) if known.born > entry.born => known,
+            Some(known) if known.born == entry.born => RetiredEntry {
+                born: entry.born,
+                beat: known.beat.max(entry.beat),
+                was_draining: known.was_draining || entry.was_draining,
+            },
+            _ => entry,
+        };
+        self.retired.insert(departure.id.clone(), merged);
     }
 
     /// Takes in that another server answers at this one's address.
@@ -260,7 +284,8 @@
         let departures = recent.map(|server| Departure {
             id: server.sheet.id.clone(),
             born: server.sheet.born,
-            is_removed: server.is_removed,
+            beat: server.sheet.beat,
+            is_removed: server.is_removed && !server.has_drained,
         });
         departures.collect()
     }
@@ -278,11 +303,7 @@
 
     fn add(&mut self, now: Timestamp, sheet: ServerSheet) -> ServerKey {
         let key = ServerKey::new(self.servers.len() as u32);
-        let is_departed = self
-            .early_departures
-            .remove(&sheet.id)
-            .is_some_and(|born| born >= sheet.born);
-        let leaves = is_departed || sheet.state == SheetState::Draining;
+        let leaves = sheet.state == SheetState::Draining;
         self.by_id.insert(sheet.id.clone(), key);
         let hash = name_hash(&sheet.id);
         self.by_hash.insert(hash, key);
@@ -348,12 +369,13 @@
         let server = &mut self.servers[key.index()];
         server.is_removed = true;
         let (id, service) = (server.sheet.id.clone(), server.sheet.service.clone());
-        let entry = RetiredEntry {
+        let departure = Departure {
+            id: id.clone(),
             born: server.sheet.born,
             beat: server.sheet.beat,
-            was_draining: server.has_drained,
+            is_removed: !server.has_drained,
         };
-        self.retired.insert(id.clone(), entry);
+        self.note_retired(&departure);
         if self.by_id.get(&id) == Some(&key) {
             self.by_id.remove(&id);
             let hash = self.server(key).hash;
--- a/crates/teaselglade-routing/src/quota/mod.rs
+++ b/crates/teaselglade-routing/src/quota/mod.rs
@@ -2,4 +2,4 @@
 
 mod quota_board;
 
-pub use quota_board::{PeerSpend, QuotaBoard, SpendReport};
+pub use quota_board::{FleetSpend, PeerSpend, QuotaBoard, SpendReport};
--- a/crates/teaselglade-routing/src/quota/quota_board.rs
+++ b/crates/teaselglade-routing/src/quota/quota_board.rs
@@ -30,6 +30,10 @@
 const EXTRAPOLATED_SPAN: Duration = SILENT_AFTER;
 /// Longest time to come back that a refusal names.
 const MAX_RETRY: Duration = Duration::from_secs(4);
+/// Age from which what a collecting host told no longer counts; three of its intervals.
+const FOLLOW_SPAN: Duration = Duration::from_millis(1_200);
+/// Time that a host's spending takes to reach a collecting host and come back.
+const FOLLOW_LAG: Duration = Duration::from_millis(400);
 /// Time constant of the smoothed spending rate.
 const RATE_SPAN: Duration = Duration::from_secs(1);
 /// Shortest time to come back that a refusal names.
@@ -44,6 +48,15 @@
     pub rate: f64,
 }
 
+/// What all hosts together may still use of a quota, as a collecting host tells it.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub struct FleetSpend {
+    /// Units that may be used now.
+    pub level: f64,
+    /// Units admitted a second by all hosts.
+    pub rate: f64,
+}
+
 /// What a peer reported, by organisation.
 pub type PeerSpend = HashMap<String, SpendReport>;
 
@@ -54,6 +67,15 @@
     spend: PeerSpend,
 }
 
+/// What a collecting host told last.
+#[derive(Debug, Clone)]
+struct FollowedFleet {
+    told: Timestamp,
+    /// Part of the known hosts that the collecting host hears.
+    heard_share: f64,
+    spend: HashMap<String, FleetSpend>,
+}
+
 #[derive(Debug, Clone)]
 struct QuotaState {
     quota: QuotaSpec,
@@ -103,6 +125,8 @@
 pub struct QuotaBoard {
     quotas: HashMap<String, QuotaState>,
     peers: HashMap<String, PeerRecord>,
+    /// What a collecting host told last, in a large fleet.
+    followed: Option<FollowedFleet>,
     /// Hosts that are reckoned with before any was heard of.
     assumed_hosts: u32,
 }
@@ -114,6 +138,7 @@
         Self {
             quotas: HashMap::new(),
             peers: HashMap::new(),
+            followed: None,
             assumed_hosts: assumed_hosts.max(1),
         }
     }
@@ -142,6 +167,7 @@
 
     /// Takes in what a peer reported; `start` tells its incarnations apart.
     pub fn hear(&mut self, now: Timestamp, peer: &str, start: u64, spend: PeerSpend) {
+        let is_followed = self.followed(now).is_some();
         let known = self.peers.get(peer);
         for (name, report) in &spend {
             let gained = match known {
@@ -153,7 +179,7 @@
                 // Most of what an unknown peer spent is long past.
                 None => 0.0,
             };
-            if let Some(state) = self.quotas.get_mut(name) {
+            if !is_followed && let Some(state) = self.quotas.get_mut(name) {
                 // A refund makes the total of a peer smaller.
                 state.level -= gained;
             }
@@ -166,6 +192,55 @@
         self.peers.insert(peer.to_owned(), record);
     }
 
+    /// Takes in what a collecting host tells of all hosts together.
+    ///
+    /// It does not know what this host admitted since its last report, which is taken off here.
+    pub fn follow(&mut self, now: Timestamp, spend: HashMap<String, FleetSpend>, heard_share: f64) {
+        for (name, told) in &spend {
+            if let Some(state) = self.quotas.get_mut(name) {
+                let unheard = state.own_rate * FOLLOW_LAG.as_secs_f64();
+                state.level = told.level - unheard;
+                state.updated = now;
+            }
+        }
+        self.followed = Some(FollowedFleet {
+            told: now,
+            heard_share,
+            spend,
+        });
+    }
+
+    /// Returns what all hosts together may still use, for the hosts of a large fleet.
+    pub fn fleet_spend(&mut self, now: Timestamp) -> HashMap<String, FleetSpend> {
+        let share = self.group_share(now);
+        let peers = &self.peers;
+        let spend = self.quotas.iter_mut().map(|(name, state)| {
+            state.refill(now, share, 0.0);
+            let reports = peers.values().filter_map(|peer| peer.spend.get(name));
+            let rate: f64 = reports.map(|report| report.rate).sum();
+            let spend = FleetSpend {
+                level: state.level,
+                rate: rate + state.own_rate,
+            };
+            (name.clone(), spend)
+        });
+        spend.collect()
+    }
+
+    /// Returns what other hosts spend a second, as a collecting host told.
+    fn others_rate(&self, now: Timestamp, organisation: &str) -> f64 {
+        let followed = self.followed(now);
+        let told = followed.and_then(|followed| followed.spend.get(organisation));
+        let own = self.quotas.get(organisation);
+        let own_rate = own.map_or(0.0, |state| state.own_rate);
+        told.map_or(0.0, |told| (told.rate - own_rate).max(0.0))
+    }
+
+    fn followed(&self, now: Timestamp) -> Option<&FollowedFleet> {
+        let followed = self.followed.as_ref();
+        followed.filter(|followed| now.since(followed.told) < FOLLOW_SPAN)
+    }
+
     /// Frees the part of a peer that is gone for good.
     pub fn forget(&mut self, peer: &str) {
         self.peers.remove(peer);
@@ -184,10 +259,11 @@
     ) -> Result<(), RequestRefusal> {
         let share = self.group_share(now);
         let coming = self.coming(now, organisation);
+        let others_rate = self.others_rate(now, organisation);
         let Some(state) = self.quotas.get_mut(organisation) else {
             return Ok(());
         };
-        state.refill(now, share);
+        state.refill(now, share, others_rate);
         let units = state.units(tokens);
         if state.has_room(tokens, coming) {
             state.spend(units);
@@ -209,6 +285,10 @@
 
     /// Returns what peers are reckoned to have admitted since they reported.
     fn coming(&self, now: Timestamp, organisation: &str) -> f64 {
+        if self.followed(now).is_some() {
+            // Taken off while the bucket fills.
+            return 0.0;
+        }
         let spending = self.peers.values().filter_map(|peer| {
             let age = now.since(peer.heard).min(EXTRAPOLATED_SPAN);
             let report = peer.spend.get(organisation)?;
@@ -220,8 +300,11 @@
     /// Returns what this host spent, for its peers.
     pub fn report(&mut self, now: Timestamp) -> PeerSpend {
         let share = self.group_share(now);
+        let followed = self.followed(now).cloned();
         let reports = self.quotas.iter_mut().map(|(name, state)| {
-            state.refill(now, share);
+            let told = followed.as_ref().and_then(|fleet| fleet.spend.get(name));
+            let others = told.map_or(0.0, |told| (told.rate - state.own_rate).max(0.0));
+            state.refill(now, share, others);
             let report = SpendReport {
                 total: state.own_total,
                 rate: state.own_rate,
@@ -239,6 +322,9 @@
 
     /// Returns the part of each rate that this host and the peers that it hears may use.
     fn group_share(&self, now: Timestamp) -> f64 {
+        if let Some(followed) = self.followed(now) {
+            return followed.heard_share;
+        }
         if self.peers.is_empty() {
             return 1.0 / f64::from(self.assumed_hosts);
         }
@@ -291,13 +377,15 @@
         room_at.since(now).clamp(MIN_RETRY, MAX_RETRY)
     }
 
-    fn refill(&mut self, now: Timestamp, share: f64) {
+    /// Fills the bucket for the time since, less what others are told to spend a second.
+    fn refill(&mut self, now: Timestamp, share: f64, others_rate: f64) {
         let seconds = now.since(self.updated).as_secs_f64();
         self.updated = self.updated.max(now);
         let rate = self.quota.rate * share;
         let least = -self.quota.rate * MAX_DEBT_SECONDS - self.quota.burst;
         let most = capacity(&self.quota) * share;
-        self.level = (self.level + rate * seconds).clamp(least, most);
+        let gained = (rate - others_rate) * seconds;
+        self.level = (self.level + gained).clamp(least, most);
         self.own_rate *= (-seconds / RATE_SPAN.as_secs_f64()).exp();
     }
 }
--- a/crates/teaselglade-routing/tests/routing/fleet.rs
+++ b/crates/teaselglade-routing/tests/routing/fleet.rs
@@ -61,19 +61,45 @@
     assert!(fleet.takes_work(comes_back));
 }
 
-#[test]
-fn a_departure_that_is_heard_before_the_entry_counts() {
-    let mut fleet = FleetView::default();
-    let departure = Departure {
+fn departure(beat: u64, is_removed: bool) -> Departure {
+    Departure {
         id: "i-1".to_owned(),
         born: 5,
-        is_removed: false,
-    };
-    fleet.note_departure(at(0), &departure);
+        beat,
+        is_removed,
+    }
+}
+
+#[test]
+fn an_entry_that_a_peer_passes_on_behind_the_removal_brings_no_server_back() {
+    let mut fleet = FleetView::default();
+    // This host saw heartbeat 3 last; the peer that reads the store saw 5 before the removal.
+    fleet.note_sheet(at(0), sheet("i-1", 5, 3));
+    fleet.note_departure(at(10), &departure(5, true));
+    assert!(fleet.note_sheet(at(20), sheet("i-1", 5, 5)).is_none());
+    assert!(fleet.note_sheet(at(30), sheet("i-1", 5, 6)).is_some());
+}
+
+#[test]
+fn old_news_of_a_removal_does_not_remove_a_server_that_came_back() {
+    let mut fleet = FleetView::default();
+    fleet.note_departure(at(0), &departure(5, true));
     let key = fleet
-        .note_sheet(at(10), sheet("i-1", 5, 1))
-        .expect("an entry");
-    assert!(!fleet.takes_work(key));
+        .note_sheet(at(10), sheet("i-1", 5, 6))
+        .expect("it came back");
+    fleet.note_departure(at(20), &departure(5, true));
+    assert!(fleet.takes_work(key));
+    fleet.note_departure(at(30), &departure(5, false));
+    assert!(!fleet.takes_work(key), "draining is final");
+}
+
+#[test]
+fn a_departure_that_is_heard_before_the_entry_counts() {
+    let mut fleet = FleetView::default();
+    fleet.note_departure(at(0), &departure(1, false));
+    assert!(fleet.note_sheet(at(10), sheet("i-1", 5, 1)).is_none());
+    assert!(fleet.note_sheet(at(15), sheet("i-1", 5, 9)).is_none());
+    assert_eq!(fleet.of_service("draft-fleet").count(), 0);
     let next = fleet
         .note_sheet(at(20), sheet("i-1", 6, 1))
         .expect("an entry");
