fix(host): reset connections to servers that are given up

Change: connections to servers have a zero linger time, so that closing resets them and what is held up is dropped. Test a_request_that_is_given_up_is_taken_back_from_the_wire failed before.

--- a/crates/teaselglade-host/src/upstream/connection_pool.rs
+++ b/crates/teaselglade-host/src/upstream/connection_pool.rs
@@ -201,6 +201,9 @@
     };
     // Without it, small requests wait for acknowledgements; the connection works all the same.
     let _delayed = stream.set_nodelay(true);
+    // A connection that is given up is reset, so that a cut link delivers nothing later of what was
+    // sent on it. Without the option the request may reach its server when the link heals.
+    let _lingering = stream.set_zero_linger();
     let shaken = handshake(TokioIo::new(stream)).await;
     let (sender, connection) = shaken.map_err(|error| not_sent(error.to_string()))?;
     tokio::spawn(async move {
