feat(tool): explain a request from log lines; pages and tests of the host

Change: teaselglade explain joins the lines of a request with those of its servers and hosts; the end of a cut stream names its server; tests of log bounds, decided reports and lease terms; pages for operators, settings, proofs, glossary.

--- a/crates/teaselglade-host/src/relay/stream_relay.rs
+++ b/crates/teaselglade-host/src/relay/stream_relay.rs
@@ -66,6 +66,8 @@
     last_event: Option<u64>,
     status: StatusCode,
     first: Option<Duration>,
+    /// Name of the server of the latest attempt.
+    server: String,
     is_over: bool,
 }
 
@@ -81,6 +83,7 @@
         last_event: context.resume_after,
         status: StatusCode::OK,
         first: None,
+        server: String::new(),
         is_over: false,
     };
     let mut is_continued = false;
@@ -113,6 +116,7 @@
         let attempt = self.ledger.attempts() + 1;
         let seat = StreamSeat::take(&context, &tried, attempt, is_continued)?;
         self.ledger.begin(seat.seat.server);
+        self.server.clone_from(&seat.server);
         let stall = self.first_stall(&seat);
         let called = tokio::select! {
             called = call_server(&context, seat.seat.server, self.last_event) => called,
@@ -391,7 +395,7 @@
         self.is_over = true;
         if let Some(open) = self.open.take() {
             open.connection.give_back(&open.headers);
-            self.log_over_at(&open.seat.server, "whole");
+            self.log_over("whole");
         }
     }
 
@@ -407,14 +411,10 @@
     }
 
     fn log_over(&self, outcome: &str) {
-        let server = self.open.as_ref().map(|open| open.seat.server.clone());
-        self.log_over_at(&server.unwrap_or_default(), outcome);
-    }
-
-    fn log_over_at(&self, server: &str, outcome: &str) {
         let first = self.first.unwrap_or_else(|| self.context.elapsed());
         let status = self.status.as_u16();
-        self.context.note_answered(server, status, outcome, first);
+        self.context
+            .note_answered(&self.server, status, outcome, first);
     }
 }
 
--- /dev/null
+++ b/crates/teaselglade-host/tests/host/main.rs
@@ -0,0 +1,5 @@
+//! Tests of the parts of a serving host that need no sockets.
+
+mod journal;
+mod reports;
+mod terms;
--- a/crates/teaselglade/src/command/mod.rs
+++ b/crates/teaselglade/src/command/mod.rs
@@ -3,6 +3,7 @@
 mod audit_command;
 mod bench_command;
 mod demo_command;
+mod explain_command;
 mod fleet_command;
 mod shell_command;
 mod table_command;
@@ -27,6 +28,7 @@
         ToolCommand::Table(command) => table_command::run(command, format).await,
         ToolCommand::Fleet(FleetCommand::Status(place)) => fleet_command::run(&place, format).await,
         ToolCommand::Audit(audit) => audit_command::run(audit, format).await,
+        ToolCommand::Explain(explain) => explain_command::run(&explain, format),
         ToolCommand::Demo(demo) => demo_command::run(demo, format).await,
         ToolCommand::Bench(bench) => bench_command::run(&bench, format),
         ToolCommand::Completions { shell } => Ok(shell_command::print_completions(shell)),
--- a/crates/teaselglade/src/command_line/mod.rs
+++ b/crates/teaselglade/src/command_line/mod.rs
@@ -3,6 +3,7 @@
 mod audit_options;
 mod bench_options;
 mod demo_options;
+mod explain_options;
 mod platform_options;
 mod table_options;
 mod tool_options;
@@ -10,6 +11,7 @@
 pub use audit_options::AuditOptions;
 pub use bench_options::BenchOptions;
 pub use demo_options::DemoOptions;
+pub use explain_options::ExplainOptions;
 pub use platform_options::{HostListOptions, LogOptions};
 pub use table_options::{
     TableCheckOptions, TableCommand, TableHistoryOptions, TablePublishOptions, TableShowOptions,
--- a/crates/teaselglade/src/command_line/tool_options.rs
+++ b/crates/teaselglade/src/command_line/tool_options.rs
@@ -3,7 +3,9 @@
 use clap::{Parser, Subcommand};
 use clap_complete::Shell;
 
-use super::{AuditOptions, BenchOptions, DemoOptions, HostListOptions, TableCommand};
+use super::{
+    AuditOptions, BenchOptions, DemoOptions, ExplainOptions, HostListOptions, TableCommand,
+};
 
 /// Operators' tool of teaselglade.
 ///
@@ -32,6 +34,8 @@
     Fleet(FleetCommand),
     /// Show who changed what.
     Audit(AuditOptions),
+    /// Tell from log lines of hosts what happened to one request.
+    Explain(ExplainOptions),
     /// Run a whole fleet in this process, with a zone reclaimed midway.
     Demo(DemoOptions),
     /// Compare placement policies on virtual time.
--- a/crates/teaselglade/src/operation/mod.rs
+++ b/crates/teaselglade/src/operation/mod.rs
@@ -2,8 +2,10 @@
 
 mod audit_feed;
 mod fleet_survey;
+mod request_story;
 mod table_client;
 
 pub use audit_feed::AuditFeed;
 pub use fleet_survey::{FleetSurvey, HostReport};
+pub use request_story::{HostLine, RequestStory};
 pub use table_client::{TableClient, TableOrder};
