fix(host): tell processes that start in the same microsecond apart in the lease

Both hosts started in the same microsecond, which was all that named a process in the lease's records, so each took the other's grant for its own. Ruled out: the order of the log and the lease's machine, which ask for a number that no two starts share. Change: the name is a hash of host, start and turn. Test: hosts_that_start_together_do_not_take_each_others_grant_for_their_own, failing before.

--- a/crates/teaselglade-host/src/duty/duty_driver.rs
+++ b/crates/teaselglade-host/src/duty/duty_driver.rs
@@ -8,6 +8,7 @@
 use teaselglade_core::port::{ClockPort, LogPort, StreamName};
 use teaselglade_core::time::Timestamp;
 use teaselglade_net::clock::SuspendClock;
+use teaselglade_routing::exchange::name_hash;
 use teaselglade_routing::scaling::{FleetPlanner, OrderOutcome, ServerOrder};
 use teaselglade_routing::table::ServiceSpec;
 use teaselglade_routing::usage::WindowCounts;
@@ -395,11 +396,23 @@
 
 /// Makes a holder; `turn` counts the times that this process took part in the lease.
 fn new_holder(host: &HostState, turn: u64) -> LeaseHolder {
-    let identity = LeaseIdentity {
-        host: host.settings.name.clone(),
-        start: host.start + turn,
-    };
-    LeaseHolder::new(identity, lease_terms(&host.settings.duties), host.start)
+    let identity = lease_identity(&host.settings.name, host.start, turn);
+    LeaseHolder::new(
+        identity,
+        lease_terms(&host.settings.duties),
+        host.start ^ turn,
+    )
+}
+
+/// Returns who a process is to the lease, each time that it takes part.
+///
+/// Processes of a fleet may start in the same microsecond, so the host's name tells them apart.
+#[must_use]
+pub fn lease_identity(host: &str, start: u64, turn: u64) -> LeaseIdentity {
+    LeaseIdentity {
+        host: host.to_owned(),
+        start: name_hash(&format!("{host}/{start}/{turn}")),
+    }
 }
 
 /// Returns the fencing number of a lease; the platform counts from 1.
--- a/crates/teaselglade-host/src/duty/mod.rs
+++ b/crates/teaselglade-host/src/duty/mod.rs
@@ -3,5 +3,5 @@
 mod duty_driver;
 mod report_log;
 
-pub use duty_driver::{DutyDriver, lease_terms};
+pub use duty_driver::{DutyDriver, lease_identity, lease_terms};
 pub use report_log::ReportLog;
--- a/crates/teaselglade-host/tests/host/terms.rs
+++ b/crates/teaselglade-host/tests/host/terms.rs
@@ -2,8 +2,11 @@
 
 use std::time::Duration;
 
-use teaselglade_host::duty::lease_terms;
+use teaselglade_core::port::{LogPage, LogRecord};
+use teaselglade_core::time::Timestamp;
+use teaselglade_host::duty::{lease_identity, lease_terms};
 use teaselglade_host::settings::DutyBounds;
+use teaselglade_state::lease::{LeaseAction, LeaseEvent, LeaseHolder, LeaseTerms};
 
 #[test]
 fn a_holder_stops_within_the_bound_and_a_rival_waits_longer() {
@@ -20,3 +23,48 @@
         assert!(terms.renew_interval * 2 < terms.term.checked_sub(terms.margin).unwrap());
     }
 }
+
+/// Two hosts start in the same microsecond and claim the lease of an empty log at once.
+#[test]
+fn hosts_that_start_together_do_not_take_each_others_grant_for_their_own() {
+    let names = ["edge-ennis-1", "edge-sligo-1"];
+    let now = Timestamp::from_millis(1_000);
+    let mut holders =
+        names.map(|name| LeaseHolder::new(lease_identity(name, 77, 0), LeaseTerms::default(), 1));
+    let empty = LogPage {
+        first: 0,
+        end: 0,
+        records: Vec::new(),
+    };
+    let mut log = Vec::new();
+    for holder in &mut holders {
+        holder.on_event(now, LeaseEvent::Tick);
+        for action in holder.on_event(now, LeaseEvent::Read(empty.clone())) {
+            if let LeaseAction::Append(body) = action {
+                log.push(body);
+            }
+        }
+        for action in holder.on_event(now, LeaseEvent::Read(empty.clone())) {
+            if let LeaseAction::Append(body) = action {
+                log.push(body);
+            }
+        }
+    }
+    assert_eq!(log.len(), 2, "both claim");
+    let records = log.into_iter().zip(0..).map(|(body, offset)| LogRecord {
+        offset,
+        appended: Timestamp::ZERO,
+        body,
+    });
+    let page = LogPage {
+        first: 0,
+        end: 2,
+        records: records.collect(),
+    };
+    let held = holders.each_mut().map(|holder| {
+        holder.on_event(now, LeaseEvent::Appended);
+        holder.on_event(now, LeaseEvent::Read(page.clone()));
+        holder.number_in_force(now).is_some()
+    });
+    assert_eq!(held, [true, false]);
+}
