--- a/crates/teaselglade-host/src/peer/digest_exchange.rs
+++ b/crates/teaselglade-host/src/peer/digest_exchange.rs
@@ -202,11 +202,11 @@
         }
         // A collector hears all hosts itself.
         if !decisions.roster.is_collector(now) {
-            let loads = &digest.loads;
-            decisions.engines.follow(now, &decisions.fleet, loads);
-            decisions
-                .quotas
-                .follow(now, digest.spend, digest.heard_share);
+            let spend = digest.spend;
+            if decisions.quotas.follow(now, spend, digest.heard_share) {
+                let loads = &digest.loads;
+                decisions.engines.follow(now, &decisions.fleet, loads);
+            }
         }
         drop(guard);
         if digest.table > host.table_version() {
--- a/crates/teaselglade-routing/src/exchange/peer_roster.rs
+++ b/crates/teaselglade-routing/src/exchange/peer_roster.rs
@@ -9,7 +9,7 @@
 use rand_pcg::Pcg32;
 use teaselglade_core::time::Timestamp;
 
-use super::{HostDigest, LeadingHost, PeerAddress};
+use super::{HostDigest, LeadingHost, PeerAddress, name_hash};
 
 /// Most peers that get one round's digest; the cost of a round does not grow with the fleet.
 const MAX_FAN_OUT: usize = 12;
@@ -193,9 +193,9 @@
     /// Returns the addresses that this collector serves; the others serve the rest.
     #[must_use]
     pub fn served(&self, now: Timestamp) -> Vec<SocketAddr> {
-        let own = self.rank(now);
-        let peers = self.peers.values().enumerate();
-        let served = peers.filter(|(index, _)| index % COLLECTORS == own);
+        let own = self.rank(now) as u64;
+        let turn = |name: &str| name_hash(name) % COLLECTORS as u64;
+        let served = self.peers.iter().filter(|(name, _)| turn(name) == own);
         served.map(|(_, peer)| peer.address).collect()
     }
 
--- a/crates/teaselglade-routing/src/quota/quota_board.rs
+++ b/crates/teaselglade-routing/src/quota/quota_board.rs
@@ -32,6 +32,8 @@
 const MAX_RETRY: Duration = Duration::from_secs(4);
 /// Age from which what a collecting host told no longer counts; three of its intervals.
 const FOLLOW_SPAN: Duration = Duration::from_millis(1_200);
+/// Part of the hosts that another collecting host hears below which one is passed over.
+const WORSE_SHARE: f64 = 0.8;
 /// Time that a host's spending takes to reach a collecting host and come back.
 const FOLLOW_LAG: Duration = Duration::from_millis(400);
 /// Time constant of the smoothed spending rate.
@@ -194,8 +196,18 @@
 
     /// Takes in what a collecting host tells of all hosts together.
     ///
-    /// It does not know what this host admitted since its last report, which is taken off here.
-    pub fn follow(&mut self, now: Timestamp, spend: HashMap<String, FleetSpend>, heard_share: f64) {
+    /// It does not know what this host admitted since its last report, which is taken off here. One
+    /// that hears far fewer hosts than another is passed over; returns whether it was taken in.
+    pub fn follow(
+        &mut self,
+        now: Timestamp,
+        spend: HashMap<String, FleetSpend>,
+        heard_share: f64,
+    ) -> bool {
+        let known = self.followed(now).map(|followed| followed.heard_share);
+        if known.is_some_and(|known| heard_share < known * WORSE_SHARE) {
+            return false;
+        }
         for (name, told) in &spend {
             if let Some(state) = self.quotas.get_mut(name) {
                 let unheard = state.own_rate * FOLLOW_LAG.as_secs_f64();
@@ -208,6 +220,7 @@
             heard_share,
             spend,
         });
+        true
     }
 
     /// Returns what all hosts together may still use, for the hosts of a large fleet.
--- a/crates/teaselglade-routing/tests/routing/quotas.rs
+++ b/crates/teaselglade-routing/tests/routing/quotas.rs
@@ -148,6 +148,46 @@
     assert_eq!(board.level("corrib"), before);
 }
 
+#[test]
+fn a_host_that_follows_a_collector_turns_nobody_away_below_the_quota() {
+    let mut collector = QuotaBoard::new(1);
+    let mut host = QuotaBoard::new(16);
+    for board in [&mut collector, &mut host] {
+        board.set_quotas(at(0), &[organisation("corrib", "k", 47_000.0)]);
+    }
+    // Each host admits 1,000 tokens every 50 ms: together 40,000 a second.
+    for now in (0..20_000).step_by(50) {
+        assert!(
+            host.admit(at(now), "corrib", Some(1_000)).is_ok(),
+            "at {now} ms"
+        );
+        assert!(
+            collector.admit(at(now), "corrib", Some(1_000)).is_ok(),
+            "at {now} ms"
+        );
+        if now % 200 == 0 {
+            let report = host.report(at(now));
+            collector.hear(at(now), "edge-2", 1, report);
+        }
+        if now % 400 == 0 {
+            let spend = collector.fleet_spend(at(now));
+            assert!(host.follow(at(now), spend, 1.0));
+        }
+    }
+}
+
+#[test]
+fn a_collector_that_hears_few_hosts_is_passed_over_beside_one_that_hears_all() {
+    let mut host = QuotaBoard::new(16);
+    host.set_quotas(at(0), &[organisation("corrib", "k", 47_000.0)]);
+    assert!(host.follow(at(0), std::collections::HashMap::new(), 1.0));
+    assert!(!host.follow(at(100), std::collections::HashMap::new(), 0.1));
+    assert!(
+        host.follow(at(5_000), std::collections::HashMap::new(), 0.1),
+        "the other fell silent"
+    );
+}
+
 #[test]
 fn a_lowered_quota_binds_at_once() {
     let mut fleet = Fleet::new(9);
--- a/crates/teaselglade-routing/tests/routing/roster.rs
+++ b/crates/teaselglade-routing/tests/routing/roster.rs
@@ -66,3 +66,44 @@
     assert!(roster.targets(at(1)).len() <= 12);
     assert_eq!(roster.expire(at(60_000)).len(), 399);
 }
+
+/// Every host of a large fleet is served by exactly one collector, whoever leaves itself out.
+#[test]
+fn collectors_share_all_hosts_among_them() {
+    let names: Vec<String> = (10..60).map(|host| format!("edge-{host}")).collect();
+    let address = |index: usize| format!("127.0.1.{}:7600", index + 1);
+    let mut served = Vec::new();
+    for own in &names[..3] {
+        let mut roster = PeerRoster::new(own, 1);
+        for (index, name) in names.iter().enumerate() {
+            let mut heard = digest(name, 10, 1);
+            heard.host.address = address(index).parse().expect("an address");
+            roster.note_heard(at(0), &heard);
+        }
+        assert!(roster.is_collector(at(1)));
+        served.extend(roster.served(at(1)));
+    }
+    for index in 3..names.len() {
+        let own = address(index).parse().expect("an address");
+        let count = served.iter().filter(|address| **address == own).count();
+        assert_eq!(count, 1, "{own}");
+    }
+}
+
+#[test]
+fn digests_of_a_large_fleet_go_to_its_collectors() {
+    let mut roster = PeerRoster::new("edge-99", 1);
+    for host in 10..60 {
+        let mut heard = digest(&format!("edge-{host}"), 10, 1);
+        heard.host.address = format!("127.0.1.{host}:7600").parse().expect("an address");
+        roster.note_heard(at(0), &heard);
+    }
+    let targets = roster.targets(at(1));
+    for collector in 10..13 {
+        let address = format!("127.0.1.{collector}:7600")
+            .parse()
+            .expect("an address");
+        assert!(targets.contains(&address), "{targets:?}");
+    }
+    assert!(targets.len() <= 5, "{targets:?}");
+}
