--- a/crates/teaselglade-host/src/settings/host_settings.rs
+++ b/crates/teaselglade-host/src/settings/host_settings.rs
@@ -23,8 +23,6 @@
     pub orders_servers: bool,
     /// Length of a window of usage.
     pub usage_window: Duration,
-    /// Time after a window's end within which its report is due.
-    pub usage_due_within: Duration,
     /// Time within which duties must not go back to an earlier holder.
     pub lease: Duration,
 }
@@ -40,14 +38,8 @@
     pub listen: ListenAddresses,
     /// Addresses of some other hosts; their ports need not be those of peers.
     pub seeds: Vec<SocketAddr>,
-    /// Most bytes of memory.
-    pub memory_limit: Option<u64>,
     /// Time from the signal to stop until the process is killed.
     pub stop_within: Duration,
-    /// Time within which a published table has to be in force.
-    pub table_applies_within: Duration,
-    /// Time for which a leaving server still takes requests.
-    pub server_drain: Duration,
     /// What the platform asks of the holder of the duties.
     pub duties: DutyBounds,
 }
--- a/crates/teaselglade-host/tests/host/terms.rs
+++ b/crates/teaselglade-host/tests/host/terms.rs
@@ -15,7 +15,6 @@
             reports_usage: true,
             orders_servers: true,
             usage_window: Duration::from_secs(5),
-            usage_due_within: Duration::from_secs(10),
             lease,
         });
         assert!(terms.term <= lease);
--- a/crates/teaselglade-routing/src/event/event_splitter.rs
+++ b/crates/teaselglade-routing/src/event/event_splitter.rs
@@ -52,12 +52,6 @@
     pub fn has_rest(&self) -> bool {
         !self.rest.is_empty()
     }
-
-    /// Returns what is held back of an unfinished event.
-    #[must_use]
-    pub fn take_rest(&mut self) -> Bytes {
-        std::mem::take(&mut self.rest).freeze()
-    }
 }
 
 /// Returns the offset behind the first empty line.
--- a/crates/teaselglade-routing/src/fleet/fleet_view.rs
+++ b/crates/teaselglade-routing/src/fleet/fleet_view.rs
@@ -45,8 +45,6 @@
     left_at: Option<Timestamp>,
     /// Whether the server itself said that it drains.
     has_drained: bool,
-    /// When the platform stops it, where that is known.
-    pub gone_at: Option<Timestamp>,
     /// Whether its entry is gone too.
     pub is_removed: bool,
     /// When more than the heartbeat's number changed last.
@@ -244,13 +242,6 @@
         servers.filter(|(_, server)| server.phase != ServerPhase::Leaving)
     }
 
-    /// Returns all servers of a service whose entries stand, leaving ones included.
-    pub fn listed(&self, service: &str) -> impl Iterator<Item = &KnownServer> {
-        let keys = self.by_service.get(service).into_iter().flatten();
-        let servers = keys.map(|key| self.server(*key));
-        servers.filter(|server| !server.is_removed)
-    }
-
     /// Returns whether a server takes new work.
     #[must_use]
     pub fn takes_work(&self, key: ServerKey) -> bool {
@@ -313,7 +304,6 @@
             phase: ServerPhase::Ready,
             left_at: None,
             has_drained: sheet.state == SheetState::Draining,
-            gone_at: sheet.leaves_in.map(|span| now + span),
             is_removed: false,
             changed_at: now,
             hash,
@@ -335,9 +325,6 @@
         if is_changed {
             server.changed_at = now;
         }
-        if let Some(span) = sheet.leaves_in {
-            server.gone_at = Some(now + span);
-        }
         if matches!(server.phase, ServerPhase::Lapsed { .. }) {
             server.phase = ServerPhase::Ready;
         }
--- a/crates/teaselglade-routing/src/fleet/server_sheet.rs
+++ b/crates/teaselglade-routing/src/fleet/server_sheet.rs
@@ -1,7 +1,6 @@
 //! What a backend server says of itself.
 
 use std::net::SocketAddr;
-use std::time::Duration;
 
 teaselglade_core::value_type! {
     /// Whether a server takes new work.
@@ -34,9 +33,5 @@
         pub state: SheetState,
         /// Whether the platform may take it back.
         pub reclaimable: bool,
-        /// Time until it is gone, where that is known.
-        pub leaves_in: Option<Duration>,
-        /// How much longer it is slow after its start.
-        pub warm_up: Duration,
     }
 }
--- a/crates/teaselglade-routing/tests/routing/fixture.rs
+++ b/crates/teaselglade-routing/tests/routing/fixture.rs
@@ -25,8 +25,6 @@
         slots: Some(64),
         state: SheetState::Ready,
         reclaimable: false,
-        leaves_in: None,
-        warm_up: Duration::ZERO,
     }
 }
 
