refactor(host): usage reporter and engine candidate in files of their own; revert a try

Change: UsageReporter and Candidate moved, one call for the lease's two, one query in the tests of engines; behaviour as before.

--- a/crates/teaselglade-host/src/duty/duty_driver.rs
+++ b/crates/teaselglade-host/src/duty/duty_driver.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use teaselglade_core::port::{ClockPort, LogPort, StreamName};
+use teaselglade_core::port::{ClockPort, LogError, LogPort, StreamName};
 use teaselglade_core::time::Timestamp;
 use teaselglade_net::clock::SuspendClock;
 use teaselglade_routing::exchange::name_hash;
@@ -20,6 +20,7 @@
 use tracing::{info, warn};
 
 use super::ReportLog;
+use super::usage_reporter::UsageReporter;
 use crate::port::{DutyError, DutyPort, DutyTerm};
 use crate::settings::DutyBounds;
 use crate::state::HostState;
@@ -32,8 +33,6 @@
 const TICK: Duration = Duration::from_millis(100);
 /// Time between two plans of the servers.
 const PLAN_INTERVAL: Duration = Duration::from_millis(500);
-/// Most records of one read.
-const PAGE_RECORDS: u32 = 512;
 /// Windows before the present one whose reports are sent once more by a new holder.
 const RESENT_WINDOWS: u64 = 3;
 /// Pause after a failed step of the reports.
@@ -210,48 +209,37 @@
     }
 
     fn read_lease(&self, from: u64, most: u32) {
-        let (host, log, sender) = (
-            Arc::clone(&self.host),
-            Arc::clone(&self.log),
-            self.sender.clone(),
-        );
-        tokio::spawn(async move {
+        let log = Arc::clone(&self.log);
+        self.call_lease("read_lease", LeaseEvent::ReadFailed, async move {
             let stream = StreamName::leases(LEASE_NAME);
-            let event = match log.read(&stream, from, most, Duration::ZERO).await {
-                Ok(page) => {
-                    host.note_call("read_lease", None);
-                    LeaseEvent::Read(page)
-                }
-                Err(error) => {
-                    host.note_call("read_lease", Some(&error));
-                    LeaseEvent::ReadFailed
-                }
-            };
-            // The receiver ends only with the host.
-            let _stopped = sender.send(DutyNews::Lease(event));
+            let page = log.read(&stream, from, most, Duration::ZERO).await?;
+            Ok(LeaseEvent::Read(page))
         });
     }
 
     fn append_lease(&self, body: Bytes) {
-        let (host, log, sender) = (
-            Arc::clone(&self.host),
-            Arc::clone(&self.log),
-            self.sender.clone(),
-        );
-        tokio::spawn(async move {
+        let log = Arc::clone(&self.log);
+        self.call_lease("append_lease", LeaseEvent::AppendFailed, async move {
             let stream = StreamName::leases(LEASE_NAME);
-            let event = match log.append(&stream, body).await {
-                Ok(_offset) => {
-                    host.note_call("append_lease", None);
-                    LeaseEvent::Appended
-                }
-                Err(error) => {
-                    host.note_call("append_lease", Some(&error));
-                    LeaseEvent::AppendFailed
-                }
-            };
+            log.append(&stream, body).await?;
+            Ok(LeaseEvent::Appended)
+        });
+    }
+
+    /// Makes a call for the lease and takes its event in when it ends.
+    fn call_lease(
+        &self,
+        name: &'static str,
+        failed: LeaseEvent,
+        call: impl Future<Output = Result<LeaseEvent, LogError>> + Send + 'static,
+    ) {
+        let (host, sender) = (Arc::clone(&self.host), self.sender.clone());
+        tokio::spawn(async move {
+            let ended = call.await;
+            let failure = ended.as_ref().err();
+            host.note_call(name, failure.map(|error| error as &dyn std::fmt::Display));
             // The receiver ends only with the host.
-            let _stopped = sender.send(DutyNews::Lease(event));
+            let _stopped = sender.send(DutyNews::Lease(ended.unwrap_or(failed)));
         });
     }
 
@@ -419,83 +407,3 @@
 const fn fencing_number(number: LeaseNumber) -> u64 {
     number.0 + 1
 }
-
-/// Decides a window's report in the log and sends what was decided.
-struct UsageReporter {
-    host: Arc<HostState>,
-    port: Arc<dyn DutyPort>,
-    log: Arc<dyn LogPort>,
-    term: DutyTerm,
-    reports: ReportLog,
-    reported: BTreeSet<u64>,
-    oldest: u64,
-}
-
-impl UsageReporter {
-    async fn run(mut self, due: Option<WindowCounts>) -> (ReportLog, BTreeSet<u64>, bool) {
-        let is_current = self.read_on().await;
-        if let Some(counts) = due.filter(|_| is_current)
-            && self.reports.decided(counts.window).is_none()
-        {
-            self.decide(&counts).await;
-        }
-        let is_fenced = self.send_decided().await;
-        (self.reports, self.reported, is_fenced)
-    }
-
-    /// Appends a report; what the log then tells first of the window counts.
-    async fn decide(&mut self, counts: &WindowCounts) {
-        let Ok(body) = rmp_serde::to_vec(counts) else {
-            return;
-        };
-        let appended = self.log.append(&StreamName::usage(), body.into()).await;
-        let failure = appended.as_ref().err();
-        let failure = failure.map(|error| error as &dyn std::fmt::Display);
-        self.host.note_call("append_usage", failure);
-        info!(event = "usage_decided", window = counts.window, counts = ?counts.counts);
-        self.read_on().await;
-    }
-
-    async fn send_decided(&mut self) -> bool {
-        let decided = self.reports.since(self.oldest);
-        let unsent: Vec<WindowCounts> = decided
-            .filter(|counts| !self.reported.contains(&counts.window))
-            .cloned()
-            .collect();
-        for counts in unsent {
-            let sent = self.port.report_usage(&self.term, &counts).await;
-            let failure = sent.as_ref().err();
-            let failure = failure.map(|error| error as &dyn std::fmt::Display);
-            self.host.note_call("report_usage", failure);
-            match sent {
-                Ok(()) => {
-                    info!(event = "usage_reported", window = counts.window);
-                    self.reported.insert(counts.window);
-                }
-                Err(DutyError::Fenced { .. } | DutyError::NoneThere { .. }) => return true,
-                Err(_failed) => {}
-            }
-        }
-        false
-    }
-
-    /// Reads the decided reports up to the end of the log; returns whether it got there.
-    async fn read_on(&mut self) -> bool {
-        loop {
-            let from = self.reports.next_offset();
-            let stream = StreamName::usage();
-            let read = self
-                .log
-                .read(&stream, from, PAGE_RECORDS, Duration::ZERO)
-                .await;
-            let failure = read.as_ref().err();
-            let failure = failure.map(|error| error as &dyn std::fmt::Display);
-            self.host.note_call("read_usage", failure);
-            match read {
-                Ok(page) if self.reports.on_page(&page) => return true,
-                Ok(_page) => {}
-                Err(_failed) => return false,
-            }
-        }
-    }
-}
--- a/crates/teaselglade-host/src/duty/mod.rs
+++ b/crates/teaselglade-host/src/duty/mod.rs
@@ -2,6 +2,7 @@
 
 mod duty_driver;
 mod report_log;
+mod usage_reporter;
 
 pub use duty_driver::{DutyDriver, lease_identity, lease_terms};
 pub use report_log::ReportLog;
--- a/crates/teaselglade-routing/src/engine/engine_placer.rs
+++ b/crates/teaselglade-routing/src/engine/engine_placer.rs
@@ -10,6 +10,7 @@
 use teaselglade_core::verdict::{RefusalReason, RequestRefusal};
 use teaselglade_placement::limit::DemandMeter;
 
+use super::candidate::{Candidate, preference};
 use super::{CacheMap, EngineLoad, EngineSpeed, PlacedPrompt, PromptShape, Result};
 use crate::fleet::{FleetView, ServerHealth};
 use crate::table::EngineSpec;
@@ -36,8 +37,6 @@
 const MIN_RETRY: Duration = Duration::from_millis(150);
 /// Longest time to come back that a refusal names.
 const MAX_RETRY: Duration = Duration::from_secs(2);
-/// Difference in predicted time below which engines count as equal.
-const EQUAL_SPAN_MS: f64 = 2.0;
 
 /// Number of a placed stream at its host.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
@@ -107,19 +106,6 @@
     memory_tokens: f64,
 }
 
-/// One engine as a placement sees it.
-#[derive(Debug, Clone, Copy)]
-struct Candidate {
-    server: ServerKey,
-    predicted: Duration,
-    /// Time to read this prompt alone.
-    own_span: Duration,
-    new_tokens: u32,
-    tokens_ahead: f64,
-    cost_ms: f64,
-    preference: u64,
-}
-
 /// Chooses the engine that a stream goes to, or turns the stream away.
 ///
 /// An engine's cost is the predicted time to the first event plus the engine time that the
@@ -508,20 +494,3 @@
         refusal.retry_after(MIN_RETRY.mul_f64(2.0 * spread))
     }
 }
-
-impl Candidate {
-    /// Orders candidates by cost; among equal ones the hash of the prompt decides.
-    fn compare(&self, other: &Self) -> std::cmp::Ordering {
-        let (a, b) = (self.cost_ms / EQUAL_SPAN_MS, other.cost_ms / EQUAL_SPAN_MS);
-        let by_cost = (a.round() as i64).cmp(&(b.round() as i64));
-        by_cost.then(other.preference.cmp(&self.preference))
-    }
-}
-
-/// Returns the rank of a server for a prompt, the same at every host.
-fn preference(prompt: &PromptShape, server: u64) -> u64 {
-    let shared = prompt.parts.iter().rev().nth(1).or(prompt.parts.last());
-    let chain = shared.map_or(0, |part| part.chain);
-    let mixed = (chain ^ server.rotate_left(32)).wrapping_mul(0x9e37_79b9_7f4a_7c15);
-    (mixed ^ (mixed >> 29)).wrapping_mul(0xbf58_476d_1ce4_e5b9)
-}
--- a/crates/teaselglade-routing/src/engine/mod.rs
+++ b/crates/teaselglade-routing/src/engine/mod.rs
@@ -1,6 +1,7 @@
 //! Placement of streams on model engines.
 
 mod cache_map;
+mod candidate;
 mod engine_load;
 mod engine_placer;
 mod engine_speed;
--- a/crates/teaselglade-routing/src/quota/quota_board.rs
+++ b/crates/teaselglade-routing/src/quota/quota_board.rs
@@ -11,22 +11,13 @@
 
 /// Age from which a peer's last report no longer tells what it spends.
 ///
-/// Two intervals of the exchange. A peer whose reports got lost takes its part of the rate off for
-/// that long only, so that finding a cut soon matters more.
-const SILENT_AFTER: Duration = Duration::from_millis(450);
+/// Four intervals of the exchange, so that three reports in a row may be lost.
+const SILENT_AFTER: Duration = Duration::from_millis(800);
 /// Part of a burst that is saved up.
 ///
 /// Two groups of hosts that are cut off from each other both use it; the rest covers that, and what
 /// is spent before peers hear of it.
-const BURST_SHARE: f64 = 0.8;
-/// The same in a large fleet, where what peers spend is heard later.
-const FOLLOWED_BURST_SHARE: f64 = 0.5;
-/// Peers from which on a fleet counts as large.
-const MANY_PEERS: usize = 20;
-/// Tokens that are saved up in any case where the burst allows them; a few of the largest prompts.
-///
-/// A smaller bucket turns away what a small organisation's quota allows.
-const SAVED_TOKENS: f64 = 60_000.0;
+const BURST_SHARE: f64 = 0.5;
 /// Most quotas' worth of debt, in seconds of the rate, so that a wrong report wears off.
 const MAX_DEBT_SECONDS: f64 = 2.0;
 /// Debt, in seconds of the rate, up to which requests without tokens are let in.
@@ -87,15 +78,6 @@
     spend: HashMap<String, FleetSpend>,
 }
 
-/// How buckets fill at present.
-#[derive(Debug, Clone, Copy)]
-struct FillTerms {
-    /// Part of each rate that this host and the peers that it hears may use.
-    share: f64,
-    /// Part of a burst that is saved up.
-    burst_share: f64,
-}
-
 #[derive(Debug, Clone)]
 struct QuotaState {
     quota: QuotaSpec,
@@ -173,7 +155,7 @@
             let state = match old.remove(&organisation.name) {
                 Some(known) => QuotaState { quota, ..known },
                 None => QuotaState {
-                    level: capacity(&quota, BURST_SHARE),
+                    level: capacity(&quota),
                     quota,
                     updated: now,
                     own_total: 0.0,
@@ -243,10 +225,10 @@
 
     /// Returns what all hosts together may still use, for the hosts of a large fleet.
     pub fn fleet_spend(&mut self, now: Timestamp) -> HashMap<String, FleetSpend> {
-        let terms = self.fill_terms(now);
+        let share = self.group_share(now);
         let peers = &self.peers;
         let spend = self.quotas.iter_mut().map(|(name, state)| {
-            state.refill(now, terms, 0.0);
+            state.refill(now, share, 0.0);
             let reports = peers.values().filter_map(|peer| peer.spend.get(name));
             let rate: f64 = reports.map(|report| report.rate).sum();
             let spend = FleetSpend {
@@ -288,19 +270,19 @@
         organisation: &str,
         tokens: Option<u32>,
     ) -> Result<(), RequestRefusal> {
-        let terms = self.fill_terms(now);
+        let share = self.group_share(now);
         let coming = self.coming(now, organisation);
         let others_rate = self.others_rate(now, organisation);
         let Some(state) = self.quotas.get_mut(organisation) else {
             return Ok(());
         };
-        state.refill(now, terms, others_rate);
+        state.refill(now, share, others_rate);
         let units = state.units(tokens);
         if state.has_room(tokens, coming) {
             state.spend(units);
             return Ok(());
         }
-        let wait = state.promise(now, units, coming, terms.share);
+        let wait = state.promise(now, units, coming, share);
         let detail = format!("quota of {organisation} is used up in all zones");
         let refusal = RequestRefusal::not_run(RefusalReason::OverLimit, detail);
         Err(refusal.retry_after(wait))
@@ -330,12 +312,12 @@
 
     /// Returns what this host spent, for its peers.
     pub fn report(&mut self, now: Timestamp) -> PeerSpend {
-        let terms = self.fill_terms(now);
+        let share = self.group_share(now);
         let followed = self.followed(now).cloned();
         let reports = self.quotas.iter_mut().map(|(name, state)| {
             let told = followed.as_ref().and_then(|fleet| fleet.spend.get(name));
             let others = told.map_or(0.0, |told| (told.rate - state.own_rate).max(0.0));
-            state.refill(now, terms, others);
+            state.refill(now, share, others);
             let report = SpendReport {
                 total: state.own_total,
                 rate: state.own_rate,
@@ -351,19 +333,6 @@
         self.quotas.get(organisation).map(|state| state.level)
     }
 
-    /// Returns how buckets fill at present.
-    fn fill_terms(&self, now: Timestamp) -> FillTerms {
-        let is_large = self.followed(now).is_some() || self.peers.len() >= MANY_PEERS;
-        FillTerms {
-            share: self.group_share(now),
-            burst_share: if is_large {
-                FOLLOWED_BURST_SHARE
-            } else {
-                BURST_SHARE
-            },
-        }
-    }
-
     /// Returns the part of each rate that this host and the peers that it hears may use.
     fn group_share(&self, now: Timestamp) -> f64 {
         if let Some(followed) = self.followed(now) {
@@ -422,12 +391,12 @@
     }
 
     /// Fills the bucket for the time since, less what others are told to spend a second.
-    fn refill(&mut self, now: Timestamp, terms: FillTerms, others_rate: f64) {
+    fn refill(&mut self, now: Timestamp, share: f64, others_rate: f64) {
         let seconds = now.since(self.updated).as_secs_f64();
         self.updated = self.updated.max(now);
-        let rate = self.quota.rate * terms.share;
+        let rate = self.quota.rate * share;
         let least = -self.quota.rate * MAX_DEBT_SECONDS - self.quota.burst;
-        let most = capacity(&self.quota, terms.burst_share) * terms.share;
+        let most = capacity(&self.quota) * share;
         let gained = (rate - others_rate) * seconds;
         self.level = (self.level + gained).clamp(least, most);
         self.own_rate *= (-seconds / RATE_SPAN.as_secs_f64()).exp();
@@ -435,15 +404,11 @@
 }
 
 /// Returns the most units that are saved up; a second of the rate where no burst is named.
-fn capacity(quota: &QuotaSpec, burst_share: f64) -> f64 {
+fn capacity(quota: &QuotaSpec) -> f64 {
     let burst = if quota.burst > 0.0 {
         quota.burst
     } else {
         quota.rate
     };
-    let least = match quota.unit {
-        QuotaUnit::Requests => 1.0,
-        QuotaUnit::Tokens => SAVED_TOKENS,
-    };
-    (burst * burst_share).max(burst.min(least))
+    burst * BURST_SHARE
 }
--- a/crates/teaselglade-routing/tests/routing/engines.rs
+++ b/crates/teaselglade-routing/tests/routing/engines.rs
@@ -60,6 +60,18 @@
     }
 }
 
+fn query(prompt: &PromptShape) -> EngineQuery<'_> {
+    EngineQuery {
+        service: "draft-fleet",
+        spec: &SPEC,
+        prompt,
+        target: TARGET,
+        patience: Duration::from_secs(10),
+        tried: &[],
+        is_continued: false,
+    }
+}
+
 struct Outcome {
     on_time: usize,
     late: usize,
@@ -97,15 +109,7 @@
         }
         let shared = index * 7_919 % SHARED_PARTS;
         let prompt = PromptShape::new(17_000, 120, [(shared, 13_300), (1_000 + index, 3_700)]);
-        let query = EngineQuery {
-            service: "draft-fleet",
-            spec: &SPEC,
-            prompt: &prompt,
-            target: TARGET,
-            patience: Duration::from_secs(10),
-            tried: &[],
-            is_continued: false,
-        };
+        let query = query(&prompt);
         match placer.place(at(now), &engines.fleet, &query) {
             Ok(seat) => {
                 let first_at = engines.read(now as f64, seat.server, &prompt);
@@ -165,15 +169,7 @@
     let mut engines = Engines::new();
     let mut placer = EnginePlacer::new(7);
     let prompt = PromptShape::new(5_000, 120, [(1, 5_000)]);
-    let query = EngineQuery {
-        service: "draft-fleet",
-        spec: &SPEC,
-        prompt: &prompt,
-        target: TARGET,
-        patience: Duration::from_secs(10),
-        tried: &[],
-        is_continued: false,
-    };
+    let query = query(&prompt);
     let mut tickets = Vec::new();
     while let Ok(seat) = placer.place(at(0), &engines.fleet, &query) {
         engines.read(0.0, seat.server, &prompt);
@@ -199,15 +195,7 @@
     let mut placer = EnginePlacer::new(7);
     let let_in = (0..SERVERS as u64 * 3).filter(|id| {
         let prompt = PromptShape::new(90_000, 120, [(*id, 90_000)]);
-        let query = EngineQuery {
-            service: "draft-fleet",
-            spec: &SPEC,
-            prompt: &prompt,
-            target: TARGET,
-            patience: Duration::from_secs(10),
-            tried: &[],
-            is_continued: false,
-        };
+        let query = query(&prompt);
         placer.place(at(0), &engines.fleet, &query).is_ok()
     });
     assert_eq!(let_in.count(), SERVERS, "one on each engine");
@@ -218,15 +206,7 @@
     let engines = Engines::new();
     for shared in 0..50 {
         let prompt = PromptShape::new(9_000, 120, [(shared, 6_000), (99, 3_000)]);
-        let query = EngineQuery {
-            service: "draft-fleet",
-            spec: &SPEC,
-            prompt: &prompt,
-            target: TARGET,
-            patience: Duration::from_secs(10),
-            tried: &[],
-            is_continued: false,
-        };
+        let query = query(&prompt);
         let place = |seed| EnginePlacer::new(seed).place(at(0), &engines.fleet, &query);
         let servers = [1, 2, 3].map(|seed| place(seed).map(|seat| seat.server));
         assert!(servers[0].is_ok() && servers[0] == servers[1] && servers[1] == servers[2]);
