fix(host): leave a server alone that hung until a second attempt was needed

Not the load: the attempt that loses to its hedge ends without a word, so the hanging server was drawn again, and after three hedges the retry budget was spent and the fourth look-up hung to its deadline (one run in sixteen by the draw alone). Ruled out: time limits of the test; it waits 30 s. Change: servers that are silent when the second attempt starts count as unreachable, so that they are avoided for 500 ms and longer each time.

--- a/crates/teaselglade-host/src/relay/plain_relay.rs
+++ b/crates/teaselglade-host/src/relay/plain_relay.rs
@@ -10,6 +10,7 @@
 use http_body_util::{BodyExt, Limited};
 use hyper::{HeaderMap, Response, StatusCode};
 use teaselglade_core::id::ServerKey;
+use teaselglade_core::time::Timestamp;
 use teaselglade_core::verdict::{ExecutionVerdict, RefusalReason, RequestRefusal};
 use teaselglade_request::retry::RetryDecision;
 use teaselglade_routing::attempt::{AttemptLedger, AttemptOutcome, NextStep};
@@ -140,6 +141,7 @@
         }
         let context = &self.context;
         let now = context.host.now();
+        self.note_slow(now);
         let retry = self.ledger.attempts();
         let asked = context
             .host
@@ -151,6 +153,14 @@
         }
     }
 
+    /// Notes that the servers asked so far are silent; their attempts may end without a word.
+    fn note_slow(&self, now: Timestamp) {
+        let mut decisions = self.context.host.decide();
+        for server in self.ledger.tried() {
+            decisions.plains.note_failure(now, server);
+        }
+    }
+
     async fn note_end(
         &mut self,
         server: ServerKey,
