refactor(relay): ask the retry budget and pass whole answers on in one place

Cause: reading the change again showed three copies of the question to the retry budget and three of an answer that passes unchanged, in the relays of plain calls and of streams. Change: CallContext::ask_retry and CallContext::pass_on serve all of them; behaviour as before.

--- a/crates/teaselglade-host/src/relay/call_context.rs
+++ b/crates/teaselglade-host/src/relay/call_context.rs
@@ -5,12 +5,16 @@
 
 use bytes::Bytes;
 use hyper::http::uri::PathAndQuery;
-use hyper::{HeaderMap, Method};
+use hyper::{HeaderMap, Method, Response, StatusCode};
 use teaselglade_core::time::Timestamp;
 use teaselglade_core::verdict::{ExecutionVerdict, RequestRefusal};
+use teaselglade_request::retry::RetryDecision;
 use teaselglade_routing::engine::PromptShape;
 use teaselglade_routing::table::{RouteRow, ServiceSpec};
 
+use super::CallerAnswer;
+use super::answer_body::AnswerBody;
+use super::header_filter::passing_headers;
 use crate::journal::RequestLine;
 use crate::state::HostState;
 
@@ -76,6 +80,33 @@
         }
     }
 
+    /// Asks the service's retry budget for one more attempt; returns the delay before it.
+    pub(super) fn ask_retry(&self, attempts: u32) -> Option<Duration> {
+        let now = self.host.now();
+        let service = &self.service.name;
+        let asked = self
+            .host
+            .decide()
+            .ask_retry(now, self.due, service, attempts);
+        match asked {
+            RetryDecision::Granted { delay } => Some(delay),
+            RetryDecision::Denied { .. } => None,
+        }
+    }
+
+    /// Returns the answer that passes a server's whole answer on unchanged.
+    pub(super) fn pass_on(
+        &self,
+        status: StatusCode,
+        headers: &HeaderMap,
+        body: AnswerBody,
+    ) -> CallerAnswer {
+        let mut answer = Response::new(body);
+        *answer.status_mut() = status;
+        *answer.headers_mut() = passing_headers(headers, self.host.ports.messages.as_ref());
+        answer
+    }
+
     /// Counts that the request began to run.
     pub(super) fn count_run(&self) {
         if let Some(organisation) = &self.organisation {
--- a/crates/teaselglade-host/src/relay/plain_relay.rs
+++ b/crates/teaselglade-host/src/relay/plain_relay.rs
@@ -8,18 +8,16 @@
 use futures::future::BoxFuture;
 use futures::stream::FuturesUnordered;
 use http_body_util::{BodyExt, Limited};
-use hyper::{HeaderMap, Response, StatusCode};
+use hyper::{HeaderMap, StatusCode};
 use teaselglade_core::id::ServerKey;
 use teaselglade_core::time::Timestamp;
 use teaselglade_core::verdict::{ExecutionVerdict, RefusalReason, RequestRefusal};
-use teaselglade_request::retry::RetryDecision;
 use teaselglade_routing::attempt::{AttemptLedger, AttemptOutcome, NextStep};
 use teaselglade_routing::plain::{PlainQuery, ServerLoad};
 use tokio::time::{sleep, timeout};
 
 use super::answer_body::whole_body;
 use super::call_context::CallContext;
-use super::header_filter::passing_headers;
 use super::server_call::{FailedCall, call_server};
 use super::{CallerAnswer, Result};
 
@@ -142,12 +140,7 @@
         let context = &self.context;
         let now = context.host.now();
         self.note_slow(now);
-        let retry = self.ledger.attempts();
-        let asked = context
-            .host
-            .decide()
-            .ask_retry(now, context.due, &context.service.name, retry);
-        if matches!(asked, RetryDecision::Granted { .. }) {
+        if context.ask_retry(self.ledger.attempts()).is_some() {
             // Without a second server the first attempt goes on alone.
             let _no_other_server = self.start();
         }
@@ -209,14 +202,7 @@
                 }
             }
             NextStep::AskBudget => {
-                let now = context.host.now();
-                let retry = self.ledger.attempts();
-                let service = &context.service.name;
-                let asked = context
-                    .host
-                    .decide()
-                    .ask_retry(now, context.due, service, retry);
-                if let RetryDecision::Granted { delay } = asked {
+                if let Some(delay) = context.ask_retry(self.ledger.attempts()) {
                     sleep(delay).await;
                     if self.start().is_ok() {
                         return Ok(None);
@@ -270,10 +256,7 @@
         };
         let id = host.decide().fleet.server(server).sheet.id.clone();
         context.note_answered(&id, answer.status.as_u16(), outcome, context.elapsed());
-        let mut passed = Response::new(whole_body(answer.body));
-        *passed.status_mut() = answer.status;
-        *passed.headers_mut() = passing_headers(&answer.headers, host.ports.messages.as_ref());
-        passed
+        context.pass_on(answer.status, &answer.headers, whole_body(answer.body))
     }
 }
 
--- a/crates/teaselglade-host/src/relay/stream_relay.rs
+++ b/crates/teaselglade-host/src/relay/stream_relay.rs
@@ -8,9 +8,8 @@
 use futures::stream::unfold;
 use http_body_util::{BodyExt, Limited, StreamBody};
 use hyper::body::{Frame, Incoming};
-use hyper::{HeaderMap, Response, StatusCode};
+use hyper::{HeaderMap, StatusCode};
 use teaselglade_core::verdict::{ExecutionVerdict, RefusalReason, RequestRefusal};
-use teaselglade_request::retry::RetryDecision;
 use teaselglade_routing::attempt::{AttemptLedger, AttemptOutcome, NextStep};
 use teaselglade_routing::event::EventSplitter;
 use teaselglade_routing::table::RepeatRule;
@@ -18,7 +17,6 @@
 
 use super::answer_body::{AnswerBody, RelayCut, whole_body};
 use super::call_context::CallContext;
-use super::header_filter::passing_headers;
 use super::plain_relay::{give_up, outcome_name, step_name};
 use super::server_call::{FailedCall, ServerAnswer, call_server};
 use super::stream_seat::StreamSeat;
@@ -172,15 +170,7 @@
         match next {
             NextStep::Reconnect => true,
             NextStep::AskBudget => {
-                let context = &self.context;
-                let now = context.host.now();
-                let retry = self.ledger.attempts();
-                let service = &context.service.name;
-                let asked = context
-                    .host
-                    .decide()
-                    .ask_retry(now, context.due, service, retry);
-                let RetryDecision::Granted { delay } = asked else {
+                let Some(delay) = self.context.ask_retry(self.ledger.attempts()) else {
                     return false;
                 };
                 sleep(delay).await;
@@ -241,25 +231,17 @@
             "server_failed",
             context.elapsed(),
         );
-        let mut passed = Response::new(whole_body(body));
-        *passed.status_mut() = status;
-        let messages = context.host.ports.messages.as_ref();
-        *passed.headers_mut() = passing_headers(&answer.headers, messages);
-        Ok(passed)
+        Ok(context.pass_on(status, &answer.headers, whole_body(body)))
     }
 
     fn into_answer(self, headers: &HeaderMap) -> CallerAnswer {
-        let messages = Arc::clone(&self.context.host.ports.messages);
-        let status = self.status;
+        let (context, status) = (Arc::clone(&self.context), self.status);
         let events = unfold(self, |mut relay| async move {
             let frame = relay.next().await?;
             Some((frame.map(Frame::data), relay))
         });
         let body: AnswerBody = StreamBody::new(events).boxed_unsync();
-        let mut answer = Response::new(body);
-        *answer.status_mut() = status;
-        *answer.headers_mut() = passing_headers(headers, messages.as_ref());
-        answer
+        context.pass_on(status, headers, body)
     }
 
     /// Returns the next events for the caller; none behind the last.
