fix(relay): go on at a third server; drop what a cut first event left

Cause: resume() noted a failed try twice and then found no open attempt, so the stream was cut although attempts and budget allowed a third server. The splitter was reset only on resume, so bytes of a first event that was cut stood before the next server's first event. Ruled out: the ledger's bounds (they allowed the third attempt). Change: one loop that starts from the last failure; a fresh splitter with each attempt; the reason that no server could be found to go on at is logged. Before: two new tests fail (cut stream; 'id: 1 data: piid: 1'). After: both pass.

--- a/crates/teaselglade-host/src/relay/stream_relay.rs
+++ b/crates/teaselglade-host/src/relay/stream_relay.rs
@@ -114,6 +114,8 @@
         let attempt = self.ledger.attempts() + 1;
         let seat = StreamSeat::take(&context, &tried, attempt, is_continued)?;
         self.ledger.begin(seat.seat.server);
+        // A part of an event that the attempt before left must not lead the next one's bytes.
+        self.splitter = EventSplitter::default();
         self.server.clone_from(&seat.server);
         let stall = self.first_stall(&seat);
         let called = tokio::select! {
@@ -271,37 +273,40 @@
         }
     }
 
-    /// Goes on behind the last event at another server, where that is allowed.
-    async fn resume(&mut self, mut failed: FailedCall) -> bool {
+    /// Goes on behind the last event at another server, as long as that is allowed.
+    async fn resume(&mut self, failed: FailedCall) -> bool {
+        let Some(open) = self.open.take() else {
+            return false;
+        };
+        // The connection is closed first, so that the server before stops.
+        drop((open.body, open.connection));
+        let (mut seat, mut failed) = (open.seat, failed);
         loop {
-            let Some(open) = self.open.take() else {
-                return false;
-            };
-            // The connection is closed first, so that the server before stops.
-            let seat = open.seat;
-            drop((open.body, open.connection));
-            self.splitter = EventSplitter::default();
             let next = self.note_failure(&seat, &failed);
             drop(seat);
             if !self.may_go_on(next).await {
                 return false;
             }
-            match self.begin(true).await {
+            (seat, failed) = match self.begin(true).await {
                 Ok(Begun::Stream(_headers)) => return true,
-                Ok(Begun::Failed((seat, again))) => {
-                    let next = self.note_failure(&seat, &again);
-                    drop(seat);
-                    if !self.may_go_on(next).await {
-                        return false;
-                    }
-                    failed = again;
-                }
+                Ok(Begun::Failed(again)) => again,
                 Ok(Begun::Answer(_failure)) => return false,
-                Err(_refusal) => return false,
-            }
+                Err(refusal) => {
+                    self.log_no_seat(&refusal);
+                    return false;
+                }
+            };
         }
     }
 
+    /// Logs why no server could be found to go on at.
+    fn log_no_seat(&self, refusal: &RequestRefusal) {
+        let host = &self.context.host;
+        let (now, id) = (host.now(), &self.context.id);
+        host.log
+            .attempt_ended(now, id, "", "no_seat", &refusal.detail, "give_up");
+    }
+
     /// Waits for whole events, the end, or a failure of the open attempt.
     async fn step(&mut self, stall: Option<Instant>) -> StreamStep {
         loop {
