--- a/crates/teaselglade-host/src/host/serving_host.rs
+++ b/crates/teaselglade-host/src/host/serving_host.rs
@@ -15,6 +15,7 @@
 use crate::duty::DutyDriver;
 use crate::follow::{follow_servers, follow_table};
 use crate::ingress::{CallerListener, SideListeners};
+use crate::journal::dropped_lines;
 use crate::peer::{DigestExchange, pull_from_peers, start_peer_api};
 use crate::port::{Feed, FeedItem};
 use crate::settings::HostSettings;
@@ -152,10 +153,18 @@
 
 /// Closes what is out of date and writes what was summed up.
 async fn clean_up(host: Arc<HostState>) {
+    let mut dropped = dropped_lines();
     loop {
         sleep(CLEAN_INTERVAL).await;
         let now = host.now();
         host.log.write_summary(now, &host.metrics);
+        let lines = dropped_lines().saturating_sub(dropped);
+        if lines > 0 {
+            dropped += lines;
+            let counter = &host.metrics.dropped_lines;
+            counter.with_label_values(&["slow_reader"]).inc_by(lines);
+            warn!(event = "lines_dropped", lines);
+        }
         host.decide().fleet.expire(now);
         host.pool
             .prune(|server| host.decide().fleet.takes_work(server));
--- a/crates/teaselglade-host/src/journal/decision_log.rs
+++ b/crates/teaselglade-host/src/journal/decision_log.rs
@@ -43,12 +43,20 @@
 }
 
 /// Writes log lines of decisions on requests, within the budget of lines.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct DecisionLog {
     budget: Mutex<LineBudget>,
 }
 
 impl DecisionLog {
+    /// Makes a log that writes this many lines about requests in a second.
+    #[must_use]
+    pub fn new(lines_per_second: f64) -> Self {
+        Self {
+            budget: Mutex::new(LineBudget::new(lines_per_second)),
+        }
+    }
+
     /// Logs where a request goes.
     pub fn placed(&self, now: Timestamp, line: &RequestLine<'_>, placed: &PlacedLine<'_>) {
         if !self.allows(now, "placed", line.id) {
--- a/crates/teaselglade-host/src/journal/line_budget.rs
+++ b/crates/teaselglade-host/src/journal/line_budget.rs
@@ -5,12 +5,8 @@
 
 use teaselglade_core::time::Timestamp;
 
-/// Lines about requests that are written in a second.
-///
-/// Three times what a host of the first deployments writes at its usual load.
-pub const LINES_PER_SECOND: f64 = 60.0;
-/// Lines about requests that may be written at once.
-const BURST_LINES: f64 = 240.0;
+/// Seconds' worth of lines about requests that may be written at once.
+const BURST_SECONDS: f64 = 4.0;
 /// Time after which what was not written is summed up.
 const SUMMARY_SPAN: Duration = Duration::from_secs(1);
 /// Most ids that one summary names; a line stays below 4 KB.
@@ -36,15 +32,16 @@
 /// use teaselglade_core::time::Timestamp;
 /// use teaselglade_host::journal::LineBudget;
 ///
-/// let mut budget = LineBudget::default();
+/// let mut budget = LineBudget::new(60.0);
 /// let now = Timestamp::from_millis(5);
 /// let written = (0..1_000).filter(|_| budget.allows(now, "refused", "9c41")).count();
 /// assert!(written < 1_000);
 /// let sums = budget.take_summary(Timestamp::from_millis(2_000));
 /// assert_eq!(sums["refused"].count as usize, 1_000 - written);
 /// ```
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct LineBudget {
+    lines_per_second: f64,
     level: f64,
     filled: Option<Timestamp>,
     suppressed: BTreeMap<&'static str, SuppressedLines>,
@@ -52,6 +49,18 @@
 }
 
 impl LineBudget {
+    /// Makes a budget of this many lines in a second.
+    #[must_use]
+    pub const fn new(lines_per_second: f64) -> Self {
+        Self {
+            lines_per_second,
+            level: 0.0,
+            filled: None,
+            suppressed: BTreeMap::new(),
+            summed: None,
+        }
+    }
+
     /// Returns whether a line may be written; otherwise it is counted for the summary.
     pub fn allows(&mut self, now: Timestamp, cause: &'static str, id: &str) -> bool {
         self.fill(now);
@@ -78,13 +87,14 @@
     }
 
     fn fill(&mut self, now: Timestamp) {
+        let most = self.lines_per_second * BURST_SECONDS;
         let Some(filled) = self.filled else {
             self.filled = Some(now);
-            self.level = BURST_LINES;
+            self.level = most;
             return;
         };
-        let gained = LINES_PER_SECOND * now.since(filled).as_secs_f64();
-        self.level = (self.level + gained).min(BURST_LINES);
+        let gained = self.lines_per_second * now.since(filled).as_secs_f64();
+        self.level = (self.level + gained).min(most);
         self.filled = Some(filled.max(now));
     }
 }
--- a/crates/teaselglade-host/src/journal/mod.rs
+++ b/crates/teaselglade-host/src/journal/mod.rs
@@ -5,5 +5,5 @@
 mod log_start;
 
 pub use decision_log::{DecisionLog, PlacedLine, RequestLine};
-pub use line_budget::{LINES_PER_SECOND, LineBudget, MAX_SUMMARY_IDS, SuppressedLines};
-pub use log_start::{LogGuard, start_log};
+pub use line_budget::{LineBudget, MAX_SUMMARY_IDS, SuppressedLines};
+pub use log_start::{LogFilter, LogGuard, dropped_lines, json_log, start_log};
--- a/crates/teaselglade-host/src/settings/host_settings.rs
+++ b/crates/teaselglade-host/src/settings/host_settings.rs
@@ -3,6 +3,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use super::LogSettings;
+
 /// Addresses that a host listens on.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ListenAddresses {
@@ -28,7 +30,7 @@
 }
 
 /// Settings of a serving host.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct HostSettings {
     /// Name of the host.
     pub name: String,
@@ -42,4 +44,6 @@
     pub stop_within: Duration,
     /// What the platform asks of the holder of the duties.
     pub duties: DutyBounds,
+    /// What is logged.
+    pub log: LogSettings,
 }
--- a/crates/teaselglade-host/src/settings/mod.rs
+++ b/crates/teaselglade-host/src/settings/mod.rs
@@ -1,5 +1,7 @@
 //! Settings of a serving host.
 
 mod host_settings;
+mod log_settings;
 
 pub use host_settings::{DutyBounds, HostSettings, ListenAddresses};
+pub use log_settings::LogSettings;
--- a/crates/teaselglade-host/src/state/host_state.rs
+++ b/crates/teaselglade-host/src/state/host_state.rs
@@ -55,6 +55,7 @@
     ///
     /// Fails where counters cannot be registered.
     pub fn new(settings: HostSettings, ports: HostPorts) -> prometheus::Result<Arc<Self>> {
+        let log = DecisionLog::new(settings.log.lines_per_second);
         let clock = SystemClock::start();
         let start = clock.now().as_micros();
         let decisions = Mutex::new(Decisions::new(&settings, start));
@@ -62,7 +63,7 @@
             settings,
             ports,
             metrics: HostMetrics::new()?,
-            log: DecisionLog::default(),
+            log,
             pool: ConnectionPool::default(),
             stopping: CancellationToken::new(),
             start,
--- a/crates/teaselglade-host/tests/host/journal.rs
+++ b/crates/teaselglade-host/tests/host/journal.rs
@@ -1,11 +1,13 @@
 //! Bounds of the lines about requests.
 
 use teaselglade_core::time::Timestamp;
-use teaselglade_host::journal::{LINES_PER_SECOND, LineBudget, MAX_SUMMARY_IDS};
+use teaselglade_host::journal::{LineBudget, MAX_SUMMARY_IDS};
+
+const LINES_PER_SECOND: f64 = 60.0;
 
 #[test]
 fn a_burst_of_refusals_stays_within_the_bound_and_keeps_its_ids() {
-    let mut budget = LineBudget::default();
+    let mut budget = LineBudget::new(LINES_PER_SECOND);
     let (mut written, mut summed, mut named) = (0_u64, 0, 0);
     // Ten seconds with a thousand refusals each.
     for index in 0..10_000_u64 {
@@ -30,7 +32,7 @@
 
 #[test]
 fn the_usual_load_is_written_line_by_line() {
-    let mut budget = LineBudget::default();
+    let mut budget = LineBudget::new(LINES_PER_SECOND);
     for index in 0..5_000_u64 {
         let now = Timestamp::from_millis(1_000 + index * 20);
         assert!(budget.allows(now, "placed", "id"), "line {index}");
--- a/crates/teaselglade/src/program/host_program.rs
+++ b/crates/teaselglade/src/program/host_program.rs
@@ -9,7 +9,7 @@
 use eyre::{Result, WrapErr};
 use teaselglade_core::port::LogPort;
 use teaselglade_host::host::ServingHost;
-use teaselglade_host::journal::start_log;
+use teaselglade_host::journal::{LogFilter, start_log};
 use teaselglade_host::port::{DutyPort, FeedPort};
 use teaselglade_host::state::HostPorts;
 use teaselglade_net::client::HttpCaller;
@@ -23,6 +23,8 @@
 
 /// Port of the counters where none is given.
 const METRICS_PORT: u16 = 9_464;
+/// Which lines are logged where nothing else is said.
+const LOG_FILTER: &str = "info";
 
 /// Serving host on the users' platform. SIGTERM stops it gracefully; SIGHUP reads the settings
 /// file anew.
@@ -35,9 +37,10 @@
     /// Port of the counters on the host's address.
     #[arg(long, default_value_t = METRICS_PORT)]
     metrics_port: u16,
-    /// Which lines are logged, such as `info` or `teaselglade_host::peer=debug`.
-    #[arg(long, default_value = "info")]
-    log: String,
+    /// Which lines are logged, such as `info` or `teaselglade_host::peer=debug`; goes before
+    /// `log.filter` of the settings file, and no reload changes it.
+    #[arg(long)]
+    log: Option<String>,
     /// Only check the settings file.
     #[arg(long)]
     check: bool,
@@ -76,7 +79,8 @@
 }
 
 async fn serve(options: HostOptions, boot: BootFile) -> Result<()> {
-    let _log = start_log(&options.log).wrap_err("cannot read the log's filter")?;
+    let log = start_log(log_filter(&options, &boot), boot.host.log.queued_lines);
+    let log = log.wrap_err("cannot read the log's filter")?;
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
     let mut reload = signal(SignalKind::hangup())?;
@@ -88,7 +92,7 @@
         tokio::select! {
             _signal = terminate.recv() => break,
             _signal = interrupt.recv() => break,
-            _signal = reload.recv() => reread(&options, &boot, &host),
+            _signal = reload.recv() => reread(&options, &boot, &host, &log.filter),
         }
     }
     host.stop().await;
@@ -110,16 +114,28 @@
     }
 }
 
-/// Reads the settings file anew; seeds are taken in, other changes need a restart.
-fn reread(options: &HostOptions, boot: &BootFile, host: &ServingHost) {
-    match BootFile::read(&options.settings) {
-        Ok(read) => {
-            let port = read.host.listen.peers.port();
-            let seeds = read.host.seeds.iter();
-            let seeds = seeds.map(|seed| SocketAddr::new(seed.ip(), port));
-            host.state().decide().roster.add_seeds(seeds);
-            info!(event = "reloaded", changed = read != *boot);
+/// Returns which lines are to be logged.
+fn log_filter<'a>(options: &'a HostOptions, boot: &'a BootFile) -> &'a str {
+    let given = options.log.as_deref().or(boot.host.log.filter.as_deref());
+    given.unwrap_or(LOG_FILTER)
+}
+
+/// Reads the settings file anew; seeds and the log's filter are taken in, the rest needs a restart.
+fn reread(options: &HostOptions, boot: &BootFile, host: &ServingHost, filter: &LogFilter) {
+    let read = match BootFile::read(&options.settings) {
+        Ok(read) => read,
+        Err(faults) => {
+            warn!(event = "reload_failed", error = %faults);
+            return;
         }
-        Err(faults) => warn!(event = "reload_failed", error = %faults),
+    };
+    let port = read.host.listen.peers.port();
+    let seeds = read.host.seeds.iter();
+    let seeds = seeds.map(|seed| SocketAddr::new(seed.ip(), port));
+    host.state().decide().roster.add_seeds(seeds);
+    let log = log_filter(options, &read);
+    match filter.set(log) {
+        Ok(is_set) => info!(event = "reloaded", changed = read != *boot, log, is_set),
+        Err(error) => warn!(event = "reload_failed", log, error = %error),
     }
 }
--- /dev/null
+++ b/crates/teaselglade/tests/host/captured_log.rs
@@ -0,0 +1,53 @@
+//! Keeps the log lines of a test.
+
+use std::io::{Result, Write};
+use std::sync::{Arc, Mutex, PoisonError};
+
+use teaselglade::operation::{HostLine, RequestStory};
+use teaselglade_host::journal::json_log;
+use tracing::subscriber::DefaultGuard;
+use tracing_subscriber::util::SubscriberInitExt;
+
+/// Keeps the log lines of all that runs on a test's thread.
+pub struct CapturedLog {
+    bytes: LogBytes,
+    _log: DefaultGuard,
+}
+
+#[derive(Clone, Default)]
+struct LogBytes(Arc<Mutex<Vec<u8>>>);
+
+impl Write for LogBytes {
+    fn write(&mut self, buf: &[u8]) -> Result<usize> {
+        let mut kept = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        kept.extend(buf);
+        Ok(buf.len())
+    }
+
+    fn flush(&mut self) -> Result<()> {
+        Ok(())
+    }
+}
+
+impl CapturedLog {
+    pub fn start() -> Self {
+        let bytes = LogBytes::default();
+        let shared = bytes.clone();
+        let (log, _filter) = json_log("info", move || shared.clone()).expect("a filter");
+        Self {
+            bytes,
+            _log: log.set_default(),
+        }
+    }
+
+    /// Returns what the lines so far tell of a request, as an operator reads it.
+    pub fn explain(&self, id: &str) -> String {
+        let kept = self.bytes.0.lock().unwrap_or_else(PoisonError::into_inner);
+        let text = String::from_utf8_lossy(&kept).into_owned();
+        let lines = text
+            .lines()
+            .filter_map(|line| HostLine::parse(line, "edge"));
+        let lines: Vec<HostLine> = lines.collect();
+        RequestStory::join(id, &lines).render()
+    }
+}
--- /dev/null
+++ b/crates/teaselglade/tests/host/main.rs
@@ -0,0 +1,14 @@
+//! The serving host's log: what it explains, and that nothing waits for its reader.
+
+#[path = "../../../../platform/tests/platform/fixture.rs"]
+mod fixture;
+#[path = "../../../../platform/tests/platform/server_standin.rs"]
+#[expect(dead_code, reason = "these tests need a part of the stand-in")]
+mod server_standin;
+#[path = "../../../../platform/tests/platform/store_standin.rs"]
+#[expect(dead_code, reason = "these tests need a part of the stand-in")]
+mod store_standin;
+
+mod captured_log;
+mod explained;
+mod log_stream;
