perf(exchange): keep the collecting hosts' links free in large fleets

Each host told back to three collectors all departures for 10 s and all news for 1.5 s, five times a second: 14 to 24 Mbit/s into a collector with a link of 10; and a collector sent its own digest to 28 hosts at once, of which the last were lost. Hosts that hear no collector keep to their share of the rate, a tenth or less. Ruled out: quotas that were lowered (hosts of one zone differed twentyfold), cuts (also refused long after them). Change: a host that hears a collector tells only what it learned itself; a departure that is no longer fresh stands in every fifth digest; a collector's digest is spread over its interval; a host asks the collector that it wants and turns to another after 600 ms without word; a host that none tells anything reads the store itself. Leading hosts, readers and candidates for the duties are one matter of the roster now. Bytes of digests are counted, a quota's refusal says level and hosts heard. Tests replay 46 servers taken back at once, and a collector that is present but not heard.

--- a/crates/teaselglade-host/src/duty/duty_driver.rs
+++ b/crates/teaselglade-host/src/duty/duty_driver.rs
@@ -27,8 +27,6 @@
 
 /// Name of the one lease for all duties.
 const LEASE_NAME: &str = "duties";
-/// Hosts that take part in the lease; two stand in for its holder.
-const CANDIDATES: usize = 3;
 /// Time between two looks at the lease and the duties.
 const TICK: Duration = Duration::from_millis(100);
 /// Time between two plans of the servers.
@@ -177,7 +175,7 @@
     fn follow_candidacy(&mut self) {
         let now = self.host.now();
         let decisions = self.host.decide();
-        let is_candidate = decisions.roster.rank(now) < CANDIDATES;
+        let is_candidate = decisions.roster.is_duty_candidate(now);
         let is_large = decisions.roster.is_large();
         drop(decisions);
         let is_holder = self.holder.number_in_force(self.clock.now()).is_some();
--- a/crates/teaselglade-host/src/metrics/host_metrics.rs
+++ b/crates/teaselglade-host/src/metrics/host_metrics.rs
@@ -30,6 +30,8 @@
     pub platform_calls: IntCounterVec,
     /// Digests by direction.
     pub digests: IntCounterVec,
+    /// Bytes of digests by direction.
+    pub digest_bytes: IntCounterVec,
     /// Records of the store that were passed over.
     pub unreadable_records: IntCounter,
     /// Version of the table in force.
@@ -90,6 +92,11 @@
                 "Digests of hosts.",
                 &["direction"],
             )?,
+            digest_bytes: r.counters(
+                "teaselglade_digest_bytes_total",
+                "Bytes of digests.",
+                &["direction"],
+            )?,
             unreadable_records: r.counter(
                 "teaselglade_unreadable_records_total",
                 "Records of the store that were passed over.",
--- a/crates/teaselglade-host/src/peer/digest_exchange.rs
+++ b/crates/teaselglade-host/src/peer/digest_exchange.rs
@@ -8,10 +8,11 @@
 use teaselglade_routing::exchange::{
     FleetDigest, HostDigest, LeadingHost, PeerAddress, PeerMessage, ServiceDemand,
 };
+use teaselglade_routing::fleet::NewsScope;
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc::UnboundedSender;
-use tokio::time::{MissedTickBehavior, interval};
-use tracing::{debug, info};
+use tokio::time::{Instant, MissedTickBehavior, interval, sleep_until};
+use tracing::{debug, info, warn};
 
 use crate::state::HostState;
 
@@ -19,6 +20,10 @@
 const DIGEST_INTERVAL: Duration = Duration::from_millis(200);
 /// Own digests of a collector for each digest of the fleet.
 const FLEET_TURN: u64 = 2;
+/// Digests of a host in a large fleet for each one that names other hosts.
+const NAMED_TURN: u64 = 5;
+/// Part of a collector's interval over which its digests are spread, so that none finds a full link.
+const SPREAD_SHARE: f64 = 0.8;
 /// Largest digest that is taken.
 const MAX_DIGEST_BYTES: usize = 60 * 1024;
 
@@ -30,6 +35,17 @@
     /// Peers that have a newer table.
     newer: UnboundedSender<SocketAddr>,
     number: u64,
+    /// The fleet's digest on its way to the hosts that this one serves.
+    round: FleetRound,
+}
+
+/// The fleet's digest on its way to the hosts that a collector serves, one after the other.
+#[derive(Debug)]
+struct FleetRound {
+    bytes: Vec<u8>,
+    left: Vec<SocketAddr>,
+    next_at: Instant,
+    pause: Duration,
 }
 
 impl DigestExchange {
@@ -55,6 +71,12 @@
             socket,
             newer,
             number: 0,
+            round: FleetRound {
+                bytes: Vec::new(),
+                left: Vec::new(),
+                next_at: Instant::now(),
+                pause: Duration::ZERO,
+            },
         })
     }
 
@@ -66,6 +88,9 @@
         loop {
             tokio::select! {
                 _tick = ticks.tick() => self.send().await,
+                () = sleep_until(self.round.next_at), if !self.round.left.is_empty() => {
+                    self.send_next().await;
+                }
                 received = self.socket.recv_from(&mut buffer) => match received {
                     Ok((length, sender)) => self.take(&buffer[..length], sender),
                     // A peer that is down makes later calls fail; the others still send.
@@ -77,28 +102,46 @@
 
     async fn send(&mut self) {
         let (digest, targets) = self.digest();
-        self.send_to(&PeerMessage::Host(Box::new(digest)), targets)
-            .await;
+        let bytes = encode(&PeerMessage::Host(Box::new(digest)));
+        for target in targets {
+            self.send_to(&bytes, target).await;
+        }
+        if self.number.is_multiple_of(FLEET_TURN) {
+            self.begin_round();
+        }
+    }
+
+    /// Begins to tell the hosts that this one serves what all hosts said.
+    fn begin_round(&mut self) {
         let now = self.host.now();
-        let is_turn = self.number.is_multiple_of(FLEET_TURN);
-        if is_turn && self.host.decide().roster.is_collector(now) {
-            let (digest, targets) = self.fleet_digest();
-            self.send_to(&PeerMessage::Fleet(Box::new(digest)), targets)
-                .await;
+        let served = self.host.decide().roster.served(now);
+        if served.is_empty() {
+            return;
         }
+        let span = DIGEST_INTERVAL.mul_f64(FLEET_TURN as f64 * SPREAD_SHARE);
+        self.round = FleetRound {
+            bytes: encode(&PeerMessage::Fleet(Box::new(self.fleet_digest()))),
+            pause: span / served.len() as u32,
+            left: served,
+            next_at: Instant::now(),
+        };
     }
 
-    async fn send_to(&self, message: &PeerMessage, targets: Vec<SocketAddr>) {
-        // The types have only fields that the codec writes.
-        let Ok(bytes) = rmp_serde::to_vec(message) else {
+    async fn send_next(&mut self) {
+        let Some(target) = self.round.left.pop() else {
             return;
         };
-        for target in targets {
-            let sent = self.socket.send_to(&bytes, target).await;
-            let direction = if sent.is_ok() { "sent" } else { "send_failed" };
-            let digests = &self.host.metrics.digests;
-            digests.with_label_values(&[direction]).inc();
-        }
+        self.round.next_at += self.round.pause;
+        self.send_to(&self.round.bytes, target).await;
+    }
+
+    async fn send_to(&self, bytes: &[u8], target: SocketAddr) {
+        let sent = self.socket.send_to(bytes, target).await;
+        let direction = if sent.is_ok() { "sent" } else { "send_failed" };
+        let metrics = &self.host.metrics;
+        metrics.digests.with_label_values(&[direction]).inc();
+        let sent_bytes = metrics.digest_bytes.with_label_values(&[direction]);
+        sent_bytes.inc_by(bytes.len() as u64);
     }
 
     fn digest(&mut self) -> (HostDigest, Vec<SocketAddr>) {
@@ -115,6 +158,16 @@
         let demand = decisions.engines.demand(now).into_iter();
         let demand = demand.map(|(service, tokens)| ServiceDemand { service, tokens });
         let demand = demand.collect();
+        let scope = decisions.news_scope(now);
+        let turn = decisions.roster.is_large().then_some(self.number);
+        let told_at = decisions.quotas.followed_at();
+        let asks = decisions.roster.ask(now, told_at);
+        let names_peers = turn.is_none_or(|turn| turn.is_multiple_of(NAMED_TURN));
+        let peers = if names_peers {
+            decisions.roster.named()
+        } else {
+            Vec::new()
+        };
         let digest = HostDigest {
             host: PeerAddress {
                 name: host.settings.name.clone(),
@@ -125,21 +178,22 @@
             table,
             reads_store: decisions.reads_store(),
             news_age_ms: now.since(decisions.news_at).as_millis() as u64,
-            news: decisions.fleet.news(now),
+            news: decisions.fleet.news(now, scope),
             spend: decisions.quotas.report(now),
             loads: decisions.engines.loads(&decisions.fleet),
             placed: decisions.engines.recent_prompts(now),
             demand,
             usage: decisions.usage.shared(wall),
-            departures: decisions.fleet.departures(now),
-            peers: decisions.roster.named(),
+            departures: decisions.fleet.departures(now, scope, turn),
+            asks,
+            peers,
         };
         let targets = decisions.roster.targets(now);
         (digest, targets)
     }
 
     /// Adds up what this collector heard, for the hosts that it serves.
-    fn fleet_digest(&self) -> (FleetDigest, Vec<SocketAddr>) {
+    fn fleet_digest(&self) -> FleetDigest {
         let host = &self.host;
         let now = host.now();
         let table = host.table_version();
@@ -154,18 +208,18 @@
             start: host.start,
             reads_store: decisions.reads_store(),
         };
-        let digest = FleetDigest {
+        let turn = Some(self.number / FLEET_TURN);
+        FleetDigest {
             leaders: decisions.roster.leaders(now, own),
             table,
             sender,
             heard_share: decisions.roster.heard_share(now),
             news_age_ms: now.since(decisions.news_at).as_millis() as u64,
-            news: decisions.fleet.news(now),
-            departures: decisions.fleet.departures(now),
+            news: decisions.fleet.news(now, NewsScope::All),
+            departures: decisions.fleet.departures(now, NewsScope::All, turn),
             loads: decisions.engines.fleet_loads(&decisions.fleet),
             spend: decisions.quotas.fleet_spend(now),
-        };
-        (digest, decisions.roster.served(now))
+        }
     }
 
     fn take(&self, bytes: &[u8], sender: SocketAddr) {
@@ -179,6 +233,12 @@
             }
         };
         digests.with_label_values(&["received"]).inc();
+        let received_bytes = self
+            .host
+            .metrics
+            .digest_bytes
+            .with_label_values(&["received"]);
+        received_bytes.inc_by(bytes.len() as u64);
         match message {
             PeerMessage::Host(digest) => self.apply(*digest),
             PeerMessage::Fleet(digest) => self.apply_fleet(*digest),
@@ -194,7 +254,7 @@
             decisions.roster.note_leader(now, leader);
         }
         for sheet in digest.news {
-            decisions.fleet.note_sheet(now, sheet);
+            decisions.fleet.hear_sheet(now, sheet);
         }
         decisions.note_news(now, Duration::from_millis(digest.news_age_ms));
         for departure in &digest.departures {
@@ -228,7 +288,7 @@
             decisions.roster.note_named(now, peer);
         }
         for sheet in digest.news {
-            decisions.fleet.note_sheet(now, sheet);
+            decisions.fleet.hear_sheet(now, sheet);
         }
         decisions.note_news(now, Duration::from_millis(digest.news_age_ms));
         for departure in &digest.departures {
@@ -252,3 +312,11 @@
         }
     }
 }
+
+/// Encodes a message; the types have only fields that the codec writes.
+fn encode(message: &PeerMessage) -> Vec<u8> {
+    rmp_serde::to_vec(message).unwrap_or_else(|error| {
+        warn!(event = "digest_not_written", error = %error);
+        Vec::new()
+    })
+}
--- a/crates/teaselglade-host/src/peer/peer_pull.rs
+++ b/crates/teaselglade-host/src/peer/peer_pull.rs
@@ -91,7 +91,7 @@
     if news_age < OLD_NEWS && own_age >= OLD_NEWS {
         let count = state.servers.len();
         for sheet in state.servers {
-            decisions.fleet.note_sheet(now, sheet);
+            decisions.fleet.hear_sheet(now, sheet);
         }
         decisions.news_at = now;
         drop(decisions);
--- a/crates/teaselglade-host/src/state/decisions.rs
+++ b/crates/teaselglade-host/src/state/decisions.rs
@@ -8,7 +8,7 @@
 use teaselglade_request::retry::{BudgetLimits, RetryBudget, RetryDecision};
 use teaselglade_routing::engine::EnginePlacer;
 use teaselglade_routing::exchange::{PeerRoster, ServiceDemand};
-use teaselglade_routing::fleet::FleetView;
+use teaselglade_routing::fleet::{FleetView, NewsScope};
 use teaselglade_routing::plain::PlainPlacer;
 use teaselglade_routing::quota::QuotaBoard;
 use teaselglade_routing::scaling::ZoneStock;
@@ -88,6 +88,27 @@
         }
     }
 
+    /// Returns whose news of servers this host tells.
+    ///
+    /// In a large fleet a host that hears a collecting host does not tell back what that told:
+    /// the echoes of all hosts together filled the collecting hosts' links.
+    #[must_use]
+    pub fn news_scope(&self, now: Timestamp) -> NewsScope {
+        let roster = &self.roster;
+        if !roster.is_large() || roster.is_collector(now) || self.is_unserved(now) {
+            NewsScope::All
+        } else {
+            NewsScope::Own
+        }
+    }
+
+    /// Returns whether this is a host of a large fleet that no collecting host tells anything.
+    #[must_use]
+    pub fn is_unserved(&self, now: Timestamp) -> bool {
+        let roster = &self.roster;
+        roster.is_large() && !roster.is_collector(now) && !self.quotas.is_following(now)
+    }
+
     /// Returns whether the store answers this host at present.
     #[must_use]
     pub const fn reads_store(&self) -> bool {
--- a/crates/teaselglade-host/src/state/host_state.rs
+++ b/crates/teaselglade-host/src/state/host_state.rs
@@ -19,8 +19,6 @@
 use crate::settings::HostSettings;
 use crate::upstream::ConnectionPool;
 
-/// Hosts that read the store for all; the second one stands in for the first.
-const READERS: usize = 2;
 const GOLDEN_RATIO: f64 = 0.618_033_988_749_894_9;
 
 /// What the parts of a host share.
@@ -146,10 +144,12 @@
             && self.decide().news_at > Timestamp::ZERO
     }
 
-    /// Returns whether this host is among those that read the store for all.
+    /// Returns whether this host reads the store, for all or as no collecting host tells it news.
     #[must_use]
     pub fn is_reader(&self) -> bool {
-        self.decide().roster.reader_rank(self.now()) < READERS
+        let now = self.now();
+        let decisions = self.decide();
+        decisions.roster.is_reader(now) || decisions.is_unserved(now)
     }
 
     /// Counts a call to the platform and logs where a dependency was lost or regained.
--- a/crates/teaselglade-routing/src/exchange/host_digest.rs
+++ b/crates/teaselglade-routing/src/exchange/host_digest.rs
@@ -56,6 +56,8 @@
     pub usage: Vec<WindowCounts>,
     /// Servers that leave, as far as it heard lately.
     pub departures: Vec<Departure>,
+    /// Hash of the name of the collecting host that is to serve it; none where it asks nobody.
+    pub asks: Option<u64>,
     /// Some of the hosts that it knows.
     pub peers: Vec<PeerAddress>,
 }
--- a/crates/teaselglade-routing/src/exchange/peer_roster.rs
+++ b/crates/teaselglade-routing/src/exchange/peer_roster.rs
@@ -23,8 +23,16 @@
 
 /// Peers from which on a fleet is large, so that digests go through collectors.
 const LARGE_FLEET: usize = 20;
-/// Hosts that collect in a large fleet; each serves its part of the others.
-const COLLECTORS: usize = 3;
+/// Hosts that go first by name among the present ones and act for all.
+///
+/// They collect in a large fleet, each for its part of the others, and the duties pass among them;
+/// the holder of the duties needs what a collector hears. Three, so that two may be lost at once.
+const LEADING: usize = 3;
+/// Hosts that read the store for all; the second one stands in for the first.
+const READERS: usize = 2;
+/// Time without word of any collector after which a host asks another one; two of their intervals
+/// are 800 ms, and the switch takes one more.
+const ASK_SPAN: Duration = Duration::from_millis(600);
 /// Peers beside the collectors that get a digest in a large fleet, should all collectors fail.
 const LARGE_FAN_OUT: usize = 2;
 /// Hosts that go first by name and are told to all; twice the collectors, as some get lost.
@@ -40,6 +48,14 @@
     heard: Timestamp,
     /// Whether the store answered the host when it was last heard.
     reads_store: bool,
+    /// Hash of the name of the collector that the host asks.
+    asks: Option<u64>,
+}
+
+impl PeerEntry {
+    fn is_present(&self, now: Timestamp) -> bool {
+        self.start > 0 && now.since(self.heard) < PRESENT_SPAN
+    }
 }
 
 /// The other hosts that this one knows, from seeds, the store and digests.
@@ -60,6 +76,10 @@
     own_name: String,
     seeds: Vec<SocketAddr>,
     peers: BTreeMap<String, PeerEntry>,
+    /// How often this host turned to another collector.
+    turns: u64,
+    /// When it did so last.
+    turned_at: Timestamp,
     random: Pcg32,
 }
 
@@ -71,6 +91,8 @@
             own_name: own_name.into(),
             seeds: Vec::new(),
             peers: BTreeMap::new(),
+            turns: 0,
+            turned_at: Timestamp::ZERO,
             random: Pcg32::seed_from_u64(seed),
         }
     }
@@ -95,6 +117,7 @@
             number: 0,
             heard: now,
             reads_store: false,
+            asks: None,
         };
         self.peers.entry(peer.name.clone()).or_insert(entry);
     }
@@ -115,6 +138,7 @@
             number,
             heard: now,
             reads_store: digest.reads_store,
+            asks: digest.asks,
         };
         self.peers.insert(peer.name.clone(), entry);
         true
@@ -133,7 +157,7 @@
             .copied()
             .choose_multiple(&mut self.random, fan_out);
         if self.is_large() {
-            let collectors = self.present(now).take(COLLECTORS);
+            let collectors = self.present(now).take(LEADING);
             targets.extend(collectors.map(|(_, peer)| peer.address));
             targets.sort_unstable();
             targets.dedup();
@@ -187,15 +211,58 @@
     /// Returns whether this host collects for others.
     #[must_use]
     pub fn is_collector(&self, now: Timestamp) -> bool {
-        self.is_large() && self.rank(now) < COLLECTORS
+        self.is_large() && self.rank(now) < LEADING
+    }
+
+    /// Returns whether this host reads the store for all.
+    #[must_use]
+    pub fn is_reader(&self, now: Timestamp) -> bool {
+        self.reader_rank(now) < READERS
+    }
+
+    /// Returns whether this host may take the duties.
+    #[must_use]
+    pub fn is_duty_candidate(&self, now: Timestamp) -> bool {
+        self.rank(now) < LEADING
     }
 
-    /// Returns the addresses that this collector serves; the others serve the rest.
+    /// Returns the hash of the name of the collector that this host asks to serve it.
+    ///
+    /// `told_at` is when a collector told it something last. Answers collectors whose messages get
+    /// lost on a full link while they count as present: only the host itself sees that.
+    pub fn ask(&mut self, now: Timestamp, told_at: Option<Timestamp>) -> Option<u64> {
+        if !self.is_large() || self.is_collector(now) {
+            return None;
+        }
+        let waits_since = told_at.unwrap_or_default().max(self.turned_at);
+        if now.since(waits_since) >= ASK_SPAN {
+            self.turns += 1;
+            self.turned_at = now;
+        }
+        let leading: Vec<u64> = self
+            .present(now)
+            .take(LEADING)
+            .map(|(name, _)| name_hash(name))
+            .collect();
+        let first = name_hash(&self.own_name).wrapping_add(self.turns);
+        let index = first.checked_rem(leading.len() as u64)?;
+        leading.get(index as usize).copied()
+    }
+
+    /// Returns the addresses that this host serves as a collector.
+    ///
+    /// Hosts choose whom they ask; those that ask nobody yet are shared out by their names.
     #[must_use]
     pub fn served(&self, now: Timestamp) -> Vec<SocketAddr> {
-        let own = self.rank(now) as u64;
-        let turn = |name: &str| name_hash(name) % COLLECTORS as u64;
-        let served = self.peers.iter().filter(|(name, _)| turn(name) == own);
+        if !self.is_large() {
+            return Vec::new();
+        }
+        let (own, rank) = (name_hash(&self.own_name), self.rank(now));
+        let served = self.peers.iter().filter(|(name, peer)| {
+            let asked = peer.asks.filter(|_| peer.is_present(now));
+            let turn = name_hash(name) % LEADING as u64;
+            asked.map_or(turn == rank as u64, |asked| asked == own)
+        });
         served.map(|(_, peer)| peer.address).collect()
     }
 
@@ -256,7 +323,7 @@
     /// Returns the peers that were heard of lately, in the order of their names.
     fn present(&self, now: Timestamp) -> impl Iterator<Item = (&String, &PeerEntry)> {
         let peers = self.peers.iter();
-        peers.filter(move |(_, peer)| peer.start > 0 && now.since(peer.heard) < PRESENT_SPAN)
+        peers.filter(move |(_, peer)| peer.is_present(now))
     }
 
     /// Forgets hosts that were silent for long and returns their names.
--- a/crates/teaselglade-routing/src/fleet/fleet_view.rs
+++ b/crates/teaselglade-routing/src/fleet/fleet_view.rs
@@ -18,6 +18,20 @@
 /// Time for which changed entries are passed on to peers; a few digests, as some get lost.
 const CHANGE_NEWS: Duration = Duration::from_millis(1_500);
 
+/// Digests among which one names a departure that is no longer fresh.
+///
+/// Fresh ones stand in all; older ones are for hosts that were cut off, which hear several digests.
+const DEPARTURE_TURNS: u64 = 5;
+
+/// Whose news of servers a message carries.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum NewsScope {
+    /// All news, whoever told them.
+    All,
+    /// What this host learned without its peers.
+    Own,
+}
+
 /// Whether an incarnation of a server takes new work.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum ServerPhase {
@@ -49,6 +63,14 @@
     pub is_removed: bool,
     /// When more than the heartbeat's number changed last.
     changed_at: Timestamp,
+    /// Whether a peer told the latest change.
+    is_heard: bool,
+}
+
+impl KnownServer {
+    const fn is_told(&self, scope: NewsScope) -> bool {
+        matches!(scope, NewsScope::All) || !self.is_heard
+    }
 }
 
 /// Last entry of an incarnation that was removed.
@@ -118,6 +140,13 @@
         }
     }
 
+    /// Takes in a server's entry that a peer passed on.
+    pub fn hear_sheet(&mut self, now: Timestamp, sheet: ServerSheet) -> Option<ServerKey> {
+        let key = self.note_sheet(now, sheet)?;
+        self.mark_heard(now, key);
+        Some(key)
+    }
+
     /// Takes in that a server's entry was removed.
     pub fn note_removed(&mut self, now: Timestamp, id: &str) -> Option<ServerKey> {
         let key = self.by_id.get(id).copied()?;
@@ -150,6 +179,7 @@
                 self.leave(now, key);
                 self.servers[key.index()].has_drained = true;
             }
+            self.mark_heard(now, key);
         }
         self.note_retired(departure);
     }
@@ -258,18 +288,38 @@
 
     /// Returns the entries of servers that changed lately, which peers may not know yet.
     #[must_use]
-    pub fn news(&self, now: Timestamp) -> Vec<ServerSheet> {
+    pub fn news(&self, now: Timestamp, scope: NewsScope) -> Vec<ServerSheet> {
         let servers = self.by_id.values().map(|key| self.server(*key));
-        let changed = servers.filter(|server| now.since(server.changed_at) < CHANGE_NEWS);
+        let told = servers.filter(|server| server.is_told(scope));
+        let changed = told.filter(|server| now.since(server.changed_at) < CHANGE_NEWS);
         changed.map(|server| server.sheet.clone()).collect()
     }
 
     /// Returns the departures that peers may not know yet.
+    ///
+    /// `turn` numbers the digests of a host: an older departure is named in every fifth. Without a
+    /// turn all are named. Answers dozens of servers that are taken back at once in a large fleet,
+    /// where naming all for their whole time filled the links of the collecting hosts.
     #[must_use]
-    pub fn departures(&self, now: Timestamp) -> Vec<Departure> {
+    pub fn departures(
+        &self,
+        now: Timestamp,
+        scope: NewsScope,
+        turn: Option<u64>,
+    ) -> Vec<Departure> {
+        let is_turn = |server: &KnownServer| {
+            turn.is_none_or(|turn| {
+                server
+                    .hash
+                    .wrapping_add(turn)
+                    .is_multiple_of(DEPARTURE_TURNS)
+            })
+        };
         let is_news = |server: &&KnownServer| {
-            let left_at = server.left_at;
-            left_at.is_some_and(|left| now.since(left) < DEPARTURE_NEWS)
+            let age = server.left_at.map(|left| now.since(left));
+            let is_due = age
+                .is_some_and(|age| age < CHANGE_NEWS || (age < DEPARTURE_NEWS && is_turn(server)));
+            is_due && server.is_told(scope)
         };
         let recent = self.servers.iter().filter(is_news);
         let departures = recent.map(|server| Departure {
@@ -306,6 +356,7 @@
             has_drained: sheet.state == SheetState::Draining,
             is_removed: false,
             changed_at: now,
+            is_heard: false,
             hash,
             sheet,
         });
@@ -324,6 +375,7 @@
             || server.sheet.service != sheet.service;
         if is_changed {
             server.changed_at = now;
+            server.is_heard = false;
         }
         if matches!(server.phase, ServerPhase::Lapsed { .. }) {
             server.phase = ServerPhase::Ready;
@@ -347,9 +399,16 @@
         if server.phase != ServerPhase::Leaving {
             server.phase = ServerPhase::Leaving;
             server.left_at = Some(now);
+            server.is_heard = false;
         }
     }
 
+    /// Marks the change of this moment, if there was one, as told by a peer.
+    fn mark_heard(&mut self, now: Timestamp, key: ServerKey) {
+        let server = &mut self.servers[key.index()];
+        server.is_heard |= server.changed_at == now || server.left_at == Some(now);
+    }
+
     /// Marks an incarnation as gone for good; its arena entry stays for requests in progress.
     fn retire(&mut self, now: Timestamp, key: ServerKey) {
         self.leave(now, key);
--- a/crates/teaselglade-routing/src/quota/quota_board.rs
+++ b/crates/teaselglade-routing/src/quota/quota_board.rs
@@ -249,6 +249,18 @@
         told.map_or(0.0, |told| (told.rate - own_rate).max(0.0))
     }
 
+    /// Returns whether a collecting host tells this one what all hosts spend.
+    #[must_use]
+    pub fn is_following(&self, now: Timestamp) -> bool {
+        self.followed(now).is_some()
+    }
+
+    /// Returns when a collecting host told last what all hosts spend.
+    #[must_use]
+    pub fn followed_at(&self) -> Option<Timestamp> {
+        self.followed.as_ref().map(|followed| followed.told)
+    }
+
     fn followed(&self, now: Timestamp) -> Option<&FollowedFleet> {
         let followed = self.followed.as_ref();
         followed.filter(|followed| now.since(followed.told) < FOLLOW_SPAN)
@@ -283,7 +295,13 @@
             return Ok(());
         }
         let wait = state.promise(now, units, coming, share);
-        let detail = format!("quota of {organisation} is used up in all zones");
+        let detail = format!(
+            "quota of {organisation} is used up: {:.0} units left of {:.0} a second, {:.2} of the \
+             hosts heard",
+            state.level - coming,
+            state.quota.rate,
+            share,
+        );
         let refusal = RequestRefusal::not_run(RefusalReason::OverLimit, detail);
         Err(refusal.retry_after(wait))
     }
--- a/crates/teaselglade-routing/tests/routing/fleet.rs
+++ b/crates/teaselglade-routing/tests/routing/fleet.rs
@@ -1,7 +1,7 @@
 //! Servers by incarnation: leaving is never undone, lapsed entries come back or are gone.
 
 use proptest::prelude::*;
-use teaselglade_routing::fleet::{Departure, FleetView, ServerPhase, SheetState};
+use teaselglade_routing::fleet::{Departure, FleetView, NewsScope, ServerPhase, SheetState};
 
 use super::fixture::{at, draining, sheet};
 
@@ -110,11 +110,15 @@
 fn peers_hear_of_changes_and_departures_for_a_while_only() {
     let mut fleet = FleetView::default();
     fleet.note_sheet(at(0), sheet("i-1", 5, 1));
-    assert_eq!(fleet.news(at(100)).len(), 1);
-    assert!(fleet.news(at(5_000)).is_empty());
+    assert_eq!(fleet.news(at(100), NewsScope::All).len(), 1);
+    assert!(fleet.news(at(5_000), NewsScope::All).is_empty());
     fleet.note_sheet(at(5_000), draining(sheet("i-1", 5, 2)));
-    assert_eq!(fleet.departures(at(6_000)).len(), 1);
-    assert!(fleet.departures(at(60_000)).is_empty());
+    assert_eq!(fleet.departures(at(6_000), NewsScope::All, None).len(), 1);
+    assert!(
+        fleet
+            .departures(at(60_000), NewsScope::All, None)
+            .is_empty()
+    );
 }
 
 proptest! {
@@ -150,3 +154,52 @@
         }
     }
 }
+
+/// Replays 46 servers taken back at once in a fleet of 86 hosts: the links of collecting hosts were
+/// full of departures that all hosts told back five times a second for ten seconds.
+#[test]
+fn departures_of_a_whole_zone_leave_the_links_free() {
+    let mut reader = FleetView::default();
+    let mut follower = FleetView::default();
+    for server in 0..46 {
+        let name = format!("i-{server}");
+        reader.note_sheet(at(0), sheet(&name, 5, 1));
+        follower.hear_sheet(at(0), sheet(&name, 5, 1));
+        reader.note_removed(at(5_000), &name);
+    }
+    for departure in reader.departures(at(5_100), NewsScope::Own, None) {
+        follower.note_departure(at(5_100), &departure);
+    }
+    assert_eq!(follower.of_service("draft-fleet").count(), 0);
+    let (mut told_back, mut passed_on) = (0, 0);
+    for turn in 0..50 {
+        let now = at(5_200 + turn * 200);
+        told_back += follower.departures(now, NewsScope::Own, Some(turn)).len();
+        passed_on += reader.departures(now, NewsScope::All, Some(turn)).len();
+    }
+    assert_eq!(told_back, 0);
+    // All of them while they are fresh, a fifth of them in each digest later.
+    assert!(passed_on <= 46 * (7 + 43 / 5 + 1), "{passed_on}");
+}
+
+#[test]
+fn an_older_departure_is_named_in_every_fifth_digest() {
+    let mut fleet = FleetView::default();
+    fleet.note_sheet(at(0), sheet("i-1", 5, 1));
+    fleet.note_removed(at(0), "i-1");
+    let named = (0..10_u64).filter(|turn| {
+        let told = fleet.departures(at(4_000), NewsScope::All, Some(*turn));
+        !told.is_empty()
+    });
+    assert_eq!(named.count(), 2);
+}
+
+#[test]
+fn what_a_host_learns_itself_is_told_though_a_peer_told_something_before() {
+    let mut fleet = FleetView::default();
+    fleet.hear_sheet(at(0), sheet("i-1", 5, 1));
+    assert!(fleet.news(at(10), NewsScope::Own).is_empty());
+    assert_eq!(fleet.news(at(10), NewsScope::All).len(), 1);
+    fleet.note_sheet(at(500), draining(sheet("i-1", 5, 2)));
+    assert_eq!(fleet.departures(at(600), NewsScope::Own, None).len(), 1);
+}
--- a/crates/teaselglade-routing/tests/routing/roster.rs
+++ b/crates/teaselglade-routing/tests/routing/roster.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashMap;
 
-use teaselglade_routing::exchange::{HostDigest, PeerAddress, PeerRoster};
+use teaselglade_routing::exchange::{HostDigest, PeerAddress, PeerRoster, name_hash};
 
 use super::fixture::at;
 
@@ -24,6 +24,7 @@
         demand: Vec::new(),
         usage: Vec::new(),
         departures: Vec::new(),
+        asks: None,
         peers: Vec::new(),
     }
 }
@@ -107,3 +108,52 @@
     }
     assert!(targets.len() <= 5, "{targets:?}");
 }
+
+fn large(own: &str) -> PeerRoster {
+    let mut roster = PeerRoster::new(own, 1);
+    for host in 10..60 {
+        let mut heard = digest(&format!("edge-{host}"), 10, 1);
+        heard.host.address = format!("127.0.1.{host}:7600").parse().expect("an address");
+        roster.note_heard(at(0), &heard);
+    }
+    roster
+}
+
+/// Replays a collector whose messages to some hosts are lost on a full link, though it is present.
+#[test]
+fn a_host_that_its_collector_does_not_reach_asks_another_one() {
+    let mut roster = large("edge-99");
+    let first = roster.ask(at(100), Some(at(90))).expect("a collector");
+    assert_eq!(roster.ask(at(600), Some(at(500))), Some(first));
+    let second = roster.ask(at(1_050), Some(at(440))).expect("a collector");
+    assert_ne!(first, second);
+    assert_eq!(
+        roster.ask(at(1_060), Some(at(440))),
+        Some(second),
+        "it waits for that one"
+    );
+    assert_eq!(roster.ask(at(1_070), Some(at(1_065))), Some(second));
+}
+
+#[test]
+fn a_collector_serves_those_that_ask_it_and_no_others() {
+    let mut roster = large("edge-10");
+    let mut asking = digest("edge-50", 10, 2);
+    asking.host.address = "127.0.1.50:7600".parse().expect("an address");
+    for (asked, is_served) in [("edge-10", true), ("edge-11", false), ("edge-10", true)] {
+        asking.number += 1;
+        asking.asks = Some(name_hash(asked));
+        roster.note_heard(at(10), &asking);
+        let served = roster.served(at(20));
+        assert_eq!(served.contains(&asking.host.address), is_served, "{asked}");
+    }
+}
+
+#[test]
+fn collectors_ask_nobody_and_may_take_the_duties() {
+    let mut first = large("edge-10");
+    assert_eq!(first.ask(at(10), None), None);
+    assert!(first.is_collector(at(10)) && first.is_duty_candidate(at(10)));
+    let last = large("edge-99");
+    assert!(!last.is_collector(at(10)) && !last.is_duty_candidate(at(10)));
+}
