fix(exchange): lost leading hosts are lost; servers that register late count; cuts keep shares

Change: a leading host is told with the age of its last word; the most servers seen before the load count, of one kind; a follower keeps hosts for 60 s, a new collector begins to count silence when it begins to collect. A line tells when the roles of a host change.

--- a/crates/teaselglade-core/src/time/timestamp.rs
+++ b/crates/teaselglade-core/src/time/timestamp.rs
@@ -62,6 +62,24 @@
     pub const fn since(self, earlier: Self) -> Duration {
         Duration::from_micros(self.0.saturating_sub(earlier.0))
     }
+
+    /// Returns the time that was `span` before, or the first one.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use teaselglade_core::time::Timestamp;
+    ///
+    /// let now = Timestamp::from_millis(5);
+    /// assert_eq!(now.before(Duration::from_millis(3)), Timestamp::from_millis(2));
+    /// assert_eq!(now.before(Duration::from_secs(9)), Timestamp::ZERO);
+    /// ```
+    #[must_use]
+    pub fn before(self, span: Duration) -> Self {
+        let micros = u64::try_from(span.as_micros()).unwrap_or(u64::MAX);
+        Self::from_micros(self.as_micros().saturating_sub(micros))
+    }
 }
 
 impl Add<Duration> for Timestamp {
--- a/crates/teaselglade-host/src/host/serving_host.rs
+++ b/crates/teaselglade-host/src/host/serving_host.rs
@@ -153,6 +153,7 @@
 
 /// Closes what is out of date and writes what was summed up.
 async fn clean_up(host: Arc<HostState>) {
+    let mut roles = None;
     let mut dropped = dropped_lines();
     loop {
         sleep(CLEAN_INTERVAL).await;
@@ -165,6 +166,7 @@
             counter.with_label_values(&["slow_reader"]).inc_by(lines);
             warn!(event = "lines_dropped", lines);
         }
+        log_roles(&host, &mut roles);
         host.decide().fleet.expire(now);
         host.pool
             .prune(|server| host.decide().fleet.takes_work(server));
@@ -172,6 +174,24 @@
     }
 }
 
+/// Logs what this host does for all others, where that changed.
+fn log_roles(host: &HostState, before: &mut Option<(bool, bool, bool)>) {
+    let now = host.now();
+    let decisions = host.decide();
+    let roster = &decisions.roster;
+    let (collects, reads) = (roster.is_collector(now), roster.is_reader(now));
+    let may_hold = roster.is_duty_candidate(now);
+    let (rank, known) = (roster.rank(now), roster.known());
+    let heard = roster.heard_share(now);
+    drop(decisions);
+    if before.replace((collects, reads, may_hold)) != Some((collects, reads, may_hold)) {
+        info!(
+            event = "roles",
+            collects, reads, may_hold, rank, known, heard
+        );
+    }
+}
+
 fn count_servers(host: &HostState) {
     let Some(held) = host.table() else {
         return;
--- a/crates/teaselglade-host/src/peer/digest_exchange.rs
+++ b/crates/teaselglade-host/src/peer/digest_exchange.rs
@@ -206,6 +206,7 @@
         let own = LeadingHost {
             host: sender.clone(),
             start: host.start,
+            heard_ms: 0,
             reads_store: decisions.reads_store(),
         };
         let turn = Some(self.number / FLEET_TURN);
--- a/crates/teaselglade-host/src/state/decisions.rs
+++ b/crates/teaselglade-host/src/state/decisions.rs
@@ -82,7 +82,7 @@
 
     /// Notes news of servers that were this old when a peer passed them on.
     pub fn note_news(&mut self, now: Timestamp, age: Duration) {
-        let told = Timestamp::from_micros(now.as_micros().saturating_sub(age.as_micros() as u64));
+        let told = now.before(age);
         if self.news_at > Timestamp::ZERO {
             self.news_at = self.news_at.max(told);
         }
--- a/crates/teaselglade-routing/src/exchange/fleet_digest.rs
+++ b/crates/teaselglade-routing/src/exchange/fleet_digest.rs
@@ -16,6 +16,8 @@
     pub host: PeerAddress,
     /// Time of its start in Unix microseconds.
     pub start: u64,
+    /// Milliseconds since the teller knows it to have been there.
+    pub heard_ms: u64,
     /// Whether the store answers it.
     pub reads_store: bool,
 }
--- a/crates/teaselglade-routing/src/exchange/peer_roster.rs
+++ b/crates/teaselglade-routing/src/exchange/peer_roster.rs
@@ -20,6 +20,8 @@
 /// Longer than any cut of the deployments' sheets, so that the part of a quota that a host behind
 /// a cut may still use stays reserved.
 const FORGET_AFTER: Duration = Duration::from_secs(15);
+/// The same where a host is told of most others by a collector, and hears one of 86 every 8 s.
+const FORGET_UNHEARD: Duration = Duration::from_mins(1);
 
 /// Peers from which on a fleet is large, so that digests go through collectors.
 const LARGE_FLEET: usize = 20;
@@ -39,6 +41,9 @@
 const LEADERS: usize = 6;
 /// Time of silence after which a host no longer counts as present; five lost digests in a row.
 const PRESENT_SPAN: Duration = Duration::from_millis(1_100);
+/// The same in a large fleet, where most hosts hear of the leading ones through a collector: its
+/// 400 ms three times over, beside the 200 ms after which it hears of a host itself, and a margin.
+const TOLD_SPAN: Duration = Duration::from_millis(1_800);
 
 #[derive(Debug, Clone)]
 struct PeerEntry {
@@ -53,8 +58,8 @@
 }
 
 impl PeerEntry {
-    fn is_present(&self, now: Timestamp) -> bool {
-        self.start > 0 && now.since(self.heard) < PRESENT_SPAN
+    fn is_heard(&self, now: Timestamp, span: Duration) -> bool {
+        self.start > 0 && now.since(self.heard) < span
     }
 }
 
@@ -80,6 +85,8 @@
     turns: u64,
     /// When it did so last.
     turned_at: Timestamp,
+    /// Since when this host collects and so hears all that can reach it.
+    collects_since: Option<Timestamp>,
     random: Pcg32,
 }
 
@@ -93,6 +100,7 @@
             peers: BTreeMap::new(),
             turns: 0,
             turned_at: Timestamp::ZERO,
+            collects_since: None,
             random: Pcg32::seed_from_u64(seed),
         }
     }
@@ -259,7 +267,7 @@
         }
         let (own, rank) = (name_hash(&self.own_name), self.rank(now));
         let served = self.peers.iter().filter(|(name, peer)| {
-            let asked = peer.asks.filter(|_| peer.is_present(now));
+            let asked = peer.asks.filter(|_| peer.is_heard(now, PRESENT_SPAN));
             let turn = name_hash(name) % LEADING as u64;
             asked.map_or(turn == rank as u64, |asked| asked == own)
         });
@@ -278,6 +286,7 @@
                     address: peer.address,
                 },
                 start: peer.start,
+                heard_ms: now.since(peer.heard).as_millis() as u64,
                 reads_store: peer.reads_store,
             })
             .collect();
@@ -288,13 +297,21 @@
     }
 
     /// Notes a host that a collector hears.
+    ///
+    /// It counts as heard when the collector heard it, so that two hosts that tell each other of a
+    /// lost one do not keep it present.
     pub fn note_leader(&mut self, now: Timestamp, leader: &LeadingHost) {
         self.note_named(now, &leader.host);
         if let Some(peer) = self.peers.get_mut(&leader.host.name)
             && peer.start <= leader.start
         {
+            let heard = now.before(Duration::from_millis(leader.heard_ms));
+            peer.heard = if peer.start == 0 {
+                heard
+            } else {
+                peer.heard.max(heard)
+            };
             peer.start = leader.start;
-            peer.heard = peer.heard.max(now);
             peer.reads_store = leader.reads_store;
         }
     }
@@ -302,7 +319,8 @@
     /// Returns the part of the known hosts, this one included, that were heard of lately.
     #[must_use]
     pub fn heard_share(&self, now: Timestamp) -> f64 {
-        (self.present(now).count() + 1) as f64 / (self.peers.len() + 1) as f64
+        let heard = self.heard_within(now, PRESENT_SPAN);
+        (heard + 1) as f64 / (self.peers.len() + 1) as f64
     }
 
     /// Returns how many present hosts go before this one by name.
@@ -323,12 +341,29 @@
     /// Returns the peers that were heard of lately, in the order of their names.
     fn present(&self, now: Timestamp) -> impl Iterator<Item = (&String, &PeerEntry)> {
         let peers = self.peers.iter();
-        peers.filter(move |(_, peer)| peer.is_present(now))
+        let span = if self.is_large() {
+            TOLD_SPAN
+        } else {
+            PRESENT_SPAN
+        };
+        peers.filter(move |(_, peer)| peer.is_heard(now, span))
     }
 
     /// Forgets hosts that were silent for long and returns their names.
+    ///
+    /// A host that begins to collect hears from then on whom it can reach: until then silence told
+    /// nothing. Answers a cut with all collectors behind it, where new ones had forgotten the hosts
+    /// on the other side and used their part of the quotas.
     pub fn expire(&mut self, now: Timestamp) -> Vec<String> {
-        let is_gone = |peer: &PeerEntry| now.since(peer.heard) >= FORGET_AFTER;
+        self.collects_since = self
+            .is_collector(now)
+            .then(|| self.collects_since.unwrap_or(now));
+        let (span, since) = match self.collects_since {
+            Some(since) => (FORGET_AFTER, since),
+            None if self.is_large() => (FORGET_UNHEARD, Timestamp::ZERO),
+            None => (FORGET_AFTER, Timestamp::ZERO),
+        };
+        let is_gone = |peer: &PeerEntry| now.since(peer.heard.max(since)) >= span;
         let gone: Vec<String> = self
             .peers
             .iter()
--- a/crates/teaselglade-routing/src/scaling/fleet_planner.rs
+++ b/crates/teaselglade-routing/src/scaling/fleet_planner.rs
@@ -112,7 +112,7 @@
     /// Remembered peak of the servers that the load keeps busy.
     peak: f64,
     peak_at: Option<Timestamp>,
-    /// Servers that stood before the first load.
+    /// Most servers that were seen to stand before the first load.
     first_stock: u32,
     loaded_since: Option<Timestamp>,
     last: BTreeMap<OrderKey, LastOrder>,
@@ -225,9 +225,8 @@
         if self.loaded_since.is_none() {
             if busy >= IDLE_BUSY {
                 self.loaded_since = Some(now);
-            } else if self.first_stock == 0 {
-                let zones = stock.values();
-                self.first_stock = zones.map(|zone| zone.reclaimable + zone.regular).sum();
+            } else {
+                self.first_stock = self.first_stock.max(stood(stock));
             }
         }
     }
@@ -353,6 +352,17 @@
     }
 }
 
+/// Returns how many servers stood before any was replaced, as far as the stock tells.
+///
+/// Servers register one after the other, so the most that was seen counts. While they are replaced
+/// both kinds stand; reclaimable ones are held in every zone, with one zone more than is needed.
+fn stood(stock: &BTreeMap<String, ZoneStock>) -> u32 {
+    let regular: u32 = stock.values().map(|zone| zone.regular).sum();
+    let reclaimable: u32 = stock.values().map(|zone| zone.reclaimable).sum();
+    let zones = (stock.len() as u32).max(1);
+    regular.max(reclaimable * zones.saturating_sub(1).max(1) / zones)
+}
+
 /// Returns the reclaimable servers that stay where the `lost` fullest zones are taken back.
 fn surviving(stock: &BTreeMap<String, ZoneStock>, lost: usize) -> u32 {
     let mut zones: Vec<u32> = stock.values().map(|zone| zone.reclaimable).collect();
--- a/crates/teaselglade-routing/tests/routing/planner.rs
+++ b/crates/teaselglade-routing/tests/routing/planner.rs
@@ -120,6 +120,64 @@
     assert_eq!(regular, 0, "reclaimable ones stand in for all of them");
 }
 
+/// Replays a holder that starts with its servers: it saw two of ninety first, took these for all
+/// that stood, and gave the others back before the load came.
+#[test]
+fn servers_that_register_one_after_the_other_all_count() {
+    let mut platform = Platform::new(22);
+    let mut planner = FleetPlanner::new("draft-fleet");
+    for now in (0..12_000).step_by(STEP_MS as usize) {
+        platform.advance(now);
+        let seen = match now / STEP_MS {
+            0 => 0,
+            1 => 1,
+            2 => 15,
+            _ => u32::MAX,
+        };
+        let mut stock = platform.stock.clone();
+        for zone in stock.values_mut() {
+            zone.regular = zone.regular.min(seen);
+        }
+        for order in planner.plan(at(now), &scaling(), &stock, 0.0) {
+            // What the holder does not see yet, it does not give back either.
+            let is_seen = seen == u32::MAX || order.reclaimable;
+            let outcome = if is_seen {
+                platform.order(now, &order)
+            } else {
+                OrderOutcome::Failed
+            };
+            planner.note_outcome(at(now), &order, outcome);
+        }
+        assert!(platform.servers() >= 88, "{} at {now}", platform.servers());
+    }
+}
+
+/// A holder that takes over while servers are replaced must not take both kinds for needed.
+#[test]
+fn a_takeover_before_the_load_orders_no_more_than_stood() {
+    let stock: BTreeMap<String, ZoneStock> = Platform::new(22)
+        .stock
+        .into_iter()
+        .map(|(zone, stock)| {
+            let reclaimable = 30;
+            (
+                zone,
+                ZoneStock {
+                    reclaimable,
+                    ..stock
+                },
+            )
+        })
+        .collect();
+    let mut planner = FleetPlanner::new("draft-fleet");
+    let orders = planner.plan(at(0), &scaling(), &stock, 0.0);
+    let wanted = orders.iter().filter(|order| order.reclaimable);
+    assert!(
+        wanted.clone().all(|order| order.desired <= 31),
+        "{orders:?}"
+    );
+}
+
 #[test]
 fn the_load_is_carried_while_zones_are_taken_back_in_turn() {
     let busy = 5.0;
