fix(exchange,quota): hosts that the store answers lead; a herd that starts spends one burst

Change: the leading hosts are the first by name among those that the store answers, for the duties, the collecting and the telling; a part of a quota is of all known hosts, heard or not; for 1.2 s from the first table a host that hears only some lets in only what there is. Tests: both failed before. One assertion on ranks changed: a host that the store does not answer goes behind one that it answers; the other side is asserted too.

--- a/crates/teaselglade-host/src/peer/digest_exchange.rs
+++ b/crates/teaselglade-host/src/peer/digest_exchange.rs
@@ -155,6 +155,10 @@
             info!(event = "peer_gone", peer = name);
         }
         decisions.engines.prune(now);
+        let known = decisions.roster.known() as u32;
+        if known > 0 {
+            decisions.quotas.note_fleet_size(known + 1);
+        }
         let demand = decisions.engines.demand(now).into_iter();
         let demand = demand.map(|(service, tokens)| ServiceDemand { service, tokens });
         let demand = demand.collect();
--- a/crates/teaselglade-host/src/state/decisions.rs
+++ b/crates/teaselglade-host/src/state/decisions.rs
@@ -69,6 +69,7 @@
     /// Notes that the store answered about servers.
     pub fn note_store_answer(&mut self, now: Timestamp) {
         let lost_at = self.store_lost_at.take();
+        self.roster.note_store(true);
         if lost_at.is_some_and(|lost| now.since(lost) >= AWAY_SPAN) {
             self.fleet.note_store_back(now);
         }
@@ -78,6 +79,7 @@
     /// Notes that the store did not answer about servers.
     pub fn note_store_failure(&mut self, now: Timestamp) {
         self.store_lost_at.get_or_insert(now);
+        self.roster.note_store(false);
     }
 
     /// Notes news of servers that were this old when a peer passed them on.
--- a/crates/teaselglade-routing/src/exchange/peer_roster.rs
+++ b/crates/teaselglade-routing/src/exchange/peer_roster.rs
@@ -25,8 +25,9 @@
 
 /// Peers from which on a fleet is large, so that digests go through collectors.
 const LARGE_FLEET: usize = 20;
-/// Hosts that go first by name among the present ones and act for all.
+/// Hosts that go first among the present ones and act for all.
 ///
+/// Those that the store answers go first, then the names count: the duties need the store.
 /// They collect in a large fleet, each for its part of the others, and the duties pass among them;
 /// the holder of the duties needs what a collector hears. Three, so that two may be lost at once.
 const LEADING: usize = 3;
@@ -37,7 +38,7 @@
 const ASK_SPAN: Duration = Duration::from_millis(600);
 /// Peers beside the collectors that get a digest in a large fleet, should all collectors fail.
 const LARGE_FAN_OUT: usize = 2;
-/// Hosts that go first by name and are told to all; twice the collectors, as some get lost.
+/// Hosts that go first and are told to all; twice the collectors, as some get lost.
 const LEADERS: usize = 6;
 /// Time of silence after which a host no longer counts as present; five lost digests in a row.
 const PRESENT_SPAN: Duration = Duration::from_millis(1_100);
@@ -85,6 +86,8 @@
     turns: u64,
     /// When it did so last.
     turned_at: Timestamp,
+    /// Whether the store answers this host.
+    reads_store: bool,
     /// Since when this host collects and so hears all that can reach it.
     collects_since: Option<Timestamp>,
     random: Pcg32,
@@ -100,6 +103,7 @@
             peers: BTreeMap::new(),
             turns: 0,
             turned_at: Timestamp::ZERO,
+            reads_store: true,
             collects_since: None,
             random: Pcg32::seed_from_u64(seed),
         }
@@ -165,7 +169,7 @@
             .copied()
             .choose_multiple(&mut self.random, fan_out);
         if self.is_large() {
-            let collectors = self.present(now).take(LEADING);
+            let collectors = self.in_order(now).into_iter().take(LEADING);
             targets.extend(collectors.map(|(_, peer)| peer.address));
             targets.sort_unstable();
             targets.dedup();
@@ -248,7 +252,8 @@
             self.turned_at = now;
         }
         let leading: Vec<u64> = self
-            .present(now)
+            .in_order(now)
+            .into_iter()
             .take(LEADING)
             .map(|(name, _)| name_hash(name))
             .collect();
@@ -274,12 +279,24 @@
         served.map(|(_, peer)| peer.address).collect()
     }
 
-    /// Returns the present hosts that go first by name, this one included.
+    /// Notes whether the store answers this host.
+    pub const fn note_store(&mut self, reads_store: bool) {
+        self.reads_store = reads_store;
+    }
+
+    /// Returns the present hosts that go first, this one included, in their order.
+    ///
+    /// Those that would go first by their names alone stand behind them, so that all learn of a
+    /// leading host that the store no longer answers.
     #[must_use]
     pub fn leaders(&self, now: Timestamp, own: LeadingHost) -> Vec<LeadingHost> {
+        let blind = self.present(now).filter(|(_, peer)| !peer.reads_store);
         let mut leaders: Vec<LeadingHost> = self
-            .present(now)
+            .in_order(now)
+            .into_iter()
+            .filter(|(_, peer)| peer.reads_store)
             .take(LEADERS)
+            .chain(blind.take(LEADING))
             .map(|(name, peer)| LeadingHost {
                 host: PeerAddress {
                     name: name.clone(),
@@ -291,8 +308,8 @@
             })
             .collect();
         leaders.push(own);
-        leaders.sort_by(|a, b| a.host.name.cmp(&b.host.name));
-        leaders.truncate(LEADERS);
+        let key = |leader: &LeadingHost| (!leader.reads_store, leader.host.name.clone());
+        leaders.sort_by_key(key);
         leaders
     }
 
@@ -323,11 +340,13 @@
         (heard + 1) as f64 / (self.peers.len() + 1) as f64
     }
 
-    /// Returns how many present hosts go before this one by name.
+    /// Returns how many present hosts go before this one.
     #[must_use]
     pub fn rank(&self, now: Timestamp) -> usize {
-        let earlier = self.present(now);
-        earlier.filter(|(name, _)| **name < self.own_name).count()
+        let own = (!self.reads_store, &self.own_name);
+        let present = self.present(now);
+        let earlier = present.filter(|(name, peer)| (!peer.reads_store, *name) < own);
+        earlier.count()
     }
 
     /// Returns how many present hosts that the store answers go before this one by name.
@@ -338,6 +357,13 @@
         readers.count()
     }
 
+    /// Returns the peers that were heard of lately, those that the store answers first.
+    fn in_order(&self, now: Timestamp) -> Vec<(&String, &PeerEntry)> {
+        let mut present: Vec<(&String, &PeerEntry)> = self.present(now).collect();
+        present.sort_by_key(|(_, peer)| !peer.reads_store);
+        present
+    }
+
     /// Returns the peers that were heard of lately, in the order of their names.
     fn present(&self, now: Timestamp) -> impl Iterator<Item = (&String, &PeerEntry)> {
         let peers = self.peers.iter();
--- a/crates/teaselglade-routing/src/quota/quota_board.rs
+++ b/crates/teaselglade-routing/src/quota/quota_board.rs
@@ -36,6 +36,9 @@
 const WORSE_SHARE: f64 = 0.8;
 /// Time that a host's spending takes to reach a collecting host and come back.
 const FOLLOW_LAG: Duration = Duration::from_millis(400);
+/// Time from the first table in which no request may use more than there is, as a host that starts
+/// does not know yet what others spend; then it hears them, or a collecting host.
+const SETTLE_SPAN: Duration = FOLLOW_SPAN;
 /// Time constant of the smoothed spending rate.
 const RATE_SPAN: Duration = Duration::from_secs(1);
 /// Shortest time to come back that a refusal names.
@@ -129,8 +132,10 @@
     peers: HashMap<String, PeerRecord>,
     /// What a collecting host told last, in a large fleet.
     followed: Option<FollowedFleet>,
-    /// Hosts that are reckoned with before any was heard of.
-    assumed_hosts: u32,
+    /// Hosts that are reckoned with where fewer were heard of.
+    fleet_size: u32,
+    /// When the first table came into force.
+    first_table: Option<Timestamp>,
 }
 
 impl QuotaBoard {
@@ -141,12 +146,19 @@
             quotas: HashMap::new(),
             peers: HashMap::new(),
             followed: None,
-            assumed_hosts: assumed_hosts.max(1),
+            fleet_size: assumed_hosts.max(1),
+            first_table: None,
         }
     }
 
+    /// Notes how many hosts there are, this one included, whether they were heard of or not.
+    pub const fn note_fleet_size(&mut self, hosts: u32) {
+        self.fleet_size = hosts;
+    }
+
     /// Puts the quotas of a table in force; what was spent keeps counting.
     pub fn set_quotas(&mut self, now: Timestamp, organisations: &[OrganisationSpec]) {
+        self.first_table.get_or_insert(now);
         let mut old = std::mem::take(&mut self.quotas);
         for organisation in organisations {
             let Some(quota) = organisation.quota.clone() else {
@@ -285,12 +297,14 @@
         let share = self.group_share(now);
         let coming = self.coming(now, organisation);
         let others_rate = self.others_rate(now, organisation);
+        let is_settled = self.is_settled(now);
         let Some(state) = self.quotas.get_mut(organisation) else {
             return Ok(());
         };
         state.refill(now, share, others_rate);
         let units = state.units(tokens);
-        if state.has_room(tokens, coming) {
+        let least = if is_settled { 0.0 } else { units };
+        if state.has_room(tokens, coming, least) {
             state.spend(units);
             return Ok(());
         }
@@ -356,15 +370,21 @@
         if let Some(followed) = self.followed(now) {
             return followed.heard_share;
         }
-        if self.peers.is_empty() {
-            return 1.0 / f64::from(self.assumed_hosts);
-        }
         let heard = self
             .peers
             .values()
             .filter(|peer| now.since(peer.heard) < SILENT_AFTER)
             .count();
-        (heard + 1) as f64 / (self.peers.len() + 1) as f64
+        let hosts = (self.peers.len() + 1).max(self.fleet_size as usize);
+        (heard + 1) as f64 / hosts as f64
+    }
+
+    /// Returns whether this host has had the time to learn what others spend.
+    fn is_settled(&self, now: Timestamp) -> bool {
+        let is_new = self
+            .first_table
+            .is_some_and(|first| now.since(first) < SETTLE_SPAN);
+        !is_new || self.is_following(now) || self.group_share(now) >= 1.0
     }
 }
 
@@ -376,14 +396,14 @@
         }
     }
 
-    fn has_room(&self, tokens: Option<u32>, coming: f64) -> bool {
+    fn has_room(&self, tokens: Option<u32>, coming: f64, least: f64) -> bool {
         let is_plain = self.quota.unit == QuotaUnit::Tokens && tokens.is_none();
         let debt = if is_plain {
             self.quota.rate * PLAIN_DEBT_SECONDS
         } else {
             0.0
         };
-        self.level - coming + debt > 0.0
+        self.level - coming + debt > least
     }
 
     fn spend(&mut self, units: f64) {
--- a/crates/teaselglade-routing/tests/routing/quotas.rs
+++ b/crates/teaselglade-routing/tests/routing/quotas.rs
@@ -25,6 +25,7 @@
     fn new(hosts: usize) -> Self {
         let boards = (0..hosts).map(|_| {
             let mut board = QuotaBoard::new(16);
+            board.note_fleet_size(hosts as u32);
             board.set_quotas(at(0), &[organisation("halloran", "k", RATE)]);
             board
         });
@@ -201,6 +202,31 @@
     assert!(admitted <= bound, "{admitted} of {bound}");
 }
 
+/// Replays 86 hosts that were killed at once and start while one organisation sends fifty times its
+/// load: each hears a few others at first, and none may spend what belongs to all.
+#[test]
+fn hosts_that_all_start_at_once_do_not_each_spend_the_burst() {
+    const HOSTS: usize = 86;
+    let mut fleet = Fleet {
+        boards: (0..HOSTS)
+            .map(|_| {
+                let mut board = QuotaBoard::new(16);
+                board.set_quotas(at(0), &[organisation("halloran", "k", RATE)]);
+                board.note_fleet_size(HOSTS as u32);
+                board
+            })
+            .collect(),
+        admitted: Vec::new(),
+    };
+    // Each digest reaches two of the others until somebody collects, after 600 ms.
+    let hears = |sender: usize, receiver: usize| {
+        receiver == (sender + 1) % HOSTS || receiver == (sender + 7) % HOSTS
+    };
+    let admitted = fleet.play(200, 800, 2, 17_000, &hears);
+    let bound = RATE * 0.6 + RATE / 2.0;
+    assert!(admitted <= bound, "{admitted} of {bound}");
+}
+
 proptest! {
     /// One organisation sends many times its quota; some hosts are cut off from the others.
     #[test]
--- a/crates/teaselglade-routing/tests/routing/roster.rs
+++ b/crates/teaselglade-routing/tests/routing/roster.rs
@@ -51,7 +51,11 @@
     let mut blind = digest("edge-3", 10, 1);
     blind.reads_store = false;
     roster.note_heard(at(0), &blind);
-    assert_eq!((roster.rank(at(500)), roster.reader_rank(at(500))), (2, 1));
+    // A host that the store does not answer goes behind those that it answers.
+    assert_eq!((roster.rank(at(500)), roster.reader_rank(at(500))), (1, 1));
+    roster.note_store(false);
+    assert_eq!((roster.rank(at(500)), roster.reader_rank(at(500))), (3, 1));
+    roster.note_store(true);
     assert_eq!(
         (roster.rank(at(5_000)), roster.reader_rank(at(5_000))),
         (0, 0)
@@ -215,3 +219,38 @@
     assert!(roster.expire(at(35_000)).is_empty());
     assert!(!roster.expire(at(35_200)).is_empty());
 }
+
+/// Replays a store that turns the three leading hosts away and answers all others: the duties wait
+/// for hosts that can do them, and whoever does them has to collect.
+#[test]
+fn hosts_that_the_store_answers_lead() {
+    let mut roster = large("edge-20");
+    for name in 10..20 {
+        let mut blind = digest(&format!("edge-{name}"), 10, 2);
+        blind.reads_store = false;
+        roster.note_heard(at(10), &blind);
+    }
+    assert!(roster.is_duty_candidate(at(20)) && roster.is_collector(at(20)));
+    let own = LeadingHost {
+        host: digest("edge-20", 10, 1).host,
+        start: 10,
+        heard_ms: 0,
+        reads_store: true,
+    };
+    let told = roster.leaders(at(20), own);
+    let names: Vec<&str> = told
+        .iter()
+        .map(|leader| leader.host.name.as_str())
+        .collect();
+    assert_eq!(names[..3], ["edge-20", "edge-21", "edge-22"]);
+    assert!(names.contains(&"edge-10"), "its loss is told as well");
+    roster.note_store(false);
+    assert!(!roster.is_duty_candidate(at(20)));
+    // Where the store answers nobody, the order of the names counts again.
+    for name in 21..60 {
+        let mut blind = digest(&format!("edge-{name}"), 10, 2);
+        blind.reads_store = false;
+        roster.note_heard(at(30), &blind);
+    }
+    assert_eq!(roster.rank(at(40)), 10);
+}
