fix(quota): a host that begins to collect counts what the others spent meanwhile

Change: it stops following when it begins to collect, and reckons what the others spent since it was told from the rates in their first reports. Test: collectors take turns every two seconds while one organisation sends many times its load; failed before.

--- a/crates/teaselglade-host/src/peer/digest_exchange.rs
+++ b/crates/teaselglade-host/src/peer/digest_exchange.rs
@@ -159,6 +159,10 @@
         if known > 0 {
             decisions.quotas.note_fleet_size(known + 1);
         }
+        if decisions.roster.is_collector(now) {
+            decisions.quotas.lead();
+            decisions.engines.lead();
+        }
         let demand = decisions.engines.demand(now).into_iter();
         let demand = demand.map(|(service, tokens)| ServiceDemand { service, tokens });
         let demand = demand.collect();
--- a/crates/teaselglade-routing/src/engine/engine_placer.rs
+++ b/crates/teaselglade-routing/src/engine/engine_placer.rs
@@ -287,6 +287,11 @@
         }
     }
 
+    /// Stops following, as this host collects itself now.
+    pub const fn lead(&mut self) {
+        self.followed_at = None;
+    }
+
     /// Returns what all hosts together have at the engines, for the hosts of a large fleet.
     #[must_use]
     pub fn fleet_loads(&self, fleet: &FleetView) -> Vec<EngineLoad> {
--- a/crates/teaselglade-routing/src/quota/quota_board.rs
+++ b/crates/teaselglade-routing/src/quota/quota_board.rs
@@ -70,6 +70,8 @@
     start: u64,
     heard: Timestamp,
     spend: PeerSpend,
+    /// Whether what it spent before is off this host's buckets.
+    is_counted: bool,
 }
 
 /// What a collecting host told last.
@@ -132,6 +134,8 @@
     peers: HashMap<String, PeerRecord>,
     /// What a collecting host told last, in a large fleet.
     followed: Option<FollowedFleet>,
+    /// When a collecting host told something last before this one began to collect.
+    told_before: Option<Timestamp>,
     /// Hosts that are reckoned with where fewer were heard of.
     fleet_size: u32,
     /// When the first table came into force.
@@ -146,6 +150,7 @@
             quotas: HashMap::new(),
             peers: HashMap::new(),
             followed: None,
+            told_before: None,
             fleet_size: assumed_hosts.max(1),
             first_table: None,
         }
@@ -182,7 +187,11 @@
     /// Takes in what a peer reported; `start` tells its incarnations apart.
     pub fn hear(&mut self, now: Timestamp, peer: &str, start: u64, spend: PeerSpend) {
         let is_followed = self.followed(now).is_some();
-        let known = self.peers.get(peer);
+        let known = self.peers.get(peer).filter(|known| known.is_counted);
+        let untold = self
+            .told_before
+            .map_or(Duration::ZERO, |told| now.since(told));
+        let is_untold = untold < FOLLOW_SPAN * 2;
         for (name, report) in &spend {
             let gained = match known {
                 Some(known) if known.start == start => {
@@ -190,6 +199,7 @@
                     report.total - before
                 }
                 Some(_restarted) => report.total,
+                None if is_untold => report.rate * untold.as_secs_f64(),
                 // Most of what an unknown peer spent is long past.
                 None => 0.0,
             };
@@ -202,6 +212,7 @@
             start,
             heard: now,
             spend,
+            is_counted: !is_followed,
         };
         self.peers.insert(peer.to_owned(), record);
     }
@@ -235,6 +246,18 @@
         true
     }
 
+    /// Stops following, as this host collects itself now; does nothing where it did not follow.
+    ///
+    /// What the others spent since this host was told is reckoned from their rates as they report.
+    pub fn lead(&mut self) {
+        if let Some(followed) = self.followed.take() {
+            self.told_before = Some(followed.told);
+            for peer in self.peers.values_mut() {
+                peer.is_counted = false;
+            }
+        }
+    }
+
     /// Returns what all hosts together may still use, for the hosts of a large fleet.
     pub fn fleet_spend(&mut self, now: Timestamp) -> HashMap<String, FleetSpend> {
         let share = self.group_share(now);
--- a/crates/teaselglade-routing/tests/routing/quotas.rs
+++ b/crates/teaselglade-routing/tests/routing/quotas.rs
@@ -66,18 +66,24 @@
             if now % DIGEST_MS == 0 {
                 self.exchange(now, hears);
             }
+            self.play_plain(now, now + STEP_MS, per_step, tokens);
+            total += self.admitted.last().copied().unwrap_or_default();
+        }
+        total
+    }
+
+    /// Offers requests without any exchange.
+    fn play_plain(&mut self, from: u64, to: u64, per_step: usize, tokens: u32) {
+        for now in (from..to).step_by(STEP_MS as usize) {
             let mut admitted = 0.0;
             for board in &mut self.boards {
                 for _ in 0..per_step {
-                    if board.admit(at(now), "halloran", Some(tokens)).is_ok() {
-                        admitted += f64::from(tokens);
-                    }
+                    let is_in = board.admit(at(now), "halloran", Some(tokens)).is_ok();
+                    admitted += if is_in { f64::from(tokens) } else { 0.0 };
                 }
             }
             self.admitted.push(admitted);
-            total += admitted;
         }
-        total
     }
 
     fn most_in_a_window(&self) -> f64 {
@@ -227,6 +233,43 @@
     assert!(admitted <= bound, "{admitted} of {bound}");
 }
 
+/// Replays leading hosts that change every two seconds while one organisation sends many times its
+/// load: a host that begins to collect knows nothing of what the others spent since it was told.
+#[test]
+fn the_bound_holds_while_collectors_take_turns() {
+    const HOSTS: usize = 10;
+    let mut fleet = Fleet::new(HOSTS);
+    for second in 0..16_u64 {
+        let leading = (second / 2) as usize % HOSTS;
+        fleet.boards[leading].lead();
+        for turn in 0..5 {
+            let start = 20 + second * 1_000 + turn * 200;
+            fleet.play_plain(start, start + 200, 3, 2_000);
+            let now = start + 190;
+            let reports: Vec<_> = fleet
+                .boards
+                .iter_mut()
+                .map(|board| board.report(at(now)))
+                .collect();
+            for (sender, report) in reports.into_iter().enumerate() {
+                if sender != leading {
+                    fleet.boards[leading].hear(at(now), &format!("edge-{sender}"), 1, report);
+                }
+            }
+            if turn % 2 == 0 {
+                let spend = fleet.boards[leading].fleet_spend(at(now));
+                for (host, board) in fleet.boards.iter_mut().enumerate() {
+                    if host != leading {
+                        board.follow(at(now), spend.clone(), 1.0);
+                    }
+                }
+            }
+        }
+    }
+    let most = fleet.most_in_a_window();
+    assert!(most <= BOUND, "{most} of {BOUND}");
+}
+
 proptest! {
     /// One organisation sends many times its quota; some hosts are cut off from the others.
     #[test]
