--- a/crates/teaselglade/tests/host/explained.rs
+++ b/crates/teaselglade/tests/host/explained.rs
@@ -53,13 +53,8 @@
     let engine =
         ServerStandin::start(|got, _| Reply::Silent(chunked_events(got, 1..=2, false))).await;
     let site = Site::start(&[("engine", &engine)]).await;
-    let request = format!(
-        "POST /once/1 HTTP/1.1\r\nHost: shop.example\r\nX-Attempt-Id: {ATTEMPT}\r\n\
-         Authorization: Bearer k-1\r\nX-Token-Counts: 900,40\r\nX-Deadline-Ms: 1500\r\n\
-         Connection: close\r\nContent-Length: 0\r\n\r\n"
-    );
     let leaving = entry("engine", engine.address, 2).replace("ready", "draining");
-    let (got, ()) = tokio::join!(site.raw(&request), async {
+    let (got, ()) = tokio::join!(site.stream("once", 1_500), async {
         site.until(|_| !engine.requests().is_empty()).await;
         site.store.put("keyed.servers", "i-0", &leaving);
         site.until_servers("engine", 0).await;
