--- a/crates/teaselglade-routing/src/engine/cache_map.rs
+++ b/crates/teaselglade-routing/src/engine/cache_map.rs
@@ -1,6 +1,6 @@
 //! Which engine has which parts of prompts in its memory.
 
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use teaselglade_core::id::ServerKey;
@@ -54,8 +54,8 @@
 /// ```
 #[derive(Debug, Clone, Default)]
 pub struct CacheMap {
-    /// Uses of each part, by the part's chain.
-    parts: HashMap<u64, Vec<PartUse>>,
+    /// Uses of each part, by the part's chain; ordered, so that a replay tells the same parts.
+    parts: BTreeMap<u64, Vec<PartUse>>,
 }
 
 impl CacheMap {
--- a/crates/teaselglade-routing/tests/routing/engines.rs
+++ b/crates/teaselglade-routing/tests/routing/engines.rs
@@ -232,7 +232,7 @@
     let mut told: Option<(u64, Vec<EngineLoad>, Vec<PlacedPrompt>)> = None;
     let mut collector = EnginePlacer::new(0);
     let (mut on_time, mut offered) = (0.0, 0.0);
-    for now in 0..12_000_u64 {
+    for now in 0..20_000_u64 {
         while let Some(entry) = due.first_entry().filter(|entry| *entry.key() <= now) {
             let first_at = *entry.key();
             for (host, ticket) in entry.remove() {
