refactor: one place for an attempt's end, a call's result, servers' news and test settings

Found on the last read of the whole change; behaviour is as it was: - plain and stream relay each counted and logged the end of an attempt: CallContext does; - five callers turned a result into note_call's error: HostState::note_result does; - both kinds of digest took in servers' news by the same three steps: Decisions::hear_servers does; - the host's own address was put together in three places; - QuotaBoard::report cloned all that a collector told five times a second, beside a second copy of the rate of the others; two branches on an unknown peer were one; - the order in which hosts lead stood in three places, presence in two; - settings of hosts and their addresses stood in three test files; digests with own addresses in three tests. No assertion changed.

--- a/crates/teaselglade-host/src/duty/duty_driver.rs
+++ b/crates/teaselglade-host/src/duty/duty_driver.rs
@@ -239,8 +239,7 @@
         let (host, sender) = (Arc::clone(&self.host), self.sender.clone());
         tokio::spawn(async move {
             let ended = call.await;
-            let failure = ended.as_ref().err();
-            host.note_call(name, failure.map(|error| error as &dyn std::fmt::Display));
+            host.note_result(name, &ended);
             // The receiver ends only with the host.
             let _stopped = sender.send(DutyNews::Lease(ended.unwrap_or(failed)));
         });
@@ -332,11 +331,12 @@
                 Err(DutyError::Fenced { .. }) => (OrderOutcome::Failed, true),
                 Err(_failed) => (OrderOutcome::Failed, false),
             };
-            let failure = sent.err().filter(|_| outcome == OrderOutcome::Failed);
-            let failure = failure
-                .as_ref()
-                .map(|error| error as &dyn std::fmt::Display);
-            host.note_call("order_servers", failure);
+            // That none are to be had is an answer of a platform that is there.
+            let answered = sent.or_else(|error| match error {
+                DutyError::NoneThere { .. } => Ok(()),
+                failed => Err(failed),
+            });
+            host.note_result("order_servers", &answered);
             // The receiver ends only with the host.
             let _stopped = sender.send(DutyNews::Ordered(order, outcome, number, is_fenced));
         });
--- a/crates/teaselglade-host/src/duty/usage_reporter.rs
+++ b/crates/teaselglade-host/src/duty/usage_reporter.rs
@@ -48,9 +48,7 @@
             return;
         };
         let appended = self.log.append(&StreamName::usage(), body.into()).await;
-        let failure = appended.as_ref().err();
-        let failure = failure.map(|error| error as &dyn std::fmt::Display);
-        self.host.note_call("append_usage", failure);
+        self.host.note_result("append_usage", &appended);
         info!(event = "usage_decided", window = counts.window, counts = ?counts.counts);
         self.read_on().await;
     }
@@ -63,9 +61,7 @@
             .collect();
         for counts in unsent {
             let sent = self.port.report_usage(&self.term, &counts).await;
-            let failure = sent.as_ref().err();
-            let failure = failure.map(|error| error as &dyn std::fmt::Display);
-            self.host.note_call("report_usage", failure);
+            self.host.note_result("report_usage", &sent);
             match sent {
                 Ok(()) => {
                     info!(event = "usage_reported", window = counts.window);
@@ -87,9 +83,7 @@
                 .log
                 .read(&stream, from, PAGE_RECORDS, Duration::ZERO)
                 .await;
-            let failure = read.as_ref().err();
-            let failure = failure.map(|error| error as &dyn std::fmt::Display);
-            self.host.note_call("read_usage", failure);
+            self.host.note_result("read_usage", &read);
             match read {
                 Ok(page) if self.reports.on_page(&page) => return true,
                 Ok(_page) => {}
--- a/crates/teaselglade-host/src/host/serving_host.rs
+++ b/crates/teaselglade-host/src/host/serving_host.rs
@@ -5,7 +5,6 @@
 use std::time::Duration;
 
 use teaselglade_net::server::ServerHandle;
-use teaselglade_routing::exchange::PeerAddress;
 use tokio::sync::mpsc::unbounded_channel;
 use tokio::task::JoinHandle;
 use tokio::time::{sleep, timeout};
@@ -126,10 +125,7 @@
 
 /// Publishes this host in the store and finds the others there.
 async fn find_hosts(host: Arc<HostState>) {
-    let own = PeerAddress {
-        name: host.settings.name.clone(),
-        address: host.settings.listen.peers,
-    };
+    let own = host.own_address();
     for _try in 0..FIND_TRIES {
         let announced = host.ports.feeds.announce(own.clone()).await;
         let listed = host.ports.feeds.latest(Feed::Hosts).await;
--- a/crates/teaselglade-host/src/peer/digest_exchange.rs
+++ b/crates/teaselglade-host/src/peer/digest_exchange.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use teaselglade_routing::exchange::{
-    FleetDigest, HostDigest, LeadingHost, PeerAddress, PeerMessage, ServiceDemand,
+    FleetDigest, HostDigest, LeadingHost, PeerMessage, ServiceDemand,
 };
 use teaselglade_routing::fleet::NewsScope;
 use tokio::net::UdpSocket;
@@ -177,10 +177,7 @@
             Vec::new()
         };
         let digest = HostDigest {
-            host: PeerAddress {
-                name: host.settings.name.clone(),
-                address: host.settings.listen.peers,
-            },
+            host: host.own_address(),
             start: host.start,
             number: self.number,
             table,
@@ -206,10 +203,7 @@
         let host = &self.host;
         let now = host.now();
         let table = host.table_version();
-        let sender = PeerAddress {
-            name: host.settings.name.clone(),
-            address: host.settings.listen.peers,
-        };
+        let sender = host.own_address();
         let mut guard = host.decide();
         let decisions = &mut *guard;
         let own = LeadingHost {
@@ -265,13 +259,8 @@
         for leader in &digest.leaders {
             decisions.roster.note_leader(now, leader);
         }
-        for sheet in digest.news {
-            decisions.fleet.hear_sheet(now, sheet);
-        }
-        decisions.note_news(now, Duration::from_millis(digest.news_age_ms));
-        for departure in &digest.departures {
-            decisions.fleet.note_departure(now, departure);
-        }
+        let age = Duration::from_millis(digest.news_age_ms);
+        decisions.hear_servers(now, age, digest.news, &digest.departures);
         // A collector hears all hosts itself.
         if !decisions.roster.is_collector(now) {
             let (spend, placed) = (digest.spend, &digest.placed);
@@ -300,13 +289,8 @@
         for peer in &digest.peers {
             decisions.roster.note_named(now, peer);
         }
-        for sheet in digest.news {
-            decisions.fleet.hear_sheet(now, sheet);
-        }
-        decisions.note_news(now, Duration::from_millis(digest.news_age_ms));
-        for departure in &digest.departures {
-            decisions.fleet.note_departure(now, departure);
-        }
+        let age = Duration::from_millis(digest.news_age_ms);
+        decisions.hear_servers(now, age, digest.news, &digest.departures);
         decisions
             .quotas
             .hear(now, &name, digest.start, digest.spend);
--- a/crates/teaselglade-host/src/relay/call_context.rs
+++ b/crates/teaselglade-host/src/relay/call_context.rs
@@ -9,12 +9,14 @@
 use teaselglade_core::time::Timestamp;
 use teaselglade_core::verdict::{ExecutionVerdict, RequestRefusal};
 use teaselglade_request::retry::RetryDecision;
+use teaselglade_routing::attempt::{AttemptOutcome, NextStep};
 use teaselglade_routing::engine::PromptShape;
 use teaselglade_routing::table::{RouteRow, ServiceSpec};
 
 use super::CallerAnswer;
 use super::answer_body::AnswerBody;
 use super::header_filter::passing_headers;
+use super::server_call::FailedCall;
 use crate::journal::RequestLine;
 use crate::state::HostState;
 
@@ -94,6 +96,17 @@
         }
     }
 
+    /// Logs and counts an attempt at a server that ended without an answer, and what follows.
+    pub(super) fn note_attempt_ended(&self, server: &str, failed: &FailedCall, next: NextStep) {
+        let host = &self.host;
+        let outcome = outcome_name(failed.outcome);
+        let labels = [self.service.name.as_str(), outcome];
+        host.metrics.attempts.with_label_values(&labels).inc();
+        let (now, next) = (host.now(), step_name(next));
+        host.log
+            .attempt_ended(now, &self.id, server, outcome, &failed.detail, next);
+    }
+
     /// Returns the answer that passes a server's whole answer on unchanged.
     pub(super) fn pass_on(
         &self,
@@ -132,3 +145,25 @@
             .answered(now, &self.line(), server, status, outcome, first);
     }
 }
+
+/// Returns the name of an outcome in log lines and counters.
+const fn outcome_name(outcome: AttemptOutcome) -> &'static str {
+    match outcome {
+        AttemptOutcome::Unreachable => "unreachable",
+        AttemptOutcome::Rejected => "rejected",
+        AttemptOutcome::Misdirected => "misdirected",
+        AttemptOutcome::Broken => "broken",
+        AttemptOutcome::Failed => "failed",
+        AttemptOutcome::Silent => "silent",
+    }
+}
+
+/// Returns the name of a step in log lines.
+const fn step_name(step: NextStep) -> &'static str {
+    match step {
+        NextStep::Reconnect => "reconnect",
+        NextStep::AskBudget => "ask_budget",
+        NextStep::GiveUp(ExecutionVerdict::NotRun) => "give_up_not_run",
+        NextStep::GiveUp(_) => "give_up_may_have_run",
+    }
+}
--- a/crates/teaselglade-host/src/relay/plain_relay.rs
+++ b/crates/teaselglade-host/src/relay/plain_relay.rs
@@ -184,7 +184,8 @@
             }
         };
         let next = self.ledger.end(server, failed.outcome);
-        self.log_end(server, &failed, next);
+        let id = host.decide().fleet.server(server).sheet.id.clone();
+        context.note_attempt_ended(&id, &failed, next);
         self.follow(next, &failed).await
     }
 
@@ -234,18 +235,6 @@
         }
     }
 
-    fn log_end(&self, server: ServerKey, failed: &FailedCall, next: NextStep) {
-        let context = &self.context;
-        let host = &context.host;
-        let outcome = outcome_name(failed.outcome);
-        let labels = [context.service.name.as_str(), outcome];
-        host.metrics.attempts.with_label_values(&labels).inc();
-        let id = host.decide().fleet.server(server).sheet.id.clone();
-        let next = step_name(next);
-        host.log
-            .attempt_ended(host.now(), &context.id, &id, outcome, &failed.detail, next);
-    }
-
     fn pass_on(&self, server: ServerKey, answer: WholeAnswer) -> CallerAnswer {
         let context = &self.context;
         let host = &context.host;
@@ -299,25 +288,3 @@
         ExecutionVerdict::MayHaveRun | ExecutionVerdict::Ran => refusal,
     }
 }
-
-/// Returns the name of an outcome in log lines and counters.
-pub(super) const fn outcome_name(outcome: AttemptOutcome) -> &'static str {
-    match outcome {
-        AttemptOutcome::Unreachable => "unreachable",
-        AttemptOutcome::Rejected => "rejected",
-        AttemptOutcome::Misdirected => "misdirected",
-        AttemptOutcome::Broken => "broken",
-        AttemptOutcome::Failed => "failed",
-        AttemptOutcome::Silent => "silent",
-    }
-}
-
-/// Returns the name of a step in log lines.
-pub(super) const fn step_name(step: NextStep) -> &'static str {
-    match step {
-        NextStep::Reconnect => "reconnect",
-        NextStep::AskBudget => "ask_budget",
-        NextStep::GiveUp(ExecutionVerdict::NotRun) => "give_up_not_run",
-        NextStep::GiveUp(_) => "give_up_may_have_run",
-    }
-}
--- a/crates/teaselglade-host/src/relay/stream_relay.rs
+++ b/crates/teaselglade-host/src/relay/stream_relay.rs
@@ -17,7 +17,7 @@
 
 use super::answer_body::{AnswerBody, RelayCut, whole_body};
 use super::call_context::CallContext;
-use super::plain_relay::{give_up, outcome_name, step_name};
+use super::plain_relay::give_up;
 use super::server_call::{FailedCall, ServerAnswer, call_server};
 use super::stream_seat::StreamSeat;
 use super::{CallerAnswer, Result};
@@ -195,18 +195,7 @@
         }
         drop(decisions);
         let next = self.ledger.end(server, failed.outcome);
-        let outcome = outcome_name(failed.outcome);
-        let labels = [context.service.name.as_str(), outcome];
-        host.metrics.attempts.with_label_values(&labels).inc();
-        let step = step_name(next);
-        host.log.attempt_ended(
-            now,
-            &context.id,
-            &seat.server,
-            outcome,
-            &failed.detail,
-            step,
-        );
+        context.note_attempt_ended(&seat.server, failed, next);
         next
     }
 
--- a/crates/teaselglade-host/src/state/decisions.rs
+++ b/crates/teaselglade-host/src/state/decisions.rs
@@ -8,7 +8,7 @@
 use teaselglade_request::retry::{BudgetLimits, RetryBudget, RetryDecision};
 use teaselglade_routing::engine::EnginePlacer;
 use teaselglade_routing::exchange::{PeerRoster, ServiceDemand};
-use teaselglade_routing::fleet::{FleetView, NewsScope};
+use teaselglade_routing::fleet::{Departure, FleetView, NewsScope, ServerSheet};
 use teaselglade_routing::plain::PlainPlacer;
 use teaselglade_routing::quota::QuotaBoard;
 use teaselglade_routing::scaling::ZoneStock;
@@ -82,8 +82,25 @@
         self.roster.note_store(false);
     }
 
+    /// Takes in what a peer tells of servers; the news were this old when it told them.
+    pub fn hear_servers(
+        &mut self,
+        now: Timestamp,
+        age: Duration,
+        news: Vec<ServerSheet>,
+        departures: &[Departure],
+    ) {
+        for sheet in news {
+            self.fleet.hear_sheet(now, sheet);
+        }
+        self.note_news(now, age);
+        for departure in departures {
+            self.fleet.note_departure(now, departure);
+        }
+    }
+
     /// Notes news of servers that were this old when a peer passed them on.
-    pub fn note_news(&mut self, now: Timestamp, age: Duration) {
+    fn note_news(&mut self, now: Timestamp, age: Duration) {
         let told = now.before(age);
         if self.news_at > Timestamp::ZERO {
             self.news_at = self.news_at.max(told);
--- a/crates/teaselglade-host/src/state/host_state.rs
+++ b/crates/teaselglade-host/src/state/host_state.rs
@@ -8,6 +8,7 @@
 use teaselglade_core::port::ClockPort;
 use teaselglade_core::time::Timestamp;
 use teaselglade_net::clock::SystemClock;
+use teaselglade_routing::exchange::PeerAddress;
 use teaselglade_routing::table::RouteTable;
 use tokio_util::sync::CancellationToken;
 use tracing::{info, warn};
@@ -73,6 +74,15 @@
         }))
     }
 
+    /// Returns by which name and where peers find this host.
+    #[must_use]
+    pub fn own_address(&self) -> PeerAddress {
+        PeerAddress {
+            name: self.settings.name.clone(),
+            address: self.settings.listen.peers,
+        }
+    }
+
     /// Returns the present time on the monotonic clock.
     #[must_use]
     pub fn now(&self) -> Timestamp {
@@ -152,6 +162,12 @@
         decisions.roster.is_reader(now) || decisions.is_unserved(now)
     }
 
+    /// Takes in what came of a call to the platform, as [`HostState::note_call`] does.
+    pub fn note_result<T, E: std::fmt::Display>(&self, call: &'static str, ended: &Result<T, E>) {
+        let error = ended.as_ref().err();
+        self.note_call(call, error.map(|error| error as &dyn std::fmt::Display));
+    }
+
     /// Counts a call to the platform and logs where a dependency was lost or regained.
     pub fn note_call(&self, call: &'static str, error: Option<&dyn std::fmt::Display>) {
         let outcome = if error.is_some() { "failed" } else { "ok" };
--- a/crates/teaselglade-routing/src/exchange/peer_roster.rs
+++ b/crates/teaselglade-routing/src/exchange/peer_roster.rs
@@ -47,6 +47,13 @@
 /// 400 ms three times over, beside the 200 ms after which it hears of a host itself, and a margin.
 const TOLD_SPAN: Duration = Duration::from_millis(1_800);
 
+/// By what a host leads, the first in order first: the duties, then the store.
+type LeadStanding = (bool, bool);
+
+const fn lead_standing(holds_duties: bool, reads_store: bool) -> LeadStanding {
+    (!holds_duties, !reads_store)
+}
+
 #[derive(Debug, Clone)]
 struct PeerEntry {
     address: SocketAddr,
@@ -61,6 +68,11 @@
 }
 
 impl PeerEntry {
+    /// Returns by what hosts lead, before their names.
+    const fn standing(&self) -> LeadStanding {
+        lead_standing(self.holds_duties, self.reads_store)
+    }
+
     fn is_heard(&self, now: Timestamp, span: Duration) -> bool {
         self.start > 0 && now.since(self.heard) < span
     }
@@ -216,9 +228,7 @@
     #[must_use]
     pub fn heard_within(&self, now: Timestamp, span: Duration) -> usize {
         let peers = self.peers.values();
-        peers
-            .filter(|peer| peer.start > 0 && now.since(peer.heard) < span)
-            .count()
+        peers.filter(|peer| peer.is_heard(now, span)).count()
     }
 
     /// Returns whether digests go through collectors.
@@ -329,11 +339,12 @@
             })
             .collect();
         leaders.push(own);
-        let key = |leader: &LeadingHost| {
-            let name = leader.host.name.clone();
-            (!leader.holds_duties, !leader.reads_store, name)
-        };
-        leaders.sort_by_key(key);
+        leaders.sort_by(|a, b| {
+            let standing =
+                |leader: &LeadingHost| lead_standing(leader.holds_duties, leader.reads_store);
+            let names = || a.host.name.cmp(&b.host.name);
+            standing(a).cmp(&standing(b)).then_with(names)
+        });
         leaders
     }
 
@@ -368,10 +379,10 @@
     /// Returns how many present hosts go before this one.
     #[must_use]
     pub fn rank(&self, now: Timestamp) -> usize {
-        let own = (!self.holds_duties, !self.reads_store, &self.own_name);
-        let earlier = self
-            .present(now)
-            .filter(|(name, peer)| (!peer.holds_duties, !peer.reads_store, *name) < own);
+        let standing = lead_standing(self.holds_duties, self.reads_store);
+        let own = (standing, &self.own_name);
+        let earlier = self.present(now);
+        let earlier = earlier.filter(|(name, peer)| (peer.standing(), *name) < own);
         earlier.count()
     }
 
@@ -386,7 +397,7 @@
     /// Returns the peers that were heard of lately, in the order in which they lead.
     fn in_order(&self, now: Timestamp) -> Vec<(&String, &PeerEntry)> {
         let mut present: Vec<(&String, &PeerEntry)> = self.present(now).collect();
-        present.sort_by_key(|(_, peer)| (!peer.holds_duties, !peer.reads_store));
+        present.sort_by_key(|(_, peer)| peer.standing());
         present
     }
 
--- a/crates/teaselglade-routing/src/quota/quota_board.rs
+++ b/crates/teaselglade-routing/src/quota/quota_board.rs
@@ -83,6 +83,18 @@
     spend: HashMap<String, FleetSpend>,
 }
 
+impl FollowedFleet {
+    fn is_fresh(&self, now: Timestamp) -> bool {
+        now.since(self.told) < FOLLOW_SPAN
+    }
+
+    /// Returns what the hosts beside one that spends `own_rate` spend a second.
+    fn others_rate(&self, organisation: &str, own_rate: f64) -> f64 {
+        let told = self.spend.get(organisation);
+        told.map_or(0.0, |told| (told.rate - own_rate).max(0.0))
+    }
+}
+
 #[derive(Debug, Clone)]
 struct QuotaState {
     quota: QuotaSpec,
@@ -188,10 +200,8 @@
     pub fn hear(&mut self, now: Timestamp, peer: &str, start: u64, spend: PeerSpend) {
         let is_followed = self.followed(now).is_some();
         let known = self.peers.get(peer).filter(|known| known.is_counted);
-        let untold = self
-            .told_before
-            .map_or(Duration::ZERO, |told| now.since(told));
-        let is_untold = untold < FOLLOW_SPAN * 2;
+        let untold = self.told_before.map(|told| now.since(told));
+        let untold = untold.filter(|span| *span < FOLLOW_SPAN * 2);
         for (name, report) in &spend {
             let gained = match known {
                 Some(known) if known.start == start => {
@@ -199,9 +209,8 @@
                     report.total - before
                 }
                 Some(_restarted) => report.total,
-                None if is_untold => report.rate * untold.as_secs_f64(),
                 // Most of what an unknown peer spent is long past.
-                None => 0.0,
+                None => report.rate * untold.unwrap_or_default().as_secs_f64(),
             };
             if !is_followed && let Some(state) = self.quotas.get_mut(name) {
                 // A refund makes the total of a peer smaller.
@@ -277,11 +286,10 @@
 
     /// Returns what other hosts spend a second, as a collecting host told.
     fn others_rate(&self, now: Timestamp, organisation: &str) -> f64 {
-        let followed = self.followed(now);
-        let told = followed.and_then(|followed| followed.spend.get(organisation));
         let own = self.quotas.get(organisation);
         let own_rate = own.map_or(0.0, |state| state.own_rate);
-        told.map_or(0.0, |told| (told.rate - own_rate).max(0.0))
+        self.followed(now)
+            .map_or(0.0, |fleet| fleet.others_rate(organisation, own_rate))
     }
 
     /// Returns whether a collecting host tells this one what all hosts spend.
@@ -297,8 +305,7 @@
     }
 
     fn followed(&self, now: Timestamp) -> Option<&FollowedFleet> {
-        let followed = self.followed.as_ref();
-        followed.filter(|followed| now.since(followed.told) < FOLLOW_SPAN)
+        self.followed.as_ref().filter(|fleet| fleet.is_fresh(now))
     }
 
     /// Frees the part of a peer that is gone for good.
@@ -368,10 +375,9 @@
     /// Returns what this host spent, for its peers.
     pub fn report(&mut self, now: Timestamp) -> PeerSpend {
         let share = self.group_share(now);
-        let followed = self.followed(now).cloned();
+        let followed = self.followed.as_ref().filter(|fleet| fleet.is_fresh(now));
         let reports = self.quotas.iter_mut().map(|(name, state)| {
-            let told = followed.as_ref().and_then(|fleet| fleet.spend.get(name));
-            let others = told.map_or(0.0, |told| (told.rate - state.own_rate).max(0.0));
+            let others = followed.map_or(0.0, |fleet| fleet.others_rate(name, state.own_rate));
             state.refill(now, share, others);
             let report = SpendReport {
                 total: state.own_total,
--- a/crates/teaselglade-routing/tests/routing/roster.rs
+++ b/crates/teaselglade-routing/tests/routing/roster.rs
@@ -100,12 +100,7 @@
 
 #[test]
 fn digests_of_a_large_fleet_go_to_its_collectors() {
-    let mut roster = PeerRoster::new("edge-99", 1);
-    for host in 10..60 {
-        let mut heard = digest(&format!("edge-{host}"), 10, 1);
-        heard.host.address = format!("127.0.1.{host}:7600").parse().expect("an address");
-        roster.note_heard(at(0), &heard);
-    }
+    let mut roster = large("edge-99");
     let targets = roster.targets(at(1));
     for collector in 10..13 {
         let address = format!("127.0.1.{collector}:7600")
@@ -116,12 +111,17 @@
     assert!(targets.len() <= 5, "{targets:?}");
 }
 
+/// Returns a digest of the host `edge-HOST`, which has an address of its own.
+fn digest_of(host: u64, number: u64) -> HostDigest {
+    let mut heard = digest(&format!("edge-{host}"), 10, number);
+    heard.host.address = format!("127.0.1.{host}:7600").parse().expect("an address");
+    heard
+}
+
 fn large(own: &str) -> PeerRoster {
     let mut roster = PeerRoster::new(own, 1);
     for host in 10..60 {
-        let mut heard = digest(&format!("edge-{host}"), 10, 1);
-        heard.host.address = format!("127.0.1.{host}:7600").parse().expect("an address");
-        roster.note_heard(at(0), &heard);
+        roster.note_heard(at(0), &digest_of(host, 1));
     }
     roster
 }
@@ -145,8 +145,7 @@
 #[test]
 fn a_collector_serves_those_that_ask_it_and_no_others() {
     let mut roster = large("edge-10");
-    let mut asking = digest("edge-50", 10, 2);
-    asking.host.address = "127.0.1.50:7600".parse().expect("an address");
+    let mut asking = digest_of(50, 2);
     for (asked, is_served) in [("edge-10", true), ("edge-11", false), ("edge-10", true)] {
         asking.number += 1;
         asking.asks = Some(name_hash(asked));
@@ -173,8 +172,7 @@
     assert!(!one.is_duty_candidate(at(10)));
     for now in (200..4_000).step_by(400) {
         for name in 20..60 {
-            let mut heard = digest(&format!("edge-{name}"), 10, now);
-            heard.host.address = format!("127.0.1.{name}:7600").parse().expect("an address");
+            let heard = digest_of(name, now);
             one.note_heard(at(now), &heard);
             other.note_heard(at(now), &heard);
         }
--- a/crates/teaselglade/tests/host/log_stream.rs
+++ b/crates/teaselglade/tests/host/log_stream.rs
@@ -1,10 +1,9 @@
 //! The log of a host that runs as a process: its reader stops, its filter changes.
 
 use std::io::{BufRead, BufReader};
-use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::net::{IpAddr, SocketAddr};
 use std::path::PathBuf;
 use std::process::{Child, ChildStdout, Command, Stdio};
-use std::sync::atomic::{AtomicU8, Ordering};
 use std::time::Duration;
 
 use futures::future::join_all;
@@ -13,6 +12,7 @@
 use tokio::time::{sleep, timeout};
 
 use super::fixture::{PATIENCE, call};
+use super::host_settings::{next_host, settings_text};
 
 const METRICS_PORT: u16 = 9_464;
 
@@ -35,18 +35,11 @@
 
 impl LoneHost {
     fn start(filter: &str) -> Self {
-        static HOSTS: AtomicU8 = AtomicU8::new(1);
-        let [_, _, high, low] = std::process::id().to_be_bytes();
-        // Apart from the hosts that the other tests of this binary start.
-        let number = 200 + HOSTS.fetch_add(1, Ordering::SeqCst);
-        let ip = IpAddr::V4(Ipv4Addr::new(127, high | 0x80, low, number));
+        let (_, ip) = next_host();
         let folder = TempDir::new().expect("a folder");
         let settings = folder.path().join("edge.conf");
         // Nothing listens at port 9 of the host's own address.
-        let text = format!(
-            "node=edge-1\nzone=galway\nip={ip}\nlisten.front={ip}:8221\nlisten.ready={ip}:8224\n\
-             port_range=7600,7615\nplatform.address={ip}:9\n"
-        );
+        let text = settings_text("edge-1", ip, SocketAddr::new(ip, 9), &[]);
         std::fs::write(
             &settings,
             format!("{text}log.filter={filter}\nlog.queued_lines=5\n"),
--- a/crates/teaselglade/tests/host/main.rs
+++ b/crates/teaselglade/tests/host/main.rs
@@ -2,6 +2,8 @@
 
 #[path = "../../../../platform/tests/platform/fixture.rs"]
 mod fixture;
+#[path = "../../../../platform/tests/platform/host_settings.rs"]
+mod host_settings;
 #[path = "../../../../platform/tests/platform/server_standin.rs"]
 #[expect(dead_code, reason = "these tests need a part of the stand-in")]
 mod server_standin;
