feat(platform): a store that returns from an older copy

Cause: no code read the header `Store-Era`. After a return of the store offsets are given out again: a follower missed records without an error, and a fencing number taken from an offset could be given out twice. A read before the start of the lease or report stream (410) failed for ever.

Change: the client watches the era of every response, errors included; one of an earlier era is rejected. Offsets leave the adapter with the era in their upper 24 bits, so those of a later era are higher. To lease holders and the report log a return looks like dropped history: the holder stops, waits the takeover time and claims under a higher number; grants and renewals of an earlier era name offsets that they do not have. Followers read everything again; servers missing from the copy have two seconds to register again, departed ones stay away by their tombstones; hosts announce themselves again within 4 s. A host that starts asks peers before it reads the table.

Usage reports: a record that names its own offset shows that windows from it on were open in this era; others are not decided. Decisions that the leader or its successor (by digest) remembers are written again first. The lease is checked right before each report and order.

--- a/crates/teaselglade-host/src/duty/duty_driver.rs
+++ b/crates/teaselglade-host/src/duty/duty_driver.rs
@@ -19,8 +19,8 @@
 use tokio::time::{MissedTickBehavior, interval};
 use tracing::{info, warn};
 
-use super::ReportLog;
 use super::usage_reporter::UsageReporter;
+use super::{ReportLog, TermGuard};
 use crate::port::{DutyError, DutyPort, LeaderTerm};
 use crate::settings::DutySettings;
 use crate::state::HostState;
@@ -70,7 +70,8 @@
     host: Arc<HostState>,
     port: Arc<dyn DutyPort>,
     log: Arc<dyn LogPort>,
-    clock: SuspendClock,
+    clock: Arc<SuspendClock>,
+    guard: TermGuard,
     holder: LeaseHolder,
     /// Number of times that this process rejoined the competition for the lease.
     participation: u64,
@@ -93,9 +94,11 @@
     #[must_use]
     pub fn new(host: Arc<HostState>, port: Arc<dyn DutyPort>) -> Self {
         let (sender, events) = unbounded_channel();
+        let clock = Arc::new(SuspendClock::start());
         Self {
             log: Arc::clone(&host.ports.log),
-            clock: SuspendClock::start(),
+            guard: TermGuard::new(Arc::clone(&clock)),
+            clock,
             holder: new_holder(&host, 0),
             participation: 0,
             is_candidate: true,
@@ -154,7 +157,10 @@
                 self.next_report_at = self.host.now() + REPORT_INTERVAL;
                 let mut decisions = self.host.lock_decisions();
                 for counts in reports.since(0) {
-                    decisions.usage.record_decided(counts.window);
+                    decisions.usage.record_decided(counts.clone());
+                }
+                if let Some(window) = reports.first_open() {
+                    decisions.usage.skip_before(window);
                 }
                 drop(decisions);
                 self.reports = reports;
@@ -170,6 +176,8 @@
         }
         let now = self.clock.now();
         let actions = self.holder.on_event(now, event);
+        self.guard
+            .set(self.active_number(), self.holder.valid_until());
         for action in actions {
             self.execute(action);
         }
@@ -263,6 +271,7 @@
         if is_fenced && self.fenced_number != Some(number) {
             warn!(event = "duties_fenced", number = fencing_number(number));
             self.fenced_number = Some(number);
+            self.guard.set(None, Timestamp::ZERO);
         }
     }
 
@@ -323,12 +332,16 @@
 
     fn send_order(&self, order: ServerOrder, number: LeaseNumber) {
         let term = self.leader_term(number);
-        let (host, port, sender) = (
+        let (host, port, sender, guard) = (
             Arc::clone(&self.host),
             Arc::clone(&self.port),
             self.sender.clone(),
+            self.guard.clone(),
         );
         tokio::spawn(async move {
+            if !guard.allows(number) {
+                return;
+            }
             let result = port.order_servers(&term, &order).await;
             let (outcome, is_fenced) = match &result {
                 Ok(()) => (OrderOutcome::Accepted, false),
@@ -373,14 +386,22 @@
             return;
         }
         self.is_reporting = true;
+        let mut reports = self.reports.clone();
+        let remembered = self.host.lock_decisions().usage.decided_reports();
+        for counts in remembered {
+            reports.remember(counts);
+        }
         let reporter = UsageReporter {
             host: Arc::clone(&self.host),
             port: Arc::clone(&self.port),
             log: Arc::clone(&self.log),
             term: self.leader_term(number),
-            reports: self.reports.clone(),
+            number,
+            guard: self.guard.clone(),
+            reports,
             reported_windows: self.reported_windows.clone(),
             oldest_window,
+            current_window,
         };
         let sender = self.sender.clone();
         tokio::spawn(async move {
--- a/crates/teaselglade-host/src/duty/mod.rs
+++ b/crates/teaselglade-host/src/duty/mod.rs
@@ -2,7 +2,9 @@
 
 mod duty_driver;
 mod report_log;
+mod term_guard;
 mod usage_reporter;
 
 pub use duty_driver::{DutyDriver, lease_identity, lease_timings};
-pub use report_log::ReportLog;
+pub use report_log::{ReportLog, ReportRecord};
+use term_guard::TermGuard;
--- a/crates/teaselglade-host/src/duty/usage_reporter.rs
+++ b/crates/teaselglade-host/src/duty/usage_reporter.rs
@@ -6,9 +6,10 @@
 
 use teaselglade_core::port::{LogPort, StreamName};
 use teaselglade_routing::usage::WindowCounts;
+use teaselglade_state::lease::LeaseNumber;
 use tracing::info;
 
-use super::ReportLog;
+use super::{ReportLog, ReportRecord, TermGuard};
 use crate::port::{DutyError, DutyPort, LeaderTerm};
 use crate::state::HostState;
 
@@ -21,9 +22,12 @@
     pub(super) port: Arc<dyn DutyPort>,
     pub(super) log: Arc<dyn LogPort>,
     pub(super) term: LeaderTerm,
+    pub(super) number: LeaseNumber,
+    pub(super) guard: TermGuard,
     pub(super) reports: ReportLog,
     pub(super) reported_windows: BTreeSet<u64>,
     pub(super) oldest_window: u64,
+    pub(super) current_window: u64,
 }
 
 impl UsageReporter {
@@ -35,25 +39,69 @@
         mut self,
         due: Option<WindowCounts>,
     ) -> (ReportLog, BTreeSet<u64>, bool) {
-        let is_current = self.read_to_end().await;
-        if let Some(counts) = due.filter(|_| is_current)
-            && self.reports.decided(counts.window).is_none()
-        {
+        let is_current = self.read_to_end().await && self.restore_decisions().await;
+        if let Some(counts) = due.filter(|_| is_current) {
             self.decide(&counts).await;
         }
         let is_fenced = self.send_unreported().await;
         (self.reports, self.reported_windows, is_fenced)
     }
 
+    /// Writes remembered decisions that the log lost, and opens windows where it shows none.
+    ///
+    /// Returns whether the log holds all of them now, so that new windows may be decided.
+    async fn restore_decisions(&mut self) -> bool {
+        let lost: Vec<WindowCounts> = self
+            .reports
+            .unlogged_since(self.oldest_window)
+            .cloned()
+            .collect();
+        for counts in &lost {
+            info!(event = "usage_written_again", window = counts.window);
+            self.append(&ReportRecord::repetition(counts)).await;
+        }
+        if !lost.is_empty() && !self.read_to_end().await {
+            return false;
+        }
+        if self.reports.first_open().is_none() {
+            let (window, offset) = (self.current_window, self.reports.next_offset());
+            info!(event = "usage_opened", window);
+            self.append(&ReportRecord::opening(window, offset)).await;
+            self.read_to_end().await;
+        }
+        let is_complete = self
+            .reports
+            .unlogged_since(self.oldest_window)
+            .next()
+            .is_none();
+        is_complete && self.reports.first_open().is_some()
+    }
+
     /// Appends a report and reads the log; the first record of the window is authoritative.
+    ///
+    /// Has no effect for a window that another leader may have decided in a history that the log
+    /// lost: its report may have been sent with other counts.
     async fn decide(&mut self, counts: &WindowCounts) {
-        let Ok(body) = rmp_serde::to_vec(counts) else {
+        let window = counts.window;
+        if self.reports.decided(window).is_some() {
+            return;
+        }
+        if !self.reports.is_open(window) {
+            info!(event = "usage_skipped", window);
+            return;
+        }
+        info!(event = "usage_decided", window, counts = ?counts.counts);
+        let record = ReportRecord::decision(counts, self.reports.next_offset());
+        self.append(&record).await;
+        self.read_to_end().await;
+    }
+
+    async fn append(&self, record: &ReportRecord) {
+        let Ok(body) = rmp_serde::to_vec(record) else {
             return;
         };
         let appended = self.log.append(&StreamName::usage(), body.into()).await;
         self.host.record_result("append_usage", &appended);
-        info!(event = "usage_decided", window = counts.window, counts = ?counts.counts);
-        self.read_to_end().await;
     }
 
     async fn send_unreported(&mut self) -> bool {
@@ -63,6 +111,9 @@
             .cloned()
             .collect();
         for counts in unsent {
+            if !self.guard.allows(self.number) {
+                return false;
+            }
             let result = self.port.report_usage(&self.term, &counts).await;
             self.host.record_result("report_usage", &result);
             match result {
--- a/crates/teaselglade-host/src/follow/server_follower.rs
+++ b/crates/teaselglade-host/src/follow/server_follower.rs
@@ -23,11 +23,18 @@
 
 /// Follows server registrations until the task is aborted.
 pub async fn follow_servers(host: Arc<HostState>) {
+    let generations = host.ports.feeds.history_generation();
+    let mut listed_generation = 0;
     loop {
         match host.ports.feeds.latest(Feed::Servers).await {
             Ok(page) => {
                 host.record_call("read_servers", None);
                 record_response(&host);
+                let generation = *generations.borrow();
+                if listed_generation > 0 && generation > listed_generation {
+                    expect_missing_servers(&host);
+                }
+                listed_generation = generation;
                 let next = page.next_offset;
                 apply_listing(&host, page);
                 poll_changes(&host, next).await;
@@ -62,8 +69,8 @@
                 next = page.next_offset;
                 apply_changes(host, page);
             }
-            Err(StoreError::HistoryLost) => {
-                info!(event = "history_lost", feed = "servers", next);
+            Err(error @ (StoreError::HistoryLost { .. } | StoreError::HistoryReplaced { .. })) => {
+                info!(event = "history_lost", feed = "servers", next, error = %error);
                 return;
             }
             Err(error) => {
@@ -85,6 +92,14 @@
     host.lock_decisions().record_store_response(now);
 }
 
+/// Gives servers time to register again after the store returned from an older copy.
+///
+/// Their registrations may be newer than the copy.
+fn expect_missing_servers(host: &HostState) {
+    let now = host.now();
+    host.lock_decisions().registry.record_store_recovery(now);
+}
+
 fn record_failure(host: &HostState, call: &'static str, error: &StoreError) {
     host.record_call(call, Some(error));
     let now = host.now();
--- a/crates/teaselglade-host/src/follow/table_follower.rs
+++ b/crates/teaselglade-host/src/follow/table_follower.rs
@@ -7,6 +7,7 @@
 use tracing::{info, warn};
 
 use super::STORE_RETRY_DELAY;
+use crate::peer::pull_before_store;
 use crate::port::{Feed, FeedItem, FeedPage, StoreError};
 use crate::state::HostState;
 
@@ -20,7 +21,11 @@
 const FULL_READ_INTERVAL: Duration = Duration::from_secs(40);
 
 /// Follows the published table until the task is aborted.
+///
+/// Peers are asked first: the store may have returned from a copy that is older than the table
+/// that they enforce, and a host that starts must not serve with a removed key.
 pub async fn follow_table(host: Arc<HostState>) {
+    pull_before_store(&host).await;
     loop {
         match host.ports.feeds.latest(Feed::Table).await {
             Ok(page) => {
@@ -52,8 +57,8 @@
                 next = page.next_offset;
                 apply_page(host, page);
             }
-            Err(StoreError::HistoryLost) => {
-                info!(event = "history_lost", feed = "table", next);
+            Err(error @ (StoreError::HistoryLost { .. } | StoreError::HistoryReplaced { .. })) => {
+                info!(event = "history_lost", feed = "table", next, error = %error);
                 return;
             }
             Err(error) => {
--- a/crates/teaselglade-host/src/host/serving_host.rs
+++ b/crates/teaselglade-host/src/host/serving_host.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use teaselglade_net::server::ServerHandle;
+use teaselglade_routing::gossip::name_hash;
 use tokio::sync::mpsc::unbounded_channel;
 use tokio::task::JoinHandle;
 use tokio::time::{sleep, timeout};
@@ -30,6 +31,10 @@
 const CLEANUP_INTERVAL: Duration = Duration::from_millis(500);
 /// Maximum number of attempts to discover other hosts through the store.
 const MAX_DISCOVERY_ATTEMPTS: u32 = 10;
+/// Time over which the hosts of a fleet announce themselves again after the store lost records.
+///
+/// All hosts at once would exceed the store's rate in a large fleet.
+const ANNOUNCEMENT_SPREAD: Duration = Duration::from_secs(4);
 
 /// A running host.
 #[derive(Debug)]
@@ -73,6 +78,7 @@
             tokio::spawn(follow_table(Arc::clone(&state))),
             tokio::spawn(follow_servers(Arc::clone(&state))),
             tokio::spawn(discover_hosts(Arc::clone(&state))),
+            tokio::spawn(watch_store_history(Arc::clone(&state))),
             tokio::spawn(run_cleanup(Arc::clone(&state))),
         ];
         let duties = state.ports.duties.clone();
@@ -148,6 +154,31 @@
     warn!(event = "hosts_not_found", tries = MAX_DISCOVERY_ATTEMPTS);
 }
 
+/// Announces this host again whenever the store returns from an older copy of its records.
+async fn watch_store_history(host: Arc<HostState>) {
+    let mut generations = host.ports.feeds.history_generation();
+    let mut known = *generations.borrow_and_update();
+    while generations.changed().await.is_ok() {
+        let generation = *generations.borrow_and_update();
+        let is_return = known > 0;
+        host.metrics.store_generation.set(generation.cast_signed());
+        if is_return {
+            host.metrics.store_returns.inc();
+            warn!(event = "store_history_replaced", before = known, generation);
+        }
+        known = generation;
+        if is_return {
+            sleep(announcement_delay(&host.settings.name)).await;
+            discover_hosts(Arc::clone(&host)).await;
+        }
+    }
+}
+
+/// Returns this host's part of [`ANNOUNCEMENT_SPREAD`], which differs from host to host.
+fn announcement_delay(name: &str) -> Duration {
+    ANNOUNCEMENT_SPREAD.mul_f64(name_hash(name) as f64 / u64::MAX as f64)
+}
+
 /// Periodically logs summaries and role changes, removes expired state and updates gauges.
 async fn run_cleanup(host: Arc<HostState>) {
     let mut last_roles = None;
--- a/crates/teaselglade-host/src/metrics/host_metrics.rs
+++ b/crates/teaselglade-host/src/metrics/host_metrics.rs
@@ -36,6 +36,10 @@
     pub digest_bytes: IntCounterVec,
     /// Unreadable store records that were skipped.
     pub unreadable_records: IntCounter,
+    /// Generation of the store's history; it rises when the store returns from an older copy.
+    pub store_generation: IntGauge,
+    /// Returns of the store from an older copy that this host saw.
+    pub store_returns: IntCounter,
     /// Version of the active table.
     pub table_version: IntGauge,
     /// Servers that accept new work, by service.
@@ -103,6 +107,14 @@
                 "teaselglade_unreadable_records_total",
                 "Records of the store that were passed over.",
             )?,
+            store_generation: r.gauge(
+                "teaselglade_store_generation",
+                "Generation of the store's history.",
+            )?,
+            store_returns: r.counter(
+                "teaselglade_store_returns_total",
+                "Returns of the store from an older copy of its records.",
+            )?,
             table_version: r.gauge(
                 "teaselglade_table_version",
                 "Version of the table in force.",
--- a/crates/teaselglade-host/src/peer/gossip_transport.rs
+++ b/crates/teaselglade-host/src/peer/gossip_transport.rs
@@ -188,13 +188,14 @@
         } else {
             Vec::new()
         };
+        let is_leader = decisions.membership.is_leader();
         let digest = HostDigest {
             host: host.own_address(),
             started_at_us: host.started_at_us,
             sequence: self.sequence,
             table_version: active_version,
             store_reachable: decisions.store_reachable(),
-            is_leader: decisions.membership.is_leader(),
+            is_leader,
             update_age_ms: now.since(decisions.registry_updated_at).as_millis() as u64,
             updates: decisions.registry.updates(now, scope),
             spend: decisions.quotas.report(now),
@@ -202,6 +203,11 @@
             cached_parts: decisions.engine_placer.recent_parts(now),
             demand,
             usage: decisions.usage.recent_counts(wall_time),
+            decided_reports: if is_leader {
+                decisions.usage.decided_reports()
+            } else {
+                Vec::new()
+            },
             departures: decisions.registry.departures(now, scope, digest_number),
             requested_aggregator: aggregator,
             peers,
@@ -328,6 +334,9 @@
         decisions
             .usage
             .merge_peer_counts(wall_time, &name, digest.started_at_us, digest.usage);
+        for report in digest.decided_reports {
+            decisions.usage.record_decided(report);
+        }
         decisions.record_peer_demand(now, &name, digest.demand);
         drop(guard);
         if digest.table_version > host.table_version() {
--- a/crates/teaselglade-host/src/peer/mod.rs
+++ b/crates/teaselglade-host/src/peer/mod.rs
@@ -7,5 +7,5 @@
 
 pub use gossip_transport::GossipTransport;
 pub use peer_api::start_peer_api;
-pub use peer_pull::pull_from_peers;
+pub use peer_pull::{pull_before_store, pull_from_peers};
 pub use peer_state::PeerState;
--- a/crates/teaselglade-host/src/peer/peer_pull.rs
+++ b/crates/teaselglade-host/src/peer/peer_pull.rs
@@ -4,9 +4,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use futures::future::join_all;
 use teaselglade_net::client::{HttpClient, HttpRequest};
 use tokio::sync::mpsc::UnboundedReceiver;
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 use tracing::{debug, info, warn};
 
 use super::PeerState;
@@ -22,6 +23,12 @@
 const STALENESS_TIMEOUT: Duration = Duration::from_millis(1_200);
 /// Maximum number of peers queried per check.
 const MAX_QUERIED_PEERS: usize = 2;
+/// Maximum number of peers that a host queries before it reads the store.
+const MAX_FIRST_CONTACTS: usize = 4;
+/// Maximum time for which a host that starts waits until it knows a peer.
+const DISCOVERY_WAIT: Duration = Duration::from_millis(200);
+/// Interval between checks for a known peer during that time.
+const DISCOVERY_POLL: Duration = Duration::from_millis(10);
 
 /// Fetches tables that digests announce, and servers while registration data is stale.
 ///
@@ -44,6 +51,26 @@
     }
 }
 
+/// Queries peers once, before this host trusts what it reads from the store.
+///
+/// Returns when they responded, or after [`RESPONSE_TIMEOUT`]. A host that starts knows only seeds
+/// at first; the list of hosts usually arrives within [`DISCOVERY_WAIT`].
+pub async fn pull_before_store(host: &HostState) {
+    let waiting_since = host.now();
+    while host.lock_decisions().membership.peer_count() == 0
+        && host.now().since(waiting_since) < DISCOVERY_WAIT
+    {
+        sleep(DISCOVERY_POLL).await;
+    }
+    let client = HttpClient::default();
+    let peers = host
+        .lock_decisions()
+        .membership
+        .first_contacts(MAX_FIRST_CONTACTS);
+    let queries = peers.into_iter().map(|peer| pull(host, &client, peer));
+    join_all(queries).await;
+}
+
 async fn pull_if_stale(host: &HostState, client: &HttpClient) {
     let peers = {
         let decisions = host.lock_decisions();
--- a/crates/teaselglade-host/src/port/feed_port.rs
+++ b/crates/teaselglade-host/src/port/feed_port.rs
@@ -8,6 +8,7 @@
 use teaselglade_routing::gossip::PeerAddress;
 use teaselglade_routing::registry::ServerRegistration;
 use teaselglade_routing::table::TableSpec;
+use tokio::sync::watch;
 
 use super::MessageError;
 
@@ -57,6 +58,8 @@
     /// Records in the order of the feed.
     pub items: Vec<FeedItem>,
     /// Offset at which the next read starts.
+    ///
+    /// Offsets rise also when the store returns from an older copy.
     pub next_offset: u64,
 }
 
@@ -64,7 +67,17 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum StoreError {
     /// The store no longer holds the requested records; a full read is needed.
-    HistoryLost,
+    HistoryLost {
+        /// Offset of the oldest record that the store holds.
+        resume_at: u64,
+    },
+    /// The store returned from an older copy, so that all earlier offsets are void.
+    ///
+    /// Records that were written since the copy are gone, and their offsets were given out again.
+    HistoryReplaced {
+        /// Lowest offset since that return.
+        resume_at: u64,
+    },
     /// The store rejected the call.
     Refused {
         /// HTTP status.
@@ -94,7 +107,10 @@
 impl fmt::Display for StoreError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
-            Self::HistoryLost => f.write_str("the store dropped its history"),
+            Self::HistoryLost { .. } => f.write_str("the store dropped its history"),
+            Self::HistoryReplaced { .. } => {
+                f.write_str("the store returned from an older copy of its records")
+            }
             Self::Refused { status, detail } => write!(f, "the store refused ({status}): {detail}"),
             Self::Unknown { detail, .. } => write!(f, "the store did not answer: {detail}"),
         }
@@ -119,6 +135,12 @@
     /// Publishes the address at which this host receives digests.
     fn announce(&self, host: PeerAddress) -> PortFuture<'_, Result<(), StoreError>>;
 
+    /// Returns a receiver of the generation of the store's history.
+    ///
+    /// The generation rises by one each time the store returns from an older copy of its records.
+    /// It is 0 until the store names it.
+    fn history_generation(&self) -> watch::Receiver<u64>;
+
     /// Decodes a table version that a peer passed on.
     ///
     /// # Errors
--- a/crates/teaselglade-routing/src/gossip/host_digest.rs
+++ b/crates/teaselglade-routing/src/gossip/host_digest.rs
@@ -65,6 +65,11 @@
     pub demand: Vec<ServiceDemand>,
     /// Requests that began to run at the sender, by usage window.
     pub usage: Vec<WindowCounts>,
+    /// Decided usage reports, if the sender is the leader.
+    ///
+    /// Its successor writes them again if the log loses them.
+    #[serde(rename = "decided", default)]
+    pub decided_reports: Vec<WindowCounts>,
     /// Recent server departures known to the sender.
     pub departures: Vec<ServerDeparture>,
     /// Name hash of the aggregator from which the sender requests aggregate digests, if any.
--- a/crates/teaselglade-routing/src/gossip/peer_membership.rs
+++ b/crates/teaselglade-routing/src/gossip/peer_membership.rs
@@ -220,6 +220,19 @@
         peers.choose_multiple(&mut self.random, MAX_SAMPLED_PEERS)
     }
 
+    /// Returns up to `max_count` addresses at which a host that starts may find peers.
+    ///
+    /// They are a random sample of the known peers and the seeds.
+    pub fn first_contacts(&mut self, max_count: usize) -> Vec<SocketAddr> {
+        let known = self.peers.values().map(|peer| peer.address);
+        let mut contacts: Vec<SocketAddr> = known.chain(self.seeds.iter().copied()).collect();
+        contacts.sort_unstable();
+        contacts.dedup();
+        contacts
+            .into_iter()
+            .choose_multiple(&mut self.random, max_count)
+    }
+
     /// Returns the number of known peers.
     #[must_use]
     pub fn peer_count(&self) -> usize {
--- a/crates/teaselglade-routing/src/usage/usage_ledger.rs
+++ b/crates/teaselglade-routing/src/usage/usage_ledger.rs
@@ -1,6 +1,6 @@
 //! Counts of requests that began to run, by organisation and window of wall time.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
@@ -17,6 +17,9 @@
 /// Their last known counts are used.
 const PEER_TIMEOUT: Duration = Duration::from_secs(5);
 
+/// Number of decided reports that are kept: those that a new leader may send again, and one more.
+const MAX_DECIDED_REPORTS: usize = 4;
+
 /// Counts of one window, of one host or of all.
 #[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
 pub struct WindowCounts {
@@ -58,7 +61,8 @@
     /// It is the last one that ended before the first call of `due_window`: this host neither saw
     /// earlier windows whole nor received peers' counts of them.
     first_window: Option<u64>,
-    decided_windows: BTreeSet<u64>,
+    /// Decided reports of recent windows, known from the log or from the leader's digests.
+    decided: BTreeMap<u64, WindowCounts>,
 }
 
 impl UsageLedger {
@@ -70,7 +74,7 @@
             own: BTreeMap::new(),
             peers: BTreeMap::new(),
             first_window: None,
-            decided_windows: BTreeSet::new(),
+            decided: BTreeMap::new(),
         }
     }
 
@@ -125,14 +129,28 @@
             .retain(|_, peer| !peer.windows.is_empty() || peer.last_seen >= wall);
     }
 
-    /// Records that a window's report was decided, so that it is no longer due.
-    pub fn record_decided(&mut self, window: u64) {
-        self.decided_windows.insert(window);
-        while self.decided_windows.len() > 64 {
-            self.decided_windows.pop_first();
+    /// Records the decided report of a window, so that it is no longer due.
+    ///
+    /// The report that was recorded first is kept.
+    pub fn record_decided(&mut self, report: WindowCounts) {
+        self.decided.entry(report.window).or_insert(report);
+        while self.decided.len() > MAX_DECIDED_REPORTS {
+            self.decided.pop_first();
         }
     }
 
+    /// Returns the decided reports of recent windows, for the leader's digest.
+    #[must_use]
+    pub fn decided_reports(&self) -> Vec<WindowCounts> {
+        self.decided.values().cloned().collect()
+    }
+
+    /// Records that windows before `window` are not to be decided any more.
+    pub fn skip_before(&mut self, window: u64) {
+        let first_window = self.first_window.unwrap_or_default();
+        self.first_window = Some(first_window.max(window));
+    }
+
     /// Returns the oldest window whose report is due and not decided.
     ///
     /// A window is due when every peer was seen after its end, or when the timeout for unseen peers
@@ -142,7 +160,7 @@
         let first_window = *self.first_window.get_or_insert(current.saturating_sub(1));
         let oldest = first_window.max(current.saturating_sub(GOSSIPED_WINDOWS));
         (oldest..current)
-            .find(|window| !self.decided_windows.contains(window) && self.is_settled(wall, *window))
+            .find(|window| !self.decided.contains_key(window) && self.is_settled(wall, *window))
     }
 
     /// Returns the sum of all hosts' counts of a window.
--- a/crates/teaselglade-routing/tests/routing/membership.rs
+++ b/crates/teaselglade-routing/tests/routing/membership.rs
@@ -26,6 +26,7 @@
         cached_parts: Vec::new(),
         demand: Vec::new(),
         usage: Vec::new(),
+        decided_reports: Vec::new(),
         departures: Vec::new(),
         requested_aggregator: None,
         peers: Vec::new(),
--- a/crates/teaselglade-routing/tests/routing/usage.rs
+++ b/crates/teaselglade-routing/tests/routing/usage.rs
@@ -1,9 +1,10 @@
 //! Usage counts of several hosts.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use teaselglade_core::time::Timestamp;
-use teaselglade_routing::usage::UsageLedger;
+use teaselglade_routing::usage::{UsageLedger, WindowCounts};
 
 const WINDOW: Duration = Duration::from_secs(5);
 
@@ -11,6 +12,13 @@
     Timestamp::from_millis(100_000 + millis)
 }
 
+fn report(window: u64) -> WindowCounts {
+    WindowCounts {
+        window,
+        counts: BTreeMap::new(),
+    }
+}
+
 #[test]
 fn counts_of_all_hosts_and_of_crashed_ones_are_added_up() {
     let mut leader = UsageLedger::new(WINDOW);
@@ -50,7 +58,7 @@
     let mut leader = UsageLedger::new(WINDOW);
     leader.merge_peer_counts(wall(100), "edge-2", 1, Vec::new());
     leader.count(wall(100), "halloran");
-    leader.record_decided(19);
+    leader.record_decided(report(19));
     assert_eq!(leader.due_window(wall(4_900)), None);
     assert_eq!(
         leader.due_window(wall(6_500)),
@@ -59,9 +67,36 @@
     );
     leader.merge_peer_counts(wall(6_600), "edge-2", 1, Vec::new());
     assert_eq!(leader.due_window(wall(6_700)), Some(20));
-    leader.record_decided(20);
+    leader.record_decided(report(20));
     assert_eq!(leader.due_window(wall(6_800)), None);
     // The next window ends without a digest from the peer.
     assert_eq!(leader.due_window(wall(11_000)), None);
     assert_eq!(leader.due_window(wall(15_100)), Some(21));
 }
+
+#[test]
+fn decided_reports_that_a_peer_sends_are_kept_as_first_recorded() {
+    let mut ledger = UsageLedger::new(WINDOW);
+    for window in 10..16 {
+        ledger.record_decided(report(window));
+    }
+    let mut other = report(15);
+    other.counts.insert("halloran".to_owned(), 3);
+    ledger.record_decided(other);
+    let windows: Vec<u64> = ledger
+        .decided_reports()
+        .iter()
+        .map(|report| report.window)
+        .collect();
+    assert_eq!(windows, [12, 13, 14, 15]);
+    assert!(ledger.decided_reports()[3].counts.is_empty());
+}
+
+#[test]
+fn windows_before_the_first_open_one_are_not_due() {
+    let mut leader = UsageLedger::new(WINDOW);
+    leader.count(wall(100), "halloran");
+    leader.skip_before(21);
+    assert_eq!(leader.due_window(wall(6_500)), None);
+    assert_eq!(leader.due_window(wall(11_000)), Some(21));
+}
--- a/crates/teaselglade-state/tests/lease/cluster.rs
+++ b/crates/teaselglade-state/tests/lease/cluster.rs
@@ -15,6 +15,9 @@
 
 const TICK_INTERVAL: Duration = Duration::from_millis(250);
 const CALL_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Distance between the offsets of successive histories of the log, as the store's adapter packs
+/// them.
+const HISTORY_SPAN: u64 = 1 << 40;
 
 /// Faults of the log; each rate is the fraction of calls affected, from 0 to 1.
 #[derive(Debug, Clone, Copy, Default)]
@@ -74,6 +77,8 @@
     responses: BTreeMap<u64, LeaseEvent>,
     log: Vec<Bytes>,
     first: u64,
+    /// Lowest offset of the log's current history.
+    base: u64,
     random: Pcg64Mcg,
     sequence: u64,
     timings: LeaseTimings,
@@ -93,6 +98,7 @@
             responses: BTreeMap::new(),
             log: Vec::new(),
             first: 0,
+            base: 0,
             random: Pcg64Mcg::seed_from_u64(seed),
             sequence: 0,
             timings,
@@ -135,6 +141,14 @@
         self.first = (self.log.len() as u64).saturating_sub(keep);
     }
 
+    /// Returns the log from a copy that lacks the last `lost` records; offsets are given out again.
+    pub fn restore_log(&mut self, lost: u64) {
+        let kept = (self.log.len() as u64).saturating_sub(lost);
+        self.log.truncate(kept as usize);
+        self.first = self.first.min(kept);
+        self.base += HISTORY_SPAN;
+    }
+
     /// Returns the nodes that may act now, with their fencing numbers.
     pub fn active(&self) -> Vec<(usize, LeaseNumber)> {
         let number = |node: &ClusterNode| node.holder.active_number(node.local_time(self.now));
@@ -218,16 +232,16 @@
             self.respond(node, CALL_TIMEOUT, LeaseEvent::ReadFailed);
             return;
         }
-        let start = from.max(self.first);
+        let start = from.saturating_sub(self.base).max(self.first);
         let end = self.log.len() as u64;
         let record = |offset: u64| LogRecord {
-            offset,
+            offset: self.base + offset,
             appended: self.now,
             body: self.log[offset as usize].clone(),
         };
         let page = LogPage {
-            first: self.first,
-            end,
+            first: self.base + self.first,
+            end: self.base + end,
             records: (start..end.min(start + u64::from(max_records)))
                 .map(record)
                 .collect(),
--- a/crates/teaselglade-state/tests/lease/properties.rs
+++ b/crates/teaselglade-state/tests/lease/properties.rs
@@ -15,6 +15,7 @@
     Outage(u64),
     Faults(f64, f64, f64, u64),
     DropOld(u64),
+    Restore(u64),
     Quiet(u64),
 }
 
@@ -27,6 +28,7 @@
         3 => (0.0..0.8, 0.0..0.5, 0.0..0.5, 1_000_u64..120_000)
             .prop_map(|(lost, rejected, late, ms)| Disruption::Faults(lost, rejected, late, ms)),
         1 => (0_u64..4).prop_map(Disruption::DropOld),
+        2 => (0_u64..12).prop_map(Disruption::Restore),
         3 => (100_u64..40_000).prop_map(Disruption::Quiet),
     ]
 }
@@ -58,6 +60,7 @@
             };
         }
         Disruption::DropOld(keep) => cluster.drop_old(*keep),
+        Disruption::Restore(lost) => cluster.restore_log(*lost),
         Disruption::Quiet(ms) => cluster.run(Duration::from_millis(*ms)),
     }
 }
--- a/crates/teaselglade-state/tests/lease/scenarios.rs
+++ b/crates/teaselglade-state/tests/lease/scenarios.rs
@@ -74,6 +74,7 @@
             cluster.faults.max_delay = step.opt_duration("by")?.unwrap_or_default();
         }
         "keep" => cluster.drop_old(step.value("records")?),
+        "restore" => cluster.restore_log(step.value("lost")?),
         other => return Err(step.fault(format!("unknown fault `{other}`")).into()),
     }
     Ok(())
