fix(routing): hosts with late loads no longer choose one engine by a short part

All 80 hosts chose the engine that was least loaded in the last aggregate; one got 33 requests in 0.7 s for 12 slots while others were idle. Requests that found 12 or more others were late in 48 to 100 of 100 cases, those with fewer than 9 in 13. A slot was predicted to be free after 25 ms instead of 60.

Change: an engine counts as caching a prompt from half of its shared tokens on. The preferred or caching engine takes the stream if it is on time and known to be at most 0.75 full, else the first one in order of preference that is; if none is on time, the cheapest of eight. The delay until a slot is free follows from how long streams hold slots.

--- a/crates/teaselglade-host/src/relay/stream_reservation.rs
+++ b/crates/teaselglade-host/src/relay/stream_reservation.rs
@@ -94,8 +94,10 @@
 impl Drop for StreamReservation {
     fn drop(&mut self) {
         let host = &self.context.host;
+        let now = host.now();
+        let service = &self.context.service.name;
         host.lock_decisions()
             .engine_placer
-            .record_end(self.engine.id);
+            .record_end(now, service, self.engine.id);
     }
 }
--- a/crates/teaselglade-routing/src/engine/engine_candidate.rs
+++ b/crates/teaselglade-routing/src/engine/engine_candidate.rs
@@ -13,6 +13,8 @@
 #[derive(Debug, Clone, Copy)]
 pub(super) struct EngineCandidate {
     pub(super) server: ServerKey,
+    /// Known requests as a share of the engine's slots; above 1 if some wait.
+    pub(super) used_share: f64,
     pub(super) predicted_latency: Duration,
     /// Time to prefill this prompt without a queue.
     pub(super) prefill_time: Duration,
--- a/crates/teaselglade-routing/src/engine/engine_placer.rs
+++ b/crates/teaselglade-routing/src/engine/engine_placer.rs
@@ -11,7 +11,7 @@
 use teaselglade_placement::limit::DemandMeter;
 
 use super::engine_candidate::{EngineCandidate, preference};
-use super::{CachedPart, EngineLoad, EngineSpeed, PrefixLocations, PromptShape, Result};
+use super::{CachedPart, EngineLoad, EngineSpeed, PrefixLocations, PromptShape, Result, SlotPace};
 use crate::registry::{ServerHealth, ServerRegistry};
 use crate::table::EngineSpec;
 
@@ -21,18 +21,19 @@
 const TARGET_SHARE: f64 = 0.9;
 /// Maximum queueing time, as a share of the target, of prompts whose prefill alone exceeds it.
 const MAX_WAIT_SHARE: f64 = 0.4;
-/// Numbers of engines, by a prompt's preference, that are considered while loads are stale.
+/// Share of a prompt's shared tokens that an engine must have cached to be considered for them.
 ///
-/// The next number is used if none of the engines so far would be on time; engines with part of the
-/// prompt in their cache are always considered. A small number of choices spreads load under stale
-/// information: M. Mitzenmacher, "How useful is old information?", 2000.
-const STALE_LOAD_WIDTHS: [usize; 3] = [1, 2, 8];
+/// A short part that thousands of prompts share is cached on all engines. If that sufficed, all
+/// hosts would choose the one engine that was least loaded in the last aggregate.
+const MIN_CACHED_SHARE: f64 = 0.5;
+/// Number of engines, by a prompt's preference, of which the cheapest is chosen if none is on time.
+const STALE_FALLBACK_WIDTH: usize = 8;
+/// Shares of used slots up to which an engine is considered while loads are stale, in this order.
+///
+/// Requests that other hosts placed there meanwhile fill the rest of the slots.
+const STALE_USED_SHARES: [f64; 2] = [0.75, 1.5];
 /// Weight of the prefill time taken from later requests, relative to the stream's own latency.
 const WORK_WEIGHT: f64 = 1.0;
-/// Delay per request beyond an engine's slots.
-///
-/// At full load a slot becomes free after about this time.
-const SLOT_DELAY: Duration = Duration::from_millis(25);
 /// Delay where an engine's cache memory is full, as other requests have to end first.
 const MEMORY_DELAY: Duration = Duration::from_millis(400);
 /// Share of an engine's cache memory that running requests may fill before prompts wait.
@@ -99,6 +100,8 @@
     waiting_tokens: f64,
     memory_tokens: f64,
     tokens_ahead: f64,
+    prefill_time: Duration,
+    first_event_at: Option<Timestamp>,
 }
 
 #[derive(Debug, Clone, Copy, Default)]
@@ -164,6 +167,7 @@
 pub struct EnginePlacer {
     cache: PrefixLocations,
     speeds: HashMap<String, EngineSpeed>,
+    paces: HashMap<String, SlotPace>,
     open_streams: HashMap<ReservationId, OpenStream>,
     own: HashMap<ServerKey, OwnLoad>,
     health: HashMap<ServerKey, ServerHealth>,
@@ -185,6 +189,7 @@
         Self {
             cache: PrefixLocations::default(),
             speeds: HashMap::new(),
+            paces: HashMap::new(),
             open_streams: HashMap::new(),
             own: HashMap::new(),
             health: HashMap::new(),
@@ -226,6 +231,7 @@
         let Some(stream) = self.open_streams.get_mut(&id) else {
             return;
         };
+        stream.first_event_at.get_or_insert(now);
         let tokens = stream.waiting_tokens;
         stream.waiting_tokens = 0.0;
         let tokens_ahead = stream.tokens_ahead;
@@ -239,10 +245,16 @@
     }
 
     /// Releases the reservation of a stream that ended, whatever the outcome.
-    pub fn record_end(&mut self, id: ReservationId) {
+    pub fn record_end(&mut self, now: Timestamp, service: &str, id: ReservationId) {
         let Some(stream) = self.open_streams.remove(&id) else {
             return;
         };
+        if let Some(first_event_at) = stream.first_event_at {
+            // The time in the engine's queue holds no slot.
+            let held = now.since(first_event_at) + stream.prefill_time;
+            let pace = self.paces.entry(service.to_owned()).or_default();
+            pace.observe(held);
+        }
         let Some(load) = self.own.get_mut(&stream.server) else {
             return;
         };
@@ -401,6 +413,24 @@
         self.speeds.get(service).copied().unwrap_or_default()
     }
 
+    /// Returns the number of engines whose slots the requests of all hosts fill.
+    #[must_use]
+    pub fn occupied_engines(&self, registry: &ServerRegistry, service: &str, slots: u32) -> f64 {
+        let engines = registry.of_service(service);
+        let requests = engines.map(|(key, server)| {
+            let own = self.own.get(&key).map_or(0, |load| load.requests);
+            let others = self.others.get(&server.hash);
+            f64::from(own) + others.map_or(0.0, |load| load.requests)
+        });
+        requests.sum::<f64>() / f64::from(slots.max(1))
+    }
+
+    /// Returns how long streams of a service hold their slots.
+    #[must_use]
+    pub fn pace(&self, service: &str) -> SlotPace {
+        self.paces.get(service).copied().unwrap_or_default()
+    }
+
     /// Removes expired cached parts and loads.
     pub fn prune(&mut self, now: Timestamp) {
         self.cache.prune(now);
@@ -427,20 +457,10 @@
         let mut healthy: Vec<&EngineCandidate> = healthy.collect();
         if query.is_load_stale {
             healthy.sort_unstable_by_key(|candidate| std::cmp::Reverse(candidate.preference));
-            let preferred = STALE_LOAD_WIDTHS.iter().find_map(|width| {
-                let is_cached =
-                    |candidate: &EngineCandidate| candidate.new_tokens < query.prompt.prompt_tokens;
-                let cached = healthy
-                    .iter()
-                    .skip(*width)
-                    .filter(|candidate| is_cached(candidate));
-                let considered = healthy.iter().take(*width).chain(cached);
-                let best = considered.min_by(|a, b| a.compare(b))?;
-                (best.predicted_latency <= query.target.mul_f64(TARGET_SHARE)).then_some(**best)
-            });
-            if preferred.is_some() {
-                return preferred;
+            if let Some(preferred) = preferred_candidate(&healthy, query) {
+                return Some(preferred);
             }
+            healthy.truncate(STALE_FALLBACK_WIDTH);
         }
         let best = healthy.into_iter().min_by(|a, b| a.compare(b));
         best.or_else(|| candidates.iter().min_by(|a, b| a.compare(b)))
@@ -463,10 +483,7 @@
         let prefill_time = speed.prefill_time(f64::from(new_tokens));
         let mut predicted_latency = speed.prefill_time(f64::from(new_tokens) + tokens_ahead);
         let requests = f64::from(own.requests) + others.requests;
-        let excess_requests = requests + 1.0 - f64::from(query.spec.slots);
-        if excess_requests > 0.0 {
-            predicted_latency += SLOT_DELAY.mul_f64(excess_requests);
-        }
+        predicted_latency += self.slot_delay(query, requests);
         let used_memory = own.memory_tokens + others.memory_tokens;
         let needed_memory = used_memory + f64::from(query.prompt.total_tokens());
         if needed_memory > query.spec.memory_tokens * MEMORY_SHARE {
@@ -481,6 +498,7 @@
             + failures * query.target.as_secs_f64();
         EngineCandidate {
             server,
+            used_share: requests / f64::from(query.spec.slots),
             predicted_latency,
             prefill_time,
             new_tokens,
@@ -490,6 +508,13 @@
         }
     }
 
+    /// Returns the time until a slot is free for one more request on an engine.
+    fn slot_delay(&self, query: &EngineQuery<'_>, requests: f64) -> Duration {
+        let release_interval = self.pace(query.service).release_interval(query.spec.slots);
+        let excess_requests = requests + 1.0 - f64::from(query.spec.slots);
+        release_interval.mul_f64(excess_requests.max(0.0))
+    }
+
     fn check_admission(&mut self, query: &EngineQuery<'_>, best: EngineCandidate) -> Result<()> {
         let target = query.target.mul_f64(TARGET_SHARE);
         let wait = best.predicted_latency.saturating_sub(best.prefill_time);
@@ -528,6 +553,8 @@
             waiting_tokens: f64::from(best.new_tokens),
             memory_tokens: f64::from(query.prompt.total_tokens()),
             tokens_ahead: best.tokens_ahead,
+            prefill_time: best.prefill_time,
+            first_event_at: None,
         };
         self.open_streams.insert(id, stream);
         let load = self.own.entry(best.server).or_default();
@@ -580,3 +607,36 @@
         refusal.retry_after(MIN_RETRY_DELAY.mul_f64(2.0 * jitter))
     }
 }
+
+/// Returns the candidate of a prompt while loads are stale, from those in order of preference.
+///
+/// It is the cheapest one that has part of the prompt in its cache, or the first one, if that is on
+/// time. Otherwise it is the first one in order of preference that is on time. All hosts know the
+/// same loads, some hundred milliseconds late: if each chose the cheapest engine, those of the
+/// whole fleet would choose the same one until its load arrives.
+fn preferred_candidate(
+    candidates: &[&EngineCandidate],
+    query: &EngineQuery<'_>,
+) -> Option<EngineCandidate> {
+    let target = query.target.mul_f64(TARGET_SHARE);
+    for max_used_share in STALE_USED_SHARES {
+        let is_on_time = |candidate: &EngineCandidate| {
+            candidate.predicted_latency <= target && candidate.used_share <= max_used_share
+        };
+        let is_cached = |candidate: &EngineCandidate| {
+            let cached_tokens = query.prompt.prompt_tokens - candidate.new_tokens;
+            f64::from(cached_tokens) >= f64::from(query.prompt.shared_tokens()) * MIN_CACHED_SHARE
+        };
+        let near = candidates
+            .iter()
+            .enumerate()
+            .filter(|(rank, candidate)| *rank == 0 || is_cached(candidate))
+            .map(|(_, candidate)| **candidate)
+            .min_by(EngineCandidate::compare);
+        let first = candidates.iter().copied().copied().find(is_on_time);
+        if let Some(chosen) = near.filter(is_on_time).or(first) {
+            return Some(chosen);
+        }
+    }
+    None
+}
--- a/crates/teaselglade-routing/src/engine/mod.rs
+++ b/crates/teaselglade-routing/src/engine/mod.rs
@@ -6,12 +6,14 @@
 mod engine_speed;
 mod prefix_locations;
 mod prompt_shape;
+mod slot_pace;
 
 pub use engine_load::{CachedPart, EngineLoad};
 pub use engine_placer::{EnginePlacer, EngineQuery, EngineReservation, ReservationId};
 pub use engine_speed::EngineSpeed;
 pub use prefix_locations::PrefixLocations;
 pub use prompt_shape::{PromptPart, PromptShape};
+pub use slot_pace::SlotPace;
 
 use teaselglade_core::verdict::RequestRefusal;
 
--- a/crates/teaselglade-routing/src/engine/prompt_shape.rs
+++ b/crates/teaselglade-routing/src/engine/prompt_shape.rs
@@ -64,6 +64,15 @@
         }
     }
 
+    /// Returns the number of tokens that other prompts share: all parts but the last.
+    ///
+    /// A prompt with a single part shares it.
+    #[must_use]
+    pub fn shared_tokens(&self) -> u32 {
+        let shared = self.parts.len().saturating_sub(1).max(1);
+        self.parts.iter().take(shared).map(|part| part.tokens).sum()
+    }
+
     /// Returns the sum of prompt tokens and output tokens.
     #[must_use]
     pub const fn total_tokens(&self) -> u32 {
--- a/crates/teaselglade-routing/tests/routing/engines.rs
+++ b/crates/teaselglade-routing/tests/routing/engines.rs
@@ -119,7 +119,7 @@
             let first_at = *entry.key();
             for id in entry.remove() {
                 placer.record_first_event(at(first_at), "draft-fleet", id);
-                placer.record_end(id);
+                placer.record_end(at(first_at), "draft-fleet", id);
             }
         }
         let shared = index * 7_919 % SHARED_PARTS;
@@ -196,7 +196,7 @@
     }
     for id in reservation_ids {
         placer.record_first_event(at(900), "draft-fleet", id);
-        placer.record_end(id);
+        placer.record_end(at(900), "draft-fleet", id);
     }
     let reservation = placer
         .place(at(901), &engines.registry, &query)
@@ -246,7 +246,7 @@
             let first_at = *entry.key();
             for (host, id) in entry.remove() {
                 placers[host].record_first_event(at(first_at), "draft-fleet", id);
-                placers[host].record_end(id);
+                placers[host].record_end(at(first_at), "draft-fleet", id);
             }
         }
         if now % ROUND_MS == 0 {
--- a/crates/teaselglade-routing/tests/routing/main.rs
+++ b/crates/teaselglade-routing/tests/routing/main.rs
@@ -10,4 +10,5 @@
 mod quotas;
 mod registry;
 mod routes;
+mod slots;
 mod usage;
