feat(host): engines are ordered by occupied slots as well as by prefill

Cause: on Head Office's engines with 12 slots, long streams fill slots while prefill takes a tenth of the engines' time.

Change: busy servers are the larger of those by prefill and those by requests over slots.

--- a/crates/teaselglade-host/src/duty/duty_driver.rs
+++ b/crates/teaselglade-host/src/duty/duty_driver.rs
@@ -307,7 +307,8 @@
         };
         let now = self.host.now();
         let mut decisions = self.host.lock_decisions();
-        let busy = decisions.busy_servers(now, &service.name);
+        let slots = service.engine.as_ref().map(|engine| engine.slots);
+        let busy = decisions.busy_servers(now, &service.name, slots);
         let capacity = decisions.zone_capacity(&service.name, &scaling.zone_prices);
         drop(decisions);
         let autoscaler = self
--- a/crates/teaselglade-host/src/state/decision_state.rs
+++ b/crates/teaselglade-host/src/state/decision_state.rs
@@ -165,6 +165,11 @@
             .request_retry(now, deadline, retry)
     }
 
+    /// Returns whether the retry budget of the service has a retry left.
+    pub fn may_retry(&mut self, service: &str) -> bool {
+        self.retry_budget(service).has_retry()
+    }
+
     /// Records the prefill demand that a peer reported.
     pub fn record_peer_demand(&mut self, now: Timestamp, peer: &str, demand: Vec<ServiceDemand>) {
         self.peer_demand.insert(peer.to_owned(), (now, demand));
@@ -176,8 +181,20 @@
         self.peer_demand.remove(peer);
     }
 
-    /// Returns the number of servers that the fleet's prefill demand for a service occupies.
-    pub fn busy_servers(&mut self, now: Timestamp, service: &str) -> f64 {
+    /// Returns the number of servers that the fleet's demand for a service occupies.
+    ///
+    /// It is the larger of the servers whose whole time prefill takes and of those whose slots the
+    /// running requests fill; an engine with few slots and a fast prefill is short of slots first.
+    pub fn busy_servers(&mut self, now: Timestamp, service: &str, slots: Option<u32>) -> f64 {
+        let placer = &self.engine_placer;
+        let by_slots = slots.map_or(0.0, |slots| {
+            placer.occupied_engines(&self.registry, service, slots)
+        });
+        self.prefilling_servers(now, service).max(by_slots)
+    }
+
+    /// Returns the number of servers whose whole time the fleet's prefill demand takes.
+    fn prefilling_servers(&mut self, now: Timestamp, service: &str) -> f64 {
         let own = self.engine_placer.demand(now).into_iter();
         let own = own
             .filter(|(name, _)| name == service)
