fix(host): a silent stream is moved only if it can be, else its late answer is delivered

Cause: after 1.6 of its target without an event a stream's attempt was cancelled before the retry budget was asked.

Change: from then on the host checks whether the server still accepts connections and abandons it if not; otherwise it moves the stream once another server and the budget allow it, and waits on.

`a_late_stream_of_a_reachable_engine_is_delivered` failed with 504 before.

--- a/crates/teaselglade-host/src/relay/call_context.rs
+++ b/crates/teaselglade-host/src/relay/call_context.rs
@@ -86,6 +86,12 @@
         }
     }
 
+    /// Returns whether the service's retry budget would grant a retry now.
+    pub(super) fn may_retry(&self) -> bool {
+        let service = &self.service.name;
+        self.host.lock_decisions().may_retry(service)
+    }
+
     /// Takes one retry from the service's retry budget; returns the delay before it.
     ///
     /// Returns `None` if the budget denies the retry.
--- a/crates/teaselglade-host/src/relay/stream_relay.rs
+++ b/crates/teaselglade-host/src/relay/stream_relay.rs
@@ -13,12 +13,13 @@
 use teaselglade_routing::attempt::{AttemptOutcome, AttemptTracker, NextStep};
 use teaselglade_routing::event::EventSplitter;
 use teaselglade_routing::table::RetryPolicy;
-use tokio::time::{Instant, sleep, sleep_until};
+use tokio::time::{Instant, sleep};
 
 use super::call_context::CallContext;
 use super::plain_relay::final_refusal;
 use super::response_body::{AbortedResponse, ResponseBody, full_body};
 use super::server_call::{FailedCall, ServerResponse, call_server};
+use super::stall_watch::wait_for_stall;
 use super::stream_reservation::StreamReservation;
 use super::{CallerResponse, Result};
 use crate::upstream::LeasedConnection;
@@ -129,7 +130,7 @@
         let stall_deadline = self.first_event_deadline(&reservation);
         let result = tokio::select! {
             result = call_server(&context, reservation.engine.server, self.last_event_id) => result,
-            () = wait_until(stall_deadline) => Err(stall_failure()),
+            stalled = self.watch_stall(stall_deadline) => Err(stalled),
         };
         let response = match result {
             Ok(response) => response,
@@ -321,6 +322,8 @@
 
     /// Reads until whole events, the end or a failure of the current attempt.
     async fn read_step(&mut self, stall_deadline: Option<Instant>) -> StreamStep {
+        let stalled = self.watch_stall(stall_deadline);
+        tokio::pin!(stalled);
         loop {
             let time_left = self.context.time_left();
             let Some(open_stream) = self.open_stream.as_mut() else {
@@ -332,7 +335,7 @@
                     let detail = "not whole before the deadline";
                     return StreamStep::Failed(FailedCall::new(AttemptOutcome::TimedOut, detail));
                 }
-                () = wait_until(stall_deadline) => return StreamStep::Failed(stall_failure()),
+                failed = &mut stalled => return StreamStep::Failed(failed),
             };
             match frame {
                 Some(Ok(frame)) => {
@@ -411,6 +414,15 @@
         self.may_resume().then(|| Instant::now() + timeout)
     }
 
+    /// Returns a future that ends when the current attempt must be abandoned for its silence.
+    fn watch_stall(&self, deadline: Option<Instant>) -> impl Future<Output = FailedCall> + use<> {
+        wait_for_stall(
+            Arc::clone(&self.context),
+            self.tracker.sent().to_vec(),
+            deadline,
+        )
+    }
+
     /// Returns whether the stream may still be resumed at another server.
     fn may_resume(&self) -> bool {
         self.context.route.retry_policy == RetryPolicy::Resume && self.tracker.may_send()
@@ -434,16 +446,3 @@
         }
     }
 }
-
-/// Waits until the deadline, or forever if there is none.
-async fn wait_until(deadline: Option<Instant>) {
-    match deadline {
-        Some(deadline) => sleep_until(deadline).await,
-        None => std::future::pending().await,
-    }
-}
-
-/// Returns the failure of an attempt whose next event took too long.
-fn stall_failure() -> FailedCall {
-    FailedCall::new(AttemptOutcome::TimedOut, "no event for too long")
-}
--- a/crates/teaselglade-host/src/upstream/connection_pool.rs
+++ b/crates/teaselglade-host/src/upstream/connection_pool.rs
@@ -96,6 +96,21 @@
         Ok(lease)
     }
 
+    /// Opens a connection to a server and keeps it idle for a later request.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the server accepts no connection in time.
+    pub async fn open_idle(&self, server: ServerKey, address: SocketAddr) -> Result<()> {
+        let idle = IdleConnection {
+            sender: connect(address).await?,
+            usable_until: Instant::now() + reuse_window(&HeaderMap::new()),
+        };
+        let mut servers = self.servers.lock().unwrap_or_else(PoisonError::into_inner);
+        servers.entry(server).or_default().idle.push(idle);
+        Ok(())
+    }
+
     /// Closes idle connections that have expired or whose server `keep` rejects.
     pub fn prune(&self, keep: impl Fn(ServerKey) -> bool) {
         let now = Instant::now();
--- a/crates/teaselglade-request/src/retry/retry_budget.rs
+++ b/crates/teaselglade-request/src/retry/retry_budget.rs
@@ -102,6 +102,12 @@
         RetryDecision::Granted { delay }
     }
 
+    /// Returns whether the budget has a retry left.
+    #[must_use]
+    pub fn has_retry(&self) -> bool {
+        self.balance >= 1.0
+    }
+
     /// Returns the number of granted retries.
     #[must_use]
     pub const fn granted(&self) -> u64 {
--- a/crates/teaselglade-routing/src/attempt/attempt_tracker.rs
+++ b/crates/teaselglade-routing/src/attempt/attempt_tracker.rs
@@ -105,6 +105,12 @@
         self.sent.iter().chain(&self.unreachable).copied().collect()
     }
 
+    /// Returns the servers to which the request was sent, the latest last.
+    #[must_use]
+    pub fn sent(&self) -> &[ServerKey] {
+        &self.sent
+    }
+
     /// Returns the number of servers to which the request was sent.
     #[must_use]
     pub fn attempts(&self) -> u32 {
