fix(routing): in a rush each host admits only its share of what is left of a quota

Change: hosts report the demand too, refusals included. While others have demand, a request is admitted with the share by which all hosts together spend what is left and refilled until they hear of one another. Return times are spaced by the host's own part of the demand.

--- a/crates/teaselglade-host/src/state/decision_state.rs
+++ b/crates/teaselglade-host/src/state/decision_state.rs
@@ -59,7 +59,7 @@
             registry: ServerRegistry::default(),
             engine_placer: EnginePlacer::new(seed),
             plain_placer: PlainPlacer::new(seed),
-            quotas: QuotaLimiter::new(ASSUMED_HOSTS),
+            quotas: QuotaLimiter::new(ASSUMED_HOSTS).random_seed(seed),
             usage: UsageLedger::new(settings.duties.usage_window),
             membership: PeerMembership::new(&settings.name, seed),
             registry_updated_at: Timestamp::ZERO,
--- a/crates/teaselglade-routing/src/quota/quota_limiter.rs
+++ b/crates/teaselglade-routing/src/quota/quota_limiter.rs
@@ -3,6 +3,8 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg32;
 use serde::{Deserialize, Serialize};
 use teaselglade_core::time::Timestamp;
 use teaselglade_core::verdict::{RefusalReason, RequestRefusal};
@@ -44,6 +46,12 @@
 /// A host that starts does not know what others spend until it receives their reports or an
 /// aggregate.
 const SETTLING_TIME: Duration = AGGREGATE_TTL;
+/// Time until what a host admits is known to all hosts that receive its reports.
+const REPORT_LAG: Duration = Duration::from_millis(300);
+/// [`REPORT_LAG`] in a large fleet, where aggregates forward the reports.
+const AGGREGATE_REPORT_LAG: Duration = Duration::from_millis(800);
+/// Smallest part of an organisation's demand that a host assumes to have; 1,000 hosts.
+const MIN_DEMAND_PART: f64 = 0.001;
 /// Time constant of the smoothed spending rate.
 const RATE_TIME_CONSTANT: Duration = Duration::from_secs(1);
 /// Shortest retry delay in a refusal.
@@ -56,6 +64,9 @@
     pub total: f64,
     /// Units admitted per second, smoothed.
     pub rate: f64,
+    /// Units requested per second, including those refused, smoothed.
+    #[serde(default)]
+    pub demand: f64,
 }
 
 /// Fleet-wide remaining units and spending rate of one quota, from an aggregator.
@@ -65,6 +76,9 @@
     pub level: f64,
     /// Units admitted per second by all hosts.
     pub rate: f64,
+    /// Units requested per second at all hosts, including those refused.
+    #[serde(default)]
+    pub demand: f64,
 }
 
 /// Spending that a host reports, by organisation.
@@ -79,6 +93,12 @@
     is_counted: bool,
 }
 
+impl PeerRecord {
+    fn is_fresh(&self, now: Timestamp) -> bool {
+        now.since(self.received_at) < REPORT_TTL
+    }
+}
+
 /// Last aggregate that this host applied.
 #[derive(Debug, Clone)]
 struct AppliedAggregate {
@@ -93,6 +113,12 @@
         now.since(self.received_at) < AGGREGATE_TTL
     }
 
+    /// Returns the units per second requested at all hosts but one where `own_demand` is requested.
+    fn others_demand(&self, organisation: &str, own_demand: f64) -> f64 {
+        let spend = self.spend.get(organisation);
+        spend.map_or(0.0, |spend| (spend.demand - own_demand).max(0.0))
+    }
+
     /// Returns the units per second spent by all hosts but one that spends `own_rate`.
     fn others_rate(&self, organisation: &str, own_rate: f64) -> f64 {
         let spend = self.spend.get(organisation);
@@ -108,6 +134,8 @@
     updated_at: Timestamp,
     own_total: f64,
     own_rate: f64,
+    /// Units requested per second at this host, smoothed.
+    own_demand: f64,
     /// Time until which the refill is reserved for requests that were refused with a retry delay.
     reserved_until: Timestamp,
 }
@@ -117,7 +145,8 @@
 /// Every host keeps a token bucket for the whole fleet. It subtracts what it admits at once, and
 /// what peers admit when they report it. Thus a large request is admitted even if the host's own
 /// share of the quota would not cover it, and units that are spent twice are subtracted later.
-/// While peers are silent, each group of hosts that receive one another's reports is limited to its
+/// In a rush each host admits only a share of the requests, so that the fleet spends what is left
+/// before its hosts hear of one another. While peers are silent, each group of hosts that receive one another's reports is limited to its
 /// share of the rate, so that the sum stays within the quota. This bounds the load of one
 /// organisation that sends many times its usual traffic.
 ///
@@ -158,6 +187,7 @@
     fleet_size: u32,
     /// Time at which the first table became active.
     first_table_at: Option<Timestamp>,
+    random: Pcg32,
 }
 
 impl QuotaLimiter {
@@ -171,9 +201,17 @@
             previous_aggregate_at: None,
             fleet_size: assumed_hosts.max(1),
             first_table_at: None,
+            random: Pcg32::seed_from_u64(0),
         }
     }
 
+    /// Sets the seed of the random choice of requests in a rush; it differs from host to host.
+    #[must_use]
+    pub fn random_seed(mut self, seed: u64) -> Self {
+        self.random = Pcg32::seed_from_u64(seed);
+        self
+    }
+
     /// Sets the number of known hosts, including this one and those without a report.
     pub const fn set_fleet_size(&mut self, hosts: u32) {
         self.fleet_size = hosts;
@@ -195,6 +233,7 @@
                     updated_at: now,
                     own_total: 0.0,
                     own_rate: 0.0,
+                    own_demand: 0.0,
                     reserved_until: now,
                 },
             };
@@ -291,10 +330,14 @@
         let spend = self.quotas.iter_mut().map(|(name, state)| {
             state.refill(now, share, 0.0);
             let reports = peers.values().filter_map(|peer| peer.spend.get(name));
-            let rate: f64 = reports.map(|report| report.rate).sum();
+            let sum = |sum: (f64, f64), report: &SpendReport| {
+                (sum.0 + report.rate, sum.1 + report.demand)
+            };
+            let (rate, demand) = reports.fold((0.0, 0.0), sum);
             let spend = FleetSpend {
                 level: state.level,
                 rate: rate + state.own_rate,
+                demand: demand + state.own_demand,
             };
             (name.clone(), spend)
         });
@@ -310,6 +353,27 @@
         })
     }
 
+    /// Returns the units per second requested at other hosts, as they reported them.
+    fn others_demand(&self, now: Timestamp, organisation: &str) -> f64 {
+        if let Some(aggregate) = self.fresh_aggregate(now) {
+            let own = self.quotas.get(organisation);
+            let own_demand = own.map_or(0.0, |state| state.own_demand);
+            return aggregate.others_demand(organisation, own_demand);
+        }
+        let fresh_peers = self.peers.values().filter(|peer| peer.is_fresh(now));
+        let reports = fresh_peers.filter_map(|peer| peer.spend.get(organisation));
+        reports.map(|report| report.demand).sum()
+    }
+
+    /// Returns the time until what this host admits is known to the others.
+    fn report_lag(&self, now: Timestamp) -> Duration {
+        if self.has_fresh_aggregate(now) || self.previous_aggregate_at.is_some() {
+            AGGREGATE_REPORT_LAG
+        } else {
+            REPORT_LAG
+        }
+    }
+
     /// Returns whether the last applied aggregate is still fresh.
     #[must_use]
     pub fn has_fresh_aggregate(&self, now: Timestamp) -> bool {
@@ -352,18 +416,23 @@
         let share = self.group_share(now);
         let unreported = self.unreported_spend(now, organisation);
         let others_rate = self.others_rate(now, organisation);
+        let others_demand = self.others_demand(now, organisation);
+        let lag = self.report_lag(now);
         let is_settled = self.is_settled(now);
         let Some(state) = self.quotas.get_mut(organisation) else {
             return Ok(());
         };
         state.refill(now, share, others_rate);
         let units = state.units(tokens);
+        state.own_demand += units / RATE_TIME_CONSTANT.as_secs_f64();
         let min_level = if is_settled { 0.0 } else { units };
-        if state.has_capacity(tokens, unreported, min_level) {
+        let admitted_share = state.admitted_share(unreported, share, others_demand, lag);
+        let is_chosen = admitted_share >= 1.0 || self.random.random_bool(admitted_share);
+        if is_chosen && state.has_capacity(tokens, unreported, min_level) {
             state.spend(units);
             return Ok(());
         }
-        let delay = state.reserve_retry(now, units, unreported, share);
+        let delay = state.reserve_retry(now, units, unreported, share, others_demand);
         let detail = format!(
             "quota of {organisation} is used up: {:.0} units left of {:.0} a second, {:.2} of the \
              hosts heard",
@@ -411,6 +480,7 @@
             let report = SpendReport {
                 total: state.own_total,
                 rate: state.own_rate,
+                demand: state.own_demand,
             };
             (name.clone(), report)
         });
@@ -431,7 +501,7 @@
         let seen = self
             .peers
             .values()
-            .filter(|peer| now.since(peer.received_at) < REPORT_TTL)
+            .filter(|peer| peer.is_fresh(now))
             .count();
         let hosts = (self.peers.len() + 1).max(self.fleet_size as usize);
         (seen + 1) as f64 / hosts as f64
@@ -464,6 +534,26 @@
         self.level - unreported + debt > min_level
     }
 
+    /// Returns the share of requests to admit so that all hosts together do not overspend.
+    ///
+    /// Until the hosts hear of one another's spending, each sees the same remaining units. It
+    /// admits such a share of its requests that all of them together spend what is left and what
+    /// is refilled meanwhile. A host that knows of no demand elsewhere needs no such reserve.
+    fn admitted_share(
+        &self,
+        unreported: f64,
+        share: f64,
+        others_demand: f64,
+        lag: Duration,
+    ) -> f64 {
+        if others_demand <= 0.0 {
+            return 1.0;
+        }
+        let lag = lag.as_secs_f64();
+        let available = (self.level - unreported).max(0.0) + self.quota.rate * share * lag;
+        (available / ((others_demand + self.own_demand) * lag)).clamp(0.0, 1.0)
+    }
+
     fn spend(&mut self, units: f64) {
         self.level -= units;
         self.own_total += units;
@@ -473,20 +563,23 @@
     /// Returns the delay after which the bucket has capacity for a refused request.
     ///
     /// Each refused request gets a delay behind those of earlier ones, so that they do not all
-    /// retry at once for the same capacity.
+    /// retry at once for the same capacity. Of the refill this host gives out only its part of the
+    /// demand, as the others promise the rest to their callers.
     fn reserve_retry(
         &mut self,
         now: Timestamp,
         units: f64,
         unreported: f64,
         share: f64,
+        others_demand: f64,
     ) -> Duration {
         let rate = (self.quota.rate * share).max(f64::MIN_POSITIVE);
+        let own_part = self.own_demand / (self.own_demand + others_demand).max(f64::MIN_POSITIVE);
         let refill_time = |units: f64| Duration::try_from_secs_f64(units.max(0.0) / rate);
         let debt_time = refill_time(unreported - self.level)
             .unwrap_or(MAX_RETRY_DELAY)
             .min(MAX_RETRY_DELAY);
-        let own_time = refill_time(units)
+        let own_time = refill_time(units / own_part.max(MIN_DEMAND_PART))
             .unwrap_or(MAX_RETRY_DELAY)
             .min(MAX_RETRY_DELAY);
         let available_at = self.reserved_until.max(now + debt_time);
@@ -505,7 +598,9 @@
         let max_level = capacity(&self.quota) * share;
         let gained = (rate - others_rate) * seconds;
         self.level = (self.level + gained).clamp(min_level, max_level);
-        self.own_rate *= (-seconds / RATE_TIME_CONSTANT.as_secs_f64()).exp();
+        let decay = (-seconds / RATE_TIME_CONSTANT.as_secs_f64()).exp();
+        self.own_rate *= decay;
+        self.own_demand *= decay;
     }
 }
 
--- a/crates/teaselglade-routing/tests/routing/main.rs
+++ b/crates/teaselglade-routing/tests/routing/main.rs
@@ -7,6 +7,7 @@
 mod fixture;
 mod membership;
 mod plains;
+mod quota_rush;
 mod quotas;
 mod registry;
 mod routes;
--- /dev/null
+++ b/crates/teaselglade-routing/tests/routing/quota_rush.rs
@@ -0,0 +1,154 @@
+//! Quotas while one organisation sends several times its usual traffic to a large fleet.
+
+use std::collections::{BTreeMap, HashMap};
+
+use teaselglade_routing::quota::{FleetSpend, PeerSpend, QuotaLimiter};
+
+use super::fixture::{at, organisation};
+
+/// Rate and burst of the organisation, in tokens per second and tokens.
+const RATE: f64 = 654_820.0;
+/// Bound of the deployments in tokens for 8 s: 10 % above rate and burst, and a fixed slack.
+const BOUND: f64 = RATE * 9.0 * 1.1 + 190_000.0;
+const WINDOW_MS: u64 = 8_000;
+/// Share of its quota that the organisation usually uses.
+const USUAL_SHARE: f64 = 1.0 / 1.8;
+const STEP_MS: u64 = 10;
+const DIGEST_MS: u64 = 200;
+const AGGREGATE_MS: u64 = 400;
+/// Time until a digest or an aggregate arrives; aggregates are spread over their interval.
+const DIGEST_LAG_MS: u64 = 30;
+const AGGREGATE_LAG_MS: u64 = 200;
+/// Tokens of the prompts, in turn.
+const PROMPT_TOKENS: [u32; 4] = [1_300, 17_000, 4_000, 9_000];
+
+/// Messages that are on their way, by arrival time.
+#[derive(Default)]
+struct Mail {
+    digests: BTreeMap<u64, Vec<(usize, PeerSpend)>>,
+    aggregates: BTreeMap<u64, HashMap<String, FleetSpend>>,
+}
+
+/// Outcome of a rush.
+#[derive(Debug, Default)]
+struct RushOutcome {
+    /// Tokens admitted, by step.
+    admitted: Vec<f64>,
+    /// Tokens admitted during the rush.
+    admitted_in_rush: f64,
+    refused_before_rush: usize,
+}
+
+impl RushOutcome {
+    fn max_in_window(&self) -> f64 {
+        let steps = (WINDOW_MS / STEP_MS) as usize;
+        let windows = self.admitted.windows(steps);
+        windows
+            .map(|window| window.iter().sum())
+            .fold(0.0, f64::max)
+    }
+}
+
+/// Offers the usual load to `hosts` hosts, from 5 s to 17 s `rush` times as much.
+///
+/// The first host aggregates the reports. Refused callers come back once when they were told to.
+fn run_rush(hosts: usize, rush: f64) -> RushOutcome {
+    let mut limiters: Vec<QuotaLimiter> = (0..hosts as u64)
+        .map(|host| {
+            let mut limiter = QuotaLimiter::new(16).random_seed(host);
+            limiter.set_fleet_size(hosts as u32);
+            limiter.set_quotas(at(0), &[organisation("halloran", "k", RATE)]);
+            limiter
+        })
+        .collect();
+    limiters[0].start_aggregating();
+    let mut mail = Mail::default();
+    let mut returning: BTreeMap<u64, Vec<u32>> = BTreeMap::new();
+    let mut outcome = RushOutcome::default();
+    let (mut offered, mut due, mut arrivals) = (0.0, 0.0, 0_usize);
+    for now in (0..22_000).step_by(STEP_MS as usize) {
+        exchange_spend(&mut limiters, &mut mail, now);
+        let is_rush = (5_000..17_000).contains(&now);
+        let factor = if is_rush { rush } else { 1.0 };
+        // Hosts know of one another after 2 s.
+        due += if now >= 2_000 {
+            RATE * USUAL_SHARE * factor * STEP_MS as f64 / 1_000.0
+        } else {
+            0.0
+        };
+        let mut requests: Vec<(u32, bool)> = Vec::new();
+        while offered < due {
+            let tokens = PROMPT_TOKENS[arrivals % PROMPT_TOKENS.len()];
+            arrivals += 1;
+            offered += f64::from(tokens);
+            requests.push((tokens, true));
+        }
+        let back = returning.split_off(&(now + 1));
+        let returned = std::mem::replace(&mut returning, back);
+        requests.extend(
+            returned
+                .into_values()
+                .flatten()
+                .map(|tokens| (tokens, false)),
+        );
+        let mut admitted = 0.0;
+        for (index, (tokens, is_first)) in requests.into_iter().enumerate() {
+            let host = (arrivals + index).wrapping_mul(7_919) % hosts;
+            match limiters[host].admit(at(now), "halloran", Some(tokens)) {
+                Ok(()) => admitted += f64::from(tokens),
+                Err(refusal) => {
+                    outcome.refused_before_rush += usize::from(now < 5_000);
+                    let delay = refusal.retry_after.expect("a retry delay");
+                    if is_first {
+                        let back_at = now + delay.as_millis() as u64;
+                        returning.entry(back_at).or_default().push(tokens);
+                    }
+                }
+            }
+        }
+        outcome.admitted_in_rush += if is_rush { admitted } else { 0.0 };
+        outcome.admitted.push(admitted);
+    }
+    outcome
+}
+
+/// Sends and delivers the reports and aggregates that are due.
+fn exchange_spend(limiters: &mut [QuotaLimiter], mail: &mut Mail, now: u64) {
+    if now.is_multiple_of(DIGEST_MS) {
+        let reports = limiters.iter_mut().map(|limiter| limiter.report(at(now)));
+        let reports = reports.enumerate().skip(1).collect();
+        mail.digests.insert(now + DIGEST_LAG_MS, reports);
+    }
+    for (host, report) in mail.digests.remove(&now).into_iter().flatten() {
+        limiters[0].receive_spend(at(now), &format!("edge-{host}"), 1, report);
+    }
+    if now.is_multiple_of(AGGREGATE_MS) {
+        let spend = limiters[0].fleet_spend(at(now));
+        mail.aggregates.insert(now + AGGREGATE_LAG_MS, spend);
+    }
+    if let Some(spend) = mail.aggregates.remove(&now) {
+        for limiter in limiters.iter_mut().skip(1) {
+            limiter.apply_aggregate(at(now), spend.clone(), 1.0);
+        }
+    }
+}
+
+/// Guards against all hosts spending the same remaining tokens before they hear of one another.
+///
+/// On grown Corrib the bucket swung between its capacity and a debt of 3.6 s of the rate: it was
+/// spent by 86 hosts within one round of reports, then all refused for three seconds.
+#[test]
+fn the_bound_holds_in_a_rush_at_any_number_of_hosts() {
+    let mut overshoots = Vec::new();
+    for hosts in [1, 2, 7, 16, 40, 86, 195, 400] {
+        let outcome = run_rush(hosts, 6.0);
+        let most = outcome.max_in_window();
+        overshoots.push(format!("{hosts} hosts: {:.2} of the bound", most / BOUND));
+        assert!(most <= BOUND, "{hosts} hosts: {most} of {BOUND}");
+        assert_eq!(outcome.refused_before_rush, 0, "{hosts} hosts");
+        // Nothing below the quota is refused for long: the rush gets nine tenths of the rate.
+        let granted = outcome.admitted_in_rush / (RATE * 12.0);
+        assert!(granted >= 0.9, "{hosts} hosts: {granted} of the quota");
+    }
+    println!("largest spending in 8 s: {}", overshoots.join(", "));
+}
