fix: plain calls are not thinned out in a rush; few hosts of a large fleet follow the table

(2) Each of 195 hosts held a waiting read of the table, so each version cost 195 calls, and read everything again every 30 to 40 s.

Change: calls without tokens are exempt, as they use a hundredth of the tokens.

--- a/crates/teaselglade-host/src/follow/server_follower.rs
+++ b/crates/teaselglade-host/src/follow/server_follower.rs
@@ -7,7 +7,7 @@
 use tokio::time::sleep;
 use tracing::{debug, info};
 
-use super::STORE_RETRY_DELAY;
+use super::{STORE_RETRY_DELAY, full_read_interval};
 use crate::port::{Feed, FeedItem, FeedPage, StoreError};
 use crate::state::HostState;
 
@@ -16,10 +16,6 @@
 /// A host must learn that a server leaves well within the 2 s for which that server still accepts
 /// requests.
 const POLL_INTERVAL: Duration = Duration::from_millis(300);
-/// Reads per second of all hosts together that receive the changes from peers.
-const IDLE_POLLS_PER_SECOND: u32 = 3;
-/// Time after which all registrations are read again, in case changes were missed.
-const FULL_READ_INTERVAL: Duration = Duration::from_secs(30);
 
 /// Follows server registrations until the task is aborted.
 pub async fn follow_servers(host: Arc<HostState>) {
@@ -51,9 +47,9 @@
 async fn poll_changes(host: &HostState, mut next: u64) {
     let started_at = host.now();
     let mut polled_at = started_at;
-    while host.now().since(started_at) < FULL_READ_INTERVAL {
+    while host.now().since(started_at) < full_read_interval(host.is_store_reader()) {
         sleep(POLL_INTERVAL).await;
-        if !host.is_store_reader() && host.now().since(polled_at) < idle_interval(host) {
+        if !host.is_store_reader() && host.now().since(polled_at) < host.idle_read_interval() {
             host.lock_decisions().registry.remove_expired(host.now());
             continue;
         }
@@ -81,12 +77,6 @@
     }
 }
 
-/// Returns the interval between reads of a host that is not a store reader.
-fn idle_interval(host: &HostState) -> Duration {
-    let hosts = host.lock_decisions().membership.peer_count() as u32 + 1;
-    Duration::from_secs(1) * hosts / IDLE_POLLS_PER_SECOND
-}
-
 fn record_response(host: &HostState) {
     let now = host.now();
     host.lock_decisions().record_store_response(now);
--- a/crates/teaselglade-host/src/follow/table_follower.rs
+++ b/crates/teaselglade-host/src/follow/table_follower.rs
@@ -6,7 +6,7 @@
 use tokio::time::sleep;
 use tracing::{info, warn};
 
-use super::STORE_RETRY_DELAY;
+use super::{STORE_RETRY_DELAY, full_read_interval};
 use crate::peer::pull_before_store;
 use crate::port::{Feed, FeedItem, FeedPage, StoreError};
 use crate::state::HostState;
@@ -17,8 +17,8 @@
 const STORE_READER_WAIT: Duration = Duration::from_millis(1_200);
 /// Maximum wait of one call of other hosts, which learn of new versions from digests too.
 const DEFAULT_WAIT: Duration = Duration::from_secs(20);
-/// Time after which the newest record is read again, in case changes were missed.
-const FULL_READ_INTERVAL: Duration = Duration::from_secs(40);
+/// Interval between checks whether a host that does not follow the store has to read it.
+const IDLE_CHECK_INTERVAL: Duration = Duration::from_millis(300);
 
 /// Follows the published table until the task is aborted.
 ///
@@ -45,12 +45,15 @@
 /// Reads changes until the newest record must be read again.
 async fn poll_changes(host: &HostState, mut next: u64) {
     let started_at = host.now();
-    while host.now().since(started_at) < FULL_READ_INTERVAL {
-        let wait = if host.is_store_reader() {
-            STORE_READER_WAIT
-        } else {
-            DEFAULT_WAIT
-        };
+    let mut polled_at = started_at;
+    while host.now().since(started_at) < full_read_interval(host.is_table_follower()) {
+        let is_idle = host.now().since(polled_at) < host.idle_read_interval();
+        if is_idle && !host.is_table_follower() {
+            sleep(IDLE_CHECK_INTERVAL).await;
+            continue;
+        }
+        polled_at = host.now();
+        let wait = read_wait(host);
         match host.ports.feeds.changes(Feed::Table, next, wait).await {
             Ok(page) => {
                 host.record_call("follow_table", None);
@@ -70,6 +73,17 @@
     }
 }
 
+/// Returns how long a read waits for a newer version.
+fn read_wait(host: &HostState) -> Duration {
+    if host.is_store_reader() {
+        STORE_READER_WAIT
+    } else if host.is_table_follower() {
+        DEFAULT_WAIT
+    } else {
+        Duration::ZERO
+    }
+}
+
 fn apply_page(host: &HostState, page: FeedPage) {
     for item in page.items {
         match item {
--- a/crates/teaselglade-host/src/state/host_state.rs
+++ b/crates/teaselglade-host/src/state/host_state.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
-use std::time::{SystemTime, UNIX_EPOCH};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use teaselglade_core::port::ClockPort;
 use teaselglade_core::time::Timestamp;
@@ -20,6 +20,8 @@
 use crate::settings::HostSettings;
 use crate::upstream::ConnectionPool;
 
+/// Reads per second of all hosts together that receive the changes of a feed from peers.
+const IDLE_READS_PER_SECOND: u32 = 3;
 /// Fractional part of the golden ratio.
 const GOLDEN_RATIO: f64 = 0.618_033_988_749_894_9;
 
@@ -175,6 +177,25 @@
         decisions.membership.is_store_reader(now) || decisions.lacks_aggregate(now)
     }
 
+    /// Returns whether this host follows the table in the store.
+    ///
+    /// It does so for the whole fleet, or because no aggregator tells it of newer versions.
+    #[must_use]
+    pub fn is_table_follower(&self) -> bool {
+        let now = self.now();
+        let decisions = self.lock_decisions();
+        decisions.membership.is_table_follower(now) || decisions.lacks_aggregate(now)
+    }
+
+    /// Returns the interval between reads of a feed that other hosts follow for this one.
+    ///
+    /// All such hosts together read [`IDLE_READS_PER_SECOND`] times a second.
+    #[must_use]
+    pub fn idle_read_interval(&self) -> Duration {
+        let hosts = self.lock_decisions().membership.peer_count() as u32 + 1;
+        Duration::from_secs(1) * hosts / IDLE_READS_PER_SECOND
+    }
+
     /// Records the result of a platform call, as [`HostState::record_call`] does.
     pub fn record_result<T, E: std::fmt::Display>(
         &self,
--- a/crates/teaselglade-routing/src/gossip/peer_membership.rs
+++ b/crates/teaselglade-routing/src/gossip/peer_membership.rs
@@ -38,6 +38,11 @@
 const CANDIDATE_HOSTS: usize = 3;
 /// Number of hosts that read the store for the fleet; the second one is the standby.
 const STORE_READERS: usize = 2;
+/// Number of hosts of a large fleet that follow the table in the store.
+///
+/// The others learn of a new version from digests within a second. Fewer than
+/// [`ADVERTISED_HOSTS`], so that every host knows that enough others come before it.
+const TABLE_FOLLOWERS: usize = 5;
 /// Time without an aggregate digest after which a host requests another aggregator.
 ///
 /// It lies between one and two aggregator intervals of 400 ms; the switch takes one more interval.
@@ -274,6 +279,12 @@
         self.store_reader_rank(now) < STORE_READERS
     }
 
+    /// Returns whether this host follows the table in the store.
+    #[must_use]
+    pub fn is_table_follower(&self, now: Timestamp) -> bool {
+        !self.is_large() || self.store_reader_rank(now) < TABLE_FOLLOWERS
+    }
+
     /// Returns whether this host may become the leader.
     #[must_use]
     pub fn is_leader_candidate(&self, now: Timestamp) -> bool {
--- a/crates/teaselglade-routing/src/quota/quota_limiter.rs
+++ b/crates/teaselglade-routing/src/quota/quota_limiter.rs
@@ -427,7 +427,9 @@
         state.own_demand += units / RATE_TIME_CONSTANT.as_secs_f64();
         let min_level = if is_settled { 0.0 } else { units };
         let admitted_share = state.admitted_share(unreported, share, others_demand, lag);
-        let is_chosen = admitted_share >= 1.0 || self.random.random_bool(admitted_share);
+        let is_chosen = state.is_plain(tokens)
+            || admitted_share >= 1.0
+            || self.random.random_bool(admitted_share);
         if is_chosen && state.has_capacity(tokens, unreported, min_level) {
             state.spend(units);
             return Ok(());
@@ -524,9 +526,13 @@
         }
     }
 
+    /// Returns whether a request without tokens is limited by a quota in tokens.
+    fn is_plain(&self, tokens: Option<u32>) -> bool {
+        self.quota.unit == QuotaUnit::Tokens && tokens.is_none()
+    }
+
     fn has_capacity(&self, tokens: Option<u32>, unreported: f64, min_level: f64) -> bool {
-        let is_plain = self.quota.unit == QuotaUnit::Tokens && tokens.is_none();
-        let debt = if is_plain {
+        let debt = if self.is_plain(tokens) {
             self.quota.rate * PLAIN_DEBT_SECONDS
         } else {
             0.0
--- a/crates/teaselglade-routing/tests/routing/membership.rs
+++ b/crates/teaselglade-routing/tests/routing/membership.rs
@@ -311,3 +311,28 @@
         "the leader and two other hosts are"
     );
 }
+
+/// Guards against a call of each of 195 hosts for each version of the table.
+#[test]
+fn few_hosts_of_a_large_fleet_follow_the_table_and_others_take_over() {
+    let names: Vec<String> = (100..295).map(|host| format!("edge-{host}")).collect();
+    let mut memberships: Vec<PeerMembership> = names
+        .iter()
+        .map(|name| PeerMembership::new(name, 1))
+        .collect();
+    let followers = |memberships: &mut Vec<PeerMembership>, first: usize, now: u64| {
+        let mut followers = Vec::new();
+        for (index, membership) in memberships.iter_mut().enumerate().skip(first) {
+            for name in &names[first..] {
+                let _is_new = membership.record_digest(at(now), &digest(name, 10, now));
+            }
+            if membership.is_table_follower(at(now)) {
+                followers.push(index);
+            }
+        }
+        followers
+    };
+    assert_eq!(followers(&mut memberships, 0, 1_000), [0, 1, 2, 3, 4]);
+    // The first six hosts are lost; five others follow once those no longer count as present.
+    assert_eq!(followers(&mut memberships, 6, 3_000), [6, 7, 8, 9, 10]);
+}
--- a/crates/teaselglade-routing/tests/routing/quota_rush.rs
+++ b/crates/teaselglade-routing/tests/routing/quota_rush.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, HashMap};
 
-use teaselglade_routing::quota::{FleetSpend, PeerSpend, QuotaLimiter};
+use teaselglade_routing::quota::{FleetSpend, PeerSpend, QuotaLimiter, SpendReport};
 
 use super::fixture::{at, organisation};
 
@@ -152,3 +152,23 @@
     }
     println!("largest spending in 8 s: {}", overshoots.join(", "));
 }
+
+/// Guards against refused bookings while an organisation's prompts exceed its quota.
+#[test]
+fn plain_calls_are_admitted_in_a_rush_of_prompts() {
+    let mut limiter = QuotaLimiter::new(2).random_seed(1);
+    limiter.set_quotas(at(0), &[organisation("halloran", "k", RATE)]);
+    for millis in (0..4_000).step_by(200) {
+        // The other host asks for ten times the quota and spends its rate.
+        let report = SpendReport {
+            total: RATE * millis as f64 / 1_000.0,
+            rate: RATE,
+            demand: RATE * 10.0,
+        };
+        let spend = HashMap::from([("halloran".to_owned(), report)]);
+        limiter.receive_spend(at(millis), "edge-2", 1, spend);
+        limiter.admit(at(millis + 1), "halloran", None).unwrap();
+    }
+    let prompts = (0..20).filter(|_| limiter.admit(at(4_000), "halloran", Some(900)).is_ok());
+    assert!(prompts.count() < 10, "prompts are limited");
+}
