--- a/crates/teaselglade-routing/src/engine/engine_placer.rs
+++ b/crates/teaselglade-routing/src/engine/engine_placer.rs
@@ -11,6 +11,7 @@
 use teaselglade_placement::limit::DemandMeter;
 
 use super::engine_candidate::{EngineCandidate, preference};
+use super::stale_choice::choose_with_stale_loads;
 use super::{CachedPart, EngineLoad, EngineSpeed, PrefixLocations, PromptShape, Result, SlotPace};
 use crate::registry::{ServerHealth, ServerRegistry};
 use crate::table::EngineSpec;
@@ -21,17 +22,6 @@
 const TARGET_SHARE: f64 = 0.9;
 /// Maximum queueing time, as a share of the target, of prompts whose prefill alone exceeds it.
 const MAX_WAIT_SHARE: f64 = 0.4;
-/// Share of a prompt's shared tokens that an engine must have cached to be considered for them.
-///
-/// A short part that thousands of prompts share is cached on all engines. If that sufficed, all
-/// hosts would choose the one engine that was least loaded in the last aggregate.
-const MIN_CACHED_SHARE: f64 = 0.5;
-/// Number of engines, by a prompt's preference, of which the cheapest is chosen if none is on time.
-const STALE_FALLBACK_WIDTH: usize = 8;
-/// Shares of used slots up to which an engine is considered while loads are stale, in this order.
-///
-/// Requests that other hosts placed there meanwhile fill the rest of the slots.
-const STALE_USED_SHARES: [f64; 2] = [0.75, 1.5];
 /// Weight of the prefill time taken from later requests, relative to the stream's own latency.
 const WORK_WEIGHT: f64 = 1.0;
 /// Delay where an engine's cache memory is full, as other requests have to end first.
@@ -456,11 +446,10 @@
         });
         let mut healthy: Vec<&EngineCandidate> = healthy.collect();
         if query.is_load_stale {
-            healthy.sort_unstable_by_key(|candidate| std::cmp::Reverse(candidate.preference));
-            if let Some(preferred) = preferred_candidate(&healthy, query) {
-                return Some(preferred);
+            let target = query.target.mul_f64(TARGET_SHARE);
+            if let Some(chosen) = choose_with_stale_loads(&mut healthy, query.prompt, target) {
+                return Some(chosen);
             }
-            healthy.truncate(STALE_FALLBACK_WIDTH);
         }
         let best = healthy.into_iter().min_by(|a, b| a.compare(b));
         best.or_else(|| candidates.iter().min_by(|a, b| a.compare(b)))
@@ -607,36 +596,3 @@
         refusal.retry_after(MIN_RETRY_DELAY.mul_f64(2.0 * jitter))
     }
 }
-
-/// Returns the candidate of a prompt while loads are stale, from those in order of preference.
-///
-/// It is the cheapest one that has part of the prompt in its cache, or the first one, if that is on
-/// time. Otherwise it is the first one in order of preference that is on time. All hosts know the
-/// same loads, some hundred milliseconds late: if each chose the cheapest engine, those of the
-/// whole fleet would choose the same one until its load arrives.
-fn preferred_candidate(
-    candidates: &[&EngineCandidate],
-    query: &EngineQuery<'_>,
-) -> Option<EngineCandidate> {
-    let target = query.target.mul_f64(TARGET_SHARE);
-    for max_used_share in STALE_USED_SHARES {
-        let is_on_time = |candidate: &EngineCandidate| {
-            candidate.predicted_latency <= target && candidate.used_share <= max_used_share
-        };
-        let is_cached = |candidate: &EngineCandidate| {
-            let cached_tokens = query.prompt.prompt_tokens - candidate.new_tokens;
-            f64::from(cached_tokens) >= f64::from(query.prompt.shared_tokens()) * MIN_CACHED_SHARE
-        };
-        let near = candidates
-            .iter()
-            .enumerate()
-            .filter(|(rank, candidate)| *rank == 0 || is_cached(candidate))
-            .map(|(_, candidate)| **candidate)
-            .min_by(EngineCandidate::compare);
-        let first = candidates.iter().copied().copied().find(is_on_time);
-        if let Some(chosen) = near.filter(is_on_time).or(first) {
-            return Some(chosen);
-        }
-    }
-    None
-}
--- a/crates/teaselglade-routing/src/engine/mod.rs
+++ b/crates/teaselglade-routing/src/engine/mod.rs
@@ -7,6 +7,7 @@
 mod prefix_locations;
 mod prompt_shape;
 mod slot_pace;
+mod stale_choice;
 
 pub use engine_load::{CachedPart, EngineLoad};
 pub use engine_placer::{EnginePlacer, EngineQuery, EngineReservation, ReservationId};
