fix: a new leader reports the windows that it saw whole; the scaling rule's minimum is read

`ScalingSpec::min_servers` was read by nobody.

Change: windows are due from the first one after the host's first digest. Each zone keeps at least the rule's minimum. A call of a duty that is withheld because the term ended is logged. The first listing after a start gives missing servers two seconds too, where the store counts its returns.

Measured: both new tests fail on the code before and pass now.

--- a/crates/teaselglade-host/src/duty/duty_driver.rs
+++ b/crates/teaselglade-host/src/duty/duty_driver.rs
@@ -341,6 +341,11 @@
         );
         tokio::spawn(async move {
             if !guard.allows(number) {
+                info!(
+                    event = "duty_withheld",
+                    call = "order_servers",
+                    zone = order.zone
+                );
                 return;
             }
             let result = port.order_servers(&term, &order).await;
--- a/crates/teaselglade-host/src/duty/usage_reporter.rs
+++ b/crates/teaselglade-host/src/duty/usage_reporter.rs
@@ -112,6 +112,11 @@
             .collect();
         for counts in unsent {
             if !self.guard.allows(self.number) {
+                info!(
+                    event = "duty_withheld",
+                    call = "report_usage",
+                    window = counts.window
+                );
                 return false;
             }
             let result = self.port.report_usage(&self.term, &counts).await;
--- a/crates/teaselglade-host/src/follow/server_follower.rs
+++ b/crates/teaselglade-host/src/follow/server_follower.rs
@@ -27,7 +27,7 @@
                 host.record_call("read_servers", None);
                 record_response(&host);
                 let generation = *generations.borrow();
-                if listed_generation > 0 && generation > listed_generation {
+                if generation > listed_generation {
                     expect_missing_servers(&host);
                 }
                 listed_generation = generation;
--- a/crates/teaselglade-routing/src/scaling/server_autoscaler.rs
+++ b/crates/teaselglade-routing/src/scaling/server_autoscaler.rs
@@ -250,7 +250,9 @@
         let per_zone = self
             .required_servers(now, RECLAIMABLE_LOAD_SHARE)
             .div_ceil(remaining_zones);
-        let per_zone = per_zone.clamp(1, spec.max_servers.max(1));
+        let per_zone = per_zone
+            .max(spec.min_servers)
+            .clamp(1, spec.max_servers.max(1));
         let zones = spec.zone_prices.iter();
         zones.map(|(zone, _)| (zone.clone(), per_zone)).collect()
     }
--- a/crates/teaselglade-routing/src/usage/usage_ledger.rs
+++ b/crates/teaselglade-routing/src/usage/usage_ledger.rs
@@ -56,10 +56,12 @@
     window_length: Duration,
     own: BTreeMap<u64, BTreeMap<String, u64>>,
     peers: BTreeMap<(String, u64), PeerCounts>,
-    /// First window that may be due.
+    /// Window in which this host sent its first digest; it receives peers' counts from then on.
+    joined_in: Option<u64>,
+    /// First window that may be due, once this host was asked for one.
     ///
-    /// It is the last one that ended before the first call of `due_window`: this host neither saw
-    /// earlier windows whole nor received peers' counts of them.
+    /// It is the first one that this host saw whole, or else the last one that had ended then, of
+    /// which peers still send their counts.
     first_window: Option<u64>,
     /// Decided reports of recent windows, known from the log or from the leader's digests.
     decided: BTreeMap<u64, WindowCounts>,
@@ -73,6 +75,7 @@
             window_length: window_length.max(Duration::from_millis(1)),
             own: BTreeMap::new(),
             peers: BTreeMap::new(),
+            joined_in: None,
             first_window: None,
             decided: BTreeMap::new(),
         }
@@ -91,7 +94,9 @@
 
     /// Returns this host's counts of recent windows, for its digest, and drops older ones.
     pub fn recent_counts(&mut self, wall: Timestamp) -> Vec<WindowCounts> {
-        let oldest = self.window(wall).saturating_sub(GOSSIPED_WINDOWS);
+        let current = self.window(wall);
+        self.joined_in.get_or_insert(current);
+        let oldest = current.saturating_sub(GOSSIPED_WINDOWS);
         self.own = self.own.split_off(&oldest);
         let windows = self.own.iter().map(|(window, counts)| WindowCounts {
             window: *window,
@@ -157,7 +162,9 @@
     /// has passed.
     pub fn due_window(&mut self, wall: Timestamp) -> Option<u64> {
         let current = self.window(wall);
-        let first_window = *self.first_window.get_or_insert(current.saturating_sub(1));
+        let first_whole = self.joined_in.map_or(current, |joined_in| joined_in + 1);
+        let first_due = first_whole.min(current.saturating_sub(1));
+        let first_window = *self.first_window.get_or_insert(first_due);
         let oldest = first_window.max(current.saturating_sub(GOSSIPED_WINDOWS));
         (oldest..current)
             .find(|window| !self.decided.contains_key(window) && self.is_settled(wall, *window))
--- a/crates/teaselglade-routing/tests/routing/autoscaler.rs
+++ b/crates/teaselglade-routing/tests/routing/autoscaler.rs
@@ -3,6 +3,7 @@
 use std::collections::{BTreeMap, VecDeque};
 
 use teaselglade_routing::scaling::{OrderOutcome, ServerAutoscaler, ServerOrder, ZoneStock};
+use teaselglade_routing::table::ScalingSpec;
 
 use super::fixture::{at, scaling};
 
@@ -248,3 +249,19 @@
         "an order without effect is repeated"
     );
 }
+
+#[test]
+fn a_zone_keeps_at_least_the_servers_that_the_rule_names() {
+    let spec = ScalingSpec {
+        min_servers: 3,
+        ..scaling()
+    };
+    let mut autoscaler = ServerAutoscaler::new("draft-fleet");
+    let orders = autoscaler.plan(at(0), &spec, &BTreeMap::new(), 0.0);
+    let reclaimable: Vec<u32> = orders
+        .iter()
+        .filter(|order| order.reclaimable)
+        .map(|order| order.desired)
+        .collect();
+    assert_eq!(reclaimable, [3, 3, 3, 3]);
+}
--- a/crates/teaselglade-routing/tests/routing/usage.rs
+++ b/crates/teaselglade-routing/tests/routing/usage.rs
@@ -100,3 +100,19 @@
     assert_eq!(leader.due_window(wall(6_500)), None);
     assert_eq!(leader.due_window(wall(11_000)), Some(21));
 }
+
+/// Guards against windows that no host reports when the leader is lost for seven seconds.
+#[test]
+fn a_new_leader_reports_windows_that_ended_while_there_was_none() {
+    let mut successor = UsageLedger::new(WINDOW);
+    for millis in (0..17_000).step_by(200) {
+        successor.recent_counts(wall(millis));
+    }
+    // The first window was seen only in part; it is due if it was the last one to end.
+    assert_eq!(successor.due_window(wall(17_000)), Some(21));
+    successor.record_decided(report(21));
+    assert_eq!(successor.due_window(wall(17_000)), Some(22));
+    let mut started_late = UsageLedger::new(WINDOW);
+    started_late.recent_counts(wall(17_000));
+    assert_eq!(started_late.due_window(wall(17_000)), Some(22));
+}
