--- a/crates/teaselglade-host/src/peer/peer_pull.rs
+++ b/crates/teaselglade-host/src/peer/peer_pull.rs
@@ -53,8 +53,8 @@
 
 /// Queries peers once, before this host trusts what it reads from the store.
 ///
-/// Returns when they responded, or after [`RESPONSE_TIMEOUT`]. A host that starts knows only seeds
-/// at first; the list of hosts usually arrives within [`DISCOVERY_WAIT`].
+/// Returns when they responded or the time for a response has passed. A host that starts knows only
+/// seeds at first, so this waits a moment for the list of hosts.
 pub async fn pull_before_store(host: &HostState) {
     let waiting_since = host.now();
     while host.lock_decisions().membership.peer_count() == 0
--- a/crates/teaselglade-host/src/state/host_state.rs
+++ b/crates/teaselglade-host/src/state/host_state.rs
@@ -189,7 +189,7 @@
 
     /// Returns the interval between reads of a feed that other hosts follow for this one.
     ///
-    /// All such hosts together read [`IDLE_READS_PER_SECOND`] times a second.
+    /// It grows with the fleet, so that all such hosts together read a few times a second.
     #[must_use]
     pub fn idle_read_interval(&self) -> Duration {
         let hosts = self.lock_decisions().membership.peer_count() as u32 + 1;
