feat(host): fetches from peers that fail are counted and logged

Hypotheses 1 and 2 of docs/incidents/late-tables.md differ in what a host receives: failed fetches were logged at debug only, without the time they took or the bytes that arrived. Now: `peer_silent` at info with elapsed_ms and bytes, teaselglade_peer_fetches_total by outcome, teaselglade_peer_fetch_bytes_total; errors of the HTTP client name the bytes received.

--- a/crates/teaselglade-host/src/metrics/host_metrics.rs
+++ b/crates/teaselglade-host/src/metrics/host_metrics.rs
@@ -42,6 +42,10 @@
     pub store_returns: IntCounter,
     /// Version of the active table.
     pub table_version: IntGauge,
+    /// Fetches of state from peers by outcome.
+    pub peer_fetches: IntCounterVec,
+    /// Bytes of state that peers returned.
+    pub peer_fetch_bytes: IntCounter,
     /// Servers that accept new work, by service.
     pub servers: IntGaugeVec,
     /// 1 while this host is the leader, else 0.
@@ -119,6 +123,15 @@
                 "teaselglade_table_version",
                 "Version of the table in force.",
             )?,
+            peer_fetches: r.counters(
+                "teaselglade_peer_fetches_total",
+                "Fetches of the table and servers from peers.",
+                &["outcome"],
+            )?,
+            peer_fetch_bytes: r.counter(
+                "teaselglade_peer_fetch_bytes_total",
+                "Bytes of tables and servers that peers returned.",
+            )?,
             servers: r.gauges(
                 "teaselglade_servers",
                 "Servers that take work.",
--- a/crates/teaselglade-host/src/peer/peer_pull.rs
+++ b/crates/teaselglade-host/src/peer/peer_pull.rs
@@ -87,17 +87,27 @@
 async fn pull(host: &HostState, client: &HttpClient, peer: SocketAddr) {
     let path = format!("{STATE_PATH}{}", host.table_version());
     let request = HttpRequest::get(peer, path).head_timeout(RESPONSE_TIMEOUT);
-    let response = match client.call(request).await {
+    let started_at = host.now();
+    let response = client.call(request).await;
+    let elapsed_ms = host.now().since(started_at).as_millis() as u64;
+    let fetches = &host.metrics.peer_fetches;
+    let response = match response {
         Ok(response) if response.is_success() => response,
         Ok(response) => {
+            fetches.with_label_values(&["refused"]).inc();
             warn!(event = "peer_refused", peer = %peer, status = response.status);
             return;
         }
         Err(error) => {
-            debug!(event = "peer_silent", peer = %peer, error = %error);
+            fetches.with_label_values(&["failed"]).inc();
+            info!(event = "peer_silent", peer = %peer, elapsed_ms, error = %error);
             return;
         }
     };
+    fetches.with_label_values(&["ok"]).inc();
+    let bytes = response.body.len() as u64;
+    host.metrics.peer_fetch_bytes.inc_by(bytes);
+    debug!(event = "peer_fetched", peer = %peer, elapsed_ms, bytes);
     match rmp_serde::from_slice(&response.body) {
         Ok(state) => apply_state(host, peer, state),
         Err(error) => warn!(event = "peer_unreadable", peer = %peer, error = %error),
--- a/crates/teaselglade-net/src/client/http_client.rs
+++ b/crates/teaselglade-net/src/client/http_client.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::{Method, Request, Response};
 use hyper_util::client::legacy::Client;
@@ -16,12 +16,12 @@
 use teaselglade_core::verdict::SendProgress;
 use tokio::time::timeout;
 
+use super::body_reader::BodyReader;
 use super::{CallError, Result};
 
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 const IDLE_TIMEOUT: Duration = Duration::from_secs(20);
 const MAX_IDLE_CONNECTIONS_PER_HOST: usize = 64;
-const MAX_RESPONSE_BYTES: usize = 16 * 1024 * 1024;
 
 type PooledClient = Client<HttpConnector, Full<Bytes>>;
 
@@ -178,17 +178,7 @@
         let time_limit = request.head_timeout;
         let response = self.send_streaming(request).await?;
         let (parts, body) = response.into_parts();
-        let collected = timeout(time_limit, Limited::new(body, MAX_RESPONSE_BYTES).collect()).await;
-        let body = match collected {
-            Ok(Ok(body)) => body.to_bytes(),
-            Ok(Err(error)) => {
-                return Err(CallError::new(SendProgress::MaybeSent, error.to_string()));
-            }
-            Err(_elapsed) => {
-                let detail = format!("answer not whole in {time_limit:?}");
-                return Err(CallError::new(SendProgress::MaybeSent, detail));
-            }
-        };
+        let body = BodyReader::new(body).read_within(time_limit).await?;
         let to_text = |value: &hyper::header::HeaderValue| value.to_str().ok().map(str::to_owned);
         let headers = parts.headers.iter();
         let headers = headers.filter_map(|(name, value)| Some((name.to_string(), to_text(value)?)));
--- a/crates/teaselglade-net/src/client/mod.rs
+++ b/crates/teaselglade-net/src/client/mod.rs
@@ -1,5 +1,6 @@
 //! HTTP client that reports how far a failed request was sent.
 
+mod body_reader;
 mod call_error;
 mod http_client;
 
