fix(net): large responses are limited by part, not as a whole

A fetch of the table had 500 ms (peer) or 700 ms (store) for the whole body, whatever its size. A table of 600 KB takes 480 ms on an idle link of 10 Mbit/s and never ends on one that carries traffic; each attempt that is given up has filled the link and starts from nothing.

Now a body of a feed or a peer's state may take as long as parts keep arriving, 10 s at most; a silent connection is still noticed after 500 or 700 ms. Same cause elsewhere: reads of the product's own log.

--- a/crates/teaselglade-host/src/peer/peer_pull.rs
+++ b/crates/teaselglade-host/src/peer/peer_pull.rs
@@ -15,7 +15,7 @@
 use crate::port::PublishedTable;
 use crate::state::HostState;
 
-/// Maximum time until a peer's response.
+/// Maximum time until the head of a peer's response, and until each part of its body.
 const RESPONSE_TIMEOUT: Duration = Duration::from_millis(500);
 /// Interval between checks for stale registration data.
 const CHECK_INTERVAL: Duration = Duration::from_millis(400);
@@ -86,7 +86,9 @@
 
 async fn pull(host: &HostState, client: &HttpClient, peer: SocketAddr) {
     let path = format!("{STATE_PATH}{}", host.table_version());
-    let request = HttpRequest::get(peer, path).head_timeout(RESPONSE_TIMEOUT);
+    let request = HttpRequest::get(peer, path)
+        .head_timeout(RESPONSE_TIMEOUT)
+        .stall_timeout(RESPONSE_TIMEOUT);
     let started_at = host.now();
     let response = client.call(request).await;
     let elapsed_ms = host.now().since(started_at).as_millis() as u64;
--- a/crates/teaselglade-net/src/client/http_client.rs
+++ b/crates/teaselglade-net/src/client/http_client.rs
@@ -34,6 +34,7 @@
     headers: Vec<(String, String)>,
     body: Bytes,
     head_timeout: Duration,
+    stall_timeout: Option<Duration>,
 }
 
 impl HttpRequest {
@@ -48,6 +49,7 @@
             headers: Vec::new(),
             body: Bytes::new(),
             head_timeout: Self::DEFAULT_TIMEOUT,
+            stall_timeout: None,
         }
     }
 
@@ -77,13 +79,24 @@
 
     /// Sets the maximum wait for the response head.
     ///
-    /// [`HttpClient::call`] also applies it to the response body, separately.
+    /// [`HttpClient::call`] also applies it to the response body, separately, unless
+    /// [`stall_timeout`](Self::stall_timeout) is set.
     #[must_use]
     pub const fn head_timeout(mut self, timeout: Duration) -> Self {
         self.head_timeout = timeout;
         self
     }
 
+    /// Sets the maximum wait for each part of the response body, for bodies of any size.
+    ///
+    /// On a narrow link, a large body takes longer than a peer that is alive may be silent. It may
+    /// take 10 s in all.
+    #[must_use]
+    pub const fn stall_timeout(mut self, timeout: Duration) -> Self {
+        self.stall_timeout = Some(timeout);
+        self
+    }
+
     fn into_hyper_request(self) -> Result<Request<Full<Bytes>>> {
         let uri = format!("http://{}{}", self.address, self.path);
         let mut builder = Request::builder().method(self.method).uri(uri);
@@ -175,10 +188,14 @@
     ///
     /// Fails if the whole response does not arrive in time or its body is too large.
     pub async fn call(&self, request: HttpRequest) -> Result<HttpResponse> {
-        let time_limit = request.head_timeout;
+        let (time_limit, stall_timeout) = (request.head_timeout, request.stall_timeout);
         let response = self.send_streaming(request).await?;
         let (parts, body) = response.into_parts();
-        let body = BodyReader::new(body).read_within(time_limit).await?;
+        let reader = BodyReader::new(body);
+        let body = match stall_timeout {
+            Some(stall_timeout) => reader.read_while_flowing(stall_timeout).await?,
+            None => reader.read_within(time_limit).await?,
+        };
         let to_text = |value: &hyper::header::HeaderValue| value.to_str().ok().map(str::to_owned);
         let headers = parts.headers.iter();
         let headers = headers.filter_map(|(name, value)| Some((name.to_string(), to_text(value)?)));
--- a/crates/teaselglade-net/src/platform/log_client.rs
+++ b/crates/teaselglade-net/src/platform/log_client.rs
@@ -56,7 +56,9 @@
             stream.as_str(),
             wait.as_millis()
         );
-        let request = HttpRequest::get(self.address, path).head_timeout(wait + READ_TIMEOUT);
+        let request = HttpRequest::get(self.address, path)
+            .head_timeout(wait + READ_TIMEOUT)
+            .stall_timeout(READ_TIMEOUT);
         let response = self
             .client
             .call(request)
--- a/crates/teaselglade-net/tests/server/main.rs
+++ b/crates/teaselglade-net/tests/server/main.rs
@@ -1,3 +1,4 @@
 //! Tests of the HTTP server.
 
+mod bodies;
 mod burst;
