fix(host): tables pass between hosts compressed, from one peer at a time

Cause, second part: eighty hosts fetch a table from the few that have it at the same moment; a host that starts asked four peers at once for the whole table.

- /tables/VERSION returns the table compressed (DEFLATE, flate2), packed once by the hosts that read the store.
Peers of earlier builds are asked for their state as before.
- FetchPlanner: one peer at a time, at random among those that announce the newest version; a busy one is asked again later, meanwhile another.
- TransferLimiter: a host spends half of its link on tables (limits.link_mbps) and tells others when to come back.
- A host that starts asks four peers for versions and servers, and one for the table.

--- a/crates/teaselglade-host/src/peer/gossip_transport.rs
+++ b/crates/teaselglade-host/src/peer/gossip_transport.rs
@@ -14,6 +14,7 @@
 use tokio::time::{Instant, MissedTickBehavior, interval, sleep_until};
 use tracing::{debug, info, warn};
 
+use super::TableAnnouncement;
 use crate::state::HostState;
 
 /// Interval between digests of a host.
@@ -34,8 +35,8 @@
 pub struct GossipTransport {
     host: Arc<HostState>,
     socket: UdpSocket,
-    /// Channel for the addresses of peers that have a newer table.
-    newer_tables: UnboundedSender<SocketAddr>,
+    /// Channel for announcements of newer tables.
+    newer_tables: UnboundedSender<TableAnnouncement>,
     /// Sequence number of the last digest.
     sequence: u64,
     /// Aggregate digest that is being sent to the served hosts.
@@ -54,14 +55,14 @@
 impl GossipTransport {
     /// Binds the peer address and adds the seeds of the settings to the membership.
     ///
-    /// Addresses of peers that have a newer table go to `newer_tables`.
+    /// Announcements of tables that are newer than the active one go to `newer_tables`.
     ///
     /// # Errors
     ///
     /// Returns the error of the bind, such as an address in use.
     pub async fn bind(
         host: Arc<HostState>,
-        newer_tables: UnboundedSender<SocketAddr>,
+        newer_tables: UnboundedSender<TableAnnouncement>,
     ) -> io::Result<Self> {
         let socket = UdpSocket::bind(host.settings.listen.peers).await?;
         let port = host.settings.listen.peers.port();
@@ -300,10 +301,7 @@
             }
         }
         drop(guard);
-        if digest.table_version > host.table_version() {
-            // The receiver lives as long as the host.
-            let _stopped = self.newer_tables.send(digest.sender.address);
-        }
+        self.announce_newer_table(digest.sender.address, digest.table_version);
     }
 
     fn apply_host_digest(&self, digest: HostDigest) {
@@ -339,9 +337,13 @@
         }
         decisions.record_peer_demand(now, &name, digest.demand);
         drop(guard);
-        if digest.table_version > host.table_version() {
+        self.announce_newer_table(digest.host.address, digest.table_version);
+    }
+
+    fn announce_newer_table(&self, peer: SocketAddr, version: u64) {
+        if version > self.host.table_version() {
             // The receiver lives as long as the host.
-            let _stopped = self.newer_tables.send(digest.host.address);
+            let _stopped = self.newer_tables.send(TableAnnouncement { peer, version });
         }
     }
 }
--- a/crates/teaselglade-host/src/peer/mod.rs
+++ b/crates/teaselglade-host/src/peer/mod.rs
@@ -2,10 +2,13 @@
 
 mod gossip_transport;
 mod peer_api;
+mod peer_client;
 mod peer_pull;
 mod peer_state;
+mod table_state;
 
 pub use gossip_transport::GossipTransport;
 pub use peer_api::start_peer_api;
 pub use peer_pull::{pull_before_store, pull_from_peers};
 pub use peer_state::PeerState;
+pub use table_state::{TableAnnouncement, TableState};
--- a/crates/teaselglade-host/src/peer/peer_api.rs
+++ b/crates/teaselglade-host/src/peer/peer_api.rs
@@ -2,18 +2,24 @@
 
 use std::io;
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
+use serde::Serialize;
 use teaselglade_net::server::{HttpServer, ServerHandle};
 use teaselglade_routing::registry::UpdateScope;
-use viz::{IntoResponse, Request, RequestExt, Response, Router};
+use viz::header::{HeaderValue, RETRY_AFTER};
+use viz::{IntoResponse, Request, RequestExt, Response, Router, StatusCode};
 
-use super::PeerState;
+use super::{PeerState, TableState};
 use crate::state::HostState;
 
 /// Path prefix of the state endpoint; the table version that the peer has follows.
 pub(super) const STATE_PATH: &str = "/state/";
 
+/// Path prefix of the table endpoint; the table version that the peer has follows.
+pub(super) const TABLE_PATH: &str = "/tables/";
+
 /// Starts the HTTP API for peers.
 ///
 /// # Errors
@@ -21,22 +27,70 @@
 /// Returns the error of binding the peer address.
 pub async fn start_peer_api(host: &Arc<HostState>) -> io::Result<ServerHandle> {
     let server = HttpServer::bind(host.settings.listen.peers).await?;
+    let router = Router::new();
+    let router = add_endpoint(router, STATE_PATH, host, state_response);
+    let router = add_endpoint(router, TABLE_PATH, host, table_response);
+    Ok(server.start(router))
+}
+
+/// Adds an endpoint whose path ends with the table version that the peer has.
+fn add_endpoint(
+    router: Router,
+    path: &str,
+    host: &Arc<HostState>,
+    respond: fn(&HostState, u64) -> Response,
+) -> Router {
     let host = Arc::clone(host);
-    let path = format!("{STATE_PATH}:version");
-    let router = Router::new().get(&path, move |request: Request| {
+    router.get(&format!("{path}:version"), move |request: Request| {
         let host = Arc::clone(&host);
         async move {
             let peer_version: u64 = request.param("version")?;
-            Ok::<Response, viz::Error>(state_response(&host, peer_version))
+            Ok::<Response, viz::Error>(respond(&host, peer_version))
         }
-    });
-    Ok(server.start(router))
+    })
 }
 
 fn state_response(host: &HostState, peer_version: u64) -> Response {
-    let state = build_state(host, peer_version);
+    encode(&build_state(host, peer_version))
+}
+
+/// Returns the active table if it is newer than the peer's and the link has room for it.
+fn table_response(host: &HostState, peer_version: u64) -> Response {
+    let active = host.table();
+    let newer = active.filter(|active| active.table.version() > peer_version);
+    let Some(active) = newer else {
+        return encode(&TableState {
+            version: host.table_version(),
+            table: None,
+        });
+    };
+    let packed = active.packed();
+    let now = host.now();
+    let started = host
+        .lock_decisions()
+        .transfers
+        .try_start(now, packed.size());
+    match started {
+        Ok(()) => encode(&TableState {
+            version: active.table.version(),
+            table: Some(packed.clone()),
+        }),
+        Err(delay) => busy_response(delay),
+    }
+}
+
+fn busy_response(delay: Duration) -> Response {
+    let mut response = StatusCode::SERVICE_UNAVAILABLE.into_response();
+    // Digits and a point are a valid header value.
+    if let Ok(seconds) = HeaderValue::from_str(&format!("{:.3}", delay.as_secs_f64())) {
+        response.headers_mut().insert(RETRY_AFTER, seconds);
+    }
+    response
+}
+
+fn encode(state: &impl Serialize) -> Response {
     // The codec supports all field types, so no error is expected.
-    let body = rmp_serde::to_vec_named(&state).unwrap_or_default();
+    let body = rmp_serde::to_vec_named(state).unwrap_or_default();
     Bytes::from(body).into_response()
 }
 
--- a/crates/teaselglade-host/src/peer/peer_pull.rs
+++ b/crates/teaselglade-host/src/peer/peer_pull.rs
@@ -1,24 +1,22 @@
 //! Fetches newer tables and missing server updates from peers.
 
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use futures::future::join_all;
-use teaselglade_net::client::{HttpClient, HttpRequest};
+use teaselglade_routing::gossip::FetchPlanner;
 use tokio::sync::mpsc::UnboundedReceiver;
-use tokio::time::{sleep, timeout};
-use tracing::{debug, info, warn};
+use tokio::time::{MissedTickBehavior, interval, sleep};
+use tracing::info;
 
-use super::PeerState;
-use super::peer_api::STATE_PATH;
-use crate::port::PublishedTable;
+use super::peer_client::{FetchOutcome, PeerClient};
+use super::{PeerState, TableAnnouncement};
 use crate::state::HostState;
 
-/// Maximum time until the head of a peer's response, and until each part of its body.
-const RESPONSE_TIMEOUT: Duration = Duration::from_millis(500);
 /// Interval between checks for stale registration data.
 const CHECK_INTERVAL: Duration = Duration::from_millis(400);
+/// Interval between checks whether a busy peer can serve a table.
+const SOURCE_POLL: Duration = Duration::from_millis(20);
 /// Age from which registration data is stale, so that peers are queried for it.
 const STALENESS_TIMEOUT: Duration = Duration::from_millis(1_200);
 /// Maximum number of peers queried per check.
@@ -36,18 +34,26 @@
 /// the sender of table announcements is dropped.
 pub async fn pull_from_peers(
     host: Arc<HostState>,
-    mut newer_tables: UnboundedReceiver<SocketAddr>,
+    mut announcements: UnboundedReceiver<TableAnnouncement>,
 ) {
-    let client = HttpClient::default();
+    let client = PeerClient::new(Arc::clone(&host));
+    let mut planner = FetchPlanner::new(host.started_at_us);
+    let mut checks = interval(CHECK_INTERVAL);
+    checks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
-        match timeout(CHECK_INTERVAL, newer_tables.recv()).await {
-            Ok(Some(peer)) => {
-                while newer_tables.try_recv().is_ok() {}
-                pull(&host, &client, peer).await;
-            }
-            Ok(None) => return,
-            Err(_elapsed) => pull_if_stale(&host, &client).await,
+        let is_waiting = planner.is_waiting(host.now(), host.table_version());
+        tokio::select! {
+            announced = announcements.recv() => match announced {
+                Some(announced) => record_announcement(&host, &mut planner, announced),
+                None => return,
+            },
+            _tick = checks.tick() => query_if_stale(&host, &client, &mut planner).await,
+            () = sleep(SOURCE_POLL), if is_waiting => {}
         }
+        while let Ok(announced) = announcements.try_recv() {
+            record_announcement(&host, &mut planner, announced);
+        }
+        fetch_newer_table(&host, &client, &mut planner).await;
     }
 }
 
@@ -55,23 +61,49 @@
 ///
 /// Returns when they responded or the time for a response has passed. A host that starts knows only
 /// seeds at first, so this waits a moment for the list of hosts.
-pub async fn pull_before_store(host: &HostState) {
+pub async fn pull_before_store(host: &Arc<HostState>) {
     let waiting_since = host.now();
     while host.lock_decisions().membership.peer_count() == 0
         && host.now().since(waiting_since) < DISCOVERY_WAIT
     {
         sleep(DISCOVERY_POLL).await;
     }
-    let client = HttpClient::default();
+    let client = PeerClient::new(Arc::clone(host));
+    let mut planner = FetchPlanner::new(host.started_at_us);
     let peers = host
         .lock_decisions()
         .membership
         .first_contacts(MAX_FIRST_CONTACTS);
-    let queries = peers.into_iter().map(|peer| pull(host, &client, peer));
-    join_all(queries).await;
+    let queries = peers.into_iter().map(async |peer| {
+        let state = client.fetch_state(peer).await?;
+        let version = state.version;
+        apply_state(host, state);
+        Some(TableAnnouncement { peer, version })
+    });
+    for announced in join_all(queries).await.into_iter().flatten() {
+        record_announcement(host, &mut planner, announced);
+    }
+    fetch_newer_table(host, &client, &mut planner).await;
 }
 
-async fn pull_if_stale(host: &HostState, client: &HttpClient) {
+fn record_announcement(host: &HostState, planner: &mut FetchPlanner, announced: TableAnnouncement) {
+    planner.record_announcement(host.now(), announced.peer, announced.version);
+}
+
+/// Fetches tables from one peer after another until no available peer has a newer one.
+async fn fetch_newer_table(host: &HostState, client: &PeerClient, planner: &mut FetchPlanner) {
+    // The fetch of a host that starts and that of an announcement would share the link.
+    let _single_fetch = host.table_fetch.lock().await;
+    while let Some(peer) = planner.next_source(host.now(), host.table_version()) {
+        match client.fetch_table(peer).await {
+            FetchOutcome::Activated => {}
+            FetchOutcome::Busy(delay) => planner.record_busy(host.now(), peer, delay),
+            FetchOutcome::Failed => planner.record_failure(host.now(), peer),
+        }
+    }
+}
+
+async fn query_if_stale(host: &HostState, client: &PeerClient, planner: &mut FetchPlanner) {
     let peers = {
         let decisions = host.lock_decisions();
         if host.now().since(decisions.registry_updated_at) < STALENESS_TIMEOUT {
@@ -80,52 +112,16 @@
         decisions.membership.peers_by_recency()
     };
     for peer in peers.into_iter().take(MAX_QUERIED_PEERS) {
-        pull(host, client, peer).await;
-    }
-}
-
-async fn pull(host: &HostState, client: &HttpClient, peer: SocketAddr) {
-    let path = format!("{STATE_PATH}{}", host.table_version());
-    let request = HttpRequest::get(peer, path)
-        .head_timeout(RESPONSE_TIMEOUT)
-        .stall_timeout(RESPONSE_TIMEOUT);
-    let started_at = host.now();
-    let response = client.call(request).await;
-    let elapsed_ms = host.now().since(started_at).as_millis() as u64;
-    let fetches = &host.metrics.peer_fetches;
-    let response = match response {
-        Ok(response) if response.is_success() => response,
-        Ok(response) => {
-            fetches.with_label_values(&["refused"]).inc();
-            warn!(event = "peer_refused", peer = %peer, status = response.status);
-            return;
-        }
-        Err(error) => {
-            fetches.with_label_values(&["failed"]).inc();
-            info!(event = "peer_silent", peer = %peer, elapsed_ms, error = %error);
-            return;
+        if let Some(state) = client.fetch_state(peer).await {
+            let version = state.version;
+            apply_state(host, state);
+            record_announcement(host, planner, TableAnnouncement { peer, version });
         }
-    };
-    fetches.with_label_values(&["ok"]).inc();
-    let bytes = response.body.len() as u64;
-    host.metrics.peer_fetch_bytes.inc_by(bytes);
-    debug!(event = "peer_fetched", peer = %peer, elapsed_ms, bytes);
-    match rmp_serde::from_slice(&response.body) {
-        Ok(state) => apply_state(host, peer, state),
-        Err(error) => warn!(event = "peer_unreadable", peer = %peer, error = %error),
     }
 }
 
-fn apply_state(host: &HostState, peer: SocketAddr, state: PeerState) {
-    if !state.table.is_empty() {
-        match host.ports.feeds.decode_table(&state.table) {
-            Ok(spec) => {
-                let raw = state.table;
-                host.activate_table(PublishedTable { spec, raw }, "peer");
-            }
-            Err(error) => warn!(event = "peer_table_unreadable", peer = %peer, error = %error),
-        }
-    }
+/// Applies the departures that a peer knows, and its servers if they are fresher than this host's.
+fn apply_state(host: &HostState, state: PeerState) {
     let now = host.now();
     let mut decisions = host.lock_decisions();
     for departure in &state.departures {
@@ -140,6 +136,6 @@
         }
         decisions.registry_updated_at = now;
         drop(decisions);
-        info!(event = "servers_from_peer", peer = %peer, count);
+        info!(event = "servers_from_peer", count);
     }
 }
--- a/crates/teaselglade-host/src/port/feed_port.rs
+++ b/crates/teaselglade-host/src/port/feed_port.rs
@@ -10,7 +10,7 @@
 use teaselglade_routing::table::TableSpec;
 use tokio::sync::watch;
 
-use super::MessageError;
+use super::{MessageError, PackedTable};
 
 /// Feed of published records.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
@@ -28,8 +28,10 @@
 pub struct PublishedTable {
     /// Decoded table.
     pub spec: TableSpec,
-    /// Bytes as published, which are passed on to peers.
+    /// Bytes as published.
     pub raw: Bytes,
+    /// Compressed bytes, if a peer passed them on.
+    pub packed: Option<PackedTable>,
 }
 
 /// Published record of a feed.
--- a/crates/teaselglade-host/src/settings/host_settings.rs
+++ b/crates/teaselglade-host/src/settings/host_settings.rs
@@ -40,6 +40,8 @@
     pub listen: ListenAddresses,
     /// Addresses of some other hosts; the port for peers is taken from [`ListenAddresses::peers`].
     pub seeds: Vec<SocketAddr>,
+    /// Bandwidth of the host's network link in bytes per second; `None` if it is not limited.
+    pub link_bytes_per_second: Option<f64>,
     /// Time from the shutdown signal until the platform kills the process.
     pub shutdown_grace_period: Duration,
     /// Leader duties.
--- a/crates/teaselglade-host/src/state/decision_state.rs
+++ b/crates/teaselglade-host/src/state/decision_state.rs
@@ -7,7 +7,7 @@
 use teaselglade_core::time::Timestamp;
 use teaselglade_request::retry::{BudgetLimits, RetryBudget, RetryDecision};
 use teaselglade_routing::engine::EnginePlacer;
-use teaselglade_routing::gossip::{PeerMembership, ServiceDemand};
+use teaselglade_routing::gossip::{PeerMembership, ServiceDemand, TransferLimiter};
 use teaselglade_routing::plain::PlainPlacer;
 use teaselglade_routing::quota::QuotaLimiter;
 use teaselglade_routing::registry::{
@@ -40,6 +40,8 @@
     pub usage: UsageLedger,
     /// Known peers and their liveness.
     pub membership: PeerMembership,
+    /// Limits the bandwidth spent on tables for peers.
+    pub transfers: TransferLimiter,
     /// Time of the newest registration data; zero until the first full read.
     pub registry_updated_at: Timestamp,
     /// Start of the current store outage, as seen by reads of registrations.
@@ -62,6 +64,7 @@
             quotas: QuotaLimiter::new(ASSUMED_HOSTS).random_seed(seed),
             usage: UsageLedger::new(settings.duties.usage_window),
             membership: PeerMembership::new(&settings.name, seed),
+            transfers: TransferLimiter::new(settings.link_bytes_per_second),
             registry_updated_at: Timestamp::ZERO,
             store_lost_at: None,
             retry_budgets: HashMap::new(),
--- a/crates/teaselglade-host/src/state/host_state.rs
+++ b/crates/teaselglade-host/src/state/host_state.rs
@@ -9,7 +9,6 @@
 use teaselglade_core::time::Timestamp;
 use teaselglade_net::clock::SystemClock;
 use teaselglade_routing::gossip::PeerAddress;
-use teaselglade_routing::table::RouteTable;
 use tokio_util::sync::CancellationToken;
 use tracing::{info, warn};
 
@@ -42,6 +41,8 @@
     pub stopping: CancellationToken,
     /// Start time in Unix microseconds; it identifies the incarnation.
     pub started_at_us: u64,
+    /// Held while a table is fetched from a peer.
+    pub table_fetch: tokio::sync::Mutex<()>,
     clock: SystemClock,
     table: RwLock<Option<Arc<ActiveTable>>>,
     decisions: Mutex<DecisionState>,
@@ -70,6 +71,7 @@
             pool: ConnectionPool::default(),
             stopping: CancellationToken::new(),
             started_at_us,
+            table_fetch: tokio::sync::Mutex::default(),
             clock,
             table: RwLock::new(None),
             decisions,
@@ -138,14 +140,11 @@
         if slot.is_some() && version <= active_version {
             return false;
         }
-        let table = RouteTable::new(published.spec);
+        let active = ActiveTable::new(published);
         self.lock_decisions()
             .quotas
-            .set_quotas(self.now(), &table.spec().organisations);
-        *slot = Some(Arc::new(ActiveTable {
-            table,
-            raw: published.raw,
-        }));
+            .set_quotas(self.now(), &active.table.spec().organisations);
+        *slot = Some(Arc::new(active));
         drop(slot);
         self.metrics.table_version.set(version.cast_signed());
         info!(
--- a/crates/teaselglade-routing/src/gossip/fetch_planner.rs
+++ b/crates/teaselglade-routing/src/gossip/fetch_planner.rs
@@ -4,8 +4,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use rand::SeedableRng;
 use rand::seq::IteratorRandom;
+use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg32;
 use teaselglade_core::time::Timestamp;
 
@@ -22,12 +22,17 @@
     available_at: Timestamp,
 }
 
+impl TableSource {
+    fn is_useful(&self, now: Timestamp, active_version: u64) -> bool {
+        self.version > active_version && now.since(self.announced_at) < ANNOUNCEMENT_TTL
+    }
+}
+
 /// Chooses the peer from which a host fetches a newer table.
 ///
 /// When a version is published, hundreds of hosts learn of it from a few that have it, which cannot
 /// serve all of them at once. Each host asks one peer at a time, chosen at random among those that
-/// announce the newest version, and asks another when that one is busy; every host that has fetched
-/// the table serves it too.
+/// have the newest version and are not busy; every host that has fetched the table serves it too.
 ///
 /// # Examples
 ///
@@ -74,9 +79,11 @@
     }
 
     /// Records that a peer has no bandwidth left for a fetch until `delay` has passed.
+    ///
+    /// The peer is asked at a random time after that, because it tells many hosts the same delay.
     pub fn record_busy(&mut self, now: Timestamp, peer: SocketAddr, delay: Duration) {
         if let Some(source) = self.sources.get_mut(&peer) {
-            source.available_at = now + delay;
+            source.available_at = now + delay.mul_f64(1.0 + self.random.random::<f64>());
         }
     }
 
@@ -85,16 +92,24 @@
         self.record_busy(now, peer, FAILURE_DELAY);
     }
 
+    /// Returns whether a peer that is known to have a newer table has to be asked later.
+    #[must_use]
+    pub fn is_waiting(&self, now: Timestamp, active_version: u64) -> bool {
+        self.sources
+            .values()
+            .any(|source| source.is_useful(now, active_version))
+    }
+
     /// Returns the peer to ask now, if one announces a newer table than `active_version`.
     pub fn next_source(&mut self, now: Timestamp, active_version: u64) -> Option<SocketAddr> {
-        self.sources.retain(|_, source| {
-            source.version > active_version && now.since(source.announced_at) < ANNOUNCEMENT_TTL
-        });
-        let newest = self.sources.values().map(|source| source.version).max()?;
-        let available = self
-            .sources
-            .iter()
-            .filter(|(_, source)| source.version == newest && source.available_at <= now);
-        available.map(|(peer, _)| *peer).choose(&mut self.random)
+        self.sources
+            .retain(|_, source| source.is_useful(now, active_version));
+        let sources = self.sources.iter();
+        let available = sources.filter(|(_, source)| source.available_at <= now);
+        let newest = available.clone().map(|(_, source)| source.version).max()?;
+        let newest_sources = available.filter(|(_, source)| source.version == newest);
+        newest_sources
+            .map(|(peer, _)| *peer)
+            .choose(&mut self.random)
     }
 }
--- a/crates/teaselglade-routing/src/gossip/mod.rs
+++ b/crates/teaselglade-routing/src/gossip/mod.rs
@@ -1,13 +1,17 @@
 //! Gossip between hosts: digests, aggregates and membership.
 
 mod aggregate_digest;
+mod fetch_planner;
 mod host_digest;
 mod peer_membership;
+mod transfer_limiter;
 
 pub use aggregate_digest::{AggregateDigest, CandidateHost, PeerMessage};
+pub use fetch_planner::FetchPlanner;
 pub use host_digest::{HostDigest, PeerAddress, ServiceDemand};
 pub use peer_membership::PeerMembership;
 pub use teaselglade_placement::subset::rendezvous_weight;
+pub use transfer_limiter::TransferLimiter;
 
 /// Returns the hash that stands for a name in messages between hosts.
 ///
--- a/crates/teaselglade-routing/tests/routing/main.rs
+++ b/crates/teaselglade-routing/tests/routing/main.rs
@@ -12,4 +12,5 @@
 mod registry;
 mod routes;
 mod slots;
+mod table_spread;
 mod usage;
