--- a/crates/teaselglade-routing/src/gossip/transfer_limiter.rs
+++ b/crates/teaselglade-routing/src/gossip/transfer_limiter.rs
@@ -54,9 +54,9 @@
         let Some(bytes_per_second) = self.bytes_per_second else {
             return Ok(());
         };
-        let backlog = self.busy_until.since(now);
-        if backlog > MAX_BACKLOG {
-            return Err(backlog - MAX_BACKLOG);
+        let accepts_at = self.busy_until.before(MAX_BACKLOG);
+        if accepts_at > now {
+            return Err(accepts_at.since(now));
         }
         let duration = Duration::from_secs_f64(bytes as f64 / bytes_per_second);
         self.busy_until = self.busy_until.max(now) + duration;
