--- a/crates/teaselglade-host/src/peer/peer_api.rs
+++ b/crates/teaselglade-host/src/peer/peer_api.rs
@@ -41,7 +41,7 @@
     respond: fn(&HostState, u64) -> Response,
 ) -> Router {
     let host = Arc::clone(host);
-    router.get(&format!("{path}:version"), move |request: Request| {
+    router.get(format!("{path}:version"), move |request: Request| {
         let host = Arc::clone(&host);
         async move {
             let peer_version: u64 = request.param("version")?;
--- a/crates/teaselglade-routing/tests/routing/table_spread.rs
+++ b/crates/teaselglade-routing/tests/routing/table_spread.rs
@@ -79,12 +79,12 @@
     fn gossip(&mut self, now: u64) {
         let hosts = self.versions.len();
         for host in 0..hosts {
-            if (now + host as u64 * STEP_MS) % DIGEST_MS == 0 {
+            if (now + host as u64 * STEP_MS).is_multiple_of(DIGEST_MS) {
                 for peer in sample(&mut self.random, hosts, FAN_OUT) {
                     self.announce(at(now), host, peer);
                 }
             }
-            let is_due = (now + host as u64 * STEP_MS) % AGGREGATE_MS == 0;
+            let is_due = (now + host as u64 * STEP_MS).is_multiple_of(AGGREGATE_MS);
             if host >= AGGREGATORS && is_due {
                 self.announce(at(now), host % AGGREGATORS, host);
             }
