fix(host): hosts that resume reading a feed skip its backlog

Hosts that peers keep up to date read the store once in a third of a second for each host of the fleet, 29 s at 86 hosts. A host that loses its aggregator reads at once, and then gets everything since: each heartbeat of each server, about 20 KB a second, and each whole version of the table. On a narrow link that takes longer than the call may, at the moment at which the host depends on it.

- Registrations: after 2 s without a read, the newest records instead of the changes.
- Tables: peers pass on the position in the store's feed with the table; the interval of full reads depends on the rank alone, and is spread over hosts.
- A listing no longer removes servers that registered after it was requested (a_server_that_registers_while_ a_listing_is_read_is_kept): more listings are read now.

--- a/crates/teaselglade-host/src/follow/mod.rs
+++ b/crates/teaselglade-host/src/follow/mod.rs
@@ -12,14 +12,3 @@
 const STORE_RETRY_DELAY: Duration = Duration::from_millis(300);
 /// Time after which a host that follows a feed reads all of it again, in case changes were missed.
 const FULL_READ_INTERVAL: Duration = Duration::from_secs(30);
-/// [`FULL_READ_INTERVAL`] of hosts that receive the changes from peers.
-const IDLE_FULL_READ_INTERVAL: Duration = Duration::from_mins(2);
-
-/// Returns the time after which a host reads all of a feed again.
-const fn full_read_interval(is_follower: bool) -> Duration {
-    if is_follower {
-        FULL_READ_INTERVAL
-    } else {
-        IDLE_FULL_READ_INTERVAL
-    }
-}
--- a/crates/teaselglade-host/src/follow/server_follower.rs
+++ b/crates/teaselglade-host/src/follow/server_follower.rs
@@ -3,11 +3,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use teaselglade_core::time::Timestamp;
 use teaselglade_routing::registry::{ServerRegistration, ServerRegistry};
 use tokio::time::sleep;
 use tracing::{debug, info};
 
-use super::{STORE_RETRY_DELAY, full_read_interval};
+use super::{FULL_READ_INTERVAL, STORE_RETRY_DELAY};
 use crate::port::{Feed, FeedItem, FeedPage, StoreError};
 use crate::state::HostState;
 
@@ -16,12 +17,18 @@
 /// A host must learn that a server leaves well within the 2 s for which that server still accepts
 /// requests.
 const POLL_INTERVAL: Duration = Duration::from_millis(300);
+/// Time without a read after which a host reads the newest registrations instead of the changes.
+///
+/// The changes contain each heartbeat of each server. After a longer time they are larger than the
+/// newest registrations, and a host with a narrow link would not reach their end in time.
+const MAX_CHANGES_AGE: Duration = Duration::from_secs(2);
 
 /// Follows server registrations until the task is aborted.
 pub async fn follow_servers(host: Arc<HostState>) {
     let generations = host.ports.feeds.history_generation();
     let mut listed_generation = 0;
     loop {
+        let requested_at = host.now();
         match host.ports.feeds.latest(Feed::Servers).await {
             Ok(page) => {
                 host.record_call("read_servers", None);
@@ -32,7 +39,7 @@
                 }
                 listed_generation = generation;
                 let next = page.next_offset;
-                apply_listing(&host, page);
+                apply_listing(&host, requested_at, page);
                 poll_changes(&host, next).await;
             }
             Err(error) => {
@@ -47,12 +54,15 @@
 async fn poll_changes(host: &HostState, mut next: u64) {
     let started_at = host.now();
     let mut polled_at = started_at;
-    while host.now().since(started_at) < full_read_interval(host.is_store_reader()) {
+    while host.now().since(started_at) < FULL_READ_INTERVAL {
         sleep(POLL_INTERVAL).await;
         if !host.is_store_reader() && host.now().since(polled_at) < host.idle_read_interval() {
             host.lock_decisions().registry.remove_expired(host.now());
             continue;
         }
+        if host.now().since(polled_at) >= MAX_CHANGES_AGE {
+            return;
+        }
         polled_at = host.now();
         let polled = host
             .ports
@@ -96,7 +106,7 @@
     host.lock_decisions().record_store_failure(now);
 }
 
-fn apply_listing(host: &HostState, page: FeedPage) {
+fn apply_listing(host: &HostState, requested_at: Timestamp, page: FeedPage) {
     let now = host.now();
     let mut registrations = Vec::new();
     for item in page.items {
@@ -109,7 +119,7 @@
     let count = registrations.len();
     host.lock_decisions()
         .registry
-        .apply_snapshot(now, registrations);
+        .apply_snapshot(now, requested_at, registrations);
     info!(event = "servers_listed", count);
 }
 
--- a/crates/teaselglade-host/src/follow/table_follower.rs
+++ b/crates/teaselglade-host/src/follow/table_follower.rs
@@ -3,10 +3,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use teaselglade_routing::gossip::name_hash;
 use tokio::time::sleep;
 use tracing::{info, warn};
 
-use super::{STORE_RETRY_DELAY, full_read_interval};
+use super::{FULL_READ_INTERVAL, STORE_RETRY_DELAY};
 use crate::peer::pull_before_store;
 use crate::port::{Feed, FeedItem, FeedPage, StoreError};
 use crate::state::HostState;
@@ -17,6 +18,11 @@
 const STORE_READER_WAIT: Duration = Duration::from_millis(1_200);
 /// Maximum wait of one call of other hosts, which learn of new versions from digests too.
 const DEFAULT_WAIT: Duration = Duration::from_secs(20);
+/// Shortest time after which a host that does not follow the table by its rank reads all of it.
+///
+/// The table is large, and hosts that start together would read it at the same time, so each adds
+/// its own part of as much again.
+const IDLE_FULL_READ_INTERVAL: Duration = Duration::from_mins(2);
 /// Interval between checks whether a host that does not follow the store has to read it.
 const IDLE_CHECK_INTERVAL: Duration = Duration::from_millis(300);
 
@@ -30,9 +36,8 @@
         match host.ports.feeds.latest(Feed::Table).await {
             Ok(page) => {
                 host.record_call("read_table", None);
-                let next = page.next_offset;
                 apply_page(&host, page);
-                poll_changes(&host, next).await;
+                poll_changes(&host).await;
             }
             Err(error) => {
                 host.record_call("read_table", Some(&error));
@@ -43,21 +48,20 @@
 }
 
 /// Reads changes until the newest record must be read again.
-async fn poll_changes(host: &HostState, mut next: u64) {
+async fn poll_changes(host: &HostState) {
     let started_at = host.now();
     let mut polled_at = started_at;
-    while host.now().since(started_at) < full_read_interval(host.is_table_follower()) {
+    while host.now().since(started_at) < full_read_interval(host) {
         let is_idle = host.now().since(polled_at) < host.idle_read_interval();
         if is_idle && !host.is_table_follower() {
             sleep(IDLE_CHECK_INTERVAL).await;
             continue;
         }
         polled_at = host.now();
-        let wait = read_wait(host);
+        let (next, wait) = (host.table_position(), read_wait(host));
         match host.ports.feeds.changes(Feed::Table, next, wait).await {
             Ok(page) => {
                 host.record_call("follow_table", None);
-                next = page.next_offset;
                 apply_page(host, page);
             }
             Err(error @ (StoreError::HistoryLost { .. } | StoreError::HistoryReplaced { .. })) => {
@@ -73,6 +77,19 @@
     }
 }
 
+/// Returns the time after which a host reads the newest record again.
+///
+/// A host that only lost its aggregator keeps the interval of the others: the reads of all hosts
+/// that lose one at the same time would fill their links.
+fn full_read_interval(host: &HostState) -> Duration {
+    let now = host.now();
+    if host.lock_decisions().membership.is_table_follower(now) {
+        return FULL_READ_INTERVAL;
+    }
+    let own_part = name_hash(&host.settings.name) as f64 / u64::MAX as f64;
+    IDLE_FULL_READ_INTERVAL.mul_f64(1.0 + own_part)
+}
+
 /// Returns how long a read waits for a newer version.
 fn read_wait(host: &HostState) -> Duration {
     if host.is_store_reader() {
@@ -85,6 +102,7 @@
 }
 
 fn apply_page(host: &HostState, page: FeedPage) {
+    let next_offset = page.next_offset;
     for item in page.items {
         match item {
             FeedItem::Table(published) => {
@@ -97,4 +115,5 @@
             FeedItem::Server(_) | FeedItem::ServerRemoved(_) | FeedItem::Host(_) => {}
         }
     }
+    host.set_table_position(next_offset);
 }
--- a/crates/teaselglade-host/src/peer/peer_api.rs
+++ b/crates/teaselglade-host/src/peer/peer_api.rs
@@ -56,12 +56,15 @@
 
 /// Returns the active table if it is newer than the peer's and the link has room for it.
 fn table_response(host: &HostState, peer_version: u64) -> Response {
+    // The position is read first, so that the table is not older than it says.
+    let position = host.table_position();
     let active = host.table();
     let newer = active.filter(|active| active.table.version() > peer_version);
     let Some(active) = newer else {
         return encode(&TableState {
             version: host.table_version(),
             table: None,
+            position,
         });
     };
     let packed = active.packed();
@@ -74,6 +77,7 @@
         Ok(()) => encode(&TableState {
             version: active.table.version(),
             table: Some(packed.clone()),
+            position,
         }),
         Err(delay) => busy_response(delay),
     }
--- a/crates/teaselglade-host/src/peer/peer_client.rs
+++ b/crates/teaselglade-host/src/peer/peer_client.rs
@@ -69,8 +69,7 @@
             NOT_FOUND => self.fetch_published_table(peer, version).await,
             _ => {
                 let state = self.decode::<TableState>(peer, &response);
-                let packed = state.and_then(|state| state.table);
-                packed.is_some_and(|packed| self.activate_packed(peer, packed))
+                state.is_some_and(|state| self.activate_packed(peer, state))
             }
         };
         if is_activated {
@@ -88,14 +87,21 @@
         state.is_some_and(|state| self.activate(peer, &state.table, None))
     }
 
-    fn activate_packed(&self, peer: SocketAddr, packed: PackedTable) -> bool {
-        match packed.unpack() {
+    fn activate_packed(&self, peer: SocketAddr, state: TableState) -> bool {
+        let Some(packed) = state.table else {
+            return false;
+        };
+        let is_activated = match packed.unpack() {
             Ok(raw) => self.activate(peer, &raw, Some(packed)),
             Err(error) => {
                 warn!(event = "peer_table_unreadable", peer = %peer, error = %error);
                 false
             }
+        };
+        if self.host.table_version() >= state.version {
+            self.host.advance_table_position(state.position);
         }
+        is_activated
     }
 
     /// Activates a table if it is newer than the active one and returns whether it was.
--- a/crates/teaselglade-host/src/peer/table_state.rs
+++ b/crates/teaselglade-host/src/peer/table_state.rs
@@ -22,4 +22,6 @@
     pub version: u64,
     /// Table, or `None` if the peer already has this version or a newer one.
     pub table: Option<PackedTable>,
+    /// Offset in the store's feed before which no table is newer than this one.
+    pub position: u64,
 }
--- a/crates/teaselglade-host/src/state/host_state.rs
+++ b/crates/teaselglade-host/src/state/host_state.rs
@@ -45,6 +45,8 @@
     pub table_fetch: tokio::sync::Mutex<()>,
     clock: SystemClock,
     table: RwLock<Option<Arc<ActiveTable>>>,
+    /// Offset in the store's feed of tables up to which the active table is the newest one.
+    table_position: AtomicU64,
     decisions: Mutex<DecisionState>,
     /// Number of the next sample for traffic splits.
     split_samples: AtomicU64,
@@ -74,6 +76,7 @@
             table_fetch: tokio::sync::Mutex::default(),
             clock,
             table: RwLock::new(None),
+            table_position: AtomicU64::new(0),
             decisions,
             split_samples: AtomicU64::new(started_at_us % 1_000),
             failing_calls: Mutex::default(),
@@ -130,6 +133,27 @@
         self.table().map_or(0, |active| active.table.version())
     }
 
+    /// Returns the offset in the store's feed of tables from which newer ones may follow.
+    ///
+    /// No record before it is newer than the active table.
+    #[must_use]
+    pub fn table_position(&self) -> u64 {
+        self.table_position.load(Ordering::SeqCst)
+    }
+
+    /// Records the position that a read of the store returned.
+    pub fn set_table_position(&self, position: u64) {
+        self.table_position.store(position, Ordering::SeqCst);
+    }
+
+    /// Records that no table before `position` in the store's feed is newer than the active one.
+    ///
+    /// Peers pass the position on with the table, so that a host that got a table from a peer does
+    /// not read it, and the versions before it, from the store as well.
+    pub fn advance_table_position(&self, position: u64) {
+        self.table_position.fetch_max(position, Ordering::SeqCst);
+    }
+
     /// Activates a published table if it is newer than the active one.
     ///
     /// Returns whether it was newer; `source` is logged.
--- a/crates/teaselglade-routing/src/registry/server_registry.rs
+++ b/crates/teaselglade-routing/src/registry/server_registry.rs
@@ -248,7 +248,15 @@
     }
 
     /// Applies a snapshot of all registrations; those missing from it count as removed.
-    pub fn apply_snapshot(&mut self, now: Timestamp, registrations: Vec<ServerRegistration>) {
+    ///
+    /// The snapshot was requested at `requested_at`. It may lack servers that registered after that,
+    /// of which peers have told this host in the meantime.
+    pub fn apply_snapshot(
+        &mut self,
+        now: Timestamp,
+        requested_at: Timestamp,
+        registrations: Vec<ServerRegistration>,
+    ) {
         let listed: Vec<ServerKey> = registrations
             .into_iter()
             .filter_map(|registration| self.apply_registration(now, registration))
@@ -257,6 +265,7 @@
             .by_id
             .iter()
             .filter(|(_, key)| !listed.contains(key))
+            .filter(|(_, key)| self.server(**key).changed_at < requested_at)
             .map(|(id, _)| id.clone())
             .collect();
         for id in missing {
--- a/crates/teaselglade-routing/tests/routing/registry.rs
+++ b/crates/teaselglade-routing/tests/routing/registry.rs
@@ -7,6 +7,22 @@
 
 use super::fixture::{at, draining, registration};
 
+#[test]
+fn a_server_that_registers_while_a_listing_is_read_is_kept() {
+    let mut registry = ServerRegistry::default();
+    registry.apply_registration(at(0), registration("i-1", 1, 1));
+    registry.apply_registration(at(0), registration("i-2", 1, 1));
+    let requested_at = at(1_000);
+    registry.merge_registration(at(1_040), registration("i-3", 1, 1));
+    registry.apply_snapshot(at(1_050), requested_at, vec![registration("i-1", 1, 2)]);
+    let mut known: Vec<&str> = registry
+        .of_service("draft-fleet")
+        .map(|(_, server)| server.registration.id.as_str())
+        .collect();
+    known.sort_unstable();
+    assert_eq!(known, ["i-1", "i-3"]);
+}
+
 #[test]
 fn a_delayed_heartbeat_does_not_bring_back_a_leaving_server() {
     let mut registry = ServerRegistry::default();
