fix(routing): roles are spread over data centres, hosts act on old news

Store readers, followers of the table, aggregators and leader candidates were the present hosts that come first by name, and names begin with the data centre: one data centre held every role.

- Among hosts of equal rank, data centres take turns (zone_order).
- Digests carry the sender's data centre.

--- a/crates/teaselglade-host/src/follow/server_follower.rs
+++ b/crates/teaselglade-host/src/follow/server_follower.rs
@@ -23,6 +23,11 @@
 /// newest registrations, and a host with a narrow link would not reach their end in time.
 const MAX_CHANGES_AGE: Duration = Duration::from_secs(2);
 
+/// Delay after a failed read of a host that usually gets the changes from peers.
+///
+/// During an outage of the store, all hosts read it themselves.
+const IDLE_RETRY_DELAY: Duration = Duration::from_secs(1);
+
 /// Follows server registrations until the task is aborted.
 pub async fn follow_servers(host: Arc<HostState>) {
     let generations = host.ports.feeds.history_generation();
@@ -81,12 +86,22 @@
             }
             Err(error) => {
                 record_failure(host, "poll_servers", &error);
-                sleep(STORE_RETRY_DELAY).await;
+                sleep(retry_delay(host)).await;
             }
         }
     }
 }
 
+/// Returns the delay after a failed read.
+fn retry_delay(host: &HostState) -> Duration {
+    let now = host.now();
+    if host.lock_decisions().membership.is_store_reader(now) {
+        STORE_RETRY_DELAY
+    } else {
+        IDLE_RETRY_DELAY
+    }
+}
+
 fn record_response(host: &HostState) {
     let now = host.now();
     host.lock_decisions().record_store_response(now);
--- a/crates/teaselglade-host/src/peer/gossip_transport.rs
+++ b/crates/teaselglade-host/src/peer/gossip_transport.rs
@@ -212,6 +212,7 @@
             departures: decisions.registry.departures(now, scope, digest_number),
             requested_aggregator: aggregator,
             peers,
+            zone: host.settings.zone.clone(),
         };
         let targets = decisions.membership.gossip_targets(now);
         (digest, targets)
@@ -231,6 +232,7 @@
             last_seen_ms: 0,
             store_reachable: decisions.store_reachable(),
             is_leader: decisions.membership.is_leader(),
+            zone: host.settings.zone.clone(),
         };
         let aggregate_number = Some(self.sequence / DIGESTS_PER_AGGREGATE);
         AggregateDigest {
--- a/crates/teaselglade-host/src/state/decision_state.rs
+++ b/crates/teaselglade-host/src/state/decision_state.rs
@@ -22,6 +22,15 @@
 const ASSUMED_HOSTS: u32 = 16;
 /// Minimum time without a response that counts as an outage of the store.
 const MIN_STORE_OUTAGE: Duration = Duration::from_secs(1);
+/// Age from which registration data is too old to rely on peers for it.
+///
+/// It exceeds the age that the data of a host has while a reader and the digests work: a read each
+/// 300 ms, a digest each 200 ms and the time until both arrive.
+const NEWS_TIMEOUT: Duration = Duration::from_millis(900);
+/// [`NEWS_TIMEOUT`] in a large fleet, where aggregators forward the data.
+///
+/// They add an interval of 400 ms and up to 320 ms until the last host is served.
+const LARGE_FLEET_NEWS_TIMEOUT: Duration = Duration::from_millis(1_600);
 /// Age at which a peer's reported demand expires.
 const DEMAND_TTL: Duration = Duration::from_secs(3);
 
@@ -63,7 +72,7 @@
             plain_placer: PlainPlacer::new(seed),
             quotas: QuotaLimiter::new(ASSUMED_HOSTS).random_seed(seed),
             usage: UsageLedger::new(settings.duties.usage_window),
-            membership: PeerMembership::new(&settings.name, seed),
+            membership: PeerMembership::new(&settings.name, seed).in_zone(&settings.zone),
             transfers: TransferLimiter::new(settings.link_bytes_per_second),
             registry_updated_at: Timestamp::ZERO,
             store_lost_at: None,
@@ -143,6 +152,20 @@
             && !self.quotas.has_fresh_aggregate(now)
     }
 
+    /// Returns whether neither the store nor peers have updated the registration data in time.
+    ///
+    /// Whichever part of the chain from the store to this host failed, the host then reads the store
+    /// itself. It is false before the first full read.
+    #[must_use]
+    pub fn has_stale_news(&self, now: Timestamp) -> bool {
+        let timeout = if self.membership.is_large() {
+            LARGE_FLEET_NEWS_TIMEOUT
+        } else {
+            NEWS_TIMEOUT
+        };
+        self.registry_updated_at > Timestamp::ZERO && now.since(self.registry_updated_at) >= timeout
+    }
+
     /// Returns whether this host can currently reach the store.
     #[must_use]
     pub const fn store_reachable(&self) -> bool {
--- a/crates/teaselglade-host/src/state/host_state.rs
+++ b/crates/teaselglade-host/src/state/host_state.rs
@@ -192,22 +192,26 @@
 
     /// Returns whether this host reads the store at short intervals.
     ///
-    /// It does so for the whole fleet, or because no aggregator sends it updates.
+    /// It does so for the whole fleet, or because it gets no updates in time from others.
     #[must_use]
     pub fn is_store_reader(&self) -> bool {
         let now = self.now();
         let decisions = self.lock_decisions();
-        decisions.membership.is_store_reader(now) || decisions.lacks_aggregate(now)
+        decisions.membership.is_store_reader(now)
+            || decisions.lacks_aggregate(now)
+            || decisions.has_stale_news(now)
     }
 
     /// Returns whether this host follows the table in the store.
     ///
-    /// It does so for the whole fleet, or because no aggregator tells it of newer versions.
+    /// It does so for the whole fleet, or because others do not tell it of newer versions in time.
     #[must_use]
     pub fn is_table_follower(&self) -> bool {
         let now = self.now();
         let decisions = self.lock_decisions();
-        decisions.membership.is_table_follower(now) || decisions.lacks_aggregate(now)
+        decisions.membership.is_table_follower(now)
+            || decisions.lacks_aggregate(now)
+            || decisions.has_stale_news(now)
     }
 
     /// Returns the interval between reads of a feed that other hosts follow for this one.
--- a/crates/teaselglade-routing/src/gossip/aggregate_digest.rs
+++ b/crates/teaselglade-routing/src/gossip/aggregate_digest.rs
@@ -26,6 +26,9 @@
     /// Whether the host is the leader.
     #[serde(rename = "holds_duties")]
     pub is_leader: bool,
+    /// Data centre of the host.
+    #[serde(default)]
+    pub zone: String,
 }
 
 /// Sum of the digests that an aggregator received, for a large fleet's hosts.
--- a/crates/teaselglade-routing/src/gossip/host_digest.rs
+++ b/crates/teaselglade-routing/src/gossip/host_digest.rs
@@ -77,4 +77,7 @@
     pub requested_aggregator: Option<u64>,
     /// Sample of the hosts known to the sender; may be empty.
     pub peers: Vec<PeerAddress>,
+    /// Data centre of the sender.
+    #[serde(default)]
+    pub zone: String,
 }
--- a/crates/teaselglade-routing/src/gossip/mod.rs
+++ b/crates/teaselglade-routing/src/gossip/mod.rs
@@ -5,6 +5,7 @@
 mod host_digest;
 mod peer_membership;
 mod transfer_limiter;
+mod zone_order;
 
 pub use aggregate_digest::{AggregateDigest, CandidateHost, PeerMessage};
 pub use fetch_planner::FetchPlanner;
--- a/crates/teaselglade-routing/src/gossip/peer_membership.rs
+++ b/crates/teaselglade-routing/src/gossip/peer_membership.rs
@@ -1,5 +1,6 @@
 //! Membership of the fleet as one host sees it: peers, liveness and ranks.
 
+use std::cmp::Ordering;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -9,6 +10,7 @@
 use rand_pcg::Pcg32;
 use teaselglade_core::time::Timestamp;
 
+use super::zone_order::{HostPlace, count_before, sort_by_turns};
 use super::{CandidateHost, HostDigest, PeerAddress, name_hash};
 
 /// Maximum number of peers that receive one round's digest, so that a round's cost is bounded.
@@ -31,7 +33,8 @@
 /// Number of present hosts, highest-ranked first, that are candidates.
 ///
 /// The leader ranks first, because a change of leader costs the term of a lease. Hosts that
-/// can reach the store follow, because the leader duties need it. Names decide the rest.
+/// can reach the store follow, because the leader duties need it. Among the rest, data centres take
+/// turns, so that the loss of one takes few candidates; names decide within each.
 /// In a large fleet the candidates are the aggregators, each for its share of the other hosts. The
 /// leader is one of them, because it needs the digests that an aggregator receives. With three
 /// candidates, two may be lost at once.
@@ -59,7 +62,7 @@
 /// a digest, and a margin.
 const LARGE_FLEET_PRESENCE_TIMEOUT: Duration = Duration::from_millis(1_800);
 
-/// Sort key of a host's rank before its name: the leader first, then hosts that reach the store.
+/// Sort key of a host's rank before its place: the leader first, then hosts that reach the store.
 type RankKey = (bool, bool);
 
 const fn rank_key(is_leader: bool, store_reachable: bool) -> RankKey {
@@ -69,6 +72,8 @@
 #[derive(Debug, Clone)]
 struct PeerEntry {
     address: SocketAddr,
+    /// Data centre; empty until a digest gives it.
+    zone: String,
     /// Start time in Unix microseconds; 0 until a host digest or an aggregate digest gives it.
     started_at_us: u64,
     sequence: u64,
@@ -81,7 +86,7 @@
 }
 
 impl PeerEntry {
-    /// Returns the sort key by which hosts are ranked before their names.
+    /// Returns the sort key by which hosts are ranked before their places.
     const fn rank_key(&self) -> RankKey {
         rank_key(self.is_leader, self.store_reachable)
     }
@@ -91,6 +96,13 @@
     }
 }
 
+fn place_of<'a>((name, peer): &(&'a String, &'a PeerEntry)) -> HostPlace<'a> {
+    HostPlace {
+        zone: &peer.zone,
+        name,
+    }
+}
+
 /// Peers of this host, known from seed addresses, the store and digests.
 ///
 /// # Examples
@@ -107,6 +119,7 @@
 #[derive(Debug)]
 pub struct PeerMembership {
     own_name: String,
+    own_zone: String,
     seeds: Vec<SocketAddr>,
     peers: BTreeMap<String, PeerEntry>,
     /// Number of times that this host switched to another aggregator.
@@ -128,6 +141,7 @@
     pub fn new(own_name: impl Into<String>, seed: u64) -> Self {
         Self {
             own_name: own_name.into(),
+            own_zone: String::new(),
             seeds: Vec::new(),
             peers: BTreeMap::new(),
             aggregator_switches: 0,
@@ -139,6 +153,13 @@
         }
     }
 
+    /// Sets the data centre of this host.
+    #[must_use]
+    pub fn in_zone(mut self, zone: impl Into<String>) -> Self {
+        self.own_zone = zone.into();
+        self
+    }
+
     /// Adds seed addresses, at which hosts may be found.
     pub fn add_seeds(&mut self, seeds: impl IntoIterator<Item = SocketAddr>) {
         for seed in seeds {
@@ -155,6 +176,7 @@
         }
         let entry = PeerEntry {
             address: peer.address,
+            zone: String::new(),
             started_at_us: 0,
             sequence: 0,
             last_seen: now,
@@ -179,6 +201,7 @@
         }
         let entry = PeerEntry {
             address: peer.address,
+            zone: digest.zone.clone(),
             started_at_us,
             sequence,
             last_seen: now,
@@ -365,12 +388,13 @@
         let without_store = self
             .present_peers(now)
             .filter(|(_, peer)| !peer.store_reachable && !peer.is_leader);
+        let without_store = sort_by_turns(without_store.collect(), place_of);
         let mut candidates: Vec<CandidateHost> = self
             .ranked_peers(now)
             .into_iter()
             .filter(|(_, peer)| peer.store_reachable || peer.is_leader)
             .take(ADVERTISED_HOSTS)
-            .chain(without_store.take(CANDIDATE_HOSTS))
+            .chain(without_store.into_iter().take(CANDIDATE_HOSTS))
             .map(|(name, peer)| CandidateHost {
                 host: PeerAddress {
                     name: name.clone(),
@@ -380,16 +404,23 @@
                 last_seen_ms: now.since(peer.last_seen).as_millis() as u64,
                 store_reachable: peer.store_reachable,
                 is_leader: peer.is_leader,
+                zone: peer.zone.clone(),
             })
             .collect();
-        candidates.push(own);
-        candidates.sort_by(|a, b| {
-            let key = |candidate: &CandidateHost| {
-                rank_key(candidate.is_leader, candidate.store_reachable)
-            };
-            let names = || a.host.name.cmp(&b.host.name);
-            key(a).cmp(&key(b)).then_with(names)
-        });
+        let own_key = rank_key(own.is_leader, own.store_reachable);
+        let (mut index, mut equal) = (0, Vec::new());
+        for candidate in &candidates {
+            match rank_key(candidate.is_leader, candidate.store_reachable).cmp(&own_key) {
+                Ordering::Less => index += 1,
+                Ordering::Equal => equal.push(HostPlace {
+                    zone: &candidate.zone,
+                    name: &candidate.host.name,
+                }),
+                Ordering::Greater => {}
+            }
+        }
+        index += count_before(self.own_place(), equal.into_iter());
+        candidates.insert(index, own);
         candidates
     }
 
@@ -409,6 +440,7 @@
                 peer.last_seen.max(last_seen)
             };
             peer.started_at_us = candidate.started_at_us;
+            peer.zone.clone_from(&candidate.zone);
             peer.store_reachable = candidate.store_reachable;
             peer.is_leader = candidate.is_leader;
         }
@@ -425,25 +457,44 @@
     #[must_use]
     pub fn rank(&self, now: Timestamp) -> usize {
         let own_key = rank_key(self.is_leader, self.store_reachable);
-        let own = (own_key, &self.own_name);
-        let earlier = self.present_peers(now);
-        let earlier = earlier.filter(|(name, peer)| (peer.rank_key(), *name) < own);
-        earlier.count()
+        let preferred = self
+            .present_peers(now)
+            .filter(|(_, peer)| peer.rank_key() < own_key);
+        let equal = self
+            .present_peers(now)
+            .filter(|(_, peer)| peer.rank_key() == own_key);
+        preferred.count() + count_before(self.own_place(), equal.map(|peer| place_of(&peer)))
     }
 
-    /// Returns how many present peers before this host by name can reach the store.
+    /// Returns how many present peers that can reach the store come before this host.
+    ///
+    /// Data centres take turns in this order, so that the loss of one leaves other readers.
     #[must_use]
     pub fn store_reader_rank(&self, now: Timestamp) -> usize {
-        let earlier = self.present_peers(now);
-        let readers = earlier.filter(|(name, peer)| **name < self.own_name && peer.store_reachable);
-        readers.count()
+        let readers = self
+            .present_peers(now)
+            .filter(|(_, peer)| peer.store_reachable);
+        count_before(self.own_place(), readers.map(|peer| place_of(&peer)))
+    }
+
+    fn own_place(&self) -> HostPlace<'_> {
+        HostPlace {
+            zone: &self.own_zone,
+            name: &self.own_name,
+        }
     }
 
     /// Returns the present peers in rank order.
     fn ranked_peers(&self, now: Timestamp) -> Vec<(&String, &PeerEntry)> {
-        let mut present: Vec<(&String, &PeerEntry)> = self.present_peers(now).collect();
-        present.sort_by_key(|(_, peer)| peer.rank_key());
-        present
+        let mut classes: BTreeMap<RankKey, Vec<(&String, &PeerEntry)>> = BTreeMap::new();
+        for (name, peer) in self.present_peers(now) {
+            let class = classes.entry(peer.rank_key()).or_default();
+            class.push((name, peer));
+        }
+        let classes = classes.into_values();
+        classes
+            .flat_map(|class| sort_by_turns(class, place_of))
+            .collect()
     }
 
     /// Returns the peers that were seen recently, ordered by name.
--- a/crates/teaselglade-routing/tests/routing/membership.rs
+++ b/crates/teaselglade-routing/tests/routing/membership.rs
@@ -30,6 +30,7 @@
         departures: Vec::new(),
         requested_aggregator: None,
         peers: Vec::new(),
+        zone: String::new(),
     }
 }
 
@@ -219,6 +220,7 @@
                 last_seen_ms: 0,
                 store_reachable: true,
                 is_leader: false,
+                zone: String::new(),
             };
             let (sender, receiver) = if to == 0 {
                 (&one, &mut other)
@@ -272,6 +274,7 @@
         last_seen_ms: 0,
         store_reachable: true,
         is_leader: false,
+        zone: String::new(),
     };
     let candidates = membership.candidates(at(20), own);
     let names: Vec<&str> = candidates
@@ -336,3 +339,80 @@
     // The first six hosts are lost; five others follow once those no longer count as present.
     assert_eq!(followers(&mut memberships, 6, 3_000), [6, 7, 8, 9, 10]);
 }
+
+const ZONES: [&str; 4] = ["ennis", "galway", "limerick", "sligo"];
+
+/// Returns the names of a fleet's hosts, which begin with their data centres, and these.
+fn hosts_by_zone(count: usize) -> Vec<(String, &'static str)> {
+    let zones = ZONES.into_iter().cycle().take(count).enumerate();
+    zones
+        .map(|(number, zone)| (format!("edge-{zone}-{number}"), zone))
+        .collect()
+}
+
+/// Returns the membership of each host; every host has seen the digests of all others.
+fn fleet_by_zone(hosts: &[(String, &'static str)]) -> Vec<PeerMembership> {
+    let membership = |(own, zone): &(String, &'static str)| {
+        let mut membership = PeerMembership::new(own, 1).in_zone(*zone);
+        for (name, zone) in hosts {
+            let mut digest = digest(name, 10, 1);
+            (*zone).clone_into(&mut digest.zone);
+            membership.record_digest(at(0), &digest);
+        }
+        membership
+    };
+    hosts.iter().map(membership).collect()
+}
+
+// Names begin with the data centre, so by names alone one data centre had every role.
+#[test]
+fn the_loss_of_any_data_centre_leaves_hosts_of_each_role() {
+    for count in [24, 86, 195, 400] {
+        let hosts = hosts_by_zone(count);
+        let fleet = fleet_by_zone(&hosts);
+        for lost in ZONES {
+            let left = || {
+                let members = hosts.iter().zip(&fleet);
+                members.filter(|((_, zone), _)| *zone != lost)
+            };
+            let now = at(100);
+            let aggregators = left().filter(|(_, member)| member.is_aggregator(now));
+            let readers = left().filter(|(_, member)| member.is_store_reader(now));
+            let followers = left().filter(|(_, member)| member.is_table_follower(now));
+            let counts = (aggregators.count(), readers.count(), followers.count());
+            assert!(
+                counts.0 >= 2 && counts.1 >= 1 && counts.2 >= 3,
+                "{count} hosts without {lost}: {counts:?}"
+            );
+        }
+    }
+}
+
+#[test]
+fn a_host_that_knows_only_the_advertised_hosts_takes_no_role() {
+    let hosts = hosts_by_zone(86);
+    let fleet = fleet_by_zone(&hosts);
+    let mut first: Vec<usize> = (0..hosts.len()).collect();
+    first.sort_by_key(|host| fleet[*host].rank(at(100)));
+    let ranks: Vec<usize> = first
+        .iter()
+        .map(|host| fleet[*host].rank(at(100)))
+        .collect();
+    assert_eq!(ranks, (0..hosts.len()).collect::<Vec<usize>>());
+    let (advertised, others) = first.split_at(6);
+    for other in others {
+        let (own, zone) = &hosts[*other];
+        let mut membership = PeerMembership::new(own, 1).in_zone(*zone);
+        for known in advertised
+            .iter()
+            .chain(others.iter().skip(other % 7).step_by(7))
+        {
+            let (name, zone) = &hosts[*known];
+            let mut digest = digest(name, 10, 1);
+            (*zone).clone_into(&mut digest.zone);
+            membership.record_digest(at(0), &digest);
+        }
+        assert!(membership.rank(at(100)) >= 6, "{own}");
+        assert!(membership.store_reader_rank(at(100)) >= 6, "{own}");
+    }
+}
