feat(host): what servers say of themselves is heard from every response

Nothing read `Server-Leaving`, or `Retry-After` of a server: a host learned of a departure from the store and its peers alone, and sent on to servers that had asked for a pause.

- The adapter decodes both into ServerAdvice, in one place, by one rule: a repeated or unknown value is ignored, counted and logged once per server.
Only a response of the addressed server counts.
- A departure is final for the incarnation, takes the server out of placement on this host at once and goes to peers with the digests.
- A rest (30 s at most) keeps everything that is placed off the server: calls, hedges, retries, streams and their moves.
Requests come back spread over a quarter of it.
If all servers rest, callers are refused at once and told when the first returns.
Servers that rest still count as capacity for the autoscaler.

--- a/crates/teaselglade-host/src/metrics/host_metrics.rs
+++ b/crates/teaselglade-host/src/metrics/host_metrics.rs
@@ -42,6 +42,8 @@
     pub store_returns: IntCounter,
     /// Version of the active table.
     pub table_version: IntGauge,
+    /// What servers said of themselves in responses.
+    pub server_advice: IntCounterVec,
     /// Fetches of state from peers by outcome.
     pub peer_fetches: IntCounterVec,
     /// Bytes of state that peers returned.
@@ -123,6 +125,11 @@
                 "teaselglade_table_version",
                 "Version of the table in force.",
             )?,
+            server_advice: r.counters(
+                "teaselglade_server_advice_total",
+                "Answers in which servers said that they leave or rest.",
+                &["advice"],
+            )?,
             peer_fetches: r.counters(
                 "teaselglade_peer_fetches_total",
                 "Fetches of the table and servers from peers.",
--- a/crates/teaselglade-host/src/port/message_port.rs
+++ b/crates/teaselglade-host/src/port/message_port.rs
@@ -3,9 +3,11 @@
 use std::fmt::{self, Debug};
 use std::time::Duration;
 
+use hyper::StatusCode;
 use hyper::header::{HeaderMap, HeaderName};
 use teaselglade_routing::engine::PromptShape;
 use teaselglade_routing::plain::ServerLoad;
+use teaselglade_routing::registry::ServerAdvice;
 
 /// Reason why a message or record cannot be read.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -69,6 +71,8 @@
     pub not_run: bool,
     /// Current load of the server.
     pub load: Option<ServerLoad>,
+    /// What the server wants of this host.
+    pub advice: ServerAdvice,
 }
 
 /// Reads and writes the headers that the platform defines.
@@ -95,5 +99,5 @@
     fn is_end_to_end(&self, name: &HeaderName) -> bool;
 
     /// Parses the response headers of a server.
-    fn read_response(&self, headers: &HeaderMap) -> ResponseHead;
+    fn read_response(&self, status: StatusCode, headers: &HeaderMap) -> ResponseHead;
 }
--- a/crates/teaselglade-host/src/relay/plain_relay.rs
+++ b/crates/teaselglade-host/src/relay/plain_relay.rs
@@ -248,7 +248,7 @@
         if let Some((server, response)) = self.error_response.take() {
             return Ok(Some(self.forward_response(server, response)));
         }
-        Err(final_refusal(self.tracker.verdict(), failed))
+        Err(final_refusal(&context, self.tracker.verdict(), failed))
     }
 
     /// Records a failed attempt in the host's state.
@@ -332,11 +332,24 @@
 }
 
 /// Returns the refusal for a request whose attempts all failed.
-pub(super) fn final_refusal(verdict: ExecutionVerdict, failed: &FailedCall) -> RequestRefusal {
+///
+/// One that did not run may come back at once, or when the first server returns if all rest.
+pub(super) fn final_refusal(
+    context: &CallContext,
+    verdict: ExecutionVerdict,
+    failed: &FailedCall,
+) -> RequestRefusal {
     let detail = failed.detail.clone();
     let refusal = RequestRefusal::with_verdict(verdict, RefusalReason::AttemptFailed, detail);
     match verdict {
-        ExecutionVerdict::NotRun => refusal.retry_after(NOT_RUN_RETRY_DELAY),
+        ExecutionVerdict::NotRun => {
+            let now = context.host.now();
+            let registry = &context.host.lock_decisions().registry;
+            let returns_at = registry.next_return(now, &context.service.name);
+            let rest = returns_at.map(|returns_at| returns_at.since(now));
+            refusal
+                .retry_after(rest.map_or(NOT_RUN_RETRY_DELAY, |rest| rest.max(NOT_RUN_RETRY_DELAY)))
+        }
         ExecutionVerdict::MayHaveRun | ExecutionVerdict::Ran => refusal,
     }
 }
--- a/crates/teaselglade-host/src/relay/server_call.rs
+++ b/crates/teaselglade-host/src/relay/server_call.rs
@@ -132,7 +132,7 @@
             call: FailedCall::new(outcome, error.detail),
         }
     })?;
-    validate_response(context, response, connection).map_err(|call| FailedSend {
+    validate_response(context, server, response, connection).map_err(|call| FailedSend {
         call,
         is_stale_connection: false,
     })
@@ -174,11 +174,16 @@
 /// says that the request did not run, has no attempt id, or reports success without a server stamp.
 fn validate_response(
     context: &CallContext,
+    server: ServerKey,
     response: Response<Incoming>,
     connection: LeasedConnection,
 ) -> Result<ServerResponse, FailedCall> {
     let (parts, body) = response.into_parts();
-    let head = context.host.ports.messages.read_response(&parts.headers);
+    let head = context
+        .host
+        .ports
+        .messages
+        .read_response(parts.status, &parts.headers);
     let broken = |detail: String| Err(FailedCall::new(AttemptOutcome::Broken, detail));
     if head
         .attempt
@@ -191,6 +196,7 @@
         let detail = "another server has the address";
         return Err(FailedCall::new(AttemptOutcome::Misdirected, detail));
     }
+    context.host.apply_advice(server, head.advice);
     if head.not_run {
         // The body is a few bytes; once they are read, the connection can be reused.
         let detail = format!("rejected with {}", parts.status.as_u16());
--- a/crates/teaselglade-host/src/relay/stall_watch.rs
+++ b/crates/teaselglade-host/src/relay/stall_watch.rs
@@ -42,7 +42,8 @@
 /// Returns whether a server that was not tried yet accepts new work.
 fn has_other_server(context: &CallContext, tried: &[ServerKey]) -> bool {
     let decisions = context.host.lock_decisions();
-    let mut servers = decisions.registry.of_service(&context.service.name);
+    let now = context.host.now();
+    let mut servers = decisions.registry.available(now, &context.service.name);
     servers.any(|(server, _)| !tried.contains(&server))
 }
 
--- a/crates/teaselglade-host/src/relay/stream_relay.rs
+++ b/crates/teaselglade-host/src/relay/stream_relay.rs
@@ -155,7 +155,13 @@
             StreamStep::Failed(failed) => {
                 return Ok(match self.open_stream.take() {
                     Some(open_stream) => AttemptStart::Failed((open_stream.reservation, failed)),
-                    None => return Err(final_refusal(self.tracker.verdict(), &failed)),
+                    None => {
+                        return Err(final_refusal(
+                            &self.context,
+                            self.tracker.verdict(),
+                            &failed,
+                        ));
+                    }
                 });
             }
         }
@@ -181,7 +187,11 @@
                 failed.detail,
             ));
         }
-        Err(final_refusal(self.tracker.verdict(), &failed))
+        Err(final_refusal(
+            &self.context,
+            self.tracker.verdict(),
+            &failed,
+        ))
     }
 
     /// Waits for the retry delay, if any; returns whether another attempt is allowed.
@@ -232,7 +242,11 @@
             Err(error) => {
                 let detail = format!("the answer is cut: {error}");
                 let failed = FailedCall::new(AttemptOutcome::Broken, detail);
-                return Err(final_refusal(ExecutionVerdict::MayHaveRun, &failed));
+                return Err(final_refusal(
+                    &self.context,
+                    ExecutionVerdict::MayHaveRun,
+                    &failed,
+                ));
             }
         };
         response.connection.return_to_pool(&response.headers);
--- a/crates/teaselglade-host/src/state/decision_state.rs
+++ b/crates/teaselglade-host/src/state/decision_state.rs
@@ -1,17 +1,19 @@
 //! Decision state of a host.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::time::Duration;
 
 use teaselglade_core::id::ServerKey;
 use teaselglade_core::time::Timestamp;
 use teaselglade_request::retry::{BudgetLimits, RetryBudget, RetryDecision};
 use teaselglade_routing::engine::EnginePlacer;
-use teaselglade_routing::gossip::{PeerMembership, ServiceDemand, TransferLimiter};
+use teaselglade_routing::gossip::{
+    PeerMembership, ServiceDemand, TransferLimiter, rendezvous_weight,
+};
 use teaselglade_routing::plain::PlainPlacer;
 use teaselglade_routing::quota::QuotaLimiter;
 use teaselglade_routing::registry::{
-    ServerDeparture, ServerRegistration, ServerRegistry, UpdateScope,
+    ServerAdvice, ServerDeparture, ServerRegistration, ServerRegistry, UpdateScope,
 };
 use teaselglade_routing::scaling::ZoneStock;
 use teaselglade_routing::usage::UsageLedger;
@@ -31,6 +33,10 @@
 ///
 /// They add an interval of 400 ms and up to 320 ms until the last host is served.
 const LARGE_FLEET_NEWS_TIMEOUT: Duration = Duration::from_millis(1_600);
+/// Fraction of a server's rest over which requests of all hosts come back after it.
+const RETURN_SPREAD: f64 = 0.25;
+/// Longest time over which requests come back after a server's rest.
+const MAX_RETURN_SPREAD: Duration = Duration::from_secs(1);
 /// Age at which a peer's reported demand expires.
 const DEMAND_TTL: Duration = Duration::from_secs(3);
 
@@ -55,6 +61,9 @@
     pub registry_updated_at: Timestamp,
     /// Start of the current store outage, as seen by reads of registrations.
     store_lost_at: Option<Timestamp>,
+    /// Servers whose advice could not be read.
+    unreadable_servers: HashSet<ServerKey>,
+    own_name: String,
     retry_budgets: HashMap<String, RetryBudget>,
     peer_demand: HashMap<String, (Timestamp, Vec<ServiceDemand>)>,
     seed: u64,
@@ -76,6 +85,8 @@
             transfers: TransferLimiter::new(settings.link_bytes_per_second),
             registry_updated_at: Timestamp::ZERO,
             store_lost_at: None,
+            unreadable_servers: HashSet::new(),
+            own_name: settings.name.clone(),
             retry_budgets: HashMap::new(),
             peer_demand: HashMap::new(),
             seed,
@@ -119,6 +130,34 @@
         }
     }
 
+    /// Applies what a server said of itself and returns what of it is news.
+    ///
+    /// A departure goes to the peers with the next digests, like one from the store. A rest concerns
+    /// this host alone. Requests come back spread over a quarter of the rest, by host and server.
+    pub fn apply_advice(
+        &mut self,
+        now: Timestamp,
+        server: ServerKey,
+        advice: ServerAdvice,
+    ) -> ServerAdvice {
+        let mut applied = ServerAdvice::default();
+        if advice.is_leaving && self.registry.record_own_departure(now, server) {
+            applied = applied.leaving();
+        }
+        if let Some(rest) = advice.rest_time() {
+            let id = &self.registry.server(server).registration.id;
+            let weight = rendezvous_weight(&self.own_name, id);
+            let spread = rest.mul_f64(RETURN_SPREAD).min(MAX_RETURN_SPREAD);
+            let until = now + rest + spread.mul_f64(weight as f64 / u64::MAX as f64);
+            self.registry.record_rest(server, until);
+            applied = applied.rest(until.since(now));
+        }
+        if advice.is_unreadable && self.unreadable_servers.insert(server) {
+            applied = applied.unreadable();
+        }
+        applied
+    }
+
     /// Advances the time of the newest registration data to that of a peer's data.
     ///
     /// Has no effect before the first full read, because digests contain only recent updates.
@@ -239,7 +278,8 @@
 
     /// Returns the number of servers of a service that accept new work, by zone.
     ///
-    /// Each zone in `zones` has an entry, even without servers.
+    /// Each zone in `zones` has an entry, even without servers. Servers that rest count: they are paid
+    /// for, and others ordered in their place would start after their return.
     #[must_use]
     pub fn zone_capacity(
         &self,
--- a/crates/teaselglade-host/src/state/host_state.rs
+++ b/crates/teaselglade-host/src/state/host_state.rs
@@ -5,10 +5,12 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
+use teaselglade_core::id::ServerKey;
 use teaselglade_core::port::ClockPort;
 use teaselglade_core::time::Timestamp;
 use teaselglade_net::clock::SystemClock;
 use teaselglade_routing::gossip::PeerAddress;
+use teaselglade_routing::registry::ServerAdvice;
 use tokio_util::sync::CancellationToken;
 use tracing::{info, warn};
 
@@ -154,6 +156,45 @@
         self.table_position.fetch_max(position, Ordering::SeqCst);
     }
 
+    /// Applies what a server said of itself in a response to this host.
+    ///
+    /// Only a response of the addressed server counts, as another one may have its address.
+    pub fn apply_advice(&self, server: ServerKey, advice: ServerAdvice) {
+        if advice == ServerAdvice::default() {
+            return;
+        }
+        let now = self.now();
+        let mut decisions = self.lock_decisions();
+        let id = decisions.registry.server(server).registration.id.clone();
+        let applied = decisions.apply_advice(now, server, advice);
+        drop(decisions);
+        let count = |advice| {
+            let counter = &self.metrics.server_advice;
+            counter.with_label_values(&[advice]).inc();
+        };
+        if applied.is_leaving {
+            count("leaving");
+            info!(
+                event = "server",
+                id,
+                before = "ready",
+                after = "leaving",
+                source = "answer"
+            );
+        }
+        if let Some(rest) = applied.rest_time() {
+            count("rest");
+            let rest_ms = rest.as_millis() as u64;
+            info!(event = "server_rests", id, rest_ms);
+        }
+        if advice.is_unreadable {
+            count("unreadable");
+        }
+        if applied.is_unreadable {
+            warn!(event = "server_advice_unreadable", id);
+        }
+    }
+
     /// Activates a published table if it is newer than the active one.
     ///
     /// Returns whether it was newer; `source` is logged.
--- a/crates/teaselglade-routing/src/engine/engine_placer.rs
+++ b/crates/teaselglade-routing/src/engine/engine_placer.rs
@@ -209,7 +209,7 @@
         let prefill_tokens = best.map_or(query.prompt.prompt_tokens, |best| best.new_tokens);
         let meter = self.demand.entry(query.service.to_owned()).or_default();
         meter.add(now, f64::from(prefill_tokens));
-        let best = best.ok_or_else(|| self.no_engine_refusal())?;
+        let best = best.ok_or_else(|| self.no_engine_refusal(now, registry, query.service))?;
         if !query.is_continued {
             self.check_admission(query, best)?;
         }
@@ -435,7 +435,7 @@
         registry: &ServerRegistry,
         query: &EngineQuery<'_>,
     ) -> Option<EngineCandidate> {
-        let servers = registry.of_service(query.service);
+        let servers = registry.available(now, query.service);
         let untried = servers.filter(|(key, _)| !query.tried.contains(key));
         let candidates: Vec<EngineCandidate> = untried
             .map(|(key, server)| self.candidate(now, query, key, server.hash))
@@ -590,9 +590,17 @@
         }
     }
 
-    fn no_engine_refusal(&mut self) -> RequestRefusal {
+    fn no_engine_refusal(
+        &mut self,
+        now: Timestamp,
+        registry: &ServerRegistry,
+        service: &str,
+    ) -> RequestRefusal {
         let jitter = self.rng.random_range(1.0..2.0);
         let refusal = RequestRefusal::not_run(RefusalReason::NoServer, "no engine takes work");
-        refusal.retry_after(MIN_RETRY_DELAY.mul_f64(2.0 * jitter))
+        let returns_at = registry.next_return(now, service);
+        refusal.retry_after(
+            returns_at.map_or(MIN_RETRY_DELAY.mul_f64(2.0 * jitter), |at| at.since(now)),
+        )
     }
 }
--- a/crates/teaselglade-routing/src/plain/plain_placer.rs
+++ b/crates/teaselglade-routing/src/plain/plain_placer.rs
@@ -102,7 +102,7 @@
         query: &PlainQuery<'_>,
     ) -> Result<ServerKey, RequestRefusal> {
         let mut best: Option<(f64, ServerKey)> = None;
-        for (key, server) in registry.of_service(query.service) {
+        for (key, server) in registry.available(now, query.service) {
             if query.tried.contains(&key) {
                 continue;
             }
@@ -113,7 +113,11 @@
             }
         }
         let Some((cost, server)) = best else {
-            return Err(self.refusal(RefusalReason::NoServer, "no server takes work"));
+            let refusal = self.refusal(RefusalReason::NoServer, "no server takes work");
+            return Err(match registry.next_return(now, query.service) {
+                Some(returns_at) => refusal.retry_after(returns_at.since(now)),
+                None => refusal,
+            });
         };
         if cost > FULL_LOAD_PER_SLOT + FAILURE_COST {
             return Err(self.refusal(RefusalReason::PredictedLate, "all servers are full"));
--- a/crates/teaselglade-routing/src/registry/server_registry.rs
+++ b/crates/teaselglade-routing/src/registry/server_registry.rs
@@ -68,6 +68,8 @@
     changed_at: Timestamp,
     /// Whether a peer reported the latest change.
     is_from_peer: bool,
+    /// Time until which the server wants no requests from this host.
+    resting_until: Timestamp,
 }
 
 impl RegisteredServer {
@@ -242,6 +244,23 @@
         self.mark_leaving(now, key);
     }
 
+    /// Records that a server said in a response that it leaves; returns whether that is news.
+    ///
+    /// Like a draining registration, it is final for the incarnation: the server may say so before
+    /// the store or peers do, and a registration that says otherwise is older.
+    pub fn record_own_departure(&mut self, now: Timestamp, key: ServerKey) -> bool {
+        let is_new = self.takes_work(key);
+        self.mark_leaving(now, key);
+        self.servers[key.index()].has_drained = true;
+        is_new
+    }
+
+    /// Records until when a server wants no requests from this host.
+    pub fn record_rest(&mut self, key: ServerKey, until: Timestamp) {
+        let server = &mut self.servers[key.index()];
+        server.resting_until = server.resting_until.max(until);
+    }
+
     /// Records that the store is reachable again after an outage.
     pub fn record_store_recovery(&mut self, now: Timestamp) {
         self.store_recovered_at = Some(now);
@@ -317,6 +336,24 @@
         servers.filter(|(_, server)| server.phase != ServerPhase::Leaving)
     }
 
+    /// Returns the servers of a service that accept new work and do not rest.
+    pub fn available(
+        &self,
+        now: Timestamp,
+        service: &str,
+    ) -> impl Iterator<Item = (ServerKey, &RegisteredServer)> {
+        let servers = self.of_service(service);
+        servers.filter(move |(_, server)| server.resting_until <= now)
+    }
+
+    /// Returns when the first server of a service returns from its rest, if all of them rest.
+    #[must_use]
+    pub fn next_return(&self, now: Timestamp, service: &str) -> Option<Timestamp> {
+        let returns = self.of_service(service);
+        let first = returns.map(|(_, server)| server.resting_until).min()?;
+        (first > now).then_some(first)
+    }
+
     /// Returns whether a server accepts new work.
     #[must_use]
     pub fn takes_work(&self, key: ServerKey) -> bool {
@@ -412,6 +449,7 @@
             is_removed: false,
             changed_at: now,
             is_from_peer: false,
+            resting_until: Timestamp::ZERO,
             hash,
             registration,
         });
--- a/crates/teaselglade-routing/tests/routing/registry.rs
+++ b/crates/teaselglade-routing/tests/routing/registry.rs
@@ -267,3 +267,48 @@
         1
     );
 }
+
+#[test]
+fn a_departure_that_a_server_told_itself_is_final_for_its_incarnation() {
+    let mut registry = ServerRegistry::default();
+    let key = registry
+        .apply_registration(at(0), registration("i-1", 10, 3))
+        .expect("a server");
+    assert!(registry.record_own_departure(at(100), key));
+    assert!(!registry.record_own_departure(at(110), key));
+    let departures = registry.departures(at(200), UpdateScope::Local, Some(1));
+    assert_eq!(departures.len(), 1);
+    // A later heartbeat of the store that says `ready` is older than the server's own word.
+    registry.apply_registration(at(300), registration("i-1", 10, 4));
+    assert!(!registry.takes_work(key));
+    let mut peer = ServerRegistry::default();
+    let known = peer.apply_registration(at(0), registration("i-1", 10, 5));
+    peer.apply_departure(at(200), &departures[0]);
+    assert!(!peer.takes_work(known.expect("a server")));
+    // A later start is another incarnation, whatever arrives of the earlier one.
+    let restarted = peer.apply_registration(at(400), registration("i-1", 11, 1));
+    peer.apply_departure(at(500), &departures[0]);
+    assert!(peer.takes_work(restarted.expect("a server")));
+}
+
+#[test]
+fn a_server_that_rests_is_not_available_until_its_time_ends() {
+    let mut registry = ServerRegistry::default();
+    let first = registry.apply_registration(at(0), registration("i-1", 10, 1));
+    let second = registry.apply_registration(at(0), registration("i-2", 10, 1));
+    let (first, second) = (first.expect("a server"), second.expect("a server"));
+    registry.record_rest(first, at(900));
+    registry.record_rest(first, at(500));
+    let available = |registry: &ServerRegistry, now| {
+        let servers = registry.available(at(now), "draft-fleet");
+        servers.map(|(key, _)| key).collect::<Vec<_>>()
+    };
+    assert_eq!(available(&registry, 600), [second]);
+    assert_eq!(registry.next_return(at(600), "draft-fleet"), None);
+    registry.record_rest(second, at(2_000));
+    assert_eq!(available(&registry, 600), []);
+    assert_eq!(registry.next_return(at(600), "draft-fleet"), Some(at(900)));
+    assert_eq!(available(&registry, 900), [first]);
+    // Capacity that rests is still there.
+    assert_eq!(registry.of_service("draft-fleet").count(), 2);
+}
