--- a/crates/teaselglade-host/src/follow/table_follower.rs
+++ b/crates/teaselglade-host/src/follow/table_follower.rs
@@ -71,7 +71,6 @@
             Err(error) => {
                 host.record_call("follow_table", Some(&error));
                 sleep(STORE_RETRY_DELAY).await;
-                return;
             }
         }
     }
