fix(gossip): a digest claims the age of its data only if it carries them

Hosts of a large fleet leave out of their digests what peers told them, but named the age of all their data. A host whose aggregator had old news took the age from digests of hosts with another aggregator, and did not notice. Found by reading while the virtual-time test was written; that test does not tell the two apart at its sizes (trial: it passes either way).

- shared_update_age: unknown unless the digest is complete or the sender reads the store.
- Peers are asked for servers when the data is too old by the same rule (1.6 s in a large fleet instead of 1.2 s, below which ages lie normally), and what they return has their age, not 0.
- news_spread.rs: real decision states of 7, 24 and 44 hosts, nine faults, a departure around each.

--- a/crates/teaselglade-host/src/host/serving_host.rs
+++ b/crates/teaselglade-host/src/host/serving_host.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use teaselglade_core::time::Timestamp;
 use teaselglade_net::server::ServerHandle;
 use teaselglade_routing::gossip::name_hash;
 use tokio::sync::mpsc::unbounded_channel;
@@ -182,6 +183,7 @@
 /// Periodically logs summaries and role changes, removes expired state and updates gauges.
 async fn run_cleanup(host: Arc<HostState>) {
     let mut last_roles = None;
+    let mut stale_since = None;
     let mut dropped = dropped_lines();
     loop {
         sleep(CLEANUP_INTERVAL).await;
@@ -195,6 +197,7 @@
             warn!(event = "lines_dropped", lines);
         }
         log_roles(&host, &mut last_roles);
+        log_news_age(&host, &mut stale_since);
         host.lock_decisions().registry.remove_expired(now);
         host.pool
             .prune(|server| host.lock_decisions().registry.takes_work(server));
@@ -202,6 +205,28 @@
     }
 }
 
+/// Sets the gauge of the age of registration data, and logs when it becomes too old or new again.
+fn log_news_age(host: &HostState, stale_since: &mut Option<Timestamp>) {
+    let now = host.now();
+    let decisions = host.lock_decisions();
+    let (age, is_stale) = (decisions.update_age(now), decisions.has_stale_news(now));
+    drop(decisions);
+    let age_ms = age.as_millis() as u64;
+    host.metrics.update_age.set(age_ms.cast_signed());
+    match (is_stale, *stale_since) {
+        (true, None) => {
+            *stale_since = Some(now);
+            warn!(event = "news_stale", age_ms);
+        }
+        (false, Some(since)) => {
+            *stale_since = None;
+            let stale_ms = now.since(since).as_millis() as u64;
+            info!(event = "news_fresh", stale_ms);
+        }
+        _ => {}
+    }
+}
+
 /// Logs the roles of this host in the fleet if they changed.
 fn log_roles(host: &HostState, last_roles: &mut Option<(bool, bool, bool)>) {
     let now = host.now();
--- a/crates/teaselglade-host/src/metrics/host_metrics.rs
+++ b/crates/teaselglade-host/src/metrics/host_metrics.rs
@@ -44,6 +44,8 @@
     pub table_version: IntGauge,
     /// What servers said of themselves in responses.
     pub server_advice: IntCounterVec,
+    /// Age of the newest registration data in milliseconds.
+    pub update_age: IntGauge,
     /// Fetches of state from peers by outcome.
     pub peer_fetches: IntCounterVec,
     /// Bytes of state that peers returned.
@@ -130,6 +132,10 @@
                 "Answers in which servers said that they leave or rest.",
                 &["advice"],
             )?,
+            update_age: r.gauge(
+                "teaselglade_update_age_ms",
+                "Age of the newest data on servers.",
+            )?,
             peer_fetches: r.counters(
                 "teaselglade_peer_fetches_total",
                 "Fetches of the table and servers from peers.",
--- a/crates/teaselglade-host/src/peer/gossip_transport.rs
+++ b/crates/teaselglade-host/src/peer/gossip_transport.rs
@@ -197,7 +197,7 @@
             table_version: active_version,
             store_reachable: decisions.store_reachable(),
             is_leader,
-            update_age_ms: now.since(decisions.registry_updated_at).as_millis() as u64,
+            update_age_ms: decisions.shared_update_age(now).as_millis() as u64,
             updates: decisions.registry.updates(now, scope),
             spend: decisions.quotas.report(now),
             loads: decisions.engine_placer.own_loads(&decisions.registry),
@@ -240,7 +240,7 @@
             table_version: active_version,
             sender,
             seen_share: decisions.membership.seen_share(now),
-            update_age_ms: now.since(decisions.registry_updated_at).as_millis() as u64,
+            update_age_ms: decisions.update_age(now).as_millis() as u64,
             updates: decisions.registry.updates(now, UpdateScope::All),
             departures: decisions
                 .registry
--- a/crates/teaselglade-host/src/peer/peer_pull.rs
+++ b/crates/teaselglade-host/src/peer/peer_pull.rs
@@ -17,8 +17,6 @@
 const CHECK_INTERVAL: Duration = Duration::from_millis(400);
 /// Interval between checks whether a busy peer can serve a table.
 const SOURCE_POLL: Duration = Duration::from_millis(20);
-/// Age from which registration data is stale, so that peers are queried for it.
-const STALENESS_TIMEOUT: Duration = Duration::from_millis(1_200);
 /// Maximum number of peers queried per check.
 const MAX_QUERIED_PEERS: usize = 2;
 /// Maximum number of peers that a host queries before it reads the store.
@@ -106,7 +104,7 @@
 async fn query_if_stale(host: &HostState, client: &PeerClient, planner: &mut FetchPlanner) {
     let peers = {
         let decisions = host.lock_decisions();
-        if host.now().since(decisions.registry_updated_at) < STALENESS_TIMEOUT {
+        if !decisions.lacks_news(host.now()) {
             return;
         }
         decisions.membership.peers_by_recency()
@@ -127,14 +125,13 @@
     for departure in &state.departures {
         decisions.registry.apply_departure(now, departure);
     }
-    let own_age = now.since(decisions.registry_updated_at);
     let peer_age = Duration::from_millis(state.update_age_ms);
-    if peer_age < STALENESS_TIMEOUT && own_age >= STALENESS_TIMEOUT {
+    if decisions.lacks_news(now) && !decisions.membership.is_stale(peer_age) {
         let count = state.servers.len();
         for registration in state.servers {
             decisions.registry.merge_registration(now, registration);
         }
-        decisions.registry_updated_at = now;
+        decisions.registry_updated_at = now.before(peer_age);
         drop(decisions);
         info!(event = "servers_from_peer", count);
     }
--- a/crates/teaselglade-host/src/state/decision_state.rs
+++ b/crates/teaselglade-host/src/state/decision_state.rs
@@ -24,19 +24,12 @@
 const ASSUMED_HOSTS: u32 = 16;
 /// Minimum time without a response that counts as an outage of the store.
 const MIN_STORE_OUTAGE: Duration = Duration::from_secs(1);
-/// Age from which registration data is too old to rely on peers for it.
-///
-/// It exceeds the age that the data of a host has while a reader and the digests work: a read each
-/// 300 ms, a digest each 200 ms and the time until both arrive.
-const NEWS_TIMEOUT: Duration = Duration::from_millis(900);
-/// [`NEWS_TIMEOUT`] in a large fleet, where aggregators forward the data.
-///
-/// They add an interval of 400 ms and up to 320 ms until the last host is served.
-const LARGE_FLEET_NEWS_TIMEOUT: Duration = Duration::from_millis(1_600);
 /// Fraction of a server's rest over which requests of all hosts come back after it.
 const RETURN_SPREAD: f64 = 0.25;
 /// Longest time over which requests come back after a server's rest.
 const MAX_RETURN_SPREAD: Duration = Duration::from_secs(1);
+/// Age of registration data in digests that prove nothing of it; a year, in effect.
+const UNKNOWN_AGE: Duration = Duration::from_hours(365 * 24);
 /// Age at which a peer's reported demand expires.
 const DEMAND_TTL: Duration = Duration::from_secs(3);
 
@@ -197,12 +190,34 @@
     /// itself. It is false before the first full read.
     #[must_use]
     pub fn has_stale_news(&self, now: Timestamp) -> bool {
-        let timeout = if self.membership.is_large() {
-            LARGE_FLEET_NEWS_TIMEOUT
+        self.registry_updated_at > Timestamp::ZERO && self.membership.is_stale(self.update_age(now))
+    }
+
+    /// Returns whether registration data is missing or too old.
+    #[must_use]
+    pub fn lacks_news(&self, now: Timestamp) -> bool {
+        self.registry_updated_at == Timestamp::ZERO || self.has_stale_news(now)
+    }
+
+    /// Returns the age of the newest registration data.
+    #[must_use]
+    pub fn update_age(&self, now: Timestamp) -> Duration {
+        now.since(self.registry_updated_at)
+    }
+
+    /// Returns the age of registration data that a host may claim after it applied this host's digest.
+    ///
+    /// A digest that leaves out what this host received from its peers proves nothing of their data,
+    /// unless this host reads the store itself.
+    #[must_use]
+    pub fn shared_update_age(&self, now: Timestamp) -> Duration {
+        let is_complete =
+            self.update_scope(now) == UpdateScope::All || self.membership.is_store_reader(now);
+        if is_complete {
+            self.update_age(now)
         } else {
-            NEWS_TIMEOUT
-        };
-        self.registry_updated_at > Timestamp::ZERO && now.since(self.registry_updated_at) >= timeout
+            UNKNOWN_AGE
+        }
     }
 
     /// Returns whether this host can currently reach the store.
--- a/crates/teaselglade-host/tests/host/main.rs
+++ b/crates/teaselglade-host/tests/host/main.rs
@@ -2,4 +2,5 @@
 
 mod journal;
 mod lease_timings;
+mod news_spread;
 mod reports;
--- a/crates/teaselglade-routing/src/gossip/host_digest.rs
+++ b/crates/teaselglade-routing/src/gossip/host_digest.rs
@@ -48,7 +48,7 @@
     /// Whether the sender is the leader.
     #[serde(rename = "holds_duties")]
     pub is_leader: bool,
-    /// Age of the sender's newest registration data, in milliseconds.
+    /// Age of the registration data that a receiver may claim, in milliseconds.
     #[serde(rename = "news_age_ms")]
     pub update_age_ms: u64,
     /// Registrations that changed recently.
--- a/crates/teaselglade-routing/src/gossip/peer_membership.rs
+++ b/crates/teaselglade-routing/src/gossip/peer_membership.rs
@@ -62,6 +62,16 @@
 /// a digest, and a margin.
 const LARGE_FLEET_PRESENCE_TIMEOUT: Duration = Duration::from_millis(1_800);
 
+/// Age from which registration data is too old to rely on peers for it.
+///
+/// It exceeds the age that the data of a host has while a reader and the digests work: a read each
+/// 300 ms, a digest each 200 ms and the time until both arrive.
+const NEWS_TIMEOUT: Duration = Duration::from_millis(900);
+/// [`NEWS_TIMEOUT`] in a large fleet, where aggregators forward the data.
+///
+/// They add an interval of 400 ms and up to 320 ms until the last host is served.
+const LARGE_FLEET_NEWS_TIMEOUT: Duration = Duration::from_millis(1_600);
+
 /// Sort key of a host's rank before its place: the leader first, then hosts that reach the store.
 type RankKey = (bool, bool);
 
@@ -290,6 +300,22 @@
         self.peers.len() >= LARGE_FLEET_PEERS
     }
 
+    /// Returns whether registration data of this age is too old to rely on peers for it.
+    #[must_use]
+    pub fn is_stale(&self, age: Duration) -> bool {
+        age >= self.news_timeout()
+    }
+
+    /// Returns the age from which registration data is too old to rely on peers for it.
+    #[must_use]
+    pub fn news_timeout(&self) -> Duration {
+        if self.is_large() {
+            LARGE_FLEET_NEWS_TIMEOUT
+        } else {
+            NEWS_TIMEOUT
+        }
+    }
+
     /// Returns whether this host is an aggregator.
     #[must_use]
     pub fn is_aggregator(&self, now: Timestamp) -> bool {
