--- a/crates/teaselglade-host/src/peer/peer_client.rs
+++ b/crates/teaselglade-host/src/peer/peer_client.rs
@@ -20,6 +20,8 @@
 const NO_TABLE: u64 = u64::MAX;
 /// Delay assumed if a busy peer names none.
 const DEFAULT_BUSY_DELAY: Duration = Duration::from_millis(100);
+/// Longest delay that is accepted from a busy peer.
+const MAX_BUSY_DELAY: Duration = Duration::from_secs(2);
 
 const NOT_FOUND: u16 = 404;
 const SERVICE_UNAVAILABLE: u16 = 503;
@@ -54,7 +56,7 @@
     /// Fetches a peer's servers and returns them with the version of its table.
     pub(super) async fn fetch_state(&self, peer: SocketAddr) -> Option<PeerState> {
         let response = self.call(peer, STATE_PATH, NO_TABLE).await?;
-        self.decode(peer, &response)
+        decode(peer, &response)
     }
 
     /// Fetches a newer table from a peer and activates it.
@@ -68,7 +70,7 @@
             // A peer of an earlier build returns its table with its state, as published.
             NOT_FOUND => self.fetch_published_table(peer, version).await,
             _ => {
-                let state = self.decode::<TableState>(peer, &response);
+                let state = decode::<TableState>(peer, &response);
                 state.is_some_and(|state| self.activate_packed(peer, state))
             }
         };
@@ -83,7 +85,7 @@
         let Some(response) = self.call(peer, STATE_PATH, version).await else {
             return false;
         };
-        let state = self.decode::<PeerState>(peer, &response);
+        let state = decode::<PeerState>(peer, &response);
         state.is_some_and(|state| self.activate(peer, &state.table, None))
     }
 
@@ -122,7 +124,7 @@
         }
     }
 
-    /// Calls a peer and returns its response unless it is an unexpected failure.
+    /// Calls a peer and returns its response if it is a success, 503 or 404; counts and logs others.
     async fn call(&self, peer: SocketAddr, path: &str, version: u64) -> Option<HttpResponse> {
         let request = HttpRequest::get(peer, format!("{path}{version}"))
             .head_timeout(RESPONSE_TIMEOUT)
@@ -156,26 +158,26 @@
             }
         }
     }
+}
 
-    fn decode<T: DeserializeOwned>(&self, peer: SocketAddr, response: &HttpResponse) -> Option<T> {
-        if !response.is_success() {
-            return None;
-        }
-        match rmp_serde::from_slice(&response.body) {
-            Ok(state) => Some(state),
-            Err(error) => {
-                let name = &self.host.settings.name;
-                warn!(event = "peer_unreadable", host = name, peer = %peer, error = %error);
-                None
-            }
+/// Decodes a successful response.
+fn decode<T: DeserializeOwned>(peer: SocketAddr, response: &HttpResponse) -> Option<T> {
+    if !response.is_success() {
+        return None;
+    }
+    match rmp_serde::from_slice(&response.body) {
+        Ok(state) => Some(state),
+        Err(error) => {
+            warn!(event = "peer_unreadable", peer = %peer, error = %error);
+            None
         }
     }
 }
 
-/// Returns the delay that a busy peer names, in seconds.
+/// Returns the delay that a busy peer names in seconds, or a default.
 fn busy_delay(response: &HttpResponse) -> Duration {
     let seconds = response.header("retry-after");
     let seconds = seconds.and_then(|seconds| seconds.parse::<f64>().ok());
     let delay = seconds.and_then(|seconds| Duration::try_from_secs_f64(seconds).ok());
-    delay.unwrap_or(DEFAULT_BUSY_DELAY)
+    delay.map_or(DEFAULT_BUSY_DELAY, |delay| delay.min(MAX_BUSY_DELAY))
 }
