--- a/crates/teaselglade-routing/src/gossip/peer_membership.rs
+++ b/crates/teaselglade-routing/src/gossip/peer_membership.rs
@@ -407,7 +407,7 @@
 
     /// Returns the highest-ranked present hosts in rank order, including this one.
     ///
-    /// Hosts that would be candidates by their names alone but do not reach the store are included
+    /// Hosts that would be candidates by their places alone but do not reach the store are included
     /// at the end, so that the whole fleet learns that they lost the store.
     #[must_use]
     pub fn candidates(&self, now: Timestamp, own: CandidateHost) -> Vec<CandidateHost> {
