feat(host): lost attempts are logged with their prompt parts and the state of their server

A stream attempt that breaks before its first event now makes one connection to the server (kept for later requests if it is accepted) and logs `lost_attempt`. No decision depends on it yet.

--- a/crates/teaselglade-host/src/journal/decision_log.rs
+++ b/crates/teaselglade-host/src/journal/decision_log.rs
@@ -42,6 +42,19 @@
     pub update_age: Duration,
 }
 
+/// Log fields of an attempt that broke before its first event.
+#[derive(Debug, Clone)]
+pub struct LostAttemptFields<'a> {
+    /// Id of the server.
+    pub server: &'a str,
+    /// Ids of the parts of the prompt, without the last.
+    pub parts: Vec<u64>,
+    /// Streams that this host still has open on the server.
+    pub open_streams: u32,
+    /// What a new connection to the server showed.
+    pub check: &'static str,
+}
+
 /// Writes log lines about decisions on requests, within a line budget.
 #[derive(Debug)]
 pub struct DecisionLog {
@@ -97,6 +110,28 @@
         }
     }
 
+    /// Logs an attempt that broke before its first event, and whether its server ended.
+    pub fn lost_attempt(
+        &self,
+        now: Timestamp,
+        id: &str,
+        organisation: &str,
+        attempt: &LostAttemptFields<'_>,
+    ) {
+        if !self.allows(now, "lost_attempt", id) {
+            return;
+        }
+        info!(
+            event = "lost_attempt",
+            id,
+            organisation,
+            server = attempt.server,
+            parts = part_names(&attempt.parts),
+            open_streams = attempt.open_streams,
+            check = attempt.check,
+        );
+    }
+
     /// Logs the refusal of a request.
     pub fn refused(
         &self,
@@ -177,6 +212,12 @@
     }
 }
 
+/// Returns part ids in hexadecimal, separated by spaces, as requests name them.
+fn part_names(parts: &[u64]) -> String {
+    let names: Vec<String> = parts.iter().map(|part| format!("{part:x}")).collect();
+    names.join(" ")
+}
+
 fn millis(duration: Duration) -> u64 {
     duration.as_millis() as u64
 }
--- a/crates/teaselglade-host/src/relay/mod.rs
+++ b/crates/teaselglade-host/src/relay/mod.rs
@@ -7,6 +7,7 @@
 mod refusal_response;
 mod response_body;
 mod server_call;
+mod server_check;
 mod stall_watch;
 mod stream_relay;
 mod stream_reservation;
--- a/crates/teaselglade-host/src/relay/stream_relay.rs
+++ b/crates/teaselglade-host/src/relay/stream_relay.rs
@@ -19,6 +19,7 @@
 use super::plain_relay::final_refusal;
 use super::response_body::{AbortedResponse, ResponseBody, full_body};
 use super::server_call::{FailedCall, ServerResponse, call_server};
+use super::server_check::check_server;
 use super::stall_watch::wait_for_stall;
 use super::stream_reservation::StreamReservation;
 use super::{CallerResponse, Result};
@@ -176,6 +177,7 @@
     async fn prepare_next(&mut self, failed: (StreamReservation, FailedCall)) -> Result<()> {
         let (reservation, failed) = failed;
         let next = self.record_failure(&reservation, &failed);
+        self.check_lost_attempt(&reservation, &failed).await;
         drop(reservation);
         if self.wait_for_retry(next).await {
             return Ok(());
@@ -227,6 +229,13 @@
         next
     }
 
+    /// Checks the server of an attempt that broke before its first event.
+    async fn check_lost_attempt(&self, reservation: &StreamReservation, failed: &FailedCall) {
+        if failed.outcome == AttemptOutcome::Broken && !reservation.has_first_event() {
+            check_server(&self.context, reservation.engine.server).await;
+        }
+    }
+
     /// Forwards a server's error response to the caller.
     async fn forward_error(
         &mut self,
@@ -310,6 +319,7 @@
         let (mut reservation, mut failed) = (open_stream.reservation, failed);
         loop {
             let next = self.record_failure(&reservation, &failed);
+            self.check_lost_attempt(&reservation, &failed).await;
             drop(reservation);
             if !self.wait_for_retry(next).await {
                 return false;
--- a/crates/teaselglade-host/src/relay/stream_reservation.rs
+++ b/crates/teaselglade-host/src/relay/stream_reservation.rs
@@ -77,6 +77,11 @@
         })
     }
 
+    /// Returns whether an event of the attempt has arrived.
+    pub(super) const fn has_first_event(&self) -> bool {
+        self.has_first_event
+    }
+
     /// Records the first event of the stream; later calls have no effect.
     pub(super) fn record_first_event(&mut self) {
         if std::mem::replace(&mut self.has_first_event, true) {
--- a/crates/teaselglade-host/src/upstream/connection_pool.rs
+++ b/crates/teaselglade-host/src/upstream/connection_pool.rs
@@ -1,6 +1,7 @@
 //! Pool of connections to backend servers.
 
 use std::collections::HashMap;
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
@@ -232,7 +233,10 @@
     let not_sent = |detail: String| SendError::new(SendProgress::NotSent, detail);
     let stream = match timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await {
         Ok(Ok(stream)) => stream,
-        Ok(Err(error)) => return Err(not_sent(error.to_string())),
+        Ok(Err(error)) => {
+            let is_refused = error.kind() == ErrorKind::ConnectionRefused;
+            return Err(not_sent(error.to_string()).refused(is_refused));
+        }
         Err(_elapsed) => return Err(not_sent(format!("no connection in {CONNECT_TIMEOUT:?}"))),
     };
     // Otherwise small requests wait for acknowledgements. On an error the connection still works.
--- a/crates/teaselglade-host/src/upstream/send_error.rs
+++ b/crates/teaselglade-host/src/upstream/send_error.rs
@@ -11,6 +11,8 @@
     pub progress: SendProgress,
     /// Description of the failure.
     pub detail: String,
+    /// Whether the server's host refused the connection, so that no process listens there.
+    pub is_refused: bool,
 }
 
 impl SendError {
@@ -19,8 +21,16 @@
         Self {
             progress,
             detail: detail.into(),
+            is_refused: false,
         }
     }
+
+    /// Sets whether the server's host refused the connection.
+    #[must_use]
+    pub const fn refused(mut self, is_refused: bool) -> Self {
+        self.is_refused = is_refused;
+        self
+    }
 }
 
 impl fmt::Display for SendError {
--- a/crates/teaselglade-routing/src/engine/engine_placer.rs
+++ b/crates/teaselglade-routing/src/engine/engine_placer.rs
@@ -415,6 +415,12 @@
         requests.sum::<f64>() / f64::from(slots.max(1))
     }
 
+    /// Returns the number of streams that this host has open on a server.
+    #[must_use]
+    pub fn open_streams(&self, server: ServerKey) -> u32 {
+        self.own.get(&server).map_or(0, |load| load.requests)
+    }
+
     /// Returns how long streams of a service hold their slots.
     #[must_use]
     pub fn pace(&self, service: &str) -> SlotPace {
--- a/crates/teaselglade-routing/src/engine/prompt_shape.rs
+++ b/crates/teaselglade-routing/src/engine/prompt_shape.rs
@@ -7,6 +7,8 @@
     /// One prefix part of a prompt.
     #[derive(Copy)]
     pub struct PromptPart {
+        /// Id of this part, whatever parts are before it.
+        pub id: u64,
         /// Hash over the ids of this part and of all parts before it.
         #[serde(rename = "chain")]
         pub prefix_hash: u64,
@@ -53,6 +55,7 @@
                 prefix_hash = (prefix_hash ^ u64::from(byte)).wrapping_mul(FNV_PRIME);
             }
             PromptPart {
+                id,
                 prefix_hash,
                 tokens,
             }
@@ -73,6 +76,12 @@
         self.parts.iter().take(shared).map(|part| part.tokens).sum()
     }
 
+    /// Returns the ids of the parts that other prompts may share: all but the last.
+    pub fn shared_ids(&self) -> impl Iterator<Item = u64> {
+        let shared = self.parts.len().saturating_sub(1);
+        self.parts.iter().take(shared).map(|part| part.id)
+    }
+
     /// Returns the sum of prompt tokens and output tokens.
     #[must_use]
     pub const fn total_tokens(&self) -> u32 {
