fix(host): a stream whose repeat finds no engine is not reported as not run

Callers of a resumable stream whose first attempt broke without an event got 503 "not run" when no other engine took the second one, although the first engine may have run it. Placement's refusal knew only of its own attempt. The verdict of the earlier attempts now counts (502, "may have run", no retry delay, no refund of the quota).

--- a/crates/teaselglade-core/src/verdict/request_refusal.rs
+++ b/crates/teaselglade-core/src/verdict/request_refusal.rs
@@ -49,6 +49,18 @@
         }
     }
 
+    /// Takes into account that earlier attempts of the request may have run.
+    ///
+    /// Then there is no retry delay either, as the caller must not take the request for unrun.
+    #[must_use]
+    pub fn after_attempts(mut self, verdict: ExecutionVerdict) -> Self {
+        self.verdict = self.verdict.and(verdict);
+        if self.verdict != ExecutionVerdict::NotRun {
+            self.retry_after = None;
+        }
+        self
+    }
+
     /// Sets the delay after which the caller should retry.
     #[must_use]
     pub const fn retry_after(mut self, delay: Duration) -> Self {
--- a/crates/teaselglade-host/src/relay/stream_relay.rs
+++ b/crates/teaselglade-host/src/relay/stream_relay.rs
@@ -123,7 +123,8 @@
         let context = Arc::clone(&self.context);
         let tried = self.tracker.tried();
         let attempt = self.tracker.attempts() + 1;
-        let reservation = StreamReservation::place(&context, &tried, attempt, is_continued)?;
+        let reservation = StreamReservation::place(&context, &tried, attempt, is_continued)
+            .map_err(|refusal| refusal.after_attempts(self.tracker.verdict()))?;
         self.tracker.begin_attempt(reservation.engine.server);
         // Bytes of an event that the previous attempt left incomplete must not precede this one's.
         self.splitter = EventSplitter::default();
