fix(routing): requests with a part that ends engines are refused after the third engine

Cause: a lost attempt was put down to the server only; nothing was remembered from one request to the next. Evidence: 14 of 14 ends in the hosts' lines with exactly one stream without an event, of one route and one organisation.

An end of an incarnation (connection refused right after the break) under an attempt without an event now speaks against each part of the prompt but the last; an event clears all parts of its prompt, wherever it arrives. Two ends: contained (no repeats, no moves, one at a time, one engine chosen by the part). Three: refused as not run. Parts that only come along stay free, servers that end together count as one, an organisation is bound by its own ends. Hosts exchange evidence as a union. It works because only the part separates bad prompts from sound ones, and sound ones clear all others.

--- a/crates/teaselglade-core/src/verdict/refusal_reason.rs
+++ b/crates/teaselglade-core/src/verdict/refusal_reason.rs
@@ -19,6 +19,8 @@
         OverLimit,
         /// The request is predicted to miss its latency target.
         PredictedLate,
+        /// A part of the prompt ends the servers that begin to write on it.
+        Quarantined,
         /// No permitted backend server is available.
         NoServer,
         /// A non-idempotent call lacks the idempotency key that its table row requires.
@@ -54,7 +56,11 @@
             Self::KeyReused => 422,
             Self::AttemptFailed => 502,
             Self::DeadlineExceeded => 504,
-            Self::PredictedLate | Self::NoServer | Self::LogUnavailable | Self::NotReady => 503,
+            Self::PredictedLate
+            | Self::Quarantined
+            | Self::NoServer
+            | Self::LogUnavailable
+            | Self::NotReady => 503,
             Self::Internal => 500,
         }
     }
@@ -70,6 +76,7 @@
             Self::UnknownRequest => "no request with this id is known",
             Self::OverLimit => "a limit of the table is reached",
             Self::PredictedLate => "the latency target cannot be met now",
+            Self::Quarantined => "a part of the prompt ends servers",
             Self::NoServer => "no permitted backend server is available",
             Self::KeyMissing => "the call needs an idempotency key",
             Self::KeyExpired => "the idempotency key is too old",
--- a/crates/teaselglade-host/src/metrics/host_metrics.rs
+++ b/crates/teaselglade-host/src/metrics/host_metrics.rs
@@ -3,6 +3,8 @@
 use prometheus::{HistogramVec, IntCounter, IntCounterVec, IntGauge, IntGaugeVec};
 use teaselglade_net::metrics::{MetricRegistry, Result};
 
+use super::CrashMetrics;
+
 /// Upper bounds of latency buckets in seconds.
 ///
 /// They range from a plain call within the zone of the host to a long stream.
@@ -44,6 +46,8 @@
     pub table_version: IntGauge,
     /// What servers said of themselves in responses.
     pub server_advice: IntCounterVec,
+    /// Evidence on prompt parts that end servers.
+    pub crashes: CrashMetrics,
     /// Age of the newest registration data in milliseconds.
     pub update_age: IntGauge,
     /// Fetches of state from peers by outcome.
@@ -132,6 +136,7 @@
                 "Answers in which servers said that they leave or rest.",
                 &["advice"],
             )?,
+            crashes: CrashMetrics::new(r)?,
             update_age: r.gauge(
                 "teaselglade_update_age_ms",
                 "Age of the newest data on servers.",
--- a/crates/teaselglade-host/src/metrics/mod.rs
+++ b/crates/teaselglade-host/src/metrics/mod.rs
@@ -1,5 +1,7 @@
 //! Metrics of a serving host.
 
+mod crash_metrics;
 mod host_metrics;
 
+pub use crash_metrics::CrashMetrics;
 pub use host_metrics::HostMetrics;
--- a/crates/teaselglade-host/src/peer/gossip_transport.rs
+++ b/crates/teaselglade-host/src/peer/gossip_transport.rs
@@ -162,6 +162,7 @@
             info!(event = "peer_gone", peer = name);
         }
         decisions.engine_placer.prune(now);
+        host.report_part_changes(now, &mut decisions.crash_ledger);
         let peer_count = decisions.membership.peer_count() as u32;
         if peer_count > 0 {
             decisions.quotas.set_fleet_size(peer_count + 1);
@@ -213,6 +214,7 @@
             requested_aggregator: aggregator,
             peers,
             zone: host.settings.zone.clone(),
+            part_evidence: decisions.crash_ledger.evidence(now, scope),
         };
         let targets = decisions.membership.gossip_targets(now);
         (digest, targets)
@@ -250,6 +252,7 @@
                 .engine_placer
                 .take_unsent_parts(now, &decisions.registry),
             spend: decisions.quotas.fleet_spend(now),
+            part_evidence: decisions.crash_ledger.evidence(now, UpdateScope::All),
         }
     }
 
@@ -286,6 +289,7 @@
         }
         let age = Duration::from_millis(digest.update_age_ms);
         decisions.merge_server_updates(now, age, digest.updates, &digest.departures);
+        decisions.crash_ledger.merge(now, &digest.part_evidence);
         // An aggregator receives the digests of all hosts itself.
         if !decisions.membership.is_aggregator(now) {
             let (spend, cached_parts) = (digest.spend, &digest.cached_parts);
@@ -320,6 +324,7 @@
         }
         let age = Duration::from_millis(digest.update_age_ms);
         decisions.merge_server_updates(now, age, digest.updates, &digest.departures);
+        decisions.crash_ledger.merge(now, &digest.part_evidence);
         decisions
             .quotas
             .receive_spend(now, &name, digest.started_at_us, digest.spend);
--- a/crates/teaselglade-host/src/peer/peer_api.rs
+++ b/crates/teaselglade-host/src/peer/peer_api.rs
@@ -111,5 +111,6 @@
         servers: decisions.registry.registrations(),
         departures: decisions.registry.departures(now, UpdateScope::All, None),
         update_age_ms: now.since(decisions.registry_updated_at).as_millis() as u64,
+        part_evidence: decisions.crash_ledger.evidence(now, UpdateScope::All),
     }
 }
--- a/crates/teaselglade-host/src/relay/server_check.rs
+++ b/crates/teaselglade-host/src/relay/server_check.rs
@@ -44,7 +44,10 @@
             host.metrics.connections.inc();
             ServerCheck::Accepts
         }
-        Err(error) if error.is_refused => ServerCheck::Refuses,
+        Err(error) if error.is_refused => {
+            record_end(context, server);
+            ServerCheck::Refuses
+        }
         Err(_unanswered) => ServerCheck::Silent,
     };
     let parts = context.prompt.iter().flat_map(PromptShape::shared_ids);
@@ -59,3 +62,22 @@
         .lost_attempt(host.now(), &context.id, organisation, &fields);
     check
 }
+
+/// Records that a server ended under the attempt; one that was known to leave says nothing.
+fn record_end(context: &CallContext, server: ServerKey) {
+    let host = &context.host;
+    let now = host.now();
+    host.metrics.crashes.ended_servers.inc();
+    let mut decisions = host.lock_decisions();
+    let decisions = &mut *decisions;
+    let Some(prompt) = context.prompt.as_ref() else {
+        return;
+    };
+    if decisions.registry.takes_work(server) {
+        let incarnation = decisions.registry.server(server).incarnation_hash();
+        let organisation = context.organisation.as_deref().unwrap_or_default();
+        decisions
+            .crash_ledger
+            .record_end(now, incarnation, organisation, prompt);
+    }
+}
--- a/crates/teaselglade-host/src/relay/stream_relay.rs
+++ b/crates/teaselglade-host/src/relay/stream_relay.rs
@@ -21,7 +21,7 @@
 use super::server_call::{FailedCall, ServerResponse, call_server};
 use super::server_check::check_server;
 use super::stall_watch::wait_for_stall;
-use super::stream_reservation::StreamReservation;
+use super::stream_reservation::{StreamAttempt, StreamReservation};
 use super::{CallerResponse, Result};
 use crate::upstream::LeasedConnection;
 
@@ -122,8 +122,13 @@
     async fn start_attempt(&mut self, is_continued: bool) -> Result<AttemptStart> {
         let context = Arc::clone(&self.context);
         let tried = self.tracker.tried();
-        let attempt = self.tracker.attempts() + 1;
-        let reservation = StreamReservation::place(&context, &tried, attempt, is_continued)
+        let attempt = StreamAttempt {
+            tried: &tried,
+            number: self.tracker.attempts() + 1,
+            is_continued,
+            has_events: self.time_to_first_event.is_some(),
+        };
+        let reservation = StreamReservation::place(&context, &attempt)
             .map_err(|refusal| refusal.after_attempts(self.tracker.verdict()))?;
         self.tracker.begin_attempt(reservation.engine.server);
         // Bytes of an event that the previous attempt left incomplete must not precede this one's.
@@ -396,7 +401,7 @@
             return Bytes::new();
         }
         if let Some(open_stream) = self.open_stream.as_mut() {
-            open_stream.reservation.record_first_event();
+            open_stream.reservation.record_events();
         }
         if is_first {
             self.time_to_first_event = Some(self.context.elapsed());
@@ -436,7 +441,8 @@
                 .predicted_latency
                 .mul_f64(STALL_TARGET_FACTOR),
         );
-        self.may_resume().then(|| Instant::now() + timeout)
+        let may_move = self.may_resume() && !reservation.is_contained();
+        may_move.then(|| Instant::now() + timeout)
     }
 
     /// Returns a future that ends when the current attempt must be abandoned for its silence.
--- a/crates/teaselglade-host/src/relay/stream_reservation.rs
+++ b/crates/teaselglade-host/src/relay/stream_reservation.rs
@@ -1,13 +1,21 @@
 //! Reservation of an engine for a stream.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use teaselglade_core::id::ServerKey;
+use teaselglade_core::time::Timestamp;
+use teaselglade_core::verdict::{RefusalReason, RequestRefusal};
+use teaselglade_routing::crash::{PartPermit, PartQuery};
 use teaselglade_routing::engine::{EngineQuery, EngineReservation, PromptShape};
 
 use super::Result;
 use super::call_context::CallContext;
 use crate::journal::PlacementFields;
+use crate::state::DecisionState;
+
+/// Interval between the recorded events of a stream after its first one.
+const EVENT_RECORD_INTERVAL: Duration = Duration::from_millis(250);
 
 /// Reservation of an engine for a stream, released on drop.
 #[derive(Debug)]
@@ -17,6 +25,23 @@
     /// Id of the engine's server.
     pub(super) server_id: String,
     has_first_event: bool,
+    /// Time of the last event that was recorded.
+    recorded_at: Timestamp,
+    /// Part because of which the attempt is contained.
+    contained_part: Option<u64>,
+}
+
+/// Attempt for which an engine is reserved.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct StreamAttempt<'a> {
+    /// Servers that must not be tried again.
+    pub(super) tried: &'a [ServerKey],
+    /// Number of the attempt, from 1.
+    pub(super) number: u32,
+    /// Whether the stream must not be refused for lateness any more.
+    pub(super) is_continued: bool,
+    /// Whether an event of this request arrived before, which speaks for its prompt.
+    pub(super) has_events: bool,
 }
 
 impl StreamReservation {
@@ -24,16 +49,13 @@
     ///
     /// # Errors
     ///
-    /// Returns a "not run" refusal if no engine accepts the stream.
-    pub(super) fn place(
-        context: &Arc<CallContext>,
-        tried: &[ServerKey],
-        attempt: u32,
-        is_continued: bool,
-    ) -> Result<Self> {
+    /// Returns a "not run" refusal if no engine accepts the stream or a part of its prompt ends
+    /// engines.
+    pub(super) fn place(context: &Arc<CallContext>, attempt: &StreamAttempt<'_>) -> Result<Self> {
         let host = &context.host;
         let now = host.now();
         let empty_prompt = PromptShape::default();
+        let prompt = context.prompt.as_ref().unwrap_or(&empty_prompt);
         let unlimited_engine = teaselglade_routing::table::EngineSpec {
             slots: u32::MAX,
             memory_tokens: f64::INFINITY,
@@ -41,19 +63,31 @@
         };
         let mut decisions = host.lock_decisions();
         let decisions = &mut *decisions;
+        let selected_by = if attempt.has_events {
+            None
+        } else {
+            permit_parts(context, decisions, prompt, attempt.number)?
+        };
+        let contained_part = selected_by.map(|(part, _rank)| part);
         let query = EngineQuery {
             service: &context.service.name,
             spec: context.service.engine.as_ref().unwrap_or(&unlimited_engine),
-            prompt: context.prompt.as_ref().unwrap_or(&empty_prompt),
+            prompt,
             target: context.target_time_left(),
             caller_timeout: context.time_left(),
-            tried,
-            is_continued,
+            tried: attempt.tried,
+            is_continued: attempt.is_continued,
             is_load_stale: decisions.membership.is_large(),
+            selected_by,
         };
-        let engine = decisions
+        let placed = decisions
             .engine_placer
-            .place(now, &decisions.registry, &query)?;
+            .place(now, &decisions.registry, &query);
+        let engine = placed.inspect_err(|_refusal| {
+            if let Some(part) = contained_part {
+                decisions.crash_ledger.record_contained_end(part);
+            }
+        })?;
         let server_id = decisions
             .registry
             .server(engine.server)
@@ -62,7 +96,7 @@
             .clone();
         let placement = PlacementFields {
             server: &server_id,
-            attempt,
+            attempt: attempt.number,
             predicted: Some(engine.predicted_latency),
             new_tokens: engine.new_tokens,
             tokens_ahead: engine.tokens_ahead as u32,
@@ -74,25 +108,81 @@
             engine,
             server_id,
             has_first_event: false,
+            recorded_at: Timestamp::ZERO,
+            contained_part,
         })
     }
 
+    /// Returns whether the attempt must not be moved, because its prompt may end engines.
+    pub(super) const fn is_contained(&self) -> bool {
+        self.contained_part.is_some()
+    }
+
     /// Returns whether an event of the attempt has arrived.
     pub(super) const fn has_first_event(&self) -> bool {
         self.has_first_event
     }
 
-    /// Records the first event of the stream; later calls have no effect.
-    pub(super) fn record_first_event(&mut self) {
-        if std::mem::replace(&mut self.has_first_event, true) {
+    /// Records that events of the stream arrived.
+    ///
+    /// Events after the first one are recorded at most once in [`EVENT_RECORD_INTERVAL`]; they
+    /// still speak for the prompt's parts.
+    pub(super) fn record_events(&mut self) {
+        let host = Arc::clone(&self.context.host);
+        let now = host.now();
+        let is_first = !std::mem::replace(&mut self.has_first_event, true);
+        if !is_first && now.since(self.recorded_at) < EVENT_RECORD_INTERVAL {
             return;
         }
-        let host = &self.context.host;
-        let now = host.now();
-        let service = &self.context.service.name;
-        host.lock_decisions()
-            .engine_placer
-            .record_first_event(now, service, self.engine.id);
+        self.recorded_at = now;
+        let mut decisions = host.lock_decisions();
+        let decisions = &mut *decisions;
+        if is_first {
+            let service = &self.context.service.name;
+            decisions
+                .engine_placer
+                .record_first_event(now, service, self.engine.id);
+        }
+        if let Some(prompt) = &self.context.prompt {
+            let server = decisions.registry.server(self.engine.server);
+            let incarnation = server.incarnation_hash();
+            decisions
+                .crash_ledger
+                .record_event(now, incarnation, prompt);
+        }
+        if let Some(part) = self.contained_part.take() {
+            decisions.crash_ledger.record_contained_end(part);
+        }
+    }
+}
+
+/// Returns what selects the engine of an attempt whose prompt is contained, if it is.
+///
+/// # Errors
+///
+/// Returns a "not run" refusal if a part of the prompt is quarantined, or contained and the attempt
+/// is a repeat or another one runs.
+fn permit_parts(
+    context: &CallContext,
+    decisions: &mut DecisionState,
+    prompt: &PromptShape,
+    attempt: u32,
+) -> Result<Option<(u64, u32)>> {
+    let query = PartQuery {
+        organisation: context.organisation.as_deref().unwrap_or_default(),
+        prompt,
+        is_repeat: attempt > 1,
+        may_try: decisions.membership.is_leader(),
+    };
+    let now = context.host.now();
+    match decisions.crash_ledger.permit(now, &query) {
+        PartPermit::Unrestricted => Ok(None),
+        PartPermit::Contained { part, rank } => Ok(Some((part, rank))),
+        PartPermit::Refused { part, retry_after } => {
+            let detail = format!("servers ended on part {part:x} of the prompt");
+            let refusal = RequestRefusal::not_run(RefusalReason::Quarantined, detail);
+            Err(refusal.retry_after(retry_after))
+        }
     }
 }
 
@@ -101,8 +191,12 @@
         let host = &self.context.host;
         let now = host.now();
         let service = &self.context.service.name;
-        host.lock_decisions()
+        let mut decisions = host.lock_decisions();
+        decisions
             .engine_placer
             .record_end(now, service, self.engine.id);
+        if let Some(part) = self.contained_part.take() {
+            decisions.crash_ledger.record_contained_end(part);
+        }
     }
 }
--- a/crates/teaselglade-host/src/state/decision_state.rs
+++ b/crates/teaselglade-host/src/state/decision_state.rs
@@ -6,6 +6,7 @@
 use teaselglade_core::id::ServerKey;
 use teaselglade_core::time::Timestamp;
 use teaselglade_request::retry::{BudgetLimits, RetryBudget, RetryDecision};
+use teaselglade_routing::crash::CrashLedger;
 use teaselglade_routing::engine::EnginePlacer;
 use teaselglade_routing::gossip::{
     PeerMembership, ServiceDemand, TransferLimiter, rendezvous_weight,
@@ -40,6 +41,8 @@
     pub registry: ServerRegistry,
     /// Places streams on engines.
     pub engine_placer: EnginePlacer,
+    /// Evidence on prompt parts that end engines.
+    pub crash_ledger: CrashLedger,
     /// Places plain calls on servers.
     pub plain_placer: PlainPlacer,
     /// Enforces the quotas of organisations.
@@ -71,6 +74,7 @@
         Self {
             registry: ServerRegistry::default(),
             engine_placer: EnginePlacer::new(seed),
+            crash_ledger: CrashLedger::default(),
             plain_placer: PlainPlacer::new(seed),
             quotas: QuotaLimiter::new(ASSUMED_HOSTS).random_seed(seed),
             usage: UsageLedger::new(settings.duties.usage_window),
--- a/crates/teaselglade-host/tests/host/news_spread.rs
+++ b/crates/teaselglade-host/tests/host/news_spread.rs
@@ -270,6 +270,7 @@
             requested_aggregator,
             peers: Vec::new(),
             zone: sender.zone.to_owned(),
+            part_evidence: Vec::new(),
         };
         (digest, decisions.membership.gossip_targets(time))
     }
@@ -303,6 +304,7 @@
             loads: Vec::new(),
             cached_parts: Vec::new(),
             spend: HashMap::default(),
+            part_evidence: Vec::new(),
         }
     }
 
--- /dev/null
+++ b/crates/teaselglade-routing/src/crash/crash_ledger.rs
@@ -0,0 +1,284 @@
+//! Evidence on prompt parts, and what follows from it for placement.
+
+use std::collections::{HashMap, HashSet};
+use std::time::Duration;
+
+use teaselglade_core::time::Timestamp;
+
+use super::part_record::PartRecord;
+use super::{PartChange, PartEvidence, PartPermit, PartQuery, PartStanding};
+use crate::engine::PromptShape;
+use crate::gossip::name_hash;
+use crate::registry::UpdateScope;
+
+/// Maximum number of parts with evidence that a host remembers, apart from quarantined ones.
+const MAX_PARTS: usize = 4_096;
+/// Maximum number of parts in one digest; about 3 KB.
+const MAX_DIGEST_PARTS: usize = 24;
+/// Time for which a change is gossiped by hosts that do not pass on everything.
+///
+/// It spans several digests, as digests get lost.
+const CHANGE_GOSSIP_TTL: Duration = Duration::from_secs(3);
+/// Time after the news of a server's end from which a response of it refutes the news.
+///
+/// Responses sent before the end may arrive until then.
+const LATE_RESPONSE: Duration = Duration::from_millis(100);
+/// Time without an event of a contained attempt after which another one may run.
+///
+/// Its server may be stuck, which says nothing of the part.
+const CONTAINED_PATIENCE: Duration = Duration::from_secs(1);
+/// Delay for requests with a contained part while another one runs on this host.
+const CONTAINED_RETRY_DELAY: Duration = Duration::from_millis(300);
+
+/// Evidence on prompt parts, and what follows from it for placement.
+///
+/// A server that ends while an attempt there has brought no event speaks against each part of that
+/// prompt but the last, which no other request has. An event speaks for all of them. A part is
+/// contained from two ended servers on and quarantined from three on, if no other quarantined part
+/// explains them. Hosts exchange their evidence in digests.
+///
+/// # Examples
+///
+/// ```
+/// use std::time::Duration;
+/// use teaselglade_core::time::Timestamp;
+/// use teaselglade_routing::crash::{CrashLedger, PartPermit, PartQuery};
+/// use teaselglade_routing::engine::PromptShape;
+///
+/// let mut ledger = CrashLedger::default();
+/// let prompt = PromptShape::new(900, 40, [(1, 400), (2, 300), (3, 200)]);
+/// for server in 1..=3 {
+///     ledger.record_end(Timestamp::from_millis(1_000 * server), server, "kati", &prompt);
+/// }
+/// let query = PartQuery { organisation: "kati", prompt: &prompt, is_repeat: false, may_try: false };
+/// let permit = ledger.permit(Timestamp::from_millis(4_000), &query);
+/// assert!(matches!(permit, PartPermit::Refused { part: 2, .. }));
+/// ```
+#[derive(Debug, Clone, Default)]
+pub struct CrashLedger {
+    parts: HashMap<u64, PartRecord>,
+    changes: Vec<PartChange>,
+}
+
+impl CrashLedger {
+    /// Records that a server ended while an attempt with this prompt had brought no event.
+    ///
+    /// `incarnation` identifies the server and its start.
+    pub fn record_end(
+        &mut self,
+        now: Timestamp,
+        incarnation: u64,
+        organisation: &str,
+        prompt: &PromptShape,
+    ) {
+        let organisation = name_hash(organisation);
+        for (depth, part) in prompt.shared_ids().enumerate() {
+            let record = self.record(now, part);
+            let depth = u8::try_from(depth).unwrap_or(u8::MAX);
+            record.record_end(now, incarnation, organisation, depth);
+        }
+        self.update_standings(now);
+    }
+
+    /// Records that an attempt with this prompt brought an event on a server.
+    pub fn record_event(&mut self, now: Timestamp, incarnation: u64, prompt: &PromptShape) {
+        if self.parts.is_empty() {
+            return;
+        }
+        let mut is_changed = false;
+        for part in prompt.shared_ids() {
+            if let Some(record) = self.parts.get_mut(&part) {
+                is_changed |= record.refute_all(now);
+            }
+        }
+        for record in self.parts.values_mut() {
+            is_changed |= record.refute_end(now, incarnation, LATE_RESPONSE);
+        }
+        if is_changed {
+            self.update_standings(now);
+        }
+    }
+
+    /// Decides whether an attempt may be sent.
+    ///
+    /// Each attempt that is permitted as contained must be reported by
+    /// [`CrashLedger::record_contained_end`] when it is over.
+    pub fn permit(&mut self, now: Timestamp, query: &PartQuery<'_>) -> PartPermit {
+        if self.parts.is_empty() {
+            return PartPermit::Unrestricted;
+        }
+        let organisation = name_hash(query.organisation);
+        let ids = query.prompt.shared_ids();
+        let worst = ids
+            .filter_map(|part| Some((self.parts.get(&part)?.standing, part)))
+            .max();
+        let Some((standing, part)) = worst.filter(|(standing, _)| *standing > PartStanding::Clear)
+        else {
+            return PartPermit::Unrestricted;
+        };
+        let record = self.record(now, part);
+        let is_bound = standing == PartStanding::Quarantined && record.binds(organisation);
+        let trial_at = record.next_trial();
+        let is_trial = is_bound
+            && query.may_try
+            && record.running == 0
+            && trial_at.is_some_and(|due| due <= now);
+        if is_bound && !is_trial {
+            record.record_refusal(now);
+            let retry_at = trial_at.unwrap_or_else(|| record.lapses_at());
+            let retry_after = retry_at.since(now).max(CONTAINED_RETRY_DELAY);
+            return PartPermit::Refused { part, retry_after };
+        }
+        let is_waiting = record.running > 0 && now.since(record.started_at) < CONTAINED_PATIENCE;
+        if query.is_repeat || is_waiting {
+            let retry_after = CONTAINED_RETRY_DELAY;
+            return PartPermit::Refused { part, retry_after };
+        }
+        if is_trial {
+            record.record_trial(now);
+        }
+        let rank = record.running;
+        record.running += 1;
+        record.started_at = now;
+        PartPermit::Contained { part, rank }
+    }
+
+    /// Records that a contained attempt is over, whatever its outcome.
+    pub fn record_contained_end(&mut self, part: u64) {
+        if let Some(record) = self.parts.get_mut(&part) {
+            record.running = record.running.saturating_sub(1);
+        }
+    }
+
+    /// Merges the evidence of a peer.
+    pub fn merge(&mut self, now: Timestamp, evidence: &[PartEvidence]) {
+        let mut is_changed = false;
+        for received in evidence {
+            if !self.parts.contains_key(&received.part) && PartRecord::is_expiring(received) {
+                continue;
+            }
+            is_changed |= self.record(now, received.part).merge(now, received);
+        }
+        if is_changed {
+            self.update_standings(now);
+        }
+    }
+
+    /// Returns the evidence for a digest, the gravest first.
+    ///
+    /// With [`UpdateScope::Local`] only what changed lately on this host.
+    #[must_use]
+    pub fn evidence(&self, now: Timestamp, scope: UpdateScope) -> Vec<PartEvidence> {
+        let mut records: Vec<&PartRecord> = self
+            .parts
+            .values()
+            .filter(|record| {
+                let (is_recent, is_from_peer) = record.changed_within(now, CHANGE_GOSSIP_TTL);
+                match scope {
+                    UpdateScope::All => is_recent || record.is_open(),
+                    UpdateScope::Local => is_recent && !is_from_peer,
+                }
+            })
+            .collect();
+        records.sort_unstable_by_key(|record| std::cmp::Reverse(record.weight()));
+        let records = records.into_iter().take(MAX_DIGEST_PARTS);
+        records.map(|record| record.evidence(now)).collect()
+    }
+
+    /// Drops evidence that is too old, and the least weighty beyond the limit.
+    pub fn prune(&mut self, now: Timestamp) {
+        let expired = self.parts.iter_mut().filter_map(|(part, record)| {
+            let is_expired = record.prune(now) && record.running == 0;
+            is_expired.then_some(*part)
+        });
+        let expired: Vec<u64> = expired.collect();
+        for part in &expired {
+            self.remove(now, *part);
+        }
+        let mut by_weight: Vec<(PartStanding, usize, Timestamp, u64)> = Vec::new();
+        if self.parts.len() > MAX_PARTS {
+            by_weight.extend(self.parts.iter().map(|(part, record)| {
+                let (standing, ends, changed_at) = record.weight();
+                (standing, ends, changed_at, *part)
+            }));
+            by_weight.sort_unstable();
+        }
+        let excess = self.parts.len().saturating_sub(MAX_PARTS);
+        for (standing, _, _, part) in by_weight.into_iter().take(excess) {
+            if standing < PartStanding::Quarantined {
+                self.remove(now, part);
+            }
+        }
+        if !expired.is_empty() {
+            self.update_standings(now);
+        }
+    }
+
+    /// Returns the number of parts with a standing.
+    #[must_use]
+    pub fn count_with(&self, standing: PartStanding) -> usize {
+        let records = self.parts.values();
+        records.filter(|record| record.standing == standing).count()
+    }
+
+    /// Returns the changes of standing since the last call.
+    pub fn take_changes(&mut self) -> Vec<PartChange> {
+        std::mem::take(&mut self.changes)
+    }
+
+    fn record(&mut self, now: Timestamp, part: u64) -> &mut PartRecord {
+        let parts = &mut self.parts;
+        parts
+            .entry(part)
+            .or_insert_with(|| PartRecord::new(now, part))
+    }
+
+    fn remove(&mut self, now: Timestamp, part: u64) {
+        let Some(mut record) = self.parts.remove(&part) else {
+            return;
+        };
+        let before = std::mem::replace(&mut record.standing, PartStanding::Clear);
+        if before != PartStanding::Clear {
+            self.changes.push(record.change(now, before));
+        }
+    }
+
+    /// Decides the standing of all parts anew.
+    ///
+    /// Quarantined parts explain the servers that ended on them. Of the others the most suspicious one
+    /// is quarantined first, so that parts that only come along with it stay free.
+    fn update_standings(&mut self, now: Timestamp) {
+        let (mut explained, mut quarantined) = (HashSet::new(), HashSet::new());
+        for (part, record) in &self.parts {
+            if record.keeps_quarantine(now) {
+                explained.extend(record.open_incarnations());
+                quarantined.insert(*part);
+            }
+        }
+        loop {
+            let next = self
+                .parts
+                .iter()
+                .filter(|(part, record)| {
+                    !quarantined.contains(*part) && record.needs_quarantine(&explained)
+                })
+                .max_by_key(|(_, record)| record.suspicion(&explained));
+            let Some((part, record)) = next else {
+                break;
+            };
+            quarantined.insert(*part);
+            explained.extend(record.open_incarnations());
+        }
+        for (part, record) in &mut self.parts {
+            let after = if quarantined.contains(part) {
+                PartStanding::Quarantined
+            } else {
+                record.milder_standing(&explained)
+            };
+            let before = std::mem::replace(&mut record.standing, after);
+            if before != after {
+                self.changes.push(record.change(now, before));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/teaselglade-routing/src/crash/mod.rs
@@ -0,0 +1,11 @@
+//! Prompt parts that end the servers which begin to write on them.
+
+mod crash_ledger;
+mod part_evidence;
+mod part_permit;
+mod part_record;
+
+pub use crash_ledger::CrashLedger;
+pub use part_evidence::{EndEvidence, PartEvidence};
+pub use part_permit::{PartPermit, PartQuery};
+pub use part_record::{PartChange, PartStanding};
--- /dev/null
+++ b/crates/teaselglade-routing/src/crash/part_record.rs
@@ -0,0 +1,383 @@
+//! What a host knows of one prompt part.
+
+use std::collections::{BTreeMap, BTreeSet, HashSet};
+use std::time::Duration;
+
+use teaselglade_core::time::Timestamp;
+
+use super::{EndEvidence, PartEvidence};
+
+/// Time within which servers that end count as one, as they may have a common cause.
+const COMMON_CAUSE_WINDOW: Duration = Duration::from_millis(50);
+/// Number of ended servers from which a part is contained.
+const CONTAINED_ENDS: usize = 2;
+/// Number of ended servers from which a part is quarantined.
+const QUARANTINED_ENDS: usize = 3;
+/// Number of organisations with evidence from which a quarantine holds for all.
+const ALL_ORGANISATIONS: usize = 3;
+/// Maximum number of ends kept of one part; quarantine and all trials need fewer.
+const MAX_ENDS: usize = 16;
+/// Time for which an end counts if the part is not quarantined.
+const EVIDENCE_TTL: Duration = Duration::from_mins(10);
+/// Time without a request with the part after which a quarantine lapses.
+const QUARANTINE_TTL: Duration = Duration::from_mins(10);
+/// Smallest advance of the last request's time that a peer's message makes.
+///
+/// Each message arrives later than its ages say. Without it, the delays of messages that go round
+/// would add up and keep a quarantine in force.
+const MIN_REQUEST_ADVANCE: Duration = Duration::from_secs(5);
+/// Interval at which a host tells others that requests with a quarantined part still come.
+const REQUEST_REPORT_INTERVAL: Duration = Duration::from_mins(1);
+/// Time from the last end or trial to the first trial; each later one waits four times as long.
+const FIRST_TRIAL_DELAY: Duration = Duration::from_mins(1);
+const TRIAL_BACKOFF: u32 = 4;
+/// Maximum number of trials; each may end a server.
+const MAX_TRIALS: u32 = 3;
+
+/// Standing of a part, from the servers that ended on it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum PartStanding {
+    /// Nothing or too little speaks against it.
+    Clear,
+    /// Its requests run alone and once, all on the same server.
+    Contained,
+    /// Its requests are refused.
+    Quarantined,
+}
+
+/// Change of a part's standing, for the log.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct PartChange {
+    /// Id of the part.
+    pub part: u64,
+    /// Standing before the change.
+    pub before: PartStanding,
+    /// Standing after the change.
+    pub after: PartStanding,
+    /// Number of servers that ended on it, as far as not refuted.
+    pub ends: usize,
+    /// Time since the first of them.
+    pub first_end_age: Duration,
+    /// Number of trials so far.
+    pub trials: u32,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq)]
+struct EndRecord {
+    ended_at: Timestamp,
+    /// Time at which this host learned of it.
+    learned_at: Timestamp,
+    organisations: BTreeSet<u64>,
+    is_refuted: bool,
+}
+
+/// What a host knows of one prompt part.
+#[derive(Debug, Clone)]
+pub(super) struct PartRecord {
+    part: u64,
+    depth: u8,
+    ends: BTreeMap<u64, EndRecord>,
+    trials: u32,
+    /// Time of this host's last trial.
+    tried_at: Timestamp,
+    requested_at: Timestamp,
+    /// Time at which this host last told others of its requests.
+    reported_at: Timestamp,
+    changed_at: Timestamp,
+    is_from_peer: bool,
+    pub(super) standing: PartStanding,
+    /// Contained attempts of this host in progress.
+    pub(super) running: u32,
+    /// Start of the latest contained attempt.
+    pub(super) started_at: Timestamp,
+}
+
+impl PartRecord {
+    pub(super) const fn new(now: Timestamp, part: u64) -> Self {
+        Self {
+            part,
+            depth: 0,
+            ends: BTreeMap::new(),
+            trials: 0,
+            tried_at: Timestamp::ZERO,
+            requested_at: Timestamp::ZERO,
+            reported_at: now,
+            changed_at: now,
+            is_from_peer: false,
+            standing: PartStanding::Clear,
+            running: 0,
+            started_at: Timestamp::ZERO,
+        }
+    }
+
+    /// Records that a server ended while an attempt with the part had brought no event.
+    pub(super) fn record_end(
+        &mut self,
+        now: Timestamp,
+        incarnation: u64,
+        organisation: u64,
+        depth: u8,
+    ) {
+        self.depth = self.depth.max(depth);
+        self.requested_at = now;
+        let end = self.ends.entry(incarnation).or_insert_with(|| EndRecord {
+            ended_at: now,
+            learned_at: now,
+            organisations: BTreeSet::new(),
+            is_refuted: false,
+        });
+        end.organisations.insert(organisation);
+        self.mark_changed(now, false);
+        self.limit_ends();
+    }
+
+    /// Records that the part brought an event; all ends known by now are refuted.
+    pub(super) fn refute_all(&mut self, now: Timestamp) -> bool {
+        let open = self.ends.values_mut().filter(|end| !end.is_refuted);
+        let count = open.map(|end| end.is_refuted = true).count();
+        if count > 0 {
+            self.mark_changed(now, false);
+        }
+        count > 0
+    }
+
+    /// Records that a server answered long after this host learned of its end.
+    pub(super) fn refute_end(
+        &mut self,
+        now: Timestamp,
+        incarnation: u64,
+        min_age: Duration,
+    ) -> bool {
+        let refuted = self
+            .ends
+            .get_mut(&incarnation)
+            .filter(|end| !end.is_refuted && now.since(end.learned_at) >= min_age);
+        let Some(end) = refuted else {
+            return false;
+        };
+        end.is_refuted = true;
+        self.mark_changed(now, false);
+        true
+    }
+
+    /// Returns whether evidence is about to expire, so that a host that dropped it ignores it.
+    pub(super) const fn is_expiring(evidence: &PartEvidence) -> bool {
+        let age = Duration::from_millis(evidence.request_age_ms);
+        age.as_millis() + MIN_REQUEST_ADVANCE.as_millis() >= QUARANTINE_TTL.as_millis()
+    }
+
+    /// Merges a peer's evidence; returns whether anything was new.
+    pub(super) fn merge(&mut self, now: Timestamp, evidence: &PartEvidence) -> bool {
+        let mut is_changed = evidence.depth > self.depth || evidence.trials > self.trials;
+        self.depth = self.depth.max(evidence.depth);
+        self.trials = self.trials.max(evidence.trials);
+        let requested_at = now.before(Duration::from_millis(evidence.request_age_ms));
+        if requested_at >= self.requested_at + MIN_REQUEST_ADVANCE {
+            self.requested_at = requested_at;
+        }
+        let mut lacks_refutation = false;
+        for received in &evidence.ends {
+            let known = self.ends.get(&received.incarnation);
+            lacks_refutation |= known.is_some_and(|known| known.is_refuted) && !received.is_refuted;
+            is_changed |= self.merge_end(now, received);
+        }
+        if is_changed {
+            self.mark_changed(now, true);
+        } else if lacks_refutation {
+            // The sender has to hear of the refutation again.
+            self.changed_at = now;
+        }
+        self.limit_ends();
+        is_changed
+    }
+
+    fn merge_end(&mut self, now: Timestamp, received: &EndEvidence) -> bool {
+        let ended_at = now.before(Duration::from_millis(received.age_ms));
+        let organisations: BTreeSet<u64> = received.organisations.iter().copied().collect();
+        let Some(known) = self.ends.get_mut(&received.incarnation) else {
+            let end = EndRecord {
+                ended_at,
+                learned_at: now,
+                organisations,
+                is_refuted: received.is_refuted,
+            };
+            self.ends.insert(received.incarnation, end);
+            return true;
+        };
+        known.ended_at = known.ended_at.min(ended_at);
+        let is_changed = !organisations.is_subset(&known.organisations)
+            || received.is_refuted && !known.is_refuted;
+        known.organisations.extend(organisations);
+        known.is_refuted |= received.is_refuted;
+        is_changed
+    }
+
+    /// Records a request with the part that was refused.
+    pub(super) fn record_refusal(&mut self, now: Timestamp) {
+        self.requested_at = now;
+        if now.since(self.reported_at) >= REQUEST_REPORT_INTERVAL {
+            self.reported_at = now;
+            self.mark_changed(now, false);
+        }
+    }
+
+    /// Returns when the next trial is due, unless there have been too many.
+    pub(super) fn next_trial(&self) -> Option<Timestamp> {
+        let last_end = self.open_ends().map(|(_, end)| end.ended_at).max()?;
+        let delay = FIRST_TRIAL_DELAY.saturating_mul(TRIAL_BACKOFF.saturating_pow(self.trials));
+        (self.trials < MAX_TRIALS).then(|| last_end.max(self.tried_at) + delay)
+    }
+
+    /// Records that this host tries the part again.
+    pub(super) fn record_trial(&mut self, now: Timestamp) {
+        self.trials += 1;
+        self.tried_at = now;
+        self.requested_at = now;
+        self.mark_changed(now, false);
+    }
+
+    /// Returns when the quarantine lapses if no more requests with the part come.
+    pub(super) fn lapses_at(&self) -> Timestamp {
+        self.requested_at + QUARANTINE_TTL
+    }
+
+    /// Returns whether a quarantine binds an organisation.
+    ///
+    /// It binds those whose own requests ended servers. Otherwise an organisation could have the parts
+    /// of another refused by sending them beside one that ends servers.
+    pub(super) fn binds(&self, organisation: u64) -> bool {
+        let organisations: BTreeSet<u64> = self
+            .open_ends()
+            .flat_map(|(_, end)| end.organisations.iter().copied())
+            .collect();
+        organisations.len() >= ALL_ORGANISATIONS || organisations.contains(&organisation)
+    }
+
+    /// Returns the incarnations that count, as far as `explained` does not contain them.
+    pub(super) fn counted_ends(&self, explained: &HashSet<u64>) -> usize {
+        let mut times: Vec<Timestamp> = self
+            .open_ends()
+            .filter(|(incarnation, _)| !explained.contains(incarnation))
+            .map(|(_, end)| end.ended_at)
+            .collect();
+        times.sort_unstable();
+        let mut last_counted: Option<Timestamp> = None;
+        let counted = times.into_iter().filter(|time| {
+            let is_apart = last_counted.is_none_or(|last| time.since(last) >= COMMON_CAUSE_WINDOW);
+            if is_apart {
+                last_counted = Some(*time);
+            }
+            is_apart
+        });
+        counted.count()
+    }
+
+    /// Returns the incarnations that ended on the part and were not refuted.
+    pub(super) fn open_incarnations(&self) -> impl Iterator<Item = u64> {
+        self.open_ends().map(|(incarnation, _)| *incarnation)
+    }
+
+    /// Returns whether enough servers ended to quarantine the part, given those that others explain.
+    pub(super) fn needs_quarantine(&self, explained: &HashSet<u64>) -> bool {
+        self.counted_ends(&HashSet::new()) >= QUARANTINED_ENDS
+            && self.counted_ends(explained) >= CONTAINED_ENDS
+    }
+
+    /// Returns the order in which parts are considered for a quarantine; the largest first.
+    ///
+    /// Of parts that come together the one furthest back is the likeliest: parts before it occur in
+    /// more requests.
+    pub(super) fn suspicion(&self, explained: &HashSet<u64>) -> (usize, u8, u64) {
+        (self.counted_ends(explained), self.depth, self.part)
+    }
+
+    /// Returns the standing of a part that is not quarantined.
+    pub(super) fn milder_standing(&self, explained: &HashSet<u64>) -> PartStanding {
+        if self.counted_ends(explained) >= CONTAINED_ENDS {
+            PartStanding::Contained
+        } else {
+            PartStanding::Clear
+        }
+    }
+
+    /// Returns whether the quarantine of the part is still supported.
+    pub(super) fn keeps_quarantine(&self, now: Timestamp) -> bool {
+        self.standing == PartStanding::Quarantined
+            && self.counted_ends(&HashSet::new()) >= QUARANTINED_ENDS
+            && now < self.lapses_at()
+    }
+
+    /// Drops ends that are too old; returns whether the record holds nothing any more.
+    pub(super) fn prune(&mut self, now: Timestamp) -> bool {
+        if self.standing == PartStanding::Quarantined {
+            return now >= self.lapses_at();
+        }
+        self.ends
+            .retain(|_, end| now.since(end.ended_at) < EVIDENCE_TTL);
+        self.ends.is_empty()
+    }
+
+    /// Returns whether any end is not refuted.
+    pub(super) fn is_open(&self) -> bool {
+        self.open_ends().next().is_some()
+    }
+
+    /// Returns whether the record changed lately, and whether a peer reported the change.
+    pub(super) fn changed_within(&self, now: Timestamp, window: Duration) -> (bool, bool) {
+        (now.since(self.changed_at) < window, self.is_from_peer)
+    }
+
+    /// Returns the order in which records are kept and passed on; the largest first.
+    pub(super) fn weight(&self) -> (PartStanding, usize, Timestamp) {
+        (self.standing, self.open_ends().count(), self.changed_at)
+    }
+
+    pub(super) fn evidence(&self, now: Timestamp) -> PartEvidence {
+        let ends = self.ends.iter().map(|(incarnation, end)| EndEvidence {
+            incarnation: *incarnation,
+            age_ms: now.since(end.ended_at).as_millis() as u64,
+            organisations: end.organisations.iter().copied().collect(),
+            is_refuted: end.is_refuted,
+        });
+        PartEvidence {
+            part: self.part,
+            depth: self.depth,
+            ends: ends.collect(),
+            trials: self.trials,
+            request_age_ms: now.since(self.requested_at).as_millis() as u64,
+        }
+    }
+
+    pub(super) fn change(&self, now: Timestamp, before: PartStanding) -> PartChange {
+        let first_end = self.open_ends().map(|(_, end)| end.ended_at).min();
+        PartChange {
+            part: self.part,
+            before,
+            after: self.standing,
+            ends: self.open_ends().count(),
+            first_end_age: first_end.map_or(Duration::ZERO, |end| now.since(end)),
+            trials: self.trials,
+        }
+    }
+
+    fn open_ends(&self) -> impl Iterator<Item = (&u64, &EndRecord)> {
+        self.ends.iter().filter(|(_, end)| !end.is_refuted)
+    }
+
+    const fn mark_changed(&mut self, now: Timestamp, is_from_peer: bool) {
+        self.changed_at = now;
+        self.is_from_peer = is_from_peer;
+    }
+
+    /// Drops ends beyond the limit, refuted ones first.
+    fn limit_ends(&mut self) {
+        while self.ends.len() > MAX_ENDS {
+            let ends = self.ends.iter();
+            let oldest = ends.min_by_key(|(_, end)| (!end.is_refuted, end.ended_at));
+            let Some(oldest) = oldest.map(|(incarnation, _)| *incarnation) else {
+                return;
+            };
+            self.ends.remove(&oldest);
+        }
+    }
+}
--- a/crates/teaselglade-routing/src/engine/engine_candidate.rs
+++ b/crates/teaselglade-routing/src/engine/engine_candidate.rs
@@ -39,7 +39,11 @@
 /// the only part.
 pub(super) fn preference(prompt: &PromptShape, server: u64) -> u64 {
     let shared = prompt.parts.iter().rev().nth(1).or(prompt.parts.last());
-    let prefix_hash = shared.map_or(0, |part| part.prefix_hash);
-    let mixed = (prefix_hash ^ server.rotate_left(32)).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+    preference_of(shared.map_or(0, |part| part.prefix_hash), server)
+}
+
+/// Returns the preference of a hash for a server, the same on every host.
+pub(super) fn preference_of(hash: u64, server: u64) -> u64 {
+    let mixed = (hash ^ server.rotate_left(32)).wrapping_mul(0x9e37_79b9_7f4a_7c15);
     (mixed ^ (mixed >> 29)).wrapping_mul(0xbf58_476d_1ce4_e5b9)
 }
--- a/crates/teaselglade-routing/src/engine/engine_placer.rs
+++ b/crates/teaselglade-routing/src/engine/engine_placer.rs
@@ -10,7 +10,7 @@
 use teaselglade_core::verdict::{RefusalReason, RequestRefusal};
 use teaselglade_placement::limit::DemandMeter;
 
-use super::engine_candidate::{EngineCandidate, preference};
+use super::engine_candidate::{EngineCandidate, preference, preference_of};
 use super::stale_choice::choose_with_stale_loads;
 use super::{CachedPart, EngineLoad, EngineSpeed, PrefixLocations, PromptShape, Result, SlotPace};
 use crate::registry::{ServerHealth, ServerRegistry};
@@ -66,6 +66,10 @@
     ///
     /// In a large fleet all hosts get the same loads from aggregators, and get them late.
     pub is_load_stale: bool,
+    /// Part and rank that select the engine, whatever its load and cache.
+    ///
+    /// All hosts choose alike, so that attempts which may end their engine meet on one.
+    pub selected_by: Option<(u64, u32)>,
 }
 
 /// Reservation of a stream on an engine.
@@ -149,6 +153,7 @@
 ///     tried: &[],
 ///     is_continued: false,
 ///     is_load_stale: false,
+///     selected_by: None,
 /// };
 /// let refusal = placer.place(Timestamp::ZERO, &ServerRegistry::default(), &query).unwrap_err();
 /// assert!(refusal.retry_after.is_some());
@@ -451,6 +456,14 @@
             !health.is_some_and(|health| health.is_avoided(now))
         });
         let mut healthy: Vec<&EngineCandidate> = healthy.collect();
+        if let Some((part, rank)) = query.selected_by {
+            let weight = |candidate: &&EngineCandidate| {
+                preference_of(part, registry.server(candidate.server).hash)
+            };
+            healthy.sort_unstable_by_key(|candidate| std::cmp::Reverse(weight(candidate)));
+            let index = (rank as usize).min(healthy.len().saturating_sub(1));
+            return healthy.get(index).map(|candidate| **candidate);
+        }
         if query.is_load_stale {
             let target = query.target.mul_f64(TARGET_SHARE);
             if let Some(chosen) = choose_with_stale_loads(&mut healthy, query.prompt, target) {
--- a/crates/teaselglade-routing/src/gossip/aggregate_digest.rs
+++ b/crates/teaselglade-routing/src/gossip/aggregate_digest.rs
@@ -5,6 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::{HostDigest, PeerAddress};
+use crate::crash::PartEvidence;
 use crate::engine::{CachedPart, EngineLoad};
 use crate::quota::FleetSpend;
 use crate::registry::{ServerDeparture, ServerRegistration};
@@ -64,6 +65,9 @@
     pub cached_parts: Vec<CachedPart>,
     /// Remaining quota and spending rate of the whole fleet, by organisation.
     pub spend: HashMap<String, FleetSpend>,
+    /// Evidence on prompt parts that end servers; left out while there is none.
+    #[serde(rename = "crashes", default, skip_serializing_if = "Vec::is_empty")]
+    pub part_evidence: Vec<PartEvidence>,
 }
 
 /// A message between hosts.
--- a/crates/teaselglade-routing/src/registry/server_registry.rs
+++ b/crates/teaselglade-routing/src/registry/server_registry.rs
@@ -73,6 +73,13 @@
 }
 
 impl RegisteredServer {
+    /// Returns the hash of the server's name and start time, which identifies this incarnation.
+    #[must_use]
+    pub fn incarnation_hash(&self) -> u64 {
+        let started_at_ms = self.registration.started_at_ms;
+        name_hash(&format!("{}/{started_at_ms}", self.registration.id))
+    }
+
     const fn is_in_scope(&self, scope: UpdateScope) -> bool {
         matches!(scope, UpdateScope::All) || !self.is_from_peer
     }
--- a/crates/teaselglade-routing/tests/routing/engines.rs
+++ b/crates/teaselglade-routing/tests/routing/engines.rs
@@ -84,6 +84,7 @@
         tried: &[],
         is_continued: false,
         is_load_stale: false,
+        selected_by: None,
     }
 }
 
--- a/crates/teaselglade-routing/tests/routing/main.rs
+++ b/crates/teaselglade-routing/tests/routing/main.rs
@@ -2,6 +2,7 @@
 
 mod attempts;
 mod autoscaler;
+mod crashes;
 mod engines;
 mod events;
 mod fixture;
--- a/crates/teaselglade-routing/tests/routing/slots.rs
+++ b/crates/teaselglade-routing/tests/routing/slots.rs
@@ -187,6 +187,7 @@
                     tried: &[],
                     is_continued: false,
                     is_load_stale: true,
+                    selected_by: None,
                 };
                 let is_counted = now >= 5_000;
                 outcome.offered += if is_counted { 1.0 } else { 0.0 };
@@ -292,6 +293,7 @@
             tried: &[],
             is_continued: false,
             is_load_stale: true,
+            selected_by: None,
         };
         let reservation = placer.place(at(1), &registry, &query).expect("an engine");
         *counts.entry(reservation.server).or_default() += 1;
