test(host): both rules on parts that end engines, on virtual time beside other faults

Hosts are real decision states that exchange real digests (fleet_model, shared with the test of news). None to three bad parts at the first, middle and last shared place, beside ordinary crashes, a reclaimed zone, resets, a cut zone, restarts, lost digests.

--- a/crates/teaselglade-host/src/relay/server_check.rs
+++ b/crates/teaselglade-host/src/relay/server_check.rs
@@ -63,21 +63,14 @@
     check
 }
 
-/// Records that a server ended under the attempt; one that was known to leave says nothing.
+/// Records that a server ended under the attempt.
 fn record_end(context: &CallContext, server: ServerKey) {
     let host = &context.host;
     let now = host.now();
     host.metrics.crashes.ended_servers.inc();
-    let mut decisions = host.lock_decisions();
-    let decisions = &mut *decisions;
-    let Some(prompt) = context.prompt.as_ref() else {
-        return;
-    };
-    if decisions.registry.takes_work(server) {
-        let incarnation = decisions.registry.server(server).incarnation_hash();
+    if let Some(prompt) = &context.prompt {
         let organisation = context.organisation.as_deref().unwrap_or_default();
-        decisions
-            .crash_ledger
-            .record_end(now, incarnation, organisation, prompt);
+        host.lock_decisions()
+            .record_server_end(now, server, organisation, prompt);
     }
 }
--- a/crates/teaselglade-host/src/relay/stream_reservation.rs
+++ b/crates/teaselglade-host/src/relay/stream_reservation.rs
@@ -5,14 +5,11 @@
 
 use teaselglade_core::id::ServerKey;
 use teaselglade_core::time::Timestamp;
-use teaselglade_core::verdict::{RefusalReason, RequestRefusal};
-use teaselglade_routing::crash::{PartPermit, PartQuery};
 use teaselglade_routing::engine::{EngineQuery, EngineReservation, PromptShape};
 
 use super::Result;
 use super::call_context::CallContext;
 use crate::journal::PlacementFields;
-use crate::state::DecisionState;
 
 /// Interval between the recorded events of a stream after its first one.
 const EVENT_RECORD_INTERVAL: Duration = Duration::from_millis(250);
@@ -66,7 +63,8 @@
         let selected_by = if attempt.has_events {
             None
         } else {
-            permit_parts(context, decisions, prompt, attempt.number)?
+            let organisation = context.organisation.as_deref().unwrap_or_default();
+            decisions.permit_prompt(now, organisation, prompt, attempt.number)?
         };
         let contained_part = selected_by.map(|(part, _rank)| part);
         let query = EngineQuery {
@@ -144,11 +142,7 @@
                 .record_first_event(now, service, self.engine.id);
         }
         if let Some(prompt) = &self.context.prompt {
-            let server = decisions.registry.server(self.engine.server);
-            let incarnation = server.incarnation_hash();
-            decisions
-                .crash_ledger
-                .record_event(now, incarnation, prompt);
+            decisions.record_prompt_event(now, self.engine.server, prompt);
         }
         if let Some(part) = self.contained_part.take() {
             decisions.crash_ledger.record_contained_end(part);
@@ -156,36 +150,6 @@
     }
 }
 
-/// Returns what selects the engine of an attempt whose prompt is contained, if it is.
-///
-/// # Errors
-///
-/// Returns a "not run" refusal if a part of the prompt is quarantined, or contained and the attempt
-/// is a repeat or another one runs.
-fn permit_parts(
-    context: &CallContext,
-    decisions: &mut DecisionState,
-    prompt: &PromptShape,
-    attempt: u32,
-) -> Result<Option<(u64, u32)>> {
-    let query = PartQuery {
-        organisation: context.organisation.as_deref().unwrap_or_default(),
-        prompt,
-        is_repeat: attempt > 1,
-        may_try: decisions.membership.is_leader(),
-    };
-    let now = context.host.now();
-    match decisions.crash_ledger.permit(now, &query) {
-        PartPermit::Unrestricted => Ok(None),
-        PartPermit::Contained { part, rank } => Ok(Some((part, rank))),
-        PartPermit::Refused { part, retry_after } => {
-            let detail = format!("servers ended on part {part:x} of the prompt");
-            let refusal = RequestRefusal::not_run(RefusalReason::Quarantined, detail);
-            Err(refusal.retry_after(retry_after))
-        }
-    }
-}
-
 impl Drop for StreamReservation {
     fn drop(&mut self) {
         let host = &self.context.host;
--- a/crates/teaselglade-host/src/state/decision_state.rs
+++ b/crates/teaselglade-host/src/state/decision_state.rs
@@ -5,9 +5,10 @@
 
 use teaselglade_core::id::ServerKey;
 use teaselglade_core::time::Timestamp;
+use teaselglade_core::verdict::{RefusalReason, RequestRefusal};
 use teaselglade_request::retry::{BudgetLimits, RetryBudget, RetryDecision};
-use teaselglade_routing::crash::CrashLedger;
-use teaselglade_routing::engine::EnginePlacer;
+use teaselglade_routing::crash::{CrashLedger, PartPermit, PartQuery};
+use teaselglade_routing::engine::{EnginePlacer, PromptShape};
 use teaselglade_routing::gossip::{
     PeerMembership, ServiceDemand, TransferLimiter, rendezvous_weight,
 };
@@ -155,6 +156,62 @@
         applied
     }
 
+    /// Decides whether an attempt with this prompt may be sent, by the standing of its parts.
+    ///
+    /// Returns what selects its engine if a part is contained; the ledger must then be told of the
+    /// attempt's end. `attempt` is the number of the attempt within its request, from 1.
+    ///
+    /// # Errors
+    ///
+    /// Returns a "not run" refusal if a part is quarantined, or contained and the attempt is a repeat
+    /// or another one runs.
+    pub fn permit_prompt(
+        &mut self,
+        now: Timestamp,
+        organisation: &str,
+        prompt: &PromptShape,
+        attempt: u32,
+    ) -> Result<Option<(u64, u32)>, RequestRefusal> {
+        let query = PartQuery {
+            organisation,
+            prompt,
+            is_repeat: attempt > 1,
+            may_try: self.membership.is_leader(),
+        };
+        match self.crash_ledger.permit(now, &query) {
+            PartPermit::Unrestricted => Ok(None),
+            PartPermit::Contained { part, rank } => Ok(Some((part, rank))),
+            PartPermit::Refused { part, retry_after } => {
+                let detail = format!("servers ended on part {part:x} of the prompt");
+                let refusal = RequestRefusal::not_run(RefusalReason::Quarantined, detail);
+                Err(refusal.retry_after(retry_after))
+            }
+        }
+    }
+
+    /// Records that a server ended while an attempt with this prompt had brought no event.
+    ///
+    /// The end of a server that was known to leave says nothing of the prompt.
+    pub fn record_server_end(
+        &mut self,
+        now: Timestamp,
+        server: ServerKey,
+        organisation: &str,
+        prompt: &PromptShape,
+    ) {
+        if self.registry.takes_work(server) {
+            let incarnation = self.registry.server(server).incarnation_hash();
+            self.crash_ledger
+                .record_end(now, incarnation, organisation, prompt);
+        }
+    }
+
+    /// Records that an attempt with this prompt brought an event.
+    pub fn record_prompt_event(&mut self, now: Timestamp, server: ServerKey, prompt: &PromptShape) {
+        let incarnation = self.registry.server(server).incarnation_hash();
+        self.crash_ledger.record_event(now, incarnation, prompt);
+    }
+
     /// Advances the time of the newest registration data to that of a peer's data.
     ///
     /// Has no effect before the first full read, because digests contain only recent updates.
--- /dev/null
+++ b/crates/teaselglade-host/tests/host/fleet_model.rs
@@ -0,0 +1,261 @@
+//! Hosts of a fleet on virtual time: real decision states that exchange real digests.
+
+use std::collections::HashMap;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::time::Duration;
+
+use teaselglade_core::time::Timestamp;
+use teaselglade_host::settings::{DutySettings, HostSettings, ListenAddresses, LogSettings};
+use teaselglade_host::state::DecisionState;
+use teaselglade_routing::gossip::{AggregateDigest, CandidateHost, HostDigest, PeerAddress};
+use teaselglade_routing::registry::UpdateScope;
+
+pub const ZONES: [&str; 4] = ["ennis", "galway", "limerick", "sligo"];
+pub const STEP_MS: u64 = 10;
+pub const MESSAGE_MS: u64 = 30;
+const DIGEST_MS: u64 = 200;
+const AGGREGATE_MS: u64 = 400;
+/// Time over which an aggregate is sent.
+const AGGREGATE_SPREAD_MS: u64 = 320;
+
+/// Returns a time of the model, whose clock starts at an hour.
+pub fn at(millis: u64) -> Timestamp {
+    Timestamp::from_millis(3_600_000 + millis)
+}
+
+/// Digest of a host or an aggregator.
+#[derive(Debug, Clone)]
+pub enum ModelDigest {
+    Host(Box<HostDigest>),
+    Aggregate(Box<AggregateDigest>),
+}
+
+/// Digest with the number of its receiver and its time of arrival, in milliseconds.
+#[derive(Debug)]
+pub struct SentDigest {
+    pub to: usize,
+    pub arrives_at: u64,
+    pub digest: ModelDigest,
+}
+
+/// Host of a fleet on virtual time.
+#[derive(Debug)]
+pub struct ModelHost {
+    pub decisions: DecisionState,
+    pub zone: &'static str,
+    number: usize,
+    started_at_us: u64,
+    sequence: u64,
+}
+
+impl ModelHost {
+    pub fn new(number: usize, seed: u64) -> Self {
+        let mut decisions = DecisionState::new(&settings(number), seed + number as u64);
+        decisions.record_store_response(at(0));
+        Self {
+            decisions,
+            zone: ZONES[number % ZONES.len()],
+            number,
+            started_at_us: 1,
+            sequence: 1,
+        }
+    }
+
+    /// Replaces the host by a later incarnation of it that knows nothing.
+    pub fn restart(&mut self, now: u64, seed: u64) {
+        *self = Self {
+            started_at_us: 1 + now,
+            ..Self::new(self.number, seed)
+        };
+    }
+
+    /// Returns the digests that are due now, with their receivers.
+    pub fn due_digests(&mut self, now: u64) -> Vec<SentDigest> {
+        let offset = self.number as u64 * STEP_MS;
+        if !(now + offset).is_multiple_of(DIGEST_MS) {
+            return Vec::new();
+        }
+        let (digest, targets) = self.digest(now);
+        let digests = targets.into_iter().map(|target| SentDigest {
+            to: host_of(target),
+            arrives_at: now + MESSAGE_MS,
+            digest: ModelDigest::Host(Box::new(digest.clone())),
+        });
+        let mut due: Vec<SentDigest> = digests.collect();
+        let is_aggregator = self.decisions.membership.is_aggregator(at(now));
+        if is_aggregator && (now + offset).is_multiple_of(AGGREGATE_MS) {
+            let served = self.decisions.membership.served_peers(at(now));
+            let aggregate = self.aggregate(now);
+            let count = served.len() as u64;
+            due.extend((0..).zip(served).map(|(number, target)| SentDigest {
+                to: host_of(target),
+                arrives_at: now + AGGREGATE_SPREAD_MS * number / count + MESSAGE_MS,
+                digest: ModelDigest::Aggregate(Box::new(aggregate.clone())),
+            }));
+        }
+        due
+    }
+
+    /// Builds the host's digest as the transport does, with its targets.
+    pub fn digest(&mut self, now: u64) -> (HostDigest, Vec<SocketAddr>) {
+        let time = at(now);
+        self.sequence += 1;
+        let decisions = &mut self.decisions;
+        decisions.membership.expire(time);
+        decisions.crash_ledger.prune(time);
+        let scope = decisions.update_scope(time);
+        let number = decisions.membership.is_large().then_some(self.sequence);
+        let last_aggregate_at = decisions.quotas.last_aggregate_at();
+        let requested_aggregator = decisions
+            .membership
+            .choose_aggregator(time, last_aggregate_at);
+        let digest = HostDigest {
+            host: own_address(self.number),
+            started_at_us: self.started_at_us,
+            sequence: self.sequence,
+            table_version: 1,
+            store_reachable: decisions.store_reachable(),
+            is_leader: false,
+            update_age_ms: decisions.shared_update_age(time).as_millis() as u64,
+            updates: decisions.registry.updates(time, scope),
+            spend: HashMap::default(),
+            loads: decisions.engine_placer.own_loads(&decisions.registry),
+            cached_parts: Vec::new(),
+            demand: Vec::new(),
+            usage: Vec::new(),
+            decided_reports: Vec::new(),
+            departures: decisions.registry.departures(time, scope, number),
+            requested_aggregator,
+            peers: Vec::new(),
+            zone: self.zone.to_owned(),
+            part_evidence: decisions.crash_ledger.evidence(time, scope),
+        };
+        (digest, decisions.membership.gossip_targets(time))
+    }
+
+    fn aggregate(&mut self, now: u64) -> AggregateDigest {
+        let time = at(now);
+        let decisions = &mut self.decisions;
+        let own = CandidateHost {
+            host: own_address(self.number),
+            started_at_us: self.started_at_us,
+            last_seen_ms: 0,
+            store_reachable: decisions.store_reachable(),
+            is_leader: false,
+            zone: self.zone.to_owned(),
+        };
+        let number = Some(self.sequence / 2);
+        AggregateDigest {
+            sender: own.host.clone(),
+            candidates: decisions.membership.candidates(time, own),
+            table_version: 1,
+            seen_share: decisions.membership.seen_share(time),
+            update_age_ms: decisions.update_age(time).as_millis() as u64,
+            updates: decisions.registry.updates(time, UpdateScope::All),
+            departures: decisions
+                .registry
+                .departures(time, UpdateScope::All, number),
+            loads: decisions.engine_placer.total_loads(&decisions.registry),
+            cached_parts: Vec::new(),
+            spend: HashMap::default(),
+            part_evidence: decisions.crash_ledger.evidence(time, UpdateScope::All),
+        }
+    }
+
+    /// Applies a digest as the transport does.
+    pub fn receive(&mut self, now: u64, digest: ModelDigest) {
+        let time = at(now);
+        let decisions = &mut self.decisions;
+        match digest {
+            ModelDigest::Host(digest) => {
+                if !decisions.membership.record_digest(time, &digest) {
+                    return;
+                }
+                let age = Duration::from_millis(digest.update_age_ms);
+                decisions.merge_server_updates(time, age, digest.updates, &digest.departures);
+                decisions.crash_ledger.merge(time, &digest.part_evidence);
+                decisions.engine_placer.merge_peer_state(
+                    time,
+                    &decisions.registry,
+                    &digest.host.name,
+                    &digest.loads,
+                    &[],
+                );
+            }
+            ModelDigest::Aggregate(digest) => {
+                for candidate in &digest.candidates {
+                    decisions.membership.record_candidate(time, candidate);
+                }
+                let age = Duration::from_millis(digest.update_age_ms);
+                decisions.merge_server_updates(time, age, digest.updates, &digest.departures);
+                decisions.crash_ledger.merge(time, &digest.part_evidence);
+                if !decisions.membership.is_aggregator(time)
+                    && decisions
+                        .quotas
+                        .apply_aggregate(time, digest.spend, digest.seen_share)
+                {
+                    decisions.engine_placer.apply_aggregate(
+                        time,
+                        &decisions.registry,
+                        &digest.loads,
+                    );
+                }
+            }
+        }
+    }
+}
+
+/// Lets all hosts know each other.
+pub fn introduce(hosts: &mut [ModelHost]) {
+    let digests: Vec<HostDigest> = hosts.iter_mut().map(|host| host.digest(0).0).collect();
+    for host in hosts {
+        for digest in &digests {
+            host.decisions.membership.record_digest(at(0), digest);
+        }
+    }
+}
+
+fn own_address(host: usize) -> PeerAddress {
+    PeerAddress {
+        name: host_name(host),
+        address: peer_address(host),
+    }
+}
+
+fn peer_address(host: usize) -> SocketAddr {
+    SocketAddr::from((Ipv4Addr::from(0x0a00_0000 + host as u32), 7_600))
+}
+
+fn host_of(address: SocketAddr) -> usize {
+    match address {
+        SocketAddr::V4(address) => (u32::from(*address.ip()) - 0x0a00_0000) as usize,
+        SocketAddr::V6(_) => unreachable!("hosts have IPv4 addresses"),
+    }
+}
+
+fn host_name(host: usize) -> String {
+    format!("edge-{}-{host}", ZONES[host % ZONES.len()])
+}
+
+fn settings(host: usize) -> HostSettings {
+    let address = peer_address(host);
+    HostSettings {
+        name: host_name(host),
+        zone: ZONES[host % ZONES.len()].to_owned(),
+        listen: ListenAddresses {
+            callers: address,
+            readiness: address,
+            peers: address,
+        },
+        seeds: Vec::new(),
+        link_bytes_per_second: None,
+        shutdown_grace_period: Duration::from_secs(8),
+        duties: DutySettings {
+            reports_usage: false,
+            orders_servers: false,
+            usage_window: Duration::from_secs(5),
+            lease_term: Duration::from_secs(3),
+        },
+        log: LogSettings::default(),
+    }
+}
--- a/crates/teaselglade-host/tests/host/main.rs
+++ b/crates/teaselglade-host/tests/host/main.rs
@@ -1,6 +1,8 @@
 //! Tests of the components of a serving host that need no sockets.
 
+mod fleet_model;
 mod journal;
 mod lease_timings;
 mod news_spread;
+mod part_crashes;
 mod reports;
--- a/crates/teaselglade-host/tests/host/news_spread.rs
+++ b/crates/teaselglade-host/tests/host/news_spread.rs
@@ -2,25 +2,14 @@
 //!
 //! Hosts are real decision states on virtual time; messages and reads are modelled here.
 
-use std::collections::{BTreeMap, HashMap};
-use std::net::{Ipv4Addr, SocketAddr};
-use std::time::Duration;
+use std::collections::BTreeMap;
 
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg32;
-use teaselglade_core::time::Timestamp;
-use teaselglade_host::settings::{DutySettings, HostSettings, ListenAddresses, LogSettings};
-use teaselglade_host::state::DecisionState;
-use teaselglade_routing::gossip::{AggregateDigest, CandidateHost, HostDigest, PeerAddress};
-use teaselglade_routing::registry::{RegistrationState, ServerRegistration, UpdateScope};
+use teaselglade_routing::registry::{RegistrationState, ServerRegistration};
+
+use super::fleet_model::{ModelDigest, ModelHost, STEP_MS, ZONES, at, introduce};
 
-const ZONES: [&str; 4] = ["ennis", "galway", "limerick", "sligo"];
-const STEP_MS: u64 = 10;
-const DIGEST_MS: u64 = 200;
-const AGGREGATE_MS: u64 = 400;
-/// Time over which an aggregate is sent.
-const AGGREGATE_SPREAD_MS: u64 = 320;
-const MESSAGE_MS: u64 = 30;
 const READ_INTERVAL_MS: u64 = 300;
 const READ_MS: u64 = 50;
 const READ_TIMEOUT_MS: u64 = 700;
@@ -63,21 +52,15 @@
 ];
 
 enum Message {
-    Host(Box<HostDigest>),
-    Aggregate(Box<AggregateDigest>),
+    Digest(ModelDigest),
     /// Registration of the server as of the request, or a failed read.
     Read(Option<ServerRegistration>),
 }
 
-struct FleetHost {
-    decisions: DecisionState,
-    zone: &'static str,
-    sequence: u64,
-    next_read: u64,
-}
-
 struct NewsFleet {
-    hosts: Vec<FleetHost>,
+    hosts: Vec<ModelHost>,
+    /// Time of each host's next read of the store.
+    next_reads: Vec<u64>,
     fault: FleetFault,
     /// Hosts that the fault affects.
     affected: Vec<bool>,
@@ -85,48 +68,6 @@
     mail: BTreeMap<u64, Vec<(usize, usize, Message)>>,
 }
 
-fn at(millis: u64) -> Timestamp {
-    Timestamp::from_millis(3_600_000 + millis)
-}
-
-fn peer_address(host: usize) -> SocketAddr {
-    SocketAddr::from((Ipv4Addr::from(0x0a00_0000 + host as u32), 7_600))
-}
-
-fn host_of(address: SocketAddr) -> usize {
-    match address {
-        SocketAddr::V4(address) => (u32::from(*address.ip()) - 0x0a00_0000) as usize,
-        SocketAddr::V6(_) => unreachable!("hosts have IPv4 addresses"),
-    }
-}
-
-fn host_name(host: usize) -> String {
-    format!("edge-{}-{host}", ZONES[host % ZONES.len()])
-}
-
-fn settings(host: usize) -> HostSettings {
-    let address = peer_address(host);
-    HostSettings {
-        name: host_name(host),
-        zone: ZONES[host % ZONES.len()].to_owned(),
-        listen: ListenAddresses {
-            callers: address,
-            readiness: address,
-            peers: address,
-        },
-        seeds: Vec::new(),
-        link_bytes_per_second: None,
-        shutdown_grace_period: Duration::from_secs(8),
-        duties: DutySettings {
-            reports_usage: false,
-            orders_servers: false,
-            usage_window: Duration::from_secs(5),
-            lease_term: Duration::from_secs(3),
-        },
-        log: LogSettings::default(),
-    }
-}
-
 fn registration(is_draining: bool) -> ServerRegistration {
     ServerRegistration {
         id: SERVER.to_owned(),
@@ -148,32 +89,23 @@
 impl NewsFleet {
     fn new(count: usize, fault: FleetFault, seed: u64) -> Self {
         let mut random = Pcg32::seed_from_u64(seed);
-        let hosts = (0..count).map(|host| {
-            let mut decisions = DecisionState::new(&settings(host), seed + host as u64);
-            decisions
-                .registry
-                .apply_registration(at(0), registration(false));
-            decisions.record_store_response(at(0));
-            FleetHost {
-                decisions,
-                zone: ZONES[host % ZONES.len()],
-                sequence: 1,
-                next_read: random.random_range(0..READ_INTERVAL_MS),
-            }
+        let hosts = (0..count).map(|number| {
+            let mut host = ModelHost::new(number, seed);
+            let registry = &mut host.decisions.registry;
+            registry.apply_registration(at(0), registration(false));
+            host
         });
+        let mut hosts: Vec<ModelHost> = hosts.collect();
+        introduce(&mut hosts);
+        let next_reads = (0..count).map(|_| random.random_range(0..READ_INTERVAL_MS));
         let mut fleet = Self {
-            hosts: hosts.collect(),
+            next_reads: next_reads.collect(),
+            hosts,
             fault,
             affected: vec![false; count],
             departs_at: FAULT_AT_MS + random.random_range(0..3_000) - 500,
             mail: BTreeMap::new(),
         };
-        for sender in 0..count {
-            let digest = fleet.digest(0, sender).0;
-            for host in &mut fleet.hosts {
-                host.decisions.membership.record_digest(at(0), &digest);
-            }
-        }
         fleet.choose_affected(ZONES[seed as usize % ZONES.len()]);
         fleet
     }
@@ -235,115 +167,21 @@
         mail.push((from, to, message));
     }
 
-    /// Builds a host's digest as the transport does, with its targets.
-    fn digest(&mut self, now: u64, host: usize) -> (HostDigest, Vec<SocketAddr>) {
-        let time = at(now);
-        let sender = &mut self.hosts[host];
-        sender.sequence += 1;
-        let decisions = &mut sender.decisions;
-        decisions.membership.expire(time);
-        let scope = decisions.update_scope(time);
-        let number = decisions.membership.is_large().then_some(sender.sequence);
-        let last_aggregate_at = decisions.quotas.last_aggregate_at();
-        let requested_aggregator = decisions
-            .membership
-            .choose_aggregator(time, last_aggregate_at);
-        let digest = HostDigest {
-            host: PeerAddress {
-                name: host_name(host),
-                address: peer_address(host),
-            },
-            started_at_us: 1,
-            sequence: sender.sequence,
-            table_version: 1,
-            store_reachable: decisions.store_reachable(),
-            is_leader: false,
-            update_age_ms: decisions.shared_update_age(time).as_millis() as u64,
-            updates: decisions.registry.updates(time, scope),
-            spend: HashMap::default(),
-            loads: Vec::new(),
-            cached_parts: Vec::new(),
-            demand: Vec::new(),
-            usage: Vec::new(),
-            decided_reports: Vec::new(),
-            departures: decisions.registry.departures(time, scope, number),
-            requested_aggregator,
-            peers: Vec::new(),
-            zone: sender.zone.to_owned(),
-            part_evidence: Vec::new(),
-        };
-        (digest, decisions.membership.gossip_targets(time))
-    }
-
-    fn aggregate(&mut self, now: u64, host: usize) -> AggregateDigest {
-        let time = at(now);
-        let sender = &mut self.hosts[host];
-        let decisions = &mut sender.decisions;
-        let own = CandidateHost {
-            host: PeerAddress {
-                name: host_name(host),
-                address: peer_address(host),
-            },
-            started_at_us: 1,
-            last_seen_ms: 0,
-            store_reachable: decisions.store_reachable(),
-            is_leader: false,
-            zone: sender.zone.to_owned(),
-        };
-        let number = Some(sender.sequence / 2);
-        AggregateDigest {
-            sender: own.host.clone(),
-            candidates: decisions.membership.candidates(time, own),
-            table_version: 1,
-            seen_share: decisions.membership.seen_share(time),
-            update_age_ms: decisions.update_age(time).as_millis() as u64,
-            updates: decisions.registry.updates(time, UpdateScope::All),
-            departures: decisions
-                .registry
-                .departures(time, UpdateScope::All, number),
-            loads: Vec::new(),
-            cached_parts: Vec::new(),
-            spend: HashMap::default(),
-            part_evidence: Vec::new(),
-        }
-    }
-
     /// Sends the digests and aggregates of a host that are due.
     fn send(&mut self, now: u64, host: usize) {
-        let offset = host as u64 * STEP_MS;
-        if !(now + offset).is_multiple_of(DIGEST_MS) {
-            return;
-        }
-        let (digest, targets) = self.digest(now, host);
-        for target in targets {
-            let message = Message::Host(Box::new(digest.clone()));
-            self.post(now + MESSAGE_MS, host, host_of(target), message);
-        }
-        if !(now + offset).is_multiple_of(AGGREGATE_MS) {
-            return;
-        }
-        let decisions = &self.hosts[host].decisions;
-        if !decisions.membership.is_aggregator(at(now)) {
-            return;
-        }
-        let served = decisions.membership.served_peers(at(now));
-        let aggregate = self.aggregate(now, host);
-        let count = served.len() as u64;
-        for (number, target) in (0..).zip(served) {
-            let sent_at = now + AGGREGATE_SPREAD_MS * number / count;
-            let message = Message::Aggregate(Box::new(aggregate.clone()));
-            self.post(sent_at + MESSAGE_MS, host, host_of(target), message);
+        for sent in self.hosts[host].due_digests(now) {
+            let message = Message::Digest(sent.digest);
+            self.post(sent.arrives_at, host, sent.to, message);
         }
     }
 
     /// Starts a read of the store if the host reads it and one is due.
     fn read(&mut self, now: u64, host: usize) {
-        let reader = &self.hosts[host];
-        let decisions = &reader.decisions;
+        let decisions = &self.hosts[host].decisions;
         let is_reader = decisions.membership.is_store_reader(at(now))
             || decisions.lacks_aggregate(at(now))
             || decisions.has_stale_news(at(now));
-        if !is_reader || now < reader.next_read {
+        if !is_reader || now < self.next_reads[host] {
             return;
         }
         let (result, answered_at) = if self.reaches_store(now, host) {
@@ -352,7 +190,7 @@
             (None, now + READ_TIMEOUT_MS)
         };
         // The next read is scheduled when the answer arrives.
-        self.hosts[host].next_read = u64::MAX;
+        self.next_reads[host] = u64::MAX;
         self.post(answered_at, host, host, Message::Read(result));
     }
 
@@ -361,28 +199,11 @@
         let receiver = &mut self.hosts[to];
         let decisions = &mut receiver.decisions;
         match message {
-            Message::Host(digest) => {
-                if decisions.membership.record_digest(time, &digest) {
-                    let age = Duration::from_millis(digest.update_age_ms);
-                    decisions.merge_server_updates(time, age, digest.updates, &digest.departures);
-                }
-            }
-            Message::Aggregate(digest) => {
-                for candidate in &digest.candidates {
-                    decisions.membership.record_candidate(time, candidate);
-                }
-                let age = Duration::from_millis(digest.update_age_ms);
-                decisions.merge_server_updates(time, age, digest.updates, &digest.departures);
-                if !decisions.membership.is_aggregator(time) {
-                    decisions
-                        .quotas
-                        .apply_aggregate(time, digest.spend, digest.seen_share);
-                }
-            }
+            Message::Digest(digest) => receiver.receive(now, digest),
             Message::Read(Some(registration)) => {
                 decisions.registry.apply_registration(time, registration);
                 decisions.record_store_response(time);
-                receiver.next_read = now + READ_INTERVAL_MS;
+                self.next_reads[to] = now + READ_INTERVAL_MS;
             }
             Message::Read(None) => {
                 decisions.record_store_failure(time);
@@ -392,7 +213,7 @@
                 } else {
                     IDLE_RETRY_MS
                 };
-                receiver.next_read = now + delay;
+                self.next_reads[to] = now + delay;
             }
         }
     }
