fix(host): the body of a rejection is read for a second and 64 KiB at most

A server that rejects a request and then sends a body without end kept a task and a connection of the host for good, as the body was read to its end to keep the connection.

--- a/crates/teaselglade-host/src/relay/server_call.rs
+++ b/crates/teaselglade-host/src/relay/server_call.rs
@@ -1,7 +1,9 @@
 //! Sends a request to one server and validates the head of its response.
 
+use std::time::Duration;
+
 use bytes::Bytes;
-use http_body_util::Full;
+use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use hyper::header::{HOST, HeaderMap, HeaderValue};
 use hyper::{Request, Response, StatusCode, Uri};
@@ -14,6 +16,10 @@
 use crate::port::{ForwardedHead, ResponseHead};
 use crate::upstream::{ConnectionPool, LeasedConnection};
 
+/// Maximum size of a rejection's body that is read to keep its connection.
+const MAX_REJECTION_BYTES: usize = 64 * 1024;
+/// Maximum time to read a rejection's body.
+const MAX_REJECTION_TIME: Duration = Duration::from_secs(1);
 /// Assumed number of hosts that share a server's connections while no peer is known.
 const INITIAL_HOST_COUNT: u32 = 8;
 
@@ -218,15 +224,14 @@
     })
 }
 
-/// Reads a response body to its end and returns the connection to the pool.
-fn reuse_after_body(mut body: Incoming, connection: LeasedConnection, headers: HeaderMap) {
-    use http_body_util::BodyExt;
+/// Reads the short body of a rejection to its end and returns the connection to the pool.
+///
+/// A body beyond the limits closes the connection.
+fn reuse_after_body(body: Incoming, connection: LeasedConnection, headers: HeaderMap) {
     tokio::spawn(async move {
-        while let Some(frame) = body.frame().await {
-            if frame.is_err() {
-                return;
-            }
+        let rest = Limited::new(body, MAX_REJECTION_BYTES).collect();
+        if matches!(timeout(MAX_REJECTION_TIME, rest).await, Ok(Ok(_body))) {
+            connection.return_to_pool(&headers);
         }
-        connection.return_to_pool(&headers);
     });
 }
