--- a/crates/teaselglade-host/src/relay/stream_relay.rs
+++ b/crates/teaselglade-host/src/relay/stream_relay.rs
@@ -11,7 +11,7 @@
 use hyper::{HeaderMap, StatusCode};
 use teaselglade_core::verdict::{ExecutionVerdict, RefusalReason, RequestRefusal};
 use teaselglade_routing::attempt::{AttemptOutcome, AttemptTracker, NextStep};
-use teaselglade_routing::event::EventSplitter;
+use teaselglade_routing::event::{EventSplitter, MAX_EVENT_BYTES};
 use teaselglade_routing::table::RetryPolicy;
 use tokio::time::{Instant, sleep};
 
@@ -376,6 +376,10 @@
                     if !events.is_empty() {
                         return StreamStep::Events(events);
                     }
+                    if self.splitter.is_oversized() {
+                        let detail = format!("an event is longer than {MAX_EVENT_BYTES} bytes");
+                        return StreamStep::Failed(FailedCall::new(AttemptOutcome::Broken, detail));
+                    }
                 }
                 Some(Err(error)) => {
                     let detail = format!("the stream broke: {error}");
@@ -386,6 +390,10 @@
                     return StreamStep::Failed(FailedCall::new(AttemptOutcome::Broken, detail));
                 }
                 None => {
+                    let rest = self.splitter.take_rest();
+                    if !rest.is_empty() {
+                        self.pending_events.push_back(rest);
+                    }
                     self.finish();
                     return StreamStep::End;
                 }
--- a/crates/teaselglade-routing/src/event/mod.rs
+++ b/crates/teaselglade-routing/src/event/mod.rs
@@ -2,4 +2,4 @@
 
 mod event_splitter;
 
-pub use event_splitter::{EventSplitter, SseEvent};
+pub use event_splitter::{EventSplitter, MAX_EVENT_BYTES, SseEvent};
