feat(host): quarantined parts are kept in the store for a restart of all hosts

Hosts exchange their evidence, and a host that starts asks peers. The leader writes the quarantined parts under a key of the hosts' topic when they change (no call without a quarantine), and a host that starts reads them with the addresses of the others (no further call). Ages count on by the wall clock.

--- a/crates/teaselglade-host/src/follow/server_follower.rs
+++ b/crates/teaselglade-host/src/follow/server_follower.rs
@@ -128,7 +128,10 @@
         match item {
             FeedItem::Server(registration) => registrations.push(registration),
             FeedItem::Unreadable { key, detail } => skip_unreadable(host, &key, &detail),
-            FeedItem::ServerRemoved(_) | FeedItem::Table(_) | FeedItem::Host(_) => {}
+            FeedItem::ServerRemoved(_)
+            | FeedItem::Table(_)
+            | FeedItem::Host(_)
+            | FeedItem::Quarantine(_) => {}
         }
     }
     let count = registrations.len();
@@ -144,7 +147,7 @@
             FeedItem::Server(registration) => apply_update(host, registration),
             FeedItem::ServerRemoved(id) => apply_removal(host, &id),
             FeedItem::Unreadable { key, detail } => skip_unreadable(host, &key, &detail),
-            FeedItem::Table(_) | FeedItem::Host(_) => {}
+            FeedItem::Table(_) | FeedItem::Host(_) | FeedItem::Quarantine(_) => {}
         }
     }
     host.lock_decisions().registry.remove_expired(host.now());
--- a/crates/teaselglade-host/src/follow/table_follower.rs
+++ b/crates/teaselglade-host/src/follow/table_follower.rs
@@ -111,7 +111,10 @@
                 host.metrics.unreadable_records.inc();
                 warn!(event = "record_passed_over", feed = "table", key, detail);
             }
-            FeedItem::Server(_) | FeedItem::ServerRemoved(_) | FeedItem::Host(_) => {}
+            FeedItem::Server(_)
+            | FeedItem::ServerRemoved(_)
+            | FeedItem::Host(_)
+            | FeedItem::Quarantine(_) => {}
         }
     }
     host.set_table_position(next_offset);
--- a/crates/teaselglade-host/src/host/serving_host.rs
+++ b/crates/teaselglade-host/src/host/serving_host.rs
@@ -6,6 +6,7 @@
 
 use teaselglade_core::time::Timestamp;
 use teaselglade_net::server::ServerHandle;
+use teaselglade_routing::crash::CrashLedger;
 use teaselglade_routing::gossip::name_hash;
 use tokio::sync::mpsc::unbounded_channel;
 use tokio::task::JoinHandle;
@@ -19,6 +20,7 @@
 use crate::journal::dropped_lines;
 use crate::peer::{GossipTransport, pull_from_peers, start_peer_api};
 use crate::port::{Feed, FeedItem};
+use crate::quarantine::{QuarantineRecord, keep_quarantine};
 use crate::settings::HostSettings;
 use crate::state::{HostPorts, HostState};
 
@@ -80,6 +82,7 @@
             tokio::spawn(follow_servers(Arc::clone(&state))),
             tokio::spawn(discover_hosts(Arc::clone(&state))),
             tokio::spawn(watch_store_history(Arc::clone(&state))),
+            tokio::spawn(keep_quarantine(Arc::clone(&state))),
             tokio::spawn(run_cleanup(Arc::clone(&state))),
         ];
         let duties = state.ports.duties.clone();
@@ -141,8 +144,12 @@
             let now = host.now();
             let mut decisions = host.lock_decisions();
             for item in page.items {
-                if let FeedItem::Host(peer) = item {
-                    decisions.membership.add_peer(now, &peer);
+                match item {
+                    FeedItem::Host(peer) => decisions.membership.add_peer(now, &peer),
+                    FeedItem::Quarantine(record) => {
+                        load_quarantine(now, &mut decisions.crash_ledger, &record);
+                    }
+                    _ => {}
                 }
             }
             let peer_count = decisions.membership.peer_count();
@@ -155,6 +162,21 @@
     warn!(event = "hosts_not_found", tries = MAX_DISCOVERY_ATTEMPTS);
 }
 
+/// Merges the quarantined parts that the store keeps; an empty record stands for none.
+fn load_quarantine(now: Timestamp, crash_ledger: &mut CrashLedger, record: &[u8]) {
+    if record.is_empty() {
+        return;
+    }
+    match QuarantineRecord::decode(record) {
+        Ok(record) => {
+            let evidence = record.evidence_at(HostState::wall_time());
+            crash_ledger.merge(now, &evidence);
+            info!(event = "quarantine_read", parts = evidence.len());
+        }
+        Err(error) => warn!(event = "quarantine_unreadable", error = %error),
+    }
+}
+
 /// Announces this host again whenever the store returns from an older copy of its records.
 async fn watch_store_history(host: Arc<HostState>) {
     let mut generations = host.ports.feeds.history_generation();
--- a/crates/teaselglade-host/src/lib.rs
+++ b/crates/teaselglade-host/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod metrics;
 pub mod peer;
 pub mod port;
+pub mod quarantine;
 pub mod relay;
 pub mod settings;
 pub mod state;
--- a/crates/teaselglade-host/src/port/feed_port.rs
+++ b/crates/teaselglade-host/src/port/feed_port.rs
@@ -45,6 +45,8 @@
     ServerRemoved(String),
     /// Address of a serving host.
     Host(PeerAddress),
+    /// Quarantined prompt parts, as a host published them in the feed of hosts.
+    Quarantine(Bytes),
     /// Record of a foreign writer or in an unknown format.
     Unreadable {
         /// Key of the record.
@@ -137,6 +139,9 @@
     /// Publishes the address at which this host receives digests.
     fn announce(&self, host: PeerAddress) -> PortFuture<'_, Result<(), StoreError>>;
 
+    /// Publishes the quarantined prompt parts in the feed of hosts, in place of earlier ones.
+    fn publish_quarantine(&self, record: Bytes) -> PortFuture<'_, Result<(), StoreError>>;
+
     /// Returns a receiver of the generation of the store's history.
     ///
     /// The generation rises by one each time the store returns from an older copy of its records.
