feat(tool): operators list and lift quarantined prompt parts

`teaselglade quarantine list|lift` asks a serving host at the address of its peers; a lifted part is free on all hosts with the next digests.

--- a/crates/teaselglade-host/src/peer/peer_api.rs
+++ b/crates/teaselglade-host/src/peer/peer_api.rs
@@ -8,6 +8,7 @@
 use serde::Serialize;
 use teaselglade_net::server::{HttpServer, ServerHandle};
 use teaselglade_routing::registry::UpdateScope;
+use tracing::info;
 use viz::header::{HeaderValue, RETRY_AFTER};
 use viz::{IntoResponse, Request, RequestExt, Response, Router, StatusCode};
 
@@ -20,6 +21,9 @@
 /// Path prefix of the table endpoint; the table version that the peer has follows.
 pub(super) const TABLE_PATH: &str = "/tables/";
 
+/// Path at which operators list the quarantined parts; with a part's id, of the one to lift.
+pub const QUARANTINE_PATH: &str = "/quarantine";
+
 /// Starts the HTTP API for peers.
 ///
 /// # Errors
@@ -30,6 +34,7 @@
     let router = Router::new();
     let router = add_endpoint(router, STATE_PATH, host, state_response);
     let router = add_endpoint(router, TABLE_PATH, host, table_response);
+    let router = add_quarantine_endpoints(router, host);
     Ok(server.start(router))
 }
 
@@ -50,6 +55,48 @@
     })
 }
 
+/// Adds the endpoints by which operators list and lift quarantines.
+fn add_quarantine_endpoints(router: Router, host: &Arc<HostState>) -> Router {
+    let (listed_host, lifting_host) = (Arc::clone(host), Arc::clone(host));
+    router
+        .get(QUARANTINE_PATH, move |_request: Request| {
+            let response = list_quarantine(&listed_host);
+            async move { Ok::<Response, viz::Error>(response) }
+        })
+        .delete(
+            format!("{QUARANTINE_PATH}/:part"),
+            move |request: Request| {
+                let host = Arc::clone(&lifting_host);
+                async move {
+                    let part: String = request.param("part")?;
+                    Ok::<Response, viz::Error>(lift_quarantine(&host, &part).into_response())
+                }
+            },
+        )
+}
+
+fn list_quarantine(host: &HostState) -> Response {
+    let now = host.now();
+    let reports = host.lock_decisions().crash_ledger.reports(now);
+    // The reports hold only numbers and names, so no error is expected.
+    let body = serde_json::to_vec(&reports).unwrap_or_default();
+    Bytes::from(body).into_response()
+}
+
+fn lift_quarantine(host: &HostState, part: &str) -> StatusCode {
+    let Ok(id) = u64::from_str_radix(part, 16) else {
+        return StatusCode::BAD_REQUEST;
+    };
+    let now = host.now();
+    let is_lifted = host.lock_decisions().crash_ledger.lift(now, id);
+    info!(event = "part_lifted", part, is_lifted);
+    if is_lifted {
+        StatusCode::NO_CONTENT
+    } else {
+        StatusCode::NOT_FOUND
+    }
+}
+
 fn state_response(host: &HostState, peer_version: u64) -> Response {
     encode(&build_state(host, peer_version))
 }
--- a/crates/teaselglade-host/src/state/host_state.rs
+++ b/crates/teaselglade-host/src/state/host_state.rs
@@ -9,7 +9,7 @@
 use teaselglade_core::port::ClockPort;
 use teaselglade_core::time::Timestamp;
 use teaselglade_net::clock::SystemClock;
-use teaselglade_routing::crash::{CrashLedger, PartStanding};
+use teaselglade_routing::crash::{CrashLedger, PartChange, PartStanding};
 use teaselglade_routing::gossip::PeerAddress;
 use teaselglade_routing::registry::ServerAdvice;
 use tokio_util::sync::CancellationToken;
@@ -199,20 +199,20 @@
     /// Drops old evidence on prompt parts, and logs and counts what changed.
     pub fn report_part_changes(&self, now: Timestamp, crash_ledger: &mut CrashLedger) {
         crash_ledger.prune(now);
-        for change in crash_ledger.take_changes() {
+        for PartChange { before, report } in crash_ledger.take_changes() {
             info!(
                 event = "part_standing",
-                part = format!("{:x}", change.part),
-                before = standing_name(change.before),
-                after = standing_name(change.after),
-                ends = change.ends,
-                first_end_age_ms = change.first_end_age.as_millis() as u64,
-                trials = change.trials,
+                part = report.part,
+                before = before.name(),
+                after = report.standing.name(),
+                ends = report.ends,
+                first_end_age_ms = report.first_end_age_ms,
+                trials = report.trials,
             );
         }
         for standing in [PartStanding::Contained, PartStanding::Quarantined] {
             let count = crash_ledger.count_with(standing);
-            let gauge = self.metrics.crashes.suspect_parts(standing_name(standing));
+            let gauge = self.metrics.crashes.suspect_parts(standing.name());
             gauge.set(i64::try_from(count).unwrap_or(i64::MAX));
         }
     }
@@ -319,12 +319,3 @@
         }
     }
 }
-
-/// Returns the name of a part's standing in log lines and metrics.
-const fn standing_name(standing: PartStanding) -> &'static str {
-    match standing {
-        PartStanding::Clear => "clear",
-        PartStanding::Contained => "contained",
-        PartStanding::Quarantined => "quarantined",
-    }
-}
--- a/crates/teaselglade-routing/src/crash/crash_ledger.rs
+++ b/crates/teaselglade-routing/src/crash/crash_ledger.rs
@@ -6,7 +6,7 @@
 use teaselglade_core::time::Timestamp;
 
 use super::part_record::PartRecord;
-use super::{PartChange, PartEvidence, PartPermit, PartQuery, PartStanding};
+use super::{PartChange, PartEvidence, PartPermit, PartQuery, PartReport, PartStanding};
 use crate::engine::PromptShape;
 use crate::gossip::name_hash;
 use crate::registry::UpdateScope;
@@ -184,6 +184,37 @@
         records.map(|record| record.evidence(now)).collect()
     }
 
+    /// Returns the parts that are contained or quarantined, the gravest first.
+    #[must_use]
+    pub fn reports(&self, now: Timestamp) -> Vec<PartReport> {
+        let records = self.parts.values();
+        let suspects = records.filter(|record| record.standing > PartStanding::Clear);
+        let mut reports: Vec<PartReport> = suspects.map(|record| record.report(now)).collect();
+        reports.sort_unstable_by(|a, b| {
+            let by_standing = b.standing.cmp(&a.standing);
+            by_standing.then_with(|| a.part.cmp(&b.part))
+        });
+        reports
+    }
+
+    /// Refutes all evidence against a part on an operator's order; returns whether there was any.
+    ///
+    /// The other hosts hear of it like of any refutation.
+    pub fn lift(&mut self, now: Timestamp, part: u64) -> bool {
+        let Some(lifted) = self.parts.get(&part).filter(|record| record.is_open()) else {
+            return false;
+        };
+        // Parts that came along must not be blamed for the same ends now.
+        let ends: Vec<u64> = lifted.open_incarnations().collect();
+        for record in self.parts.values_mut() {
+            for end in &ends {
+                record.refute_end(now, *end, Duration::ZERO);
+            }
+        }
+        self.update_standings(now);
+        true
+    }
+
     /// Returns the evidence against the quarantined parts, by part.
     #[must_use]
     pub fn quarantined(&self, now: Timestamp) -> Vec<PartEvidence> {
@@ -249,7 +280,8 @@
         };
         let before = std::mem::replace(&mut record.standing, PartStanding::Clear);
         if before != PartStanding::Clear {
-            self.changes.push(record.change(now, before));
+            let report = record.report(now);
+            self.changes.push(PartChange { before, report });
         }
     }
 
@@ -287,7 +319,8 @@
             };
             let before = std::mem::replace(&mut record.standing, after);
             if before != after {
-                self.changes.push(record.change(now, before));
+                let report = record.report(now);
+                self.changes.push(PartChange { before, report });
             }
         }
     }
--- a/crates/teaselglade-routing/src/crash/part_record.rs
+++ b/crates/teaselglade-routing/src/crash/part_record.rs
@@ -5,7 +5,7 @@
 
 use teaselglade_core::time::Timestamp;
 
-use super::{EndEvidence, PartEvidence};
+use super::{EndEvidence, PartEvidence, PartReport, PartStanding};
 
 /// Time within which servers that end count as one, as they may have a common cause.
 const COMMON_CAUSE_WINDOW: Duration = Duration::from_millis(50);
@@ -34,34 +34,6 @@
 /// Maximum number of trials; each may end a server.
 const MAX_TRIALS: u32 = 3;
 
-/// Standing of a part, from the servers that ended on it.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-pub enum PartStanding {
-    /// Nothing or too little speaks against it.
-    Clear,
-    /// Its requests run alone and once, all on the same server.
-    Contained,
-    /// Its requests are refused.
-    Quarantined,
-}
-
-/// Change of a part's standing, for the log.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct PartChange {
-    /// Id of the part.
-    pub part: u64,
-    /// Standing before the change.
-    pub before: PartStanding,
-    /// Standing after the change.
-    pub after: PartStanding,
-    /// Number of servers that ended on it, as far as not refuted.
-    pub ends: usize,
-    /// Time since the first of them.
-    pub first_end_age: Duration,
-    /// Number of trials so far.
-    pub trials: u32,
-}
-
 #[derive(Debug, Clone, PartialEq, Eq)]
 struct EndRecord {
     ended_at: Timestamp,
@@ -352,14 +324,15 @@
         }
     }
 
-    pub(super) fn change(&self, now: Timestamp, before: PartStanding) -> PartChange {
+    pub(super) fn report(&self, now: Timestamp) -> PartReport {
         let first_end = self.open_ends().map(|(_, end)| end.ended_at).min();
-        PartChange {
-            part: self.part,
-            before,
-            after: self.standing,
+        let first_end_age = first_end.map_or(Duration::ZERO, |end| now.since(end));
+        PartReport {
+            part: format!("{:x}", self.part),
+            standing: self.standing,
             ends: self.open_ends().count(),
-            first_end_age: first_end.map_or(Duration::ZERO, |end| now.since(end)),
+            first_end_age_ms: first_end_age.as_millis() as u64,
+            request_age_ms: now.since(self.requested_at).as_millis() as u64,
             trials: self.trials,
         }
     }
--- a/crates/teaselglade-routing/tests/routing/crashes.rs
+++ b/crates/teaselglade-routing/tests/routing/crashes.rs
@@ -335,3 +335,16 @@
     let ends = passed_on.iter().flat_map(|evidence| &evidence.ends);
     assert!(ends.into_iter().any(|end| end.incarnation == 100));
 }
+
+#[test]
+fn a_lifted_part_leaves_no_blame_on_the_parts_that_came_along() {
+    let mut ledger = ledger_of(&[&[FIRST, BAD], &[FIRST, BAD], &[FIRST, BAD]]);
+    assert!(!ledger.lift(at(2_900), 77));
+    assert!(ledger.lift(at(3_000), BAD));
+    for part in [FIRST, BAD] {
+        assert_eq!(
+            permit_of(&mut ledger, 3_100, &[part]),
+            PartPermit::Unrestricted
+        );
+    }
+}
--- a/crates/teaselglade/src/command/mod.rs
+++ b/crates/teaselglade/src/command/mod.rs
@@ -5,6 +5,7 @@
 mod demo_command;
 mod explain_command;
 mod fleet_command;
+mod quarantine_command;
 mod shell_command;
 mod table_command;
 
@@ -31,6 +32,7 @@
             fleet_command::run(&options, format).await
         }
         ToolCommand::Audit(audit) => audit_command::run(audit, format).await,
+        ToolCommand::Quarantine(command) => quarantine_command::run(&command, format).await,
         ToolCommand::Explain(explain) => explain_command::run(&explain, format),
         ToolCommand::Demo(demo) => demo_command::run(demo, format).await,
         ToolCommand::Bench(bench) => bench_command::run(&bench, format),
--- a/crates/teaselglade/src/command_line/mod.rs
+++ b/crates/teaselglade/src/command_line/mod.rs
@@ -5,6 +5,7 @@
 mod demo_options;
 mod explain_options;
 mod platform_options;
+mod quarantine_options;
 mod table_options;
 mod tool_options;
 
@@ -13,6 +14,7 @@
 pub use demo_options::DemoOptions;
 pub use explain_options::ExplainOptions;
 pub use platform_options::{HostListOptions, LogOptions};
+pub use quarantine_options::{QuarantineCommand, QuarantineHost};
 pub use table_options::{
     TableCheckOptions, TableCommand, TableHistoryOptions, TablePublishOptions, TableShowOptions,
 };
--- a/crates/teaselglade/src/command_line/tool_options.rs
+++ b/crates/teaselglade/src/command_line/tool_options.rs
@@ -4,7 +4,8 @@
 use clap_complete::Shell;
 
 use super::{
-    AuditOptions, BenchOptions, DemoOptions, ExplainOptions, HostListOptions, TableCommand,
+    AuditOptions, BenchOptions, DemoOptions, ExplainOptions, HostListOptions, QuarantineCommand,
+    TableCommand,
 };
 
 /// Operators' tool of teaselglade.
@@ -34,6 +35,9 @@
     Fleet(FleetCommand),
     /// Show who changed what.
     Audit(AuditOptions),
+    /// List and lift quarantined prompt parts of a serving host.
+    #[command(subcommand)]
+    Quarantine(QuarantineCommand),
     /// Tell from log lines of hosts what happened to one request.
     Explain(ExplainOptions),
     /// Run a whole fleet in this process, with a zone reclaimed midway.
--- a/crates/teaselglade/tests/tool/tool_help.rs
+++ b/crates/teaselglade/tests/tool/tool_help.rs
@@ -32,3 +32,14 @@
     );
     assert!(ToolRun::tool(&["man"]).stdout.contains(".TH teaselglade"));
 }
+
+#[test]
+fn a_serving_host_that_does_not_answer_is_named() {
+    let run = ToolRun::tool(&["quarantine", "list", "--host", "127.0.0.1:1"]);
+    assert_eq!(run.code, Some(1));
+    assert!(
+        run.stderr.contains("no answer of host `127.0.0.1:1`"),
+        "{}",
+        run.stderr
+    );
+}
