fix(routing): ordinary ends in a large fleet quarantine no sound part

On virtual time, 195 hosts with a wave of ordinary ends each 2.5 s and no bad part, one host quarantined a first part that a quarter of all prompts have, for about a second. Two causes: ages of evidence in aggregates were off by up to 320 ms, the time over which an aggregate is sent, so that one wave looked like three; and an event refuted only what its host knew by then. Aggregators now send evidence in a message of its own with the ages of that moment; a host remembers for 5 s when each part last brought an event and refutes earlier ends of which it hears later.

--- a/crates/teaselglade-host/src/peer/gossip_transport.rs
+++ b/crates/teaselglade-host/src/peer/gossip_transport.rs
@@ -139,6 +139,16 @@
         };
         self.round.next_send_at += self.round.send_interval;
         self.send_to(&self.round.bytes, target).await;
+        let now = self.host.now();
+        let evidence = self
+            .host
+            .lock_decisions()
+            .crash_ledger
+            .evidence(now, UpdateScope::All);
+        if !evidence.is_empty() {
+            let bytes = encode(&PeerMessage::Parts(evidence));
+            self.send_to(&bytes, target).await;
+        }
     }
 
     async fn send_to(&self, bytes: &[u8], target: SocketAddr) {
@@ -252,7 +262,6 @@
                 .engine_placer
                 .take_unsent_parts(now, &decisions.registry),
             spend: decisions.quotas.fleet_spend(now),
-            part_evidence: decisions.crash_ledger.evidence(now, UpdateScope::All),
         }
     }
 
@@ -276,6 +285,11 @@
         match message {
             PeerMessage::Host(digest) => self.apply_host_digest(*digest),
             PeerMessage::Aggregate(digest) => self.apply_aggregate_digest(*digest),
+            PeerMessage::Parts(evidence) => {
+                let now = self.host.now();
+                let mut decisions = self.host.lock_decisions();
+                decisions.crash_ledger.merge(now, &evidence);
+            }
         }
     }
 
@@ -289,7 +303,6 @@
         }
         let age = Duration::from_millis(digest.update_age_ms);
         decisions.merge_server_updates(now, age, digest.updates, &digest.departures);
-        decisions.crash_ledger.merge(now, &digest.part_evidence);
         // An aggregator receives the digests of all hosts itself.
         if !decisions.membership.is_aggregator(now) {
             let (spend, cached_parts) = (digest.spend, &digest.cached_parts);
--- a/crates/teaselglade-routing/src/crash/crash_ledger.rs
+++ b/crates/teaselglade-routing/src/crash/crash_ledger.rs
@@ -5,6 +5,7 @@
 
 use teaselglade_core::time::Timestamp;
 
+use super::explained_ends::ExplainedEnds;
 use super::part_record::PartRecord;
 use super::{PartChange, PartEvidence, PartPermit, PartQuery, PartReport, PartStanding};
 use crate::engine::PromptShape;
@@ -19,6 +20,8 @@
 ///
 /// It spans several digests, as digests get lost.
 const CHANGE_GOSSIP_TTL: Duration = Duration::from_secs(3);
+/// Time for which a part's last event is remembered; news of ends take less.
+const EVENT_MEMORY: Duration = Duration::from_secs(5);
 /// Time after the news of a server's end from which a response of it refutes the news.
 ///
 /// Responses sent before the end may arrive until then.
@@ -57,6 +60,8 @@
 #[derive(Debug, Clone, Default)]
 pub struct CrashLedger {
     parts: HashMap<u64, PartRecord>,
+    /// Time of the last event of each part that brought one lately.
+    event_times: HashMap<u64, Timestamp>,
     changes: Vec<PartChange>,
 }
 
@@ -82,11 +87,9 @@
 
     /// Records that an attempt with this prompt brought an event on a server.
     pub fn record_event(&mut self, now: Timestamp, incarnation: u64, prompt: &PromptShape) {
-        if self.parts.is_empty() {
-            return;
-        }
         let mut is_changed = false;
         for part in prompt.shared_ids() {
+            self.event_times.insert(part, now);
             if let Some(record) = self.parts.get_mut(&part) {
                 is_changed |= record.refute_all(now);
             }
@@ -157,7 +160,12 @@
             if !self.parts.contains_key(&received.part) && PartRecord::is_expiring(received) {
                 continue;
             }
-            is_changed |= self.record(now, received.part).merge(now, received);
+            let last_event = self.event_times.get(&received.part).copied();
+            let record = self.record(now, received.part);
+            is_changed |= record.merge(now, received);
+            if let Some(last_event) = last_event {
+                is_changed |= record.refute_until(now, last_event);
+            }
         }
         if is_changed {
             self.update_standings(now);
@@ -228,6 +236,8 @@
 
     /// Drops evidence that is too old, and the least weighty beyond the limit.
     pub fn prune(&mut self, now: Timestamp) {
+        self.event_times
+            .retain(|_, event_at| now.since(*event_at) < EVENT_MEMORY);
         let expired = self.parts.iter_mut().filter_map(|(part, record)| {
             let is_expired = record.prune(now) && record.running == 0;
             is_expired.then_some(*part)
@@ -290,7 +300,7 @@
     /// Quarantined parts explain the servers that ended on them. Of the others the most suspicious one
     /// is quarantined first, so that parts that only come along with it stay free.
     fn update_standings(&mut self, now: Timestamp) {
-        let (mut explained, mut quarantined) = (HashSet::new(), HashSet::new());
+        let (mut explained, mut quarantined) = (ExplainedEnds::default(), HashSet::new());
         for (part, record) in &self.parts {
             if record.keeps_quarantine(now) {
                 explained.extend(record.open_incarnations());
--- a/crates/teaselglade-routing/src/crash/mod.rs
+++ b/crates/teaselglade-routing/src/crash/mod.rs
@@ -1,6 +1,7 @@
 //! Prompt parts that end the servers which begin to write on them.
 
 mod crash_ledger;
+mod explained_ends;
 mod part_evidence;
 mod part_permit;
 mod part_record;
--- a/crates/teaselglade-routing/src/crash/part_record.rs
+++ b/crates/teaselglade-routing/src/crash/part_record.rs
@@ -1,14 +1,13 @@
 //! What a host knows of one prompt part.
 
-use std::collections::{BTreeMap, BTreeSet, HashSet};
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use teaselglade_core::time::Timestamp;
 
+use super::explained_ends::ExplainedEnds;
 use super::{EndEvidence, PartEvidence, PartReport, PartStanding};
 
-/// Time within which servers that end count as one, as they may have a common cause.
-const COMMON_CAUSE_WINDOW: Duration = Duration::from_millis(50);
 /// Number of ended servers from which a part is contained.
 const CONTAINED_ENDS: usize = 2;
 /// Number of ended servers from which a part is quarantined.
@@ -106,8 +105,14 @@
 
     /// Records that the part brought an event; all ends known by now are refuted.
     pub(super) fn refute_all(&mut self, now: Timestamp) -> bool {
-        let open = self.ends.values_mut().filter(|end| !end.is_refuted);
-        let count = open.map(|end| end.is_refuted = true).count();
+        self.refute_until(now, now)
+    }
+
+    /// Records that the part brought an event at `event_at`, which refutes the ends before it.
+    pub(super) fn refute_until(&mut self, now: Timestamp, event_at: Timestamp) -> bool {
+        let ends = self.ends.values_mut();
+        let earlier = ends.filter(|end| !end.is_refuted && end.ended_at <= event_at);
+        let count = earlier.map(|end| end.is_refuted = true).count();
         if count > 0 {
             self.mark_found(now);
         }
@@ -224,23 +229,10 @@
         organisations.len() >= ALL_ORGANISATIONS || organisations.contains(&organisation)
     }
 
-    /// Returns the incarnations that count, as far as `explained` does not contain them.
-    pub(super) fn counted_ends(&self, explained: &HashSet<u64>) -> usize {
-        let mut times: Vec<Timestamp> = self
-            .open_ends()
-            .filter(|(incarnation, _)| !explained.contains(incarnation))
-            .map(|(_, end)| end.ended_at)
-            .collect();
-        times.sort_unstable();
-        let mut last_counted: Option<Timestamp> = None;
-        let counted = times.into_iter().filter(|time| {
-            let is_apart = last_counted.is_none_or(|last| time.since(last) >= COMMON_CAUSE_WINDOW);
-            if is_apart {
-                last_counted = Some(*time);
-            }
-            is_apart
-        });
-        counted.count()
+    /// Returns how many ended servers count that `explained` does not explain.
+    pub(super) fn counted_ends(&self, explained: &ExplainedEnds) -> usize {
+        let ends = self.open_ends();
+        explained.count_others(ends.map(|(incarnation, end)| (*incarnation, end.ended_at)))
     }
 
     /// Returns the incarnations that ended on the part and were not refuted.
@@ -249,8 +241,8 @@
     }
 
     /// Returns whether enough servers ended to quarantine the part, given those that others explain.
-    pub(super) fn needs_quarantine(&self, explained: &HashSet<u64>) -> bool {
-        self.counted_ends(&HashSet::new()) >= QUARANTINED_ENDS
+    pub(super) fn needs_quarantine(&self, explained: &ExplainedEnds) -> bool {
+        self.counted_ends(&ExplainedEnds::default()) >= QUARANTINED_ENDS
             && self.counted_ends(explained) >= CONTAINED_ENDS
     }
 
@@ -258,12 +250,12 @@
     ///
     /// Of parts that come together the one furthest back is the likeliest: parts before it occur in
     /// more requests.
-    pub(super) fn suspicion(&self, explained: &HashSet<u64>) -> (usize, u8, u64) {
+    pub(super) fn suspicion(&self, explained: &ExplainedEnds) -> (usize, u8, u64) {
         (self.counted_ends(explained), self.depth, self.part)
     }
 
     /// Returns the standing of a part that is not quarantined.
-    pub(super) fn milder_standing(&self, explained: &HashSet<u64>) -> PartStanding {
+    pub(super) fn milder_standing(&self, explained: &ExplainedEnds) -> PartStanding {
         if self.counted_ends(explained) >= CONTAINED_ENDS {
             PartStanding::Contained
         } else {
@@ -274,7 +266,7 @@
     /// Returns whether the quarantine of the part is still supported.
     pub(super) fn keeps_quarantine(&self, now: Timestamp) -> bool {
         self.standing == PartStanding::Quarantined
-            && self.counted_ends(&HashSet::new()) >= QUARANTINED_ENDS
+            && self.counted_ends(&ExplainedEnds::default()) >= QUARANTINED_ENDS
             && now < self.lapses_at()
     }
 
--- a/crates/teaselglade-routing/src/gossip/aggregate_digest.rs
+++ b/crates/teaselglade-routing/src/gossip/aggregate_digest.rs
@@ -65,9 +65,6 @@
     pub cached_parts: Vec<CachedPart>,
     /// Remaining quota and spending rate of the whole fleet, by organisation.
     pub spend: HashMap<String, FleetSpend>,
-    /// Evidence on prompt parts that end servers; left out while there is none.
-    #[serde(rename = "crashes", default, skip_serializing_if = "Vec::is_empty")]
-    pub part_evidence: Vec<PartEvidence>,
 }
 
 /// A message between hosts.
@@ -78,4 +75,9 @@
     /// Sum of many hosts' digests, sent by an aggregator.
     #[serde(rename = "Fleet")]
     Aggregate(Box<AggregateDigest>),
+    /// Evidence on prompt parts that end servers, sent by an aggregator beside its digest.
+    ///
+    /// An aggregate is sent over some hundred milliseconds; ages in it would be off by as much, and
+    /// servers that ended together would look as if they had ended one after another.
+    Parts(Vec<PartEvidence>),
 }
