--- a/crates/teaselglade-host/tests/host/part_crashes.rs
+++ b/crates/teaselglade-host/tests/host/part_crashes.rs
@@ -577,6 +577,7 @@
             decisions.record_server_end(at(now), reservation.server, ORGANISATION, prompt);
             let incarnation = decisions.registry.server(reservation.server).hash;
             if let Some(part) = request.bad_part
+                && !self.is_news_lost(request.host)
                 && self.ended_under.insert((part, incarnation))
             {
                 self.recorded_ends.push(now);
@@ -585,6 +586,15 @@
         self.release(now, number);
     }
 
+    /// Returns whether what a host saw may not reach the others, as it is cut off or restarted.
+    fn is_news_lost(&self, host: usize) -> bool {
+        match self.fault {
+            CrashFault::ZoneCut => self.hosts[host].zone == self.fault_zone,
+            CrashFault::Restarts => true,
+            _ => false,
+        }
+    }
+
     fn watch_standings(&mut self, now: u64) {
         if !now.is_multiple_of(WATCH_INTERVAL_MS) {
             return;
