feat(tool): explain shows the attempt that ended a stream's engine, and rests

A stream that was cut by the end of its engine showed no cause: the attempt that ended it is another request's, on another host. Its `lost_attempt` line, changes of parts' standing and a server's rest are now joined in.

--- a/crates/teaselglade/src/operation/request_timeline.rs
+++ b/crates/teaselglade/src/operation/request_timeline.rs
@@ -10,7 +10,9 @@
 const SECONDS_AFTER: f64 = 2.0;
 const SECONDS_PER_DAY: f64 = 86_400.0;
 /// Events of a host that may explain how it handled a request.
-const HOST_EVENTS: [&str; 6] = [
+const HOST_EVENTS: [&str; 8] = [
+    "part_standing",
+    "part_lifted",
     "dependency_lost",
     "dependency_regained",
     "table_in_force",
@@ -72,8 +74,20 @@
         parts.fold(0.0, |sum, part| sum * 60.0 + part.parse().unwrap_or(0.0))
     }
 
+    /// Returns the server whose state the line tells, if it does.
+    ///
+    /// A lost attempt of another request tells that the server ended.
+    fn server(&self) -> Option<&str> {
+        match self.event() {
+            "server" | "server_rests" => Some(self.text("id")),
+            "lost_attempt" => Some(self.text("server")),
+            _ => None,
+        }
+    }
+
     fn belongs_to(&self, id: &str) -> bool {
-        let has_id = self.text("id") == id && self.event() != "server";
+        let is_of_server = matches!(self.event(), "server" | "server_rests");
+        let has_id = self.text("id") == id && !is_of_server;
         has_id || self.text("ids").split(' ').any(|summed_up| summed_up == id)
     }
 }
@@ -110,7 +124,7 @@
             (first..=last).contains(&second) || (first..=last).contains(&next_day)
         };
         let is_included = |line: &&HostLogLine| {
-            let of_server = line.event() == "server" && servers.contains(line.text("id"));
+            let of_server = line.server().is_some_and(|server| servers.contains(server));
             let of_host = hosts.contains(&line.source) && HOST_EVENTS.contains(&line.event());
             line.belongs_to(id) || ((of_server || of_host) && is_near(line))
         };
--- a/crates/teaselglade/tests/tool/explain.rs
+++ b/crates/teaselglade/tests/tool/explain.rs
@@ -46,3 +46,10 @@
     assert_eq!(run.code, Some(1));
     assert!(run.stderr.contains("no line names ffff"), "{}", run.stderr);
 }
+
+#[test]
+fn a_stream_cut_by_the_end_of_its_engine_is_shown_with_the_attempt_that_ended_it() {
+    let timeline = explain("51aa0000000000aa").stdout;
+    assert!(!timeline.contains("i-78"), "another server is no cause");
+    insta::assert_snapshot!(timeline);
+}
