fix(host): requests on connections accepted right before a planned stop are answered

Callers whose connection the kernel had accepted, or whose request lay unread on an accepted one, got no answer when a host closed its listener: closing resets the queue, and the HTTP library closes a connection from which it has read nothing as soon as it shuts down. The queue is now served, and open connections have half a second for a last request (none if no connection is open).

--- a/crates/teaselglade-host/src/ingress/caller_listener.rs
+++ b/crates/teaselglade-host/src/ingress/caller_listener.rs
@@ -12,7 +12,7 @@
 use teaselglade_net::server::bind_listener;
 use teaselglade_routing::table::IngressLimits;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::time::{sleep, timeout};
+use tokio::time::{Instant, sleep, timeout};
 use tokio_util::sync::CancellationToken;
 use tracing::{info, warn};
 
@@ -25,6 +25,10 @@
 ///
 /// Callers reuse connections until the timeout; the margin covers the network delay.
 const IDLE_TIMEOUT_MARGIN: Duration = Duration::from_secs(2);
+/// Time after the listener has closed in which open connections may send a last request.
+const LAST_REQUEST_GRACE: Duration = Duration::from_millis(500);
+/// Interval between checks whether any connection is open in that time.
+const DRAIN_POLL: Duration = Duration::from_millis(20);
 /// Smallest read buffer that the HTTP library accepts.
 const MIN_BUFFER_BYTES: usize = 8 * 1024;
 
@@ -52,7 +56,7 @@
         loop {
             tokio::select! {
                 accepted = self.listener.accept() => match accepted {
-                    Ok((stream, _caller)) => self.serve_connection(stream, &graceful),
+                    Ok((stream, _caller)) => serve_connection(&self.host, stream, &graceful),
                     Err(error) => {
                         warn!(event = "accept_failed", error = %error);
                         sleep(ACCEPT_RETRY_DELAY).await;
@@ -61,9 +65,13 @@
                 () = shutdown.cancelled() => break,
             }
         }
-        drop(self.listener);
+        self.serve_queued(&graceful);
         let open_connections = graceful.count();
-        let is_drained = timeout(drain_timeout, graceful.shutdown()).await.is_ok();
+        let drained = async {
+            wait_for_last_requests(&graceful).await;
+            graceful.shutdown().await;
+        };
+        let is_drained = timeout(drain_timeout, drained).await.is_ok();
         info!(
             event = "callers_drained",
             connections = open_connections,
@@ -71,27 +79,67 @@
         );
     }
 
-    /// Serves the requests of one connection in a task of its own.
-    fn serve_connection(&self, stream: TcpStream, graceful: &GracefulShutdown) {
-        // Otherwise small events wait for acknowledgements. On an error the connection still works.
-        let _nodelay_result = stream.set_nodelay(true);
-        let host = Arc::clone(&self.host);
-        let limits = host.table().map_or_else(IngressLimits::default, |active| {
-            active.table.spec().limits.clone()
-        });
-        let service = service_fn(move |request| {
-            let host = Arc::clone(&host);
-            async move { Ok::<_, Infallible>(serve_call(host, request).await) }
-        });
-        let connection = Builder::new()
-            .timer(TokioTimer::new())
-            .header_read_timeout(limits.idle_timeout.max(limits.head_timeout) + IDLE_TIMEOUT_MARGIN)
-            .max_buf_size(limits.head_bytes.max(MIN_BUFFER_BYTES))
-            .serve_connection(TokioIo::new(stream), service);
-        let connection = graceful.watch(connection);
-        tokio::spawn(async move {
-            // A broken connection affects only that caller's own requests.
-            let _connection_result = connection.await;
-        });
+    /// Closes the listener after serving the connections that wait in its queue.
+    ///
+    /// Closing it would reset them, although their callers have sent requests.
+    fn serve_queued(self, graceful: &GracefulShutdown) {
+        let listener = match self.listener.into_std() {
+            Ok(listener) => listener,
+            Err(error) => {
+                warn!(event = "queued_connections_lost", error = %error);
+                return;
+            }
+        };
+        loop {
+            let accepted = listener.accept();
+            match accepted.and_then(|(stream, _caller)| to_stream(stream)) {
+                Ok(stream) => serve_connection(&self.host, stream, graceful),
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => return,
+                Err(error) => {
+                    warn!(event = "queued_connections_lost", error = %error);
+                    return;
+                }
+            }
+        }
     }
 }
+
+/// Waits for requests that are on their way on open connections.
+///
+/// The HTTP library closes a connection from which it has read nothing yet, and an idle one, as soon as it
+/// shuts down. A request that is served by then closes its connection.
+async fn wait_for_last_requests(graceful: &GracefulShutdown) {
+    let deadline = Instant::now() + LAST_REQUEST_GRACE;
+    while graceful.count() > 0 && Instant::now() < deadline {
+        sleep(DRAIN_POLL).await;
+    }
+}
+
+fn to_stream(stream: std::net::TcpStream) -> io::Result<TcpStream> {
+    stream.set_nonblocking(true)?;
+    TcpStream::from_std(stream)
+}
+
+/// Serves the requests of one connection in a task of its own.
+fn serve_connection(host: &Arc<HostState>, stream: TcpStream, graceful: &GracefulShutdown) {
+    // Otherwise small events wait for acknowledgements. On an error the connection still works.
+    let _nodelay_result = stream.set_nodelay(true);
+    let host = Arc::clone(host);
+    let limits = host.table().map_or_else(IngressLimits::default, |active| {
+        active.table.spec().limits.clone()
+    });
+    let service = service_fn(move |request| {
+        let host = Arc::clone(&host);
+        async move { Ok::<_, Infallible>(serve_call(host, request).await) }
+    });
+    let connection = Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(limits.idle_timeout.max(limits.head_timeout) + IDLE_TIMEOUT_MARGIN)
+        .max_buf_size(limits.head_bytes.max(MIN_BUFFER_BYTES))
+        .serve_connection(TokioIo::new(stream), service);
+    let connection = graceful.watch(connection);
+    tokio::spawn(async move {
+        // A broken connection affects only that caller's own requests.
+        let _connection_result = connection.await;
+    });
+}
