fix(net): requests on queued connections are answered when any of our servers stops

The same fault as in the host's listener: callers of the entry daemon, and peers, got no answer on connections that were queued or unread when it stopped.

--- a/crates/teaselglade-host/src/ingress/caller_listener.rs
+++ b/crates/teaselglade-host/src/ingress/caller_listener.rs
@@ -9,10 +9,10 @@
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use hyper_util::server::graceful::GracefulShutdown;
-use teaselglade_net::server::bind_listener;
+use teaselglade_net::server::{bind_listener, close_listener, shut_down_connections};
 use teaselglade_routing::table::IngressLimits;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::time::{Instant, sleep, timeout};
+use tokio::time::{sleep, timeout};
 use tokio_util::sync::CancellationToken;
 use tracing::{info, warn};
 
@@ -25,10 +25,6 @@
 ///
 /// Callers reuse connections until the timeout; the margin covers the network delay.
 const IDLE_TIMEOUT_MARGIN: Duration = Duration::from_secs(2);
-/// Time after the listener has closed in which open connections may send a last request.
-const LAST_REQUEST_GRACE: Duration = Duration::from_millis(500);
-/// Interval between checks whether any connection is open in that time.
-const DRAIN_POLL: Duration = Duration::from_millis(20);
 /// Smallest read buffer that the HTTP library accepts.
 const MIN_BUFFER_BYTES: usize = 8 * 1024;
 
@@ -65,12 +61,16 @@
                 () = shutdown.cancelled() => break,
             }
         }
-        self.serve_queued(&graceful);
+        match close_listener(self.listener) {
+            Ok(queued) => {
+                for (stream, _caller) in queued {
+                    serve_connection(&self.host, stream, &graceful);
+                }
+            }
+            Err(error) => warn!(event = "queued_connections_lost", error = %error),
+        }
         let open_connections = graceful.count();
-        let drained = async {
-            wait_for_last_requests(&graceful).await;
-            graceful.shutdown().await;
-        };
+        let drained = shut_down_connections(graceful);
         let is_drained = timeout(drain_timeout, drained).await.is_ok();
         info!(
             event = "callers_drained",
@@ -78,46 +78,6 @@
             is_drained
         );
     }
-
-    /// Closes the listener after serving the connections that wait in its queue.
-    ///
-    /// Closing it would reset them, although their callers have sent requests.
-    fn serve_queued(self, graceful: &GracefulShutdown) {
-        let listener = match self.listener.into_std() {
-            Ok(listener) => listener,
-            Err(error) => {
-                warn!(event = "queued_connections_lost", error = %error);
-                return;
-            }
-        };
-        loop {
-            let accepted = listener.accept();
-            match accepted.and_then(|(stream, _caller)| to_stream(stream)) {
-                Ok(stream) => serve_connection(&self.host, stream, graceful),
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => return,
-                Err(error) => {
-                    warn!(event = "queued_connections_lost", error = %error);
-                    return;
-                }
-            }
-        }
-    }
-}
-
-/// Waits for requests that are on their way on open connections.
-///
-/// The HTTP library closes a connection from which it has read nothing yet, and an idle one, as soon as it
-/// shuts down. A request that is served by then closes its connection.
-async fn wait_for_last_requests(graceful: &GracefulShutdown) {
-    let deadline = Instant::now() + LAST_REQUEST_GRACE;
-    while graceful.count() > 0 && Instant::now() < deadline {
-        sleep(DRAIN_POLL).await;
-    }
-}
-
-fn to_stream(stream: std::net::TcpStream) -> io::Result<TcpStream> {
-    stream.set_nonblocking(true)?;
-    TcpStream::from_std(stream)
 }
 
 /// Serves the requests of one connection in a task of its own.
--- a/crates/teaselglade-host/tests/host/part_crashes.rs
+++ b/crates/teaselglade-host/tests/host/part_crashes.rs
@@ -574,9 +574,12 @@
             .record_failure(at(now), reservation.server);
         if has_ended && !request.has_event {
             let prompt = &request.prompt;
+            // The end of a server that was known to leave is no evidence.
+            let is_evidence = decisions.registry.takes_work(reservation.server);
             decisions.record_server_end(at(now), reservation.server, ORGANISATION, prompt);
             let incarnation = decisions.registry.server(reservation.server).hash;
             if let Some(part) = request.bad_part
+                && is_evidence
                 && !self.is_news_lost(request.host)
                 && self.ended_under.insert((part, incarnation))
             {
--- a/crates/teaselglade-net/src/server/http_server.rs
+++ b/crates/teaselglade-net/src/server/http_server.rs
@@ -14,6 +14,8 @@
 use tokio_util::sync::{CancellationToken, DropGuard};
 use viz::{Request, Responder, Router, Tree};
 
+use super::drain::{close_listener, shut_down_connections};
+
 /// Maximum number of connections that wait to be accepted.
 ///
 /// In a larger burst, each connection beyond the backlog is delayed by a second.
@@ -120,8 +122,15 @@
             () = stopped.cancelled() => break,
         }
     }
-    drop(listener);
-    graceful.shutdown().await;
+    match close_listener(listener) {
+        Ok(queued) => {
+            for (stream, caller) in queued {
+                serve_connection(stream, caller, &tree, &graceful, &mut connections);
+            }
+        }
+        Err(error) => log::warn!("connections in the queue are lost: {error}"),
+    }
+    shut_down_connections(graceful).await;
 }
 
 fn serve_connection(
