fix(routing): a quarantine that binds an organisation counts beside one that does not

Of several suspect parts of a prompt only the one with the highest id was considered, so that a part quarantined for another organisation hid one that binds the caller. The test failed before.

--- a/crates/teaselglade-routing/src/crash/crash_ledger.rs
+++ b/crates/teaselglade-routing/src/crash/crash_ledger.rs
@@ -111,16 +111,16 @@
             return PartPermit::Unrestricted;
         }
         let organisation = name_hash(query.organisation);
-        let ids = query.prompt.shared_ids();
-        let worst = ids
-            .filter_map(|part| Some((self.parts.get(&part)?.standing, part)))
-            .max();
-        let Some((standing, part)) = worst.filter(|(standing, _)| *standing > PartStanding::Clear)
-        else {
+        let records = query.prompt.shared_ids().filter_map(|part| {
+            let record = self.parts.get(&part)?;
+            let is_bound =
+                record.standing == PartStanding::Quarantined && record.binds(organisation);
+            (record.standing > PartStanding::Clear).then_some((is_bound, part))
+        });
+        let Some((is_bound, part)) = records.max() else {
             return PartPermit::Unrestricted;
         };
         let record = self.record(now, part);
-        let is_bound = standing == PartStanding::Quarantined && record.binds(organisation);
         let trial_at = record.next_trial();
         let is_trial = is_bound
             && query.may_try
--- a/crates/teaselglade-routing/tests/routing/crashes.rs
+++ b/crates/teaselglade-routing/tests/routing/crashes.rs
@@ -371,3 +371,15 @@
     host.merge(at(2_600), &ended.evidence(at(2_500), UpdateScope::All));
     assert_eq!(host.count_with(PartStanding::Quarantined), 1);
 }
+
+/// The part with the higher id is quarantined for another organisation only.
+#[test]
+fn a_quarantine_that_binds_counts_beside_one_that_does_not() {
+    let mut ledger = ledger_of(&[&[BAD], &[BAD], &[BAD]]);
+    for number in 0..3 {
+        let prompt = prompt(&[77]);
+        ledger.record_end(at(4_000 + 1_000 * number), 200 + number, "other", &prompt);
+    }
+    assert!(is_refused(&mut ledger, 7_000, "kati", &[77, BAD]));
+    assert!(!is_refused(&mut ledger, 7_000, "kati", &[77]));
+}
