fix(host): no request is taken later than three seconds after the signal to stop

It is a quarter of a second now (2.85 s), and the sum is checked when the host is built; with half a second it does not build.

--- a/crates/teaselglade-host/src/host/serving_host.rs
+++ b/crates/teaselglade-host/src/host/serving_host.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use teaselglade_core::time::Timestamp;
-use teaselglade_net::server::ServerHandle;
+use teaselglade_net::server::{LAST_REQUEST_GRACE, ServerHandle};
 use teaselglade_routing::crash::CrashLedger;
 use teaselglade_routing::gossip::name_hash;
 use tokio::sync::mpsc::unbounded_channel;
@@ -28,6 +28,14 @@
 ///
 /// The platform probes readiness once a second and removes a host after two failed probes.
 const DRAIN_DELAY: Duration = Duration::from_millis(2_600);
+/// Time after the shutdown signal by which the last request must have come.
+///
+/// A stream that comes later may not end before the platform kills the process.
+const LAST_REQUEST_TIME: Duration = Duration::from_secs(3);
+const _: () = assert!(
+    DRAIN_DELAY.as_millis() + LAST_REQUEST_GRACE.as_millis() < LAST_REQUEST_TIME.as_millis(),
+    "requests are taken too long after the shutdown signal"
+);
 /// Time before the platform kills the process at which open requests are aborted.
 const KILL_MARGIN: Duration = Duration::from_millis(500);
 /// Interval between cleanup rounds, and between attempts to discover other hosts.
--- a/crates/teaselglade-net/src/server/drain.rs
+++ b/crates/teaselglade-net/src/server/drain.rs
@@ -9,7 +9,7 @@
 use tokio::time::{Instant, sleep};
 
 /// Time after the listener has closed in which open connections may send a last request.
-const LAST_REQUEST_GRACE: Duration = Duration::from_millis(500);
+pub const LAST_REQUEST_GRACE: Duration = Duration::from_millis(250);
 /// Interval between checks whether any connection is open in that time.
 const DRAIN_POLL: Duration = Duration::from_millis(20);
 
@@ -38,7 +38,7 @@
 /// Shuts down open connections after their last requests.
 ///
 /// The HTTP library closes a connection from which it has read nothing yet, and an idle one, as soon as it
-/// shuts down. So this first waits half a second, or until no connection is open, for requests that are on
+/// shuts down. So this first waits [`LAST_REQUEST_GRACE`], or until no connection is open, for requests that are on
 /// their way.
 pub async fn shut_down_connections(graceful: GracefulShutdown) {
     let deadline = Instant::now() + LAST_REQUEST_GRACE;
