fix(daemons): a hang-up signal no longer ends the entry and control daemons

Callers saw every stream of an entry host cut at once, and its keyed calls without an answer: the daemons had no handler for SIGHUP, whose default action ends the process. Terminals and service managers send it, also beside SIGTERM while a stop is in progress.

Ruled out: a second SIGTERM or SIGINT during a stop, which the runtime's handlers already absorb.

The daemons read their settings at the start only, so the handler writes a log line and goes on.

--- a/crates/teaselglade/src/program/daemon_program.rs
+++ b/crates/teaselglade/src/program/daemon_program.rs
@@ -51,7 +51,7 @@
     fn stop(self) -> impl Future<Output = ()> + Send;
 }
 
-/// Runs a daemon until SIGTERM or SIGINT stops it gracefully.
+/// Runs a daemon until SIGTERM or SIGINT stops it gracefully. SIGHUP only writes a log line.
 ///
 /// The program prints the daemon's addresses as one JSON line once it listens. If the settings are
 /// invalid, it lists every fault on standard error and returns exit code 2.
@@ -84,13 +84,18 @@
     start_logging(format, level);
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
+    // Without a handler, the signal would end the process and every request in hand.
+    let mut hang_up = signal(SignalKind::hangup())?;
     let daemon = D::start(settings)
         .await
         .wrap_err("the daemon did not start")?;
     println!("{}", serde_json::to_string(daemon.addresses())?);
-    tokio::select! {
-        _ = terminate.recv() => {}
-        _ = interrupt.recv() => {}
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => break,
+            _ = interrupt.recv() => break,
+            _ = hang_up.recv() => log::info!("settings are not read again, {} goes on", D::NAME),
+        }
     }
     daemon.stop().await;
     Ok(())
--- a/crates/teaselglade/tests/control/faults.rs
+++ b/crates/teaselglade/tests/control/faults.rs
@@ -109,3 +109,17 @@
         1
     );
 }
+
+#[tokio::test]
+async fn a_hang_up_signal_does_not_end_a_daemon() {
+    let centre = DataCentre::start(1).await;
+    let mut daemon = centre.start_control("galway-e1");
+    daemon.wait_for_lease().await;
+    daemon.signal("HUP");
+    daemon.signal("TERM");
+    daemon.signal("HUP");
+    assert!(daemon.wait().await.success());
+    let lines = centre.read_audit_trail().await;
+    let last = lines.last().map(|line| line.entry.action);
+    assert_eq!(last, Some(AuditAction::LeaseLost));
+}
--- a/crates/teaselglade/tests/processes/main.rs
+++ b/crates/teaselglade/tests/processes/main.rs
@@ -9,4 +9,5 @@
 mod interface_page;
 mod keyed_calls;
 mod limits;
+mod planned_stops;
 mod stream_load;
