fix(control): a caller that never ends its request no longer keeps a stopped daemon alive

A control daemon that got SIGTERM waited without a bound for the last responses of its operator routes. A caller that had sent half a request kept the process until the platform killed it, after the lease was released and with the port still bound.

Ruled out: the lease and the audit trail, which have their own bound.

`ServerHandle::stop_within` aborts after a limit what is still open and says so; the control daemon gives its operator routes 2 s and logs the case.

--- a/crates/teaselglade-control/src/daemon/control_daemon.rs
+++ b/crates/teaselglade-control/src/daemon/control_daemon.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -22,6 +23,8 @@
 use crate::work::{ControlPorts, ControlWork, SharedTerm, TableFollower, WorkEvent, follow_table};
 
 const MAX_QUEUED_EVENTS: usize = 1_024;
+/// Longest wait at a stop for the last responses of the operator routes, each of a few milliseconds.
+const SERVER_STOP_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// Addresses that a control daemon listens on.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
@@ -93,7 +96,11 @@
         // An error means that the task panicked; there is nothing left to stop.
         let _joined = self.work.await;
         self.follower.abort();
-        self.server.stop().await;
+        if !self.server.stop_within(SERVER_STOP_TIMEOUT).await {
+            log::warn!(
+                "a caller's connection was still open {SERVER_STOP_TIMEOUT:?} after the stop"
+            );
+        }
         log::info!("control daemon stopped");
     }
 
--- a/crates/teaselglade-net/src/server/http_server.rs
+++ b/crates/teaselglade-net/src/server/http_server.rs
@@ -10,7 +10,7 @@
 use hyper_util::server::graceful::GracefulShutdown;
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::task::{JoinHandle, JoinSet};
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 use tokio_util::sync::{CancellationToken, DropGuard};
 use viz::{Request, Responder, Router, Tree};
 
@@ -90,6 +90,22 @@
         let _ended = self.task.await;
     }
 
+    /// Stops as [`stop`](Self::stop) does, but aborts what is still open after `limit`.
+    ///
+    /// Returns whether every open response ended in time. A caller that never ends its request would
+    /// otherwise keep the server forever.
+    pub async fn stop_within(self, limit: Duration) -> bool {
+        drop(self.stop);
+        let mut task = self.task;
+        let is_ended = timeout(limit, &mut task).await.is_ok();
+        if !is_ended {
+            task.abort();
+            // The task ends with the error that it was aborted.
+            let _aborted = task.await;
+        }
+        is_ended
+    }
+
     /// Aborts the server and its open connections at once, as a crash would.
     pub fn abort(self) {
         self.task.abort();
--- a/crates/teaselglade/tests/control/data_centre.rs
+++ b/crates/teaselglade/tests/control/data_centre.rs
@@ -36,6 +36,11 @@
 }
 
 impl ControlProcess {
+    /// Returns the address of the operator routes.
+    pub const fn address(&self) -> SocketAddr {
+        self.address
+    }
+
     /// Sends a signal by name, such as `STOP`, to this process only.
     pub fn signal(&self, name: &str) {
         let pid = self.child.id().to_string();
--- a/crates/teaselglade/tests/control/faults.rs
+++ b/crates/teaselglade/tests/control/faults.rs
@@ -4,6 +4,8 @@
 
 use teaselglade_standins::fault::FaultSettings;
 use teaselglade_wire::AuditAction;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
 use tokio::time::sleep;
 
 use crate::data_centre::DataCentre;
@@ -110,6 +112,21 @@
     );
 }
 
+#[tokio::test]
+async fn a_caller_that_never_ends_its_request_does_not_keep_a_stopped_daemon_alive() {
+    let centre = DataCentre::start(1).await;
+    let mut daemon = centre.start_control("galway-e1");
+    daemon.wait_for_lease().await;
+    let mut connection = TcpStream::connect(daemon.address())
+        .await
+        .expect("a connection");
+    let half = b"GET /metrics HTTP/1.1\r\nhost: control\r\n";
+    connection.write_all(half).await.expect("sent");
+    daemon.signal("TERM");
+    assert!(daemon.wait().await.success());
+    drop(connection);
+}
+
 #[tokio::test]
 async fn a_hang_up_signal_does_not_end_a_daemon() {
     let centre = DataCentre::start(1).await;
