fix(entry): a request whose body ends after the signal to stop is no longer cut

A host that stops tells its streams once when it will be gone, so that they hand their records over 3 s before. A request whose head had arrived before the signal and whose body, or place in the admission queue, came after it started a stream that was told nothing: it ran on and was cut when the drain time ended. Its caller asked a peer for the rest and was refused with `may_have_run` (the only host that held the answer was gone).

A stream that starts after the announcement learns when the host stops. Besides, readiness is checked again once the body is there, for model requests and calls to plain servers, so that the caller gets "not run" at once.

--- a/crates/teaselglade-entry/src/caller_api/generate_route.rs
+++ b/crates/teaselglade-entry/src/caller_api/generate_route.rs
@@ -10,7 +10,7 @@
 use viz::{Request, Response};
 
 use super::refusal_response::refusal_response;
-use super::request_context::{MAX_BODY_BYTES, RequestContext, body_refusal};
+use super::request_context::{MAX_BODY_BYTES, RequestContext, body_refusal, check_ready};
 use super::stream_response::{complete_response, event_response};
 use crate::host::EntryHost;
 use crate::placement::{PlacementRequest, admit};
@@ -47,6 +47,7 @@
     let context = RequestContext::read(host, &request, ServiceKind::Model)?;
     let body = read_body(request, MAX_BODY_BYTES).await;
     let body = body.map_err(|error| body_refusal(&error))?;
+    check_ready(host)?;
     let body = from_json::<GenerateBody>(&body)
         .map_err(|error| RequestRefusal::not_run(RefusalReason::BadRequest, error.to_string()))?;
     if body.max_tokens == 0 {
--- a/crates/teaselglade-entry/src/caller_api/plain_route.rs
+++ b/crates/teaselglade-entry/src/caller_api/plain_route.rs
@@ -12,7 +12,7 @@
 use viz::{Body, Request, RequestExt, Response};
 
 use super::refusal_response::{refusal_response, set_request_header};
-use super::request_context::{MAX_BODY_BYTES, RequestContext, body_refusal};
+use super::request_context::{MAX_BODY_BYTES, RequestContext, body_refusal, check_ready};
 use crate::host::EntryHost;
 use crate::placement::admit_plain;
 use crate::plain::{PlainRequest, run_plain_call};
@@ -48,7 +48,7 @@
         Ok(context) => context,
         Err(refusal) => return refusal_response(&refuse_unclaimed(refusal, is_retry), Some(id)),
     };
-    let call = match read_call(AttemptId::first(id), request).await {
+    let call = match read_call(&host, AttemptId::first(id), request).await {
         Ok(call) => call,
         Err(refusal) => return refusal_response(&refuse_unclaimed(refusal, is_retry), Some(id)),
     };
@@ -119,7 +119,11 @@
     refusal
 }
 
-async fn read_call(attempt: AttemptId, request: Request) -> Result<PlainCall, RequestRefusal> {
+async fn read_call(
+    host: &EntryHost,
+    attempt: AttemptId,
+    request: Request,
+) -> Result<PlainCall, RequestRefusal> {
     let path = request.param::<String>("path").unwrap_or_default();
     let query = request
         .uri()
@@ -135,6 +139,7 @@
     let headers = headers.collect();
     let body = read_body(request, MAX_BODY_BYTES).await;
     let body = body.map_err(|error| body_refusal(&error))?;
+    check_ready(host)?;
     Ok(PlainCall {
         attempt,
         method,
--- a/crates/teaselglade-entry/src/caller_api/request_context.rs
+++ b/crates/teaselglade-entry/src/caller_api/request_context.rs
@@ -18,6 +18,8 @@
 
 const DEFAULT_TIMEOUT: Duration = Duration::from_mins(2);
 const MAX_TIMEOUT: Duration = Duration::from_mins(10);
+/// Retry delay of a request that this host does not accept; another host may accept it at once.
+const NOT_READY_RETRY_DELAY: Duration = Duration::from_millis(200);
 
 /// Maximum size of a request's body, in bytes.
 pub(crate) const MAX_BODY_BYTES: usize = 1024 * 1024;
@@ -44,12 +46,7 @@
         request: &Request,
         kind: ServiceKind,
     ) -> Result<Self, RequestRefusal> {
-        if !host.is_ready() {
-            return Err(
-                RequestRefusal::not_run(RefusalReason::NotReady, &host.settings.host)
-                    .retry_after(Duration::from_millis(200)),
-            );
-        }
+        check_ready(host)?;
         let table = host.table();
         let service = request.param::<String>("service").unwrap_or_default();
         let row = table.rows.service(&service).filter(|row| row.kind == kind);
@@ -72,6 +69,21 @@
     }
 }
 
+/// Checks that this host accepts requests.
+///
+/// This is checked again once the body has arrived: the host may have begun to stop in the meantime.
+///
+/// # Errors
+///
+/// Returns a refusal with the verdict "not run".
+pub(crate) fn check_ready(host: &EntryHost) -> Result<(), RequestRefusal> {
+    if host.is_ready() {
+        return Ok(());
+    }
+    let refusal = RequestRefusal::not_run(RefusalReason::NotReady, &host.settings.host);
+    Err(refusal.retry_after(NOT_READY_RETRY_DELAY))
+}
+
 fn read_timeout(request: &Request) -> Result<Duration, RequestRefusal> {
     let Some(text) = request.header::<_, String>(TIMEOUT_HEADER) else {
         return Ok(DEFAULT_TIMEOUT);
--- a/crates/teaselglade-entry/src/stream/stream_registry.rs
+++ b/crates/teaselglade-entry/src/stream/stream_registry.rs
@@ -24,23 +24,41 @@
 /// Holds the streams of this host, which callers can resume.
 #[derive(Debug, Default)]
 pub(crate) struct StreamRegistry {
-    streams: Mutex<HashMap<RequestId, RegisteredStream>>,
+    state: Mutex<RegistryState>,
+}
+
+#[derive(Debug, Default)]
+struct RegistryState {
+    streams: HashMap<RequestId, RegisteredStream>,
+    /// When this host stops, as announced last.
+    shutdown_at: Option<Timestamp>,
 }
 
 impl StreamRegistry {
     /// Adds a stream, replacing an earlier copy.
+    ///
+    /// Announces a shutdown to a stream that starts after it was announced to the others.
     pub(crate) fn insert(&self, stream: RegisteredStream) {
-        self.lock().insert(stream.buffer.request, stream);
+        let mut state = self.lock();
+        if let Some(deadline) = state.shutdown_at {
+            send_event(
+                &stream,
+                StreamEvent::HostStopping {
+                    deadline: Some(deadline),
+                },
+            );
+        }
+        state.streams.insert(stream.buffer.request, stream);
     }
 
     /// Returns the stream of a request.
     pub(crate) fn find(&self, request: RequestId) -> Option<RegisteredStream> {
-        self.lock().get(&request).cloned()
+        self.lock().streams.get(&request).cloned()
     }
 
     /// Removes a stream, unless a later copy has replaced it.
     pub(crate) fn remove(&self, buffer: &Arc<StreamBuffer>) {
-        let mut streams = self.lock();
+        let streams = &mut self.lock().streams;
         let registered = streams.get(&buffer.request);
         if registered.is_some_and(|stream| Arc::ptr_eq(&stream.buffer, buffer)) {
             streams.remove(&buffer.request);
@@ -60,23 +78,31 @@
 
     /// Announces to every stream that a server is leaving.
     pub(crate) fn announce_server_departure(&self, server: ServerKey, deadline: Timestamp) {
-        self.announce(&StreamEvent::ServerLeaving { server, deadline });
+        for stream in self.lock().streams.values() {
+            send_event(stream, StreamEvent::ServerLeaving { server, deadline });
+        }
     }
 
     /// Announces to every stream that this host stops.
     pub(crate) fn announce_shutdown(&self, deadline: Timestamp) {
-        let deadline = Some(deadline);
-        self.announce(&StreamEvent::HostStopping { deadline });
-    }
-
-    fn announce(&self, event: &StreamEvent) {
-        for stream in self.lock().values() {
-            // A finished stream no longer receives events.
-            let _finished = stream.commands.send(StreamCommand::Event(event.clone()));
+        let mut state = self.lock();
+        state.shutdown_at = Some(deadline);
+        for stream in state.streams.values() {
+            send_event(
+                stream,
+                StreamEvent::HostStopping {
+                    deadline: Some(deadline),
+                },
+            );
         }
     }
 
-    fn lock(&self) -> MutexGuard<'_, HashMap<RequestId, RegisteredStream>> {
-        self.streams.lock().unwrap_or_else(PoisonError::into_inner)
+    fn lock(&self) -> MutexGuard<'_, RegistryState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
+
+fn send_event(stream: &RegisteredStream, event: StreamEvent) {
+    // A finished stream no longer receives events.
+    let _finished = stream.commands.send(StreamCommand::Event(event));
+}
