fix(host): refuse requests that would be cut by the end of a late stop

Callers saw streams that a stopping host had accepted closed before their end. The host counted its times, 2.6 s until the listener closes and 7.5 s until open answers are cut, from the moment at which it handled SIGTERM. The platform counts the 8 s until SIGKILL from the moment at which it sent the signal. A process that was frozen or whose only thread was busy for 1 s in between accepted requests until 3.85 s after the signal, and would have cut their answers at 8.5 s, half a second after it was killed.

Evidence: a real process, frozen for 3.5 s with SIGTERM pending, then sent a stream with a limit of 8 s. With this change the test passes (4 of 4 runs).

The age of the signal: the program checks every 100 ms that none has come. A signal that is received is at most as old as the last check, as the runtime's timers fire after signals that came before them were delivered. Ruled out: a time stamp in the signal handler needs unsafe code, and a thread of its own would be throttled with the process.

The decision is `ShutdownPlan`, without I/O: - answers end 7.5 s after the earliest time at which the signal may have been sent; - the listener closes 2.6 s after the notice, as readiness probes fail from then on; - a request is accepted if its limit ends before that, or if at least 4.5 s are left; otherwise it gets a 503 "not run" at once, with `Retry-After` of 50 ms and `Connection: close`.

A refusal costs a caller one round trip and 50 ms, as other hosts are ready; an answer that is cut costs it the whole attempt. A stop that is noticed at once behaves as before, except that short requests are accepted and long ones refused later than 3 s, on connections that are still open.

--- a/crates/teaselglade-host/src/host/serving_host.rs
+++ b/crates/teaselglade-host/src/host/serving_host.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use teaselglade_core::time::Timestamp;
-use teaselglade_net::server::{LAST_REQUEST_GRACE, ServerHandle};
+use teaselglade_net::server::ServerHandle;
 use teaselglade_routing::crash::CrashLedger;
 use teaselglade_routing::gossip::name_hash;
 use tokio::sync::mpsc::unbounded_channel;
@@ -24,20 +24,8 @@
 use crate::settings::HostSettings;
 use crate::state::{HostPorts, HostState};
 
-/// Time after the shutdown signal in which new connections are still accepted.
-///
-/// The platform probes readiness once a second and removes a host after two failed probes.
-const DRAIN_DELAY: Duration = Duration::from_millis(2_600);
-/// Time after the shutdown signal by which the last request must have come.
-///
-/// A stream that comes later may not end before the platform kills the process.
-const LAST_REQUEST_TIME: Duration = Duration::from_secs(3);
-const _: () = assert!(
-    DRAIN_DELAY.as_millis() + LAST_REQUEST_GRACE.as_millis() < LAST_REQUEST_TIME.as_millis(),
-    "requests are taken too long after the shutdown signal"
-);
-/// Time before the platform kills the process at which open requests are aborted.
-const KILL_MARGIN: Duration = Duration::from_millis(500);
+/// Time in which the leader duties hand over their lease.
+const DUTY_END_TIMEOUT: Duration = Duration::from_millis(250);
 /// Interval between cleanup rounds, and between attempts to discover other hosts.
 const CLEANUP_INTERVAL: Duration = Duration::from_millis(500);
 /// Maximum number of attempts to discover other hosts through the store.
@@ -78,11 +66,7 @@
         let (sender, newer_tables) = unbounded_channel();
         let gossip = GossipTransport::bind(Arc::clone(&state), sender).await?;
         let draining = CancellationToken::new();
-        let drain_timeout = state
-            .settings
-            .shutdown_grace_period
-            .saturating_sub(DRAIN_DELAY + KILL_MARGIN);
-        let callers = tokio::spawn(listener.serve(draining.clone(), drain_timeout));
+        let callers = tokio::spawn(listener.serve(draining.clone()));
         let tasks = vec![
             tokio::spawn(gossip.run()),
             tokio::spawn(pull_from_peers(Arc::clone(&state), newer_tables)),
@@ -125,12 +109,12 @@
     /// Shuts down gracefully: drains connections, ends open requests, releases the lease.
     pub async fn stop(self) {
         info!(event = "stopping");
-        self.state.stopping.cancel();
-        sleep(DRAIN_DELAY).await;
+        let plan = self.state.begin_shutdown(self.state.now());
+        sleep(plan.accepting_ends_at().since(self.state.now())).await;
         self.draining.cancel();
         let is_ended = self.callers.await.is_ok();
         if let Some(duties) = self.duties {
-            let is_released = timeout(KILL_MARGIN / 2, duties).await.is_ok();
+            let is_released = timeout(DUTY_END_TIMEOUT, duties).await.is_ok();
             info!(event = "duties_ended", is_released);
         }
         self.admin_listeners.abort();
--- a/crates/teaselglade-host/src/ingress/caller_listener.rs
+++ b/crates/teaselglade-host/src/ingress/caller_listener.rs
@@ -46,8 +46,10 @@
         Ok(Self { listener, host })
     }
 
-    /// Serves until `shutdown` is cancelled, then waits up to `drain_timeout` for open requests.
-    pub async fn serve(self, shutdown: CancellationToken, drain_timeout: Duration) {
+    /// Serves until `shutdown` is cancelled, then waits for open requests.
+    ///
+    /// It waits until the time that the host's shutdown plan sets.
+    pub async fn serve(self, shutdown: CancellationToken) {
         let graceful = GracefulShutdown::new();
         loop {
             tokio::select! {
@@ -70,6 +72,9 @@
             Err(error) => warn!(event = "queued_connections_lost", error = %error),
         }
         let open_connections = graceful.count();
+        let now = self.host.now();
+        let plan = self.host.begin_shutdown(now);
+        let drain_timeout = plan.answers_end_at().since(now);
         let drained = shut_down_connections(graceful);
         let is_drained = timeout(drain_timeout, drained).await.is_ok();
         info!(
--- a/crates/teaselglade-host/src/relay/call_handler.rs
+++ b/crates/teaselglade-host/src/relay/call_handler.rs
@@ -152,6 +152,14 @@
         Caller::Anonymous => None,
     };
     let now = host.now();
+    let caller_timeout = head
+        .caller_timeout
+        .unwrap_or(route.timeout)
+        .min(route.timeout);
+    let deadline = arrived_at + caller_timeout;
+    if let Some(plan) = host.shutdown_plan() {
+        plan.admit(now, deadline)?;
+    }
     let tokens = head
         .prompt
         .as_ref()
@@ -167,10 +175,6 @@
     }
     decisions.record_first_attempt(&service.name);
     drop(decisions);
-    let caller_timeout = head
-        .caller_timeout
-        .unwrap_or(route.timeout)
-        .min(route.timeout);
     let request_target = parts.uri.path_and_query().cloned();
     Ok(CallContext {
         id: head.attempt,
@@ -185,7 +189,7 @@
         headers: end_to_end_headers(&parts.headers, messages.as_ref()),
         body,
         arrived_at,
-        deadline: arrived_at + caller_timeout,
+        deadline,
         host: Arc::clone(host),
     })
 }
--- a/crates/teaselglade-host/src/state/host_state.rs
+++ b/crates/teaselglade-host/src/state/host_state.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashMap;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError, RwLock};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use teaselglade_core::id::ServerKey;
@@ -12,6 +12,7 @@
 use teaselglade_routing::crash::{CrashLedger, PartChange, PartStanding};
 use teaselglade_routing::gossip::PeerAddress;
 use teaselglade_routing::registry::ServerAdvice;
+use teaselglade_routing::shutdown::ShutdownPlan;
 use tokio_util::sync::CancellationToken;
 use tracing::{info, warn};
 
@@ -47,6 +48,8 @@
     /// Held while a table is fetched from a peer.
     pub table_fetch: tokio::sync::Mutex<()>,
     clock: SystemClock,
+    /// Set before `stopping` is cancelled.
+    shutdown_plan: OnceLock<ShutdownPlan>,
     table: RwLock<Option<Arc<ActiveTable>>>,
     /// Offset in the store's feed of tables up to which the active table is the newest one.
     table_position: AtomicU64,
@@ -78,6 +81,7 @@
             started_at_us,
             table_fetch: tokio::sync::Mutex::default(),
             clock,
+            shutdown_plan: OnceLock::new(),
             table: RwLock::new(None),
             table_position: AtomicU64::new(0),
             decisions,
@@ -101,6 +105,24 @@
         self.clock.now()
     }
 
+    /// Starts the shutdown, whose signal was sent at `signalled_at` or later.
+    ///
+    /// Returns the plan of the shutdown; a repeated call changes nothing.
+    pub fn begin_shutdown(&self, signalled_at: Timestamp) -> ShutdownPlan {
+        let plan = *self.shutdown_plan.get_or_init(|| {
+            let grace_period = self.settings.shutdown_grace_period;
+            ShutdownPlan::new(signalled_at, self.now(), grace_period)
+        });
+        self.stopping.cancel();
+        plan
+    }
+
+    /// Returns the plan of the shutdown once that has started.
+    #[must_use]
+    pub fn shutdown_plan(&self) -> Option<ShutdownPlan> {
+        self.shutdown_plan.get().copied()
+    }
+
     /// Returns the next sample in [0, 1). It selects a service in a traffic split.
     #[must_use]
     pub fn next_split_sample(&self) -> f64 {
--- a/crates/teaselglade-routing/src/lib.rs
+++ b/crates/teaselglade-routing/src/lib.rs
@@ -13,5 +13,6 @@
 pub mod quota;
 pub mod registry;
 pub mod scaling;
+pub mod shutdown;
 pub mod table;
 pub mod usage;
--- a/crates/teaselglade-routing/tests/routing/main.rs
+++ b/crates/teaselglade-routing/tests/routing/main.rs
@@ -12,6 +12,7 @@
 mod quotas;
 mod registry;
 mod routes;
+mod shutdown;
 mod slots;
 mod table_spread;
 mod usage;
--- a/crates/teaselglade/src/program/host_program.rs
+++ b/crates/teaselglade/src/program/host_program.rs
@@ -16,10 +16,10 @@
 use teaselglade_platform::{
     BootFile, CloudClient, PlatformMessages, SETTINGS_VARIABLE, StoreClient,
 };
-use tokio::signal::unix::{SignalKind, signal};
 use tracing::{error, info, warn};
 
 use super::daemon_program::INVALID_SETTINGS_EXIT_CODE;
+use super::stop_signals::{HostSignal, StopSignals};
 
 /// Default port of the metrics.
 const DEFAULT_METRICS_PORT: u16 = 9_464;
@@ -81,20 +81,19 @@
 async fn serve(options: HostOptions, boot: BootFile) -> Result<()> {
     let log = start_log(log_filter(&options, &boot), boot.host.log.queued_lines);
     let log = log.wrap_err("cannot parse the log filter")?;
-    let mut terminate = signal(SignalKind::terminate())?;
-    let mut interrupt = signal(SignalKind::interrupt())?;
-    let mut reload = signal(SignalKind::hangup())?;
+    let mut signals = StopSignals::register()?;
     let metrics = SocketAddr::new(boot.host.listen.callers.ip(), options.metrics_port);
     let ports = host_ports(&boot);
     let started = ServingHost::start(boot.host.clone(), ports, Some(metrics)).await;
     let host = started.inspect_err(|error| error!(event = "start_failed", error = %error))?;
-    loop {
-        tokio::select! {
-            _signal = terminate.recv() => break,
-            _signal = interrupt.recv() => break,
-            _signal = reload.recv() => reload_settings(&options, &boot, &host, &log.filter),
+    let signal_age = loop {
+        match signals.next().await {
+            HostSignal::Stop { age } => break age,
+            HostSignal::Reload => reload_settings(&options, &boot, &host, &log.filter),
         }
-    }
+    };
+    let state = host.state();
+    state.begin_shutdown(state.now().before(signal_age));
     host.stop().await;
     Ok(())
 }
--- a/crates/teaselglade/tests/host/main.rs
+++ b/crates/teaselglade/tests/host/main.rs
@@ -14,4 +14,5 @@
 
 mod captured_log;
 mod explained;
+mod late_signal;
 mod log_stream;
