fix(host): open answers go on when the age of a stop signal is uncertain

A stop that is noticed late knows only the earliest time of its signal. Cutting open answers by that time would end answers of a process that was signalled just before it noticed: frozen for 3.5 s, it would have cut them 4 s after the signal although it had 8 s. New requests are still refused by the earliest time; open answers go on by the time of the notice, as nothing is gained by ending them sooner than the kill does.

--- a/crates/teaselglade-routing/src/shutdown/shutdown_plan.rs
+++ b/crates/teaselglade-routing/src/shutdown/shutdown_plan.rs
@@ -35,6 +35,7 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct ShutdownPlan {
     accepting_ends_at: Timestamp,
+    kill_expected_at: Timestamp,
     answers_end_at: Timestamp,
 }
 
@@ -42,14 +43,15 @@
     /// Plans the shutdown of a process that is killed `grace_period` after the signal.
     ///
     /// `signalled_at` is the earliest time at which the signal may have been sent; readiness
-    /// probes fail from `noticed_at` on.
+    /// probes fail from `noticed_at` on. Requests are accepted by the first of them. Answers that are
+    /// open go on by the second, as the signal may have been sent just then.
     #[must_use]
     pub fn new(signalled_at: Timestamp, noticed_at: Timestamp, grace_period: Duration) -> Self {
-        let answers_end_at = signalled_at + grace_period.saturating_sub(KILL_MARGIN);
-        let accepting_ends_at = (noticed_at + DRAIN_DELAY).min(answers_end_at);
+        let time_to_kill = grace_period.saturating_sub(KILL_MARGIN);
         Self {
-            accepting_ends_at,
-            answers_end_at,
+            accepting_ends_at: noticed_at + DRAIN_DELAY.min(time_to_kill),
+            kill_expected_at: signalled_at + time_to_kill,
+            answers_end_at: noticed_at + time_to_kill,
         }
     }
 
@@ -67,12 +69,14 @@
 
     /// Accepts a request that must be answered by `deadline` if its answer can end in time.
     ///
+    /// The process is expected to be killed by the earliest time of the signal.
+    ///
     /// # Errors
     ///
     /// Returns a "not run" refusal if the process may end before the answer.
     pub fn admit(&self, now: Timestamp, deadline: Timestamp) -> Result<(), RequestRefusal> {
-        let time_left = self.answers_end_at.since(now);
-        if deadline <= self.answers_end_at || time_left >= LIKELY_ANSWER_TIME {
+        let time_left = self.kill_expected_at.since(now);
+        if deadline <= self.kill_expected_at || time_left >= LIKELY_ANSWER_TIME {
             return Ok(());
         }
         let detail = format!(
