fix(host): a stopped host ends in time and writes its last lines, whatever the log's reader does

What operators saw: a host whose standard output nobody reads never ended after SIGTERM; the platform had to kill it. Lines that requests wrote while the runtime dropped them were lost, and no line named a signal.

Cause: the guard of `tracing-appender` prints to standard output when its queue is full, and waits for the lock that its own blocked writer holds. It was dropped before the runtime, so that what the runtime dropped was logged to nowhere.

Evidence: `a_stopped_log_reader_does_not_keep_a_stopped_host_from_its_end` failed before ("the host exits: Elapsed", 30 s after SIGTERM), `each_signal_of_a_series_is_logged_also_during_the_stop` failed for want of the line. Ruled out: a wait of the stop itself; the host without a table has no requests, and it ends with a reader.

Change: a queue of our own (`LineQueue`) in front of the writer thread, closed after the runtime within `LAST_LINES_BOUND`; what is not written by then is counted on standard error (`lines_unwritten`), what found the queue full is summed up in `lines_dropped_in_all`. From a stop signal on the queue has room for 4,096 more lines. Each signal has a line (`signal`), also during the stop, where it changes nothing, as before.

--- a/crates/teaselglade-host/src/journal/mod.rs
+++ b/crates/teaselglade-host/src/journal/mod.rs
@@ -2,8 +2,10 @@
 
 mod decision_log;
 mod line_budget;
+mod line_queue;
 mod log_start;
 
 pub use decision_log::{DecisionLog, LostAttemptFields, PlacementFields, RequestFields};
 pub use line_budget::{LineBudget, MAX_SUMMARY_IDS, SuppressedLines};
-pub use log_start::{LogFilter, LogGuard, dropped_lines, json_log, start_log};
+pub use line_queue::{LineQueue, LineWriter};
+pub use log_start::{LogFilter, LogGuard, dropped_lines, json_log, reserve_last_lines, start_log};
--- a/crates/teaselglade/src/program/host_program.rs
+++ b/crates/teaselglade/src/program/host_program.rs
@@ -9,17 +9,17 @@
 use eyre::{Result, WrapErr};
 use teaselglade_core::port::LogPort;
 use teaselglade_host::host::ServingHost;
-use teaselglade_host::journal::{LogFilter, start_log};
+use teaselglade_host::journal::{LogFilter, reserve_last_lines, start_log};
 use teaselglade_host::port::{DutyPort, FeedPort};
 use teaselglade_host::state::HostPorts;
 use teaselglade_net::client::HttpClient;
 use teaselglade_platform::{
     BootFile, CloudClient, PlatformMessages, SETTINGS_VARIABLE, StoreClient,
 };
-use tokio::signal::unix::{SignalKind, signal};
 use tracing::{error, info, warn};
 
 use super::daemon_program::INVALID_SETTINGS_EXIT_CODE;
+use super::signal_stream::{ProcessSignal, SignalStream};
 
 /// Default port of the metrics.
 const DEFAULT_METRICS_PORT: u16 = 9_464;
@@ -63,13 +63,7 @@
         println!("{} is in order", options.settings.display());
         return ExitCode::SUCCESS;
     }
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build();
-    let result = runtime
-        .wrap_err("cannot start the runtime")
-        .and_then(|runtime| runtime.block_on(serve(options, boot)));
-    match result {
+    match run(&options, &boot) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             eprintln!("teaselglade-host: {error:#}");
@@ -78,27 +72,59 @@
     }
 }
 
-async fn serve(options: HostOptions, boot: BootFile) -> Result<()> {
-    let log = start_log(log_filter(&options, &boot), boot.host.log.queued_lines);
+/// Runs the host; the log outlives the runtime, whose open requests are logged when it drops them.
+fn run(options: &HostOptions, boot: &BootFile) -> Result<()> {
+    let log = start_log(log_filter(options, boot), boot.host.log.queued_lines);
     let log = log.wrap_err("cannot parse the log filter")?;
-    let mut terminate = signal(SignalKind::terminate())?;
-    let mut interrupt = signal(SignalKind::interrupt())?;
-    let mut reload = signal(SignalKind::hangup())?;
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build();
+    let runtime = runtime.wrap_err("cannot start the runtime")?;
+    let result = runtime.block_on(serve(options, boot, &log.filter));
+    drop(runtime);
+    drop(log);
+    result
+}
+
+async fn serve(options: &HostOptions, boot: &BootFile, filter: &LogFilter) -> Result<()> {
+    let mut signals = SignalStream::new()?;
     let metrics = SocketAddr::new(boot.host.listen.callers.ip(), options.metrics_port);
-    let ports = host_ports(&boot);
+    let ports = host_ports(boot);
     let started = ServingHost::start(boot.host.clone(), ports, Some(metrics)).await;
     let host = started.inspect_err(|error| error!(event = "start_failed", error = %error))?;
     loop {
-        tokio::select! {
-            _signal = terminate.recv() => break,
-            _signal = interrupt.recv() => break,
-            _signal = reload.recv() => reload_settings(&options, &boot, &host, &log.filter),
+        let signal = signals.next().await;
+        if signal != ProcessSignal::Reload {
+            reserve_last_lines();
+        }
+        info!(
+            event = "signal",
+            signal = signal.name(),
+            is_stopping = false
+        );
+        if signal != ProcessSignal::Reload {
+            break;
         }
+        reload_settings(options, boot, &host, filter);
     }
-    host.stop().await;
+    stop_host(host, signals).await;
     Ok(())
 }
 
+/// Stops the host and logs signals that arrive meanwhile, which change nothing.
+async fn stop_host(host: ServingHost, mut signals: SignalStream) {
+    let stopped = host.stop();
+    tokio::pin!(stopped);
+    loop {
+        tokio::select! {
+            () = &mut stopped => return,
+            signal = signals.next() => {
+                warn!(event = "signal", signal = signal.name(), is_stopping = true);
+            }
+        }
+    }
+}
+
 fn host_ports(boot: &BootFile) -> HostPorts {
     let http = Arc::new(HttpClient::default());
     let store = Arc::new(StoreClient::new(Arc::clone(&http), boot.store));
--- a/crates/teaselglade/src/program/mod.rs
+++ b/crates/teaselglade/src/program/mod.rs
@@ -5,6 +5,7 @@
 mod daemon_program;
 mod entry_program;
 mod host_program;
+mod signal_stream;
 
 pub use control_program::ControlProgram;
 pub use daemon_program::{DaemonProgram, run_daemon};
--- a/crates/teaselglade/tests/host/main.rs
+++ b/crates/teaselglade/tests/host/main.rs
@@ -14,4 +14,6 @@
 
 mod captured_log;
 mod explained;
+mod host_process;
 mod log_stream;
+mod stop_log;
