--- a/crates/teaselglade-routing/src/shutdown/shutdown_plan.rs
+++ b/crates/teaselglade-routing/src/shutdown/shutdown_plan.rs
@@ -35,7 +35,7 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct ShutdownPlan {
     accepting_ends_at: Timestamp,
-    kill_expected_at: Timestamp,
+    earliest_kill: Timestamp,
     answers_end_at: Timestamp,
 }
 
@@ -50,7 +50,7 @@
         let time_to_kill = grace_period.saturating_sub(KILL_MARGIN);
         Self {
             accepting_ends_at: noticed_at + DRAIN_DELAY.min(time_to_kill),
-            kill_expected_at: signalled_at + time_to_kill,
+            earliest_kill: signalled_at + time_to_kill,
             answers_end_at: noticed_at + time_to_kill,
         }
     }
@@ -75,8 +75,8 @@
     ///
     /// Returns a "not run" refusal if the process may end before the answer.
     pub fn admit(&self, now: Timestamp, deadline: Timestamp) -> Result<(), RequestRefusal> {
-        let time_left = self.kill_expected_at.since(now);
-        if deadline <= self.kill_expected_at || time_left >= LIKELY_ANSWER_TIME {
+        let time_left = self.earliest_kill.since(now);
+        if deadline <= self.earliest_kill || time_left >= LIKELY_ANSWER_TIME {
             return Ok(());
         }
         let detail = format!(
--- a/crates/teaselglade/tests/host/main.rs
+++ b/crates/teaselglade/tests/host/main.rs
@@ -14,5 +14,7 @@
 
 mod captured_log;
 mod explained;
+mod host_process;
 mod late_signal;
 mod log_stream;
+mod stop_log;
