--- a/crates/teaselglade/tests/processes/planned_stops.rs
+++ b/crates/teaselglade/tests/processes/planned_stops.rs
@@ -29,7 +29,7 @@
 const FAULT_DELAY: Duration = Duration::from_millis(400);
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
 const SHORT_DRAIN_TIMEOUT: Duration = Duration::from_secs(4);
-const WAIT_TIMEOUT: Duration = Duration::from_secs(60);
+const WAIT_TIMEOUT: Duration = Duration::from_mins(1);
 const MAX_RESUMES: u32 = 100;
 
 /// Returns the head and the body of a request for a stream.
