fix(host): a silent stream is given up only for an attempt that has brought its next event

Callers of resumable streams got a stream cut after some events, or a 502 or 504 of the host before the first one, although their engine would have gone on before the deadline.

Cause: after 2.5 gap targets without an event, or 1.6 targets without a first one, the attempt was ended. A new connection to its engine that failed counted as proof that the running stream was lost, as with a server that has closed its listener, a full accept queue or a limit on connections. The old connection was closed before a retry was granted, an engine chosen and the stream taken by it; if any of these failed, nothing was left to read.

Change: after the stall deadline a second attempt (standby) is placed, if another server takes it and a retry is left, and the first is read on. Whichever brings the next whole event, or the end, goes on, and the other's connection is closed at once. A standby that fails leaves the first attempt alone; if the first fails, the standby takes its place. Silence ends no attempt before the deadline. `MoveDecider` decides, without I/O; `EngineAttempt` reads one attempt with a splitter of its own; `StreamRelay` executes. The retry is taken under the lock under which the engine is reserved, after another server is known to take work, and a standby that reached no server leaves it to the next. Requests with a contained prompt part get no standby. An attempt that this host drops is no evidence against a prompt part; one that was silent while the standby went on counts as a failure of its server, as before.

New words in `attempt_ended`: `outcome` "superseded" (the first attempt went on), `next` "moved", "read_on", "standby" and "give_up". Existing events, outcomes and metrics stay; "superseded" is a new value of the label `outcome`.

Not known: whether engines at work on a silent stream and on its standby at once for longer than a while is of harm to them; both hold a place until one brings an event.

--- a/crates/teaselglade-host/src/relay/call_context.rs
+++ b/crates/teaselglade-host/src/relay/call_context.rs
@@ -86,12 +86,6 @@
         }
     }
 
-    /// Returns whether the service's retry budget would grant a retry now.
-    pub(super) fn may_retry(&self) -> bool {
-        let service = &self.service.name;
-        self.host.lock_decisions().may_retry(service)
-    }
-
     /// Takes one retry from the service's retry budget; returns the delay before it.
     ///
     /// Returns `None` if the budget denies the retry.
@@ -108,13 +102,13 @@
         }
     }
 
-    /// Logs and counts an attempt that ended without a response, with the next step.
-    pub(super) fn record_attempt_end(&self, server_id: &str, failed: &FailedCall, next: NextStep) {
+    /// Logs and counts an attempt that ended without a response, with the name of the next step.
+    pub(super) fn record_attempt_end(&self, server_id: &str, failed: &FailedCall, next: &str) {
         let host = &self.host;
         let outcome = outcome_name(failed.outcome);
         let labels = [self.service.name.as_str(), outcome];
         host.metrics.attempts.with_label_values(&labels).inc();
-        let (now, next) = (host.now(), next_step_name(next));
+        let now = host.now();
         host.log
             .attempt_ended(now, &self.id, server_id, outcome, &failed.detail, next);
     }
@@ -181,11 +175,12 @@
         AttemptOutcome::Broken => "broken",
         AttemptOutcome::Failed => "failed",
         AttemptOutcome::TimedOut => "silent",
+        AttemptOutcome::Superseded => "superseded",
     }
 }
 
 /// Returns the name of a next step in log lines.
-const fn next_step_name(step: NextStep) -> &'static str {
+pub(super) const fn next_step_name(step: NextStep) -> &'static str {
     match step {
         NextStep::Reconnect => "reconnect",
         NextStep::RetryWithinBudget => "ask_budget",
--- a/crates/teaselglade-host/src/relay/mod.rs
+++ b/crates/teaselglade-host/src/relay/mod.rs
@@ -2,13 +2,13 @@
 
 mod call_context;
 mod call_handler;
+mod engine_attempt;
 mod header_filter;
 mod plain_relay;
 mod refusal_response;
 mod response_body;
 mod server_call;
 mod server_check;
-mod stall_watch;
 mod stream_relay;
 mod stream_reservation;
 
--- a/crates/teaselglade-host/src/relay/plain_relay.rs
+++ b/crates/teaselglade-host/src/relay/plain_relay.rs
@@ -16,7 +16,7 @@
 use teaselglade_routing::plain::{PlainQuery, ServerLoad};
 use tokio::time::{sleep, timeout};
 
-use super::call_context::CallContext;
+use super::call_context::{CallContext, next_step_name};
 use super::response_body::full_body;
 use super::server_call::{FailedCall, call_server};
 use super::{CallerResponse, Result};
@@ -209,7 +209,7 @@
             .registration
             .id
             .clone();
-        context.record_attempt_end(&server_id, &failed, next);
+        context.record_attempt_end(&server_id, &failed, next_step_name(next));
         self.handle_next_step(next, &failed).await
     }
 
--- a/crates/teaselglade-host/src/relay/server_call.rs
+++ b/crates/teaselglade-host/src/relay/server_call.rs
@@ -227,7 +227,7 @@
 /// Reads the short body of a rejection to its end and returns the connection to the pool.
 ///
 /// A body beyond the limits closes the connection.
-fn reuse_after_body(body: Incoming, connection: LeasedConnection, headers: HeaderMap) {
+pub(super) fn reuse_after_body(body: Incoming, connection: LeasedConnection, headers: HeaderMap) {
     tokio::spawn(async move {
         let rest = Limited::new(body, MAX_REJECTION_BYTES).collect();
         if matches!(timeout(MAX_REJECTION_TIME, rest).await, Ok(Ok(_body))) {
--- a/crates/teaselglade-host/src/relay/stream_relay.rs
+++ b/crates/teaselglade-host/src/relay/stream_relay.rs
@@ -1,75 +1,96 @@
 //! Relays event streams and resumes them at another server after a failure.
 
 use std::collections::VecDeque;
+use std::future::pending;
 use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use futures::stream::unfold;
 use http_body_util::{BodyExt, Limited, StreamBody};
-use hyper::body::{Frame, Incoming};
+use hyper::body::Frame;
 use hyper::{HeaderMap, StatusCode};
+use teaselglade_core::id::ServerKey;
 use teaselglade_core::verdict::{ExecutionVerdict, RefusalReason, RequestRefusal};
-use teaselglade_routing::attempt::{AttemptOutcome, AttemptTracker, NextStep};
-use teaselglade_routing::event::{EventSplitter, MAX_EVENT_BYTES};
-use teaselglade_routing::table::RetryPolicy;
-use tokio::time::{Instant, sleep};
+use teaselglade_routing::attempt::{
+    AttemptOutcome, AttemptRole, AttemptTracker, MoveAction, MoveDecider, MoveEvent, NextStep,
+};
+use teaselglade_routing::event::SseEvent;
+use tokio::time::{Instant, sleep, sleep_until};
 
-use super::call_context::CallContext;
+use super::call_context::{CallContext, next_step_name};
+use super::engine_attempt::{AttemptStep, EngineAttempt};
 use super::plain_relay::final_refusal;
 use super::response_body::{AbortedResponse, ResponseBody, full_body};
-use super::server_call::{FailedCall, ServerResponse, call_server};
+use super::server_call::{FailedCall, ServerResponse, reuse_after_body};
 use super::server_check::check_server;
-use super::stall_watch::wait_for_stall;
 use super::stream_reservation::{StreamAttempt, StreamReservation};
 use super::{CallerResponse, Result};
-use crate::upstream::LeasedConnection;
 
 /// Largest body of an error response on a stream route.
 const MAX_ERROR_BODY_BYTES: usize = 1024 * 1024;
-/// Multiple of the gap target without an event after which a resumable stream is moved to another
-/// server.
+/// Multiple of the gap target without an event after which a resumable stream gets a standby at
+/// another server.
 const STALL_GAP_FACTOR: f64 = 2.5;
 /// Multiple of the target, or of the predicted latency if that is longer, after which a resumable
-/// stream without a first event is moved to another server.
+/// stream without a first event gets a standby at another server.
 const STALL_TARGET_FACTOR: f64 = 1.6;
 /// Gap target of routes that set none.
 const DEFAULT_GAP_TARGET: Duration = Duration::from_millis(800);
+/// Interval between checks whether a silent attempt can get a standby.
+const CHECK_INTERVAL: Duration = Duration::from_millis(300);
 
-/// Stream whose response head has arrived from a server.
-#[derive(Debug)]
-struct OpenStream {
-    reservation: StreamReservation,
-    connection: LeasedConnection,
-    headers: HeaderMap,
-    body: Incoming,
-}
-
-/// Result of reading from the open stream.
-#[derive(Debug)]
+/// Result of reading from the open attempts.
 enum StreamStep {
     /// One or more whole events.
     Events(Bytes),
     /// The stream is complete.
     End,
-    /// The attempt failed.
-    Failed(FailedCall),
+    /// The only attempt's server responded with an error instead of a stream.
+    ErrorResponse(Box<ServerResponse>),
+    /// The last open attempt failed.
+    Failed(LostAttempt),
+}
+
+/// What happened while the open attempts were read.
+enum ReadEvent {
+    Step(AttemptRole, AttemptStep),
+    SilenceLasted,
+    DeadlinePassed,
+}
+
+/// Attempt that failed with no other one open.
+struct LostAttempt {
+    /// Reservation of the attempt, if one was open.
+    reservation: Option<StreamReservation>,
+    failed: FailedCall,
+    next: NextStep,
+}
+
+/// Error response that is forwarded if no attempt brings an event.
+struct StoredResponse {
+    server_id: String,
+    response: Box<ServerResponse>,
 }
 
 /// State of one stream while it is relayed to the caller.
-#[derive(Debug)]
 struct StreamRelay {
     context: Arc<CallContext>,
     tracker: AttemptTracker,
-    open_stream: Option<OpenStream>,
-    splitter: EventSplitter,
+    decider: MoveDecider,
+    /// Attempt whose events the caller gets.
+    primary: Option<EngineAttempt>,
+    /// Second attempt beside a silent primary.
+    standby: Option<EngineAttempt>,
+    error_response: Option<StoredResponse>,
     pending_events: VecDeque<Bytes>,
     /// Id of the last event that was forwarded to the caller or that the caller already had.
     last_event_id: Option<u64>,
-    status: StatusCode,
+    /// Response head for the caller, of the first attempt that brought an event.
+    head: Option<(StatusCode, HeaderMap)>,
     /// Time from the request's arrival to the first event.
     time_to_first_event: Option<Duration>,
-    /// Id of the latest attempt's server.
+    /// Id of the primary's server, or of the last one.
     server_id: String,
     is_finished: bool,
 }
@@ -86,108 +107,336 @@
     let mut relay = StreamRelay {
         context: Arc::clone(context),
         tracker,
-        open_stream: None,
-        splitter: EventSplitter::default(),
+        decider: MoveDecider::default(),
+        primary: None,
+        standby: None,
+        error_response: None,
         pending_events: VecDeque::new(),
         last_event_id: context.resume_after,
-        status: StatusCode::OK,
+        head: None,
         time_to_first_event: None,
         server_id: String::new(),
         is_finished: false,
     };
-    let mut is_continued = false;
-    loop {
-        let failed = match relay.start_attempt(is_continued).await? {
-            AttemptStart::Response(response) => return Ok(response),
-            AttemptStart::Stream(headers) => return Ok(relay.into_response(&headers)),
-            AttemptStart::Failed(failed) => failed,
-        };
-        relay.prepare_next(failed).await?;
-        is_continued = true;
+    match relay.wait_for_first_event().await {
+        Ok(None) => Ok(relay.into_response()),
+        Ok(Some(response)) => {
+            let server_id = relay.server_id.clone();
+            forward_error(context, &server_id, response).await
+        }
+        Err(refusal) => match relay.error_response.take() {
+            Some(stored) => forward_error(context, &stored.server_id, stored.response).await,
+            None => Err(refusal),
+        },
     }
 }
 
-/// Result of starting an attempt.
-enum AttemptStart {
-    /// The server responded with an error instead of a stream.
-    Response(CallerResponse),
-    /// The first event has arrived, or the stream ended without one; holds the response headers.
-    Stream(HeaderMap),
-    /// The attempt failed.
-    Failed((StreamReservation, FailedCall)),
-}
-
 impl StreamRelay {
-    /// Places the stream, sends the request and waits for the first event.
-    async fn start_attempt(&mut self, is_continued: bool) -> Result<AttemptStart> {
-        let context = Arc::clone(&self.context);
+    /// Makes attempts until one brings an event or ends the stream.
+    ///
+    /// Returns an error response if a server sent one instead of a stream.
+    async fn wait_for_first_event(&mut self) -> Result<Option<Box<ServerResponse>>> {
+        self.start_primary(false)?;
+        loop {
+            match self.read_step().await {
+                StreamStep::Events(events) => {
+                    self.pending_events.push_back(events);
+                    return Ok(None);
+                }
+                StreamStep::End => return Ok(None),
+                StreamStep::ErrorResponse(response) => return Ok(Some(response)),
+                StreamStep::Failed(lost) => {
+                    self.prepare_next(lost).await?;
+                    self.start_primary(true)?;
+                }
+            }
+        }
+    }
+
+    /// Places the stream at an engine and starts an attempt there.
+    ///
+    /// # Errors
+    ///
+    /// Returns a refusal if no engine accepts the stream.
+    fn start_primary(&mut self, is_continued: bool) -> Result<()> {
         let tried = self.tracker.tried();
-        let attempt = StreamAttempt {
-            tried: &tried,
+        let attempt = self.next_attempt(&tried, is_continued);
+        let reservation = StreamReservation::place(&self.context, &attempt)
+            .map_err(|refusal| refusal.after_attempts(self.tracker.verdict()))?;
+        self.server_id.clone_from(&reservation.server_id);
+        self.primary = Some(self.begin_attempt(reservation));
+        Ok(())
+    }
+
+    /// Starts a standby, if a server takes it and a retry is left; returns whether it did.
+    fn start_standby(&mut self, takes_retry: bool) -> bool {
+        let tried = self.tracker.tried();
+        let attempt = self.next_attempt(&tried, true);
+        let retry = takes_retry.then(|| self.tracker.attempts());
+        let placed = StreamReservation::place_standby(&self.context, &attempt, retry);
+        self.standby = placed.map(|reservation| self.begin_attempt(reservation));
+        self.standby.is_some()
+    }
+
+    fn next_attempt<'a>(&self, tried: &'a [ServerKey], is_continued: bool) -> StreamAttempt<'a> {
+        StreamAttempt {
+            tried,
             number: self.tracker.attempts() + 1,
             is_continued,
             has_events: self.time_to_first_event.is_some(),
-        };
-        let reservation = StreamReservation::place(&context, &attempt)
-            .map_err(|refusal| refusal.after_attempts(self.tracker.verdict()))?;
+        }
+    }
+
+    fn begin_attempt(&mut self, reservation: StreamReservation) -> EngineAttempt {
         self.tracker.begin_attempt(reservation.engine.server);
-        // Bytes of an event that the previous attempt left incomplete must not precede this one's.
-        self.splitter = EventSplitter::default();
-        self.server_id.clone_from(&reservation.server_id);
-        let stall_deadline = self.first_event_deadline(&reservation);
-        let result = tokio::select! {
-            result = call_server(&context, reservation.engine.server, self.last_event_id) => result,
-            stalled = self.watch_stall(stall_deadline) => Err(stalled),
+        EngineAttempt::new(&self.context, reservation, self.last_event_id)
+    }
+
+    /// Reads until events, the end of the stream or the failure of the last open attempt.
+    async fn read_step(&mut self) -> StreamStep {
+        let deadline = sleep(self.context.time_left());
+        tokio::pin!(deadline);
+        let mut check_at = self.stall_deadline();
+        loop {
+            let event = tokio::select! {
+                biased;
+                () = &mut deadline => ReadEvent::DeadlinePassed,
+                step = next_step(&mut self.primary) => ReadEvent::Step(AttemptRole::Primary, step),
+                step = next_step(&mut self.standby) => ReadEvent::Step(AttemptRole::Standby, step),
+                () = wait_until(check_at) => ReadEvent::SilenceLasted,
+            };
+            let (role, failed) = match event {
+                ReadEvent::SilenceLasted => {
+                    let action = self.decider.on_event(MoveEvent::SilenceLasted);
+                    check_at = self.execute(action);
+                    continue;
+                }
+                ReadEvent::DeadlinePassed => (AttemptRole::Primary, self.end_at_deadline()),
+                ReadEvent::Step(role, AttemptStep::Events(events)) => {
+                    let events = self.take_new_events(events);
+                    if events.is_empty() {
+                        continue;
+                    }
+                    self.settle_on(role);
+                    return StreamStep::Events(events);
+                }
+                ReadEvent::Step(role, AttemptStep::End(rest)) => {
+                    self.settle_on(role);
+                    self.finish(rest);
+                    return StreamStep::End;
+                }
+                ReadEvent::Step(role, AttemptStep::ErrorResponse(response)) => {
+                    if self.standby.is_none() {
+                        return StreamStep::ErrorResponse(response);
+                    }
+                    (role, self.store_error(role, response))
+                }
+                ReadEvent::Step(role, AttemptStep::Failed(failed)) => (role, failed),
+            };
+            match role {
+                AttemptRole::Primary => match self.replace_by_standby(failed) {
+                    Some(lost) => return StreamStep::Failed(lost),
+                    None => check_at = self.stall_deadline(),
+                },
+                AttemptRole::Standby => check_at = self.end_failed_standby(&failed),
+            }
+        }
+    }
+
+    /// Returns the events that the caller does not have, and records that events arrived.
+    fn take_new_events(&mut self, sse_events: Vec<SseEvent>) -> Bytes {
+        if self.time_to_first_event.is_none() {
+            self.time_to_first_event = Some(self.context.elapsed());
+            self.context.count_execution();
+        }
+        let mut events = Vec::new();
+        for event in sse_events {
+            let is_delivered =
+                matches!((event.id, self.last_event_id), (Some(id), Some(last)) if id <= last);
+            if is_delivered {
+                continue;
+            }
+            self.last_event_id = event.id.or(self.last_event_id);
+            events.push(event.bytes);
+        }
+        match events.len() {
+            1 => events.swap_remove(0),
+            _ => events.concat().into(),
+        }
+    }
+
+    /// Goes on with the attempt that brought the next event, and drops the other one.
+    fn settle_on(&mut self, role: AttemptRole) {
+        match self.decider.on_event(MoveEvent::Progressed(role)) {
+            MoveAction::DropStandby => {
+                let detail = "the silent attempt went on";
+                let failed = FailedCall::new(AttemptOutcome::Superseded, detail);
+                let standby = self.standby.take();
+                self.drop_attempt(standby, &failed, "read_on");
+            }
+            MoveAction::DropPrimary => {
+                let failed = FailedCall::new(AttemptOutcome::TimedOut, "no event for too long");
+                let silent = self.primary.take();
+                self.drop_attempt(silent, &failed, "moved");
+                self.promote_standby();
+            }
+            _ => {}
+        }
+        if self.head.is_none() {
+            let head = self.primary.as_ref().and_then(EngineAttempt::head);
+            self.head = head.map(|(status, headers)| (status, headers.clone()));
+            self.error_response = None;
+        }
+    }
+
+    fn promote_standby(&mut self) {
+        self.primary = self.standby.take();
+        if let Some(primary) = &self.primary {
+            self.server_id.clone_from(&primary.reservation.server_id);
+        }
+    }
+
+    /// Closes an attempt that this host ends, and records how it ended.
+    fn drop_attempt(&mut self, attempt: Option<EngineAttempt>, failed: &FailedCall, next: &str) {
+        let Some(attempt) = attempt else {
+            return;
         };
-        let response = match result {
-            Ok(response) => response,
-            Err(failed) => return Ok(AttemptStart::Failed((reservation, failed))),
+        let reservation = attempt.close();
+        self.record_failure(&reservation, failed);
+        self.context
+            .record_attempt_end(&reservation.server_id, failed, next);
+    }
+
+    /// Executes an action on a silent attempt; returns when its silence is checked again.
+    fn execute(&mut self, action: MoveAction) -> Option<Instant> {
+        let action = match action {
+            MoveAction::StartStandby { takes_retry } => {
+                let event = if self.start_standby(takes_retry) {
+                    MoveEvent::StandbyStarted
+                } else {
+                    MoveEvent::StandbyDenied
+                };
+                self.decider.on_event(event)
+            }
+            action => action,
         };
-        if !response.status.is_success() {
-            return Ok(AttemptStart::Response(
-                self.forward_error(&reservation, response).await?,
-            ));
+        let is_checked = action == MoveAction::CheckAgain && self.tracker.may_move();
+        is_checked.then(|| Instant::now() + CHECK_INTERVAL)
+    }
+
+    /// Ends the attempts at the request's deadline; returns the failure of the primary.
+    fn end_at_deadline(&mut self) -> FailedCall {
+        let has_head = self.primary.as_ref().and_then(EngineAttempt::head);
+        let detail = match has_head {
+            Some(_head) => "not whole before the deadline",
+            None => "no answer before the deadline",
+        };
+        let failed = FailedCall::new(AttemptOutcome::TimedOut, detail);
+        if self.decider.on_event(MoveEvent::DeadlinePassed) == MoveAction::DropStandby {
+            let standby = self.standby.take();
+            self.drop_attempt(standby, &failed, "give_up");
         }
-        self.status = response.status;
-        let headers = response.headers.clone();
-        self.open_stream = Some(OpenStream {
-            reservation,
-            connection: response.connection,
-            headers: response.headers,
-            body: response.body,
-        });
-        match self.read_step(stall_deadline).await {
-            StreamStep::Events(events) => self.pending_events.push_back(events),
-            StreamStep::End => {}
-            StreamStep::Failed(failed) => {
-                return Ok(match self.open_stream.take() {
-                    Some(open_stream) => AttemptStart::Failed((open_stream.reservation, failed)),
-                    None => {
-                        return Err(final_refusal(
-                            &self.context,
-                            self.tracker.verdict(),
-                            &failed,
-                        ));
-                    }
+        failed
+    }
+
+    /// Keeps a server's error response, if it may be forwarded; returns it as a failure.
+    fn store_error(&mut self, role: AttemptRole, response: Box<ServerResponse>) -> FailedCall {
+        let detail = format!("answered {}", response.status.as_u16());
+        let attempt = match role {
+            AttemptRole::Primary => &self.primary,
+            AttemptRole::Standby => &self.standby,
+        };
+        match attempt {
+            Some(attempt) if self.head.is_none() => {
+                self.error_response = Some(StoredResponse {
+                    server_id: attempt.reservation.server_id.clone(),
+                    response,
                 });
             }
+            _ => reuse_after_body(response.body, response.connection, response.headers),
         }
-        Ok(AttemptStart::Stream(headers))
+        FailedCall::new(AttemptOutcome::Failed, detail)
     }
 
-    /// Records a failed attempt and waits until the next one may start.
+    /// Ends the failed primary; its standby goes on, if there is one.
+    ///
+    /// Returns the failed attempt if no other one is open.
+    fn replace_by_standby(&mut self, failed: FailedCall) -> Option<LostAttempt> {
+        let reservation = self.primary.take().map(EngineAttempt::close);
+        let Some(reservation) = reservation else {
+            let next = NextStep::GiveUp(self.tracker.verdict());
+            return Some(LostAttempt {
+                reservation: None,
+                failed,
+                next,
+            });
+        };
+        let next = self.record_failure(&reservation, &failed);
+        let event = MoveEvent::Failed(AttemptRole::Primary, next);
+        let is_replaced = self.decider.on_event(event) == MoveAction::PromoteStandby;
+        let next_name = if is_replaced {
+            "standby"
+        } else {
+            next_step_name(next)
+        };
+        self.context
+            .record_attempt_end(&reservation.server_id, &failed, next_name);
+        if is_replaced {
+            self.promote_standby();
+            self.check_beside(reservation, &failed);
+            return None;
+        }
+        Some(LostAttempt {
+            reservation: Some(reservation),
+            failed,
+            next,
+        })
+    }
+
+    /// Ends the failed standby; returns when the silence of the primary is checked again.
+    fn end_failed_standby(&mut self, failed: &FailedCall) -> Option<Instant> {
+        let reservation = self.standby.take().map(EngineAttempt::close)?;
+        let next = self.record_failure(&reservation, failed);
+        let event = MoveEvent::Failed(AttemptRole::Standby, next);
+        let action = self.decider.on_event(event);
+        let next_name = match action {
+            MoveAction::StartStandby { .. } => "reconnect",
+            _ => "read_on",
+        };
+        self.context
+            .record_attempt_end(&reservation.server_id, failed, next_name);
+        self.check_beside(reservation, failed);
+        self.execute(action)
+    }
+
+    /// Checks the server of a failed attempt while another attempt is read.
+    fn check_beside(&self, reservation: StreamReservation, failed: &FailedCall) {
+        if !is_lost(&reservation, failed) {
+            return;
+        }
+        let context = Arc::clone(&self.context);
+        tokio::spawn(async move {
+            check_server(&context, reservation.engine.server).await;
+            drop(reservation);
+        });
+    }
+
+    /// Checks the server of a failed attempt and waits until the next one may start.
     ///
     /// # Errors
     ///
     /// Returns the final refusal if no further attempt is allowed.
-    async fn prepare_next(&mut self, failed: (StreamReservation, FailedCall)) -> Result<()> {
-        let (reservation, failed) = failed;
-        let next = self.record_failure(&reservation, &failed);
-        self.check_lost_attempt(&reservation, &failed).await;
-        drop(reservation);
-        if self.wait_for_retry(next).await {
+    async fn prepare_next(&mut self, lost: LostAttempt) -> Result<()> {
+        let context = Arc::clone(&self.context);
+        if let Some(reservation) = lost.reservation
+            && is_lost(&reservation, &lost.failed)
+        {
+            check_server(&context, reservation.engine.server).await;
+        }
+        if self.wait_for_retry(lost.next).await {
             return Ok(());
         }
+        let failed = lost.failed;
         if failed.outcome == AttemptOutcome::TimedOut {
             return Err(RequestRefusal::with_verdict(
                 ExecutionVerdict::MayHaveRun,
@@ -195,11 +444,7 @@
                 failed.detail,
             ));
         }
-        Err(final_refusal(
-            &self.context,
-            self.tracker.verdict(),
-            &failed,
-        ))
+        Err(final_refusal(&context, self.tracker.verdict(), &failed))
     }
 
     /// Waits for the retry delay, if any; returns whether another attempt is allowed.
@@ -219,71 +464,31 @@
 
     /// Records a failed attempt in the host's state and returns the next step.
     fn record_failure(&mut self, reservation: &StreamReservation, failed: &FailedCall) -> NextStep {
-        let context = &self.context;
-        let host = &context.host;
+        let host = &self.context.host;
         let now = host.now();
         let server = reservation.engine.server;
         let mut decisions = host.lock_decisions();
         match failed.outcome {
             AttemptOutcome::Misdirected => decisions.registry.mark_replaced(now, server),
-            AttemptOutcome::Rejected => {}
-            _ => decisions.engine_placer.record_failure(now, server),
+            AttemptOutcome::Rejected | AttemptOutcome::Failed | AttemptOutcome::Superseded => {}
+            AttemptOutcome::Unreachable | AttemptOutcome::Broken | AttemptOutcome::TimedOut => {
+                decisions.engine_placer.record_failure(now, server);
+            }
         }
         drop(decisions);
-        let next = self.tracker.end_attempt(server, failed.outcome);
-        context.record_attempt_end(&reservation.server_id, failed, next);
-        next
-    }
-
-    /// Checks the server of an attempt that broke before its first event.
-    async fn check_lost_attempt(&self, reservation: &StreamReservation, failed: &FailedCall) {
-        if failed.outcome == AttemptOutcome::Broken && !reservation.has_first_event() {
-            check_server(&self.context, reservation.engine.server).await;
-        }
-    }
-
-    /// Forwards a server's error response to the caller.
-    async fn forward_error(
-        &mut self,
-        reservation: &StreamReservation,
-        response: ServerResponse,
-    ) -> Result<CallerResponse> {
-        let context = &self.context;
-        let collected = Limited::new(response.body, MAX_ERROR_BODY_BYTES)
-            .collect()
-            .await;
-        let body = match collected {
-            Ok(body) => body.to_bytes(),
-            Err(error) => {
-                let detail = format!("the answer is cut: {error}");
-                let failed = FailedCall::new(AttemptOutcome::Broken, detail);
-                return Err(final_refusal(
-                    &self.context,
-                    ExecutionVerdict::MayHaveRun,
-                    &failed,
-                ));
-            }
-        };
-        response.connection.return_to_pool(&response.headers);
-        let status = response.status;
-        context.record_response(
-            &reservation.server_id,
-            status.as_u16(),
-            "server_failed",
-            context.elapsed(),
-        );
-        Ok(context.forward_response(status, &response.headers, full_body(body)))
+        self.tracker.end_attempt(server, failed.outcome)
     }
 
     /// Builds the caller's response, whose body reads the stream's events.
-    fn into_response(self, headers: &HeaderMap) -> CallerResponse {
-        let (context, status) = (Arc::clone(&self.context), self.status);
+    fn into_response(self) -> CallerResponse {
+        let context = Arc::clone(&self.context);
+        let (status, headers) = self.head.clone().unwrap_or_default();
         let events = unfold(self, |mut relay| async move {
             let frame = relay.next_events().await?;
             Some((frame.map(Frame::data), relay))
         });
         let body: ResponseBody = StreamBody::new(events).boxed_unsync();
-        context.forward_response(status, headers, body)
+        context.forward_response(status, &headers, body)
     }
 
     /// Returns the next events for the caller; `None` after the end of the stream.
@@ -295,50 +500,36 @@
             if self.is_finished {
                 return None;
             }
-            let gap_target = self.context.route.gap_target.unwrap_or(DEFAULT_GAP_TARGET);
-            let stall_deadline = self
-                .may_resume()
-                .then(|| Instant::now() + gap_target.mul_f64(STALL_GAP_FACTOR));
-            match self.read_step(stall_deadline).await {
-                StreamStep::Events(events) => self.pending_events.push_back(events),
-                StreamStep::End => {}
-                StreamStep::Failed(failed) => {
-                    if !self.resume(failed).await {
-                        self.is_finished = true;
-                        self.log_end("cut");
-                        return Some(Err(AbortedResponse));
-                    }
+            let is_resumed = match self.read_step().await {
+                StreamStep::Events(events) => {
+                    self.pending_events.push_back(events);
+                    true
                 }
+                StreamStep::End => true,
+                StreamStep::ErrorResponse(_response) => false,
+                StreamStep::Failed(lost) => self.resume(lost).await,
+            };
+            if !is_resumed {
+                self.is_finished = true;
+                self.log_end("cut");
+                return Some(Err(AbortedResponse));
             }
         }
     }
 
-    /// Resumes the stream after its last event at another server.
+    /// Starts an attempt that resumes the stream after its last event at another server.
     ///
-    /// Tries further servers for as long as attempts are allowed; returns whether one took over.
-    async fn resume(&mut self, failed: FailedCall) -> bool {
-        let Some(open_stream) = self.open_stream.take() else {
+    /// Returns whether one was started.
+    async fn resume(&mut self, lost: LostAttempt) -> bool {
+        if self.prepare_next(lost).await.is_err() {
             return false;
-        };
-        // The connection is closed first, so that the previous server stops running the request.
-        drop((open_stream.body, open_stream.connection));
-        let (mut reservation, mut failed) = (open_stream.reservation, failed);
-        loop {
-            let next = self.record_failure(&reservation, &failed);
-            self.check_lost_attempt(&reservation, &failed).await;
-            drop(reservation);
-            if !self.wait_for_retry(next).await {
-                return false;
+        }
+        match self.start_primary(true) {
+            Ok(()) => true,
+            Err(refusal) => {
+                self.log_placement_failure(&refusal);
+                false
             }
-            (reservation, failed) = match self.start_attempt(true).await {
-                Ok(AttemptStart::Stream(_headers)) => return true,
-                Ok(AttemptStart::Failed(next_failure)) => next_failure,
-                Ok(AttemptStart::Response(_error_response)) => return false,
-                Err(refusal) => {
-                    self.log_placement_failure(&refusal);
-                    return false;
-                }
-            };
         }
     }
 
@@ -350,121 +541,34 @@
             .attempt_ended(now, id, "", "no_seat", &refusal.detail, "give_up");
     }
 
-    /// Reads until whole events, the end or a failure of the current attempt.
-    async fn read_step(&mut self, stall_deadline: Option<Instant>) -> StreamStep {
-        let stalled = self.watch_stall(stall_deadline);
-        tokio::pin!(stalled);
-        loop {
-            let time_left = self.context.time_left();
-            let Some(open_stream) = self.open_stream.as_mut() else {
-                return StreamStep::Failed(FailedCall::new(AttemptOutcome::Broken, "no attempt"));
-            };
-            let frame = tokio::select! {
-                frame = open_stream.body.frame() => frame,
-                () = sleep(time_left) => {
-                    let detail = "not whole before the deadline";
-                    return StreamStep::Failed(FailedCall::new(AttemptOutcome::TimedOut, detail));
-                }
-                failed = &mut stalled => return StreamStep::Failed(failed),
-            };
-            match frame {
-                Some(Ok(frame)) => {
-                    let Ok(data) = frame.into_data() else {
-                        continue;
-                    };
-                    let events = self.decode_events(&data);
-                    if !events.is_empty() {
-                        return StreamStep::Events(events);
-                    }
-                    if self.splitter.is_oversized() {
-                        let detail = format!("an event is longer than {MAX_EVENT_BYTES} bytes");
-                        return StreamStep::Failed(FailedCall::new(AttemptOutcome::Broken, detail));
-                    }
-                }
-                Some(Err(error)) => {
-                    let detail = format!("the stream broke: {error}");
-                    return StreamStep::Failed(FailedCall::new(AttemptOutcome::Broken, detail));
-                }
-                None if self.splitter.has_partial_event() => {
-                    let detail = "the stream ended within an event";
-                    return StreamStep::Failed(FailedCall::new(AttemptOutcome::Broken, detail));
-                }
-                None => {
-                    let rest = self.splitter.take_rest();
-                    if !rest.is_empty() {
-                        self.pending_events.push_back(rest);
-                    }
-                    self.finish();
-                    return StreamStep::End;
-                }
-            }
-        }
-    }
-
-    /// Returns the events that the bytes complete, without those that the caller already has.
-    fn decode_events(&mut self, data: &Bytes) -> Bytes {
-        let is_first = self.time_to_first_event.is_none();
-        let sse_events = self.splitter.push(data);
-        if sse_events.is_empty() {
-            return Bytes::new();
-        }
-        if let Some(open_stream) = self.open_stream.as_mut() {
-            open_stream.reservation.record_events();
+    /// Ends the stream, forwards the bytes after its last event and keeps its connection.
+    fn finish(&mut self, rest: Bytes) {
+        if !rest.is_empty() {
+            self.pending_events.push_back(rest);
         }
-        if is_first {
-            self.time_to_first_event = Some(self.context.elapsed());
-            self.context.count_execution();
-        }
-        let mut events = Vec::new();
-        for event in sse_events {
-            let is_delivered =
-                matches!((event.id, self.last_event_id), (Some(id), Some(last)) if id <= last);
-            if is_delivered {
-                continue;
-            }
-            self.last_event_id = event.id.or(self.last_event_id);
-            events.push(event.bytes);
-        }
-        match events.len() {
-            1 => events.swap_remove(0),
-            _ => events.concat().into(),
-        }
-    }
-
-    /// Ends the stream and returns its connection to the pool.
-    fn finish(&mut self) {
         self.is_finished = true;
-        if let Some(open_stream) = self.open_stream.take() {
-            open_stream.connection.return_to_pool(&open_stream.headers);
+        if let Some(primary) = self.primary.take() {
+            primary.finish();
             self.log_end("whole");
         }
     }
 
-    /// Returns when a stream without a first event is moved; `None` if it may not be resumed.
-    fn first_event_deadline(&self, reservation: &StreamReservation) -> Option<Instant> {
-        let target = self.context.route.target.mul_f64(STALL_TARGET_FACTOR);
-        let timeout = target.max(
-            reservation
-                .engine
-                .predicted_latency
-                .mul_f64(STALL_TARGET_FACTOR),
-        );
-        let may_move = self.may_resume() && !reservation.is_contained();
-        may_move.then(|| Instant::now() + timeout)
-    }
-
-    /// Returns a future that ends when the current attempt must be abandoned for its silence.
-    fn watch_stall(&self, deadline: Option<Instant>) -> impl Future<Output = FailedCall> + use<> {
-        wait_for_stall(
-            Arc::clone(&self.context),
-            self.tracker.sent().to_vec(),
-            deadline,
-        )
-    }
-
-    /// Returns whether the stream may still be resumed at another server.
-    fn may_resume(&self) -> bool {
-        self.context.route.retry_policy == RetryPolicy::Resume && self.tracker.may_send()
+    /// Returns when the primary is silent for so long that it gets a standby.
+    ///
+    /// Returns `None` if the stream may not be moved.
+    fn stall_deadline(&self) -> Option<Instant> {
+        let primary = self.primary.as_ref()?;
+        let reservation = &primary.reservation;
+        if !self.tracker.may_move() || reservation.is_contained() {
+            return None;
+        }
+        let route = &self.context.route;
+        if reservation.has_first_event() {
+            let gap_target = route.gap_target.unwrap_or(DEFAULT_GAP_TARGET);
+            return Some(Instant::now() + gap_target.mul_f64(STALL_GAP_FACTOR));
+        }
+        let latency = route.target.max(reservation.engine.predicted_latency);
+        Some(primary.started_at + latency.mul_f64(STALL_TARGET_FACTOR))
     }
 
     /// Logs and counts the end of the stream.
@@ -472,16 +576,73 @@
         let time_to_first_event = self
             .time_to_first_event
             .unwrap_or_else(|| self.context.elapsed());
-        let status = self.status.as_u16();
-        self.context
-            .record_response(&self.server_id, status, outcome, time_to_first_event);
+        let status = self.head.as_ref().map_or(StatusCode::OK, |head| head.0);
+        self.context.record_response(
+            &self.server_id,
+            status.as_u16(),
+            outcome,
+            time_to_first_event,
+        );
     }
 }
 
 impl Drop for StreamRelay {
     fn drop(&mut self) {
-        if !self.is_finished && self.open_stream.is_some() {
+        let head = self.primary.as_ref().and_then(EngineAttempt::head);
+        if !self.is_finished && head.is_some() {
             self.log_end("caller_left");
         }
     }
 }
+
+/// Returns whether an attempt broke before its first event, so that its server is checked.
+fn is_lost(reservation: &StreamReservation, failed: &FailedCall) -> bool {
+    failed.outcome == AttemptOutcome::Broken && !reservation.has_first_event()
+}
+
+/// Reads the next step of an attempt; waits forever without one.
+async fn next_step(attempt: &mut Option<EngineAttempt>) -> AttemptStep {
+    match attempt {
+        Some(attempt) => attempt.next_step().await,
+        None => pending().await,
+    }
+}
+
+async fn wait_until(deadline: Option<Instant>) {
+    match deadline {
+        Some(deadline) => sleep_until(deadline).await,
+        None => pending().await,
+    }
+}
+
+/// Forwards a server's error response to the caller.
+async fn forward_error(
+    context: &CallContext,
+    server_id: &str,
+    response: Box<ServerResponse>,
+) -> Result<CallerResponse> {
+    let collected = Limited::new(response.body, MAX_ERROR_BODY_BYTES)
+        .collect()
+        .await;
+    let body = match collected {
+        Ok(body) => body.to_bytes(),
+        Err(error) => {
+            let detail = format!("the answer is cut: {error}");
+            let failed = FailedCall::new(AttemptOutcome::Broken, detail);
+            return Err(final_refusal(
+                context,
+                ExecutionVerdict::MayHaveRun,
+                &failed,
+            ));
+        }
+    };
+    response.connection.return_to_pool(&response.headers);
+    let status = response.status;
+    context.record_response(
+        server_id,
+        status.as_u16(),
+        "server_failed",
+        context.elapsed(),
+    );
+    Ok(context.forward_response(status, &response.headers, full_body(body)))
+}
--- a/crates/teaselglade-host/src/relay/stream_reservation.rs
+++ b/crates/teaselglade-host/src/relay/stream_reservation.rs
@@ -5,11 +5,13 @@
 
 use teaselglade_core::id::ServerKey;
 use teaselglade_core::time::Timestamp;
+use teaselglade_request::retry::RetryDecision;
 use teaselglade_routing::engine::{EngineQuery, EngineReservation, PromptShape};
 
 use super::Result;
 use super::call_context::CallContext;
 use crate::journal::PlacementFields;
+use crate::state::DecisionState;
 
 /// Interval between the recorded events of a stream after its first one.
 const EVENT_RECORD_INTERVAL: Duration = Duration::from_millis(250);
@@ -49,6 +51,57 @@
     /// Returns a "not run" refusal if no engine accepts the stream or a part of its prompt ends
     /// engines.
     pub(super) fn place(context: &Arc<CallContext>, attempt: &StreamAttempt<'_>) -> Result<Self> {
+        let mut decisions = context.host.lock_decisions();
+        let selected_by = permit_prompt(context, &mut decisions, attempt)?;
+        Self::reserve(context, &mut decisions, attempt, selected_by)
+    }
+
+    /// Reserves an engine for an attempt beside a silent one.
+    ///
+    /// Returns `None` if no untried server takes work, no retry is granted, or a part of the prompt
+    /// ends engines, so that it must run alone. `retry` is the number of the retry to take from the
+    /// budget; `None` takes none.
+    pub(super) fn place_standby(
+        context: &Arc<CallContext>,
+        attempt: &StreamAttempt<'_>,
+        retry: Option<u32>,
+    ) -> Option<Self> {
+        let host = &context.host;
+        let now = host.now();
+        let service = &context.service.name;
+        let mut decisions = host.lock_decisions();
+        let has_other_server = decisions
+            .registry
+            .available(now, service)
+            .any(|(server, _)| !attempt.tried.contains(&server));
+        if !has_other_server || (retry.is_some() && !decisions.may_retry(service)) {
+            return None;
+        }
+        let selected_by = permit_prompt(context, &mut decisions, attempt).ok()?;
+        if let Some((part, _rank)) = selected_by {
+            decisions.crash_ledger.record_contained_end(part);
+            return None;
+        }
+        if let Some(retry) = retry {
+            let decision = decisions.request_retry(now, context.deadline, service, retry);
+            if matches!(decision, RetryDecision::Denied { .. }) {
+                return None;
+            }
+        }
+        Self::reserve(context, &mut decisions, attempt, None).ok()
+    }
+
+    /// Chooses an engine, reserves it and logs the placement.
+    ///
+    /// # Errors
+    ///
+    /// Returns a "not run" refusal if no engine accepts the stream.
+    fn reserve(
+        context: &Arc<CallContext>,
+        decisions: &mut DecisionState,
+        attempt: &StreamAttempt<'_>,
+        selected_by: Option<(u64, u32)>,
+    ) -> Result<Self> {
         let host = &context.host;
         let now = host.now();
         let empty_prompt = PromptShape::default();
@@ -58,14 +111,6 @@
             memory_tokens: f64::INFINITY,
             event_tokens: 1,
         };
-        let mut decisions = host.lock_decisions();
-        let decisions = &mut *decisions;
-        let selected_by = if attempt.has_events {
-            None
-        } else {
-            let organisation = context.organisation.as_deref().unwrap_or_default();
-            decisions.permit_prompt(now, organisation, prompt, attempt.number)?
-        };
         let contained_part = selected_by.map(|(part, _rank)| part);
         let query = EngineQuery {
             service: &context.service.name,
@@ -150,6 +195,25 @@
     }
 }
 
+/// Returns by which part of the prompt its engine is chosen, if it is contained.
+///
+/// # Errors
+///
+/// Returns a "not run" refusal if a part of the prompt ends engines.
+fn permit_prompt(
+    context: &CallContext,
+    decisions: &mut DecisionState,
+    attempt: &StreamAttempt<'_>,
+) -> Result<Option<(u64, u32)>> {
+    if attempt.has_events {
+        return Ok(None);
+    }
+    let empty_prompt = PromptShape::default();
+    let prompt = context.prompt.as_ref().unwrap_or(&empty_prompt);
+    let organisation = context.organisation.as_deref().unwrap_or_default();
+    decisions.permit_prompt(context.host.now(), organisation, prompt, attempt.number)
+}
+
 impl Drop for StreamReservation {
     fn drop(&mut self) {
         let host = &self.context.host;
--- a/crates/teaselglade-routing/src/attempt/attempt_outcome.rs
+++ b/crates/teaselglade-routing/src/attempt/attempt_outcome.rs
@@ -16,6 +16,8 @@
         /// No response arrived in time.
         #[serde(rename = "silent")]
         TimedOut,
+        /// Another attempt brought the next event first, so that this one was dropped.
+        Superseded,
     }
 }
 
@@ -23,7 +25,10 @@
     /// Returns whether the server may have run the request.
     #[must_use]
     pub const fn may_have_run(self) -> bool {
-        matches!(self, Self::Broken | Self::Failed | Self::TimedOut)
+        matches!(
+            self,
+            Self::Broken | Self::Failed | Self::TimedOut | Self::Superseded
+        )
     }
 
     /// Returns whether the request reached the server.
--- a/crates/teaselglade-routing/src/attempt/attempt_tracker.rs
+++ b/crates/teaselglade-routing/src/attempt/attempt_tracker.rs
@@ -99,16 +99,17 @@
         self.retry_policy == RetryPolicy::Restart && self.may_send()
     }
 
-    /// Returns the servers that must not be tried again.
+    /// Returns whether a silent attempt may get a standby at another server.
     #[must_use]
-    pub fn tried(&self) -> Vec<ServerKey> {
-        self.sent.iter().chain(&self.unreachable).copied().collect()
+    pub fn may_move(&self) -> bool {
+        let may_connect = self.unreachable.len() < MAX_FAILED_CONNECTIONS as usize;
+        self.retry_policy == RetryPolicy::Resume && self.may_send() && may_connect
     }
 
-    /// Returns the servers to which the request was sent, the latest last.
+    /// Returns the servers that must not be tried again.
     #[must_use]
-    pub fn sent(&self) -> &[ServerKey] {
-        &self.sent
+    pub fn tried(&self) -> Vec<ServerKey> {
+        self.sent.iter().chain(&self.unreachable).copied().collect()
     }
 
     /// Returns the number of servers to which the request was sent.
--- a/crates/teaselglade-routing/tests/routing/attempts.rs
+++ b/crates/teaselglade-routing/tests/routing/attempts.rs
@@ -7,13 +7,14 @@
 use teaselglade_routing::attempt::{AttemptOutcome, AttemptTracker, NextStep};
 use teaselglade_routing::table::RetryPolicy;
 
-const OUTCOMES: [AttemptOutcome; 6] = [
+const OUTCOMES: [AttemptOutcome; 7] = [
     AttemptOutcome::Unreachable,
     AttemptOutcome::Rejected,
     AttemptOutcome::Misdirected,
     AttemptOutcome::Broken,
     AttemptOutcome::Failed,
     AttemptOutcome::TimedOut,
+    AttemptOutcome::Superseded,
 ];
 const POLICIES: [RetryPolicy; 3] = [
     RetryPolicy::Never,
--- a/crates/teaselglade-routing/tests/routing/main.rs
+++ b/crates/teaselglade-routing/tests/routing/main.rs
@@ -7,6 +7,7 @@
 mod events;
 mod fixture;
 mod membership;
+mod moves;
 mod plains;
 mod quota_rush;
 mod quotas;
