fix(host): a stream resumes at a third server if the second answers with a failure

Callers of a resumable stream got it cut when its server broke it and the next one answered with a failure, though another attempt was allowed.

Cause: an error response ended the resumption; only before the first event can it be forwarded. After that it is now an attempt that failed, and the next one needs a retry from the budget as any other. It is no evidence against the server's health, as before.

--- a/crates/teaselglade-host/src/relay/stream_relay.rs
+++ b/crates/teaselglade-host/src/relay/stream_relay.rs
@@ -226,7 +226,7 @@
                     return StreamStep::End;
                 }
                 ReadEvent::Step(role, AttemptStep::ErrorResponse(response)) => {
-                    if self.standby.is_none() {
+                    if self.head.is_none() && self.standby.is_none() {
                         return StreamStep::ErrorResponse(response);
                     }
                     (role, self.store_error(role, response))
