fix(net): lose no request and no answer when a connection is closed

Four ways in which a server that closes a connection lost what its caller was owed; each test failed on the code before.

The end of an answer. A socket that is closed while bytes are unread, or to which bytes come later, resets its connection, and the kernel drops what is left of the answer in the send buffer. A caller that read slowly and sent its next request got 4,096 bytes of an answer of 1.5 MB (`an_answer_arrives_whole_although_the_next_request_crosses_the_close`). `LingeringStream` now closes the sending half first, then reads and discards until the caller closes, for at most 1 s. 2. A request that lies unread. The HTTP library closes an idle connection, and one from which it has read nothing yet, without another look at the socket. A request that came since the runtime last asked for events was reset. A busy or throttled process is in that state for longer. A connection is now closed only after a look into the socket itself. 3. A request behind a running stream. The stream's head was sent before the stop, so that it could not announce the close; the library dropped the request that had come behind it, seconds later (`a_request_behind_a_running_stream_is_answered_when_a_server_stops`). The library is now asked to close a connection once it is idle; answers that begin meanwhile announce the close. 4. A stop without end. Half a head on a new connection held up `HttpServer`'s stop for ever, as the library waits for the rest. It is now waited for 1 s (`a_caller_that_keeps_its_connection_open_does_not_hold_up_a_stop`, more than 30 s before).

`OpenConnections` replaces the library's `GracefulShutdown` in the serving host and in `HttpServer`, and thus in the entry and control daemons, the readiness and metrics listeners and the peers' interface.

Ruled out, by reading: bytes of an answer that the library has not flushed when a connection counts as ended; its shutdown flushes first and ends only after that. Not covered: a request that is sent behind another before the answer, where that answer announces the close; by HTTP it is not processed, and nothing is sent after such an answer.

--- a/crates/teaselglade-host/src/ingress/caller_listener.rs
+++ b/crates/teaselglade-host/src/ingress/caller_listener.rs
@@ -7,9 +7,8 @@
 
 use hyper::server::conn::http1::Builder;
 use hyper::service::service_fn;
-use hyper_util::rt::{TokioIo, TokioTimer};
-use hyper_util::server::graceful::GracefulShutdown;
-use teaselglade_net::server::{bind_listener, close_listener, shut_down_connections};
+use hyper_util::rt::TokioTimer;
+use teaselglade_net::server::{OpenConnections, bind_listener, close_listener};
 use teaselglade_routing::table::IngressLimits;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::{sleep, timeout};
@@ -50,11 +49,11 @@
     ///
     /// It waits until the time that the host's shutdown plan sets.
     pub async fn serve(self, shutdown: CancellationToken) {
-        let graceful = GracefulShutdown::new();
+        let open = OpenConnections::default();
         loop {
             tokio::select! {
                 accepted = self.listener.accept() => match accepted {
-                    Ok((stream, _caller)) => serve_connection(&self.host, stream, &graceful),
+                    Ok((stream, _caller)) => serve_connection(&self.host, stream, &open),
                     Err(error) => {
                         warn!(event = "accept_failed", error = %error);
                         sleep(ACCEPT_RETRY_DELAY).await;
@@ -66,16 +65,16 @@
         match close_listener(self.listener) {
             Ok(queued) => {
                 for (stream, _caller) in queued {
-                    serve_connection(&self.host, stream, &graceful);
+                    serve_connection(&self.host, stream, &open);
                 }
             }
             Err(error) => warn!(event = "queued_connections_lost", error = %error),
         }
-        let open_connections = graceful.count();
+        let open_connections = open.count();
         let now = self.host.now();
         let plan = self.host.begin_shutdown(now);
         let drain_timeout = plan.answers_end_at().since(now);
-        let drained = shut_down_connections(graceful);
+        let drained = open.shut_down();
         let is_drained = timeout(drain_timeout, drained).await.is_ok();
         info!(
             event = "callers_drained",
@@ -86,7 +85,7 @@
 }
 
 /// Serves the requests of one connection in a task of its own.
-fn serve_connection(host: &Arc<HostState>, stream: TcpStream, graceful: &GracefulShutdown) {
+fn serve_connection(host: &Arc<HostState>, stream: TcpStream, open: &OpenConnections) {
     // Otherwise small events wait for acknowledgements. On an error the connection still works.
     let _nodelay_result = stream.set_nodelay(true);
     let host = Arc::clone(host);
@@ -97,14 +96,12 @@
         let host = Arc::clone(&host);
         async move { Ok::<_, Infallible>(serve_call(host, request).await) }
     });
-    let connection = Builder::new()
-        .timer(TokioTimer::new())
-        .header_read_timeout(limits.idle_timeout.max(limits.head_timeout) + IDLE_TIMEOUT_MARGIN)
-        .max_buf_size(limits.head_bytes.max(MIN_BUFFER_BYTES))
-        .serve_connection(TokioIo::new(stream), service);
-    let connection = graceful.watch(connection);
-    tokio::spawn(async move {
-        // A broken connection affects only that caller's own requests.
-        let _connection_result = connection.await;
+    let served = open.serve(stream, service, move |io, service| {
+        Builder::new()
+            .timer(TokioTimer::new())
+            .header_read_timeout(limits.idle_timeout.max(limits.head_timeout) + IDLE_TIMEOUT_MARGIN)
+            .max_buf_size(limits.head_bytes.max(MIN_BUFFER_BYTES))
+            .serve_connection(io, service)
     });
+    tokio::spawn(served);
 }
--- a/crates/teaselglade-net/src/server/drain.rs
+++ b/crates/teaselglade-net/src/server/drain.rs
@@ -4,14 +4,12 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use hyper_util::server::graceful::GracefulShutdown;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::time::{Instant, sleep};
 
 /// Time after the listener has closed in which open connections may send a last request.
 pub const LAST_REQUEST_GRACE: Duration = Duration::from_millis(250);
-/// Interval between checks whether any connection is open in that time.
-const DRAIN_POLL: Duration = Duration::from_millis(20);
+/// Interval between checks whether connections are open or may be closed.
+pub(super) const DRAIN_POLL: Duration = Duration::from_millis(20);
 
 /// Closes a listener and returns the connections that wait in its queue, with their callers.
 ///
@@ -34,16 +32,3 @@
         }
     }
 }
-
-/// Shuts down open connections after their last requests.
-///
-/// The HTTP library closes a connection from which it has read nothing yet, and an idle one, as soon as it
-/// shuts down. So this first waits [`LAST_REQUEST_GRACE`], or until no connection is open, for requests that are on
-/// their way.
-pub async fn shut_down_connections(graceful: GracefulShutdown) {
-    let deadline = Instant::now() + LAST_REQUEST_GRACE;
-    while graceful.count() > 0 && Instant::now() < deadline {
-        sleep(DRAIN_POLL).await;
-    }
-    graceful.shutdown().await;
-}
--- a/crates/teaselglade-net/src/server/http_server.rs
+++ b/crates/teaselglade-net/src/server/http_server.rs
@@ -5,16 +5,16 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use hyper_util::rt::{TokioExecutor, TokioIo};
+use hyper_util::rt::TokioExecutor;
 use hyper_util::server::conn::auto::Builder;
-use hyper_util::server::graceful::GracefulShutdown;
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::task::{JoinHandle, JoinSet};
 use tokio::time::sleep;
 use tokio_util::sync::{CancellationToken, DropGuard};
 use viz::{Request, Responder, Router, Tree};
 
-use super::drain::{close_listener, shut_down_connections};
+use super::drain::close_listener;
+use super::open_connections::OpenConnections;
 
 /// Maximum number of connections that wait to be accepted.
 ///
@@ -108,13 +108,13 @@
 
 async fn accept_until_stopped(listener: TcpListener, tree: Tree, stopped: CancellationToken) {
     let tree = Arc::new(tree);
-    let graceful = GracefulShutdown::new();
+    let open = OpenConnections::default();
     let mut connections = JoinSet::new();
     loop {
         tokio::select! {
             accepted = listener.accept() => match accepted {
                 Ok((stream, caller)) => {
-                    serve_connection(stream, caller, &tree, &graceful, &mut connections);
+                    serve_connection(stream, caller, &tree, &open, &mut connections);
                 }
                 Err(_error) => sleep(ACCEPT_RETRY_DELAY).await,
             },
@@ -125,31 +125,27 @@
     match close_listener(listener) {
         Ok(queued) => {
             for (stream, caller) in queued {
-                serve_connection(stream, caller, &tree, &graceful, &mut connections);
+                serve_connection(stream, caller, &tree, &open, &mut connections);
             }
         }
         Err(error) => log::warn!("connections in the queue are lost: {error}"),
     }
-    shut_down_connections(graceful).await;
+    open.shut_down().await;
 }
 
 fn serve_connection(
     stream: TcpStream,
     caller: SocketAddr,
     tree: &Arc<Tree>,
-    graceful: &GracefulShutdown,
+    open: &OpenConnections,
     connections: &mut JoinSet<()>,
 ) {
     // If the option cannot be set, small frames wait for acknowledgements, but nothing fails.
     let _delayed = stream.set_nodelay(true);
     let responder = Responder::new(Arc::clone(tree), Some(caller));
-    let builder = Builder::new(TokioExecutor::new());
-    let connection = builder
-        .serve_connection(TokioIo::new(stream), responder)
-        .into_owned();
-    let connection = graceful.watch(connection);
-    connections.spawn(async move {
-        // A broken connection affects only the requests of its own caller.
-        let _broken = connection.await;
+    let served = open.serve(stream, responder, |io, service| {
+        let builder = Builder::new(TokioExecutor::new());
+        builder.serve_connection(io, service).into_owned()
     });
+    connections.spawn(served);
 }
--- /dev/null
+++ b/crates/teaselglade-net/src/server/lingering_stream.rs
@@ -0,0 +1,118 @@
+//! Connection of a caller that is closed without losing the end of the last answer.
+
+use std::io;
+use std::os::fd::AsFd;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::task::{Context, Poll, ready};
+use std::time::Duration;
+
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+use tokio::time::{Sleep, sleep};
+
+use super::connection_activity::ConnectionActivity;
+
+/// Longest time to wait for the caller to close its side after the last answer.
+const LINGER_TIME: Duration = Duration::from_secs(1);
+/// Bytes that are read and discarded at a time meanwhile.
+const DISCARD_BYTES: usize = 4 * 1024;
+
+/// Stream whose shutdown closes the sending half first and then reads until the caller closes.
+///
+/// A socket that is closed while bytes are unread, or to which bytes come later, resets the connection, and what its
+/// caller has not read yet of the last answer is lost.
+#[derive(Debug)]
+pub struct LingeringStream {
+    socket: TcpStream,
+    activity: Arc<ConnectionActivity>,
+    linger_end: Option<Pin<Box<Sleep>>>,
+}
+
+impl LingeringStream {
+    pub(super) const fn new(socket: TcpStream, activity: Arc<ConnectionActivity>) -> Self {
+        Self {
+            socket,
+            activity,
+            linger_end: None,
+        }
+    }
+}
+
+impl AsyncRead for LingeringStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let filled_before = buf.filled().len();
+        let result = Pin::new(&mut self.socket).poll_read(cx, buf);
+        if buf.filled().len() > filled_before {
+            self.activity.record_input();
+        } else if self.activity.take_check() {
+            self.activity.record_check(has_input(&self.socket));
+        }
+        result
+    }
+}
+
+impl AsyncWrite for LingeringStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        let result = Pin::new(&mut self.socket).poll_write(cx, buf);
+        self.activity.record_write(result.is_pending());
+        result
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.socket).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        if self.linger_end.is_none() {
+            ready!(Pin::new(&mut self.socket).poll_shutdown(cx))?;
+            self.linger_end = Some(Box::pin(sleep(LINGER_TIME)));
+        }
+        let is_over = |stream: &mut Self, cx: &mut Context<'_>| {
+            let linger_end = stream.linger_end.as_mut();
+            linger_end.is_none_or(|linger_end| linger_end.as_mut().poll(cx).is_ready())
+        };
+        let mut discarded = [0; DISCARD_BYTES];
+        while !is_over(&mut self, cx) {
+            let mut buffer = ReadBuf::new(&mut discarded);
+            // After an error the connection is closed, as it is after the end.
+            let read = ready!(Pin::new(&mut self.socket).poll_read(cx, &mut buffer));
+            if read.is_err() || buffer.filled().is_empty() {
+                break;
+            }
+        }
+        Poll::Ready(Ok(()))
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        let result = Pin::new(&mut self.socket).poll_write_vectored(cx, bufs);
+        self.activity.record_write(result.is_pending());
+        result
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.socket.is_write_vectored()
+    }
+}
+
+/// Returns whether bytes wait in the socket, also if the runtime has not noticed them yet.
+fn has_input(socket: &TcpStream) -> bool {
+    let Ok(descriptor) = socket.as_fd().try_clone_to_owned() else {
+        // No descriptor is left to look through; the wait for it is bounded.
+        return true;
+    };
+    let peeked = std::net::TcpStream::from(descriptor).peek(&mut [0]);
+    peeked.is_ok_and(|bytes| bytes > 0)
+}
--- a/crates/teaselglade-net/tests/server/main.rs
+++ b/crates/teaselglade-net/tests/server/main.rs
@@ -2,3 +2,4 @@
 
 mod bodies;
 mod burst;
+mod stop;
