fix(entry): whole answers that callers may still ask for outlive the stop of their host

An entry host keeps an answer for 15 s after its end, for a caller whose connection broke. At a stop it waited only for streams that were still in progress: an answer that had become whole went with the process, and its caller was told `may_have_run` by every peer. The state machine hands such an answer over to a peer, but only 3 s before the end of the drain time, when the process had long ended.

Ruled out: streams in progress without a caller, which were waited for.

A whole answer without a caller is offered to peers at once, and the stop waits up to 3 s, within the drain time, for peers to take it; without a peer it does not wait. The peers' server ends its last responses instead of cutting them, and the last line of a stop names the streams that it leaves behind.

--- a/crates/teaselglade-entry/src/host/entry_daemon.rs
+++ b/crates/teaselglade-entry/src/host/entry_daemon.rs
@@ -19,6 +19,14 @@
 use crate::shared::{poll_head, poll_notices, replay_table, run_gossip};
 
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(20);
+/// Longest wait at a stop for peers to take whole answers that callers may still ask for.
+///
+/// Peers that accept records do so within milliseconds; those that stop as well accept none.
+const KEPT_ANSWERS_TIMEOUT: Duration = Duration::from_secs(3);
+/// Maximum number of streams that the last line of a stop names.
+const MAX_LOGGED_IDS: usize = 64;
+/// Longest wait at a stop for the last responses to peers, which may be up to 400 ms in progress.
+const PEER_STOP_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// Holds the addresses that a daemon listens on.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
@@ -87,31 +95,27 @@
 
     /// Stops gracefully: refuses new requests and lets those in progress end.
     ///
-    /// Streams may be handed over to peers. Requests that outlast the drain timeout are not
-    /// awaited.
+    /// Streams may be handed over to peers, as are whole answers whose callers may still ask for them.
+    /// Requests that outlast the drain timeout are not awaited.
     pub async fn stop(self) {
         self.host.start_draining();
         log::info!("entry daemon {} is draining", self.host.settings.host);
         let deadline = Instant::now() + self.host.settings.drain_timeout;
         let stop_at = self.host.now() + self.host.settings.drain_timeout;
         self.host.streams.announce_shutdown(stop_at);
-        while self.has_streams() && Instant::now() < deadline {
-            sleep(DRAIN_POLL_INTERVAL).await;
-        }
-        tokio::select! {
-            () = self.caller_server.stop() => {}
-            () = tokio::time::sleep_until(deadline) => {}
-        }
-        while !self.host.shards.is_idle() && Instant::now() < deadline {
-            sleep(DRAIN_POLL_INTERVAL).await;
-        }
-        self.peer_server.abort();
+        wait_until(deadline, || !has_open_streams(&self.host)).await;
+        let time_left = deadline.saturating_duration_since(Instant::now());
+        let (has_ended, ()) = tokio::join!(
+            self.caller_server.stop_within(time_left),
+            settle_streams(&self.host, deadline),
+        );
+        // Callers that were still connected may have left whole answers.
+        settle_streams(&self.host, deadline).await;
+        wait_until(deadline, || self.host.shards.is_idle()).await;
+        let has_ended = has_ended && self.host.shards.is_idle();
+        self.peer_server.stop_within(PEER_STOP_TIMEOUT).await;
         self.background_tasks.iter().for_each(JoinHandle::abort);
-        log::info!("entry daemon {} stopped", self.host.settings.host);
-    }
-
-    fn has_streams(&self) -> bool {
-        self.host.metrics.open_streams.get() > 0 || !self.host.handovers.is_idle()
+        log_stopped(&self.host, has_ended);
     }
 
     /// Ends the daemon immediately, as a crash would.
@@ -121,3 +125,44 @@
         self.background_tasks.iter().for_each(JoinHandle::abort);
     }
 }
+
+/// Returns whether a stream has no final response yet, or a record is on its way to a peer.
+fn has_open_streams(host: &EntryHost) -> bool {
+    host.metrics.open_streams.get() > 0 || !host.handovers.is_idle()
+}
+
+/// Waits until no stream is open, then until peers have taken the answers that are kept here.
+async fn settle_streams(host: &EntryHost, deadline: Instant) {
+    wait_until(deadline, || !has_open_streams(host)).await;
+    let kept_until = deadline.min(Instant::now() + KEPT_ANSWERS_TIMEOUT);
+    let are_settled = || {
+        let is_kept = !host.streams.is_empty() && !host.live_peers().is_empty();
+        !is_kept && !has_open_streams(host)
+    };
+    wait_until(kept_until, are_settled).await;
+}
+
+/// Waits until a condition holds, or until `deadline`.
+async fn wait_until(deadline: Instant, is_reached: impl Fn() -> bool) {
+    while !is_reached() && Instant::now() < deadline {
+        sleep(DRAIN_POLL_INTERVAL).await;
+    }
+}
+
+/// Logs the end of a stop, with the requests that it leaves behind.
+fn log_stopped(host: &EntryHost, has_ended: bool) {
+    let name = &host.settings.host;
+    let open_streams = host.metrics.open_streams.get();
+    let streams = host.streams.ids();
+    if has_ended && streams.is_empty() {
+        log::info!("entry daemon {name} stopped");
+        return;
+    }
+    let ids = streams.iter().take(MAX_LOGGED_IDS).map(ToString::to_string);
+    let ids = ids.collect::<Vec<_>>().join(", ");
+    log::warn!(
+        "entry daemon {name} stopped with requests in hand: connections and keyed calls ended in \
+         time: {has_ended}; open streams: {open_streams} of {} held: {ids}",
+        streams.len(),
+    );
+}
--- a/crates/teaselglade-entry/src/stream/stream_registry.rs
+++ b/crates/teaselglade-entry/src/stream/stream_registry.rs
@@ -65,6 +65,16 @@
         }
     }
 
+    /// Returns whether this host holds no stream, not even one that is whole.
+    pub(crate) fn is_empty(&self) -> bool {
+        self.lock().streams.is_empty()
+    }
+
+    /// Returns the requests whose streams this host holds.
+    pub(crate) fn ids(&self) -> Vec<RequestId> {
+        self.lock().streams.keys().copied().collect()
+    }
+
     /// Attaches a reader to a stream, or returns `None` if it is not held here.
     pub(crate) async fn attach(
         &self,
--- a/crates/teaselglade-request/src/stream/stream_machine/caller_events.rs
+++ b/crates/teaselglade-request/src/stream/stream_machine/caller_events.rs
@@ -11,6 +11,7 @@
         if self.caller == (CallerState::Connected { session }) {
             let until = now + self.limits.caller_grace;
             self.caller = CallerState::Disconnected { until };
+            self.hasten_handover(now);
         }
     }
 
@@ -54,7 +55,7 @@
         }
     }
 
-    pub(super) fn on_host_stopping(&mut self, deadline: Option<Timestamp>) {
+    pub(super) fn on_host_stopping(&mut self, now: Timestamp, deadline: Option<Timestamp>) {
         let Some(deadline) = deadline else {
             return;
         };
@@ -68,6 +69,18 @@
         let offset = deadline - Timestamp::ZERO;
         let offset = offset.saturating_sub(self.limits.handover_time);
         self.handover_at = Some(Timestamp::ZERO + offset);
+        self.hasten_handover(now);
+    }
+
+    /// Lets the handover of a complete response without a caller start at once.
+    ///
+    /// The host need not last as long for it as for an attempt in progress.
+    pub(super) fn hasten_handover(&mut self, now: Timestamp) {
+        let is_kept = matches!(self.phase, StreamPhase::Complete { .. })
+            && matches!(self.caller, CallerState::Disconnected { .. });
+        if is_kept {
+            self.handover_at = self.handover_at.map(|at| at.min(now));
+        }
     }
 
     /// Starts the handover if it is due, and returns whether it did.
--- a/crates/teaselglade-request/src/stream/stream_machine/frame_events.rs
+++ b/crates/teaselglade-request/src/stream/stream_machine/frame_events.rs
@@ -164,6 +164,7 @@
         if matches!(self.caller, CallerState::Connected { .. }) {
             self.finish_response(total);
         }
+        self.hasten_handover(now);
     }
 
     pub(super) fn finish_response(&mut self, total: u32) {
--- a/crates/teaselglade-request/src/stream/stream_machine/mod.rs
+++ b/crates/teaselglade-request/src/stream/stream_machine/mod.rs
@@ -307,7 +307,7 @@
             } => {
                 self.on_caller_resumed(session, from, copy_id);
             }
-            StreamEvent::HostStopping { deadline } => self.on_host_stopping(deadline),
+            StreamEvent::HostStopping { deadline } => self.on_host_stopping(now, deadline),
             StreamEvent::HandoverDone => self.on_handover_done(),
             StreamEvent::HandoverFailed { generation } => self.on_handover_failed(now, generation),
         }
--- a/crates/teaselglade/tests/processes/planned_stops.rs
+++ b/crates/teaselglade/tests/processes/planned_stops.rs
@@ -29,7 +29,7 @@
 const FAULT_DELAY: Duration = Duration::from_millis(400);
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
 const SHORT_DRAIN_TIMEOUT: Duration = Duration::from_secs(4);
-const WAIT_TIMEOUT: Duration = Duration::from_secs(60);
+const WAIT_TIMEOUT: Duration = Duration::from_mins(1);
 const MAX_RESUMES: u32 = 100;
 
 /// Returns the head and the body of a request for a stream.
@@ -151,3 +151,52 @@
         "the daemon exits successfully"
     );
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_answer_that_ended_without_its_caller_outlives_the_stop_of_its_host() {
+    let mut fleet = TestFleet::start(FleetPlan::dragons_sleeve(), 2).await;
+    let request = LOAD.request(0);
+    let (head, body) = request_parts(&request);
+    let callers = fleet.callers();
+    let mut connection = TcpStream::connect(callers[0]).await.expect("a connection");
+    connection.write_all(head.as_bytes()).await.expect("sent");
+    connection.write_all(&body).await.expect("sent");
+    let response = read_until(&mut connection, "\"index\":0").await;
+    drop(connection);
+    while fleet.status(&fleet.entries[0]).await.streams > 0 {
+        sleep(POLL_INTERVAL).await;
+    }
+    fleet.entries[0].process.signal("TERM");
+    assert!(
+        fleet.entries[0].process.wait(),
+        "the daemon exits successfully"
+    );
+    let events = resume_whole(&fleet, callers[1], request_id(&response)).await;
+    let expected = response_text(&request.prompt, request.max_tokens);
+    assert_eq!(answer_text(&events), expected);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_caller_at_a_peer_gets_the_end_of_a_stream_whose_host_stops() {
+    let mut fleet = TestFleet::start(FleetPlan::dragons_sleeve(), 2).await;
+    let request = LOAD.request(0);
+    let (head, body) = request_parts(&request);
+    let callers = fleet.callers();
+    let mut connection = TcpStream::connect(callers[0]).await.expect("a connection");
+    connection.write_all(head.as_bytes()).await.expect("sent");
+    connection.write_all(&body).await.expect("sent");
+    let response = read_until(&mut connection, "\"index\":0").await;
+    drop(connection);
+    let events = resume_whole(&fleet, callers[1], request_id(&response));
+    let stop = async {
+        sleep(FAULT_DELAY).await;
+        fleet.entries[0].process.signal("TERM");
+    };
+    let (events, ()) = tokio::join!(events, stop);
+    let expected = response_text(&request.prompt, request.max_tokens);
+    assert_eq!(answer_text(&events), expected);
+    assert!(
+        fleet.entries[0].process.wait(),
+        "the daemon exits successfully"
+    );
+}
