feat(host): the end of a stop names each request in hand by its id

So the log could not tell a wait that ended early from an answer ended for another cause.

Change, of observation only: - `RequestArena`: an entry for each request from its head to the end of its response (`RequestGuard`, held by the response's body), found by `RequestKey`: route, stage, latest server, arrival, deadline, last event. - `accepting_ended` (connections, queued, requests), `callers_drained` with `requests_before`, `requests` and `waited_ms` beside its fields, `requests_in_hand` (their number by stage), one `request_in_hand` for each, and `requests` in `stopped`. One id a line, not several: a reader that stops costs few ids, the fields stay readable by tools, and `explain` needs no new rule.

--- a/crates/teaselglade-host/src/host/serving_host.rs
+++ b/crates/teaselglade-host/src/host/serving_host.rs
@@ -14,6 +14,7 @@
 use tokio_util::sync::CancellationToken;
 use tracing::{info, warn};
 
+use super::stop_log::log_open_requests;
 use crate::duty::DutyDriver;
 use crate::follow::{follow_servers, follow_table};
 use crate::ingress::{AdminListeners, CallerListener};
@@ -129,6 +130,7 @@
         sleep(DRAIN_DELAY).await;
         self.draining.cancel();
         let is_ended = self.callers.await.is_ok();
+        log_open_requests(&self.state);
         if let Some(duties) = self.duties {
             let is_released = timeout(KILL_MARGIN / 2, duties).await.is_ok();
             info!(event = "duties_ended", is_released);
@@ -138,7 +140,9 @@
         for task in self.tasks {
             task.abort();
         }
-        info!(event = "stopped", is_ended);
+        self.state.start_ending();
+        let requests = self.state.lock_open_requests().len();
+        info!(event = "stopped", is_ended, requests);
     }
 }
 
--- a/crates/teaselglade-host/src/ingress/caller_listener.rs
+++ b/crates/teaselglade-host/src/ingress/caller_listener.rs
@@ -61,8 +61,10 @@
                 () = shutdown.cancelled() => break,
             }
         }
+        let mut queued_connections = 0;
         match close_listener(self.listener) {
             Ok(queued) => {
+                queued_connections = queued.len();
                 for (stream, _caller) in queued {
                     serve_connection(&self.host, stream, &graceful);
                 }
@@ -70,12 +72,24 @@
             Err(error) => warn!(event = "queued_connections_lost", error = %error),
         }
         let open_connections = graceful.count();
+        let requests = self.host.lock_open_requests().len();
+        info!(
+            event = "accepting_ended",
+            connections = open_connections,
+            queued = queued_connections,
+            requests,
+            drain_ms = drain_timeout.as_millis() as u64,
+        );
+        let accepted_until = self.host.now();
         let drained = shut_down_connections(graceful);
         let is_drained = timeout(drain_timeout, drained).await.is_ok();
         info!(
             event = "callers_drained",
             connections = open_connections,
-            is_drained
+            is_drained,
+            requests_before = requests,
+            requests = self.host.lock_open_requests().len(),
+            waited_ms = self.host.now().since(accepted_until).as_millis() as u64,
         );
     }
 }
--- a/crates/teaselglade-host/src/journal/decision_log.rs
+++ b/crates/teaselglade-host/src/journal/decision_log.rs
@@ -1,5 +1,6 @@
 //! Log of decisions on requests.
 
+use std::collections::BTreeMap;
 use std::sync::{Mutex, PoisonError};
 use std::time::Duration;
 
@@ -7,7 +8,7 @@
 use teaselglade_core::verdict::{ExecutionVerdict, RequestRefusal};
 use tracing::info;
 
-use super::LineBudget;
+use super::{LineBudget, SuppressedLines};
 use crate::metrics::HostMetrics;
 
 /// Log fields of a request.
@@ -187,12 +188,13 @@
     /// Logs a summary of the lines beyond the budget, if one is due.
     pub fn write_summary(&self, now: Timestamp, metrics: &HostMetrics) {
         let summary = self.lock().take_summary(now);
-        for (cause, lines) in summary {
-            let dropped = metrics.dropped_lines.with_label_values(&[cause]);
-            dropped.inc_by(lines.count);
-            let ids = lines.ids.join(" ");
-            info!(event = "lines_summed_up", cause, count = lines.count, ids);
-        }
+        write_lines(summary, metrics);
+    }
+
+    /// Logs a summary of the lines beyond the budget, and writes every later line.
+    pub fn lift_budget(&self, metrics: &HostMetrics) {
+        let summary = self.lock().lift();
+        write_lines(summary, metrics);
     }
 
     fn allows(&self, now: Timestamp, cause: &'static str, id: &str) -> bool {
@@ -204,6 +206,16 @@
     }
 }
 
+/// Writes the summary of lines beyond the budget, by cause.
+fn write_lines(summary: BTreeMap<&'static str, SuppressedLines>, metrics: &HostMetrics) {
+    for (cause, lines) in summary {
+        let dropped = metrics.dropped_lines.with_label_values(&[cause]);
+        dropped.inc_by(lines.count);
+        let ids = lines.ids.join(" ");
+        info!(event = "lines_summed_up", cause, count = lines.count, ids);
+    }
+}
+
 const fn verdict_name(verdict: ExecutionVerdict) -> &'static str {
     match verdict {
         ExecutionVerdict::NotRun => "not_run",
--- a/crates/teaselglade-host/src/journal/line_budget.rs
+++ b/crates/teaselglade-host/src/journal/line_budget.rs
@@ -46,6 +46,7 @@
     refilled_at: Option<Timestamp>,
     suppressed: BTreeMap<&'static str, SuppressedLines>,
     last_summary_at: Option<Timestamp>,
+    is_lifted: bool,
 }
 
 impl LineBudget {
@@ -58,11 +59,15 @@
             refilled_at: None,
             suppressed: BTreeMap::new(),
             last_summary_at: None,
+            is_lifted: false,
         }
     }
 
     /// Returns whether a line may be written; otherwise counts it for the summary.
     pub fn allows(&mut self, now: Timestamp, cause: &'static str, id: &str) -> bool {
+        if self.is_lifted {
+            return true;
+        }
         self.refill(now);
         if self.tokens >= 1.0 {
             self.tokens -= 1.0;
@@ -88,6 +93,12 @@
         std::mem::take(&mut self.suppressed)
     }
 
+    /// Allows every later line and takes the lines suppressed so far, by cause.
+    pub fn lift(&mut self) -> BTreeMap<&'static str, SuppressedLines> {
+        self.is_lifted = true;
+        std::mem::take(&mut self.suppressed)
+    }
+
     fn refill(&mut self, now: Timestamp) {
         let capacity = self.lines_per_second * BURST_SECONDS;
         let Some(refilled_at) = self.refilled_at else {
--- a/crates/teaselglade-host/src/lib.rs
+++ b/crates/teaselglade-host/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod ingress;
 pub mod journal;
 pub mod metrics;
+pub mod open;
 pub mod peer;
 pub mod port;
 pub mod quarantine;
--- a/crates/teaselglade-host/src/relay/call_context.rs
+++ b/crates/teaselglade-host/src/relay/call_context.rs
@@ -18,6 +18,7 @@
 use super::response_body::ResponseBody;
 use super::server_call::FailedCall;
 use crate::journal::RequestFields;
+use crate::open::{OpenRequest, RequestKey};
 use crate::state::HostState;
 
 /// State of one request while this host relays it.
@@ -43,6 +44,8 @@
     pub(super) arrived_at: Timestamp,
     /// When the final response is due: the caller's timeout or the route's, whichever is shorter.
     pub(super) deadline: Timestamp,
+    /// Key among the open requests.
+    pub(super) open_key: RequestKey,
 }
 
 impl CallContext {
@@ -114,6 +117,7 @@
         let outcome = outcome_name(failed.outcome);
         let labels = [self.service.name.as_str(), outcome];
         host.metrics.attempts.with_label_values(&labels).inc();
+        host.update_request(self.open_key, OpenRequest::end_attempt);
         let (now, next) = (host.now(), next_step_name(next));
         host.log
             .attempt_ended(now, &self.id, server_id, outcome, &failed.detail, next);
--- a/crates/teaselglade-host/src/relay/call_handler.rs
+++ b/crates/teaselglade-host/src/relay/call_handler.rs
@@ -10,7 +10,6 @@
 use hyper::http::request::Parts;
 use hyper::http::uri::PathAndQuery;
 use hyper::{HeaderMap, Request};
-use teaselglade_core::time::Timestamp;
 use teaselglade_core::verdict::{RefusalReason, RequestRefusal};
 use teaselglade_routing::table::{Caller, IngressLimits, ResponseKind};
 use tokio::time::timeout;
@@ -19,9 +18,11 @@
 use super::header_filter::end_to_end_headers;
 use super::plain_relay::relay_plain;
 use super::refusal_response::{close_connection, refuse};
+use super::response_body::hold_open;
 use super::stream_relay::relay_stream;
 use super::{CallerResponse, Result};
 use crate::journal::RequestFields;
+use crate::open::{OpenRequest, RequestGuard};
 use crate::state::{ActiveTable, HostState};
 
 /// Retry delay while this host has no table, or one that lacks the service of the route.
@@ -33,11 +34,11 @@
 
 /// Accepts a caller's request, relays it and returns the response, or a refusal.
 pub async fn serve_call(host: Arc<HostState>, request: Request<Incoming>) -> CallerResponse {
-    let arrived_at = host.now();
+    let (parts, body) = request.into_parts();
+    let open = RequestGuard::open(&host, attempt_id(&host, &parts.headers));
     host.metrics.in_progress.inc();
     // Also dropped when the caller's connection closes, so that the gauge never drifts.
     let _in_progress = InProgressGuard(Arc::clone(&host));
-    let (parts, body) = request.into_parts();
     let has_ambiguous_framing =
         parts.headers.contains_key(TRANSFER_ENCODING) && parts.headers.contains_key(CONTENT_LENGTH);
     // The HTTP library may hide a `Content-Length` beside `Transfer-Encoding`, so that bytes after
@@ -46,7 +47,7 @@
     let accepted = if has_ambiguous_framing {
         Err(bad_request("both a length and chunks"))
     } else {
-        accept_call(&host, arrived_at, &parts, body).await
+        accept_call(&host, &open, &parts, body).await
     };
     let mut response = match accepted {
         Ok(context) => relay(context).await,
@@ -56,7 +57,7 @@
                 route: parts.uri.path(),
                 organisation: "",
                 table_version: host.table_version(),
-                elapsed: host.now().since(arrived_at),
+                elapsed: host.now().since(open.arrived_at),
             };
             refuse(&host, &fields, &refusal)
         }
@@ -64,7 +65,8 @@
     if must_close || host.stopping.is_cancelled() {
         close_connection(&mut response);
     }
-    response
+    host.update_request(open.key, OpenRequest::start_response);
+    response.map(|body| hold_open(body, open))
 }
 
 /// Keeps a request in the gauge of requests in progress until it is dropped.
@@ -107,7 +109,7 @@
 /// Returns a "not run" refusal if there is no table or the request is not admitted.
 async fn accept_call(
     host: &Arc<HostState>,
-    arrived_at: Timestamp,
+    open: &RequestGuard,
     parts: &Parts,
     body: Incoming,
 ) -> Result<CallContext> {
@@ -118,7 +120,7 @@
     let body = read_body(body, &active.table.spec().limits).await?;
     // Uses the newer version if one became active while the body arrived.
     let active = host.table().unwrap_or(active);
-    build_context(host, arrived_at, parts, body, &active)
+    build_context(host, open, parts, body, &active)
 }
 
 /// Matches the route, authenticates the caller, charges its quota and chooses the service.
@@ -128,7 +130,7 @@
 /// Returns a "not run" refusal if any of these fails.
 fn build_context(
     host: &Arc<HostState>,
-    arrived_at: Timestamp,
+    open: &RequestGuard,
     parts: &Parts,
     body: Bytes,
     active: &ActiveTable,
@@ -171,6 +173,8 @@
         .caller_timeout
         .unwrap_or(route.timeout)
         .min(route.timeout);
+    let deadline = open.arrived_at + caller_timeout;
+    host.update_request(open.key, |request| request.admit(&route.name, deadline));
     let request_target = parts.uri.path_and_query().cloned();
     Ok(CallContext {
         id: head.attempt,
@@ -184,8 +188,9 @@
         request_target: request_target.unwrap_or_else(|| PathAndQuery::from_static("/")),
         headers: end_to_end_headers(&parts.headers, messages.as_ref()),
         body,
-        arrived_at,
-        deadline: arrived_at + caller_timeout,
+        arrived_at: open.arrived_at,
+        deadline,
+        open_key: open.key,
         host: Arc::clone(host),
     })
 }
--- a/crates/teaselglade-host/src/relay/plain_relay.rs
+++ b/crates/teaselglade-host/src/relay/plain_relay.rs
@@ -134,6 +134,7 @@
             update_age: now.since(decisions.registry_updated_at),
         };
         host.log.placed(now, &context.log_fields(), &placement);
+        host.update_request(context.open_key, |open| open.start_attempt(server));
         self.tracker.begin_attempt(server);
         let active_call = ActiveCall {
             context: Arc::clone(context),
--- a/crates/teaselglade-host/src/relay/response_body.rs
+++ b/crates/teaselglade-host/src/relay/response_body.rs
@@ -1,10 +1,15 @@
 //! Body of a response to a caller.
 
 use std::fmt;
+use std::pin::Pin;
+use std::task::{Context, Poll};
 
 use bytes::Bytes;
 use http_body_util::combinators::UnsyncBoxBody;
 use http_body_util::{BodyExt, Full};
+use hyper::body::{Body, Frame, SizeHint};
+
+use crate::open::RequestGuard;
 
 /// Error that ends a response which cannot be completed.
 ///
@@ -29,3 +34,35 @@
         .map_err(|never| match never {})
         .boxed_unsync()
 }
+
+/// Returns a response body that keeps its request open until it has been read or dropped.
+pub(super) fn hold_open(body: ResponseBody, open: RequestGuard) -> ResponseBody {
+    let body = OpenBody { body, _open: open };
+    body.boxed_unsync()
+}
+
+/// Response body of an open request.
+struct OpenBody {
+    body: ResponseBody,
+    _open: RequestGuard,
+}
+
+impl Body for OpenBody {
+    type Data = Bytes;
+    type Error = AbortedResponse;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, AbortedResponse>>> {
+        Pin::new(&mut self.body).poll_frame(cx)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
--- a/crates/teaselglade-host/src/relay/stream_relay.rs
+++ b/crates/teaselglade-host/src/relay/stream_relay.rs
@@ -481,7 +481,12 @@
 impl Drop for StreamRelay {
     fn drop(&mut self) {
         if !self.is_finished && self.open_stream.is_some() {
-            self.log_end("caller_left");
+            let is_ending = self.context.host.is_ending();
+            self.log_end(if is_ending {
+                "process_ended"
+            } else {
+                "caller_left"
+            });
         }
     }
 }
--- a/crates/teaselglade-host/src/relay/stream_reservation.rs
+++ b/crates/teaselglade-host/src/relay/stream_reservation.rs
@@ -101,6 +101,7 @@
             update_age: now.since(decisions.registry_updated_at),
         };
         host.log.placed(now, &context.log_fields(), &placement);
+        host.update_request(context.open_key, |open| open.start_attempt(engine.server));
         Ok(Self {
             context: Arc::clone(context),
             engine,
@@ -128,6 +129,7 @@
     pub(super) fn record_events(&mut self) {
         let host = Arc::clone(&self.context.host);
         let now = host.now();
+        host.update_request(self.context.open_key, |open| open.record_event(now));
         let is_first = !std::mem::replace(&mut self.has_first_event, true);
         if !is_first && now.since(self.recorded_at) < EVENT_RECORD_INTERVAL {
             return;
--- a/crates/teaselglade-host/src/state/host_state.rs
+++ b/crates/teaselglade-host/src/state/host_state.rs
@@ -1,7 +1,7 @@
 //! State shared by the components of a host.
 
 use std::collections::HashMap;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
@@ -18,6 +18,7 @@
 use super::{ActiveTable, DecisionState, HostPorts};
 use crate::journal::DecisionLog;
 use crate::metrics::HostMetrics;
+use crate::open::{OpenRequest, RequestArena, RequestKey};
 use crate::port::PublishedTable;
 use crate::settings::HostSettings;
 use crate::upstream::ConnectionPool;
@@ -51,6 +52,9 @@
     /// Offset in the store's feed of tables up to which the active table is the newest one.
     table_position: AtomicU64,
     decisions: Mutex<DecisionState>,
+    open_requests: Mutex<RequestArena>,
+    /// Whether the process ends and drops what is still open.
+    is_ending: AtomicBool,
     /// Number of the next sample for traffic splits.
     split_samples: AtomicU64,
     /// Platform calls that currently fail, and since when.
@@ -81,6 +85,8 @@
             table: RwLock::new(None),
             table_position: AtomicU64::new(0),
             decisions,
+            open_requests: Mutex::default(),
+            is_ending: AtomicBool::new(false),
             split_samples: AtomicU64::new(started_at_us % 1_000),
             failing_calls: Mutex::default(),
         }))
@@ -123,6 +129,32 @@
             .unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Locks the open requests; the guard must not be held across an await point.
+    pub fn lock_open_requests(&self) -> MutexGuard<'_, RequestArena> {
+        self.open_requests
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Changes what is known of an open request; does nothing if it has ended.
+    pub fn update_request(&self, key: RequestKey, change: impl FnOnce(&mut OpenRequest)) {
+        if let Some(request) = self.lock_open_requests().get_mut(key) {
+            change(request);
+        }
+    }
+
+    /// Returns whether the process ends and drops what is still open.
+    #[must_use]
+    pub fn is_ending(&self) -> bool {
+        self.is_ending.load(Ordering::Relaxed)
+    }
+
+    /// Records that the process ends; from now on each line about a request is written.
+    pub fn start_ending(&self) {
+        self.is_ending.store(true, Ordering::Relaxed);
+        self.log.lift_budget(&self.metrics);
+    }
+
     /// Returns the active table.
     #[must_use]
     pub fn table(&self) -> Option<Arc<ActiveTable>> {
--- a/crates/teaselglade-host/tests/host/journal.rs
+++ b/crates/teaselglade-host/tests/host/journal.rs
@@ -45,6 +45,20 @@
     }
 }
 
+#[test]
+fn lines_at_the_end_are_neither_suppressed_nor_left_out_of_the_summary() {
+    let mut budget = LineBudget::new(LINES_PER_SECOND);
+    let now = Timestamp::from_millis(1_000);
+    let written = (0..1_000).filter(|_| budget.allows(now, "refused", "9c41"));
+    let written = written.count() as u64;
+    budget.take_summary(now);
+    assert!(!budget.allows(now, "answered", "00aa"));
+    let rest = budget.lift();
+    assert_eq!(rest["answered"].ids, ["00aa"]);
+    assert!(written < 1_000);
+    assert!((0..1_000).all(|_| budget.allows(now, "answered", "00bb")));
+}
+
 /// Output whose reader takes a line only when the test says so.
 struct SlowOutput {
     permits: Receiver<()>,
--- a/crates/teaselglade-host/tests/host/main.rs
+++ b/crates/teaselglade-host/tests/host/main.rs
@@ -4,5 +4,6 @@
 mod journal;
 mod lease_timings;
 mod news_spread;
+mod open_requests;
 mod part_crashes;
 mod reports;
--- a/crates/teaselglade/src/operation/request_timeline.rs
+++ b/crates/teaselglade/src/operation/request_timeline.rs
@@ -10,14 +10,20 @@
 const SECONDS_AFTER: f64 = 2.0;
 const SECONDS_PER_DAY: f64 = 86_400.0;
 /// Events of a host that may explain how it handled a request.
-const HOST_EVENTS: [&str; 8] = [
+const HOST_EVENTS: [&str; 14] = [
     "part_standing",
     "part_lifted",
     "dependency_lost",
     "dependency_regained",
     "table_in_force",
     "started",
+    "signal",
     "stopping",
+    "accepting_ended",
+    "callers_drained",
+    "requests_in_hand",
+    "stopped",
+    "lines_dropped",
     "servers_from_peer",
 ];
 
