merge: each request in hand at the end of a stop has a line

Beside the merge: an answer that is ready when the deadline passes goes before the deadline, and a standby that ends leaves the primary's server in the request's line.

--- a/crates/teaselglade-host/src/ingress/caller_listener.rs
+++ b/crates/teaselglade-host/src/ingress/caller_listener.rs
@@ -62,8 +62,10 @@
                 () = shutdown.cancelled() => break,
             }
         }
+        let mut queued_connections = 0;
         match close_listener(self.listener) {
             Ok(queued) => {
+                queued_connections = queued.len();
                 for (stream, _caller) in queued {
                     serve_connection(&self.host, stream, &open);
                 }
@@ -71,15 +73,26 @@
             Err(error) => warn!(event = "queued_connections_lost", error = %error),
         }
         let open_connections = open.count();
-        let now = self.host.now();
-        let plan = self.host.begin_shutdown(now);
-        let drain_timeout = plan.answers_end_at().since(now);
+        let accepted_until = self.host.now();
+        let plan = self.host.begin_shutdown(accepted_until);
+        let drain_timeout = plan.answers_end_at().since(accepted_until);
+        let requests = self.host.lock_open_requests().len();
+        info!(
+            event = "accepting_ended",
+            connections = open_connections,
+            queued = queued_connections,
+            requests,
+            drain_ms = drain_timeout.as_millis() as u64,
+        );
         let drained = open.shut_down();
         let is_drained = timeout(drain_timeout, drained).await.is_ok();
         info!(
             event = "callers_drained",
             connections = open_connections,
-            is_drained
+            is_drained,
+            requests_before = requests,
+            requests = self.host.lock_open_requests().len(),
+            waited_ms = self.host.now().since(accepted_until).as_millis() as u64,
         );
     }
 }
--- a/crates/teaselglade-host/src/relay/stream_relay.rs
+++ b/crates/teaselglade-host/src/relay/stream_relay.rs
@@ -200,9 +200,9 @@
         loop {
             let event = tokio::select! {
                 biased;
-                () = &mut deadline => ReadEvent::DeadlinePassed,
                 step = next_step(&mut self.primary) => ReadEvent::Step(AttemptRole::Primary, step),
                 step = next_step(&mut self.standby) => ReadEvent::Step(AttemptRole::Standby, step),
+                () = &mut deadline => ReadEvent::DeadlinePassed,
                 () = wait_until(check_at) => ReadEvent::SilenceLasted,
             };
             let (role, failed) = match event {
@@ -273,6 +273,7 @@
                 let failed = FailedCall::new(AttemptOutcome::Superseded, detail);
                 let standby = self.standby.take();
                 self.drop_attempt(standby, &failed, "read_on");
+                self.record_primary();
             }
             MoveAction::DropPrimary => {
                 let failed = FailedCall::new(AttemptOutcome::TimedOut, "no event for too long");
@@ -294,6 +295,16 @@
         if let Some(primary) = &self.primary {
             self.server_id.clone_from(&primary.reservation.server_id);
         }
+        self.record_primary();
+    }
+
+    /// Records among the open requests that the primary's server is waited for.
+    fn record_primary(&self) {
+        if let Some(primary) = &self.primary {
+            let server = primary.reservation.engine.server;
+            let (host, key) = (&self.context.host, self.context.open_key);
+            host.update_request(key, |request| request.start_attempt(server));
+        }
     }
 
     /// Closes an attempt that this host ends, and records how it ended.
@@ -405,6 +416,7 @@
         };
         self.context
             .record_attempt_end(&reservation.server_id, failed, next_name);
+        self.record_primary();
         self.check_beside(reservation, failed);
         self.execute(action)
     }
@@ -590,7 +602,12 @@
     fn drop(&mut self) {
         let head = self.primary.as_ref().and_then(EngineAttempt::head);
         if !self.is_finished && head.is_some() {
-            self.log_end("caller_left");
+            let is_ending = self.context.host.is_ending();
+            self.log_end(if is_ending {
+                "process_ended"
+            } else {
+                "caller_left"
+            });
         }
     }
 }
