test(host): a series of signals cuts no stream in hand

They do not: three streams that end four seconds after seven such signals arrive whole, and the process exits with 0. The test passes on the code before as well, as the handlers stay installed and a stopping host reads no further signal.

--- a/crates/teaselglade/tests/host/main.rs
+++ b/crates/teaselglade/tests/host/main.rs
@@ -14,5 +14,6 @@
 
 mod captured_log;
 mod explained;
-mod late_signal;
+mod host_process;
 mod log_stream;
+mod signals;
