fix(host): wait for answers in hand also if the callers' listener has failed

A stop waited for the listener's task; if that had ended by a panic, its end was only logged (`is_ended`), the process exited at once, and answers in hand were cut. The task has no statement that is known to panic, and accept errors are retried, so no caller is known to have seen this; it was found by reading. The connections now belong to `OpenConnections`, which outlives the task, and the stop waits for it until the time that the plan sets; `caller_listener_failed` is logged.

Evidence: `an_answer_is_waited_for_although_its_listener_has_failed` aborts the accepting task with a request in hand; the answer arrives whole and is waited for. The code before had nothing to wait for outside the task, so that the test cannot be run on it. The branch in `ServingHost::stop` itself has no test, as nothing makes the task fail from outside.

--- a/crates/teaselglade-host/src/host/serving_host.rs
+++ b/crates/teaselglade-host/src/host/serving_host.rs
@@ -5,14 +5,14 @@
 use std::time::Duration;
 
 use teaselglade_core::time::Timestamp;
-use teaselglade_net::server::ServerHandle;
+use teaselglade_net::server::{OpenConnections, ServerHandle};
 use teaselglade_routing::crash::CrashLedger;
 use teaselglade_routing::gossip::name_hash;
 use tokio::sync::mpsc::unbounded_channel;
 use tokio::task::JoinHandle;
 use tokio::time::{sleep, timeout};
 use tokio_util::sync::CancellationToken;
-use tracing::{info, warn};
+use tracing::{error, info, warn};
 
 use crate::duty::DutyDriver;
 use crate::follow::{follow_servers, follow_table};
@@ -42,6 +42,7 @@
     /// Cancelled to stop accepting connections of callers and to drain the open ones.
     draining: CancellationToken,
     callers: JoinHandle<()>,
+    connections: Arc<OpenConnections>,
     admin_listeners: AdminListeners,
     peers: ServerHandle,
     tasks: Vec<JoinHandle<()>>,
@@ -66,6 +67,7 @@
         let (sender, newer_tables) = unbounded_channel();
         let gossip = GossipTransport::bind(Arc::clone(&state), sender).await?;
         let draining = CancellationToken::new();
+        let connections = listener.connections();
         let callers = tokio::spawn(listener.serve(draining.clone()));
         let tasks = vec![
             tokio::spawn(gossip.run()),
@@ -93,6 +95,7 @@
             state,
             draining,
             callers,
+            connections,
             admin_listeners,
             peers,
             tasks,
@@ -113,6 +116,13 @@
         sleep(plan.accepting_ends_at().since(self.state.now())).await;
         self.draining.cancel();
         let is_ended = self.callers.await.is_ok();
+        if !is_ended {
+            // Its task failed; the connections have tasks of their own.
+            let time_left = plan.answers_end_at().since(self.state.now());
+            let is_drained = timeout(time_left, self.connections.shut_down()).await;
+            let is_drained = is_drained.is_ok();
+            error!(event = "caller_listener_failed", is_drained);
+        }
         if let Some(duties) = self.duties {
             let is_released = timeout(DUTY_END_TIMEOUT, duties).await.is_ok();
             info!(event = "duties_ended", is_released);
--- a/crates/teaselglade-host/src/ingress/caller_listener.rs
+++ b/crates/teaselglade-host/src/ingress/caller_listener.rs
@@ -32,6 +32,7 @@
 pub struct CallerListener {
     listener: TcpListener,
     host: Arc<HostState>,
+    connections: Arc<OpenConnections>,
 }
 
 impl CallerListener {
@@ -42,14 +43,24 @@
     /// Fails if the address cannot be bound.
     pub fn bind(host: Arc<HostState>) -> io::Result<Self> {
         let listener = bind_listener(host.settings.listen.callers)?;
-        Ok(Self { listener, host })
+        Ok(Self {
+            listener,
+            host,
+            connections: Arc::default(),
+        })
+    }
+
+    /// Returns the open connections, which are served on if the listener fails.
+    #[must_use]
+    pub fn connections(&self) -> Arc<OpenConnections> {
+        Arc::clone(&self.connections)
     }
 
     /// Serves until `shutdown` is cancelled, then waits for open requests.
     ///
     /// It waits until the time that the host's shutdown plan sets.
     pub async fn serve(self, shutdown: CancellationToken) {
-        let open = OpenConnections::default();
+        let open = self.connections;
         loop {
             tokio::select! {
                 accepted = self.listener.accept() => match accepted {
--- a/crates/teaselglade-net/tests/server/stop.rs
+++ b/crates/teaselglade-net/tests/server/stop.rs
@@ -1,15 +1,21 @@
 //! Connections that a stopping server closes.
 
+use std::convert::Infallible;
+use std::future::pending;
 use std::io::{Read, Write};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use bytes::Bytes;
-use teaselglade_net::server::{HttpServer, ServerHandle, stream_response};
+use http_body_util::Full;
+use hyper::Response;
+use hyper::server::conn::http1::Builder;
+use hyper::service::service_fn;
+use teaselglade_net::server::{HttpServer, OpenConnections, ServerHandle, stream_response};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpStream;
-use tokio::sync::mpsc;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{mpsc, oneshot};
 use tokio::task::yield_now;
 use tokio::time::{sleep, timeout};
 use viz::{Request, Router};
@@ -132,3 +138,47 @@
         .expect("the server stops");
     drop((stream, half_head));
 }
+
+/// The connections have tasks of their own, which outlive that of the listener.
+#[tokio::test]
+async fn an_answer_is_waited_for_although_its_listener_has_failed() {
+    let connections = Arc::new(OpenConnections::default());
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("an address");
+    let (started, mut starts) = mpsc::channel(1);
+    let (release, released) = oneshot::channel::<()>();
+    let accepting = tokio::spawn({
+        let connections = Arc::clone(&connections);
+        async move {
+            let (socket, _caller) = listener.accept().await.expect("a connection");
+            let released = Mutex::new(Some(released));
+            let service = service_fn(move |_request| {
+                let released = released.lock().expect("a lock").take();
+                let started = started.clone();
+                async move {
+                    started.send(()).await.expect("sent");
+                    released.expect("one request").await.expect("released");
+                    Ok::<_, Infallible>(Response::new(Full::new(Bytes::from_static(b"served"))))
+                }
+            });
+            let served = connections.serve(socket, service, |io, service| {
+                Builder::new().serve_connection(io, service)
+            });
+            tokio::spawn(served);
+            pending::<()>().await;
+        }
+    });
+    let mut stream = TcpStream::connect(address).await.expect("a connection");
+    stream.write_all(REQUEST).await.expect("sent");
+    starts.recv().await.expect("the request has started");
+    accepting.abort();
+    let _aborted = accepting.await;
+    let mut stopping = tokio::spawn(async move { connections.shut_down().await });
+    let early = timeout(Duration::from_secs(1), &mut stopping).await;
+    assert!(early.is_err(), "the request was not waited for");
+    release.send(()).expect("released");
+    let bytes = read_until(&mut stream, b"served").await;
+    let text = String::from_utf8_lossy(&bytes);
+    assert!(text.contains("connection: close"), "{text}");
+    stopping.await.expect("the connection ends");
+}
