fix(host): abort no answer early because a signal may be old

The age of a signal is an upper bound: after a freeze it contains the whole freeze. Found by reading; no caller has seen it. Requests are still accepted by the bound, but answers are aborted no earlier than 6.75 s after the notice, which is 7.5 s after the signal as long as it was noticed within 0.75 s, and 0.25 s or more before the kill within 1 s. Later than that the kill may come first; an answer gains by each moment.

`shutdown_planned` logs the age of the signal and how long connections are accepted and answers continued.

--- a/crates/teaselglade-host/src/state/host_state.rs
+++ b/crates/teaselglade-host/src/state/host_state.rs
@@ -110,8 +110,15 @@
     /// Returns the plan of the shutdown; a repeated call changes nothing.
     pub fn begin_shutdown(&self, signalled_at: Timestamp) -> ShutdownPlan {
         let plan = *self.shutdown_plan.get_or_init(|| {
-            let grace_period = self.settings.shutdown_grace_period;
-            ShutdownPlan::new(signalled_at, self.now(), grace_period)
+            let (now, grace_period) = (self.now(), self.settings.shutdown_grace_period);
+            let plan = ShutdownPlan::new(signalled_at, now, grace_period);
+            info!(
+                event = "shutdown_planned",
+                signal_age_ms = now.since(signalled_at).as_millis() as u64,
+                accepting_ms = plan.accepting_ends_at().since(now).as_millis() as u64,
+                answering_ms = plan.answers_end_at().since(now).as_millis() as u64,
+            );
+            plan
         });
         self.stopping.cancel();
         plan
--- a/crates/teaselglade-routing/src/shutdown/shutdown_plan.rs
+++ b/crates/teaselglade-routing/src/shutdown/shutdown_plan.rs
@@ -9,8 +9,12 @@
 ///
 /// The platform probes readiness once a second and removes a host after two failed probes.
 const DRAIN_DELAY: Duration = Duration::from_millis(2_600);
-/// Time before the platform kills the process at which open requests are aborted.
+/// Time before the platform kills the process by which answers should have ended.
 const KILL_MARGIN: Duration = Duration::from_millis(500);
+/// Time before the end of a grace period that began with the notice, until which no answer is aborted.
+///
+/// The signal may be as new as its notice, and answers that are aborted early are lost in vain.
+const ABORT_MARGIN: Duration = Duration::from_millis(1_250);
 /// Time in which almost every answer ends, whatever the limit of its route.
 const LIKELY_ANSWER_TIME: Duration = Duration::from_millis(4_500);
 /// Delay after which a refused caller is asked to send again; another host takes the request.
@@ -35,6 +39,8 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct ShutdownPlan {
     accepting_ends_at: Timestamp,
+    /// Time by which the answer to an accepted request should end.
+    last_deadline: Timestamp,
     answers_end_at: Timestamp,
 }
 
@@ -45,10 +51,13 @@
     /// probes fail from `noticed_at` on.
     #[must_use]
     pub fn new(signalled_at: Timestamp, noticed_at: Timestamp, grace_period: Duration) -> Self {
-        let answers_end_at = signalled_at + grace_period.saturating_sub(KILL_MARGIN);
+        let last_deadline = signalled_at + grace_period.saturating_sub(KILL_MARGIN);
+        let abort_at = noticed_at + grace_period.saturating_sub(ABORT_MARGIN);
+        let answers_end_at = last_deadline.max(abort_at);
         let accepting_ends_at = (noticed_at + DRAIN_DELAY).min(answers_end_at);
         Self {
             accepting_ends_at,
+            last_deadline,
             answers_end_at,
         }
     }
@@ -59,7 +68,9 @@
         self.accepting_ends_at
     }
 
-    /// Returns when answers that are still open are ended.
+    /// Returns when answers that are still open are aborted.
+    ///
+    /// An old signal moves it less than the deadlines of requests that are accepted.
     #[must_use]
     pub const fn answers_end_at(&self) -> Timestamp {
         self.answers_end_at
@@ -71,8 +82,8 @@
     ///
     /// Returns a "not run" refusal if the process may end before the answer.
     pub fn admit(&self, now: Timestamp, deadline: Timestamp) -> Result<(), RequestRefusal> {
-        let time_left = self.answers_end_at.since(now);
-        if deadline <= self.answers_end_at || time_left >= LIKELY_ANSWER_TIME {
+        let time_left = self.last_deadline.since(now);
+        if deadline <= self.last_deadline || time_left >= LIKELY_ANSWER_TIME {
             return Ok(());
         }
         let detail = format!(
