fix(net): wait for a caller's close only while it may still read an answer

With callers that use connections until the process is gone, each stop, and so the time without this host, would have been up to 1 s longer. The wait now ends 1 s after the last bytes of an answer were written, and connections that were idle for longer are closed at once (`a_stop_closes_idle_connections_without_waiting_for_their_callers`). Found by reading.

--- a/crates/teaselglade-net/src/server/lingering_stream.rs
+++ b/crates/teaselglade-net/src/server/lingering_stream.rs
@@ -9,11 +9,11 @@
 
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
-use tokio::time::{Sleep, sleep};
+use tokio::time::{Instant, Sleep, sleep_until};
 
 use super::connection_activity::ConnectionActivity;
 
-/// Longest time to wait for the caller to close its side after the last answer.
+/// Time after the last bytes of an answer in which the caller may still have to read them.
 const LINGER_TIME: Duration = Duration::from_secs(1);
 /// Bytes that are read and discarded at a time meanwhile.
 const DISCARD_BYTES: usize = 4 * 1024;
@@ -26,6 +26,8 @@
 pub struct LingeringStream {
     socket: TcpStream,
     activity: Arc<ConnectionActivity>,
+    /// Time until which the caller may still have to read what was written.
+    unread_until: Option<Instant>,
     linger_end: Option<Pin<Box<Sleep>>>,
 }
 
@@ -34,9 +36,17 @@
         Self {
             socket,
             activity,
+            unread_until: None,
             linger_end: None,
         }
     }
+
+    fn record_write(&mut self, result: &Poll<io::Result<usize>>) {
+        self.activity.record_write(result.is_pending());
+        if result.is_ready() {
+            self.unread_until = Some(Instant::now() + LINGER_TIME);
+        }
+    }
 }
 
 impl AsyncRead for LingeringStream {
@@ -63,7 +73,7 @@
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
         let result = Pin::new(&mut self.socket).poll_write(cx, buf);
-        self.activity.record_write(result.is_pending());
+        self.record_write(&result);
         result
     }
 
@@ -74,7 +84,10 @@
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
         if self.linger_end.is_none() {
             ready!(Pin::new(&mut self.socket).poll_shutdown(cx))?;
-            self.linger_end = Some(Box::pin(sleep(LINGER_TIME)));
+            let Some(unread_until) = self.unread_until else {
+                return Poll::Ready(Ok(()));
+            };
+            self.linger_end = Some(Box::pin(sleep_until(unread_until)));
         }
         let is_over = |stream: &mut Self, cx: &mut Context<'_>| {
             let linger_end = stream.linger_end.as_mut();
@@ -98,7 +111,7 @@
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
         let result = Pin::new(&mut self.socket).poll_write_vectored(cx, bufs);
-        self.activity.record_write(result.is_pending());
+        self.record_write(&result);
         result
     }
 
--- a/crates/teaselglade-net/tests/server/stop.rs
+++ b/crates/teaselglade-net/tests/server/stop.rs
@@ -182,3 +182,22 @@
     assert!(text.contains("connection: close"), "{text}");
     stopping.await.expect("the connection ends");
 }
+
+/// Nothing is left to read on a connection that was idle for long, so that its close is not waited for.
+#[tokio::test]
+async fn a_stop_closes_idle_connections_without_waiting_for_their_callers() {
+    let (handle, address, _sender) = start_server().await;
+    let mut stream = TcpStream::connect(address).await.expect("a connection");
+    stream.write_all(REQUEST).await.expect("sent");
+    read_until(&mut stream, b"served").await;
+    sleep(Duration::from_millis(1_200)).await;
+    let stopped = tokio::spawn(handle.stop());
+    let mut byte = [0];
+    let read = stream.read(&mut byte).await.expect("the close");
+    assert_eq!(read, 0);
+    // The caller keeps its side open; the runtime does what is left without a timer.
+    for _ in 0..100 {
+        yield_now().await;
+    }
+    assert!(stopped.is_finished());
+}
