--- a/crates/teaselglade/tests/host/host_process.rs
+++ b/crates/teaselglade/tests/host/host_process.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use serde_json::Value;
-use teaselglade_net::client::{HttpClient, HttpRequest};
+use teaselglade_net::client::{HttpClient, HttpRequest, HttpResponse};
 use tempfile::TempDir;
 use tokio::time::{sleep, timeout};
 
@@ -153,6 +153,36 @@
         lines
     }
 
+    /// Sends plain calls until the response meets the condition.
+    pub async fn call_until(&self, path: &str, condition: impl Fn(&HttpResponse) -> bool) {
+        let is_met = async {
+            loop {
+                let request = build_request(self.caller_address(), "POST", path, "");
+                let response = HttpClient::default().call(request).await;
+                if response.is_ok_and(|response| condition(&response)) {
+                    return;
+                }
+                sleep(POLL_INTERVAL).await;
+            }
+        };
+        timeout(WAIT_TIMEOUT, is_met)
+            .await
+            .expect("the condition is met");
+    }
+
+    /// Waits until the process has exited; returns its exit code.
+    pub async fn exit_code(&mut self) -> Option<i32> {
+        let ended = async {
+            loop {
+                if let Some(status) = self.child.try_wait().expect("a status") {
+                    return status.code();
+                }
+                sleep(POLL_INTERVAL).await;
+            }
+        };
+        timeout(WAIT_TIMEOUT, ended).await.expect("the host exits")
+    }
+
     /// Waits until the process has exited; returns what it wrote to standard error.
     pub async fn wait_for_exit(&mut self) -> String {
         let exited = async {
--- a/crates/teaselglade/tests/host/main.rs
+++ b/crates/teaselglade/tests/host/main.rs
@@ -15,6 +15,6 @@
 mod captured_log;
 mod explained;
 mod host_process;
-mod late_signal;
 mod log_stream;
+mod signals;
 mod stop_log;
