feat(host): every request counts once by the cause of its end, and a cut answer names its cause

Change, of observation only: `teaselglade_answer_ends_total{kind,cause}`, counted where the request leaves the arena; `cause` in `answered` lines of cut answers (how the last attempt failed and what kept another one from following: `server_silent_no_retry`); `request_dropped` for a response that the connection did not take to its end, also one that was logged as "whole" before. The existing words and fields stay.

Evidence: the five tests of `answer_ends` failed before (the counter stays 0), and `each_request_in_hand_at_the_end_of_a_stop_is_found_by_its_id` for want of `request_dropped` of a plain call.

A relayed request adds four uncontended locks, and a batch of events one; that was not measured.

--- a/crates/teaselglade-host/src/host/stop_log.rs
+++ b/crates/teaselglade-host/src/host/stop_log.rs
@@ -21,10 +21,7 @@
     let stages = stages.join(" ");
     info!(event = "requests_in_hand", requests = open.len(), stages);
     for request in open {
-        let server = request.server.map(|server| {
-            let decisions = host.lock_decisions();
-            decisions.registry.server(server).registration.id.clone()
-        });
+        let server = request.server.map(|server| host.server_id(server));
         let time_left = request.deadline.map(|deadline| deadline.since(now));
         let event_age = request.last_event_at.map(|at| now.since(at));
         warn!(
--- a/crates/teaselglade-host/src/journal/decision_log.rs
+++ b/crates/teaselglade-host/src/journal/decision_log.rs
@@ -10,6 +10,7 @@
 
 use super::{LineBudget, SuppressedLines};
 use crate::metrics::HostMetrics;
+use crate::open::OpenRequest;
 
 /// Log fields of a request.
 #[derive(Debug, Clone, Copy)]
@@ -56,6 +57,21 @@
     pub check: &'static str,
 }
 
+/// Log fields of a response that has ended.
+#[derive(Debug, Clone, Copy)]
+pub struct AnswerFields<'a> {
+    /// Id of the server.
+    pub server: &'a str,
+    /// Status of the response.
+    pub status: u16,
+    /// Whether the response is whole, and how it ended if not.
+    pub outcome: &'a str,
+    /// Why the response was cut; `None` if it was not.
+    pub cause: Option<&'a str>,
+    /// Time from the request's arrival to the response or its first event.
+    pub time_to_first_event: Duration,
+}
+
 /// Writes log lines about decisions on requests, within a line budget.
 #[derive(Debug)]
 pub struct DecisionLog {
@@ -160,15 +176,7 @@
     }
 
     /// Logs the end of a response, complete or not.
-    pub fn answered(
-        &self,
-        now: Timestamp,
-        request: &RequestFields<'_>,
-        server: &str,
-        status: u16,
-        outcome: &str,
-        time_to_first_event: Duration,
-    ) {
+    pub fn answered(&self, now: Timestamp, request: &RequestFields<'_>, answer: &AnswerFields<'_>) {
         if !self.allows(now, "answered", request.id) {
             return;
         }
@@ -177,14 +185,38 @@
             id = request.id,
             route = request.route,
             organisation = request.organisation,
-            server,
-            status,
-            outcome,
-            first_ms = millis(time_to_first_event),
+            server = answer.server,
+            status = answer.status,
+            outcome = answer.outcome,
+            cause = answer.cause,
+            first_ms = millis(answer.time_to_first_event),
             elapsed_ms = millis(request.elapsed),
         );
     }
 
+    /// Logs a request whose response was dropped before the connection had taken all of it.
+    pub fn dropped(
+        &self,
+        now: Timestamp,
+        request: &OpenRequest,
+        server: Option<&str>,
+        cause: &str,
+    ) {
+        if !self.allows(now, "request_dropped", &request.id) {
+            return;
+        }
+        info!(
+            event = "request_dropped",
+            id = request.id,
+            route = request.route,
+            server,
+            stage = request.stage.name(),
+            outcome = request.outcome,
+            cause,
+            elapsed_ms = millis(now.since(request.arrived_at)),
+        );
+    }
+
     /// Logs a summary of the lines beyond the budget, if one is due.
     pub fn write_summary(&self, now: Timestamp, metrics: &HostMetrics) {
         let summary = self.lock().take_summary(now);
--- a/crates/teaselglade-host/src/metrics/host_metrics.rs
+++ b/crates/teaselglade-host/src/metrics/host_metrics.rs
@@ -3,7 +3,7 @@
 use prometheus::{HistogramVec, IntCounter, IntCounterVec, IntGauge, IntGaugeVec};
 use teaselglade_net::metrics::{MetricRegistry, Result};
 
-use super::CrashMetrics;
+use super::{CrashMetrics, EndMetrics};
 
 /// Upper bounds of latency buckets in seconds.
 ///
@@ -18,6 +18,8 @@
     registry: MetricRegistry,
     /// Final responses by service, organisation and outcome.
     pub answers: IntCounterVec,
+    /// Ends of requests by cause.
+    pub ends: EndMetrics,
     /// Refused requests by reason.
     pub refusals: IntCounterVec,
     /// Attempts at servers by service and outcome.
@@ -77,6 +79,7 @@
                 "Final answers.",
                 &["service", "organisation", "outcome"],
             )?,
+            ends: EndMetrics::new(r)?,
             refusals: r.counters("teaselglade_refusals_total", "Refusals.", &["reason"])?,
             attempts: r.counters(
                 "teaselglade_attempts_total",
--- a/crates/teaselglade-host/src/open/open_request.rs
+++ b/crates/teaselglade-host/src/open/open_request.rs
@@ -2,6 +2,7 @@
 
 use teaselglade_core::id::ServerKey;
 use teaselglade_core::time::Timestamp;
+use teaselglade_routing::table::ResponseKind;
 
 use super::RequestStage;
 
@@ -22,6 +23,14 @@
     pub deadline: Option<Timestamp>,
     /// Time of the last event that a server sent.
     pub last_event_at: Option<Timestamp>,
+    /// Kind of the response; `None` until a route has matched.
+    pub kind: Option<ResponseKind>,
+    /// Outcome that was logged for the response; `None` until then.
+    pub outcome: Option<&'static str>,
+    /// How the latest attempt failed.
+    failure: Option<&'static str>,
+    /// What kept another attempt from following it.
+    obstacle: Option<&'static str>,
 }
 
 impl OpenRequest {
@@ -36,12 +45,17 @@
             arrived_at,
             deadline: None,
             last_event_at: None,
+            kind: None,
+            outcome: None,
+            failure: None,
+            obstacle: None,
         }
     }
 
     /// Records that the request was admitted on a route.
-    pub fn admit(&mut self, route: &str, deadline: Timestamp) {
+    pub fn admit(&mut self, route: &str, kind: ResponseKind, deadline: Timestamp) {
         route.clone_into(&mut self.route);
+        self.kind = Some(kind);
         self.deadline = Some(deadline);
         self.stage = RequestStage::AwaitingServer;
     }
@@ -49,11 +63,22 @@
     /// Records that an attempt starts at `server`.
     pub const fn start_attempt(&mut self, server: ServerKey) {
         self.server = Some(server);
-        self.end_attempt();
+        self.obstacle = None;
+        self.await_server();
     }
 
-    /// Records that an attempt ended without a whole response.
-    pub const fn end_attempt(&mut self) {
+    /// Records how an attempt ended without a whole response.
+    pub const fn end_attempt(&mut self, failure: &'static str) {
+        self.failure = Some(failure);
+        self.await_server();
+    }
+
+    /// Records what kept another attempt from following the latest one.
+    pub const fn give_up(&mut self, obstacle: &'static str) {
+        self.obstacle = Some(obstacle);
+    }
+
+    const fn await_server(&mut self) {
         self.stage = match self.last_event_at {
             Some(_) => RequestStage::Resuming,
             None => RequestStage::AwaitingServer,
@@ -72,4 +97,20 @@
             self.stage = RequestStage::Writing;
         }
     }
+
+    /// Records the outcome that is logged for the response.
+    pub const fn end(&mut self, outcome: &'static str) {
+        self.outcome = Some(outcome);
+    }
+
+    /// Returns why the response was cut: how the latest attempt failed and why none followed.
+    #[must_use]
+    pub fn cut_cause(&self) -> String {
+        let parts = self.failure.into_iter().chain(self.obstacle);
+        let cause = parts.collect::<Vec<_>>().join("_");
+        if cause.is_empty() {
+            return "unknown".to_owned();
+        }
+        cause
+    }
 }
--- a/crates/teaselglade-host/src/open/request_guard.rs
+++ b/crates/teaselglade-host/src/open/request_guard.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use teaselglade_core::time::Timestamp;
+use teaselglade_routing::table::ResponseKind;
 
 use super::{OpenRequest, RequestKey};
 use crate::state::HostState;
@@ -15,6 +16,8 @@
     pub key: RequestKey,
     /// Time of arrival.
     pub arrived_at: Timestamp,
+    /// Whether the connection has taken the whole response, or its error.
+    pub is_taken: bool,
 }
 
 impl RequestGuard {
@@ -28,12 +31,38 @@
             host: Arc::clone(host),
             key,
             arrived_at,
+            is_taken: false,
         }
     }
 }
 
 impl Drop for RequestGuard {
     fn drop(&mut self) {
-        let _request = self.host.lock_open_requests().remove(self.key);
+        let removed = self.host.lock_open_requests().remove(self.key);
+        if let Some(request) = removed {
+            record_end(&self.host, &request, self.is_taken);
+        }
+    }
+}
+
+/// Counts the end of a request by its cause; logs one whose response was not taken.
+fn record_end(host: &HostState, request: &OpenRequest, is_taken: bool) {
+    let kind = match request.kind {
+        Some(ResponseKind::Stream) => "stream",
+        Some(ResponseKind::Plain) => "plain",
+        None => "none",
+    };
+    let count = |cause: &str| host.metrics.ends.count(kind, cause);
+    match request.outcome {
+        Some("cut") => count(&request.cut_cause()),
+        Some(outcome @ ("caller_left" | "process_ended")) => count(outcome),
+        Some(outcome) if is_taken => count(outcome),
+        _ => {
+            let cause = host.departure_cause();
+            count(cause);
+            let server = request.server.map(|server| host.server_id(server));
+            host.log
+                .dropped(host.now(), request, server.as_deref(), cause);
+        }
     }
 }
--- a/crates/teaselglade-host/src/relay/call_context.rs
+++ b/crates/teaselglade-host/src/relay/call_context.rs
@@ -17,8 +17,8 @@
 use super::header_filter::end_to_end_headers;
 use super::response_body::ResponseBody;
 use super::server_call::FailedCall;
-use crate::journal::RequestFields;
-use crate::open::{OpenRequest, RequestKey};
+use crate::journal::{AnswerFields, RequestFields};
+use crate::open::RequestKey;
 use crate::state::HostState;
 
 /// State of one request while this host relays it.
@@ -107,7 +107,11 @@
                 .request_retry(now, self.deadline, service, attempts);
         match decision {
             RetryDecision::Granted { delay } => Some(delay),
-            RetryDecision::Denied { .. } => None,
+            RetryDecision::Denied { .. } => {
+                self.host
+                    .update_request(self.open_key, |open| open.give_up("no_retry"));
+                None
+            }
         }
     }
 
@@ -117,7 +121,8 @@
         let outcome = outcome_name(failed.outcome);
         let labels = [self.service.name.as_str(), outcome];
         host.metrics.attempts.with_label_values(&labels).inc();
-        host.update_request(self.open_key, OpenRequest::end_attempt);
+        let failure = failure_name(failed.outcome, self.time_left());
+        host.update_request(self.open_key, |open| open.end_attempt(failure));
         let (now, next) = (host.now(), next_step_name(next));
         host.log
             .attempt_ended(now, &self.id, server_id, outcome, &failed.detail, next);
@@ -152,9 +157,10 @@
         &self,
         server_id: &str,
         status: u16,
-        outcome: &str,
+        outcome: &'static str,
         time_to_first_event: Duration,
     ) {
+        let cause = self.end_open_request(outcome);
         let organisation = self.organisation.as_deref().unwrap_or_default();
         let labels = [self.service.name.as_str(), organisation, outcome];
         let metrics = &self.host.metrics;
@@ -165,14 +171,40 @@
         let first_seconds = metrics.first_seconds.with_label_values(service);
         first_seconds.observe(time_to_first_event.as_secs_f64());
         let now = self.host.now();
-        self.host.log.answered(
-            now,
-            &self.log_fields(),
-            server_id,
+        let answer = AnswerFields {
+            server: server_id,
             status,
             outcome,
+            cause: cause.as_deref(),
             time_to_first_event,
-        );
+        };
+        self.host.log.answered(now, &self.log_fields(), &answer);
+    }
+
+    /// Records the outcome among the open requests; returns the cause if the response was cut.
+    fn end_open_request(&self, outcome: &'static str) -> Option<String> {
+        let mut cause = None;
+        self.host.update_request(self.open_key, |open| {
+            if outcome == "server_failed" {
+                open.end_attempt(outcome);
+            }
+            open.end(outcome);
+            cause = (outcome == "cut").then(|| open.cut_cause());
+        });
+        cause
+    }
+}
+
+/// Returns the name of a failed attempt as the cause of a cut response.
+const fn failure_name(outcome: AttemptOutcome, time_left: Duration) -> &'static str {
+    match outcome {
+        AttemptOutcome::TimedOut if time_left.is_zero() => "deadline",
+        AttemptOutcome::TimedOut => "server_silent",
+        AttemptOutcome::Unreachable => "server_unreachable",
+        AttemptOutcome::Rejected => "server_rejected",
+        AttemptOutcome::Misdirected => "server_misdirected",
+        AttemptOutcome::Broken => "server_broke",
+        AttemptOutcome::Failed => "server_failed",
     }
 }
 
--- a/crates/teaselglade-host/src/relay/call_handler.rs
+++ b/crates/teaselglade-host/src/relay/call_handler.rs
@@ -9,7 +9,7 @@
 use hyper::header::{CONTENT_LENGTH, HOST, TRANSFER_ENCODING};
 use hyper::http::request::Parts;
 use hyper::http::uri::PathAndQuery;
-use hyper::{HeaderMap, Request};
+use hyper::{HeaderMap, Method, Request};
 use teaselglade_core::verdict::{RefusalReason, RequestRefusal};
 use teaselglade_routing::table::{Caller, IngressLimits, ResponseKind};
 use tokio::time::timeout;
@@ -35,7 +35,9 @@
 /// Accepts a caller's request, relays it and returns the response, or a refusal.
 pub async fn serve_call(host: Arc<HostState>, request: Request<Incoming>) -> CallerResponse {
     let (parts, body) = request.into_parts();
-    let open = RequestGuard::open(&host, attempt_id(&host, &parts.headers));
+    let mut open = RequestGuard::open(&host, attempt_id(&host, &parts.headers));
+    // The HTTP library does not read the body of a response to `HEAD`.
+    open.is_taken = parts.method == Method::HEAD;
     host.metrics.in_progress.inc();
     // Also dropped when the caller's connection closes, so that the gauge never drifts.
     let _in_progress = InProgressGuard(Arc::clone(&host));
@@ -59,6 +61,7 @@
                 table_version: host.table_version(),
                 elapsed: host.now().since(open.arrived_at),
             };
+            host.update_request(open.key, |open| open.end("refused"));
             refuse(&host, &fields, &refusal)
         }
     };
@@ -97,7 +100,9 @@
                 .answers
                 .with_label_values(&labels)
                 .inc();
-            refuse(&context.host, &context.log_fields(), &refusal)
+            let host = &context.host;
+            host.update_request(context.open_key, |open| open.end("refused"));
+            refuse(host, &context.log_fields(), &refusal)
         }
     }
 }
@@ -174,7 +179,9 @@
         .unwrap_or(route.timeout)
         .min(route.timeout);
     let deadline = open.arrived_at + caller_timeout;
-    host.update_request(open.key, |request| request.admit(&route.name, deadline));
+    host.update_request(open.key, |request| {
+        request.admit(&route.name, route.response_kind, deadline);
+    });
     let request_target = parts.uri.path_and_query().cloned();
     Ok(CallContext {
         id: head.attempt,
--- a/crates/teaselglade-host/src/relay/response_body.rs
+++ b/crates/teaselglade-host/src/relay/response_body.rs
@@ -37,14 +37,20 @@
 
 /// Returns a response body that keeps its request open until it has been read or dropped.
 pub(super) fn hold_open(body: ResponseBody, open: RequestGuard) -> ResponseBody {
-    let body = OpenBody { body, _open: open };
+    let body = OpenBody { body, open };
     body.boxed_unsync()
 }
 
 /// Response body of an open request.
 struct OpenBody {
     body: ResponseBody,
-    _open: RequestGuard,
+    open: RequestGuard,
+}
+
+impl Drop for OpenBody {
+    fn drop(&mut self) {
+        self.open.is_taken |= self.body.is_end_stream();
+    }
 }
 
 impl Body for OpenBody {
@@ -55,7 +61,9 @@
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, AbortedResponse>>> {
-        Pin::new(&mut self.body).poll_frame(cx)
+        let polled = Pin::new(&mut self.body).poll_frame(cx);
+        self.open.is_taken |= matches!(polled, Poll::Ready(None | Some(Err(_))));
+        polled
     }
 
     fn is_end_stream(&self) -> bool {
--- a/crates/teaselglade-host/src/relay/stream_relay.rs
+++ b/crates/teaselglade-host/src/relay/stream_relay.rs
@@ -346,6 +346,7 @@
     fn log_placement_failure(&self, refusal: &RequestRefusal) {
         let host = &self.context.host;
         let (now, id) = (host.now(), &self.context.id);
+        host.update_request(self.context.open_key, |open| open.give_up("no_server"));
         host.log
             .attempt_ended(now, id, "", "no_seat", &refusal.detail, "give_up");
     }
@@ -468,7 +469,7 @@
     }
 
     /// Logs and counts the end of the stream.
-    fn log_end(&self, outcome: &str) {
+    fn log_end(&self, outcome: &'static str) {
         let time_to_first_event = self
             .time_to_first_event
             .unwrap_or_else(|| self.context.elapsed());
@@ -481,12 +482,7 @@
 impl Drop for StreamRelay {
     fn drop(&mut self) {
         if !self.is_finished && self.open_stream.is_some() {
-            let is_ending = self.context.host.is_ending();
-            self.log_end(if is_ending {
-                "process_ended"
-            } else {
-                "caller_left"
-            });
+            self.log_end(self.context.host.departure_cause());
         }
     }
 }
--- a/crates/teaselglade-host/src/state/host_state.rs
+++ b/crates/teaselglade-host/src/state/host_state.rs
@@ -149,6 +149,23 @@
         self.is_ending.load(Ordering::Relaxed)
     }
 
+    /// Returns why a response is dropped before its end: the process or its caller is gone.
+    #[must_use]
+    pub fn departure_cause(&self) -> &'static str {
+        if self.is_ending() {
+            "process_ended"
+        } else {
+            "caller_left"
+        }
+    }
+
+    /// Returns the id of a server.
+    #[must_use]
+    pub fn server_id(&self, server: ServerKey) -> String {
+        let decisions = self.lock_decisions();
+        decisions.registry.server(server).registration.id.clone()
+    }
+
     /// Records that the process ends; from now on each line about a request is written.
     pub fn start_ending(&self) {
         self.is_ending.store(true, Ordering::Relaxed);
--- a/crates/teaselglade-host/tests/host/open_requests.rs
+++ b/crates/teaselglade-host/tests/host/open_requests.rs
@@ -3,6 +3,7 @@
 use teaselglade_core::id::ServerKey;
 use teaselglade_core::time::Timestamp;
 use teaselglade_host::open::{OpenRequest, RequestArena, RequestStage};
+use teaselglade_routing::table::ResponseKind;
 
 fn request(id: &str) -> OpenRequest {
     OpenRequest::new(id.to_owned(), Timestamp::from_millis(1_000))
@@ -45,15 +46,15 @@
 fn a_stream_between_two_servers_is_shown_as_resuming() {
     let mut open = request("a");
     assert_eq!(open.stage, RequestStage::ReadingBody);
-    open.admit("draft", Timestamp::from_millis(9_000));
+    open.admit("draft", ResponseKind::Stream, Timestamp::from_millis(9_000));
     open.start_attempt(ServerKey::new(1));
-    open.end_attempt();
+    open.end_attempt("server_broke");
     assert_eq!(open.stage, RequestStage::AwaitingServer);
     open.start_attempt(ServerKey::new(2));
     open.record_event(Timestamp::from_millis(1_200));
     open.start_response();
     assert_eq!(open.stage, RequestStage::Streaming);
-    open.end_attempt();
+    open.end_attempt("server_broke");
     assert_eq!(open.stage, RequestStage::Resuming);
     open.start_attempt(ServerKey::new(3));
     assert_eq!(
@@ -63,3 +64,17 @@
     open.record_event(Timestamp::from_millis(1_900));
     assert_eq!(open.stage, RequestStage::Streaming);
 }
+
+#[test]
+fn the_cause_of_a_cut_names_the_failure_and_what_kept_a_further_attempt_away() {
+    let mut open = request("a");
+    assert_eq!(open.cut_cause(), "unknown");
+    open.admit("draft", ResponseKind::Stream, Timestamp::from_millis(9_000));
+    open.start_attempt(ServerKey::new(1));
+    open.end_attempt("server_silent");
+    open.give_up("no_retry");
+    assert_eq!(open.cut_cause(), "server_silent_no_retry");
+    open.start_attempt(ServerKey::new(2));
+    open.end_attempt("deadline");
+    assert_eq!(open.cut_cause(), "deadline");
+}
--- a/crates/teaselglade/tests/host/main.rs
+++ b/crates/teaselglade/tests/host/main.rs
@@ -12,6 +12,7 @@
 #[expect(dead_code, reason = "these tests need a part of the stand-in")]
 mod store_standin;
 
+mod answer_ends;
 mod captured_log;
 mod explained;
 mod host_process;
--- a/crates/teaselglade/tests/host/stop_log.rs
+++ b/crates/teaselglade/tests/host/stop_log.rs
@@ -138,6 +138,8 @@
                 fields,
                 [Some("book"), Some("awaiting_server"), Some("i-desk")]
             );
+            let dropped = line_of(&lines, "request_dropped", id);
+            assert_eq!(dropped["cause"], "process_ended");
         }
     }
     let text = lines.text();
--- a/crates/teaselglade/tests/tool/explain.rs
+++ b/crates/teaselglade/tests/tool/explain.rs
@@ -53,3 +53,10 @@
     assert!(!timeline.contains("i-78"), "another server is no cause");
     insta::assert_snapshot!(timeline);
 }
+
+#[test]
+fn a_request_in_hand_at_the_end_of_a_process_is_shown_with_the_stop() {
+    let timeline = explain("30d10000000000ab").stdout;
+    assert!(!timeline.contains("30d10000000000cd"), "{timeline}");
+    insta::assert_snapshot!(timeline);
+}
