test(entry): hosts that stop again and again lose no request

Callers over real sockets keep and reuse their connections until the process is gone: streams, keyed calls (one that is not answered is asked for later by its key, and must have run once), callers that leave after the first token and return to a peer when the process is gone, and requests whose body ends after the signal. One or two of three hosts get a seeded series of SIGTERM, SIGINT and SIGHUP. Every request is whole, refused as "not run", never sent, or lost; the test fails on a lost or unanswered one.

--- a/crates/teaselglade/tests/processes/harness.rs
+++ b/crates/teaselglade/tests/processes/harness.rs
@@ -72,6 +72,16 @@
         let _status = self.child.wait();
     }
 
+    /// Returns whether the process has exited.
+    pub fn has_exited(&self) -> bool {
+        let stat = fs::read_to_string(format!("/proc/{}/stat", self.id())).unwrap_or_default();
+        let state = stat
+            .rsplit(") ")
+            .next()
+            .and_then(|rest| rest.chars().next());
+        matches!(state, None | Some('Z' | 'X'))
+    }
+
     /// Waits for the process to exit and returns whether it succeeded.
     pub fn wait(&mut self) -> bool {
         self.child.wait().is_ok_and(|status| status.success())
--- a/crates/teaselglade/tests/processes/keyed_calls.rs
+++ b/crates/teaselglade/tests/processes/keyed_calls.rs
@@ -14,8 +14,8 @@
 use super::harness::TestFleet;
 
 const ENTRIES: usize = 3;
-const ORGANISATION: &str = "halloran-galway";
-const SERVICE: &str = "ticket-desk";
+pub const ORGANISATION: &str = "halloran-galway";
+pub const SERVICE: &str = "ticket-desk";
 const CALL_TIMEOUT: Duration = Duration::from_secs(8);
 const MAX_CALLS: usize = 30;
 
@@ -27,7 +27,7 @@
     NoResponse,
 }
 
-fn new_key() -> String {
+pub fn new_key() -> String {
     uuid::Uuid::now_v7().to_string()
 }
 
@@ -64,7 +64,7 @@
 }
 
 /// Returns how often the plain servers ran the call with a key, by their own count.
-async fn executions(fleet: &TestFleet, key: &str) -> u32 {
+pub async fn executions(fleet: &TestFleet, key: &str) -> u32 {
     let server = plain_server(fleet).await;
     let response = fleet.call(HttpRequest::get(server, "/executions")).await;
     let counts = from_json::<ExecutionCounts>(&response.body).expect("counts");
--- a/crates/teaselglade/tests/processes/main.rs
+++ b/crates/teaselglade/tests/processes/main.rs
@@ -10,4 +10,5 @@
 mod keyed_calls;
 mod limits;
 mod planned_stops;
+mod repeated_stops;
 mod stream_load;
--- a/crates/teaselglade/tests/processes/planned_stops.rs
+++ b/crates/teaselglade/tests/processes/planned_stops.rs
@@ -33,7 +33,7 @@
 const MAX_RESUMES: u32 = 100;
 
 /// Returns the head and the body of a request for a stream.
-fn request_parts(request: &StreamRequest) -> (String, Vec<u8>) {
+pub fn request_parts(request: &StreamRequest) -> (String, Vec<u8>) {
     let body = GenerateBody {
         prompt: request.prompt.clone(),
         max_tokens: request.max_tokens,
@@ -52,7 +52,7 @@
 }
 
 /// Reads a connection until it ends or holds `text`; returns all of it.
-async fn read_until(connection: &mut TcpStream, text: &str) -> String {
+pub async fn read_until(connection: &mut TcpStream, text: &str) -> String {
     let mut received = Vec::new();
     let read = async {
         let mut buffer = [0; 4_096];
@@ -70,14 +70,22 @@
 }
 
 /// Returns the request id in the head of a response.
-fn request_id(response: &str) -> &str {
+pub fn request_id(response: &str) -> &str {
     let mut lines = response.lines();
     let id = lines.find_map(|line| line.strip_prefix("x-request-id: "));
     id.unwrap_or_else(|| panic!("no request id in `{response}`"))
 }
 
-/// Asks a host for an answer from its first token until it gives the whole; panics if it never does.
-async fn resume_whole(fleet: &TestFleet, callers: SocketAddr, id: &str) -> String {
+/// Asks a host for an answer from its first token until it gives the whole.
+///
+/// # Errors
+///
+/// Returns the last response if the whole never comes.
+pub async fn resume_whole(
+    fleet: &TestFleet,
+    callers: SocketAddr,
+    id: &str,
+) -> Result<String, String> {
     let mut last = String::new();
     for _resume in 0..MAX_RESUMES {
         let request = HttpRequest::get(callers, format!("/v1/requests/{id}"));
@@ -87,15 +95,15 @@
             Err(error) => error.to_string(),
         };
         if last.contains("event:end") || last.contains("event: end") {
-            return last;
+            return Ok(last);
         }
         sleep(POLL_INTERVAL).await;
     }
-    panic!("the answer {id} is lost: `{last}`");
+    Err(format!("the answer {id} is lost: `{last}`"))
 }
 
 /// Returns the text of the tokens in a stream of events.
-fn answer_text(events: &str) -> String {
+pub fn answer_text(events: &str) -> String {
     let tokens = events.lines().filter_map(|line| {
         let data = line.strip_prefix("data:")?.trim_start();
         let token = serde_json::from_str::<serde_json::Value>(data).ok()?;
@@ -143,6 +151,7 @@
         assert!(response.contains("\"verdict\":\"not_run\""), "{response}");
     } else {
         let events = resume_whole(&fleet, callers[1], request_id(&response)).await;
+        let events = events.unwrap_or_else(|lost| panic!("{lost}"));
         let expected = response_text(&request.prompt, request.max_tokens);
         assert_eq!(answer_text(&events), expected);
     }
@@ -172,6 +181,7 @@
         "the daemon exits successfully"
     );
     let events = resume_whole(&fleet, callers[1], request_id(&response)).await;
+    let events = events.unwrap_or_else(|lost| panic!("{lost}"));
     let expected = response_text(&request.prompt, request.max_tokens);
     assert_eq!(answer_text(&events), expected);
 }
@@ -193,6 +203,7 @@
         fleet.entries[0].process.signal("TERM");
     };
     let (events, ()) = tokio::join!(events, stop);
+    let events = events.unwrap_or_else(|lost| panic!("{lost}"));
     let expected = response_text(&request.prompt, request.max_tokens);
     assert_eq!(answer_text(&events), expected);
     assert!(
