fix(entry): silence ends no stream whose replacement is not granted

A stream without a token for 1.5 s had its attempt cancelled first, and only then asked the retry budget. Where the budget denied, the caller got `attempt_failed` with "may have run", although the server would have gone on; where it granted one, the attempt was gone during the backoff.

Evidence: `a_silent_attempt_goes_on_when_no_retry_is_granted`, `a_silent_attempt_asks_for_a_retry_again_after_a_denial` and `a_silent_attempt_that_resumes_withdraws_its_replacement` failed before this change (refused at the denial; cancelled before the backoff). Ruled out: announced departures, whose plan already ran beside the attempt.

The silent attempt goes on until another one starts. A denial lets it go on for another timeout, then the budget is asked again; a frame in the meantime withdraws the plan. Faults and truncated streams are refused as before. 19 tests of the machine (property tests included), 14 scenarios and 13 tests over processes passed.

Left open: the reconnection outside the budget still cancels the silent attempt before the new one has answered.

--- a/crates/teaselglade-request/src/stream/active_attempt.rs
+++ b/crates/teaselglade-request/src/stream/active_attempt.rs
@@ -27,6 +27,8 @@
     pub(super) leave_at: Option<Timestamp>,
     first_token_at: Timestamp,
     last_progress_at: Timestamp,
+    /// From when the attempt counts as silent: its last progress, or the last denial of a retry.
+    silent_since: Timestamp,
 }
 
 impl ActiveAttempt {
@@ -46,12 +48,14 @@
             leave_at: None,
             first_token_at: now,
             last_progress_at: now,
+            silent_since: now,
         }
     }
 
     pub(super) const fn record_start(&mut self, now: Timestamp) {
         self.has_started = true;
         self.last_progress_at = now;
+        self.silent_since = now;
     }
 
     pub(super) const fn record_token(&mut self, now: Timestamp) {
@@ -61,6 +65,12 @@
         self.has_started = true;
         self.tokens += 1;
         self.last_progress_at = now;
+        self.silent_since = now;
+    }
+
+    /// Lets the attempt go on for another timeout, since nothing may replace it now.
+    pub(super) const fn extend(&mut self, now: Timestamp) {
+        self.silent_since = now;
     }
 
     /// Returns when the attempt times out unless another frame arrives.
@@ -70,7 +80,7 @@
             (true, 0) => limits.first_token_timeout,
             (true, _) => limits.progress_timeout,
         };
-        self.last_progress_at + timeout
+        self.silent_since + timeout
     }
 
     /// Returns an upper estimate of the time that `tokens` more tokens take.
--- a/crates/teaselglade-request/src/stream/stream_machine/frame_events.rs
+++ b/crates/teaselglade-request/src/stream/stream_machine/frame_events.rs
@@ -14,6 +14,7 @@
         if !self.accept_frame_of(attempt_of(&frame)) {
             return;
         }
+        self.withdraw_replacement();
         match frame {
             EngineEvent::Started {
                 computed_tokens, ..
@@ -65,11 +66,27 @@
             self.leave_server(now);
             return;
         }
-        if attempt.times_out_at(&self.limits) <= now {
+        if !self.is_replacing_silent() && attempt.times_out_at(&self.limits) <= now {
             self.on_timeout(now);
         }
     }
 
+    /// Returns whether the next attempt is planned because the current one is silent.
+    pub(super) fn is_replacing_silent(&self) -> bool {
+        let plan = self.plan.as_ref();
+        self.attempt.is_some() && plan.is_some_and(|plan| plan.cause == AttemptCause::Timeout)
+    }
+
+    /// Drops the plan to replace an attempt that was only slow.
+    ///
+    /// The plan stays if the server is leaving, as it takes the attempt away from there.
+    fn withdraw_replacement(&mut self) {
+        let server = self.server();
+        if self.is_replacing_silent() && !server.is_some_and(|server| self.is_leaving(server)) {
+            self.plan = None;
+        }
+    }
+
     fn on_timeout(&mut self, now: Timestamp) {
         let Some(attempt) = &self.attempt else {
             return;
@@ -83,8 +100,11 @@
         if reconnect_to.is_none() {
             self.failed_servers.push(server);
         }
-        self.cancel_attempt();
         let cause = self.cause_of_loss(server, AttemptCause::Timeout);
+        // Silence does not prove that the attempt is lost, so it goes on until another one starts.
+        if cause != AttemptCause::Timeout {
+            self.cancel_attempt();
+        }
         let lost = LostAttempt {
             server,
             reconnect_to,
--- a/crates/teaselglade-request/src/stream/stream_machine/plan_events.rs
+++ b/crates/teaselglade-request/src/stream/stream_machine/plan_events.rs
@@ -51,6 +51,9 @@
         }
         self.retries += 1;
         if self.retries > self.limits.max_retries {
+            if self.keep_attempt(now) {
+                return;
+            }
             let detail = "the request used all its retries";
             self.refuse(now, RefusalReason::AttemptFailed, detail, None);
             return;
@@ -78,6 +81,7 @@
                 plan.step = PlanStep::BackingOff { until: now + delay };
                 self.check_plan(now);
             }
+            RetryDecision::Denied { .. } if self.keep_attempt(now) => {}
             RetryDecision::Denied { retry_after } => {
                 let detail = "the service's retry budget is spent";
                 self.refuse(now, RefusalReason::AttemptFailed, detail, Some(retry_after));
@@ -85,6 +89,19 @@
         }
     }
 
+    /// Lets a silent attempt go on if there is one; returns whether there is.
+    ///
+    /// A retry that was not made does not count.
+    fn keep_attempt(&mut self, now: Timestamp) -> bool {
+        let Some(attempt) = &mut self.attempt else {
+            return false;
+        };
+        attempt.extend(now);
+        self.retries = self.retries.saturating_sub(1);
+        self.plan = None;
+        true
+    }
+
     pub(super) fn on_placed(&mut self, now: Timestamp, operation_id: u32, server: ServerKey) {
         if self
             .plan_awaiting(operation_id, PlanStep::Placing)
--- a/crates/teaselglade-request/src/stream/stream_machine/timers.rs
+++ b/crates/teaselglade-request/src/stream/stream_machine/timers.rs
@@ -101,11 +101,12 @@
             CallerState::Connected { .. } => None,
         };
         let attempt = self.attempt.as_ref();
+        let silent_attempt = attempt.filter(|_| !self.is_replacing_silent());
         let times = [
             Some(self.request.deadline),
             disconnected_until,
             self.handover_at,
-            attempt.map(|attempt| attempt.times_out_at(&self.limits)),
+            silent_attempt.map(|attempt| attempt.times_out_at(&self.limits)),
             attempt.and_then(|attempt| attempt.leave_at),
             self.plan.as_ref().and_then(AttemptPlan::due_at),
         ];
--- a/crates/teaselglade-request/tests/request/final_response.rs
+++ b/crates/teaselglade-request/tests/request/final_response.rs
@@ -270,3 +270,123 @@
         "deferred tokens are delivered"
     );
 }
+
+/// Returns the request for a retry that was made last.
+fn last_retry(driver: &MachineDriver) -> Option<u32> {
+    let mut actions = driver.actions.iter().rev();
+    actions.find_map(|action| match action {
+        StreamAction::RequestRetry { operation_id, .. } => Some(*operation_id),
+        _ => None,
+    })
+}
+
+/// Returns a machine whose second attempt is silent and whose retry was denied.
+fn driver_with_denied_retry() -> (MachineDriver, AttemptId) {
+    let mut driver = MachineDriver::new();
+    let operation_id = *driver.operation_ids.last().expect("an operation");
+    let server = ServerKey::new(0);
+    driver.apply(StreamEvent::Placed {
+        operation_id,
+        server,
+    });
+    let mut index = 0;
+    // The first silence is answered by a reconnection outside the budget.
+    while last_retry(&driver).is_none() {
+        let attempt = *driver.attempts.last().expect("an attempt");
+        let text = "token".to_owned();
+        driver.apply(StreamEvent::Frame(EngineEvent::Token {
+            attempt,
+            index,
+            text,
+        }));
+        index += 1;
+        driver.now = driver.now + StreamLimits::default().progress_timeout;
+        driver.apply(StreamEvent::TimerFired);
+    }
+    let attempt = *driver.attempts.last().expect("an attempt");
+    let operation_id = last_retry(&driver).expect("a request for a retry");
+    let decision = RetryDecision::Denied {
+        retry_after: Duration::from_secs(1),
+    };
+    driver.apply(StreamEvent::RetryDecided {
+        operation_id,
+        decision,
+    });
+    (driver, attempt)
+}
+
+#[test]
+fn a_silent_attempt_goes_on_when_no_retry_is_granted() {
+    let (mut driver, attempt) = driver_with_denied_retry();
+    let is_refusal = |action: &StreamAction| matches!(action, StreamAction::Refuse { .. });
+    assert!(!driver.actions.iter().any(is_refusal));
+    for index in 2..MAX_TOKENS {
+        let text = "token".to_owned();
+        driver.apply(StreamEvent::Frame(EngineEvent::Token {
+            attempt,
+            index,
+            text,
+        }));
+    }
+    let total = MAX_TOKENS;
+    driver.apply(StreamEvent::Frame(EngineEvent::End { attempt, total }));
+    let last = driver.actions.last();
+    assert!(
+        driver.actions.iter().any(|action| matches!(
+            action,
+            StreamAction::Finish {
+                total: MAX_TOKENS,
+                ..
+            }
+        )),
+        "{last:?}"
+    );
+}
+
+#[test]
+fn a_silent_attempt_asks_for_a_retry_again_after_a_denial() {
+    let (mut driver, _attempt) = driver_with_denied_retry();
+    let denied = last_retry(&driver);
+    driver.now = driver.now + StreamLimits::default().progress_timeout;
+    driver.apply(StreamEvent::TimerFired);
+    assert_ne!(last_retry(&driver), denied);
+    let attempts = driver.attempts.len();
+    let operation_id = last_retry(&driver).expect("a request for a retry");
+    let delay = Duration::ZERO;
+    driver.apply(StreamEvent::RetryDecided {
+        operation_id,
+        decision: RetryDecision::Granted { delay },
+    });
+    let operation_id = *driver.operation_ids.last().expect("a placement");
+    let server = ServerKey::new(1);
+    driver.apply(StreamEvent::Placed {
+        operation_id,
+        server,
+    });
+    assert_eq!(driver.attempts.len(), attempts + 1);
+}
+
+#[test]
+fn a_silent_attempt_that_resumes_withdraws_its_replacement() {
+    let (mut driver, attempt) = driver_with_denied_retry();
+    driver.now = driver.now + StreamLimits::default().progress_timeout;
+    driver.apply(StreamEvent::TimerFired);
+    let operation_id = last_retry(&driver).expect("a request for a retry");
+    let delay = Duration::from_millis(100);
+    driver.apply(StreamEvent::RetryDecided {
+        operation_id,
+        decision: RetryDecision::Granted { delay },
+    });
+    let (attempts, index) = (driver.attempts.len(), 2);
+    let text = "token".to_owned();
+    driver.apply(StreamEvent::Frame(EngineEvent::Token {
+        attempt,
+        index,
+        text,
+    }));
+    driver.now = driver.now + delay;
+    driver.apply(StreamEvent::TimerFired);
+    assert_eq!(driver.attempts.len(), attempts);
+    let is_cancel = |action: &StreamAction| matches!(action, StreamAction::Cancel { attempt: cancelled, .. } if *cancelled == attempt);
+    assert!(!driver.actions.iter().any(is_cancel));
+}
