fix(entry): a silent attempt goes on until its replacement has answered

After 1.5 s without a token a stream reconnected to the same server and cancelled the attempt as it did so. Where the new connection was refused, or its attempt stayed silent too, the budget decided: a denial refused the caller with "may have run", although the server would have gone on.

The silent attempt is kept beside its replacement. The one that sends a frame first stays, the other is cancelled; if the replacement fails, the silent one goes on while the next replacement is asked for.

Left open: an attempt at a server that is announced to leave is still cancelled when its replacement is dispatched.

--- a/crates/teaselglade-request/src/stream/stream_machine/final_response.rs
+++ b/crates/teaselglade-request/src/stream/stream_machine/final_response.rs
@@ -5,6 +5,7 @@
 use teaselglade_core::time::Timestamp;
 use teaselglade_core::verdict::{ExecutionVerdict, RefusalReason, RequestRefusal};
 
+use super::ActiveAttempt;
 use super::{CallerState, StreamMachine, StreamPhase};
 use crate::stream::StreamAction;
 
@@ -39,9 +40,20 @@
         }
     }
 
-    /// Cancels the current attempt; it is unknown how far it ran.
+    /// Cancels the current attempt and its fallback; it is unknown how far they ran.
     pub(super) fn cancel_attempt(&mut self) {
-        let Some(attempt) = self.attempt.take() else {
+        let attempt = self.attempt.take();
+        self.cancel(attempt);
+        self.cancel_fallback();
+    }
+
+    pub(super) fn cancel_fallback(&mut self) {
+        let fallback = self.fallback.take();
+        self.cancel(fallback);
+    }
+
+    fn cancel(&mut self, attempt: Option<ActiveAttempt>) {
+        let Some(attempt) = attempt else {
             return;
         };
         self.past_verdict = self.past_verdict.and(ExecutionVerdict::MayHaveRun);
--- a/crates/teaselglade-request/src/stream/stream_machine/frame_events.rs
+++ b/crates/teaselglade-request/src/stream/stream_machine/frame_events.rs
@@ -11,6 +11,7 @@
 
 impl StreamMachine {
     pub(super) fn on_frame(&mut self, now: Timestamp, frame: EngineEvent) {
+        self.settle_fallback(attempt_of(&frame));
         if !self.accept_frame_of(attempt_of(&frame)) {
             return;
         }
@@ -24,12 +25,34 @@
         }
     }
 
+    /// Keeps that one of a silent attempt and its replacement which sends a frame first.
+    fn settle_fallback(&mut self, id: AttemptId) {
+        if self
+            .attempt
+            .as_ref()
+            .is_some_and(|attempt| attempt.id == id)
+        {
+            self.cancel_fallback();
+        } else if let Some(fallback) = self.fallback.take_if(|fallback| fallback.id == id) {
+            self.cancel_attempt();
+            self.attempt = Some(fallback);
+        }
+    }
+
     pub(super) fn on_attempt_failed(
         &mut self,
         now: Timestamp,
         id: AttemptId,
         error: &AttemptError,
     ) {
+        if self
+            .fallback
+            .take_if(|fallback| fallback.id == id)
+            .is_some()
+        {
+            self.past_verdict = self.past_verdict.and(ExecutionVerdict::MayHaveRun);
+            return;
+        }
         let Some(attempt) = self.attempt.take_if(|attempt| attempt.id == id) else {
             return;
         };
@@ -43,11 +66,19 @@
         self.past_verdict = self.past_verdict.and(verdict);
         let cause = self.cause_of_loss(attempt.server, AttemptCause::Fault);
         self.failed_servers.push(attempt.server);
-        self.replace_attempt(now, cause, LostAttempt::without_reconnect(attempt.server));
+        let lost = LostAttempt::without_reconnect(attempt.server);
+        self.attempt = self.fallback.take();
+        if self.attempt.is_some() {
+            // The silent attempt goes on; it is still to be replaced.
+            self.replace_attempt(now, AttemptCause::Timeout, lost);
+            return;
+        }
+        self.replace_attempt(now, cause, lost);
     }
 
     pub(super) fn on_attempt_closed(&mut self, now: Timestamp, id: AttemptId) {
-        if self.attempt.as_ref().is_none_or(|attempt| attempt.id != id) {
+        let mut attempts = self.attempt.iter().chain(&self.fallback);
+        if attempts.all(|attempt| attempt.id != id) {
             return;
         }
         if self.plan.is_none() {
--- a/crates/teaselglade-request/src/stream/stream_machine/mod.rs
+++ b/crates/teaselglade-request/src/stream/stream_machine/mod.rs
@@ -103,6 +103,8 @@
     has_reconnected: bool,
     last_operation_id: u32,
     attempt: Option<ActiveAttempt>,
+    /// Silent attempt that goes on until the current one, which replaces it, has sent a frame.
+    fallback: Option<ActiveAttempt>,
     plan: Option<AttemptPlan>,
     /// Servers that failed this request.
     failed_servers: Vec<ServerKey>,
@@ -165,6 +167,7 @@
             has_reconnected: false,
             last_operation_id: 0,
             attempt: None,
+            fallback: None,
             plan: None,
             failed_servers: Vec::new(),
             leaving_servers: Vec::new(),
--- a/crates/teaselglade-request/src/stream/stream_machine/plan_events.rs
+++ b/crates/teaselglade-request/src/stream/stream_machine/plan_events.rs
@@ -195,7 +195,7 @@
         });
     }
 
-    /// Starts the planned attempt and cancels the current one.
+    /// Starts the planned attempt and cancels the current one, or keeps it as the fallback if it is silent.
     pub(super) fn start_attempt(
         &mut self,
         now: Timestamp,
@@ -205,7 +205,14 @@
         let Some(plan) = self.plan.take() else {
             return;
         };
-        self.cancel_attempt();
+        if plan.cause == AttemptCause::Timeout && self.fallback.is_none() {
+            self.fallback = self.attempt.take();
+        } else {
+            // An attempt that replaced a silent one and sent nothing is no better than that one.
+            let fallback = self.fallback.take();
+            self.cancel_attempt();
+            self.fallback = fallback.filter(|_| plan.cause == AttemptCause::Timeout);
+        }
         let id = self.next_attempt();
         let mut attempt = ActiveAttempt::new(id, server, plan.cause, now);
         attempt.is_reconnect = plan.reconnect_to == Some(server);
--- a/crates/teaselglade-request/tests/request/final_response.rs
+++ b/crates/teaselglade-request/tests/request/final_response.rs
@@ -271,6 +271,16 @@
     );
 }
 
+/// Returns the event of a token.
+fn token(attempt: AttemptId, index: u32) -> StreamEvent {
+    let text = "token".to_owned();
+    StreamEvent::Frame(EngineEvent::Token {
+        attempt,
+        index,
+        text,
+    })
+}
+
 /// Returns the request for a retry that was made last.
 fn last_retry(driver: &MachineDriver) -> Option<u32> {
     let mut actions = driver.actions.iter().rev();
@@ -293,12 +303,7 @@
     // The first silence is answered by a reconnection outside the budget.
     while last_retry(&driver).is_none() {
         let attempt = *driver.attempts.last().expect("an attempt");
-        let text = "token".to_owned();
-        driver.apply(StreamEvent::Frame(EngineEvent::Token {
-            attempt,
-            index,
-            text,
-        }));
+        driver.apply(token(attempt, index));
         index += 1;
         driver.now = driver.now + StreamLimits::default().progress_timeout;
         driver.apply(StreamEvent::TimerFired);
@@ -321,12 +326,7 @@
     let is_refusal = |action: &StreamAction| matches!(action, StreamAction::Refuse { .. });
     assert!(!driver.actions.iter().any(is_refusal));
     for index in 2..MAX_TOKENS {
-        let text = "token".to_owned();
-        driver.apply(StreamEvent::Frame(EngineEvent::Token {
-            attempt,
-            index,
-            text,
-        }));
+        driver.apply(token(attempt, index));
     }
     let total = MAX_TOKENS;
     driver.apply(StreamEvent::Frame(EngineEvent::End { attempt, total }));
@@ -378,15 +378,50 @@
         decision: RetryDecision::Granted { delay },
     });
     let (attempts, index) = (driver.attempts.len(), 2);
-    let text = "token".to_owned();
-    driver.apply(StreamEvent::Frame(EngineEvent::Token {
-        attempt,
-        index,
-        text,
-    }));
+    driver.apply(token(attempt, index));
     driver.now = driver.now + delay;
     driver.apply(StreamEvent::TimerFired);
     assert_eq!(driver.attempts.len(), attempts);
     let is_cancel = |action: &StreamAction| matches!(action, StreamAction::Cancel { attempt: cancelled, .. } if *cancelled == attempt);
     assert!(!driver.actions.iter().any(is_cancel));
 }
+
+#[test]
+fn a_reconnection_that_fails_leaves_the_silent_attempt_running() {
+    let mut driver = MachineDriver::new();
+    let operation_id = *driver.operation_ids.last().expect("an operation");
+    let server = ServerKey::new(0);
+    driver.apply(StreamEvent::Placed {
+        operation_id,
+        server,
+    });
+    let silent = *driver.attempts.last().expect("an attempt");
+    driver.apply(token(silent, 0));
+    driver.now = driver.now + StreamLimits::default().progress_timeout;
+    driver.apply(StreamEvent::TimerFired);
+    let attempt = *driver.attempts.last().expect("a reconnection");
+    assert_ne!(attempt, silent);
+    let error = AttemptError::new(SendProgress::NotSent, "connection refused");
+    driver.apply(StreamEvent::AttemptFailed { attempt, error });
+    if let Some(operation_id) = last_retry(&driver) {
+        let retry_after = Duration::from_secs(1);
+        driver.apply(StreamEvent::RetryDecided {
+            operation_id,
+            decision: RetryDecision::Denied { retry_after },
+        });
+    }
+    for index in 1..MAX_TOKENS {
+        driver.apply(token(silent, index));
+    }
+    let total = MAX_TOKENS;
+    driver.apply(StreamEvent::Frame(EngineEvent::End {
+        attempt: silent,
+        total,
+    }));
+    let is_finish = |action: &StreamAction| matches!(action, StreamAction::Finish { .. });
+    assert!(
+        driver.actions.iter().any(is_finish),
+        "{:?}",
+        driver.actions.last()
+    );
+}
