--- a/crates/teaselglade/tests/processes/keyed_calls.rs
+++ b/crates/teaselglade/tests/processes/keyed_calls.rs
@@ -276,3 +276,18 @@
     // One call detects the dead connection to the log, and one the dead connections to the servers.
     assert!(failed_calls <= 2, "{failed_calls} of 8 keyed calls failed");
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_server_that_takes_longer_than_five_seconds_answers_a_caller_that_waits() {
+    let fleet = TestFleet::start(FleetPlan::corrib(), 1).await;
+    delay_servers(&fleet, 6_000).await;
+    let path = format!("/v1/services/{SERVICE}/call/book");
+    let request = HttpRequest::post(fleet.callers()[0], path, "deposit")
+        .header("x-organisation", ORGANISATION)
+        .header("idempotency-key", new_key())
+        .header("x-idempotent-first", "true")
+        .header("x-deadline-ms", "30000")
+        .head_timeout(Duration::from_secs(30));
+    let response = fleet.http.call(request).await.expect("a response");
+    assert_eq!(call_outcome(&response), CallOutcome::Succeeded);
+}
