fix(host): an error response whose body never ends is given up at the deadline

A caller whose stream was answered with an error waited beyond its deadline, without an end, if the body of that response stalled; since silent streams keep such a response for later, also after the deadline. The body is read until the deadline, and for 250 ms if that has passed; then the caller gets 504.

--- a/crates/teaselglade-host/src/relay/stream_relay.rs
+++ b/crates/teaselglade-host/src/relay/stream_relay.rs
@@ -16,7 +16,7 @@
     AttemptOutcome, AttemptRole, AttemptTracker, MoveAction, MoveDecider, MoveEvent, NextStep,
 };
 use teaselglade_routing::event::SseEvent;
-use tokio::time::{Instant, sleep, sleep_until};
+use tokio::time::{Instant, sleep, sleep_until, timeout};
 
 use super::call_context::{CallContext, next_step_name};
 use super::engine_attempt::{AttemptStep, EngineAttempt};
@@ -29,6 +29,8 @@
 
 /// Largest body of an error response on a stream route.
 const MAX_ERROR_BODY_BYTES: usize = 1024 * 1024;
+/// Least time to read the body of an error response, also if the request's deadline has passed.
+const MIN_ERROR_BODY_TIME: Duration = Duration::from_millis(250);
 /// Multiple of the gap target without an event after which a resumable stream gets a standby at
 /// another server.
 const STALL_GAP_FACTOR: f64 = 2.5;
@@ -634,12 +636,18 @@
     server_id: &str,
     response: Box<ServerResponse>,
 ) -> Result<CallerResponse> {
-    let collected = Limited::new(response.body, MAX_ERROR_BODY_BYTES)
-        .collect()
-        .await;
-    let body = match collected {
-        Ok(body) => body.to_bytes(),
-        Err(error) => {
+    let collected = Limited::new(response.body, MAX_ERROR_BODY_BYTES).collect();
+    let time_left = context.time_left().max(MIN_ERROR_BODY_TIME);
+    let body = match timeout(time_left, collected).await {
+        Ok(Ok(body)) => body.to_bytes(),
+        Err(_elapsed) => {
+            return Err(RequestRefusal::with_verdict(
+                ExecutionVerdict::MayHaveRun,
+                RefusalReason::DeadlineExceeded,
+                "the server's error response is not whole",
+            ));
+        }
+        Ok(Err(error)) => {
             let detail = format!("the answer is cut: {error}");
             let failed = FailedCall::new(AttemptOutcome::Broken, detail);
             return Err(final_refusal(
--- a/crates/teaselglade-net/tests/server/stop.rs
+++ b/crates/teaselglade-net/tests/server/stop.rs
@@ -85,6 +85,7 @@
         yield_now().await;
     }
     stopped.await.expect("the server stops");
+    assert!(!asked.is_empty(), "no request was sent");
     for (number, mut connection) in asked.into_iter().enumerate() {
         let mut response = Vec::new();
         let _reset = connection.read_to_end(&mut response);
