feat(host): headers of servers that this build does not know are counted

`teaselglade_unknown_server_headers_total` counts headers that neither HTTP nor the platform's pages define, and `server_header_unknown` names each once, so that the next new word shows before it is an incident.

--- a/crates/teaselglade-host/src/metrics/host_metrics.rs
+++ b/crates/teaselglade-host/src/metrics/host_metrics.rs
@@ -48,6 +48,8 @@
     pub table_version: IntGauge,
     /// What servers said of themselves in responses.
     pub server_advice: IntCounterVec,
+    /// Headers of servers' responses that this build does not know.
+    pub unknown_headers: IntCounter,
     /// Evidence on prompt parts that end servers.
     pub crashes: CrashMetrics,
     /// Age of the newest registration data in milliseconds.
@@ -139,6 +141,10 @@
                 "Answers in which servers said that they leave or rest.",
                 &["advice"],
             )?,
+            unknown_headers: r.counter(
+                "teaselglade_unknown_server_headers_total",
+                "Headers of servers that this build does not know.",
+            )?,
             crashes: CrashMetrics::new(r)?,
             update_age: r.gauge(
                 "teaselglade_update_age_ms",
--- a/crates/teaselglade-host/src/port/message_port.rs
+++ b/crates/teaselglade-host/src/port/message_port.rs
@@ -73,6 +73,8 @@
     pub load: Option<ServerLoad>,
     /// What the server wants of this host.
     pub advice: ServerAdvice,
+    /// Names of headers that neither HTTP nor the platform defines.
+    pub unknown_headers: Vec<HeaderName>,
 }
 
 /// Reads and writes the headers that the platform defines.
--- a/crates/teaselglade-host/src/relay/server_call.rs
+++ b/crates/teaselglade-host/src/relay/server_call.rs
@@ -203,6 +203,9 @@
         return Err(FailedCall::new(AttemptOutcome::Misdirected, detail));
     }
     context.host.apply_advice(server, head.advice);
+    context
+        .host
+        .report_unknown_headers(server, &head.unknown_headers);
     if head.not_run {
         // The body is a few bytes; once they are read, the connection can be reused.
         let detail = format!("rejected with {}", parts.status.as_u16());
--- a/crates/teaselglade-host/src/state/host_state.rs
+++ b/crates/teaselglade-host/src/state/host_state.rs
@@ -1,10 +1,11 @@
 //! State shared by the components of a host.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError, RwLock};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
+use hyper::header::HeaderName;
 use teaselglade_core::id::ServerKey;
 use teaselglade_core::port::ClockPort;
 use teaselglade_core::time::Timestamp;
@@ -26,6 +27,8 @@
 
 /// Reads per second of all hosts together that receive the changes of a feed from peers.
 const IDLE_READS_PER_SECOND: u32 = 3;
+/// Number of unknown header names of servers that are logged, once each.
+const MAX_LOGGED_HEADERS: usize = 32;
 /// Fractional part of the golden ratio.
 const GOLDEN_RATIO: f64 = 0.618_033_988_749_894_9;
 
@@ -62,6 +65,8 @@
     split_samples: AtomicU64,
     /// Platform calls that currently fail, and since when.
     failing_calls: Mutex<HashMap<&'static str, Timestamp>>,
+    /// Unknown header names of servers that were logged.
+    logged_headers: Mutex<HashSet<HeaderName>>,
 }
 
 impl HostState {
@@ -93,6 +98,7 @@
             is_ending: AtomicBool::new(false),
             split_samples: AtomicU64::new(started_at_us % 1_000),
             failing_calls: Mutex::default(),
+            logged_headers: Mutex::default(),
         }))
     }
 
@@ -274,6 +280,26 @@
         }
     }
 
+    /// Counts headers of a server's response that this build does not know; logs each name once.
+    ///
+    /// A server may ask for something by a header that was defined after this build.
+    pub fn report_unknown_headers(&self, server: ServerKey, names: &[HeaderName]) {
+        if names.is_empty() {
+            return;
+        }
+        self.metrics.unknown_headers.inc_by(names.len() as u64);
+        let mut logged_headers = self
+            .logged_headers
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        for name in names {
+            if logged_headers.len() < MAX_LOGGED_HEADERS && logged_headers.insert(name.clone()) {
+                let id = self.server_id(server);
+                warn!(event = "server_header_unknown", header = name.as_str(), id);
+            }
+        }
+    }
+
     /// Drops old evidence on prompt parts, and logs and counts what changed.
     pub fn report_part_changes(&self, now: Timestamp, crash_ledger: &mut CrashLedger) {
         crash_ledger.prune(now);
