--- a/crates/teaselglade-core/src/verdict/refusal_reason.rs
+++ b/crates/teaselglade-core/src/verdict/refusal_reason.rs
@@ -21,6 +21,8 @@
         PredictedLate,
         /// A part of the prompt ends the servers that begin to write on it.
         Quarantined,
+        /// The limits that the backend servers name are reached.
+        ServerLimit,
         /// No permitted backend server is available.
         NoServer,
         /// A non-idempotent call lacks the idempotency key that its table row requires.
@@ -58,6 +60,7 @@
             Self::DeadlineExceeded => 504,
             Self::PredictedLate
             | Self::Quarantined
+            | Self::ServerLimit
             | Self::NoServer
             | Self::LogUnavailable
             | Self::NotReady => 503,
@@ -77,6 +80,7 @@
             Self::OverLimit => "a limit of the table is reached",
             Self::PredictedLate => "the latency target cannot be met now",
             Self::Quarantined => "a part of the prompt ends servers",
+            Self::ServerLimit => "the limits of the backend servers are reached",
             Self::NoServer => "no permitted backend server is available",
             Self::KeyMissing => "the call needs an idempotency key",
             Self::KeyExpired => "the idempotency key is too old",
--- a/crates/teaselglade-host/src/lib.rs
+++ b/crates/teaselglade-host/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod metrics;
 pub mod open;
 pub mod peer;
+pub mod permit;
 pub mod port;
 pub mod quarantine;
 pub mod relay;
--- a/crates/teaselglade-host/src/metrics/host_metrics.rs
+++ b/crates/teaselglade-host/src/metrics/host_metrics.rs
@@ -3,7 +3,7 @@
 use prometheus::{HistogramVec, IntCounter, IntCounterVec, IntGauge, IntGaugeVec};
 use teaselglade_net::metrics::{MetricRegistry, Result};
 
-use super::{CrashMetrics, EndMetrics};
+use super::{AdviceMetrics, CrashMetrics, EndMetrics};
 
 /// Upper bounds of latency buckets in seconds.
 ///
@@ -47,9 +47,7 @@
     /// Version of the active table.
     pub table_version: IntGauge,
     /// What servers said of themselves in responses.
-    pub server_advice: IntCounterVec,
-    /// Headers of servers' responses that this build does not know.
-    pub unknown_headers: IntCounter,
+    pub advice: AdviceMetrics,
     /// Evidence on prompt parts that end servers.
     pub crashes: CrashMetrics,
     /// Age of the newest registration data in milliseconds.
@@ -136,15 +134,7 @@
                 "teaselglade_table_version",
                 "Version of the table in force.",
             )?,
-            server_advice: r.counters(
-                "teaselglade_server_advice_total",
-                "Answers in which servers said that they leave or rest.",
-                &["advice"],
-            )?,
-            unknown_headers: r.counter(
-                "teaselglade_unknown_server_headers_total",
-                "Headers of servers that this build does not know.",
-            )?,
+            advice: AdviceMetrics::new(r)?,
             crashes: CrashMetrics::new(r)?,
             update_age: r.gauge(
                 "teaselglade_update_age_ms",
--- a/crates/teaselglade-host/src/metrics/mod.rs
+++ b/crates/teaselglade-host/src/metrics/mod.rs
@@ -1,9 +1,11 @@
 //! Metrics of a serving host.
 
+mod advice_metrics;
 mod crash_metrics;
 mod end_metrics;
 mod host_metrics;
 
+pub use advice_metrics::AdviceMetrics;
 pub use crash_metrics::CrashMetrics;
 pub use end_metrics::EndMetrics;
 pub use host_metrics::HostMetrics;
--- a/crates/teaselglade-host/src/peer/gossip_transport.rs
+++ b/crates/teaselglade-host/src/peer/gossip_transport.rs
@@ -8,13 +8,15 @@
 use teaselglade_routing::gossip::{
     AggregateDigest, CandidateHost, HostDigest, PeerMessage, ServiceDemand,
 };
+use teaselglade_routing::limit::{LimitReport, PermitAnswer, PermitMessage};
 use teaselglade_routing::registry::UpdateScope;
 use tokio::net::UdpSocket;
-use tokio::sync::mpsc::UnboundedSender;
+use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender};
 use tokio::time::{Instant, MissedTickBehavior, interval, sleep_until};
 use tracing::{debug, info, warn};
 
 use super::TableAnnouncement;
+use crate::permit::{OutgoingMessage, give_back};
 use crate::state::HostState;
 
 /// Interval between digests of a host.
@@ -37,6 +39,8 @@
     socket: UdpSocket,
     /// Channel for announcements of newer tables.
     newer_tables: UnboundedSender<TableAnnouncement>,
+    /// Messages about permits that requests on this host send.
+    outbox: Option<UnboundedReceiver<OutgoingMessage>>,
     /// Sequence number of the last digest.
     sequence: u64,
     /// Aggregate digest that is being sent to the served hosts.
@@ -72,9 +76,11 @@
         host.lock_decisions()
             .membership
             .add_seeds(seeds.filter(|seed| *seed != own));
+        let outbox = host.permits.take_outbox();
         Ok(Self {
             host,
             socket,
+            outbox,
             newer_tables,
             sequence: 0,
             round: AggregateRound {
@@ -91,14 +97,22 @@
         let mut ticks = interval(DIGEST_INTERVAL);
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
         let mut buffer = vec![0; MAX_DIGEST_BYTES];
+        let mut outbox = self.outbox.take();
         loop {
             tokio::select! {
+                Some((target, message)) = next_message(&mut outbox) => {
+                    self.send_to(&encode(&message), target).await;
+                }
                 _tick = ticks.tick() => self.send_digest().await,
                 () = sleep_until(self.round.next_send_at), if !self.round.remaining.is_empty() => {
                     self.send_next_aggregate().await;
                 }
                 received = self.socket.recv_from(&mut buffer) => match received {
-                    Ok((length, sender)) => self.receive(&buffer[..length], sender),
+                    Ok((length, sender)) => {
+                        if let Some(reply) = self.receive(&buffer[..length], sender) {
+                            self.send_to(&encode(&reply), sender).await;
+                        }
+                    }
                     // An unreachable peer makes a later receive fail; other peers still send.
                     Err(error) => debug!(event = "digest_receive_failed", error = %error),
                 },
@@ -107,10 +121,14 @@
     }
 
     async fn send_digest(&mut self) {
-        let (digest, targets) = self.build_digest();
+        let (digest, limits, targets) = self.build_digest();
         let bytes = encode(&PeerMessage::Host(Box::new(digest)));
+        let limits = (!limits.is_empty()).then(|| encode(&PeerMessage::Limits(limits)));
         for target in targets {
             self.send_to(&bytes, target).await;
+            if let Some(limits) = &limits {
+                self.send_to(limits, target).await;
+            }
         }
         if self.sequence.is_multiple_of(DIGESTS_PER_AGGREGATE) {
             self.start_aggregate_round();
@@ -140,11 +158,18 @@
         self.round.next_send_at += self.round.send_interval;
         self.send_to(&self.round.bytes, target).await;
         let now = self.host.now();
-        let evidence = self
-            .host
-            .lock_decisions()
-            .crash_ledger
-            .evidence(now, UpdateScope::All);
+        let (evidence, limits) = {
+            let decisions = self.host.lock_decisions();
+            let number = self.sequence / DIGESTS_PER_AGGREGATE;
+            (
+                decisions.crash_ledger.evidence(now, UpdateScope::All),
+                decisions.limit_aggregate(now, number),
+            )
+        };
+        if !limits.is_empty() {
+            let bytes = encode(&PeerMessage::Limits(limits));
+            self.send_to(&bytes, target).await;
+        }
         if !evidence.is_empty() {
             let bytes = encode(&PeerMessage::Parts(evidence));
             self.send_to(&bytes, target).await;
@@ -160,8 +185,10 @@
         sent_bytes.inc_by(bytes.len() as u64);
     }
 
-    /// Returns the next digest of this host and its targets, after expiring silent peers.
-    fn build_digest(&mut self) -> (HostDigest, Vec<SocketAddr>) {
+    /// Returns the next digest of this host, what it knows of limited servers, and their targets.
+    ///
+    /// Expires silent peers before.
+    fn build_digest(&mut self) -> (HostDigest, LimitReport, Vec<SocketAddr>) {
         self.sequence += 1;
         let host = &self.host;
         let (now, wall_time) = (host.now(), HostState::wall_time());
@@ -172,6 +199,10 @@
             info!(event = "peer_gone", peer = name);
         }
         decisions.engine_placer.prune(now);
+        decisions.prune_limits(now);
+        let limited_servers = decisions.limits.limited_servers().cast_signed() as i64;
+        host.metrics.advice.limited_servers.set(limited_servers);
+        let limits = decisions.limit_report(now, host.started_at_us, self.sequence);
         host.report_part_changes(now, &mut decisions.crash_ledger);
         let peer_count = decisions.membership.peer_count() as u32;
         if peer_count > 0 {
@@ -227,7 +258,7 @@
             part_evidence: decisions.crash_ledger.evidence(now, scope),
         };
         let targets = decisions.membership.gossip_targets(now);
-        (digest, targets)
+        (digest, limits, targets)
     }
 
     /// Returns the sum of the digests that this aggregator received, for its served hosts.
@@ -265,14 +296,15 @@
         }
     }
 
-    fn receive(&self, bytes: &[u8], sender: SocketAddr) {
+    /// Applies a received message; returns the reply to its sender, if any.
+    fn receive(&self, bytes: &[u8], sender: SocketAddr) -> Option<PeerMessage> {
         let digests = &self.host.metrics.digests;
         let message: PeerMessage = match rmp_serde::from_slice(bytes) {
             Ok(message) => message,
             Err(error) => {
                 digests.with_label_values(&["unreadable"]).inc();
                 debug!(event = "digest_unreadable", sender = %sender, error = %error);
-                return;
+                return None;
             }
         };
         digests.with_label_values(&["received"]).inc();
@@ -290,6 +322,43 @@
                 let mut decisions = self.host.lock_decisions();
                 decisions.crash_ledger.merge(now, &evidence);
             }
+            PeerMessage::Limits(report) => self.host.merge_limits(&report),
+            PeerMessage::Permit(message) => return self.apply_permit_message(message, sender),
+        }
+        None
+    }
+
+    /// Applies a message about a permit; returns the answer to a request for one.
+    fn apply_permit_message(
+        &self,
+        message: PermitMessage,
+        sender: SocketAddr,
+    ) -> Option<PeerMessage> {
+        let host = &self.host;
+        match message {
+            PermitMessage::Ask(request) => {
+                let answer = host.answer_permit(&request);
+                Some(PeerMessage::Permit(PermitMessage::Answer {
+                    number: request.number,
+                    server: request.notice.server,
+                    answer,
+                }))
+            }
+            PermitMessage::Answer {
+                number,
+                server,
+                answer,
+            } => {
+                let is_granted = matches!(answer, PermitAnswer::Granted { .. });
+                if !host.permits.answer(number, answer) && is_granted {
+                    give_back(host, Some(sender), server);
+                }
+                None
+            }
+            PermitMessage::GiveBack { server } => {
+                host.lock_decisions().permit_issuer.take_back(server);
+                None
+            }
         }
     }
 
@@ -368,6 +437,16 @@
     }
 }
 
+/// Returns the next message of the outbox; waits forever without one.
+async fn next_message(
+    outbox: &mut Option<UnboundedReceiver<OutgoingMessage>>,
+) -> Option<OutgoingMessage> {
+    match outbox {
+        Some(outbox) => outbox.recv().await,
+        None => std::future::pending().await,
+    }
+}
+
 /// Encodes a message.
 ///
 /// No error is expected, as the codec supports all field types; one would yield an empty message.
--- a/crates/teaselglade-host/src/relay/engine_attempt.rs
+++ b/crates/teaselglade-host/src/relay/engine_attempt.rs
@@ -49,12 +49,13 @@
     /// Creates the attempt; its request is sent when the first step is read.
     pub(super) fn new(
         context: &Arc<CallContext>,
-        reservation: StreamReservation,
+        mut reservation: StreamReservation,
         last_event_id: Option<u64>,
     ) -> Self {
         let (context, server) = (Arc::clone(context), reservation.engine.server);
+        let permit = reservation.take_permit();
         let call = async move {
-            let response = call_server(&context, server, last_event_id).await;
+            let response = call_server(&context, server, last_event_id, permit).await;
             response.map(Box::new)
         };
         Self {
--- a/crates/teaselglade-host/src/relay/mod.rs
+++ b/crates/teaselglade-host/src/relay/mod.rs
@@ -9,6 +9,7 @@
 mod response_body;
 mod server_call;
 mod server_check;
+mod server_turn;
 mod stream_relay;
 mod stream_reservation;
 
--- a/crates/teaselglade-host/src/relay/plain_relay.rs
+++ b/crates/teaselglade-host/src/relay/plain_relay.rs
@@ -19,7 +19,10 @@
 use super::call_context::{CallContext, next_step_name};
 use super::response_body::full_body;
 use super::server_call::{FailedCall, call_server};
+use super::server_turn::ServerTurn;
 use super::{CallerResponse, Result};
+use crate::permit::SendPermit;
+use crate::state::DecisionState;
 
 /// Largest response body of a plain call.
 const MAX_RESPONSE_BYTES: usize = 16 * 1024 * 1024;
@@ -43,6 +46,14 @@
 );
 type InFlightAttempts = FuturesUnordered<BoxFuture<'static, AttemptResult>>;
 
+/// Server that was chosen for an attempt.
+enum PlacedCall {
+    /// The call counts at the server.
+    Started(ServerKey),
+    /// The server is limited, so the call needs a permit first.
+    Limited(ServerKey),
+}
+
 /// Attempts of one plain call, of which two may run at a time.
 struct PlainAttempts {
     context: Arc<CallContext>,
@@ -65,7 +76,7 @@
         in_flight: FuturesUnordered::new(),
         error_response: None,
     };
-    attempts.start()?;
+    attempts.start().await?;
     match timeout(context.time_left(), attempts.run()).await {
         Ok(result) => result,
         Err(_elapsed) => {
@@ -98,7 +109,7 @@
                 }
                 () = &mut hedge, if may_hedge => {
                     may_hedge = false;
-                    self.start_hedge();
+                    self.start_hedge().await;
                 }
             }
         }
@@ -109,21 +120,78 @@
     /// # Errors
     ///
     /// Returns a "not run" refusal if no untried server takes the call.
-    fn start(&mut self) -> Result<()> {
+    async fn start(&mut self) -> Result<()> {
+        let turn = ServerTurn::new(&self.context, false);
+        let tried = self.tracker.tried();
+        let (server, permit) = loop {
+            match self.place(&tried) {
+                Ok(PlacedCall::Started(server)) => break (server, None),
+                Ok(PlacedCall::Limited(server)) => {
+                    let permit = turn.request(server, &tried).await;
+                    if permit.is_some() && self.start_at(server) {
+                        break (server, permit);
+                    }
+                }
+                Err(refusal) => {
+                    if !turn.wait_for_first().await {
+                        return Err(refusal);
+                    }
+                }
+            }
+        };
+        self.tracker.begin_attempt(server);
+        let active_call = ActiveCall {
+            context: Arc::clone(&self.context),
+            server,
+        };
+        self.in_flight.push(Box::pin(async move {
+            let result = collect_response(&active_call, permit).await;
+            (server, result)
+        }));
+        Ok(())
+    }
+    /// Chooses a server, and counts the call there unless it needs a permit.
+    ///
+    /// # Errors
+    ///
+    /// Returns a "not run" refusal if no untried server takes the call.
+    fn place(&self, tried: &[ServerKey]) -> Result<PlacedCall> {
         let context = &self.context;
         let host = &context.host;
         let now = host.now();
-        let tried = self.tracker.tried();
         let query = PlainQuery {
             service: &context.service.name,
             zone: &host.settings.zone,
-            tried: &tried,
+            tried,
         };
         let mut decisions = host.lock_decisions();
         let decisions = &mut *decisions;
-        let server = decisions
-            .plain_placer
-            .place(now, &decisions.registry, &query)?;
+        let placer = &mut decisions.plain_placer;
+        let server = placer.choose(now, &decisions.registry, &query)?;
+        if decisions.needs_permit(server) {
+            return Ok(PlacedCall::Limited(server));
+        }
+        self.record_start(decisions, now, server);
+        Ok(PlacedCall::Started(server))
+    }
+
+    /// Counts the call at a server for which it has a permit, if the server still takes work.
+    fn start_at(&self, server: ServerKey) -> bool {
+        let host = &self.context.host;
+        let now = host.now();
+        let mut decisions = host.lock_decisions();
+        let takes_work = decisions.registry.takes_work(server);
+        if takes_work {
+            self.record_start(&mut decisions, now, server);
+        }
+        takes_work
+    }
+
+    /// Counts the call at a server and logs the placement.
+    fn record_start(&self, decisions: &mut DecisionState, now: Timestamp, server: ServerKey) {
+        let context = &self.context;
+        let host = &context.host;
+        decisions.plain_placer.record_start(server);
         let registration = &decisions.registry.server(server).registration;
         let placement = crate::journal::PlacementFields {
             server: &registration.id,
@@ -135,20 +203,10 @@
         };
         host.log.placed(now, &context.log_fields(), &placement);
         host.update_request(context.open_key, |open| open.start_attempt(server));
-        self.tracker.begin_attempt(server);
-        let active_call = ActiveCall {
-            context: Arc::clone(context),
-            server,
-        };
-        self.in_flight.push(Box::pin(async move {
-            let result = collect_response(&active_call).await;
-            (server, result)
-        }));
-        Ok(())
     }
 
     /// Starts a second attempt beside a slow first one, if the retry budget grants it.
-    fn start_hedge(&mut self) {
+    async fn start_hedge(&mut self) {
         if !self.tracker.may_hedge() || self.in_flight.is_empty() {
             return;
         }
@@ -157,7 +215,7 @@
         self.record_slow_servers(now);
         if context.take_retry(self.tracker.attempts()).is_some() {
             // Without a second server the first attempt continues alone.
-            let _no_other_server = self.start();
+            let _no_other_server = self.start().await;
         }
     }
 
@@ -229,14 +287,14 @@
         let context = Arc::clone(&self.context);
         match next {
             NextStep::Reconnect => {
-                if self.start().is_ok() {
+                if self.start().await.is_ok() {
                     return Ok(None);
                 }
             }
             NextStep::RetryWithinBudget => {
                 if let Some(delay) = context.take_retry(self.tracker.attempts()) {
                     sleep(delay).await;
-                    if self.start().is_ok() {
+                    if self.start().await.is_ok() {
                         return Ok(None);
                     }
                 }
@@ -312,8 +370,10 @@
 /// Sends the call to its server and reads the whole response.
 async fn collect_response(
     active_call: &ActiveCall,
+    permit: Option<SendPermit>,
 ) -> std::result::Result<CollectedResponse, FailedCall> {
-    let response = call_server(&active_call.context, active_call.server, None).await?;
+    let (context, server) = (&active_call.context, active_call.server);
+    let response = call_server(context, server, None, permit).await?;
     let collected = Limited::new(response.body, MAX_RESPONSE_BYTES)
         .collect()
         .await;
--- a/crates/teaselglade-host/src/relay/server_call.rs
+++ b/crates/teaselglade-host/src/relay/server_call.rs
@@ -8,11 +8,13 @@
 use hyper::header::{HOST, HeaderMap, HeaderValue};
 use hyper::{Request, Response, StatusCode, Uri};
 use teaselglade_core::id::ServerKey;
+use teaselglade_core::time::Timestamp;
 use teaselglade_core::verdict::SendProgress;
 use teaselglade_routing::attempt::AttemptOutcome;
 use tokio::time::timeout;
 
 use super::call_context::CallContext;
+use crate::permit::SendPermit;
 use crate::port::{ForwardedHead, ResponseHead};
 use crate::upstream::{ConnectionPool, LeasedConnection};
 
@@ -56,20 +58,17 @@
 /// # Errors
 ///
 /// Fails if the server is unreachable or rejects the request, the connection breaks, the response
-/// is invalid, or no head arrives before the deadline.
+/// is invalid, or no head arrives before the deadline. A permit is given back if nothing was sent.
 pub(super) async fn call_server(
     context: &CallContext,
     server: ServerKey,
     resume_after: Option<u64>,
+    mut permit: Option<SendPermit>,
 ) -> Result<ServerResponse, FailedCall> {
-    match timeout(
-        context.time_left(),
-        send_request(context, server, resume_after, false),
-    )
-    .await
-    {
+    let sent = send_request(context, server, resume_after, &mut permit, false);
+    match timeout(context.time_left(), sent).await {
         Ok(Err(failed)) if failed.is_stale_connection => {
-            let resent = send_request(context, server, resume_after, true);
+            let resent = send_request(context, server, resume_after, &mut permit, true);
             match timeout(context.time_left(), resent).await {
                 Ok(sent) => sent.map_err(|failed| failed.call),
                 Err(_elapsed) => Err(deadline_failure()),
@@ -97,6 +96,7 @@
     context: &CallContext,
     server: ServerKey,
     resume_after: Option<u64>,
+    permit: &mut Option<SendPermit>,
     fresh_only: bool,
 ) -> Result<ServerResponse, FailedSend> {
     let host = &context.host;
@@ -125,9 +125,12 @@
         host.metrics.connections.inc();
     }
     let request = outgoing_request(context, &server_id, resume_after);
+    let sent_at = host.now();
+    set_used(permit, true);
     let sent = connection.send(request).await;
     let response = sent.map_err(|error| {
         let is_unsent = error.progress == SendProgress::NotSent;
+        set_used(permit, !is_unsent);
         let outcome = if is_unsent {
             AttemptOutcome::Unreachable
         } else {
@@ -138,12 +141,19 @@
             call: FailedCall::new(outcome, error.detail),
         }
     })?;
-    validate_response(context, server, response, connection).map_err(|call| FailedSend {
+    let validated = validate_response(context, server, sent_at, response, connection);
+    validated.map_err(|call| FailedSend {
         call,
         is_stale_connection: false,
     })
 }
 
+fn set_used(permit: &mut Option<SendPermit>, is_used: bool) {
+    if let Some(permit) = permit {
+        permit.set_used(is_used);
+    }
+}
+
 /// Builds the request to a server from the caller's request.
 fn outgoing_request(
     context: &CallContext,
@@ -181,6 +191,7 @@
 fn validate_response(
     context: &CallContext,
     server: ServerKey,
+    sent_at: Timestamp,
     response: Response<Incoming>,
     connection: LeasedConnection,
 ) -> Result<ServerResponse, FailedCall> {
@@ -202,7 +213,7 @@
         let detail = "another server has the address";
         return Err(FailedCall::new(AttemptOutcome::Misdirected, detail));
     }
-    context.host.apply_advice(server, head.advice);
+    context.host.apply_advice(server, sent_at, head.advice);
     context
         .host
         .report_unknown_headers(server, &head.unknown_headers);
--- /dev/null
+++ b/crates/teaselglade-host/src/relay/server_turn.rs
@@ -0,0 +1,94 @@
+//! Wait of an attempt for its turn at limited servers.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use teaselglade_core::id::ServerKey;
+use teaselglade_core::time::Timestamp;
+use tokio::time::sleep;
+
+use super::call_context::CallContext;
+use crate::permit::{SendPermit, request_permit};
+
+/// Fraction of the time to the latency target for which a new request may wait for its turn.
+const HOLD_FRACTION: f64 = 0.25;
+/// Fraction of the time to the deadline for which a begun stream may wait for its turn.
+///
+/// It must not be cut while a server could still go on with it.
+const CONTINUED_HOLD_FRACTION: f64 = 0.5;
+
+/// Wait of an attempt for its turn at limited servers.
+#[derive(Debug)]
+pub(super) struct ServerTurn {
+    context: Arc<CallContext>,
+    hold_until: Timestamp,
+}
+
+impl ServerTurn {
+    /// Starts the wait of an attempt; `is_continued` if its stream has begun before.
+    pub(super) fn new(context: &Arc<CallContext>, is_continued: bool) -> Self {
+        let hold = if is_continued {
+            context.time_left().mul_f64(CONTINUED_HOLD_FRACTION)
+        } else {
+            context.target_time_left().mul_f64(HOLD_FRACTION)
+        };
+        Self {
+            hold_until: context.host.now() + hold,
+            context: Arc::clone(context),
+        }
+    }
+
+    /// Starts the wait of an attempt that takes no other than a free turn.
+    pub(super) fn without_hold(context: &Arc<CallContext>) -> Self {
+        Self {
+            hold_until: Timestamp::ZERO,
+            context: Arc::clone(context),
+        }
+    }
+
+    /// Requests a permit for a server; `None` if it is denied.
+    ///
+    /// The request waits for its turn only if no untried server takes it at once.
+    pub(super) async fn request(
+        &self,
+        server: ServerKey,
+        tried: &[ServerKey],
+    ) -> Option<SendPermit> {
+        let host = &self.context.host;
+        let now = host.now();
+        let has_other_server = {
+            let decisions = host.lock_decisions();
+            let mut servers = decisions
+                .registry
+                .available(now, &self.context.service.name);
+            servers.any(|(key, _)| key != server && !tried.contains(&key))
+        };
+        let max_wait = if has_other_server {
+            Duration::ZERO
+        } else {
+            self.hold_until.since(now)
+        };
+        let time_left = self.context.target_time_left();
+        let permit = request_permit(host, server, time_left, max_wait).await;
+        permit.ok()
+    }
+
+    /// Waits until the first limited server may be asked again; returns whether the hold allows it.
+    pub(super) async fn wait_for_first(&self) -> bool {
+        let host = &self.context.host;
+        let service = &self.context.service.name;
+        let now = host.now();
+        let returns_at = {
+            let registry = &host.lock_decisions().registry;
+            let returns_at = registry.next_return(now, service);
+            returns_at.filter(|_| registry.awaits_permit(now, service))
+        };
+        match returns_at {
+            Some(returns_at) if returns_at <= self.hold_until => {
+                sleep(returns_at.since(now)).await;
+                true
+            }
+            _ => false,
+        }
+    }
+}
--- a/crates/teaselglade-host/src/relay/stream_relay.rs
+++ b/crates/teaselglade-host/src/relay/stream_relay.rs
@@ -138,7 +138,7 @@
     ///
     /// Returns an error response if a server sent one instead of a stream.
     async fn wait_for_first_event(&mut self) -> Result<Option<Box<ServerResponse>>> {
-        self.start_primary(false)?;
+        self.start_primary(false).await?;
         loop {
             match self.read_step().await {
                 StreamStep::Events(events) => {
@@ -149,7 +149,7 @@
                 StreamStep::ErrorResponse(response) => return Ok(Some(response)),
                 StreamStep::Failed(lost) => {
                     self.prepare_next(lost).await?;
-                    self.start_primary(true)?;
+                    self.start_primary(true).await?;
                 }
             }
         }
@@ -160,10 +160,11 @@
     /// # Errors
     ///
     /// Returns a refusal if no engine accepts the stream.
-    fn start_primary(&mut self, is_continued: bool) -> Result<()> {
+    async fn start_primary(&mut self, is_continued: bool) -> Result<()> {
         let tried = self.tracker.tried();
         let attempt = self.next_attempt(&tried, is_continued);
         let reservation = StreamReservation::place(&self.context, &attempt)
+            .await
             .map_err(|refusal| refusal.after_attempts(self.tracker.verdict()))?;
         self.server_id.clone_from(&reservation.server_id);
         self.primary = Some(self.begin_attempt(reservation));
@@ -171,11 +172,11 @@
     }
 
     /// Starts a standby, if a server takes it and a retry is left; returns whether it did.
-    fn start_standby(&mut self, takes_retry: bool) -> bool {
+    async fn start_standby(&mut self, takes_retry: bool) -> bool {
         let tried = self.tracker.tried();
         let attempt = self.next_attempt(&tried, true);
         let retry = takes_retry.then(|| self.tracker.attempts());
-        let placed = StreamReservation::place_standby(&self.context, &attempt, retry);
+        let placed = StreamReservation::place_standby(&self.context, &attempt, retry).await;
         self.standby = placed.map(|reservation| self.begin_attempt(reservation));
         self.standby.is_some()
     }
@@ -210,7 +211,7 @@
             let (role, failed) = match event {
                 ReadEvent::SilenceLasted => {
                     let action = self.decider.on_event(MoveEvent::SilenceLasted);
-                    check_at = self.execute(action);
+                    check_at = self.execute(action).await;
                     continue;
                 }
                 ReadEvent::DeadlinePassed => (AttemptRole::Primary, self.end_at_deadline()),
@@ -240,7 +241,7 @@
                     Some(lost) => return StreamStep::Failed(lost),
                     None => check_at = self.stall_deadline(),
                 },
-                AttemptRole::Standby => check_at = self.end_failed_standby(&failed),
+                AttemptRole::Standby => check_at = self.end_failed_standby(&failed).await,
             }
         }
     }
@@ -321,10 +322,10 @@
     }
 
     /// Executes an action on a silent attempt; returns when its silence is checked again.
-    fn execute(&mut self, action: MoveAction) -> Option<Instant> {
+    async fn execute(&mut self, action: MoveAction) -> Option<Instant> {
         let action = match action {
             MoveAction::StartStandby { takes_retry } => {
-                let event = if self.start_standby(takes_retry) {
+                let event = if self.start_standby(takes_retry).await {
                     MoveEvent::StandbyStarted
                 } else {
                     MoveEvent::StandbyDenied
@@ -407,7 +408,7 @@
     }
 
     /// Ends the failed standby; returns when the silence of the primary is checked again.
-    fn end_failed_standby(&mut self, failed: &FailedCall) -> Option<Instant> {
+    async fn end_failed_standby(&mut self, failed: &FailedCall) -> Option<Instant> {
         let reservation = self.standby.take().map(EngineAttempt::close)?;
         let next = self.record_failure(&reservation, failed);
         let event = MoveEvent::Failed(AttemptRole::Standby, next);
@@ -420,7 +421,7 @@
             .record_attempt_end(&reservation.server_id, failed, next_name);
         self.record_primary();
         self.check_beside(reservation, failed);
-        self.execute(action)
+        self.execute(action).await
     }
 
     /// Checks the server of a failed attempt while another attempt is read.
@@ -538,7 +539,7 @@
         if self.prepare_next(lost).await.is_err() {
             return false;
         }
-        match self.start_primary(true) {
+        match self.start_primary(true).await {
             Ok(()) => true,
             Err(refusal) => {
                 self.log_placement_failure(&refusal);
--- a/crates/teaselglade-host/src/relay/stream_reservation.rs
+++ b/crates/teaselglade-host/src/relay/stream_reservation.rs
@@ -1,25 +1,51 @@
 //! Reservation of an engine for a stream.
 
-use std::sync::Arc;
+use std::sync::{Arc, LazyLock};
 use std::time::Duration;
 
 use teaselglade_core::id::ServerKey;
 use teaselglade_core::time::Timestamp;
+use teaselglade_core::verdict::{RefusalReason, RequestRefusal};
 use teaselglade_request::retry::RetryDecision;
 use teaselglade_routing::engine::{EngineQuery, EngineReservation, PromptShape};
+use teaselglade_routing::table::EngineSpec;
 
 use super::Result;
 use super::call_context::CallContext;
+use super::server_turn::ServerTurn;
 use crate::journal::PlacementFields;
+use crate::permit::SendPermit;
 use crate::state::DecisionState;
 
 /// Interval between the recorded events of a stream after its first one.
 const EVENT_RECORD_INTERVAL: Duration = Duration::from_millis(250);
 
+/// Retry delay of a stream whose prompt selects a limited engine; the time of a few events.
+const SELECTED_RETRY_DELAY: Duration = Duration::from_millis(500);
+/// Capacity of engines of a service that declares none.
+const UNLIMITED_ENGINE: EngineSpec = EngineSpec {
+    slots: u32::MAX,
+    memory_tokens: f64::INFINITY,
+    event_tokens: 1,
+};
+/// Prompt of a stream that declares none.
+static EMPTY_PROMPT: LazyLock<PromptShape> = LazyLock::new(PromptShape::default);
+
+/// Engine that was chosen for an attempt.
+#[derive(Debug, Default)]
+struct ObtainedEngine {
+    /// Engine to reserve; `None` leaves the choice to the placer.
+    server: Option<ServerKey>,
+    /// Permit to send to it, if it is limited.
+    permit: Option<SendPermit>,
+}
+
 /// Reservation of an engine for a stream, released on drop.
 #[derive(Debug)]
 pub(super) struct StreamReservation {
     context: Arc<CallContext>,
+    /// Permit to send to the engine, until the attempt takes it.
+    permit: Option<SendPermit>,
     pub(super) engine: EngineReservation,
     /// Id of the engine's server.
     pub(super) server_id: String,
@@ -44,16 +70,21 @@
 }
 
 impl StreamReservation {
-    /// Chooses an engine, reserves it and logs the placement.
+    /// Chooses an engine, obtains a permit if it is limited, reserves it and logs the placement.
     ///
     /// # Errors
     ///
     /// Returns a "not run" refusal if no engine accepts the stream or a part of its prompt ends
     /// engines.
-    pub(super) fn place(context: &Arc<CallContext>, attempt: &StreamAttempt<'_>) -> Result<Self> {
+    pub(super) async fn place(
+        context: &Arc<CallContext>,
+        attempt: &StreamAttempt<'_>,
+    ) -> Result<Self> {
+        let turn = ServerTurn::new(context, attempt.is_continued);
+        let engine = obtain_engine(context, attempt, &turn).await;
         let mut decisions = context.host.lock_decisions();
         let selected_by = permit_prompt(context, &mut decisions, attempt)?;
-        Self::reserve(context, &mut decisions, attempt, selected_by)
+        Self::reserve(context, &mut decisions, attempt, selected_by, engine)
     }
 
     /// Reserves an engine for an attempt beside a silent one.
@@ -61,20 +92,28 @@
     /// Returns `None` if no untried server takes work, no retry is granted, or a part of the prompt
     /// ends engines, so that it must run alone. `retry` is the number of the retry to take from the
     /// budget; `None` takes none.
-    pub(super) fn place_standby(
+    pub(super) async fn place_standby(
         context: &Arc<CallContext>,
         attempt: &StreamAttempt<'_>,
         retry: Option<u32>,
     ) -> Option<Self> {
         let host = &context.host;
-        let now = host.now();
         let service = &context.service.name;
+        let may_start = |decisions: &mut DecisionState| {
+            let now = host.now();
+            let mut servers = decisions.registry.available(now, service);
+            let has_other_server = servers.any(|(server, _)| !attempt.tried.contains(&server));
+            drop(servers);
+            has_other_server && (retry.is_none() || decisions.may_retry(service))
+        };
+        if !may_start(&mut host.lock_decisions()) {
+            return None;
+        }
+        let turn = ServerTurn::without_hold(context);
+        let engine = obtain_engine(context, attempt, &turn).await;
+        let now = host.now();
         let mut decisions = host.lock_decisions();
-        let has_other_server = decisions
-            .registry
-            .available(now, service)
-            .any(|(server, _)| !attempt.tried.contains(&server));
-        if !has_other_server || (retry.is_some() && !decisions.may_retry(service)) {
+        if !may_start(&mut decisions) {
             return None;
         }
         let selected_by = permit_prompt(context, &mut decisions, attempt).ok()?;
@@ -88,44 +127,45 @@
                 return None;
             }
         }
-        Self::reserve(context, &mut decisions, attempt, None).ok()
+        Self::reserve(context, &mut decisions, attempt, None, engine).ok()
     }
 
-    /// Chooses an engine, reserves it and logs the placement.
+    /// Reserves an engine and logs the placement.
     ///
     /// # Errors
     ///
-    /// Returns a "not run" refusal if no engine accepts the stream.
+    /// Returns a "not run" refusal if no engine accepts the stream, or the one that its prompt selects
+    /// is limited.
     fn reserve(
         context: &Arc<CallContext>,
         decisions: &mut DecisionState,
         attempt: &StreamAttempt<'_>,
         selected_by: Option<(u64, u32)>,
+        obtained: ObtainedEngine,
     ) -> Result<Self> {
         let host = &context.host;
         let now = host.now();
-        let empty_prompt = PromptShape::default();
-        let prompt = context.prompt.as_ref().unwrap_or(&empty_prompt);
-        let unlimited_engine = teaselglade_routing::table::EngineSpec {
-            slots: u32::MAX,
-            memory_tokens: f64::INFINITY,
-            event_tokens: 1,
-        };
         let contained_part = selected_by.map(|(part, _rank)| part);
-        let query = EngineQuery {
-            service: &context.service.name,
-            spec: context.service.engine.as_ref().unwrap_or(&unlimited_engine),
-            prompt,
-            target: context.target_time_left(),
-            caller_timeout: context.time_left(),
-            tried: attempt.tried,
-            is_continued: attempt.is_continued,
-            is_load_stale: decisions.membership.is_large(),
-            selected_by,
+        let query = engine_query(context, decisions, attempt, selected_by);
+        let registry = &decisions.registry;
+        let engines = &mut decisions.engine_placer;
+        let placed = match obtained.server {
+            Some(server) if selected_by.is_none() => {
+                engines.place_at(now, registry, &query, server)
+            }
+            _ => engines.place(now, registry, &query),
         };
-        let placed = decisions
-            .engine_placer
-            .place(now, &decisions.registry, &query);
+        let placed = placed.and_then(|engine| {
+            let is_permitted = obtained.permit.is_some() && obtained.server == Some(engine.server);
+            if is_permitted || !decisions.needs_permit(engine.server) {
+                return Ok(engine);
+            }
+            let service = &context.service.name;
+            decisions.engine_placer.record_end(now, service, engine.id);
+            let detail = "the engine that the prompt selects is limited";
+            let refusal = RequestRefusal::not_run(RefusalReason::ServerLimit, detail);
+            Err(refusal.retry_after(SELECTED_RETRY_DELAY))
+        });
         let engine = placed.inspect_err(|_refusal| {
             if let Some(part) = contained_part {
                 decisions.crash_ledger.record_contained_end(part);
@@ -149,6 +189,7 @@
         host.update_request(context.open_key, |open| open.start_attempt(engine.server));
         Ok(Self {
             context: Arc::clone(context),
+            permit: obtained.permit,
             engine,
             server_id,
             has_first_event: false,
@@ -157,6 +198,11 @@
         })
     }
 
+    /// Returns the permit to send to the engine, if it is limited.
+    pub(super) const fn take_permit(&mut self) -> Option<SendPermit> {
+        self.permit.take()
+    }
+
     /// Returns whether the attempt must not be moved, because its prompt may end engines.
     pub(super) const fn is_contained(&self) -> bool {
         self.contained_part.is_some()
@@ -197,6 +243,70 @@
     }
 }
 
+/// Chooses an engine; obtains a permit if it is limited.
+///
+/// An engine whose permit is denied is left out, and the next one is considered.
+async fn obtain_engine(
+    context: &CallContext,
+    attempt: &StreamAttempt<'_>,
+    turn: &ServerTurn,
+) -> ObtainedEngine {
+    loop {
+        let server = {
+            let decisions = context.host.lock_decisions();
+            if decisions.limits.is_empty() {
+                return ObtainedEngine::default();
+            }
+            let query = engine_query(context, &decisions, attempt, None);
+            let (placer, registry) = (&decisions.engine_placer, &decisions.registry);
+            let server = placer.preview(context.host.now(), registry, &query);
+            if let Some(server) = server
+                && !decisions.needs_permit(server)
+            {
+                return ObtainedEngine {
+                    server: Some(server),
+                    permit: None,
+                };
+            }
+            server
+        };
+        let Some(server) = server else {
+            if turn.wait_for_first().await {
+                continue;
+            }
+            return ObtainedEngine::default();
+        };
+        let permit = turn.request(server, attempt.tried).await;
+        if permit.is_some() {
+            return ObtainedEngine {
+                server: Some(server),
+                permit,
+            };
+        }
+    }
+}
+
+/// Returns the query by which the engine of an attempt is chosen.
+fn engine_query<'a>(
+    context: &'a CallContext,
+    decisions: &DecisionState,
+    attempt: &StreamAttempt<'a>,
+    selected_by: Option<(u64, u32)>,
+) -> EngineQuery<'a> {
+    let spec = context.service.engine.as_ref();
+    EngineQuery {
+        service: &context.service.name,
+        spec: spec.unwrap_or(&UNLIMITED_ENGINE),
+        prompt: context.prompt.as_ref().unwrap_or(&EMPTY_PROMPT),
+        target: context.target_time_left(),
+        caller_timeout: context.time_left(),
+        tried: attempt.tried,
+        is_continued: attempt.is_continued,
+        is_load_stale: decisions.membership.is_large(),
+        selected_by,
+    }
+}
+
 /// Returns by which part of the prompt its engine is chosen, if it is contained.
 ///
 /// # Errors
@@ -210,8 +320,7 @@
     if attempt.has_events {
         return Ok(None);
     }
-    let empty_prompt = PromptShape::default();
-    let prompt = context.prompt.as_ref().unwrap_or(&empty_prompt);
+    let prompt = context.prompt.as_ref().unwrap_or(&EMPTY_PROMPT);
     let organisation = context.organisation.as_deref().unwrap_or_default();
     decisions.permit_prompt(context.host.now(), organisation, prompt, attempt.number)
 }
--- a/crates/teaselglade-host/src/state/host_state.rs
+++ b/crates/teaselglade-host/src/state/host_state.rs
@@ -12,6 +12,9 @@
 use teaselglade_net::clock::SystemClock;
 use teaselglade_routing::crash::{CrashLedger, PartChange, PartStanding};
 use teaselglade_routing::gossip::PeerAddress;
+use teaselglade_routing::limit::{
+    LimitChange, LimitReport, LimitWord, PermitAnswer, PermitRequest, RequestLimit,
+};
 use teaselglade_routing::registry::ServerAdvice;
 use teaselglade_routing::shutdown::ShutdownPlan;
 use tokio_util::sync::CancellationToken;
@@ -21,6 +24,7 @@
 use crate::journal::DecisionLog;
 use crate::metrics::HostMetrics;
 use crate::open::{OpenRequest, RequestArena, RequestKey};
+use crate::permit::PermitDesk;
 use crate::port::PublishedTable;
 use crate::settings::HostSettings;
 use crate::upstream::ConnectionPool;
@@ -45,6 +49,8 @@
     pub log: DecisionLog,
     /// Connections to backend servers.
     pub pool: ConnectionPool,
+    /// Requests for permits to send to limited servers.
+    pub permits: PermitDesk,
     /// Cancelled when the host starts to shut down.
     pub stopping: CancellationToken,
     /// Start time in Unix microseconds; it identifies the incarnation.
@@ -86,6 +92,7 @@
             metrics: HostMetrics::new()?,
             log,
             pool: ConnectionPool::default(),
+            permits: PermitDesk::new(started_at_us),
             stopping: CancellationToken::new(),
             started_at_us,
             table_fetch: tokio::sync::Mutex::default(),
@@ -244,19 +251,27 @@
     /// Applies what a server said of itself in a response to this host.
     ///
     /// Only a response of the addressed server counts, as another one may have its address.
-    pub fn apply_advice(&self, server: ServerKey, advice: ServerAdvice) {
-        if advice == ServerAdvice::default() {
-            return;
-        }
+    /// `sent_at` is the time at which its request was sent.
+    pub fn apply_advice(&self, server: ServerKey, sent_at: Timestamp, advice: ServerAdvice) {
         let now = self.now();
         let mut decisions = self.lock_decisions();
+        if advice == ServerAdvice::default() && decisions.limits.is_empty() {
+            return;
+        }
         let id = decisions.registry.server(server).registration.id.clone();
         let applied = decisions.apply_advice(now, server, advice);
+        let change = decisions.record_limit(now, server, sent_at, advice.limit);
         drop(decisions);
         let count = |advice| {
-            let counter = &self.metrics.server_advice;
+            let counter = &self.metrics.advice.said;
             counter.with_label_values(&[advice]).inc();
         };
+        if matches!(advice.limit, LimitWord::Named(_)) {
+            count("limit");
+        }
+        if let Some(change) = change {
+            log_limit_change(&id, &change);
+        }
         if applied.is_leaving {
             count("leaving");
             info!(
@@ -287,7 +302,8 @@
         if names.is_empty() {
             return;
         }
-        self.metrics.unknown_headers.inc_by(names.len() as u64);
+        let counter = &self.metrics.advice.unknown_headers;
+        counter.inc_by(names.len() as u64);
         let mut logged_headers = self
             .logged_headers
             .lock()
@@ -300,6 +316,31 @@
         }
     }
 
+    /// Merges what another host knows of limited servers, and logs what changed.
+    pub fn merge_limits(&self, report: &LimitReport) {
+        let now = self.now();
+        let mut decisions = self.lock_decisions();
+        let changes = decisions.merge_limits(now, report);
+        log_limit_changes(&decisions, &changes);
+    }
+
+    /// Decides on another host's request for a permit.
+    pub fn answer_permit(&self, request: &PermitRequest) -> PermitAnswer {
+        let now = self.now();
+        let mut decisions = self.lock_decisions();
+        let (answer, changes) = decisions.answer_permit(now, request);
+        log_limit_changes(&decisions, &changes);
+        answer
+    }
+
+    /// Leaves a limited server out of placements for a while, as no permit was granted.
+    pub fn deny_permit(&self, server: ServerKey, wait: Duration) {
+        let until = self.now() + wait;
+        self.lock_decisions()
+            .registry
+            .record_permit_denial(server, until);
+    }
+
     /// Drops old evidence on prompt parts, and logs and counts what changed.
     pub fn report_part_changes(&self, now: Timestamp, crash_ledger: &mut CrashLedger) {
         crash_ledger.prune(now);
@@ -423,3 +464,24 @@
         }
     }
 }
+
+fn log_limit_changes(decisions: &DecisionState, changes: &[LimitChange]) {
+    for change in changes {
+        let server = decisions.registry.find_incarnation(change.server);
+        let id = server.map(|server| &decisions.registry.server(server).registration.id);
+        log_limit_change(id.map_or("", String::as_str), change);
+    }
+}
+
+/// Logs that a server's limit began, changed or ended.
+fn log_limit_change(id: &str, change: &LimitChange) {
+    info!(
+        event = "server_limit",
+        id,
+        incarnation = change.server,
+        before = change.before.map(RequestLimit::rate),
+        after = change.after.map(RequestLimit::rate),
+        source = change.source.name(),
+        age_ms = change.age.as_millis() as u64,
+    );
+}
--- a/crates/teaselglade-host/src/state/mod.rs
+++ b/crates/teaselglade-host/src/state/mod.rs
@@ -4,8 +4,10 @@
 mod decision_state;
 mod host_ports;
 mod host_state;
+mod permit_step;
 
 pub use active_table::ActiveTable;
 pub use decision_state::DecisionState;
 pub use host_ports::HostPorts;
 pub use host_state::HostState;
+pub use permit_step::PermitStep;
--- a/crates/teaselglade-host/tests/host/fleet_model.rs
+++ b/crates/teaselglade-host/tests/host/fleet_model.rs
@@ -9,6 +9,7 @@
 use teaselglade_host::state::DecisionState;
 use teaselglade_routing::crash::PartEvidence;
 use teaselglade_routing::gossip::{AggregateDigest, CandidateHost, HostDigest, PeerAddress};
+use teaselglade_routing::limit::LimitReport;
 use teaselglade_routing::registry::UpdateScope;
 
 pub const ZONES: [&str; 4] = ["ennis", "galway", "limerick", "sligo"];
@@ -30,6 +31,7 @@
     Host(Box<HostDigest>),
     Aggregate(Box<AggregateDigest>),
     Parts(Vec<PartEvidence>),
+    Limits(LimitReport),
 }
 
 /// Digest with the number of its receiver and its time of arrival, in milliseconds.
@@ -78,12 +80,23 @@
             return Vec::new();
         }
         let (digest, targets) = self.digest(now);
-        let digests = targets.into_iter().map(|target| SentDigest {
-            to: host_of(target),
-            arrives_at: now + MESSAGE_MS,
-            digest: ModelDigest::Host(Box::new(digest.clone())),
-        });
-        let mut due: Vec<SentDigest> = digests.collect();
+        let limits = self
+            .decisions
+            .limit_report(at(now), self.started_at_us, self.sequence);
+        let mut due = Vec::new();
+        for target in targets {
+            let mut post = |digest| {
+                due.push(SentDigest {
+                    to: host_of(target),
+                    arrives_at: now + MESSAGE_MS,
+                    digest,
+                });
+            };
+            post(ModelDigest::Host(Box::new(digest.clone())));
+            if !limits.is_empty() {
+                post(ModelDigest::Limits(limits.clone()));
+            }
+        }
         let is_aggregator = self.decisions.membership.is_aggregator(at(now));
         if is_aggregator && (now + offset).is_multiple_of(AGGREGATE_MS) {
             let served = self.decisions.membership.served_peers(at(now));
@@ -104,6 +117,15 @@
                 let evidence = ledger.evidence(at(now), UpdateScope::All);
                 let evidence = evidence.into_iter().map(|part| aged(part, sent_at - now));
                 post(ModelDigest::Parts(evidence.collect()));
+                let number = self.sequence / 2;
+                let mut limits = self.decisions.limit_aggregate(at(now), number);
+                for notice in &mut limits.notices {
+                    notice.sent_age_ms += sent_at - now;
+                    notice.named_age_ms += sent_at - now;
+                }
+                if !limits.is_empty() {
+                    post(ModelDigest::Limits(limits));
+                }
             }
         }
         due
@@ -114,8 +136,11 @@
         let time = at(now);
         self.sequence += 1;
         let decisions = &mut self.decisions;
-        decisions.membership.expire(time);
+        for name in decisions.membership.expire(time) {
+            decisions.remove_peer(&name);
+        }
         decisions.crash_ledger.prune(time);
+        decisions.prune_limits(time);
         let scope = decisions.update_scope(time);
         let number = decisions.membership.is_large().then_some(self.sequence);
         let last_aggregate_at = decisions.quotas.last_aggregate_at();
@@ -195,6 +220,9 @@
                 );
             }
             ModelDigest::Parts(evidence) => decisions.crash_ledger.merge(time, &evidence),
+            ModelDigest::Limits(report) => {
+                decisions.merge_limits(time, &report);
+            }
             ModelDigest::Aggregate(digest) => {
                 for candidate in &digest.candidates {
                     decisions.membership.record_candidate(time, candidate);
@@ -247,7 +275,7 @@
     SocketAddr::from((Ipv4Addr::from(0x0a00_0000 + host as u32), 7_600))
 }
 
-fn host_of(address: SocketAddr) -> usize {
+pub fn host_of(address: SocketAddr) -> usize {
     match address {
         SocketAddr::V4(address) => (u32::from(*address.ip()) - 0x0a00_0000) as usize,
         SocketAddr::V6(_) => unreachable!("hosts have IPv4 addresses"),
--- a/crates/teaselglade-host/tests/host/main.rs
+++ b/crates/teaselglade-host/tests/host/main.rs
@@ -7,3 +7,4 @@
 mod open_requests;
 mod part_crashes;
 mod reports;
+mod server_limits;
--- a/crates/teaselglade-placement/src/limit/token_bucket.rs
+++ b/crates/teaselglade-placement/src/limit/token_bucket.rs
@@ -4,7 +4,7 @@
 
 use teaselglade_core::time::Timestamp;
 
-/// Capacity of the bucket, as time at its rate.
+/// Default capacity of a bucket, as time at its rate.
 const BURST_WINDOW: Duration = Duration::from_millis(500);
 const MIN_CAPACITY: f64 = 1.0;
 
@@ -27,21 +27,56 @@
 /// assert!(!bucket.has(now, 1.0));
 /// assert_eq!(bucket.wait(1.0).as_millis(), 250);
 /// ```
-#[derive(Debug, Clone, Default)]
+#[derive(Debug, Clone)]
 pub struct TokenBucket {
     rate: f64,
     level: f64,
     refilled_at: Option<Timestamp>,
+    min_capacity: f64,
+    burst_window: Duration,
+    starts_full: bool,
+}
+
+impl Default for TokenBucket {
+    fn default() -> Self {
+        Self {
+            rate: 0.0,
+            level: 0.0,
+            refilled_at: None,
+            min_capacity: MIN_CAPACITY,
+            burst_window: BURST_WINDOW,
+            starts_full: true,
+        }
+    }
 }
 
 impl TokenBucket {
-    /// Sets the rate in units per second; a new bucket starts full.
+    /// Creates a bucket that starts empty.
+    #[must_use]
+    pub fn empty() -> Self {
+        Self {
+            starts_full: false,
+            ..Self::default()
+        }
+    }
+
+    /// Sets the capacity: `min_units`, or what the rate gives in `window` if that is more.
+    #[must_use]
+    pub const fn burst(mut self, min_units: f64, window: Duration) -> Self {
+        self.min_capacity = min_units;
+        self.burst_window = window;
+        self
+    }
+
+    /// Sets the rate in units per second; a new bucket starts full unless created empty.
     pub fn set_rate(&mut self, now: Timestamp, rate: f64) {
         self.refill(now);
         self.rate = rate;
         if self.refilled_at.is_none() {
             self.refilled_at = Some(now);
-            self.level = self.capacity();
+            if self.starts_full {
+                self.level = self.capacity();
+            }
         }
         self.level = self.level.min(self.capacity());
     }
@@ -57,6 +92,11 @@
         self.level -= amount;
     }
 
+    /// Raises a negative level to what the rate refills in `window`.
+    pub fn limit_debt(&mut self, window: Duration) {
+        self.level = self.level.max(-self.rate * window.as_secs_f64());
+    }
+
     /// Returns the time until `amount` is available.
     #[must_use]
     pub fn wait(&self, amount: f64) -> Duration {
@@ -66,7 +106,7 @@
     }
 
     fn capacity(&self) -> f64 {
-        (self.rate * BURST_WINDOW.as_secs_f64()).max(MIN_CAPACITY)
+        (self.rate * self.burst_window.as_secs_f64()).max(self.min_capacity)
     }
 
     fn refill(&mut self, now: Timestamp) {
--- a/crates/teaselglade-routing/src/engine/engine_placer.rs
+++ b/crates/teaselglade-routing/src/engine/engine_placer.rs
@@ -41,6 +41,9 @@
 /// Longest retry delay in a refusal.
 const MAX_RETRY_DELAY: Duration = Duration::from_secs(2);
 
+/// Fraction of the wait for a limited engine over which rejected callers come back after it.
+const LIMIT_RETURN_SPREAD: f64 = 0.5;
+
 /// Identifier of a stream's reservation, unique within its host.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct ReservationId(u64);
@@ -211,6 +214,48 @@
         query: &EngineQuery<'_>,
     ) -> Result<EngineReservation> {
         let best = self.best_candidate(now, registry, query);
+        self.admit(now, registry, query, best)
+    }
+
+    /// Returns the engine that [`EnginePlacer::place`] would choose, without reserving it.
+    #[must_use]
+    pub fn preview(
+        &self,
+        now: Timestamp,
+        registry: &ServerRegistry,
+        query: &EngineQuery<'_>,
+    ) -> Option<ServerKey> {
+        let best = self.best_candidate(now, registry, query);
+        best.map(|best| best.server)
+    }
+
+    /// Reserves a place for the stream at a given engine, like [`EnginePlacer::place`].
+    ///
+    /// # Errors
+    ///
+    /// Returns a "not run" refusal if the engine no longer takes work, or if the load would make the
+    /// first event late.
+    pub fn place_at(
+        &mut self,
+        now: Timestamp,
+        registry: &ServerRegistry,
+        query: &EngineQuery<'_>,
+        server: ServerKey,
+    ) -> Result<EngineReservation> {
+        let takes_work = registry.takes_work(server);
+        let hash = registry.server(server).hash;
+        let candidate = takes_work.then(|| self.candidate(now, query, server, hash));
+        self.admit(now, registry, query, candidate)
+    }
+
+    /// Meters the demand of a stream and reserves a place at the chosen engine, if it is on time.
+    fn admit(
+        &mut self,
+        now: Timestamp,
+        registry: &ServerRegistry,
+        query: &EngineQuery<'_>,
+        best: Option<EngineCandidate>,
+    ) -> Result<EngineReservation> {
         let prefill_tokens = best.map_or(query.prompt.prompt_tokens, |best| best.new_tokens);
         let meter = self.demand.entry(query.service.to_owned()).or_default();
         meter.add(now, f64::from(prefill_tokens));
@@ -616,8 +661,15 @@
         service: &str,
     ) -> RequestRefusal {
         let jitter = self.rng.random_range(1.0..2.0);
-        let refusal = RequestRefusal::not_run(RefusalReason::NoServer, "no engine takes work");
         let returns_at = registry.next_return(now, service);
+        if registry.awaits_permit(now, service) {
+            let refusal =
+                RequestRefusal::not_run(RefusalReason::ServerLimit, "all engines are limited");
+            let wait = returns_at.unwrap_or(now).since(now);
+            let spread = 1.0 + LIMIT_RETURN_SPREAD * (jitter - 1.0);
+            return refusal.retry_after(wait.mul_f64(spread).max(MIN_RETRY_DELAY));
+        }
+        let refusal = RequestRefusal::not_run(RefusalReason::NoServer, "no engine takes work");
         refusal.retry_after(
             returns_at.map_or(MIN_RETRY_DELAY.mul_f64(2.0 * jitter), |at| at.since(now)),
         )
--- a/crates/teaselglade-routing/src/gossip/aggregate_digest.rs
+++ b/crates/teaselglade-routing/src/gossip/aggregate_digest.rs
@@ -7,6 +7,7 @@
 use super::{HostDigest, PeerAddress};
 use crate::crash::PartEvidence;
 use crate::engine::{CachedPart, EngineLoad};
+use crate::limit::{LimitReport, PermitMessage};
 use crate::quota::FleetSpend;
 use crate::registry::{ServerDeparture, ServerRegistration};
 
@@ -80,4 +81,8 @@
     /// An aggregate is sent over some hundred milliseconds; ages in it would be off by as much, and
     /// servers that ended together would look as if they had ended one after another.
     Parts(Vec<PartEvidence>),
+    /// Limits of servers and issued permits, sent beside a digest.
+    Limits(LimitReport),
+    /// Message about a permit to send to a limited server.
+    Permit(PermitMessage),
 }
--- a/crates/teaselglade-routing/src/gossip/peer_membership.rs
+++ b/crates/teaselglade-routing/src/gossip/peer_membership.rs
@@ -12,6 +12,7 @@
 
 use super::zone_order::{HostPlace, count_before, sort_by_turns};
 use super::{CandidateHost, HostDigest, PeerAddress, name_hash};
+use crate::limit::IssuerView;
 
 /// Maximum number of peers that receive one round's digest, so that a round's cost is bounded.
 const MAX_FAN_OUT: usize = 12;
@@ -389,6 +390,35 @@
         served.map(|(_, peer)| peer.address).collect()
     }
 
+    /// Returns the host that issues permits for a server, among the first hosts of the fleet.
+    ///
+    /// Hosts that agree on the first hosts agree on the issuer. `None` stands for this host.
+    #[must_use]
+    pub fn permit_issuer(&self, now: Timestamp, server: u64) -> Option<SocketAddr> {
+        let weight = |name: &str| name_hash(name).rotate_left(17) ^ server;
+        let weight = |name: &str| weight(name).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+        let own_rank = self.rank(now);
+        let places = if own_rank < CANDIDATE_HOSTS {
+            CANDIDATE_HOSTS - 1
+        } else {
+            CANDIDATE_HOSTS
+        };
+        let peers = self.ranked_peers(now).into_iter().take(places);
+        let peers = peers.map(|(name, peer)| (weight(name), Some(peer.address)));
+        let own = (own_rank < CANDIDATE_HOSTS).then(|| (weight(&self.own_name), None));
+        let first = peers.chain(own).max_by_key(|(weight, _)| *weight);
+        first.and_then(|(_, address)| address)
+    }
+
+    /// Returns how this host stands as an issuer of permits.
+    #[must_use]
+    pub fn issuer_view(&self, now: Timestamp) -> IssuerView {
+        IssuerView {
+            may_issue: self.rank(now) < CANDIDATE_HOSTS,
+            seen_share: self.seen_share(now),
+        }
+    }
+
     /// Sets whether this host can reach the store.
     pub const fn set_store_reachable(&mut self, store_reachable: bool) {
         self.store_reachable = store_reachable;
--- a/crates/teaselglade-routing/src/lib.rs
+++ b/crates/teaselglade-routing/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod engine;
 pub mod event;
 pub mod gossip;
+pub mod limit;
 pub mod plain;
 pub mod quota;
 pub mod registry;
--- a/crates/teaselglade-routing/src/plain/plain_placer.rs
+++ b/crates/teaselglade-routing/src/plain/plain_placer.rs
@@ -28,6 +28,9 @@
 /// Shortest retry delay in a refusal: the time of a few calls.
 const MIN_RETRY_DELAY: Duration = Duration::from_millis(100);
 
+/// Fraction of the wait for a limited server over which rejected callers come back after it.
+const LIMIT_RETURN_SPREAD: f64 = 0.5;
+
 /// Load that a server reported.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct ServerLoad {
@@ -100,6 +103,22 @@
         now: Timestamp,
         registry: &ServerRegistry,
         query: &PlainQuery<'_>,
+    ) -> Result<ServerKey, RequestRefusal> {
+        let server = self.choose(now, registry, query)?;
+        self.record_start(server);
+        Ok(server)
+    }
+
+    /// Chooses a server without counting the call there.
+    ///
+    /// # Errors
+    ///
+    /// Returns a "not run" refusal like [`PlainPlacer::place`].
+    pub fn choose(
+        &mut self,
+        now: Timestamp,
+        registry: &ServerRegistry,
+        query: &PlainQuery<'_>,
     ) -> Result<ServerKey, RequestRefusal> {
         let mut best: Option<(f64, ServerKey)> = None;
         for (key, server) in registry.available(now, query.service) {
@@ -112,18 +131,18 @@
                 best = Some((cost, key));
             }
         }
-        let Some((cost, server)) = best else {
-            let refusal = self.refusal(RefusalReason::NoServer, "no server takes work");
-            return Err(match registry.next_return(now, query.service) {
-                Some(returns_at) => refusal.retry_after(returns_at.since(now)),
-                None => refusal,
-            });
-        };
-        if cost > FULL_LOAD_PER_SLOT + FAILURE_COST {
-            return Err(self.refusal(RefusalReason::PredictedLate, "all servers are full"));
+        match best {
+            Some((cost, _)) if cost > FULL_LOAD_PER_SLOT + FAILURE_COST => {
+                Err(self.refusal(RefusalReason::PredictedLate, "all servers are full"))
+            }
+            Some((_, server)) => Ok(server),
+            None => Err(self.no_server_refusal(now, registry, query.service)),
         }
+    }
+
+    /// Counts a call at a server until [`PlainPlacer::record_end`].
+    pub fn record_start(&mut self, server: ServerKey) {
         self.statuses.entry(server).or_default().in_flight += 1;
-        Ok(server)
     }
 
     /// Stops counting a call that ended at its server.
@@ -192,6 +211,25 @@
         load_per_slot + zone_cost + FAILURE_COST * failure_share
     }
 
+    fn no_server_refusal(
+        &mut self,
+        now: Timestamp,
+        registry: &ServerRegistry,
+        service: &str,
+    ) -> RequestRefusal {
+        if registry.awaits_permit(now, service) {
+            let refusal = self.refusal(RefusalReason::ServerLimit, "all servers are limited");
+            let wait = registry.next_return(now, service).unwrap_or(now).since(now);
+            let jitter = self.rng.random_range(1.0..1.0 + LIMIT_RETURN_SPREAD);
+            return refusal.retry_after(wait.mul_f64(jitter).max(MIN_RETRY_DELAY));
+        }
+        let refusal = self.refusal(RefusalReason::NoServer, "no server takes work");
+        match registry.next_return(now, service) {
+            Some(returns_at) => refusal.retry_after(returns_at.since(now)),
+            None => refusal,
+        }
+    }
+
     fn refusal(&mut self, reason: RefusalReason, detail: &str) -> RequestRefusal {
         let jitter = self.rng.random_range(1.0..2.0);
         RequestRefusal::not_run(reason, detail).retry_after(MIN_RETRY_DELAY.mul_f64(jitter))
--- a/crates/teaselglade-routing/src/registry/server_advice.rs
+++ b/crates/teaselglade-routing/src/registry/server_advice.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use crate::limit::LimitWord;
+
 /// Longest rest that a server may ask for; a longer one is cut to this.
 const MAX_REST: Duration = Duration::from_secs(30);
 
@@ -22,6 +24,8 @@
     pub is_leaving: bool,
     /// Whether the response carries advice that cannot be read and is ignored.
     pub is_unreadable: bool,
+    /// What the response says of the server's limit.
+    pub limit: LimitWord,
     rest: Option<Duration>,
 }
 
@@ -40,6 +44,13 @@
         self
     }
 
+    /// Sets what the response says of the server's limit.
+    #[must_use]
+    pub const fn limit(mut self, word: LimitWord) -> Self {
+        self.limit = word;
+        self
+    }
+
     /// Sets that advice cannot be read.
     #[must_use]
     pub const fn unreadable(mut self) -> Self {
--- a/crates/teaselglade-routing/src/registry/server_registry.rs
+++ b/crates/teaselglade-routing/src/registry/server_registry.rs
@@ -70,14 +70,21 @@
     is_from_peer: bool,
     /// Time until which the server wants no requests from this host.
     resting_until: Timestamp,
+    /// Time until which this host gets no permit to send to the server, which is limited.
+    permit_denied_until: Timestamp,
+    incarnation_hash: u64,
 }
 
 impl RegisteredServer {
     /// Returns the hash of the server's name and start time, which identifies this incarnation.
     #[must_use]
-    pub fn incarnation_hash(&self) -> u64 {
-        let started_at_ms = self.registration.started_at_ms;
-        name_hash(&format!("{}/{started_at_ms}", self.registration.id))
+    pub const fn incarnation_hash(&self) -> u64 {
+        self.incarnation_hash
+    }
+
+    /// Returns from when on this host may send to the server.
+    fn available_from(&self) -> Timestamp {
+        self.resting_until.max(self.permit_denied_until)
     }
 
     const fn is_in_scope(&self, scope: UpdateScope) -> bool {
@@ -123,6 +130,7 @@
     servers: Vec<RegisteredServer>,
     by_id: HashMap<String, ServerKey>,
     by_hash: HashMap<u64, ServerKey>,
+    by_incarnation: HashMap<u64, ServerKey>,
     by_service: HashMap<String, Vec<ServerKey>>,
     /// Tombstone of the latest departed incarnation, by server name.
     tombstones: HashMap<String, ServerTombstone>,
@@ -268,6 +276,26 @@
         server.resting_until = server.resting_until.max(until);
     }
 
+    /// Records until when this host gets no permit to send to a server.
+    ///
+    /// A time in the past lets requests through at once.
+    pub fn record_permit_denial(&mut self, key: ServerKey, until: Timestamp) {
+        self.servers[key.index()].permit_denied_until = until;
+    }
+
+    /// Returns whether a server of the service takes work and only its limit stands against it.
+    #[must_use]
+    pub fn awaits_permit(&self, now: Timestamp, service: &str) -> bool {
+        let mut servers = self.of_service(service);
+        servers.any(|(_, server)| server.permit_denied_until > now && server.resting_until <= now)
+    }
+
+    /// Returns the current incarnation of a server with this incarnation hash.
+    #[must_use]
+    pub fn find_incarnation(&self, incarnation: u64) -> Option<ServerKey> {
+        self.by_incarnation.get(&incarnation).copied()
+    }
+
     /// Records that the store is reachable again after an outage.
     pub fn record_store_recovery(&mut self, now: Timestamp) {
         self.store_recovered_at = Some(now);
@@ -343,21 +371,23 @@
         servers.filter(|(_, server)| server.phase != ServerPhase::Leaving)
     }
 
-    /// Returns the servers of a service that accept new work and do not rest.
+    /// Returns the servers of a service to which this host may send now.
+    ///
+    /// They accept new work, do not rest, and gave no reason to expect that a permit is denied.
     pub fn available(
         &self,
         now: Timestamp,
         service: &str,
     ) -> impl Iterator<Item = (ServerKey, &RegisteredServer)> {
         let servers = self.of_service(service);
-        servers.filter(move |(_, server)| server.resting_until <= now)
+        servers.filter(move |(_, server)| server.available_from() <= now)
     }
 
-    /// Returns when the first server of a service returns from its rest, if all of them rest.
+    /// Returns when this host may send to the first server of a service, if to none now.
     #[must_use]
     pub fn next_return(&self, now: Timestamp, service: &str) -> Option<Timestamp> {
         let returns = self.of_service(service);
-        let first = returns.map(|(_, server)| server.resting_until).min()?;
+        let first = returns.map(|(_, server)| server.available_from()).min()?;
         (first > now).then_some(first)
     }
 
@@ -444,6 +474,9 @@
         self.by_id.insert(registration.id.clone(), key);
         let hash = name_hash(&registration.id);
         self.by_hash.insert(hash, key);
+        let started_at_ms = registration.started_at_ms;
+        let incarnation_hash = name_hash(&format!("{}/{started_at_ms}", registration.id));
+        self.by_incarnation.insert(incarnation_hash, key);
         let of_service = self
             .by_service
             .entry(registration.service.clone())
@@ -457,6 +490,8 @@
             changed_at: now,
             is_from_peer: false,
             resting_until: Timestamp::ZERO,
+            permit_denied_until: Timestamp::ZERO,
+            incarnation_hash,
             hash,
             registration,
         });
@@ -527,8 +562,13 @@
         self.record_tombstone(&departure);
         if self.by_id.get(&id) == Some(&key) {
             self.by_id.remove(&id);
-            let hash = self.server(key).hash;
+            let RegisteredServer {
+                hash,
+                incarnation_hash,
+                ..
+            } = *self.server(key);
             self.by_hash.remove(&hash);
+            self.by_incarnation.remove(&incarnation_hash);
         }
         if let Some(keys) = self.by_service.get_mut(&service) {
             keys.retain(|known| *known != key);
