test(routing): limits of servers by unit, property and soak; hosts agree on the issuer

Hosts did not agree on who issues a server's permits: a host among the first three sorted the others without itself, and the order of turns depends on every host in it (found by all_hosts_choose_the_same_issuer_and_servers_are_spread_over_three, which failed). All hosts are sorted together now. The bound held before too, because issuers count what the others issued.

New: which response holds (order by sending, end, unreadable, peers), issuing (settling, share, zero, repeats, returns, turns ahead), a property test of three issuers that hear of each other late, and servers that name limits in the soak, counted at the server. `turn_waited` lines and `server_limit` lines show in `explain`.

--- a/crates/teaselglade-host/src/journal/decision_log.rs
+++ b/crates/teaselglade-host/src/journal/decision_log.rs
@@ -127,6 +127,18 @@
         }
     }
 
+    /// Logs that a request waited for its turn at limited servers; `server` is empty for any.
+    pub fn turn_waited(&self, now: Timestamp, id: &str, server: &str, waited: Duration) {
+        if self.allows(now, "turn_waited", id) {
+            info!(
+                event = "turn_waited",
+                id,
+                server,
+                waited_ms = millis(waited)
+            );
+        }
+    }
+
     /// Logs an attempt that broke before its first event, and whether its server ended.
     pub fn lost_attempt(
         &self,
--- a/crates/teaselglade-host/src/relay/server_turn.rs
+++ b/crates/teaselglade-host/src/relay/server_turn.rs
@@ -17,6 +17,9 @@
 /// It must not be cut while a server could still go on with it.
 const CONTINUED_HOLD_FRACTION: f64 = 0.5;
 
+/// Shortest wait for a permit that is logged; shorter ones are the time of the messages.
+const MIN_LOGGED_WAIT: Duration = Duration::from_millis(20);
+
 /// Wait of an attempt for its turn at limited servers.
 #[derive(Debug)]
 pub(super) struct ServerTurn {
@@ -70,7 +73,12 @@
         };
         let time_left = self.context.target_time_left();
         let permit = request_permit(host, server, time_left, max_wait).await;
-        permit.ok()
+        let permit = permit.ok()?;
+        let waited = host.now().since(now);
+        if !max_wait.is_zero() && waited >= MIN_LOGGED_WAIT {
+            self.log_wait(&host.server_id(server), waited);
+        }
+        Some(permit)
     }
 
     /// Waits until the first limited server may be asked again; returns whether the hold allows it.
@@ -85,10 +93,18 @@
         };
         match returns_at {
             Some(returns_at) if returns_at <= self.hold_until => {
-                sleep(returns_at.since(now)).await;
+                let wait = returns_at.since(now);
+                sleep(wait).await;
+                self.log_wait("", wait);
                 true
             }
             _ => false,
         }
     }
+
+    fn log_wait(&self, server_id: &str, waited: Duration) {
+        let host = &self.context.host;
+        let id = &self.context.id;
+        host.log.turn_waited(host.now(), id, server_id, waited);
+    }
 }
--- a/crates/teaselglade-routing/src/gossip/peer_membership.rs
+++ b/crates/teaselglade-routing/src/gossip/peer_membership.rs
@@ -397,17 +397,29 @@
     pub fn permit_issuer(&self, now: Timestamp, server: u64) -> Option<SocketAddr> {
         let weight = |name: &str| name_hash(name).rotate_left(17) ^ server;
         let weight = |name: &str| weight(name).wrapping_mul(0x9e37_79b9_7f4a_7c15);
-        let own_rank = self.rank(now);
-        let places = if own_rank < CANDIDATE_HOSTS {
-            CANDIDATE_HOSTS - 1
-        } else {
-            CANDIDATE_HOSTS
-        };
-        let peers = self.ranked_peers(now).into_iter().take(places);
-        let peers = peers.map(|(name, peer)| (weight(name), Some(peer.address)));
-        let own = (own_rank < CANDIDATE_HOSTS).then(|| (weight(&self.own_name), None));
-        let first = peers.chain(own).max_by_key(|(weight, _)| *weight);
-        first.and_then(|(_, address)| address)
+        let first = self.first_hosts(now).into_iter();
+        let chosen = first.max_by_key(|(place, _)| weight(place.name));
+        chosen.and_then(|(_, address)| address)
+    }
+
+    /// Returns the candidates in rank order, this host among them without an address.
+    ///
+    /// The order of turns depends on every host in it, so this one must be sorted with the others.
+    fn first_hosts(&self, now: Timestamp) -> Vec<(HostPlace<'_>, Option<SocketAddr>)> {
+        let mut classes: BTreeMap<RankKey, Vec<(HostPlace<'_>, Option<SocketAddr>)>> =
+            BTreeMap::new();
+        let own_key = rank_key(self.is_leader, self.store_reachable);
+        classes
+            .entry(own_key)
+            .or_default()
+            .push((self.own_place(), None));
+        for (name, peer) in self.present_peers(now) {
+            let class = classes.entry(peer.rank_key()).or_default();
+            class.push((place_of(&(name, peer)), Some(peer.address)));
+        }
+        let classes = classes.into_values();
+        let ranked = classes.flat_map(|class| sort_by_turns(class, |(place, _)| *place));
+        ranked.take(CANDIDATE_HOSTS).collect()
     }
 
     /// Returns how this host stands as an issuer of permits.
--- a/crates/teaselglade-routing/tests/routing/main.rs
+++ b/crates/teaselglade-routing/tests/routing/main.rs
@@ -6,6 +6,7 @@
 mod engines;
 mod events;
 mod fixture;
+mod limits;
 mod membership;
 mod moves;
 mod plains;
--- a/crates/teaselglade/src/operation/request_timeline.rs
+++ b/crates/teaselglade/src/operation/request_timeline.rs
@@ -9,6 +9,8 @@
 /// Time after a request's last line within which events of its servers and hosts are included.
 const SECONDS_AFTER: f64 = 2.0;
 const SECONDS_PER_DAY: f64 = 86_400.0;
+/// Events whose id is that of a server.
+const SERVER_EVENTS: [&str; 3] = ["server", "server_rests", "server_limit"];
 /// Events of a host that may explain how it handled a request.
 const HOST_EVENTS: [&str; 14] = [
     "part_standing",
@@ -85,14 +87,14 @@
     /// A lost attempt of another request tells that the server ended.
     fn server(&self) -> Option<&str> {
         match self.event() {
-            "server" | "server_rests" => Some(self.text("id")),
+            event if SERVER_EVENTS.contains(&event) => Some(self.text("id")),
             "lost_attempt" => Some(self.text("server")),
             _ => None,
         }
     }
 
     fn belongs_to(&self, id: &str) -> bool {
-        let is_of_server = matches!(self.event(), "server" | "server_rests");
+        let is_of_server = SERVER_EVENTS.contains(&self.event());
         let has_id = self.text("id") == id && !is_of_server;
         has_id || self.text("ids").split(' ').any(|summed_up| summed_up == id)
     }
