--- a/crates/teaselglade-host/tests/host/server_limits.rs
+++ b/crates/teaselglade-host/tests/host/server_limits.rs
@@ -300,6 +300,44 @@
         }
     }
 
+    /// Lets one host hear a limit and returns the time until all hosts in touch with it know it.
+    fn spread(&mut self, heard_at: u64, hearer: usize) -> u64 {
+        for now in (0..heard_at + RUN_MS).step_by(STEP_MS as usize) {
+            for sent in self.mail.remove(&now).unwrap_or_default() {
+                if self.is_running(now, sent.to) {
+                    self.receive(now, sent);
+                }
+            }
+            if now == heard_at {
+                let key = self.key(hearer, 0);
+                let word = LimitWord::Named(RequestLimit::per_second(1.0));
+                let decisions = &mut self.hosts[hearer].decisions;
+                decisions.record_limit(at(now), key, at(now - HOP_MS), word);
+            }
+            for host in 0..self.hosts.len() {
+                if self.is_running(now, host) {
+                    for sent in self.hosts[host].due_digests(now) {
+                        let digest = Mail::Digest(sent.digest);
+                        self.post_datagram(now, host, sent.arrives_at, sent.to, digest);
+                    }
+                }
+            }
+            let is_cut = self.fault == FleetFault::ZoneCut && Self::is_faulty(now);
+            let knows = |host: usize| {
+                let zone = self.hosts[host].zone;
+                let is_apart =
+                    is_cut && (zone == ZONES[0]) != (self.hosts[hearer].zone == ZONES[0]);
+                is_apart
+                    || !self.is_running(now, host)
+                    || self.hosts[host].decisions.needs_permit(self.key(host, 0))
+            };
+            if now >= heard_at && (0..self.hosts.len()).all(knows) {
+                return now - heard_at;
+            }
+        }
+        panic!("{:?}: some host never knows of the limit", self.fault);
+    }
+
     fn restart(&mut self, host: usize, now: u64) {
         self.hosts[host].restart(now, self.random.random());
         self.register(host, now);
@@ -670,3 +708,34 @@
         }
     }
 }
+
+/// Returns the time in which a fleet of this size has to hold a limit, as the sites specify.
+const fn contact_bound_ms(hosts: usize) -> u64 {
+    if hosts < 60 { 3_000 } else { 4_000 }
+}
+
+#[test]
+fn hosts_that_no_server_told_know_of_a_limit_in_time() {
+    let faults = [
+        FleetFault::None,
+        FleetFault::Lossy,
+        FleetFault::ZoneCut,
+        FleetFault::IssuerFreezes,
+    ];
+    for (hosts, seeds) in fleets() {
+        for fault in faults {
+            let spreads = (0..seeds.max(4)).map(|seed| {
+                let (policy, pattern) = (SendPolicy::Permits, CallerPattern::AllHosts);
+                let mut fleet = LimitFleet::new(hosts, &[1.0], policy, pattern, fault, seed);
+                let hearer = 1 + seed as usize * 3 % (hosts - 1);
+                fleet.spread(FAULT_AT_MS + 1_500 + 370 * seed, hearer)
+            });
+            let latest = spreads.max().expect("a run");
+            println!("{hosts} hosts, {fault:?}: {latest} ms");
+            assert!(
+                latest <= contact_bound_ms(hosts),
+                "{hosts} hosts, {fault:?}: {latest} ms"
+            );
+        }
+    }
+}
