fix(host): a host that does not answer for permits is not asked again at once

A request that considers several limited servers of one silent issuer waited up to 150 ms for each of them. The issuer is now left alone for 300 ms after the first request without an answer, and its servers get no requests. Found by reading.

--- a/crates/teaselglade-host/src/permit/permit_desk.rs
+++ b/crates/teaselglade-host/src/permit/permit_desk.rs
@@ -5,6 +5,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
+use teaselglade_core::time::Timestamp;
 use teaselglade_routing::gossip::PeerMessage;
 use teaselglade_routing::limit::PermitAnswer;
 use tokio::sync::{mpsc, oneshot};
@@ -23,6 +24,8 @@
     outbox: Mutex<Option<mpsc::UnboundedReceiver<OutgoingMessage>>>,
     waiting: Mutex<HashMap<u64, oneshot::Sender<PermitAnswer>>>,
     last_number: AtomicU64,
+    /// Hosts that did not answer a request, and until when they are not asked again.
+    silent: Mutex<HashMap<SocketAddr, Timestamp>>,
 }
 
 impl PermitDesk {
@@ -37,6 +40,7 @@
             outbox: Mutex::new(Some(outbox)),
             waiting: Mutex::default(),
             last_number: AtomicU64::new(started_at_us),
+            silent: Mutex::default(),
         }
     }
 
@@ -75,6 +79,22 @@
         waiting.is_some_and(|sender| sender.send(answer).is_ok())
     }
 
+    /// Records until when a host that did not answer is not asked again.
+    pub fn record_silence(&self, issuer: SocketAddr, until: Timestamp) {
+        self.lock_silent().insert(issuer, until);
+    }
+
+    /// Returns whether a host did not answer a short while ago.
+    pub fn is_silent(&self, now: Timestamp, issuer: SocketAddr) -> bool {
+        let mut silent = self.lock_silent();
+        silent.retain(|_, until| *until > now);
+        silent.contains_key(&issuer)
+    }
+
+    fn lock_silent(&self) -> MutexGuard<'_, HashMap<SocketAddr, Timestamp>> {
+        self.silent.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn lock_waiting(&self) -> MutexGuard<'_, HashMap<u64, oneshot::Sender<PermitAnswer>>> {
         self.waiting.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/teaselglade-host/src/permit/send_permit.rs
+++ b/crates/teaselglade-host/src/permit/send_permit.rs
@@ -17,7 +17,7 @@
 const MIN_ANSWER_TIME: Duration = Duration::from_millis(20);
 /// Number of times that one request for a permit is sent before it counts as unanswered.
 const ASKS: u32 = 3;
-/// Time without requests to a server after the host that issues its permits did not answer.
+/// Time for which a host that did not answer is not asked, and its servers get no requests.
 const UNANSWERED_WAIT: Duration = Duration::from_millis(300);
 /// Shortest time without requests after a denial, so that each one moves a request elsewhere.
 const MIN_DENIED_TIME: Duration = Duration::from_millis(20);
@@ -81,9 +81,15 @@
             issuer,
             notice,
         } => {
+            if host.permits.is_silent(host.now(), issuer) {
+                host.deny_permit(server, UNANSWERED_WAIT);
+                return Err(PermitDenied);
+            }
             let answer_time = (time_left / 4).clamp(MIN_ANSWER_TIME, MAX_ANSWER_TIME);
             let Some(answer) = ask(host, issuer, notice, max_wait, answer_time).await else {
                 host.metrics.advice.count_permit("unanswered");
+                let until = host.now() + UNANSWERED_WAIT;
+                host.permits.record_silence(issuer, until);
                 host.deny_permit(server, UNANSWERED_WAIT);
                 return Err(PermitDenied);
             };
--- a/crates/teaselglade-routing/tests/routing/limits.rs
+++ b/crates/teaselglade-routing/tests/routing/limits.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use proptest::prelude::*;
-use teaselglade_routing::gossip::{HostDigest, PeerAddress, PeerMembership};
+use teaselglade_routing::gossip::{HostDigest, PeerMembership};
 use teaselglade_routing::limit::{
     IssuerView, LimitLedger, LimitNotice, LimitWord, PermitAnswer, PermitIssuer, PermitRequest,
     RequestLimit,
@@ -227,33 +227,13 @@
     assert_eq!(registry.available(at(500), "draft-fleet").count(), 1);
 }
 
+/// Returns the digest of a host, of which the fourth one is the leader.
 fn digest(number: usize) -> HostDigest {
-    HostDigest {
-        host: PeerAddress {
-            name: format!("edge-{number}"),
-            address: format!("127.0.0.1:{}", 7_600 + number)
-                .parse()
-                .expect("an address"),
-        },
-        started_at_us: 1,
-        sequence: 1,
-        table_version: 0,
-        store_reachable: true,
-        is_leader: number == 3,
-        update_age_ms: 0,
-        updates: Vec::new(),
-        spend: std::collections::HashMap::new(),
-        loads: Vec::new(),
-        cached_parts: Vec::new(),
-        demand: Vec::new(),
-        usage: Vec::new(),
-        decided_reports: Vec::new(),
-        departures: Vec::new(),
-        requested_aggregator: None,
-        peers: Vec::new(),
-        zone: ["ennis", "galway"][number % 2].to_owned(),
-        part_evidence: Vec::new(),
-    }
+    let mut digest = super::membership::digest(&format!("edge-{number}"), 1, 1);
+    digest.host.address.set_port(7_600 + number as u16);
+    digest.is_leader = number == 3;
+    digest.zone = ["ennis", "galway"][number % 2].to_owned();
+    digest
 }
 
 #[test]
--- a/crates/teaselglade-routing/tests/routing/membership.rs
+++ b/crates/teaselglade-routing/tests/routing/membership.rs
@@ -8,7 +8,7 @@
 
 use super::fixture::at;
 
-fn digest(name: &str, started_at_us: u64, sequence: u64) -> HostDigest {
+pub fn digest(name: &str, started_at_us: u64, sequence: u64) -> HostDigest {
     HostDigest {
         host: PeerAddress {
             name: name.to_owned(),
