--- a/crates/teaselglade-routing/tests/routing/limits.rs
+++ b/crates/teaselglade-routing/tests/routing/limits.rs
@@ -232,7 +232,7 @@
     let mut digest = super::membership::digest(&format!("edge-{number}"), 1, 1);
     digest.host.address.set_port(7_600 + number as u16);
     digest.is_leader = number == 3;
-    digest.zone = ["ennis", "galway"][number % 2].to_owned();
+    ["ennis", "galway"][number % 2].clone_into(&mut digest.zone);
     digest
 }
 
