--- a/crates/teaselglade-host/tests/host/server_limits.rs
+++ b/crates/teaselglade-host/tests/host/server_limits.rs
@@ -739,3 +739,22 @@
         }
     }
 }
+
+// The transport reads datagrams of up to 60 KiB.
+#[test]
+fn a_report_of_a_thousand_limited_servers_fits_a_datagram() {
+    let mut host = ModelHost::new(0, 1);
+    for server in 0..1_000 {
+        let registry = &mut host.decisions.registry;
+        let key = registry.apply_registration(at(0), registration(server));
+        let key = key.expect("a new server");
+        let word = LimitWord::Named(RequestLimit::per_second(0.5 + server as f64));
+        let decisions = &mut host.decisions;
+        decisions.record_limit(at(700), key, at(20), word);
+    }
+    let report = host.decisions.limit_report(at(900), u64::from(u32::MAX), 1);
+    assert_eq!(report.notices.len(), 1_000);
+    let bytes = rmp_serde::to_vec(&report).expect("an encoded report").len();
+    println!("{bytes} bytes");
+    assert!(bytes < 60 * 1024, "{bytes} bytes");
+}
