test(host): a host takes the age of an aggregate for its own after it missed a departure

Fails on this code: a host of 24 that hears nothing for 3 s uses a server that left 3 s ago and takes its data for new, so that it does not read the store.

--- a/crates/teaselglade-host/tests/host/news_spread.rs
+++ b/crates/teaselglade-host/tests/host/news_spread.rs
@@ -284,3 +284,35 @@
         }
     }
 }
+
+#[test]
+fn a_host_that_missed_a_departure_does_not_take_the_age_of_a_later_aggregate_for_its_own() {
+    let (deaf_from, departs_at, deaf_until) = (900, 1_000, 3_900);
+    for deaf in [7, 11, 19] {
+        let mut fleet = NewsFleet::new(24, FleetFault::None, 1);
+        fleet.departs_at = departs_at;
+        for now in (0..6_000).step_by(STEP_MS as usize) {
+            for (from, to, message) in fleet.mail.remove(&now).unwrap_or_default() {
+                let is_lost = to == deaf && (deaf_from..deaf_until).contains(&now);
+                if from == to || !is_lost {
+                    fleet.receive(now, to, message);
+                }
+            }
+            for host in 0..fleet.hosts.len() {
+                fleet.send(now, host);
+                // The deaf host does not reach the store.
+                if host != deaf {
+                    fleet.read(now, host);
+                }
+            }
+            let decisions = &fleet.hosts[deaf].decisions;
+            let key = decisions.registry.find(SERVER);
+            let is_used = key.is_some_and(|key| decisions.registry.takes_work(key));
+            let is_noticed = decisions.has_stale_news(at(now));
+            assert!(
+                now < departs_at + drain_bound_ms(24) || !is_used || is_noticed,
+                "host {deaf} uses the server at {now} ms and takes its data for new"
+            );
+        }
+    }
+}
