fix(host): a permit is given back without the lock that its holder may have

What callers would have seen: a host that hangs for good. A stream that got a permit from its own host and was refused after that (predicted late, or a contained prompt) dropped the permit while the decision state was locked; giving it back locked the same state. Found by reading the diff; a_stream_that_is_refused_with_a_permit_in_hand_blocks_no_other hung before. Permits go back by a message, also to the host itself.

--- a/crates/teaselglade-host/src/peer/gossip_transport.rs
+++ b/crates/teaselglade-host/src/peer/gossip_transport.rs
@@ -351,7 +351,7 @@
             } => {
                 let is_granted = matches!(answer, PermitAnswer::Granted { .. });
                 if !host.permits.answer(number, answer) && is_granted {
-                    give_back(host, Some(sender), server);
+                    give_back(host, sender, server);
                 }
                 None
             }
--- a/crates/teaselglade-host/src/permit/send_permit.rs
+++ b/crates/teaselglade-host/src/permit/send_permit.rs
@@ -31,8 +31,8 @@
 pub struct SendPermit {
     host: Arc<HostState>,
     server: u64,
-    /// Address of the host that issued the permit; `None` for this host.
-    issuer: Option<SocketAddr>,
+    /// Address of the host that issued the permit, which may be this one.
+    issuer: SocketAddr,
     is_used: bool,
 }
 
@@ -75,7 +75,7 @@
         PermitStep::Decided {
             incarnation,
             answer,
-        } => (incarnation, None, answer),
+        } => (incarnation, host.own_address().address, answer),
         PermitStep::Ask {
             incarnation,
             issuer,
@@ -93,7 +93,7 @@
                 host.deny_permit(server, UNANSWERED_WAIT);
                 return Err(PermitDenied);
             };
-            (incarnation, Some(issuer), answer)
+            (incarnation, issuer, answer)
         }
     };
     match answer {
@@ -147,14 +147,11 @@
     answer
 }
 
-/// Gives a permit back to the host that issued it.
-pub(crate) fn give_back(host: &HostState, issuer: Option<SocketAddr>, server: u64) {
+/// Gives a permit back to the host that issued it, by a message also if that is this one.
+///
+/// A permit may be dropped while the decision state is locked, which therefore is not locked here.
+pub(crate) fn give_back(host: &HostState, issuer: SocketAddr, server: u64) {
     host.metrics.advice.count_permit("given_back");
-    match issuer {
-        None => host.lock_decisions().permit_issuer.take_back(server),
-        Some(peer) => {
-            let message = PeerMessage::Permit(PermitMessage::GiveBack { server });
-            host.permits.post(peer, message);
-        }
-    }
+    let message = PeerMessage::Permit(PermitMessage::GiveBack { server });
+    host.permits.post(issuer, message);
 }
--- a/crates/teaselglade-host/src/relay/server_turn.rs
+++ b/crates/teaselglade-host/src/relay/server_turn.rs
@@ -25,18 +25,22 @@
 pub(super) struct ServerTurn {
     context: Arc<CallContext>,
     hold_until: Timestamp,
+    /// Time by which an answer is wanted: the latency target, or the deadline of a begun stream.
+    wanted_by: Timestamp,
 }
 
 impl ServerTurn {
     /// Starts the wait of an attempt; `is_continued` if its stream has begun before.
     pub(super) fn new(context: &Arc<CallContext>, is_continued: bool) -> Self {
-        let hold = if is_continued {
-            context.time_left().mul_f64(CONTINUED_HOLD_FRACTION)
+        let (time_left, hold_fraction) = if is_continued {
+            (context.time_left(), CONTINUED_HOLD_FRACTION)
         } else {
-            context.target_time_left().mul_f64(HOLD_FRACTION)
+            (context.target_time_left(), HOLD_FRACTION)
         };
+        let now = context.host.now();
         Self {
-            hold_until: context.host.now() + hold,
+            hold_until: now + time_left.mul_f64(hold_fraction),
+            wanted_by: now + time_left,
             context: Arc::clone(context),
         }
     }
@@ -45,6 +49,7 @@
     pub(super) fn without_hold(context: &Arc<CallContext>) -> Self {
         Self {
             hold_until: Timestamp::ZERO,
+            wanted_by: context.deadline,
             context: Arc::clone(context),
         }
     }
@@ -71,7 +76,7 @@
         } else {
             self.hold_until.since(now)
         };
-        let time_left = self.context.target_time_left();
+        let time_left = self.wanted_by.since(now);
         let permit = request_permit(host, server, time_left, max_wait).await;
         let permit = permit.ok()?;
         let waited = host.now().since(now);
