fix(host): a removal is final for a host that the store turned away alone

The grace is for registrations that expired while the store was away. It now needs data that was old during the outage: while peers kept it up to date, the store served them. Test: a_removal_is_final_for_a_host_that_the_store_turned_away_while_it_served_ the_others, which failed before. Class: what one host sees taken for the state of the store.

--- a/crates/teaselglade-host/src/state/decision_state.rs
+++ b/crates/teaselglade-host/src/state/decision_state.rs
@@ -66,6 +66,8 @@
     pub registry_updated_at: Timestamp,
     /// Start of the current store outage, as seen by reads of registrations.
     store_lost_at: Option<Timestamp>,
+    /// Whether peers did not keep the registration data up to date in that outage either.
+    is_outage_shared: bool,
     /// Servers whose advice could not be read.
     unreadable_servers: HashSet<ServerKey>,
     own_name: String,
@@ -93,6 +95,7 @@
             transfers: TransferLimiter::new(settings.link_bytes_per_second),
             registry_updated_at: Timestamp::ZERO,
             store_lost_at: None,
+            is_outage_shared: false,
             unreadable_servers: HashSet::new(),
             own_name: settings.name.clone(),
             retry_budgets: HashMap::new(),
@@ -103,9 +106,11 @@
 
     /// Records a successful read of registrations from the store.
     ///
-    /// After an outage, the registry gives vanished registrations a grace period.
+    /// After an outage, the registry gives vanished registrations a grace period. While peers kept the
+    /// data up to date, the store was lost to this host alone, and removals are as final as ever.
     pub fn record_store_response(&mut self, now: Timestamp) {
-        let outage_start = self.store_lost_at.take();
+        let is_shared = std::mem::take(&mut self.is_outage_shared);
+        let outage_start = self.store_lost_at.take().filter(|_| is_shared);
         self.membership.set_store_reachable(true);
         if outage_start.is_some_and(|start| now.since(start) >= MIN_STORE_OUTAGE) {
             self.registry.record_store_recovery(now);
@@ -116,6 +121,7 @@
     /// Records a failed read of registrations from the store.
     pub fn record_store_failure(&mut self, now: Timestamp) {
         self.store_lost_at.get_or_insert(now);
+        self.is_outage_shared |= self.has_stale_news(now);
         self.membership.set_store_reachable(false);
     }
 
--- a/crates/teaselglade-host/tests/host/news_spread.rs
+++ b/crates/teaselglade-host/tests/host/news_spread.rs
@@ -3,6 +3,7 @@
 //! Hosts are real decision states on virtual time; messages and reads are modelled here.
 
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg32;
@@ -316,3 +317,23 @@
         }
     }
 }
+
+#[test]
+fn a_removal_is_final_for_a_host_that_the_store_turned_away_while_it_served_the_others() {
+    let mut hosts: Vec<ModelHost> = (0..3).map(|number| ModelHost::new(number, 1)).collect();
+    introduce(&mut hosts);
+    let decisions = &mut hosts[0].decisions;
+    decisions
+        .registry
+        .apply_registration(at(0), registration(false));
+    // The store rejects this host for nine seconds; peers tell it what they read there.
+    for now in (0..9_000).step_by(200) {
+        decisions.record_store_failure(at(now));
+        decisions.merge_server_updates(at(now), Duration::from_millis(100), Vec::new(), &[]);
+        assert!(!decisions.has_stale_news(at(now)));
+    }
+    decisions.record_store_response(at(9_000));
+    let key = decisions.registry.apply_removal(at(9_300), SERVER);
+    let key = key.expect("a known server");
+    assert!(!decisions.registry.takes_work(key));
+}
