--- a/crates/teaselglade-host/src/journal/decision_log.rs
+++ b/crates/teaselglade-host/src/journal/decision_log.rs
@@ -6,6 +6,7 @@
 
 use teaselglade_core::time::Timestamp;
 use teaselglade_core::verdict::{ExecutionVerdict, RequestRefusal};
+use teaselglade_routing::crash::RequestHash;
 use tracing::info;
 
 use super::{LineBudget, SuppressedLines};
@@ -44,11 +45,13 @@
     pub update_age: Duration,
 }
 
-/// Log fields of an attempt that broke before its first event.
+/// Log fields of an attempt that broke before its first event or whole response.
 #[derive(Debug, Clone)]
 pub struct LostAttemptFields<'a> {
     /// Id of the server.
     pub server: &'a str,
+    /// Hash of the request's content, by which its repeats are found.
+    pub request: RequestHash,
     /// Ids of the parts of the prompt, without the last.
     pub parts: Vec<u64>,
     /// Streams that this host still has open on the server.
@@ -139,7 +142,7 @@
         }
     }
 
-    /// Logs an attempt that broke before its first event, and whether its server ended.
+    /// Logs an attempt that broke before it brought anything, and whether its server ended.
     pub fn lost_attempt(
         &self,
         now: Timestamp,
@@ -155,6 +158,7 @@
             id,
             organisation,
             server = attempt.server,
+            request = %attempt.request,
             parts = part_names(&attempt.parts),
             open_streams = attempt.open_streams,
             check = attempt.check,
--- a/crates/teaselglade-host/src/peer/gossip_transport.rs
+++ b/crates/teaselglade-host/src/peer/gossip_transport.rs
@@ -171,7 +171,7 @@
             self.send_to(&bytes, target).await;
         }
         if !evidence.is_empty() {
-            let bytes = encode(&PeerMessage::Parts(evidence));
+            let bytes = encode(&PeerMessage::Crashes(evidence));
             self.send_to(&bytes, target).await;
         }
     }
@@ -203,7 +203,7 @@
         let limited_servers = decisions.limits.limited_servers().cast_signed() as i64;
         host.metrics.advice.limited_servers.set(limited_servers);
         let limits = decisions.limit_report(now, host.started_at_us, self.sequence);
-        host.report_part_changes(now, &mut decisions.crash_ledger);
+        host.report_subject_changes(now, &mut decisions.crash_ledger);
         let peer_count = decisions.membership.peer_count() as u32;
         if peer_count > 0 {
             decisions.quotas.set_fleet_size(peer_count + 1);
@@ -255,7 +255,7 @@
             requested_aggregator: aggregator,
             peers,
             zone: host.settings.zone.clone(),
-            part_evidence: decisions.crash_ledger.evidence(now, scope),
+            crash_evidence: decisions.crash_ledger.evidence(now, scope),
         };
         let targets = decisions.membership.gossip_targets(now);
         (digest, limits, targets)
@@ -317,7 +317,7 @@
         match message {
             PeerMessage::Host(digest) => self.apply_host_digest(*digest),
             PeerMessage::Aggregate(digest) => self.apply_aggregate_digest(*digest),
-            PeerMessage::Parts(evidence) => {
+            PeerMessage::Crashes(evidence) => {
                 let now = self.host.now();
                 let mut decisions = self.host.lock_decisions();
                 decisions.crash_ledger.merge(now, &evidence);
@@ -406,7 +406,7 @@
         }
         let age = Duration::from_millis(digest.update_age_ms);
         decisions.merge_server_updates(now, age, digest.updates, &digest.departures);
-        decisions.crash_ledger.merge(now, &digest.part_evidence);
+        decisions.crash_ledger.merge(now, &digest.crash_evidence);
         decisions
             .quotas
             .receive_spend(now, &name, digest.started_at_us, digest.spend);
--- a/crates/teaselglade-host/src/peer/peer_api.rs
+++ b/crates/teaselglade-host/src/peer/peer_api.rs
@@ -7,6 +7,7 @@
 use bytes::Bytes;
 use serde::Serialize;
 use teaselglade_net::server::{HttpServer, ServerHandle};
+use teaselglade_routing::crash::CrashSubject;
 use teaselglade_routing::registry::UpdateScope;
 use tracing::info;
 use viz::header::{HeaderValue, RETRY_AFTER};
@@ -64,12 +65,12 @@
             async move { Ok::<Response, viz::Error>(response) }
         })
         .delete(
-            format!("{QUARANTINE_PATH}/:part"),
+            format!("{QUARANTINE_PATH}/:subject"),
             move |request: Request| {
                 let host = Arc::clone(&lifting_host);
                 async move {
-                    let part: String = request.param("part")?;
-                    Ok::<Response, viz::Error>(lift_quarantine(&host, &part).into_response())
+                    let subject: String = request.param("subject")?;
+                    Ok::<Response, viz::Error>(lift_quarantine(&host, &subject).into_response())
                 }
             },
         )
@@ -83,13 +84,13 @@
     Bytes::from(body).into_response()
 }
 
-fn lift_quarantine(host: &HostState, part: &str) -> StatusCode {
-    let Ok(id) = u64::from_str_radix(part, 16) else {
+fn lift_quarantine(host: &HostState, text: &str) -> StatusCode {
+    let Ok(subject) = text.parse::<CrashSubject>() else {
         return StatusCode::BAD_REQUEST;
     };
     let now = host.now();
-    let is_lifted = host.lock_decisions().crash_ledger.lift(now, id);
-    info!(event = "part_lifted", part, is_lifted);
+    let is_lifted = host.lock_decisions().crash_ledger.lift(now, subject);
+    info!(event = "part_lifted", part = text, is_lifted);
     if is_lifted {
         StatusCode::NO_CONTENT
     } else {
@@ -158,6 +159,6 @@
         servers: decisions.registry.registrations(),
         departures: decisions.registry.departures(now, UpdateScope::All, None),
         update_age_ms: now.since(decisions.registry_updated_at).as_millis() as u64,
-        part_evidence: decisions.crash_ledger.evidence(now, UpdateScope::All),
+        crash_evidence: decisions.crash_ledger.evidence(now, UpdateScope::All),
     }
 }
--- a/crates/teaselglade-host/src/peer/peer_pull.rs
+++ b/crates/teaselglade-host/src/peer/peer_pull.rs
@@ -125,7 +125,7 @@
     for departure in &state.departures {
         decisions.registry.apply_departure(now, departure);
     }
-    decisions.crash_ledger.merge(now, &state.part_evidence);
+    decisions.crash_ledger.merge(now, &state.crash_evidence);
     let peer_age = Duration::from_millis(state.update_age_ms);
     if decisions.lacks_news(now) && !decisions.membership.is_stale(peer_age) {
         let count = state.servers.len();
--- a/crates/teaselglade-host/src/peer/peer_state.rs
+++ b/crates/teaselglade-host/src/peer/peer_state.rs
@@ -2,7 +2,7 @@
 
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
-use teaselglade_routing::crash::PartEvidence;
+use teaselglade_routing::crash::SubjectEvidence;
 use teaselglade_routing::registry::{ServerDeparture, ServerRegistration};
 
 /// Table and servers known to a host, returned to a peer that fetches them.
@@ -19,7 +19,7 @@
     /// Age of the newest registration data, in milliseconds.
     #[serde(rename = "news_age_ms")]
     pub update_age_ms: u64,
-    /// Evidence on prompt parts that end servers.
+    /// Evidence on subjects under which servers ended.
     #[serde(rename = "crashes", default)]
-    pub part_evidence: Vec<PartEvidence>,
+    pub crash_evidence: Vec<SubjectEvidence>,
 }
--- a/crates/teaselglade-host/src/quarantine/mod.rs
+++ b/crates/teaselglade-host/src/quarantine/mod.rs
@@ -1,4 +1,4 @@
-//! Quarantined prompt parts in the store, for the restart of all hosts at once.
+//! Quarantined subjects in the store, for the restart of all hosts at once.
 
 mod quarantine_keeper;
 mod quarantine_record;
--- a/crates/teaselglade-host/src/quarantine/quarantine_record.rs
+++ b/crates/teaselglade-host/src/quarantine/quarantine_record.rs
@@ -1,11 +1,11 @@
-//! Record of quarantined prompt parts in the store.
+//! Record of quarantined subjects in the store.
 
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 use teaselglade_core::time::Timestamp;
-use teaselglade_routing::crash::PartEvidence;
+use teaselglade_routing::crash::SubjectEvidence;
 
-/// Record of quarantined prompt parts in the store.
+/// Record of quarantined subjects in the store.
 ///
 /// # Examples
 ///
@@ -22,16 +22,17 @@
 pub struct QuarantineRecord {
     /// Wall-clock time of the writer, in Unix milliseconds; ages count from it.
     written_at_ms: u64,
-    parts: Vec<PartEvidence>,
+    #[serde(rename = "parts")]
+    subjects: Vec<SubjectEvidence>,
 }
 
 impl QuarantineRecord {
-    /// Creates the record of parts with this evidence at a wall-clock time.
+    /// Creates the record of subjects with this evidence at a wall-clock time.
     #[must_use]
-    pub const fn new(wall_time: Timestamp, parts: Vec<PartEvidence>) -> Self {
+    pub const fn new(wall_time: Timestamp, subjects: Vec<SubjectEvidence>) -> Self {
         Self {
             written_at_ms: wall_time.as_millis(),
-            parts,
+            subjects,
         }
     }
 
@@ -57,15 +58,15 @@
     ///
     /// A clock that was set back since the record was written leaves the ages as they were.
     #[must_use]
-    pub fn evidence_at(&self, wall_time: Timestamp) -> Vec<PartEvidence> {
+    pub fn evidence_at(&self, wall_time: Timestamp) -> Vec<SubjectEvidence> {
         let elapsed_ms = wall_time.as_millis().saturating_sub(self.written_at_ms);
-        let parts = self.parts.iter().cloned().map(|mut part| {
-            part.request_age_ms += elapsed_ms;
-            for end in &mut part.ends {
+        let subjects = self.subjects.iter().cloned().map(|mut evidence| {
+            evidence.request_age_ms += elapsed_ms;
+            for end in &mut evidence.ends {
                 end.age_ms += elapsed_ms;
             }
-            part
+            evidence
         });
-        parts.collect()
+        subjects.collect()
     }
 }
--- a/crates/teaselglade-host/src/relay/call_context.rs
+++ b/crates/teaselglade-host/src/relay/call_context.rs
@@ -10,6 +10,7 @@
 use teaselglade_core::verdict::{ExecutionVerdict, RequestRefusal};
 use teaselglade_request::retry::RetryDecision;
 use teaselglade_routing::attempt::{AttemptOutcome, NextStep};
+use teaselglade_routing::crash::{RequestHash, RequestSubjects};
 use teaselglade_routing::engine::PromptShape;
 use teaselglade_routing::table::{RouteSpec, ServiceSpec};
 
@@ -33,6 +34,8 @@
     /// Version of the route table that the request was matched against.
     pub(super) table_version: u64,
     pub(super) prompt: Option<PromptShape>,
+    /// Hash of the request's content.
+    pub(super) request_hash: RequestHash,
     /// Id of the last event that the caller already has.
     pub(super) resume_after: Option<u64>,
     pub(super) method: Method,
@@ -64,6 +67,19 @@
         self.host.now().since(self.arrived_at)
     }
 
+    /// Returns the name of the caller's organisation; empty if there is none.
+    pub(super) fn organisation_name(&self) -> &str {
+        self.organisation.as_deref().unwrap_or_default()
+    }
+
+    /// Returns what ended servers may speak against.
+    pub(super) const fn subjects(&self) -> RequestSubjects<'_> {
+        RequestSubjects {
+            request: Some(self.request_hash),
+            prompt: self.prompt.as_ref(),
+        }
+    }
+
     /// Returns the request's fields for log lines.
     pub(super) fn log_fields(&self) -> RequestFields<'_> {
         RequestFields {
@@ -195,6 +211,7 @@
         AttemptOutcome::TimedOut if time_left.is_zero() => "deadline",
         AttemptOutcome::TimedOut => "server_silent",
         AttemptOutcome::Unreachable => "server_unreachable",
+        AttemptOutcome::Withheld => "quarantined",
         AttemptOutcome::Rejected => "server_rejected",
         AttemptOutcome::Misdirected => "server_misdirected",
         AttemptOutcome::Broken => "server_broke",
@@ -207,6 +224,7 @@
 const fn outcome_name(outcome: AttemptOutcome) -> &'static str {
     match outcome {
         AttemptOutcome::Unreachable => "unreachable",
+        AttemptOutcome::Withheld => "withheld",
         AttemptOutcome::Rejected => "rejected",
         AttemptOutcome::Misdirected => "misdirected",
         AttemptOutcome::Broken => "broken",
--- a/crates/teaselglade-host/src/relay/call_handler.rs
+++ b/crates/teaselglade-host/src/relay/call_handler.rs
@@ -11,6 +11,7 @@
 use hyper::http::uri::PathAndQuery;
 use hyper::{HeaderMap, Method, Request};
 use teaselglade_core::verdict::{RefusalReason, RequestRefusal};
+use teaselglade_routing::crash::{RequestContent, RequestHash};
 use teaselglade_routing::table::{Caller, IngressLimits, ResponseKind};
 use tokio::time::timeout;
 
@@ -186,6 +187,15 @@
         request.admit(&route.name, route.response_kind, deadline);
     });
     let request_target = parts.uri.path_and_query().cloned();
+    let request_target = request_target.unwrap_or_else(|| PathAndQuery::from_static("/"));
+    let request_hash = RequestHash::of(&RequestContent {
+        method: parts.method.as_str(),
+        host: &name,
+        target: request_target.as_str(),
+        organisation: organisation.map_or("", |organisation| &organisation.name),
+        body: &body,
+        prompt: head.prompt.as_ref(),
+    });
     Ok(CallContext {
         id: head.attempt,
         organisation: organisation.map(|organisation| organisation.name.clone()),
@@ -195,7 +205,8 @@
         prompt: head.prompt,
         resume_after: head.resume_after,
         method: parts.method.clone(),
-        request_target: request_target.unwrap_or_else(|| PathAndQuery::from_static("/")),
+        request_hash,
+        request_target,
         headers: end_to_end_headers(&parts.headers, messages.as_ref()),
         body,
         arrived_at: open.arrived_at,
--- a/crates/teaselglade-host/src/relay/engine_attempt.rs
+++ b/crates/teaselglade-host/src/relay/engine_attempt.rs
@@ -11,7 +11,7 @@
 use tokio::time::Instant;
 
 use super::call_context::CallContext;
-use super::server_call::{FailedCall, ServerResponse, call_server};
+use super::server_call::{FailedCall, SendTerms, ServerResponse, call_server};
 use super::stream_reservation::StreamReservation;
 
 /// What an attempt brought.
@@ -53,9 +53,13 @@
         last_event_id: Option<u64>,
     ) -> Self {
         let (context, server) = (Arc::clone(context), reservation.engine.server);
-        let permit = reservation.take_permit();
+        let terms = SendTerms {
+            resume_after: last_event_id,
+            permit: reservation.take_permit(),
+            is_exempt: reservation.is_exempt(),
+        };
         let call = async move {
-            let response = call_server(&context, server, last_event_id, permit).await;
+            let response = call_server(&context, server, terms).await;
             response.map(Box::new)
         };
         Self {
--- a/crates/teaselglade-host/src/relay/plain_relay.rs
+++ b/crates/teaselglade-host/src/relay/plain_relay.rs
@@ -13,12 +13,14 @@
 use teaselglade_core::time::Timestamp;
 use teaselglade_core::verdict::{ExecutionVerdict, RefusalReason, RequestRefusal};
 use teaselglade_routing::attempt::{AttemptOutcome, AttemptTracker, NextStep};
+use teaselglade_routing::crash::ContainedRun;
 use teaselglade_routing::plain::{PlainQuery, ServerLoad};
 use tokio::time::{sleep, timeout};
 
 use super::call_context::{CallContext, next_step_name};
 use super::response_body::full_body;
-use super::server_call::{FailedCall, call_server};
+use super::server_call::{FailedCall, SendTerms, call_server};
+use super::server_check::check_server;
 use super::server_turn::ServerTurn;
 use super::{CallerResponse, Result};
 use crate::permit::SendPermit;
@@ -31,6 +33,11 @@
 /// Retry delay after failed attempts that did not run the request; the time of a few calls.
 const NOT_RUN_RETRY_DELAY: Duration = Duration::from_millis(150);
 
+/// Retry delay of a call whose content selects a limited server; the time of a few calls.
+const SELECTED_RETRY_DELAY: Duration = Duration::from_millis(500);
+/// Longest time for which the next attempt waits for the check of a server.
+const MAX_CHECK_WAIT: Duration = Duration::from_millis(40);
+
 /// Response of a server with its whole body.
 #[derive(Debug)]
 struct CollectedResponse {
@@ -41,7 +48,7 @@
 }
 
 type AttemptResult = (
-    ServerKey,
+    ActiveCall,
     std::result::Result<CollectedResponse, FailedCall>,
 );
 type InFlightAttempts = FuturesUnordered<BoxFuture<'static, AttemptResult>>;
@@ -49,7 +56,7 @@
 /// Server that was chosen for an attempt.
 enum PlacedCall {
     /// The call counts at the server.
-    Started(ServerKey),
+    Started(ActiveCall),
     /// The server is limited, so the call needs a permit first.
     Limited(ServerKey),
 }
@@ -102,8 +109,8 @@
         let mut may_hedge = true;
         loop {
             tokio::select! {
-                Some((server, result)) = self.in_flight.next() => {
-                    if let Some(response) = self.handle_result(server, result).await? {
+                Some((active_call, result)) = self.in_flight.next() => {
+                    if let Some(response) = self.handle_result(active_call, result).await? {
                         return Ok(response);
                     }
                 }
@@ -119,76 +126,118 @@
     ///
     /// # Errors
     ///
-    /// Returns a "not run" refusal if no untried server takes the call.
+    /// Returns a "not run" refusal if no untried server takes the call, or calls like it end servers.
     async fn start(&mut self) -> Result<()> {
         let turn = ServerTurn::new(&self.context, false);
         let tried = self.tracker.tried();
-        let (server, permit) = loop {
+        let (active_call, permit) = loop {
             match self.place(&tried) {
-                Ok(PlacedCall::Started(server)) => break (server, None),
+                Ok(PlacedCall::Started(active_call)) => break (active_call, None),
                 Ok(PlacedCall::Limited(server)) => {
                     let permit = turn.request(server, &tried).await;
-                    if permit.is_some() && self.start_at(server) {
-                        break (server, permit);
+                    if permit.is_some()
+                        && let Some(active_call) = self.start_at(server)
+                    {
+                        break (active_call, permit);
                     }
                 }
                 Err(refusal) => {
-                    if !turn.wait_for_first().await {
+                    let is_final = refusal.reason == RefusalReason::Quarantined;
+                    if is_final || !turn.wait_for_first().await {
                         return Err(refusal);
                     }
                 }
             }
         };
-        self.tracker.begin_attempt(server);
-        let active_call = ActiveCall {
-            context: Arc::clone(&self.context),
-            server,
-        };
+        self.tracker.begin_attempt(active_call.server);
         self.in_flight.push(Box::pin(async move {
             let result = collect_response(&active_call, permit).await;
-            (server, result)
+            (active_call, result)
         }));
         Ok(())
     }
+
     /// Chooses a server, and counts the call there unless it needs a permit.
     ///
     /// # Errors
     ///
-    /// Returns a "not run" refusal if no untried server takes the call.
+    /// Returns a "not run" refusal if no untried server takes the call, or calls like it end servers.
     fn place(&self, tried: &[ServerKey]) -> Result<PlacedCall> {
         let context = &self.context;
         let host = &context.host;
         let now = host.now();
+        let mut decisions = host.lock_decisions();
+        let decisions = &mut *decisions;
+        let run = self.permit_attempt(decisions, now)?;
         let query = PlainQuery {
             service: &context.service.name,
             zone: &host.settings.zone,
             tried,
+            selected_by: run.map(|run| (run.subject.selector(), run.rank)),
         };
-        let mut decisions = host.lock_decisions();
-        let decisions = &mut *decisions;
         let placer = &mut decisions.plain_placer;
-        let server = placer.choose(now, &decisions.registry, &query)?;
-        if decisions.needs_permit(server) {
-            return Ok(PlacedCall::Limited(server));
+        let chosen = placer.choose(now, &decisions.registry, &query);
+        match (chosen, run) {
+            (Ok(server), _) if !decisions.needs_permit(server) => {
+                let active_call = self.record_start(decisions, now, server, run);
+                Ok(PlacedCall::Started(active_call))
+            }
+            (Ok(server), None) => Ok(PlacedCall::Limited(server)),
+            (unplaced, run) => {
+                if let Some(run) = run {
+                    decisions.crash_ledger.record_contained_end(run.subject);
+                }
+                unplaced?;
+                let detail = "the server that the call's content selects is limited";
+                let refusal = RequestRefusal::not_run(RefusalReason::ServerLimit, detail);
+                Err(refusal.retry_after(SELECTED_RETRY_DELAY))
+            }
         }
-        self.record_start(decisions, now, server);
-        Ok(PlacedCall::Started(server))
     }
 
-    /// Counts the call at a server for which it has a permit, if the server still takes work.
-    fn start_at(&self, server: ServerKey) -> bool {
+    /// Decides whether the next attempt may be sent, by what ended servers say of the call.
+    ///
+    /// # Errors
+    ///
+    /// Returns a "not run" refusal if calls like it end servers.
+    fn permit_attempt(
+        &self,
+        decisions: &mut DecisionState,
+        now: Timestamp,
+    ) -> Result<Option<ContainedRun>> {
+        let context = &self.context;
+        let (organisation, number) = (context.organisation_name(), self.tracker.attempts() + 1);
+        decisions.permit_attempt(now, organisation, context.subjects(), number)
+    }
+
+    /// Counts the call at a server for which it has a permit, if it may still be sent there.
+    ///
+    /// A call that became contained while it waited is placed anew.
+    fn start_at(&self, server: ServerKey) -> Option<ActiveCall> {
         let host = &self.context.host;
         let now = host.now();
         let mut decisions = host.lock_decisions();
-        let takes_work = decisions.registry.takes_work(server);
-        if takes_work {
-            self.record_start(&mut decisions, now, server);
+        if !decisions.registry.takes_work(server) {
+            return None;
+        }
+        match self.permit_attempt(&mut decisions, now) {
+            Ok(None) => Some(self.record_start(&mut decisions, now, server, None)),
+            Ok(Some(run)) => {
+                decisions.crash_ledger.record_contained_end(run.subject);
+                None
+            }
+            Err(_refusal) => None,
         }
-        takes_work
     }
 
     /// Counts the call at a server and logs the placement.
-    fn record_start(&self, decisions: &mut DecisionState, now: Timestamp, server: ServerKey) {
+    fn record_start(
+        &self,
+        decisions: &mut DecisionState,
+        now: Timestamp,
+        server: ServerKey,
+        run: Option<ContainedRun>,
+    ) -> ActiveCall {
         let context = &self.context;
         let host = &context.host;
         decisions.plain_placer.record_start(server);
@@ -203,14 +252,28 @@
         };
         host.log.placed(now, &context.log_fields(), &placement);
         host.update_request(context.open_key, |open| open.start_attempt(server));
+        ActiveCall {
+            context: Arc::clone(context),
+            server,
+            run,
+        }
     }
 
     /// Starts a second attempt beside a slow first one, if the retry budget grants it.
+    ///
+    /// A call like one under which a server ended has one attempt at a time.
     async fn start_hedge(&mut self) {
         if !self.tracker.may_hedge() || self.in_flight.is_empty() {
             return;
         }
         let context = &self.context;
+        let is_suspect = {
+            let decisions = context.host.lock_decisions();
+            decisions.crash_ledger.is_suspect(context.request_hash)
+        };
+        if is_suspect {
+            return;
+        }
         let now = context.host.now();
         self.record_slow_servers(now);
         if context.take_retry(self.tracker.attempts()).is_some() {
@@ -233,9 +296,10 @@
     /// Records the result of an attempt; returns the response if it is final.
     async fn handle_result(
         &mut self,
-        server: ServerKey,
+        active_call: ActiveCall,
         result: std::result::Result<CollectedResponse, FailedCall>,
     ) -> Result<Option<CallerResponse>> {
+        let server = active_call.server;
         let context = Arc::clone(&self.context);
         let host = &context.host;
         let now = host.now();
@@ -247,6 +311,9 @@
                 decisions
                     .plain_placer
                     .record_response(now, server, is_healthy, response.load);
+                if is_healthy {
+                    decisions.record_answer(now, server, context.subjects());
+                }
                 drop(decisions);
                 if is_healthy || !context.route.retry_policy.allows_retry() {
                     return Ok(Some(self.forward_response(server, response)));
@@ -257,9 +324,13 @@
             }
             Err(failed) => {
                 self.record_failure(server, &failed);
+                if failed.outcome == AttemptOutcome::Broken {
+                    check_briefly(&context, server).await;
+                }
                 failed
             }
         };
+        drop(active_call);
         let next = self.tracker.end_attempt(server, failed.outcome);
         let server_id = host
             .lock_decisions()
@@ -285,21 +356,21 @@
         failed: &FailedCall,
     ) -> Result<Option<CallerResponse>> {
         let context = Arc::clone(&self.context);
+        let (mut refused, mut is_over) = (None, false);
         match next {
-            NextStep::Reconnect => {
-                if self.start().await.is_ok() {
-                    return Ok(None);
-                }
-            }
+            NextStep::Reconnect => refused = self.start().await.err(),
             NextStep::RetryWithinBudget => {
                 if let Some(delay) = context.take_retry(self.tracker.attempts()) {
                     sleep(delay).await;
-                    if self.start().await.is_ok() {
-                        return Ok(None);
-                    }
+                    refused = self.start().await.err();
+                } else {
+                    is_over = true;
                 }
             }
-            NextStep::GiveUp(_verdict) => {}
+            NextStep::GiveUp(_verdict) => is_over = true,
+        }
+        if refused.is_none() && !is_over {
+            return Ok(None);
         }
         if !self.in_flight.is_empty() {
             return Ok(None);
@@ -307,7 +378,11 @@
         if let Some((server, response)) = self.error_response.take() {
             return Ok(Some(self.forward_response(server, response)));
         }
-        Err(final_refusal(&context, self.tracker.verdict(), failed))
+        let verdict = self.tracker.verdict();
+        match refused.filter(|refusal| refusal.reason == RefusalReason::Quarantined) {
+            Some(refusal) => Err(refusal.after_attempts(verdict)),
+            None => Err(final_refusal(&context, verdict, failed)),
+        }
     }
 
     /// Records a failed attempt in the host's state.
@@ -320,7 +395,7 @@
         let mut decisions = host.lock_decisions();
         match failed.outcome {
             AttemptOutcome::Misdirected => decisions.registry.mark_replaced(now, server),
-            AttemptOutcome::Rejected => {}
+            AttemptOutcome::Rejected | AttemptOutcome::Withheld => {}
             _ => decisions.plain_placer.record_failure(now, server),
         }
     }
@@ -355,25 +430,42 @@
 struct ActiveCall {
     context: Arc<CallContext>,
     server: ServerKey,
+    /// Run of the call, if it is contained.
+    run: Option<ContainedRun>,
 }
 
 impl Drop for ActiveCall {
     fn drop(&mut self) {
-        self.context
-            .host
-            .lock_decisions()
-            .plain_placer
-            .record_end(self.server);
+        let mut decisions = self.context.host.lock_decisions();
+        decisions.plain_placer.record_end(self.server);
+        if let Some(run) = self.run {
+            decisions.crash_ledger.record_contained_end(run.subject);
+        }
     }
 }
 
+/// Checks the server of a broken attempt; waits for the result only for a short time.
+///
+/// A server that ended refuses at once. A silent one must not hold up the next attempt.
+async fn check_briefly(context: &Arc<CallContext>, server: ServerKey) {
+    let context = Arc::clone(context);
+    let check = tokio::spawn(async move { check_server(&context, server).await });
+    // The check goes on and records its result if it takes longer.
+    let _unfinished = timeout(MAX_CHECK_WAIT, check).await;
+}
+
 /// Sends the call to its server and reads the whole response.
 async fn collect_response(
     active_call: &ActiveCall,
     permit: Option<SendPermit>,
 ) -> std::result::Result<CollectedResponse, FailedCall> {
     let (context, server) = (&active_call.context, active_call.server);
-    let response = call_server(context, server, None, permit).await?;
+    let terms = SendTerms {
+        permit,
+        is_exempt: active_call.run.is_some_and(|run| run.is_trial),
+        ..SendTerms::default()
+    };
+    let response = call_server(context, server, terms).await?;
     let collected = Limited::new(response.body, MAX_RESPONSE_BYTES)
         .collect()
         .await;
--- a/crates/teaselglade-host/src/relay/server_call.rs
+++ b/crates/teaselglade-host/src/relay/server_call.rs
@@ -51,24 +51,35 @@
     }
 }
 
+/// Terms on which an attempt is sent.
+#[derive(Debug, Default)]
+pub(super) struct SendTerms {
+    /// Id of the last event that the caller has, if the attempt goes on with a stream.
+    pub(super) resume_after: Option<u64>,
+    /// Permit to send to the server, if it is limited.
+    pub(super) permit: Option<SendPermit>,
+    /// Whether the attempt may be sent although its request is quarantined.
+    pub(super) is_exempt: bool,
+}
+
 /// Sends the request to a server and waits for the head of its response.
 ///
 /// If a pooled connection was closed before anything was sent, sends once more on a new one.
 ///
 /// # Errors
 ///
-/// Fails if the server is unreachable or rejects the request, the connection breaks, the response
-/// is invalid, or no head arrives before the deadline. A permit is given back if nothing was sent.
+/// Fails if the server is unreachable or rejects the request, the request became quarantined, the
+/// connection breaks, the response is invalid, or no head arrives before the deadline. A permit is
+/// given back if nothing was sent.
 pub(super) async fn call_server(
     context: &CallContext,
     server: ServerKey,
-    resume_after: Option<u64>,
-    mut permit: Option<SendPermit>,
+    mut terms: SendTerms,
 ) -> Result<ServerResponse, FailedCall> {
-    let sent = send_request(context, server, resume_after, &mut permit, false);
+    let sent = send_request(context, server, &mut terms, false);
     match timeout(context.time_left(), sent).await {
         Ok(Err(failed)) if failed.is_stale_connection => {
-            let resent = send_request(context, server, resume_after, &mut permit, true);
+            let resent = send_request(context, server, &mut terms, true);
             match timeout(context.time_left(), resent).await {
                 Ok(sent) => sent.map_err(|failed| failed.call),
                 Err(_elapsed) => Err(deadline_failure()),
@@ -95,8 +106,7 @@
 async fn send_request(
     context: &CallContext,
     server: ServerKey,
-    resume_after: Option<u64>,
-    permit: &mut Option<SendPermit>,
+    terms: &mut SendTerms,
     fresh_only: bool,
 ) -> Result<ServerResponse, FailedSend> {
     let host = &context.host;
@@ -124,13 +134,20 @@
     if !connection.is_reused {
         host.metrics.connections.inc();
     }
-    let request = outgoing_request(context, &server_id, resume_after);
+    if !terms.is_exempt && is_quarantined(context) {
+        let detail = "its content became quarantined";
+        return Err(FailedSend {
+            call: FailedCall::new(AttemptOutcome::Withheld, detail),
+            is_stale_connection: false,
+        });
+    }
+    let request = outgoing_request(context, &server_id, terms.resume_after);
     let sent_at = host.now();
-    set_used(permit, true);
+    set_used(&mut terms.permit, true);
     let sent = connection.send(request).await;
     let response = sent.map_err(|error| {
         let is_unsent = error.progress == SendProgress::NotSent;
-        set_used(permit, !is_unsent);
+        set_used(&mut terms.permit, !is_unsent);
         let outcome = if is_unsent {
             AttemptOutcome::Unreachable
         } else {
@@ -148,6 +165,15 @@
     })
 }
 
+/// Returns whether a subject of the request is quarantined by now.
+///
+/// The verdict may fall while the attempt waits for a permit or a connection.
+fn is_quarantined(context: &CallContext) -> bool {
+    let decisions = context.host.lock_decisions();
+    let ledger = &decisions.crash_ledger;
+    ledger.is_quarantined(context.organisation_name(), context.subjects())
+}
+
 fn set_used(permit: &mut Option<SendPermit>, is_used: bool) {
     if let Some(permit) = permit {
         permit.set_used(is_used);
--- a/crates/teaselglade-host/src/relay/server_check.rs
+++ b/crates/teaselglade-host/src/relay/server_check.rs
@@ -28,7 +28,7 @@
     }
 }
 
-/// Connects to a server on which an attempt broke before its first event, and logs the result.
+/// Connects to a server on which an attempt broke before it brought anything, and logs the result.
 ///
 /// A connection that is made is kept for later requests.
 pub(super) async fn check_server(context: &CallContext, server: ServerKey) -> ServerCheck {
@@ -53,11 +53,12 @@
     let parts = context.prompt.iter().flat_map(PromptShape::shared_ids);
     let fields = LostAttemptFields {
         server: &server_id,
+        request: context.request_hash,
         parts: parts.collect(),
         open_streams,
         check: check.name(),
     };
-    let organisation = context.organisation.as_deref().unwrap_or_default();
+    let organisation = context.organisation_name();
     host.log
         .lost_attempt(host.now(), &context.id, organisation, &fields);
     check
@@ -68,9 +69,7 @@
     let host = &context.host;
     let now = host.now();
     host.metrics.crashes.ended_servers.inc();
-    if let Some(prompt) = &context.prompt {
-        let organisation = context.organisation.as_deref().unwrap_or_default();
-        host.lock_decisions()
-            .record_server_end(now, server, organisation, prompt);
-    }
+    let organisation = context.organisation_name();
+    host.lock_decisions()
+        .record_server_end(now, server, organisation, context.subjects());
 }
--- a/crates/teaselglade-host/src/relay/stream_relay.rs
+++ b/crates/teaselglade-host/src/relay/stream_relay.rs
@@ -485,7 +485,10 @@
         let mut decisions = host.lock_decisions();
         match failed.outcome {
             AttemptOutcome::Misdirected => decisions.registry.mark_replaced(now, server),
-            AttemptOutcome::Rejected | AttemptOutcome::Failed | AttemptOutcome::Superseded => {}
+            AttemptOutcome::Rejected
+            | AttemptOutcome::Withheld
+            | AttemptOutcome::Failed
+            | AttemptOutcome::Superseded => {}
             AttemptOutcome::Unreachable | AttemptOutcome::Broken | AttemptOutcome::TimedOut => {
                 decisions.engine_placer.record_failure(now, server);
             }
--- a/crates/teaselglade-host/src/relay/stream_reservation.rs
+++ b/crates/teaselglade-host/src/relay/stream_reservation.rs
@@ -7,6 +7,7 @@
 use teaselglade_core::time::Timestamp;
 use teaselglade_core::verdict::{RefusalReason, RequestRefusal};
 use teaselglade_request::retry::RetryDecision;
+use teaselglade_routing::crash::ContainedRun;
 use teaselglade_routing::engine::{EngineQuery, EngineReservation, PromptShape};
 use teaselglade_routing::table::EngineSpec;
 
@@ -52,8 +53,10 @@
     has_first_event: bool,
     /// Time of the last event that was recorded.
     recorded_at: Timestamp,
-    /// Part because of which the attempt is contained.
-    contained_part: Option<u64>,
+    /// Run of the attempt, if it is contained.
+    contained_run: Option<ContainedRun>,
+    /// Whether the attempt may be sent although its request is quarantined.
+    is_exempt: bool,
 }
 
 /// Attempt for which an engine is reserved.
@@ -74,8 +77,7 @@
     ///
     /// # Errors
     ///
-    /// Returns a "not run" refusal if no engine accepts the stream or a part of its prompt ends
-    /// engines.
+    /// Returns a "not run" refusal if no engine accepts the stream or requests like it end engines.
     pub(super) async fn place(
         context: &Arc<CallContext>,
         attempt: &StreamAttempt<'_>,
@@ -83,14 +85,14 @@
         let turn = ServerTurn::new(context, attempt.is_continued);
         let engine = obtain_engine(context, attempt, &turn).await;
         let mut decisions = context.host.lock_decisions();
-        let selected_by = permit_prompt(context, &mut decisions, attempt)?;
-        Self::reserve(context, &mut decisions, attempt, selected_by, engine)
+        let run = permit_attempt(context, &mut decisions, attempt)?;
+        Self::reserve(context, &mut decisions, attempt, run, engine)
     }
 
     /// Reserves an engine for an attempt beside a silent one.
     ///
-    /// Returns `None` if no untried server takes work, no retry is granted, or a part of the prompt
-    /// ends engines, so that it must run alone. `retry` is the number of the retry to take from the
+    /// Returns `None` if no untried server takes work, no retry is granted, or requests like it end
+    /// engines, so that it must run alone. `retry` is the number of the retry to take from the
     /// budget; `None` takes none.
     pub(super) async fn place_standby(
         context: &Arc<CallContext>,
@@ -116,9 +118,12 @@
         if !may_start(&mut decisions) {
             return None;
         }
-        let selected_by = permit_prompt(context, &mut decisions, attempt).ok()?;
-        if let Some((part, _rank)) = selected_by {
-            decisions.crash_ledger.record_contained_end(part);
+        if decisions.crash_ledger.is_suspect(context.request_hash) {
+            return None;
+        }
+        let run = permit_attempt(context, &mut decisions, attempt).ok()?;
+        if let Some(run) = run {
+            decisions.crash_ledger.record_contained_end(run.subject);
             return None;
         }
         if let Some(retry) = retry {
@@ -140,19 +145,16 @@
         context: &Arc<CallContext>,
         decisions: &mut DecisionState,
         attempt: &StreamAttempt<'_>,
-        selected_by: Option<(u64, u32)>,
+        run: Option<ContainedRun>,
         obtained: ObtainedEngine,
     ) -> Result<Self> {
         let host = &context.host;
         let now = host.now();
-        let contained_part = selected_by.map(|(part, _rank)| part);
-        let query = engine_query(context, decisions, attempt, selected_by);
+        let query = engine_query(context, decisions, attempt, run);
         let registry = &decisions.registry;
         let engines = &mut decisions.engine_placer;
         let placed = match obtained.server {
-            Some(server) if selected_by.is_none() => {
-                engines.place_at(now, registry, &query, server)
-            }
+            Some(server) if run.is_none() => engines.place_at(now, registry, &query, server),
             _ => engines.place(now, registry, &query),
         };
         let placed = placed.and_then(|engine| {
@@ -167,8 +169,8 @@
             Err(refusal.retry_after(SELECTED_RETRY_DELAY))
         });
         let engine = placed.inspect_err(|_refusal| {
-            if let Some(part) = contained_part {
-                decisions.crash_ledger.record_contained_end(part);
+            if let Some(run) = run {
+                decisions.crash_ledger.record_contained_end(run.subject);
             }
         })?;
         let server_id = decisions
@@ -194,7 +196,8 @@
             server_id,
             has_first_event: false,
             recorded_at: Timestamp::ZERO,
-            contained_part,
+            contained_run: run,
+            is_exempt: attempt.has_events || run.is_some_and(|run| run.is_trial),
         })
     }
 
@@ -203,9 +206,14 @@
         self.permit.take()
     }
 
-    /// Returns whether the attempt must not be moved, because its prompt may end engines.
+    /// Returns whether the attempt must not be moved, because its request may end engines.
     pub(super) const fn is_contained(&self) -> bool {
-        self.contained_part.is_some()
+        self.contained_run.is_some()
+    }
+
+    /// Returns whether the attempt may be sent although its request is quarantined.
+    pub(super) const fn is_exempt(&self) -> bool {
+        self.is_exempt
     }
 
     /// Returns whether an event of the attempt has arrived.
@@ -216,7 +224,7 @@
     /// Records that events of the stream arrived.
     ///
     /// Events after the first one are recorded at most once in [`EVENT_RECORD_INTERVAL`]; they
-    /// still speak for the prompt's parts.
+    /// still speak for the request and the prompt's parts.
     pub(super) fn record_events(&mut self) {
         let host = Arc::clone(&self.context.host);
         let now = host.now();
@@ -234,11 +242,9 @@
                 .engine_placer
                 .record_first_event(now, service, self.engine.id);
         }
-        if let Some(prompt) = &self.context.prompt {
-            decisions.record_prompt_event(now, self.engine.server, prompt);
-        }
-        if let Some(part) = self.contained_part.take() {
-            decisions.crash_ledger.record_contained_end(part);
+        decisions.record_answer(now, self.engine.server, self.context.subjects());
+        if let Some(run) = self.contained_run.take() {
+            decisions.crash_ledger.record_contained_end(run.subject);
         }
     }
 }
@@ -291,7 +297,7 @@
     context: &'a CallContext,
     decisions: &DecisionState,
     attempt: &StreamAttempt<'a>,
-    selected_by: Option<(u64, u32)>,
+    run: Option<ContainedRun>,
 ) -> EngineQuery<'a> {
     let spec = context.service.engine.as_ref();
     EngineQuery {
@@ -303,26 +309,25 @@
         tried: attempt.tried,
         is_continued: attempt.is_continued,
         is_load_stale: decisions.membership.is_large(),
-        selected_by,
+        selected_by: run.map(|run| (run.subject.selector(), run.rank)),
     }
 }
 
-/// Returns by which part of the prompt its engine is chosen, if it is contained.
+/// Returns the run of an attempt that must run alone; `None` if it need not.
 ///
 /// # Errors
 ///
-/// Returns a "not run" refusal if a part of the prompt ends engines.
-fn permit_prompt(
+/// Returns a "not run" refusal if requests like it end engines.
+fn permit_attempt(
     context: &CallContext,
     decisions: &mut DecisionState,
     attempt: &StreamAttempt<'_>,
-) -> Result<Option<(u64, u32)>> {
+) -> Result<Option<ContainedRun>> {
     if attempt.has_events {
         return Ok(None);
     }
-    let prompt = context.prompt.as_ref().unwrap_or(&EMPTY_PROMPT);
-    let organisation = context.organisation.as_deref().unwrap_or_default();
-    decisions.permit_prompt(context.host.now(), organisation, prompt, attempt.number)
+    let (now, organisation) = (context.host.now(), context.organisation_name());
+    decisions.permit_attempt(now, organisation, context.subjects(), attempt.number)
 }
 
 impl Drop for StreamReservation {
@@ -334,8 +339,8 @@
         decisions
             .engine_placer
             .record_end(now, service, self.engine.id);
-        if let Some(part) = self.contained_part.take() {
-            decisions.crash_ledger.record_contained_end(part);
+        if let Some(run) = self.contained_run.take() {
+            decisions.crash_ledger.record_contained_end(run.subject);
         }
     }
 }
--- a/crates/teaselglade-host/src/state/decision_state.rs
+++ b/crates/teaselglade-host/src/state/decision_state.rs
@@ -7,8 +7,10 @@
 use teaselglade_core::time::Timestamp;
 use teaselglade_core::verdict::{RefusalReason, RequestRefusal};
 use teaselglade_request::retry::{BudgetLimits, RetryBudget, RetryDecision};
-use teaselglade_routing::crash::{CrashLedger, PartPermit, PartQuery};
-use teaselglade_routing::engine::{EnginePlacer, PromptShape};
+use teaselglade_routing::crash::{
+    ContainedRun, CrashLedger, CrashSubject, RequestSubjects, SubjectPermit, SubjectQuery,
+};
+use teaselglade_routing::engine::EnginePlacer;
 use teaselglade_routing::gossip::{
     PeerMembership, ServiceDemand, TransferLimiter, rendezvous_weight,
 };
@@ -46,7 +48,7 @@
     pub registry: ServerRegistry,
     /// Places streams on engines.
     pub engine_placer: EnginePlacer,
-    /// Evidence on prompt parts that end engines.
+    /// Evidence on requests and prompt parts that end servers.
     pub crash_ledger: CrashLedger,
     /// Places plain calls on servers.
     pub plain_placer: PlainPlacer,
@@ -312,60 +314,75 @@
             .issue(now, incarnation, limit, view, max_wait)
     }
 
-    /// Decides whether an attempt with this prompt may be sent, by the standing of its parts.
+    /// Decides whether an attempt may be sent, by the standing of its request's subjects.
     ///
-    /// Returns what selects its engine if a part is contained; the ledger must then be told of the
-    /// attempt's end. `attempt` is the number of the attempt within its request, from 1.
+    /// Returns the run if a subject is contained; the ledger must then be told of the attempt's end.
+    /// `attempt` is the number of the attempt within its request, from 1.
     ///
     /// # Errors
     ///
-    /// Returns a "not run" refusal if a part is quarantined, or contained and the attempt is a repeat
-    /// or another one runs.
-    pub fn permit_prompt(
+    /// Returns a "not run" refusal if a subject is quarantined, or contained and the attempt is a
+    /// repeat or another one runs.
+    pub fn permit_attempt<'a>(
         &mut self,
         now: Timestamp,
         organisation: &str,
-        prompt: &PromptShape,
+        subjects: impl Into<RequestSubjects<'a>>,
         attempt: u32,
-    ) -> Result<Option<(u64, u32)>, RequestRefusal> {
-        let query = PartQuery {
+    ) -> Result<Option<ContainedRun>, RequestRefusal> {
+        let query = SubjectQuery {
             organisation,
-            prompt,
+            subjects: subjects.into(),
             is_repeat: attempt > 1,
             may_try: self.membership.is_leader(),
         };
         match self.crash_ledger.permit(now, &query) {
-            PartPermit::Unrestricted => Ok(None),
-            PartPermit::Contained { part, rank } => Ok(Some((part, rank))),
-            PartPermit::Refused { part, retry_after } => {
-                let detail = format!("servers ended on part {part:x} of the prompt");
+            SubjectPermit::Unrestricted => Ok(None),
+            SubjectPermit::Contained(run) => Ok(Some(run)),
+            SubjectPermit::Refused {
+                subject,
+                retry_after,
+            } => {
+                let detail = match subject {
+                    CrashSubject::Part(part) => {
+                        format!("servers ended on part {part:x} of the prompt")
+                    }
+                    CrashSubject::Request(hash) => {
+                        format!("servers ended under requests with the content {hash}")
+                    }
+                };
                 let refusal = RequestRefusal::not_run(RefusalReason::Quarantined, detail);
                 Err(refusal.retry_after(retry_after))
             }
         }
     }
 
-    /// Records that a server ended while an attempt with this prompt had brought no event.
+    /// Records that a server ended while an attempt had brought no event or response.
     ///
-    /// The end of a server that was known to leave says nothing of the prompt.
-    pub fn record_server_end(
+    /// The end of a server that was known to leave says nothing of the request.
+    pub fn record_server_end<'a>(
         &mut self,
         now: Timestamp,
         server: ServerKey,
         organisation: &str,
-        prompt: &PromptShape,
+        subjects: impl Into<RequestSubjects<'a>>,
     ) {
         if self.registry.takes_work(server) {
             let incarnation = self.registry.server(server).incarnation_hash();
             self.crash_ledger
-                .record_end(now, incarnation, organisation, prompt);
+                .record_end(now, incarnation, organisation, subjects);
         }
     }
 
-    /// Records that an attempt with this prompt brought an event.
-    pub fn record_prompt_event(&mut self, now: Timestamp, server: ServerKey, prompt: &PromptShape) {
+    /// Records that an attempt brought an event or a response of a healthy server.
+    pub fn record_answer<'a>(
+        &mut self,
+        now: Timestamp,
+        server: ServerKey,
+        subjects: impl Into<RequestSubjects<'a>>,
+    ) {
         let incarnation = self.registry.server(server).incarnation_hash();
-        self.crash_ledger.record_event(now, incarnation, prompt);
+        self.crash_ledger.record_event(now, incarnation, subjects);
     }
 
     /// Advances the time of the newest registration data to that of a peer's data.
--- a/crates/teaselglade-host/src/state/host_state.rs
+++ b/crates/teaselglade-host/src/state/host_state.rs
@@ -10,7 +10,7 @@
 use teaselglade_core::port::ClockPort;
 use teaselglade_core::time::Timestamp;
 use teaselglade_net::clock::SystemClock;
-use teaselglade_routing::crash::{CrashLedger, PartChange, PartStanding};
+use teaselglade_routing::crash::{CrashLedger, SubjectChange, SubjectStanding};
 use teaselglade_routing::gossip::PeerAddress;
 use teaselglade_routing::limit::{
     LimitChange, LimitReport, LimitWord, PermitAnswer, PermitRequest, RequestLimit,
@@ -341,13 +341,13 @@
             .record_permit_denial(server, until);
     }
 
-    /// Drops old evidence on prompt parts, and logs and counts what changed.
-    pub fn report_part_changes(&self, now: Timestamp, crash_ledger: &mut CrashLedger) {
+    /// Drops old evidence on subjects, and logs and counts what changed.
+    pub fn report_subject_changes(&self, now: Timestamp, crash_ledger: &mut CrashLedger) {
         crash_ledger.prune(now);
-        for PartChange { before, report } in crash_ledger.take_changes() {
+        for SubjectChange { before, report } in crash_ledger.take_changes() {
             info!(
                 event = "part_standing",
-                part = report.part,
+                part = report.subject,
                 before = before.name(),
                 after = report.standing.name(),
                 ends = report.ends,
@@ -355,7 +355,7 @@
                 trials = report.trials,
             );
         }
-        for standing in [PartStanding::Contained, PartStanding::Quarantined] {
+        for standing in [SubjectStanding::Contained, SubjectStanding::Quarantined] {
             let count = crash_ledger.count_with(standing);
             let gauge = self.metrics.crashes.suspect_parts(standing.name());
             gauge.set(i64::try_from(count).unwrap_or(i64::MAX));
--- a/crates/teaselglade-host/tests/host/fleet_model.rs
+++ b/crates/teaselglade-host/tests/host/fleet_model.rs
@@ -7,7 +7,7 @@
 use teaselglade_core::time::Timestamp;
 use teaselglade_host::settings::{DutySettings, HostSettings, ListenAddresses, LogSettings};
 use teaselglade_host::state::DecisionState;
-use teaselglade_routing::crash::PartEvidence;
+use teaselglade_routing::crash::SubjectEvidence;
 use teaselglade_routing::gossip::{AggregateDigest, CandidateHost, HostDigest, PeerAddress};
 use teaselglade_routing::limit::LimitReport;
 use teaselglade_routing::registry::UpdateScope;
@@ -30,7 +30,7 @@
 pub enum ModelDigest {
     Host(Box<HostDigest>),
     Aggregate(Box<AggregateDigest>),
-    Parts(Vec<PartEvidence>),
+    Parts(Vec<SubjectEvidence>),
     Limits(LimitReport),
 }
 
@@ -166,7 +166,7 @@
             requested_aggregator,
             peers: Vec::new(),
             zone: self.zone.to_owned(),
-            part_evidence: decisions.crash_ledger.evidence(time, scope),
+            crash_evidence: decisions.crash_ledger.evidence(time, scope),
         };
         (digest, decisions.membership.gossip_targets(time))
     }
@@ -210,7 +210,7 @@
                 }
                 let age = Duration::from_millis(digest.update_age_ms);
                 decisions.merge_server_updates(time, age, digest.updates, &digest.departures);
-                decisions.crash_ledger.merge(time, &digest.part_evidence);
+                decisions.crash_ledger.merge(time, &digest.crash_evidence);
                 decisions.engine_placer.merge_peer_state(
                     time,
                     &decisions.registry,
@@ -256,7 +256,7 @@
 }
 
 /// Returns evidence whose ages have grown.
-fn aged(mut part: PartEvidence, elapsed_ms: u64) -> PartEvidence {
+fn aged(mut part: SubjectEvidence, elapsed_ms: u64) -> SubjectEvidence {
     part.request_age_ms += elapsed_ms;
     for end in &mut part.ends {
         end.age_ms += elapsed_ms;
--- a/crates/teaselglade-host/tests/host/part_crashes.rs
+++ b/crates/teaselglade-host/tests/host/part_crashes.rs
@@ -9,7 +9,7 @@
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg32;
 use teaselglade_core::id::ServerKey;
-use teaselglade_routing::crash::PartStanding;
+use teaselglade_routing::crash::{CrashSubject, SubjectStanding};
 use teaselglade_routing::engine::{EngineQuery, EngineReservation, PromptShape};
 use teaselglade_routing::registry::{RegistrationState, ServerRegistration, UpdateScope};
 use teaselglade_routing::table::EngineSpec;
@@ -401,8 +401,8 @@
         let request = &mut self.requests[number];
         let decisions = &mut self.hosts[request.host].decisions;
         let attempt = request.attempts + 1;
-        let permit = decisions.permit_prompt(at(now), ORGANISATION, &request.prompt, attempt);
-        let Ok(selected_by) = permit else {
+        let permit = decisions.permit_attempt(at(now), ORGANISATION, &request.prompt, attempt);
+        let Ok(run) = permit else {
             request.is_over = true;
             return;
         };
@@ -420,14 +420,14 @@
             tried: &request.tried,
             is_continued: false,
             is_load_stale: decisions.membership.is_large(),
-            selected_by,
+            selected_by: run.map(|run| (run.subject.selector(), run.rank)),
         };
         let placed = decisions
             .engine_placer
             .place(at(now), &decisions.registry, &query);
-        if let Some((part, _rank)) = selected_by {
+        if let Some(run) = run {
             // The model's attempts are short, so that one at a time is not modelled.
-            decisions.crash_ledger.record_contained_end(part);
+            decisions.crash_ledger.record_contained_end(run.subject);
         }
         let Ok(reservation) = placed else {
             request.is_over = true;
@@ -510,7 +510,7 @@
         decisions
             .engine_placer
             .record_first_event(at(now), "draft-fleet", reservation.id);
-        decisions.record_prompt_event(at(now), reservation.server, &request.prompt);
+        decisions.record_answer(at(now), reservation.server, &request.prompt);
         let length = self.random.random_range(200..1_500);
         self.schedule(now + length, FleetEvent::Finish(number));
     }
@@ -609,7 +609,7 @@
                 .map(|host| host.decisions.crash_ledger.count_with(standing));
             counts.max().unwrap_or(0)
         };
-        self.quarantined = self.quarantined.max(standing(PartStanding::Quarantined));
+        self.quarantined = self.quarantined.max(standing(SubjectStanding::Quarantined));
         let in_touch = self
             .hosts
             .iter()
@@ -620,7 +620,7 @@
             let lag = first_unknown.map_or(0, |ended_at| now - ended_at);
             self.longest_lag_ms = self.longest_lag_ms.max(lag);
         }
-        if standing(PartStanding::Contained) == 0 {
+        if standing(SubjectStanding::Contained) == 0 {
             self.contained_since = None;
             return;
         }
@@ -673,7 +673,9 @@
         .decisions
         .crash_ledger
         .evidence(at(now), UpdateScope::All);
-    let bad = evidence.iter().filter(|known| known.part >= BAD_PART);
+    let bad = evidence
+        .iter()
+        .filter(|known| known.subject >= CrashSubject::Part(BAD_PART));
     bad.map(|known| known.ends.len()).sum()
 }
 
--- a/crates/teaselglade-routing/src/attempt/attempt_outcome.rs
+++ b/crates/teaselglade-routing/src/attempt/attempt_outcome.rs
@@ -5,6 +5,8 @@
     pub enum AttemptOutcome {
         /// No connection was made, so nothing was sent.
         Unreachable,
+        /// Nothing was sent, as a subject of the request became quarantined.
+        Withheld,
         /// The server rejected the request without running it.
         Rejected,
         /// Another server runs at the address and did not run the request.
@@ -34,6 +36,6 @@
     /// Returns whether the request reached the server.
     #[must_use]
     pub const fn has_arrived(self) -> bool {
-        !matches!(self, Self::Unreachable)
+        !matches!(self, Self::Unreachable | Self::Withheld)
     }
 }
--- a/crates/teaselglade-routing/src/attempt/attempt_tracker.rs
+++ b/crates/teaselglade-routing/src/attempt/attempt_tracker.rs
@@ -75,6 +75,10 @@
                 NextStep::GiveUp(self.verdict)
             };
         }
+        if outcome == AttemptOutcome::Withheld {
+            self.sent.retain(|sent| *sent != server);
+            return NextStep::Reconnect;
+        }
         if outcome.may_have_run() {
             let progress = teaselglade_core::verdict::SendProgress::MaybeSent;
             self.verdict = self.verdict.and(ExecutionVerdict::after_attempt(progress));
--- a/crates/teaselglade-routing/src/crash/crash_ledger.rs
+++ b/crates/teaselglade-routing/src/crash/crash_ledger.rs
@@ -1,101 +1,114 @@
-//! Evidence on prompt parts, and what follows from it for placement.
+//! Evidence on requests and prompt parts, and what follows from it for placement.
 
 use std::collections::{HashMap, HashSet};
 use std::time::Duration;
 
 use teaselglade_core::time::Timestamp;
 
-use super::explained_ends::ExplainedEnds;
-use super::part_record::PartRecord;
-use super::{PartChange, PartEvidence, PartPermit, PartQuery, PartReport, PartStanding};
-use crate::engine::PromptShape;
+use super::end_view::{EndView, ServerEnd};
+use super::subject_record::SubjectRecord;
+use super::{
+    ContainedRun, CrashSubject, RequestHash, RequestSubjects, SubjectChange, SubjectEvidence,
+    SubjectPermit, SubjectQuery, SubjectReport, SubjectStanding,
+};
 use crate::gossip::name_hash;
 use crate::registry::UpdateScope;
 
-/// Maximum number of parts with evidence that a host remembers, apart from quarantined ones.
-const MAX_PARTS: usize = 4_096;
-/// Maximum number of parts in one digest; about 3 KB.
-const MAX_DIGEST_PARTS: usize = 24;
+/// Maximum number of subjects with evidence that a host remembers, apart from quarantined ones.
+const MAX_SUBJECTS: usize = 4_096;
+/// Maximum number of subjects in one digest; about 3 KB.
+const MAX_DIGEST_SUBJECTS: usize = 24;
 /// Time for which a change is gossiped by hosts that do not pass on everything.
 ///
 /// It spans several digests, as digests get lost.
 const CHANGE_GOSSIP_TTL: Duration = Duration::from_secs(3);
-/// Time for which a part's last event is remembered; news of ends take less.
-const EVENT_MEMORY: Duration = Duration::from_secs(5);
+/// Time for which a subject's last answer is remembered; news of ends take less.
+const ANSWER_MEMORY: Duration = Duration::from_secs(5);
 /// Time after the news of a server's end from which a response of it refutes the news.
 ///
 /// Responses sent before the end may arrive until then.
 const LATE_RESPONSE: Duration = Duration::from_millis(100);
 /// Time without an event of a contained attempt after which another one may run.
 ///
-/// Its server may be stuck, which says nothing of the part.
+/// Its server may be stuck, which says nothing of the subject.
 const CONTAINED_PATIENCE: Duration = Duration::from_secs(1);
-/// Delay for requests with a contained part while another one runs on this host.
+/// Delay for requests with a contained subject while another one runs.
 const CONTAINED_RETRY_DELAY: Duration = Duration::from_millis(300);
 
-/// Evidence on prompt parts, and what follows from it for placement.
+/// Evidence on requests and prompt parts, and what follows from it for placement.
 ///
-/// A server that ends while an attempt there has brought no event speaks against each part of that
-/// prompt but the last, which no other request has. An event speaks for all of them. A part is
-/// contained from two ended servers on and quarantined from three on, if no other quarantined part
-/// explains them. Hosts exchange their evidence in digests.
+/// A server that ends while an attempt there has brought no event or response speaks against the
+/// request as a whole and against each part of its prompt but the last, which no other request has.
+/// An event or response speaks for all of them. A subject is contained from two ended servers on and
+/// quarantined from three on, if no other quarantined subject explains them. Hosts exchange their
+/// evidence in digests.
 ///
 /// # Examples
 ///
 /// ```
-/// use std::time::Duration;
 /// use teaselglade_core::time::Timestamp;
-/// use teaselglade_routing::crash::{CrashLedger, PartPermit, PartQuery};
+/// use teaselglade_routing::crash::{
+///     CrashLedger, CrashSubject, RequestSubjects, SubjectPermit, SubjectQuery,
+/// };
 /// use teaselglade_routing::engine::PromptShape;
 ///
 /// let mut ledger = CrashLedger::default();
 /// let prompt = PromptShape::new(900, 40, [(1, 400), (2, 300), (3, 200)]);
+/// let subjects = RequestSubjects::from(&prompt);
 /// for server in 1..=3 {
-///     ledger.record_end(Timestamp::from_millis(1_000 * server), server, "kati", &prompt);
+///     ledger.record_end(Timestamp::from_millis(1_000 * server), server, "kati", subjects);
 /// }
-/// let query = PartQuery { organisation: "kati", prompt: &prompt, is_repeat: false, may_try: false };
+/// let query = SubjectQuery { organisation: "kati", subjects, is_repeat: false, may_try: false };
 /// let permit = ledger.permit(Timestamp::from_millis(4_000), &query);
-/// assert!(matches!(permit, PartPermit::Refused { part: 2, .. }));
+/// assert!(matches!(permit, SubjectPermit::Refused { subject: CrashSubject::Part(2), .. }));
 /// ```
 #[derive(Debug, Clone, Default)]
 pub struct CrashLedger {
-    parts: HashMap<u64, PartRecord>,
-    /// Time of the last event of each part that brought one lately.
-    event_times: HashMap<u64, Timestamp>,
-    changes: Vec<PartChange>,
+    records: HashMap<CrashSubject, SubjectRecord>,
+    /// Time of the last answer to each subject that got one lately.
+    answer_times: HashMap<CrashSubject, Timestamp>,
+    /// Incarnations with an end that is not refuted.
+    ended: HashSet<u64>,
+    changes: Vec<SubjectChange>,
 }
 
 impl CrashLedger {
-    /// Records that a server ended while an attempt with this prompt had brought no event.
+    /// Records that a server ended while an attempt had brought no event or response.
     ///
     /// `incarnation` identifies the server and its start.
-    pub fn record_end(
+    pub fn record_end<'a>(
         &mut self,
         now: Timestamp,
         incarnation: u64,
         organisation: &str,
-        prompt: &PromptShape,
+        subjects: impl Into<RequestSubjects<'a>>,
     ) {
         let organisation = name_hash(organisation);
-        for (depth, part) in prompt.shared_ids().enumerate() {
-            let record = self.record(now, part);
-            let depth = u8::try_from(depth).unwrap_or(u8::MAX);
+        for (subject, depth) in subjects.into().with_depths() {
+            let record = self.record(now, subject);
             record.record_end(now, incarnation, organisation, depth);
         }
         self.update_standings(now);
     }
 
-    /// Records that an attempt with this prompt brought an event on a server.
-    pub fn record_event(&mut self, now: Timestamp, incarnation: u64, prompt: &PromptShape) {
+    /// Records that an attempt brought an event or response on a server.
+    pub fn record_event<'a>(
+        &mut self,
+        now: Timestamp,
+        incarnation: u64,
+        subjects: impl Into<RequestSubjects<'a>>,
+    ) {
         let mut is_changed = false;
-        for part in prompt.shared_ids() {
-            self.event_times.insert(part, now);
-            if let Some(record) = self.parts.get_mut(&part) {
+        for subject in subjects.into().subjects() {
+            self.answer_times.insert(subject, now);
+            if let Some(record) = self.records.get_mut(&subject) {
                 is_changed |= record.refute_all(now);
             }
         }
-        for record in self.parts.values_mut() {
-            is_changed |= record.refute_end(now, incarnation, LATE_RESPONSE);
+        if self.ended.contains(&incarnation) {
+            for record in self.records.values_mut() {
+                is_changed |= record.refute_end(now, incarnation, LATE_RESPONSE);
+            }
         }
         if is_changed {
             self.update_standings(now);
@@ -106,36 +119,36 @@
     ///
     /// Each attempt that is permitted as contained must be reported by
     /// [`CrashLedger::record_contained_end`] when it is over.
-    pub fn permit(&mut self, now: Timestamp, query: &PartQuery<'_>) -> PartPermit {
-        if self.parts.is_empty() {
-            return PartPermit::Unrestricted;
-        }
-        let organisation = name_hash(query.organisation);
-        let records = query.prompt.shared_ids().filter_map(|part| {
-            let record = self.parts.get(&part)?;
-            let is_bound =
-                record.standing == PartStanding::Quarantined && record.binds(organisation);
-            (record.standing > PartStanding::Clear).then_some((is_bound, part))
-        });
-        let Some((is_bound, part)) = records.max() else {
-            return PartPermit::Unrestricted;
+    pub fn permit(&mut self, now: Timestamp, query: &SubjectQuery<'_>) -> SubjectPermit {
+        let Some((is_bound, subject)) = self.gravest(query.organisation, query.subjects) else {
+            return SubjectPermit::Unrestricted;
         };
-        let record = self.record(now, part);
+        let record = self.record(now, subject);
         let trial_at = record.next_trial();
-        let is_trial = is_bound
-            && query.may_try
-            && record.running == 0
-            && trial_at.is_some_and(|due| due <= now);
+        let may_try = query.may_try && record.running == 0;
+        let is_trial = if is_bound {
+            may_try && trial_at.is_some_and(|due| due <= now)
+        } else {
+            record.has_only_trials()
+        };
         if is_bound && !is_trial {
             record.record_refusal(now);
             let retry_at = trial_at.unwrap_or_else(|| record.lapses_at());
             let retry_after = retry_at.since(now).max(CONTAINED_RETRY_DELAY);
-            return PartPermit::Refused { part, retry_after };
+            return SubjectPermit::Refused {
+                subject,
+                retry_after,
+            };
         }
         let is_waiting = record.running > 0 && now.since(record.started_at) < CONTAINED_PATIENCE;
-        if query.is_repeat || is_waiting {
+        let is_denied = is_trial && (!may_try || record.is_tried_out());
+        if query.is_repeat || is_waiting || is_denied {
+            record.record_refusal(now);
             let retry_after = CONTAINED_RETRY_DELAY;
-            return PartPermit::Refused { part, retry_after };
+            return SubjectPermit::Refused {
+                subject,
+                retry_after,
+            };
         }
         if is_trial {
             record.record_trial(now);
@@ -143,28 +156,47 @@
         let rank = record.running;
         record.running += 1;
         record.started_at = now;
-        PartPermit::Contained { part, rank }
+        SubjectPermit::Contained(ContainedRun {
+            subject,
+            rank,
+            is_trial,
+        })
+    }
+
+    /// Returns whether a request must not be sent, as a subject of it is quarantined.
+    #[must_use]
+    pub fn is_quarantined(&self, organisation: &str, subjects: RequestSubjects<'_>) -> bool {
+        let gravest = self.gravest(organisation, subjects);
+        gravest.is_some_and(|(is_bound, _subject)| is_bound)
+    }
+
+    /// Returns whether a server ended under a request with the same content.
+    #[must_use]
+    pub fn is_suspect(&self, request: RequestHash) -> bool {
+        let record = self.records.get(&CrashSubject::Request(request));
+        record.is_some_and(SubjectRecord::is_open)
     }
 
     /// Records that a contained attempt is over, whatever its outcome.
-    pub fn record_contained_end(&mut self, part: u64) {
-        if let Some(record) = self.parts.get_mut(&part) {
+    pub fn record_contained_end(&mut self, subject: CrashSubject) {
+        if let Some(record) = self.records.get_mut(&subject) {
             record.running = record.running.saturating_sub(1);
         }
     }
 
     /// Merges the evidence of a peer.
-    pub fn merge(&mut self, now: Timestamp, evidence: &[PartEvidence]) {
+    pub fn merge(&mut self, now: Timestamp, evidence: &[SubjectEvidence]) {
         let mut is_changed = false;
         for received in evidence {
-            if !self.parts.contains_key(&received.part) && PartRecord::is_expiring(received) {
+            let is_known = self.records.contains_key(&received.subject);
+            if !is_known && SubjectRecord::is_expiring(received) {
                 continue;
             }
-            let last_event = self.event_times.get(&received.part).copied();
-            let record = self.record(now, received.part);
+            let last_answer = self.answer_times.get(&received.subject).copied();
+            let record = self.record(now, received.subject);
             is_changed |= record.merge(now, received);
-            if let Some(last_event) = last_event {
-                is_changed |= record.refute_until(now, last_event);
+            if let Some(last_answer) = last_answer {
+                is_changed |= record.refute_until(now, last_answer);
             }
         }
         if is_changed {
@@ -176,45 +208,46 @@
     ///
     /// With [`UpdateScope::Local`] only what changed lately on this host.
     #[must_use]
-    pub fn evidence(&self, now: Timestamp, scope: UpdateScope) -> Vec<PartEvidence> {
-        let mut records: Vec<&PartRecord> = self
-            .parts
+    pub fn evidence(&self, now: Timestamp, scope: UpdateScope) -> Vec<SubjectEvidence> {
+        let mut records: Vec<&SubjectRecord> = self
+            .records
             .values()
             .filter(|record| match scope {
                 UpdateScope::All => {
-                    record.is_open() || record.is_changed_within(now, CHANGE_GOSSIP_TTL)
+                    record.is_repeated() || record.is_changed_within(now, CHANGE_GOSSIP_TTL)
                 }
                 UpdateScope::Local => record.is_found_within(now, CHANGE_GOSSIP_TTL),
             })
             .collect();
         records.sort_unstable_by_key(|record| std::cmp::Reverse(record.weight()));
-        let records = records.into_iter().take(MAX_DIGEST_PARTS);
+        let records = records.into_iter().take(MAX_DIGEST_SUBJECTS);
         records.map(|record| record.evidence(now)).collect()
     }
 
-    /// Returns the parts that are contained or quarantined, the gravest first.
+    /// Returns the subjects that are contained or quarantined, the gravest first.
     #[must_use]
-    pub fn reports(&self, now: Timestamp) -> Vec<PartReport> {
-        let records = self.parts.values();
-        let suspects = records.filter(|record| record.standing > PartStanding::Clear);
-        let mut reports: Vec<PartReport> = suspects.map(|record| record.report(now)).collect();
+    pub fn reports(&self, now: Timestamp) -> Vec<SubjectReport> {
+        let records = self.records.values();
+        let suspects = records.filter(|record| record.standing > SubjectStanding::Clear);
+        let mut reports: Vec<SubjectReport> = suspects.map(|record| record.report(now)).collect();
         reports.sort_unstable_by(|a, b| {
             let by_standing = b.standing.cmp(&a.standing);
-            by_standing.then_with(|| a.part.cmp(&b.part))
+            by_standing.then_with(|| a.subject.cmp(&b.subject))
         });
         reports
     }
 
-    /// Refutes all evidence against a part on an operator's order; returns whether there was any.
+    /// Refutes all evidence against a subject on an operator's order; returns whether there was any.
     ///
     /// The other hosts hear of it like of any refutation.
-    pub fn lift(&mut self, now: Timestamp, part: u64) -> bool {
-        let Some(lifted) = self.parts.get(&part).filter(|record| record.is_open()) else {
+    pub fn lift(&mut self, now: Timestamp, subject: CrashSubject) -> bool {
+        let lifted = self.records.get(&subject);
+        let Some(lifted) = lifted.filter(|record| record.is_open()) else {
             return false;
         };
-        // Parts that came along must not be blamed for the same ends now.
+        // Subjects that came along must not be blamed for the same ends now.
         let ends: Vec<u64> = lifted.open_incarnations().collect();
-        for record in self.parts.values_mut() {
+        for record in self.records.values_mut() {
             for end in &ends {
                 record.refute_end(now, *end, Duration::ZERO);
             }
@@ -223,41 +256,41 @@
         true
     }
 
-    /// Returns the evidence against the quarantined parts, by part.
+    /// Returns the evidence against the quarantined subjects, by subject.
     #[must_use]
-    pub fn quarantined(&self, now: Timestamp) -> Vec<PartEvidence> {
-        let records = self.parts.values();
-        let quarantined = records.filter(|record| record.standing == PartStanding::Quarantined);
-        let mut evidence: Vec<PartEvidence> =
+    pub fn quarantined(&self, now: Timestamp) -> Vec<SubjectEvidence> {
+        let records = self.records.values();
+        let quarantined = records.filter(|record| record.standing == SubjectStanding::Quarantined);
+        let mut evidence: Vec<SubjectEvidence> =
             quarantined.map(|record| record.evidence(now)).collect();
-        evidence.sort_unstable_by_key(|evidence| evidence.part);
+        evidence.sort_unstable_by_key(|evidence| evidence.subject);
         evidence
     }
 
     /// Drops evidence that is too old, and the least weighty beyond the limit.
     pub fn prune(&mut self, now: Timestamp) {
-        self.event_times
-            .retain(|_, event_at| now.since(*event_at) < EVENT_MEMORY);
-        let expired = self.parts.iter_mut().filter_map(|(part, record)| {
+        self.answer_times
+            .retain(|_, answered_at| now.since(*answered_at) < ANSWER_MEMORY);
+        let expired = self.records.iter_mut().filter_map(|(subject, record)| {
             let is_expired = record.prune(now) && record.running == 0;
-            is_expired.then_some(*part)
+            is_expired.then_some(*subject)
         });
-        let expired: Vec<u64> = expired.collect();
-        for part in &expired {
-            self.remove(now, *part);
+        let expired: Vec<CrashSubject> = expired.collect();
+        for subject in &expired {
+            self.remove(now, *subject);
         }
-        let mut by_weight: Vec<(PartStanding, usize, Timestamp, u64)> = Vec::new();
-        if self.parts.len() > MAX_PARTS {
-            by_weight.extend(self.parts.iter().map(|(part, record)| {
+        let mut by_weight: Vec<(SubjectStanding, usize, Timestamp, CrashSubject)> = Vec::new();
+        if self.records.len() > MAX_SUBJECTS {
+            by_weight.extend(self.records.iter().map(|(subject, record)| {
                 let (standing, ends, changed_at) = record.weight();
-                (standing, ends, changed_at, *part)
+                (standing, ends, changed_at, *subject)
             }));
             by_weight.sort_unstable();
         }
-        let excess = self.parts.len().saturating_sub(MAX_PARTS);
-        for (standing, _, _, part) in by_weight.into_iter().take(excess) {
-            if standing < PartStanding::Quarantined {
-                self.remove(now, part);
+        let excess = self.records.len().saturating_sub(MAX_SUBJECTS);
+        for (standing, _, _, subject) in by_weight.into_iter().take(excess) {
+            if standing < SubjectStanding::Quarantined {
+                self.remove(now, subject);
             }
         }
         if !expired.is_empty() {
@@ -265,73 +298,146 @@
         }
     }
 
-    /// Returns the number of parts with a standing.
+    /// Returns the number of subjects with a standing.
     #[must_use]
-    pub fn count_with(&self, standing: PartStanding) -> usize {
-        let records = self.parts.values();
+    pub fn count_with(&self, standing: SubjectStanding) -> usize {
+        let records = self.records.values();
         records.filter(|record| record.standing == standing).count()
     }
 
     /// Returns the changes of standing since the last call.
-    pub fn take_changes(&mut self) -> Vec<PartChange> {
+    pub fn take_changes(&mut self) -> Vec<SubjectChange> {
         std::mem::take(&mut self.changes)
     }
 
-    fn record(&mut self, now: Timestamp, part: u64) -> &mut PartRecord {
-        let parts = &mut self.parts;
-        parts
-            .entry(part)
-            .or_insert_with(|| PartRecord::new(now, part))
+    /// Returns the gravest subject of a request, and whether it is quarantined for its caller.
+    fn gravest(
+        &self,
+        organisation: &str,
+        subjects: RequestSubjects<'_>,
+    ) -> Option<(bool, CrashSubject)> {
+        if self.records.is_empty() {
+            return None;
+        }
+        let organisation = name_hash(organisation);
+        let suspects = subjects.subjects().filter_map(|subject| {
+            let record = self.records.get(&subject)?;
+            let is_bound =
+                record.standing == SubjectStanding::Quarantined && record.binds(organisation);
+            (record.standing > SubjectStanding::Clear).then_some((is_bound, subject))
+        });
+        suspects.max()
+    }
+
+    fn record(&mut self, now: Timestamp, subject: CrashSubject) -> &mut SubjectRecord {
+        let records = &mut self.records;
+        records
+            .entry(subject)
+            .or_insert_with(|| SubjectRecord::new(now, subject))
     }
 
-    fn remove(&mut self, now: Timestamp, part: u64) {
-        let Some(mut record) = self.parts.remove(&part) else {
+    fn remove(&mut self, now: Timestamp, subject: CrashSubject) {
+        let Some(mut record) = self.records.remove(&subject) else {
             return;
         };
-        let before = std::mem::replace(&mut record.standing, PartStanding::Clear);
-        if before != PartStanding::Clear {
+        let before = std::mem::replace(&mut record.standing, SubjectStanding::Clear);
+        if before != SubjectStanding::Clear {
             let report = record.report(now);
-            self.changes.push(PartChange { before, report });
+            self.changes.push(SubjectChange { before, report });
         }
     }
 
-    /// Decides the standing of all parts anew.
+    /// Decides the standing of all subjects anew.
     ///
-    /// Quarantined parts explain the servers that ended on them. Of the others the most suspicious one
-    /// is quarantined first, so that parts that only come along with it stay free.
+    /// Quarantined subjects explain the servers that ended on them. Of the others the most suspicious
+    /// one is quarantined first, so that those that only come along with it stay free.
     fn update_standings(&mut self, now: Timestamp) {
-        let (mut explained, mut quarantined) = (ExplainedEnds::default(), HashSet::new());
-        for (part, record) in &self.parts {
-            if record.keeps_quarantine(now) {
+        let known = self.known_ends();
+        let nothing = HashSet::new();
+        let all = EndView {
+            explained: &nothing,
+            known: &known,
+        };
+        let (mut explained, mut quarantined) = (HashSet::new(), HashSet::new());
+        for (subject, record) in &self.records {
+            if record.keeps_quarantine(now, all) {
                 explained.extend(record.open_incarnations());
-                quarantined.insert(*part);
+                quarantined.insert(*subject);
             }
         }
         loop {
-            let next = self
-                .parts
-                .iter()
-                .filter(|(part, record)| {
-                    !quarantined.contains(*part) && record.needs_quarantine(&explained)
-                })
-                .max_by_key(|(_, record)| record.suspicion(&explained));
-            let Some((part, record)) = next else {
+            let view = EndView {
+                explained: &explained,
+                known: &known,
+            };
+            let candidates = self.records.iter().filter(|(subject, record)| {
+                !quarantined.contains(*subject)
+                    && record.needs_quarantine(all, view)
+                    && !self.is_ambiguous(**subject, record)
+            });
+            let Some((subject, record)) =
+                candidates.max_by_key(|(_, record)| record.suspicion(view))
+            else {
                 break;
             };
-            quarantined.insert(*part);
+            quarantined.insert(*subject);
             explained.extend(record.open_incarnations());
         }
-        for (part, record) in &mut self.parts {
-            let after = if quarantined.contains(part) {
-                PartStanding::Quarantined
+        let explained_to_parts = self.explain_by_requests(&explained, &known);
+        for (subject, record) in &mut self.records {
+            let view = EndView {
+                explained: match subject {
+                    CrashSubject::Part(_) => &explained_to_parts,
+                    CrashSubject::Request(_) => &explained,
+                },
+                known: &known,
+            };
+            let after = if quarantined.contains(subject) {
+                SubjectStanding::Quarantined
             } else {
-                record.milder_standing(&explained)
+                record.milder_standing(view)
             };
             let before = std::mem::replace(&mut record.standing, after);
             if before != after {
                 let report = record.report(now);
-                self.changes.push(PartChange { before, report });
+                self.changes.push(SubjectChange { before, report });
             }
         }
+        let open = self.records.values();
+        self.ended = open.flat_map(SubjectRecord::open_incarnations).collect();
+    }
+
+    /// Returns whether another request ran on all servers that ended under this one.
+    ///
+    /// Either may have ended them; the next attempt of one of them tells which.
+    fn is_ambiguous(&self, subject: CrashSubject, record: &SubjectRecord) -> bool {
+        if matches!(subject, CrashSubject::Part(_)) {
+            return false;
+        }
+        let mut others = self
+            .records
+            .iter()
+            .filter(|(other, _)| **other != subject && matches!(other, CrashSubject::Request(_)));
+        others.any(|(_, other)| other.has_open_ends_of(record))
+    }
+
+    /// Returns the ends that quarantined subjects or contained requests explain.
+    fn explain_by_requests(&self, explained: &HashSet<u64>, known: &[ServerEnd]) -> HashSet<u64> {
+        let view = EndView { explained, known };
+        let requests = self.records.iter().filter(|(subject, record)| {
+            matches!(subject, CrashSubject::Request(_))
+                && record.milder_standing(view) == SubjectStanding::Contained
+        });
+        let ends = requests.flat_map(|(_, record)| record.open_incarnations());
+        explained.iter().copied().chain(ends).collect()
+    }
+
+    /// Returns the known ends of servers under any subject, in order of time.
+    fn known_ends(&self) -> Vec<ServerEnd> {
+        let ends = self.records.values().flat_map(SubjectRecord::all_ends);
+        let mut ends: Vec<ServerEnd> = ends.collect();
+        ends.sort_unstable_by_key(|(incarnation, ended_at)| (*ended_at, *incarnation));
+        ends.dedup();
+        ends
     }
 }
--- a/crates/teaselglade-routing/src/crash/mod.rs
+++ b/crates/teaselglade-routing/src/crash/mod.rs
@@ -1,13 +1,19 @@
-//! Prompt parts that end the servers which begin to write on them.
+//! Requests and prompt parts that end the servers which run them.
 
 mod crash_ledger;
-mod explained_ends;
-mod part_evidence;
-mod part_permit;
-mod part_record;
-mod part_report;
+mod crash_subject;
+mod end_view;
+mod request_hash;
+mod request_subjects;
+mod subject_evidence;
+mod subject_permit;
+mod subject_record;
+mod subject_report;
 
 pub use crash_ledger::CrashLedger;
-pub use part_evidence::{EndEvidence, PartEvidence};
-pub use part_permit::{PartPermit, PartQuery};
-pub use part_report::{PartChange, PartReport, PartStanding};
+pub use crash_subject::{CrashSubject, SubjectError};
+pub use request_hash::{RequestContent, RequestHash};
+pub use request_subjects::RequestSubjects;
+pub use subject_evidence::{EndEvidence, SubjectEvidence};
+pub use subject_permit::{ContainedRun, SubjectPermit, SubjectQuery};
+pub use subject_report::{SubjectChange, SubjectReport, SubjectStanding};
--- a/crates/teaselglade-routing/src/crash/part_record.rs
+++ b/crates/teaselglade-routing/src/crash/subject_record.rs
@@ -1,31 +1,31 @@
-//! What a host knows of one prompt part.
+//! What a host knows of one subject.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use teaselglade_core::time::Timestamp;
 
-use super::explained_ends::ExplainedEnds;
-use super::{EndEvidence, PartEvidence, PartReport, PartStanding};
+use super::end_view::{EndView, ServerEnd};
+use super::{CrashSubject, EndEvidence, SubjectEvidence, SubjectReport, SubjectStanding};
 
-/// Number of ended servers from which a part is contained.
+/// Number of ended servers from which a subject is contained.
 const CONTAINED_ENDS: usize = 2;
-/// Number of ended servers from which a part is quarantined.
+/// Number of ended servers from which a subject is quarantined.
 const QUARANTINED_ENDS: usize = 3;
 /// Number of organisations with evidence from which a quarantine holds for all.
 const ALL_ORGANISATIONS: usize = 3;
-/// Maximum number of ends kept of one part; quarantine and all trials need fewer.
+/// Maximum number of ends kept of one subject; quarantine and all trials need fewer.
 const MAX_ENDS: usize = 16;
-/// Time for which an end counts if the part is not quarantined.
+/// Time for which an end counts if the subject is not quarantined.
 const EVIDENCE_TTL: Duration = Duration::from_mins(10);
-/// Time without a request with the part after which a quarantine lapses.
+/// Time without a request with the subject after which a quarantine lapses.
 const QUARANTINE_TTL: Duration = Duration::from_mins(10);
 /// Smallest advance of the last request's time that a peer's message makes.
 ///
 /// Each message arrives later than its ages say. Without it, the delays of messages that go round
 /// would add up and keep a quarantine in force.
 const MIN_REQUEST_ADVANCE: Duration = Duration::from_secs(5);
-/// Interval at which a host tells others that requests with a quarantined part still come.
+/// Interval at which a host tells others that requests with a quarantined subject still come.
 const REQUEST_REPORT_INTERVAL: Duration = Duration::from_mins(1);
 /// Time from the last end or trial to the first trial; each later one waits four times as long.
 const FIRST_TRIAL_DELAY: Duration = Duration::from_mins(1);
@@ -42,10 +42,10 @@
     is_refuted: bool,
 }
 
-/// What a host knows of one prompt part.
+/// What a host knows of one subject.
 #[derive(Debug, Clone)]
-pub(super) struct PartRecord {
-    part: u64,
+pub(super) struct SubjectRecord {
+    subject: CrashSubject,
     depth: u8,
     ends: BTreeMap<u64, EndRecord>,
     trials: u32,
@@ -57,17 +57,17 @@
     changed_at: Timestamp,
     /// Time of the last change that this host found itself.
     found_at: Timestamp,
-    pub(super) standing: PartStanding,
+    pub(super) standing: SubjectStanding,
     /// Contained attempts of this host in progress.
     pub(super) running: u32,
     /// Start of the latest contained attempt.
     pub(super) started_at: Timestamp,
 }
 
-impl PartRecord {
-    pub(super) const fn new(now: Timestamp, part: u64) -> Self {
+impl SubjectRecord {
+    pub(super) const fn new(now: Timestamp, subject: CrashSubject) -> Self {
         Self {
-            part,
+            subject,
             depth: 0,
             ends: BTreeMap::new(),
             trials: 0,
@@ -76,13 +76,13 @@
             reported_at: now,
             changed_at: now,
             found_at: Timestamp::ZERO,
-            standing: PartStanding::Clear,
+            standing: SubjectStanding::Clear,
             running: 0,
             started_at: Timestamp::ZERO,
         }
     }
 
-    /// Records that a server ended while an attempt with the part had brought no event.
+    /// Records that a server ended while an attempt with the subject had brought nothing.
     pub(super) fn record_end(
         &mut self,
         now: Timestamp,
@@ -103,12 +103,12 @@
         self.limit_ends();
     }
 
-    /// Records that the part brought an event; all ends known by now are refuted.
+    /// Records that the subject was answered; all ends known by now are refuted.
     pub(super) fn refute_all(&mut self, now: Timestamp) -> bool {
         self.refute_until(now, now)
     }
 
-    /// Records that the part brought an event at `event_at`, which refutes the ends before it.
+    /// Records that the subject was answered at `event_at`, which refutes the ends before it.
     pub(super) fn refute_until(&mut self, now: Timestamp, event_at: Timestamp) -> bool {
         let ends = self.ends.values_mut();
         let earlier = ends.filter(|end| !end.is_refuted && end.ended_at <= event_at);
@@ -139,13 +139,13 @@
     }
 
     /// Returns whether evidence is about to expire, so that a host that dropped it ignores it.
-    pub(super) const fn is_expiring(evidence: &PartEvidence) -> bool {
+    pub(super) const fn is_expiring(evidence: &SubjectEvidence) -> bool {
         let age = Duration::from_millis(evidence.request_age_ms);
         age.as_millis() + MIN_REQUEST_ADVANCE.as_millis() >= QUARANTINE_TTL.as_millis()
     }
 
     /// Merges a peer's evidence; returns whether anything was new.
-    pub(super) fn merge(&mut self, now: Timestamp, evidence: &PartEvidence) -> bool {
+    pub(super) fn merge(&mut self, now: Timestamp, evidence: &SubjectEvidence) -> bool {
         let mut is_changed = evidence.depth > self.depth || evidence.trials > self.trials;
         self.depth = self.depth.max(evidence.depth);
         self.trials = self.trials.max(evidence.trials);
@@ -188,7 +188,7 @@
         is_changed
     }
 
-    /// Records a request with the part that was refused.
+    /// Records a request with the subject that was refused.
     pub(super) fn record_refusal(&mut self, now: Timestamp) {
         self.requested_at = now;
         if now.since(self.reported_at) >= REQUEST_REPORT_INTERVAL {
@@ -204,7 +204,7 @@
         (self.trials < MAX_TRIALS).then(|| last_end.max(self.tried_at) + delay)
     }
 
-    /// Records that this host tries the part again.
+    /// Records that this host tries the subject again.
     pub(super) fn record_trial(&mut self, now: Timestamp) {
         self.trials += 1;
         self.tried_at = now;
@@ -212,7 +212,7 @@
         self.mark_found(now);
     }
 
-    /// Returns when the quarantine lapses if no more requests with the part come.
+    /// Returns when the quarantine lapses if no more requests with the subject come.
     pub(super) fn lapses_at(&self) -> Timestamp {
         self.requested_at + QUARANTINE_TTL
     }
@@ -229,50 +229,75 @@
         organisations.len() >= ALL_ORGANISATIONS || organisations.contains(&organisation)
     }
 
-    /// Returns how many ended servers count that `explained` does not explain.
-    pub(super) fn counted_ends(&self, explained: &ExplainedEnds) -> usize {
-        let ends = self.open_ends();
-        explained.count_others(ends.map(|(incarnation, end)| (*incarnation, end.ended_at)))
+    /// Returns how many ended servers count that nothing else explains.
+    pub(super) fn counted_ends(&self, view: EndView<'_>) -> usize {
+        match self.subject {
+            CrashSubject::Part(_) => view.count_groups(self.server_ends()),
+            CrashSubject::Request(_) => {
+                let ends: Vec<ServerEnd> = self.server_ends().collect();
+                view.count_of_request(&ends)
+            }
+        }
+    }
+
+    /// Returns whether so many servers ended that each further attempt counts as a trial.
+    ///
+    /// They may have ended of a common cause, so that this alone refuses no request.
+    pub(super) fn has_only_trials(&self) -> bool {
+        matches!(self.subject, CrashSubject::Request(_))
+            && self.open_ends().count() >= QUARANTINED_ENDS
     }
 
-    /// Returns the incarnations that ended on the part and were not refuted.
+    /// Returns whether all trials have been made.
+    pub(super) const fn is_tried_out(&self) -> bool {
+        self.trials >= MAX_TRIALS
+    }
+
+    /// Returns the incarnations that ended on the subject and were not refuted.
     pub(super) fn open_incarnations(&self) -> impl Iterator<Item = u64> {
         self.open_ends().map(|(incarnation, _)| *incarnation)
     }
 
-    /// Returns whether enough servers ended to quarantine the part, given those that others explain.
-    pub(super) fn needs_quarantine(&self, explained: &ExplainedEnds) -> bool {
-        self.counted_ends(&ExplainedEnds::default()) >= QUARANTINED_ENDS
-            && self.counted_ends(explained) >= CONTAINED_ENDS
+    /// Returns whether enough servers ended to quarantine the subject.
+    ///
+    /// `unexplained` is the view with the ends that other subjects explain, `all` the one without.
+    pub(super) fn needs_quarantine(&self, all: EndView<'_>, unexplained: EndView<'_>) -> bool {
+        self.counted_ends(all) >= QUARANTINED_ENDS
+            && self.counted_ends(unexplained) >= CONTAINED_ENDS
     }
 
-    /// Returns the order in which parts are considered for a quarantine; the largest first.
+    /// Returns the order in which subjects are considered for a quarantine; the largest first.
     ///
-    /// Of parts that come together the one furthest back is the likeliest: parts before it occur in
-    /// more requests.
-    pub(super) fn suspicion(&self, explained: &ExplainedEnds) -> (usize, u8, u64) {
-        (self.counted_ends(explained), self.depth, self.part)
+    /// Of those that come together the most specific one is the likeliest: parts before it occur in
+    /// more requests, and a whole request has no others.
+    pub(super) fn suspicion(&self, view: EndView<'_>) -> (usize, u8, CrashSubject) {
+        (self.counted_ends(view), self.depth, self.subject)
     }
 
-    /// Returns the standing of a part that is not quarantined.
-    pub(super) fn milder_standing(&self, explained: &ExplainedEnds) -> PartStanding {
-        if self.counted_ends(explained) >= CONTAINED_ENDS {
-            PartStanding::Contained
+    /// Returns the standing of a subject that is not quarantined.
+    pub(super) fn milder_standing(&self, view: EndView<'_>) -> SubjectStanding {
+        let ends = match self.subject {
+            CrashSubject::Part(_) => self.counted_ends(view),
+            // One caller's attempts may end several servers together.
+            CrashSubject::Request(_) => view.count_each(self.server_ends()),
+        };
+        if ends >= CONTAINED_ENDS {
+            SubjectStanding::Contained
         } else {
-            PartStanding::Clear
+            SubjectStanding::Clear
         }
     }
 
-    /// Returns whether the quarantine of the part is still supported.
-    pub(super) fn keeps_quarantine(&self, now: Timestamp) -> bool {
-        self.standing == PartStanding::Quarantined
-            && self.counted_ends(&ExplainedEnds::default()) >= QUARANTINED_ENDS
+    /// Returns whether the quarantine of the subject is still supported.
+    pub(super) fn keeps_quarantine(&self, now: Timestamp, all: EndView<'_>) -> bool {
+        self.standing == SubjectStanding::Quarantined
+            && self.counted_ends(all) >= QUARANTINED_ENDS
             && now < self.lapses_at()
     }
 
     /// Drops ends that are too old; returns whether the record holds nothing any more.
     pub(super) fn prune(&mut self, now: Timestamp) -> bool {
-        if self.standing == PartStanding::Quarantined {
+        if self.standing == SubjectStanding::Quarantined {
             return now >= self.lapses_at();
         }
         self.ends
@@ -280,6 +305,20 @@
         self.ends.is_empty()
     }
 
+    /// Returns whether peers are told of the record again and again.
+    ///
+    /// A request that lost one attempt mostly never comes again, so that it is told once.
+    pub(super) fn is_repeated(&self) -> bool {
+        let is_suspect = self.standing > SubjectStanding::Clear;
+        self.is_open() && (is_suspect || matches!(self.subject, CrashSubject::Part(_)))
+    }
+
+    /// Returns whether all open ends of another record are open in this one.
+    pub(super) fn has_open_ends_of(&self, other: &Self) -> bool {
+        let is_open = |server: &u64| self.ends.get(server).is_some_and(|end| !end.is_refuted);
+        other.open_ends().all(|(server, _)| is_open(server))
+    }
+
     /// Returns whether any end is not refuted.
     pub(super) fn is_open(&self) -> bool {
         self.open_ends().next().is_some()
@@ -296,19 +335,19 @@
     }
 
     /// Returns the order in which records are kept and passed on; the largest first.
-    pub(super) fn weight(&self) -> (PartStanding, usize, Timestamp) {
+    pub(super) fn weight(&self) -> (SubjectStanding, usize, Timestamp) {
         (self.standing, self.open_ends().count(), self.changed_at)
     }
 
-    pub(super) fn evidence(&self, now: Timestamp) -> PartEvidence {
+    pub(super) fn evidence(&self, now: Timestamp) -> SubjectEvidence {
         let ends = self.ends.iter().map(|(incarnation, end)| EndEvidence {
             incarnation: *incarnation,
             age_ms: now.since(end.ended_at).as_millis() as u64,
             organisations: end.organisations.iter().copied().collect(),
             is_refuted: end.is_refuted,
         });
-        PartEvidence {
-            part: self.part,
+        SubjectEvidence {
+            subject: self.subject,
             depth: self.depth,
             ends: ends.collect(),
             trials: self.trials,
@@ -316,11 +355,11 @@
         }
     }
 
-    pub(super) fn report(&self, now: Timestamp) -> PartReport {
+    pub(super) fn report(&self, now: Timestamp) -> SubjectReport {
         let first_end = self.open_ends().map(|(_, end)| end.ended_at).min();
         let first_end_age = first_end.map_or(Duration::ZERO, |end| now.since(end));
-        PartReport {
-            part: format!("{:x}", self.part),
+        SubjectReport {
+            subject: self.subject.to_string(),
             standing: self.standing,
             ends: self.open_ends().count(),
             first_end_age_ms: first_end_age.as_millis() as u64,
@@ -329,6 +368,17 @@
         }
     }
 
+    /// Returns all ends, refuted ones too.
+    pub(super) fn all_ends(&self) -> impl Iterator<Item = ServerEnd> {
+        let ends = self.ends.iter();
+        ends.map(|(incarnation, end)| (*incarnation, end.ended_at))
+    }
+
+    fn server_ends(&self) -> impl Iterator<Item = ServerEnd> {
+        let ends = self.open_ends();
+        ends.map(|(incarnation, end)| (*incarnation, end.ended_at))
+    }
+
     fn open_ends(&self) -> impl Iterator<Item = (&u64, &EndRecord)> {
         self.ends.iter().filter(|(_, end)| !end.is_refuted)
     }
--- a/crates/teaselglade-routing/src/engine/engine_candidate.rs
+++ b/crates/teaselglade-routing/src/engine/engine_candidate.rs
@@ -43,7 +43,7 @@
 }
 
 /// Returns the preference of a hash for a server, the same on every host.
-pub(super) fn preference_of(hash: u64, server: u64) -> u64 {
+pub(crate) fn preference_of(hash: u64, server: u64) -> u64 {
     let mixed = (hash ^ server.rotate_left(32)).wrapping_mul(0x9e37_79b9_7f4a_7c15);
     (mixed ^ (mixed >> 29)).wrapping_mul(0xbf58_476d_1ce4_e5b9)
 }
--- a/crates/teaselglade-routing/src/engine/mod.rs
+++ b/crates/teaselglade-routing/src/engine/mod.rs
@@ -9,6 +9,7 @@
 mod slot_pace;
 mod stale_choice;
 
+pub(crate) use engine_candidate::preference_of;
 pub use engine_load::{CachedPart, EngineLoad};
 pub use engine_placer::{EnginePlacer, EngineQuery, EngineReservation, ReservationId};
 pub use engine_speed::EngineSpeed;
--- a/crates/teaselglade-routing/src/gossip/aggregate_digest.rs
+++ b/crates/teaselglade-routing/src/gossip/aggregate_digest.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::{HostDigest, PeerAddress};
-use crate::crash::PartEvidence;
+use crate::crash::SubjectEvidence;
 use crate::engine::{CachedPart, EngineLoad};
 use crate::limit::{LimitReport, PermitMessage};
 use crate::quota::FleetSpend;
@@ -76,11 +76,12 @@
     /// Sum of many hosts' digests, sent by an aggregator.
     #[serde(rename = "Fleet")]
     Aggregate(Box<AggregateDigest>),
-    /// Evidence on prompt parts that end servers, sent by an aggregator beside its digest.
+    /// Evidence on subjects under which servers ended, sent by an aggregator beside its digest.
     ///
     /// An aggregate is sent over some hundred milliseconds; ages in it would be off by as much, and
     /// servers that ended together would look as if they had ended one after another.
-    Parts(Vec<PartEvidence>),
+    #[serde(rename = "Parts")]
+    Crashes(Vec<SubjectEvidence>),
     /// Limits of servers and issued permits, sent beside a digest.
     Limits(LimitReport),
     /// Message about a permit to send to a limited server.
--- a/crates/teaselglade-routing/src/gossip/host_digest.rs
+++ b/crates/teaselglade-routing/src/gossip/host_digest.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::crash::PartEvidence;
+use crate::crash::SubjectEvidence;
 use crate::engine::{CachedPart, EngineLoad};
 use crate::quota::PeerSpend;
 use crate::registry::{ServerDeparture, ServerRegistration};
@@ -81,9 +81,9 @@
     /// Data centre of the sender.
     #[serde(default)]
     pub zone: String,
-    /// Evidence on prompt parts that end servers.
+    /// Evidence on subjects under which servers ended.
     ///
     /// Left out while there is none, so that hosts of earlier builds read the digest.
     #[serde(rename = "crashes", default, skip_serializing_if = "Vec::is_empty")]
-    pub part_evidence: Vec<PartEvidence>,
+    pub crash_evidence: Vec<SubjectEvidence>,
 }
--- a/crates/teaselglade-routing/src/plain/plain_placer.rs
+++ b/crates/teaselglade-routing/src/plain/plain_placer.rs
@@ -9,6 +9,7 @@
 use teaselglade_core::time::Timestamp;
 use teaselglade_core::verdict::{RefusalReason, RequestRefusal};
 
+use crate::engine::preference_of;
 use crate::registry::{RegisteredServer, ServerHealth, ServerRegistry};
 
 /// Age from which a server's reported load is ignored; calls take some tens of milliseconds.
@@ -51,6 +52,8 @@
     pub zone: &'a str,
     /// Servers that must not be tried again.
     pub tried: &'a [ServerKey],
+    /// Number that selects the server, the same on all hosts, and how many selections it skips.
+    pub selected_by: Option<(u64, u32)>,
 }
 
 #[derive(Debug, Clone, Copy, Default)]
@@ -74,7 +77,7 @@
 /// use teaselglade_routing::plain::{PlainPlacer, PlainQuery};
 ///
 /// let mut placer = PlainPlacer::new(1);
-/// let query = PlainQuery { service: "ticket-desk", zone: "galway", tried: &[] };
+/// let query = PlainQuery { service: "ticket-desk", zone: "galway", tried: &[], selected_by: None };
 /// assert!(placer.place(Timestamp::ZERO, &ServerRegistry::default(), &query).is_err());
 /// ```
 #[derive(Debug)]
@@ -120,6 +123,10 @@
         registry: &ServerRegistry,
         query: &PlainQuery<'_>,
     ) -> Result<ServerKey, RequestRefusal> {
+        if let Some((selector, rank)) = query.selected_by {
+            let selected = self.select(now, registry, query, selector, rank);
+            return selected.ok_or_else(|| self.no_server_refusal(now, registry, query.service));
+        }
         let mut best: Option<(f64, ServerKey)> = None;
         for (key, server) in registry.available(now, query.service) {
             if query.tried.contains(&key) {
@@ -178,6 +185,29 @@
         self.statuses.remove(&server);
     }
 
+    /// Returns the server that a number selects, of those that do not fail if there are any.
+    fn select(
+        &self,
+        now: Timestamp,
+        registry: &ServerRegistry,
+        query: &PlainQuery<'_>,
+        selector: u64,
+        rank: u32,
+    ) -> Option<ServerKey> {
+        let servers = registry.available(now, query.service);
+        let untried = servers.filter(|(key, _)| !query.tried.contains(key));
+        let mut candidates: Vec<(bool, u64, ServerKey)> = untried
+            .map(|(key, server)| {
+                let status = self.statuses.get(&key);
+                let is_avoided = status.is_some_and(|status| status.health.is_avoided(now));
+                (!is_avoided, preference_of(selector, server.hash), key)
+            })
+            .collect();
+        candidates.sort_unstable_by(|a, b| b.cmp(a));
+        let index = (rank as usize).min(candidates.len().saturating_sub(1));
+        candidates.get(index).map(|(_, _, key)| *key)
+    }
+
     fn cost(
         &self,
         now: Timestamp,
--- a/crates/teaselglade-routing/tests/routing/crashes.rs
+++ b/crates/teaselglade-routing/tests/routing/crashes.rs
@@ -3,7 +3,10 @@
 use std::time::Duration;
 
 use teaselglade_core::time::Timestamp;
-use teaselglade_routing::crash::{CrashLedger, PartPermit, PartQuery, PartStanding};
+use teaselglade_routing::crash::{
+    ContainedRun, CrashLedger, CrashSubject, RequestSubjects, SubjectPermit, SubjectQuery,
+    SubjectStanding,
+};
 use teaselglade_routing::engine::PromptShape;
 use teaselglade_routing::registry::UpdateScope;
 
@@ -20,10 +23,10 @@
     PromptShape::new(900, 40, ids.map(|id| (id, 300)))
 }
 
-fn query<'a>(organisation: &'a str, prompt: &'a PromptShape) -> PartQuery<'a> {
-    PartQuery {
+fn query<'a>(organisation: &'a str, prompt: &'a PromptShape) -> SubjectQuery<'a> {
+    SubjectQuery {
         organisation,
-        prompt,
+        subjects: RequestSubjects::from(prompt),
         is_repeat: false,
         may_try: false,
     }
@@ -41,13 +44,13 @@
 fn is_refused(ledger: &mut CrashLedger, now: u64, organisation: &str, parts: &[u64]) -> bool {
     let prompt = prompt(parts);
     let permit = ledger.permit(at(now), &query(organisation, &prompt));
-    if let PartPermit::Contained { part, .. } = permit {
-        ledger.record_contained_end(part);
+    if let SubjectPermit::Contained(run) = permit {
+        ledger.record_contained_end(run.subject);
     }
-    matches!(permit, PartPermit::Refused { .. })
+    matches!(permit, SubjectPermit::Refused { .. })
 }
 
-fn permit_of(ledger: &mut CrashLedger, now: u64, parts: &[u64]) -> PartPermit {
+fn permit_of(ledger: &mut CrashLedger, now: u64, parts: &[u64]) -> SubjectPermit {
     ledger.permit(at(now), &query("kati", &prompt(parts)))
 }
 
@@ -56,12 +59,19 @@
     let mut ledger = ledger_of(&[&[FIRST, BAD]]);
     assert_eq!(
         permit_of(&mut ledger, 500, &[FIRST, BAD]),
-        PartPermit::Unrestricted
+        SubjectPermit::Unrestricted
     );
     ledger.record_end(at(1_000), 101, "kati", &prompt(&[FIRST, BAD]));
     let contained = permit_of(&mut ledger, 1_500, &[5, BAD]);
-    assert_eq!(contained, PartPermit::Contained { part: BAD, rank: 0 });
-    ledger.record_contained_end(BAD);
+    assert_eq!(
+        contained,
+        SubjectPermit::Contained(ContainedRun {
+            subject: CrashSubject::Part(BAD),
+            rank: 0,
+            is_trial: false,
+        })
+    );
+    ledger.record_contained_end(CrashSubject::Part(BAD));
     ledger.record_end(at(2_000), 102, "kati", &prompt(&[FIRST, BAD]));
     assert!(is_refused(&mut ledger, 2_500, "kati", &[5, BAD]));
 }
@@ -72,7 +82,7 @@
     assert!(is_refused(&mut ledger, 3_000, "kati", &[FIRST, BAD]));
     assert_eq!(
         permit_of(&mut ledger, 3_000, &[FIRST, 7]),
-        PartPermit::Unrestricted
+        SubjectPermit::Unrestricted
     );
 }
 
@@ -116,11 +126,11 @@
     ledger.record_end(at(2_000), 102, "kati", &prompt(&[FIRST, 8]));
     assert_eq!(
         permit_of(&mut ledger, 2_500, &[FIRST, 7]),
-        PartPermit::Unrestricted
+        SubjectPermit::Unrestricted
     );
     assert!(matches!(
         permit_of(&mut ledger, 2_500, &[BAD]),
-        PartPermit::Contained { .. }
+        SubjectPermit::Contained { .. }
     ));
 }
 
@@ -133,7 +143,7 @@
     }
     assert_eq!(
         permit_of(&mut ledger, 6_000, &[BAD]),
-        PartPermit::Unrestricted
+        SubjectPermit::Unrestricted
     );
 }
 
@@ -150,7 +160,7 @@
     }
     assert_eq!(
         permit_of(&mut ledger, 500, &[FIRST, BAD]),
-        PartPermit::Unrestricted
+        SubjectPermit::Unrestricted
     );
 }
 
@@ -206,26 +216,26 @@
 fn a_contained_part_runs_once_at_a_time_and_is_not_repeated() {
     let mut ledger = ledger_of(&[&[BAD], &[BAD]]);
     let bad = prompt(&[BAD]);
-    let repeat = PartQuery {
+    let repeat = SubjectQuery {
         is_repeat: true,
         ..query("kati", &bad)
     };
     assert!(matches!(
         ledger.permit(at(1_100), &repeat),
-        PartPermit::Refused { .. }
+        SubjectPermit::Refused { .. }
     ));
     assert!(matches!(
         permit_of(&mut ledger, 1_100, &[BAD]),
-        PartPermit::Contained { rank: 0, .. }
+        SubjectPermit::Contained(ContainedRun { rank: 0, .. })
     ));
     assert!(matches!(
         permit_of(&mut ledger, 1_200, &[BAD]),
-        PartPermit::Refused { .. }
+        SubjectPermit::Refused { .. }
     ));
     // An engine that is stuck says nothing of the part: the next attempt goes to another one.
     assert!(matches!(
         permit_of(&mut ledger, 2_300, &[BAD]),
-        PartPermit::Contained { rank: 1, .. }
+        SubjectPermit::Contained(ContainedRun { rank: 1, .. })
     ));
 }
 
@@ -233,7 +243,7 @@
 fn one_host_tries_a_quarantined_part_three_times_at_growing_intervals() {
     let mut ledger = ledger_of(&[&[BAD], &[BAD], &[BAD]]);
     let bad = prompt(&[BAD]);
-    let leader = PartQuery {
+    let leader = SubjectQuery {
         may_try: true,
         ..query("kati", &bad)
     };
@@ -244,9 +254,9 @@
             is_refused(&mut ledger, second * 1_000, "kati", &[BAD]),
             "{second}"
         );
-        if let PartPermit::Contained { part, .. } = ledger.permit(now, &leader) {
+        if let SubjectPermit::Contained(run) = ledger.permit(now, &leader) {
             ledger.record_end(now, 1_000 + second, "kati", &bad);
-            ledger.record_contained_end(part);
+            ledger.record_contained_end(run.subject);
             trials.push(second);
         }
         ledger.prune(now);
@@ -259,9 +269,9 @@
     let mut ledger = ledger_of(&[&[BAD], &[BAD], &[BAD]]);
     assert!(is_refused(&mut ledger, 60_000, "kati", &[BAD]));
     ledger.prune(at(600_000));
-    assert_eq!(ledger.count_with(PartStanding::Quarantined), 1);
+    assert_eq!(ledger.count_with(SubjectStanding::Quarantined), 1);
     ledger.prune(at(661_000));
-    assert_eq!(ledger.count_with(PartStanding::Quarantined), 0);
+    assert_eq!(ledger.count_with(SubjectStanding::Quarantined), 0);
     assert!(!is_refused(&mut ledger, 661_000, "kati", &[BAD]));
 }
 
@@ -278,8 +288,8 @@
         one.prune(at(sent_at + 90));
         other.prune(at(sent_at + 90));
     }
-    assert_eq!(one.count_with(PartStanding::Quarantined), 0);
-    assert_eq!(other.count_with(PartStanding::Quarantined), 0);
+    assert_eq!(one.count_with(SubjectStanding::Quarantined), 0);
+    assert_eq!(other.count_with(SubjectStanding::Quarantined), 0);
 }
 
 #[test]
@@ -291,9 +301,9 @@
     // The digests of the next seconds are lost.
     let stale = other.evidence(at(20_000), UpdateScope::All);
     one.merge(at(20_000), &stale);
-    assert_eq!(one.count_with(PartStanding::Quarantined), 0);
+    assert_eq!(one.count_with(SubjectStanding::Quarantined), 0);
     other.merge(at(20_200), &one.evidence(at(20_200), UpdateScope::All));
-    assert_eq!(other.count_with(PartStanding::Quarantined), 0);
+    assert_eq!(other.count_with(SubjectStanding::Quarantined), 0);
 }
 
 #[test]
@@ -312,7 +322,11 @@
     assert!(is_refused(&mut ledger, 9_500, "kati", &[BAD]));
     let digest = ledger.evidence(at(9_500), UpdateScope::All);
     assert!(digest.len() <= 24);
-    assert!(digest.iter().any(|evidence| evidence.part == BAD));
+    assert!(
+        digest
+            .iter()
+            .any(|evidence| evidence.subject == CrashSubject::Part(BAD))
+    );
 }
 
 #[test]
@@ -322,8 +336,8 @@
     let retry_after = Duration::from_secs(50);
     assert_eq!(
         permit,
-        PartPermit::Refused {
-            part: BAD,
+        SubjectPermit::Refused {
+            subject: CrashSubject::Part(BAD),
             retry_after
         }
     );
@@ -344,12 +358,12 @@
 #[test]
 fn a_lifted_part_leaves_no_blame_on_the_parts_that_came_along() {
     let mut ledger = ledger_of(&[&[FIRST, BAD], &[FIRST, BAD], &[FIRST, BAD]]);
-    assert!(!ledger.lift(at(2_900), 77));
-    assert!(ledger.lift(at(3_000), BAD));
+    assert!(!ledger.lift(at(2_900), CrashSubject::Part(77)));
+    assert!(ledger.lift(at(3_000), CrashSubject::Part(BAD)));
     for part in [FIRST, BAD] {
         assert_eq!(
             permit_of(&mut ledger, 3_100, &[part]),
-            PartPermit::Unrestricted
+            SubjectPermit::Unrestricted
         );
     }
 }
@@ -361,15 +375,15 @@
     let mut host = CrashLedger::default();
     host.record_event(at(2_300), 900, &prompt(&[FIRST, 7]));
     host.merge(at(2_600), &ended.evidence(at(2_500), UpdateScope::All));
-    assert_eq!(host.count_with(PartStanding::Quarantined), 0);
+    assert_eq!(host.count_with(SubjectStanding::Quarantined), 0);
     // An event before the end shows nothing.
     let mut host = CrashLedger::default();
     host.record_event(at(1_500), 900, &prompt(&[FIRST, 7]));
     host.merge(at(2_600), &ended.evidence(at(2_500), UpdateScope::All));
-    assert_eq!(host.count_with(PartStanding::Clear), 1);
+    assert_eq!(host.count_with(SubjectStanding::Clear), 1);
     let mut host = CrashLedger::default();
     host.merge(at(2_600), &ended.evidence(at(2_500), UpdateScope::All));
-    assert_eq!(host.count_with(PartStanding::Quarantined), 1);
+    assert_eq!(host.count_with(SubjectStanding::Quarantined), 1);
 }
 
 /// The part with the higher id is quarantined for another organisation only.
--- a/crates/teaselglade-routing/tests/routing/membership.rs
+++ b/crates/teaselglade-routing/tests/routing/membership.rs
@@ -31,7 +31,7 @@
         requested_aggregator: None,
         peers: Vec::new(),
         zone: String::new(),
-        part_evidence: Vec::new(),
+        crash_evidence: Vec::new(),
     }
 }
 
--- a/crates/teaselglade-routing/tests/routing/plains.rs
+++ b/crates/teaselglade-routing/tests/routing/plains.rs
@@ -7,6 +7,7 @@
 use super::fixture::{at, registration};
 
 const QUERY: PlainQuery<'static> = PlainQuery {
+    selected_by: None,
     service: "draft-fleet",
     zone: "galway",
     tried: &[],
--- a/crates/teaselglade/src/command_line/quarantine_options.rs
+++ b/crates/teaselglade/src/command_line/quarantine_options.rs
@@ -4,15 +4,15 @@
 
 use clap::{Args, Subcommand};
 
-/// What to do with quarantined prompt parts.
+/// What to do with quarantined requests and prompt parts.
 #[derive(Debug, Subcommand)]
 pub enum QuarantineCommand {
-    /// List the parts that a host holds contained or quarantined.
+    /// List the requests and prompt parts that a host holds contained or quarantined.
     List(QuarantineHost),
-    /// Lift the quarantine of a part on all hosts.
+    /// Lift the quarantine of a request or prompt part on all hosts.
     Lift {
-        /// Id of the part in hexadecimal, as `list` prints it.
-        part: String,
+        /// Request or part, as `list` prints it.
+        subject: String,
         /// Host to tell; it tells the others.
         #[command(flatten)]
         host: QuarantineHost,
