--- a/crates/teaselglade-routing/src/crash/crash_subject.rs
+++ b/crates/teaselglade-routing/src/crash/crash_subject.rs
@@ -3,7 +3,9 @@
 use std::fmt;
 use std::str::FromStr;
 
-use serde::{Deserialize, Serialize};
+use serde::de::value::SeqAccessDeserializer;
+use serde::de::{SeqAccess, Visitor};
+use serde::{Deserialize, Deserializer, Serialize};
 
 use super::RequestHash;
 
@@ -40,7 +42,7 @@
 ///
 /// assert_eq!("5c1e".parse(), Ok(CrashSubject::Part(0x5c1e)));
 /// ```
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize)]
 #[serde(untagged)]
 pub enum CrashSubject {
     /// Prompt part, by its id.
@@ -82,3 +84,29 @@
         })
     }
 }
+
+// The derived implementation for untagged enums would buffer whatever a datagram holds.
+impl<'de> Deserialize<'de> for CrashSubject {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        deserializer.deserialize_any(SubjectVisitor)
+    }
+}
+
+struct SubjectVisitor;
+
+impl<'de> Visitor<'de> for SubjectVisitor {
+    type Value = CrashSubject;
+
+    fn expecting(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str("a part's id or the hash of a request")
+    }
+
+    fn visit_u64<E>(self, v: u64) -> Result<CrashSubject, E> {
+        Ok(CrashSubject::Part(v))
+    }
+
+    fn visit_seq<A: SeqAccess<'de>>(self, seq: A) -> Result<CrashSubject, A::Error> {
+        let hash = RequestHash::deserialize(SeqAccessDeserializer::new(seq))?;
+        Ok(CrashSubject::Request(hash))
+    }
+}
