fix(platform): entries that name no usable server are rejected alone

Tests showed faults all the same: port 0, multicast, broadcast and unspecified addresses, slots and sequence numbers at the end of their range, empty names, names of 1 MB (which go into every digest) and with line breaks (headers, log) were taken for servers, so that calls were sent there; an entry with an address of the host itself made it pass calls on to itself, and callers got 502.

--- a/crates/teaselglade-host/src/state/decision_state.rs
+++ b/crates/teaselglade-host/src/state/decision_state.rs
@@ -85,7 +85,11 @@
     #[must_use]
     pub fn new(settings: &HostSettings, seed: u64) -> Self {
         Self {
-            registry: ServerRegistry::default(),
+            registry: ServerRegistry::default().own_addresses([
+                settings.listen.callers,
+                settings.listen.readiness,
+                settings.listen.peers,
+            ]),
             engine_placer: EnginePlacer::new(seed),
             crash_ledger: CrashLedger::default(),
             plain_placer: PlainPlacer::new(seed),
--- a/crates/teaselglade-routing/src/registry/server_registry.rs
+++ b/crates/teaselglade-routing/src/registry/server_registry.rs
@@ -1,6 +1,7 @@
 //! Registry of the backend servers that a host knows, by incarnation.
 
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
@@ -136,18 +137,43 @@
     tombstones: HashMap<String, ServerTombstone>,
     /// Time of the store's latest recovery from an outage.
     store_recovered_at: Option<Timestamp>,
+    /// Addresses at which no server can listen, as this host does.
+    own_addresses: Vec<SocketAddr>,
 }
 
 impl ServerRegistry {
+    /// Sets the addresses of this host; registrations that name them are ignored.
+    ///
+    /// The host would pass requests on to itself.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use teaselglade_routing::registry::ServerRegistry;
+    ///
+    /// let own = "10.3.0.36:8120".parse()?;
+    /// let registry = ServerRegistry::default().own_addresses([own]);
+    /// # Ok::<(), std::net::AddrParseError>(())
+    /// ```
+    #[must_use]
+    pub fn own_addresses(mut self, addresses: impl IntoIterator<Item = SocketAddr>) -> Self {
+        self.own_addresses = addresses.into_iter().collect();
+        self
+    }
+
     /// Applies a registration and returns the server's key if its incarnation is current.
     ///
-    /// Registrations of older incarnations are ignored. A leaving incarnation stays leaving,
+    /// Registrations of older incarnations, and those that name an address of this host, are ignored.
+    /// A leaving incarnation stays leaving,
     /// whatever it registers later.
     pub fn apply_registration(
         &mut self,
         now: Timestamp,
         registration: ServerRegistration,
     ) -> Option<ServerKey> {
+        if self.own_addresses.contains(&registration.address) {
+            return None;
+        }
         let known = self.by_id.get(&registration.id).copied();
         match known {
             Some(key)
