fix(host): a refusal that does not name the attempt is not believed

Callers were told 'not run, try again' for a request that ran, or it ran at a second server.

Here: a 503 or 429 'not run' and a 421 without an attempt id were believed, as the check came after them. A refusal with another attempt's id was rejected before as well.

Change: a response that does not name the attempt says nothing of it; the request may have run. An attempt is sent to a server at most once, so that a refusal with its own id cannot be that of an earlier send there.

--- a/crates/teaselglade-host/src/relay/server_call.rs
+++ b/crates/teaselglade-host/src/relay/server_call.rs
@@ -212,8 +212,8 @@
 ///
 /// # Errors
 ///
-/// Fails if the response is for another attempt, comes from another server at the same address,
-/// says that the request did not run, has no attempt id, or reports success without a server stamp.
+/// Fails if the response does not name the attempt, comes from another server at the same address,
+/// says that the request did not run, or reports success without a server stamp.
 fn validate_response(
     context: &CallContext,
     server: ServerKey,
@@ -228,12 +228,14 @@
         .messages
         .read_response(parts.status, &parts.headers);
     let broken = |detail: String| Err(FailedCall::new(AttemptOutcome::Broken, detail));
-    if head
-        .attempt
-        .as_deref()
-        .is_some_and(|attempt| attempt != context.id)
-    {
-        return broken(format!("answer to {}", head.attempt.unwrap_or_default()));
+    // Any other response may be an earlier one that the server wrote once more, also a refusal.
+    match head.attempt.as_deref() {
+        Some(attempt) if attempt == context.id => {}
+        Some(attempt) => return broken(format!("answer to {attempt}")),
+        None => {
+            let status = parts.status.as_u16();
+            return broken(format!("{status} without an attempt id"));
+        }
     }
     if parts.status == StatusCode::MISDIRECTED_REQUEST {
         let detail = "another server has the address";
@@ -249,9 +251,6 @@
         reuse_after_body(body, connection, parts.headers);
         return Err(FailedCall::new(AttemptOutcome::Rejected, detail));
     }
-    if head.attempt.is_none() {
-        return broken(format!("{} without an attempt id", parts.status.as_u16()));
-    }
     if parts.status.is_success() && !head.has_server_stamp {
         return broken("success without a receipt".to_owned());
     }
