fix(net): a stream that is cut is reset where nothing else tells its end

Here: none of nine wrong answers of the next server reaches a caller, over three framings of the first (test, passed before too). But a caller of HTTP/1.0, which frames nothing, saw the connection of a cut stream closed like that of a whole one (the test failed before). Such a connection is reset now; framed ones are closed as before, so that no event is lost.

--- a/crates/teaselglade-net/src/server/connection_activity.rs
+++ b/crates/teaselglade-net/src/server/connection_activity.rs
@@ -24,6 +24,8 @@
     is_write_blocked: AtomicBool,
     /// Several requests share the connection, and its protocol announces its end.
     is_multiplexed: AtomicBool,
+    /// The current answer has no framing if its length is unknown; only its connection's end ends it.
+    is_unframed: AtomicBool,
     /// Answers announce the connection's close from now on.
     is_close_announced: AtomicBool,
 }
@@ -37,6 +39,16 @@
         RequestGuard(Arc::clone(self))
     }
 
+    /// Records whether the protocol of the current request frames answers of unknown length.
+    pub(super) fn record_framing(&self, is_unframed: bool) {
+        self.is_unframed.store(is_unframed, Ordering::Relaxed);
+    }
+
+    /// Returns whether the end of the connection alone tells the end of the current answer.
+    pub(super) fn is_unframed(&self) -> bool {
+        self.is_unframed.load(Ordering::Relaxed)
+    }
+
     /// Records that bytes were read.
     pub(super) fn record_input(&self) {
         self.has_partial_head.store(true, Ordering::Relaxed);
--- a/crates/teaselglade-net/src/server/counted_service.rs
+++ b/crates/teaselglade-net/src/server/counted_service.rs
@@ -38,6 +38,8 @@
     fn call(&self, req: Request<Incoming>) -> Self::Future {
         let is_multiplexed = req.version() == Version::HTTP_2;
         let guard = self.activity.begin_request(is_multiplexed);
+        self.activity
+            .record_framing(req.version() < Version::HTTP_11);
         let activity = Arc::clone(&self.activity);
         let response = self.service.call(req);
         let counted = async move {
--- a/crates/teaselglade-net/src/server/lingering_stream.rs
+++ b/crates/teaselglade-net/src/server/lingering_stream.rs
@@ -120,6 +120,17 @@
     }
 }
 
+impl Drop for LingeringStream {
+    /// Resets the connection if an answer without a framing was cut, as its end would look whole.
+    fn drop(&mut self) {
+        let is_cut = self.linger_end.is_none() && self.unread_until.is_some();
+        if is_cut && self.activity.is_unframed() {
+            // On an error the connection is closed without a reset, as it would be otherwise.
+            let _linger_result = self.socket.set_zero_linger();
+        }
+    }
+}
+
 /// Returns whether bytes wait in the socket, also if the runtime has not noticed them yet.
 fn has_input(socket: &TcpStream) -> bool {
     let Ok(descriptor) = socket.as_fd().try_clone_to_owned() else {
