--- a/crates/teaselglade-host/src/metrics/crash_metrics.rs
+++ b/crates/teaselglade-host/src/metrics/crash_metrics.rs
@@ -1,12 +1,12 @@
-//! Metrics on prompt parts that end servers.
+//! Metrics on requests and prompt parts that end servers.
 
 use prometheus::{IntCounter, IntGauge, IntGaugeVec};
 use teaselglade_net::metrics::{MetricRegistry, Result};
 
-/// Metrics on prompt parts that end servers.
+/// Metrics on requests and prompt parts that end servers.
 #[derive(Debug)]
 pub struct CrashMetrics {
-    /// Servers that ended under an attempt without an event, as seen by this host.
+    /// Servers that ended under an attempt that had brought nothing, as seen by this host.
     pub ended_servers: IntCounter,
     suspect_parts: IntGaugeVec,
 }
@@ -21,17 +21,17 @@
         Ok(Self {
             ended_servers: registry.counter(
                 "teaselglade_ended_servers_total",
-                "Servers that ended under a stream without an event.",
+                "Servers that ended under a request that had brought nothing.",
             )?,
             suspect_parts: registry.gauges(
                 "teaselglade_suspect_parts",
-                "Prompt parts on which servers ended.",
+                "Requests and prompt parts on which servers ended.",
                 &["standing"],
             )?,
         })
     }
 
-    /// Returns the number of parts with a standing.
+    /// Returns the number of requests and parts with a standing.
     #[must_use]
     pub fn suspect_parts(&self, standing: &str) -> IntGauge {
         self.suspect_parts.with_label_values(&[standing])
--- a/crates/teaselglade-host/src/metrics/host_metrics.rs
+++ b/crates/teaselglade-host/src/metrics/host_metrics.rs
@@ -48,7 +48,7 @@
     pub table_version: IntGauge,
     /// What servers said of themselves in responses.
     pub advice: AdviceMetrics,
-    /// Evidence on prompt parts that end servers.
+    /// Evidence on requests and prompt parts that end servers.
     pub crashes: CrashMetrics,
     /// Age of the newest registration data in milliseconds.
     pub update_age: IntGauge,
--- a/crates/teaselglade-host/src/peer/peer_api.rs
+++ b/crates/teaselglade-host/src/peer/peer_api.rs
@@ -22,7 +22,7 @@
 /// Path prefix of the table endpoint; the table version that the peer has follows.
 pub(super) const TABLE_PATH: &str = "/tables/";
 
-/// Path at which operators list the quarantined parts; with a part's id, of the one to lift.
+/// Path at which operators list quarantined requests and parts; with a name, of the one to lift.
 pub const QUARANTINE_PATH: &str = "/quarantine";
 
 /// Starts the HTTP API for peers.
