--- a/review/standins/lab.py
+++ b/review/standins/lab.py
@@ -149,6 +149,8 @@
         self.is_cut = False
         self.is_listed = False
         self.reported_at = 0.0
+        # Otherwise the store's entry changes only when more than `seq` changes.
+        self.writes_each_report = True
         self.full_from, self.full_s, self.retry_after = None, 0.0, 0
         self.arrivals = []  # (time, id)
         self.refusals = []  # (time, id)
@@ -170,6 +172,10 @@
                 await asyncio.sleep(0.1)
                 continue
             self.seq += 1
+            if self.is_listed and not self.writes_each_report:
+                self.reported_at = now
+                await asyncio.sleep(HEARTBEAT_S)
+                continue
             entry = {
                 "service": "ticket-desk",
                 "address": f"127.0.0.1:{self.port}",
@@ -282,7 +288,8 @@
 class Fleet:
     """Hosts as separate processes, each at a loopback address of its own."""
 
-    def __init__(self, root, zones, store_port, record):
+    def __init__(self, root, zones, store_ports, record):
+        """`store_ports` is the store's port, or one by zone."""
         self.program = os.path.join(root, "target", "release", "teaselglade-host")
         if not os.access(self.program, os.X_OK):
             raise CannotRun("target/release/teaselglade-host is not built")
@@ -292,14 +299,16 @@
         pid = os.getpid()
         net = f"127.{64 + pid % 64}.{(pid // 64) % 250}"
         self.ips = {zone: f"{net}.{number}" for number, zone in enumerate(zones, 1)}
-        self.store_port = store_port
+        if isinstance(store_ports, int):
+            store_ports = dict.fromkeys(zones, store_ports)
+        self.store_ports = store_ports
         self.processes = {}
 
     def start(self):
         seeds = ",".join(f"{ip}:8229" for ip in self.ips.values())
         for zone, ip in self.ips.items():
             path = os.path.join(self.folder, f"{zone}.conf")
-            text = SETTINGS.format(zone=zone, ip=ip, seeds=seeds, store_port=self.store_port)
+            text = SETTINGS.format(zone=zone, ip=ip, seeds=seeds, store_port=self.store_ports[zone])
             with open(path, "w", encoding="utf-8") as file:
                 file.write(text)
             log = open(os.path.join(self.folder, f"{zone}.log"), "w", encoding="utf-8")
@@ -343,12 +352,12 @@
         self.zone, self.ip, self.interval_s, self.record = zone, ip, interval_s, record
         self.statuses = {}
 
-    async def run(self, until):
+    async def run(self, until, path="/status/1", prefix=""):
         reader = writer = None
         number = 0
         while self.record.now() < until:
             number += 1
-            attempt = f"{self.zone}-{number:05d}"
+            attempt = f"{self.zone}-{prefix}{number:05d}"
             try:
                 if writer is None:
                     opening = asyncio.open_connection(self.ip, 8221)
@@ -359,7 +368,7 @@
                     ("X-Deadline-Ms", 1500),
                     ("Authorization", f"Bearer {KEY}"),
                 ]
-                writer.write(message("GET /status/1 HTTP/1.1", headers))
+                writer.write(message(f"GET {path} HTTP/1.1", headers))
                 line, answer, _body = await asyncio.wait_for(read_message(reader), 2)
                 status = line.split(" ")[1]
                 if answer.get("connection", "").lower() == "close":
