--- a/review/standins/lab.py
+++ b/review/standins/lab.py
@@ -405,6 +405,8 @@
 def run_case(main):
     """Runs a case; exits with its result, or with 2 if it could not run."""
     folder, root = sys.argv[1], sys.argv[2]
+    # Ends the hosts also if the script itself is stopped.
+    signal.signal(signal.SIGTERM, lambda *_signal: sys.exit(2))
     has_trouble = os.environ.get("TROUBLE", "1") != "0"
     try:
         is_broken = asyncio.run(asyncio.wait_for(main(folder, root, has_trouble), 115))
