refactor(routing): the loads of engines, and the terms of a placement, in types of their own

Four parts will decide on a request beside the placers: roll-outs, shares, speeds and zones.

The loads of all hosts move from `EnginePlacer` to `EngineLoads`, without a change of what they do.

--- a/crates/teaselglade-host/src/relay/call_context.rs
+++ b/crates/teaselglade-host/src/relay/call_context.rs
@@ -10,6 +10,7 @@
 use teaselglade_core::verdict::{ExecutionVerdict, RequestRefusal};
 use teaselglade_request::retry::RetryDecision;
 use teaselglade_routing::attempt::{AttemptOutcome, NextStep};
+use teaselglade_routing::capacity::{PlacementTerms, RequestRank};
 use teaselglade_routing::crash::{RequestHash, RequestSubjects};
 use teaselglade_routing::engine::PromptShape;
 use teaselglade_routing::table::{RouteSpec, ServiceSpec};
@@ -31,6 +32,7 @@
     pub(super) route: RouteSpec,
     pub(super) service: ServiceSpec,
     pub(super) organisation: Option<String>,
+    pub(super) rank: RequestRank,
     /// Version of the route table that the request was matched against.
     pub(super) table_version: u64,
     pub(super) prompt: Option<PromptShape>,
@@ -72,6 +74,14 @@
         self.organisation.as_deref().unwrap_or_default()
     }
 
+    /// Returns the terms under which an attempt is placed.
+    pub(super) fn placement_terms(&self) -> PlacementTerms<'_> {
+        PlacementTerms {
+            zone: &self.host.settings.zone,
+            rank: self.rank,
+        }
+    }
+
     /// Returns what ended servers may speak against.
     pub(super) const fn subjects(&self) -> RequestSubjects<'_> {
         RequestSubjects {
--- a/crates/teaselglade-host/src/relay/call_handler.rs
+++ b/crates/teaselglade-host/src/relay/call_handler.rs
@@ -11,6 +11,7 @@
 use hyper::http::uri::PathAndQuery;
 use hyper::{HeaderMap, Method, Request};
 use teaselglade_core::verdict::{RefusalReason, RequestRefusal};
+use teaselglade_routing::capacity::RequestRank;
 use teaselglade_routing::crash::{RequestContent, RequestHash};
 use teaselglade_routing::table::{Caller, IngressLimits, ResponseKind};
 use tokio::time::timeout;
@@ -199,6 +200,10 @@
     Ok(CallContext {
         id: head.attempt,
         organisation: organisation.map(|organisation| organisation.name.clone()),
+        rank: RequestRank::of(
+            organisation.and_then(|organisation| organisation.priority),
+            route.priority,
+        ),
         table_version: table.version(),
         route: route.clone(),
         service,
--- a/crates/teaselglade-host/src/relay/plain_relay.rs
+++ b/crates/teaselglade-host/src/relay/plain_relay.rs
@@ -171,9 +171,9 @@
         let run = self.permit_attempt(decisions, now)?;
         let query = PlainQuery {
             service: &context.service.name,
-            zone: &host.settings.zone,
             tried,
             selected_by: run.map(|run| (run.subject.selector(), run.rank)),
+            terms: context.placement_terms(),
         };
         let placer = &mut decisions.plain_placer;
         let chosen = placer.choose(now, &decisions.registry, &query);
--- a/crates/teaselglade-host/src/relay/stream_reservation.rs
+++ b/crates/teaselglade-host/src/relay/stream_reservation.rs
@@ -310,6 +310,7 @@
         is_continued: attempt.is_continued,
         is_load_stale: decisions.membership.is_large(),
         selected_by: run.map(|run| (run.subject.selector(), run.rank)),
+        terms: context.placement_terms(),
     }
 }
 
--- a/crates/teaselglade-host/tests/host/part_crashes.rs
+++ b/crates/teaselglade-host/tests/host/part_crashes.rs
@@ -9,6 +9,7 @@
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg32;
 use teaselglade_core::id::ServerKey;
+use teaselglade_routing::capacity::PlacementTerms;
 use teaselglade_routing::crash::{CrashSubject, SubjectStanding};
 use teaselglade_routing::engine::{EngineQuery, EngineReservation, PromptShape};
 use teaselglade_routing::registry::{RegistrationState, ServerRegistration, UpdateScope};
@@ -421,6 +422,7 @@
             is_continued: false,
             is_load_stale: decisions.membership.is_large(),
             selected_by: run.map(|run| (run.subject.selector(), run.rank)),
+            terms: PlacementTerms::default(),
         };
         let placed = decisions
             .engine_placer
--- a/crates/teaselglade-host/tests/host/request_crashes.rs
+++ b/crates/teaselglade-host/tests/host/request_crashes.rs
@@ -11,6 +11,7 @@
 use teaselglade_core::id::ServerKey;
 use teaselglade_core::verdict::RefusalReason;
 use teaselglade_host::state::DecisionState;
+use teaselglade_routing::capacity::PlacementTerms;
 use teaselglade_routing::crash::{
     ContainedRun, RequestContent, RequestHash, RequestSubjects, SubjectStanding,
 };
@@ -432,9 +433,12 @@
         };
         let query = PlainQuery {
             service: "desk",
-            zone: self.hosts[call.host].zone,
             tried: &call.tried,
             selected_by: run.map(|run| (run.subject.selector(), run.rank)),
+            terms: PlacementTerms {
+                zone: self.hosts[call.host].zone,
+                ..PlacementTerms::default()
+            },
         };
         let decisions = &mut self.hosts[call.host].decisions;
         let placer = &mut decisions.plain_placer;
--- /dev/null
+++ b/crates/teaselglade-routing/src/capacity/placement_terms.rs
@@ -0,0 +1,21 @@
+//! Terms under which one request is placed.
+
+use super::RequestRank;
+
+/// Terms under which one request is placed, from the decisions made before placement.
+///
+/// # Examples
+///
+/// ```
+/// use teaselglade_routing::capacity::{PlacementTerms, RequestRank};
+///
+/// let terms = PlacementTerms { zone: "galway", ..PlacementTerms::default() };
+/// assert_eq!(terms.rank, RequestRank::new(0));
+/// ```
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct PlacementTerms<'a> {
+    /// Zone of the host that places the request; empty if it is unknown.
+    pub zone: &'a str,
+    /// Urgency of the request.
+    pub rank: RequestRank,
+}
--- a/crates/teaselglade-routing/src/engine/engine_placer.rs
+++ b/crates/teaselglade-routing/src/engine/engine_placer.rs
@@ -11,8 +11,10 @@
 use teaselglade_placement::limit::DemandMeter;
 
 use super::engine_candidate::{EngineCandidate, preference, preference_of};
+use super::engine_loads::EngineLoads;
 use super::stale_choice::choose_with_stale_loads;
 use super::{CachedPart, EngineLoad, EngineSpeed, PrefixLocations, PromptShape, Result, SlotPace};
+use crate::capacity::PlacementTerms;
 use crate::registry::{ServerHealth, ServerRegistry};
 use crate::table::EngineSpec;
 
@@ -28,8 +30,6 @@
 const MEMORY_DELAY: Duration = Duration::from_millis(400);
 /// Share of an engine's cache memory that running requests may fill before prompts wait.
 const MEMORY_SHARE: f64 = 0.9;
-/// Age from which loads from peers and aggregators are ignored.
-const LOAD_TTL: Duration = Duration::from_millis(1_500);
 /// Time for which a placed part is gossiped.
 ///
 /// It spans a few gossip intervals, as digests get lost.
@@ -73,6 +73,8 @@
     ///
     /// All hosts choose alike, so that attempts which may end their engine meet on one.
     pub selected_by: Option<(u64, u32)>,
+    /// Terms from the decisions before placement.
+    pub terms: PlacementTerms<'a>,
 }
 
 /// Reservation of a stream on an engine.
@@ -101,27 +103,6 @@
     first_event_at: Option<Timestamp>,
 }
 
-#[derive(Debug, Clone, Copy, Default)]
-struct OwnLoad {
-    waiting_tokens: f64,
-    requests: u32,
-    memory_tokens: f64,
-}
-
-#[derive(Debug, Clone)]
-struct PeerLoads {
-    received_at: Timestamp,
-    loads: HashMap<u64, EngineLoad>,
-}
-
-/// Load that all other hosts together have on one engine.
-#[derive(Debug, Clone, Copy, Default)]
-struct OtherLoad {
-    waiting_tokens: f64,
-    requests: f64,
-    memory_tokens: f64,
-}
-
 /// Places streams on model engines, or refuses them.
 ///
 /// An engine's cost is the predicted time to the first event plus the prefill time that the
@@ -140,6 +121,7 @@
 /// ```
 /// use std::time::Duration;
 /// use teaselglade_core::time::Timestamp;
+/// use teaselglade_routing::capacity::PlacementTerms;
 /// use teaselglade_routing::engine::{EnginePlacer, EngineQuery, PromptShape};
 /// use teaselglade_routing::registry::ServerRegistry;
 /// use teaselglade_routing::table::EngineSpec;
@@ -157,6 +139,7 @@
 ///     is_continued: false,
 ///     is_load_stale: false,
 ///     selected_by: None,
+///     terms: PlacementTerms::default(),
 /// };
 /// let refusal = placer.place(Timestamp::ZERO, &ServerRegistry::default(), &query).unwrap_err();
 /// assert!(refusal.retry_after.is_some());
@@ -167,12 +150,8 @@
     speeds: HashMap<String, EngineSpeed>,
     paces: HashMap<String, SlotPace>,
     open_streams: HashMap<ReservationId, OpenStream>,
-    own: HashMap<ServerKey, OwnLoad>,
+    loads: EngineLoads,
     health: HashMap<ServerKey, ServerHealth>,
-    peers: HashMap<String, PeerLoads>,
-    others: HashMap<u64, OtherLoad>,
-    /// Time at which the last aggregate of all hosts' loads was received.
-    aggregate_at: Option<Timestamp>,
     recent_parts: Vec<(Timestamp, CachedPart)>,
     /// Prompt tokens that need prefill, by service, including those of refused streams.
     demand: HashMap<String, DemandMeter>,
@@ -189,11 +168,8 @@
             speeds: HashMap::new(),
             paces: HashMap::new(),
             open_streams: HashMap::new(),
-            own: HashMap::new(),
+            loads: EngineLoads::default(),
             health: HashMap::new(),
-            peers: HashMap::new(),
-            others: HashMap::new(),
-            aggregate_at: None,
             recent_parts: Vec::new(),
             demand: HashMap::new(),
             last_id: 0,
@@ -276,9 +252,7 @@
         stream.waiting_tokens = 0.0;
         let tokens_ahead = stream.tokens_ahead;
         let (server, elapsed) = (stream.server, now.since(stream.sent_at));
-        if let Some(load) = self.own.get_mut(&server) {
-            load.waiting_tokens = (load.waiting_tokens - tokens).max(0.0);
-        }
+        self.loads.end_prefill(server, tokens);
         let speed = self.speeds.entry(service.to_owned()).or_default();
         speed.observe(tokens + tokens_ahead, elapsed);
         self.health.entry(server).or_default().record_response(true);
@@ -295,15 +269,8 @@
             let pace = self.paces.entry(service.to_owned()).or_default();
             pace.observe(held);
         }
-        let Some(load) = self.own.get_mut(&stream.server) else {
-            return;
-        };
-        load.waiting_tokens = (load.waiting_tokens - stream.waiting_tokens).max(0.0);
-        load.memory_tokens = (load.memory_tokens - stream.memory_tokens).max(0.0);
-        load.requests = load.requests.saturating_sub(1);
-        if load.requests == 0 {
-            self.own.remove(&stream.server);
-        }
+        self.loads
+            .remove_request(stream.server, stream.waiting_tokens, stream.memory_tokens);
     }
 
     /// Records that a server was unreachable or broke a stream off.
@@ -329,12 +296,7 @@
         loads: &[EngineLoad],
         parts: &[CachedPart],
     ) {
-        let peer_loads = PeerLoads {
-            received_at: now,
-            loads: loads.iter().map(|load| (load.server, *load)).collect(),
-        };
-        self.peers.insert(peer.to_owned(), peer_loads);
-        self.sum_peer_loads(now);
+        self.loads.merge_peer(now, peer, loads);
         self.merge_cached_parts(now, registry, parts);
     }
 
@@ -376,60 +338,24 @@
         registry: &ServerRegistry,
         loads: &[EngineLoad],
     ) {
-        self.aggregate_at = Some(now);
-        self.others.clear();
-        for load in loads {
-            let own = registry
-                .find_by_hash(load.server)
-                .and_then(|key| self.own.get(&key));
-            let own = own.copied().unwrap_or_default();
-            let other = OtherLoad {
-                waiting_tokens: (f64::from(load.waiting_tokens) - own.waiting_tokens).max(0.0),
-                requests: (f64::from(load.requests) - f64::from(own.requests)).max(0.0),
-                memory_tokens: (f64::from(load.memory_tokens) - own.memory_tokens).max(0.0),
-            };
-            self.others.insert(load.server, other);
-        }
+        self.loads.apply_aggregate(now, registry, loads);
     }
 
     /// Stops using the last aggregate. This host now aggregates the digests of peers itself.
     pub const fn stop_applying_aggregate(&mut self) {
-        self.aggregate_at = None;
+        self.loads.stop_applying_aggregate();
     }
 
     /// Returns the loads of all hosts together by engine, for an aggregate digest.
     #[must_use]
     pub fn total_loads(&self, registry: &ServerRegistry) -> Vec<EngineLoad> {
-        let mut sums = self.others.clone();
-        for own in self.own_loads(registry) {
-            let sum = sums.entry(own.server).or_default();
-            sum.waiting_tokens += f64::from(own.waiting_tokens);
-            sum.requests += f64::from(own.requests);
-            sum.memory_tokens += f64::from(own.memory_tokens);
-        }
-        let loads = sums.into_iter().map(|(server, sum)| EngineLoad {
-            server,
-            waiting_tokens: sum.waiting_tokens as u32,
-            requests: sum.requests.min(f64::from(u16::MAX)) as u16,
-            memory_tokens: sum.memory_tokens as u32,
-        });
-        loads.collect()
-    }
-
-    fn has_fresh_aggregate(&self, now: Timestamp) -> bool {
-        self.aggregate_at.is_some_and(|at| now.since(at) < LOAD_TTL)
+        self.loads.total(registry)
     }
 
     /// Returns this host's loads by engine, for its digest.
     #[must_use]
     pub fn own_loads(&self, registry: &ServerRegistry) -> Vec<EngineLoad> {
-        let loads = self.own.iter().map(|(server, load)| EngineLoad {
-            server: registry.server(*server).hash,
-            waiting_tokens: load.waiting_tokens as u32,
-            requests: load.requests.min(u32::from(u16::MAX)) as u16,
-            memory_tokens: load.memory_tokens as u32,
-        });
-        loads.collect()
+        self.loads.own(registry)
     }
 
     /// Returns the parts that this host placed recently, for its digest.
@@ -457,18 +383,14 @@
     #[must_use]
     pub fn occupied_engines(&self, registry: &ServerRegistry, service: &str, slots: u32) -> f64 {
         let engines = registry.of_service(service);
-        let requests = engines.map(|(key, server)| {
-            let own = self.own.get(&key).map_or(0, |load| load.requests);
-            let others = self.others.get(&server.hash);
-            f64::from(own) + others.map_or(0.0, |load| load.requests)
-        });
+        let requests = engines.map(|(key, server)| self.loads.of_engine(key, server.hash).requests);
         requests.sum::<f64>() / f64::from(slots.max(1))
     }
 
     /// Returns the number of streams that this host has open on a server.
     #[must_use]
     pub fn open_streams(&self, server: ServerKey) -> u32 {
-        self.own.get(&server).map_or(0, |load| load.requests)
+        self.loads.own_requests(server)
     }
 
     /// Returns how long streams of a service hold their slots.
@@ -480,9 +402,7 @@
     /// Removes expired cached parts and loads.
     pub fn prune(&mut self, now: Timestamp) {
         self.cache.prune(now);
-        self.peers
-            .retain(|_, peer| now.since(peer.received_at) < LOAD_TTL);
-        self.sum_peer_loads(now);
+        self.loads.prune(now);
     }
 
     fn best_candidate(
@@ -527,18 +447,15 @@
         server: ServerKey,
         hash: u64,
     ) -> EngineCandidate {
-        let own = self.own.get(&server).copied().unwrap_or_default();
-        let others = self.others.get(&hash).copied().unwrap_or_default();
+        let load = self.loads.of_engine(server, hash);
         let speed = self.speed(query.service);
         let cached = self.cache.cached_tokens(now, server, query.prompt);
         let new_tokens = query.prompt.prompt_tokens.saturating_sub(cached);
-        let tokens_ahead = own.waiting_tokens + others.waiting_tokens;
+        let tokens_ahead = load.waiting_tokens;
         let prefill_time = speed.prefill_time(f64::from(new_tokens));
         let mut predicted_latency = speed.prefill_time(f64::from(new_tokens) + tokens_ahead);
-        let requests = f64::from(own.requests) + others.requests;
-        predicted_latency += self.slot_delay(query, requests);
-        let used_memory = own.memory_tokens + others.memory_tokens;
-        let needed_memory = used_memory + f64::from(query.prompt.total_tokens());
+        predicted_latency += self.slot_delay(query, load.requests);
+        let needed_memory = load.memory_tokens + f64::from(query.prompt.total_tokens());
         if needed_memory > query.spec.memory_tokens * MEMORY_SHARE {
             predicted_latency += MEMORY_DELAY;
         }
@@ -551,7 +468,7 @@
             + failures * query.target.as_secs_f64();
         EngineCandidate {
             server,
-            used_share: requests / f64::from(query.spec.slots),
+            used_share: load.requests / f64::from(query.spec.slots),
             predicted_latency,
             prefill_time,
             new_tokens,
@@ -610,10 +527,8 @@
             first_event_at: None,
         };
         self.open_streams.insert(id, stream);
-        let load = self.own.entry(best.server).or_default();
-        load.waiting_tokens += stream.waiting_tokens;
-        load.memory_tokens += stream.memory_tokens;
-        load.requests += 1;
+        self.loads
+            .add_request(best.server, stream.waiting_tokens, stream.memory_tokens);
         let server = registry.server(best.server).hash;
         for part in &query.prompt.parts {
             self.cache.record_use(now, best.server, part.prefix_hash);
@@ -637,23 +552,6 @@
         }
     }
 
-    fn sum_peer_loads(&mut self, now: Timestamp) {
-        if self.has_fresh_aggregate(now) {
-            return;
-        }
-        self.others.clear();
-        let fresh_peers = self
-            .peers
-            .values()
-            .filter(|peer| now.since(peer.received_at) < LOAD_TTL);
-        for load in fresh_peers.flat_map(|peer| peer.loads.values()) {
-            let sum = self.others.entry(load.server).or_default();
-            sum.waiting_tokens += f64::from(load.waiting_tokens);
-            sum.requests += f64::from(load.requests);
-            sum.memory_tokens += f64::from(load.memory_tokens);
-        }
-    }
-
     fn no_engine_refusal(
         &mut self,
         now: Timestamp,
--- a/crates/teaselglade-routing/src/engine/mod.rs
+++ b/crates/teaselglade-routing/src/engine/mod.rs
@@ -2,6 +2,7 @@
 
 mod engine_candidate;
 mod engine_load;
+mod engine_loads;
 mod engine_placer;
 mod engine_speed;
 mod prefix_locations;
--- a/crates/teaselglade-routing/src/lib.rs
+++ b/crates/teaselglade-routing/src/lib.rs
@@ -5,6 +5,7 @@
 //! are kept and what is reported. Nothing here does I/O, reads a clock or starts a task.
 
 pub mod attempt;
+pub mod capacity;
 pub mod crash;
 pub mod engine;
 pub mod event;
--- a/crates/teaselglade-routing/src/plain/plain_placer.rs
+++ b/crates/teaselglade-routing/src/plain/plain_placer.rs
@@ -9,6 +9,7 @@
 use teaselglade_core::time::Timestamp;
 use teaselglade_core::verdict::{RefusalReason, RequestRefusal};
 
+use crate::capacity::PlacementTerms;
 use crate::engine::preference_of;
 use crate::registry::{RegisteredServer, ServerHealth, ServerRegistry};
 
@@ -48,12 +49,12 @@
 pub struct PlainQuery<'a> {
     /// Name of the service.
     pub service: &'a str,
-    /// Zone of this host.
-    pub zone: &'a str,
     /// Servers that must not be tried again.
     pub tried: &'a [ServerKey],
     /// Number that selects the server, the same on all hosts, and how many selections it skips.
     pub selected_by: Option<(u64, u32)>,
+    /// Terms from the decisions before placement.
+    pub terms: PlacementTerms<'a>,
 }
 
 #[derive(Debug, Clone, Copy, Default)]
@@ -73,11 +74,13 @@
 ///
 /// ```
 /// use teaselglade_core::time::Timestamp;
+/// use teaselglade_routing::capacity::PlacementTerms;
 /// use teaselglade_routing::registry::ServerRegistry;
 /// use teaselglade_routing::plain::{PlainPlacer, PlainQuery};
 ///
 /// let mut placer = PlainPlacer::new(1);
-/// let query = PlainQuery { service: "ticket-desk", zone: "galway", tried: &[], selected_by: None };
+/// let terms = PlacementTerms { zone: "galway", ..PlacementTerms::default() };
+/// let query = PlainQuery { service: "ticket-desk", tried: &[], selected_by: None, terms };
 /// assert!(placer.place(Timestamp::ZERO, &ServerRegistry::default(), &query).is_err());
 /// ```
 #[derive(Debug)]
@@ -227,7 +230,7 @@
             .max(1.0);
         let reported_requests = reported.map_or(0.0, |load| f64::from(load.running + load.waiting));
         let load_per_slot = f64::from(status.in_flight).max(reported_requests) / slots;
-        let zone_cost = if server.registration.zone == query.zone {
+        let zone_cost = if server.registration.zone == query.terms.zone {
             0.0
         } else {
             OTHER_ZONE_COST
--- a/crates/teaselglade-routing/tests/routing/engines.rs
+++ b/crates/teaselglade-routing/tests/routing/engines.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use teaselglade_core::id::ServerKey;
+use teaselglade_routing::capacity::PlacementTerms;
 use teaselglade_routing::engine::{
     CachedPart, EngineLoad, EnginePlacer, EngineQuery, PromptShape, ReservationId,
 };
@@ -85,6 +86,7 @@
         is_continued: false,
         is_load_stale: false,
         selected_by: None,
+        terms: PlacementTerms::default(),
     }
 }
 
--- a/crates/teaselglade-routing/tests/routing/plains.rs
+++ b/crates/teaselglade-routing/tests/routing/plains.rs
@@ -1,6 +1,7 @@
 //! Placement of plain calls.
 
 use teaselglade_core::id::ServerKey;
+use teaselglade_routing::capacity::{PlacementTerms, RequestRank};
 use teaselglade_routing::plain::{PlainPlacer, PlainQuery, ServerLoad};
 use teaselglade_routing::registry::{ServerRegistration, ServerRegistry};
 
@@ -9,8 +10,11 @@
 const QUERY: PlainQuery<'static> = PlainQuery {
     selected_by: None,
     service: "draft-fleet",
-    zone: "galway",
     tried: &[],
+    terms: PlacementTerms {
+        zone: "galway",
+        rank: RequestRank::new(0),
+    },
 };
 
 fn three_zone_registry() -> (ServerRegistry, Vec<ServerKey>) {
--- a/crates/teaselglade-routing/tests/routing/slots.rs
+++ b/crates/teaselglade-routing/tests/routing/slots.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use teaselglade_core::id::ServerKey;
+use teaselglade_routing::capacity::PlacementTerms;
 use teaselglade_routing::engine::{
     CachedPart, EngineLoad, EnginePlacer, EngineQuery, PromptShape, ReservationId,
 };
@@ -188,6 +189,7 @@
                     is_continued: false,
                     is_load_stale: true,
                     selected_by: None,
+                    terms: PlacementTerms::default(),
                 };
                 let is_counted = now >= 5_000;
                 outcome.offered += if is_counted { 1.0 } else { 0.0 };
@@ -294,6 +296,7 @@
             is_continued: false,
             is_load_stale: true,
             selected_by: None,
+            terms: PlacementTerms::default(),
         };
         let reservation = placer.place(at(1), &registry, &query).expect("an engine");
         *counts.entry(reservation.server).or_default() += 1;
