--- a/crates/teaselglade-host/src/duty/duty_driver.rs
+++ b/crates/teaselglade-host/src/duty/duty_driver.rs
@@ -307,6 +307,10 @@
         };
         let now = self.host.now();
         let mut decisions = self.host.lock_decisions();
+        // The stock holds both versions meanwhile, and neither may be ordered away.
+        if decisions.rollouts.is_running(&service.name) {
+            return Vec::new();
+        }
         let slots = service.engine.as_ref().map(|engine| engine.slots);
         let busy = decisions.busy_servers(now, &service.name, slots);
         let capacity = decisions.zone_capacity(&service.name, &scaling.zone_prices);
--- a/crates/teaselglade-host/src/follow/server_follower.rs
+++ b/crates/teaselglade-host/src/follow/server_follower.rs
@@ -130,6 +130,7 @@
             FeedItem::Unreadable { key, detail } => skip_unreadable(host, &key, &detail),
             FeedItem::ServerRemoved(_)
             | FeedItem::Table(_)
+            | FeedItem::Rollout(_)
             | FeedItem::Host(_)
             | FeedItem::Quarantine(_) => {}
         }
@@ -147,7 +148,10 @@
             FeedItem::Server(registration) => apply_update(host, registration),
             FeedItem::ServerRemoved(id) => apply_removal(host, &id),
             FeedItem::Unreadable { key, detail } => skip_unreadable(host, &key, &detail),
-            FeedItem::Table(_) | FeedItem::Host(_) | FeedItem::Quarantine(_) => {}
+            FeedItem::Table(_)
+            | FeedItem::Rollout(_)
+            | FeedItem::Host(_)
+            | FeedItem::Quarantine(_) => {}
         }
     }
     host.lock_decisions().registry.remove_expired(host.now());
--- a/crates/teaselglade-host/src/follow/table_follower.rs
+++ b/crates/teaselglade-host/src/follow/table_follower.rs
@@ -32,11 +32,13 @@
 /// that they enforce, and a host that starts must not serve with a removed key.
 pub async fn follow_table(host: Arc<HostState>) {
     pull_before_store(&host).await;
+    let mut is_start = true;
     loop {
         match host.ports.feeds.latest(Feed::Table).await {
             Ok(page) => {
                 host.record_call("read_table", None);
-                apply_page(&host, page);
+                apply_page(&host, page, is_start);
+                is_start = false;
                 poll_changes(&host).await;
             }
             Err(error) => {
@@ -62,7 +64,7 @@
         match host.ports.feeds.changes(Feed::Table, next, wait).await {
             Ok(page) => {
                 host.record_call("follow_table", None);
-                apply_page(host, page);
+                apply_page(host, page, false);
             }
             Err(error @ (StoreError::HistoryLost { .. } | StoreError::HistoryReplaced { .. })) => {
                 info!(event = "history_lost", feed = "table", next, error = %error);
@@ -100,7 +102,8 @@
     }
 }
 
-fn apply_page(host: &HostState, page: FeedPage) {
+/// Applies a page; `is_start` marks the first one that this host reads.
+fn apply_page(host: &HostState, page: FeedPage, is_start: bool) {
     let next_offset = page.next_offset;
     for item in page.items {
         match item {
@@ -111,6 +114,7 @@
                 host.metrics.unreadable_records.inc();
                 warn!(event = "record_passed_over", feed = "table", key, detail);
             }
+            FeedItem::Rollout(order) => host.record_order(order, is_start),
             FeedItem::Server(_)
             | FeedItem::ServerRemoved(_)
             | FeedItem::Host(_)
--- a/crates/teaselglade-host/src/host/serving_host.rs
+++ b/crates/teaselglade-host/src/host/serving_host.rs
@@ -22,6 +22,7 @@
 use crate::peer::{GossipTransport, pull_from_peers, start_peer_api};
 use crate::port::{Feed, FeedItem};
 use crate::quarantine::{QuarantineRecord, keep_quarantine};
+use crate::rollout::keep_rollouts;
 use crate::settings::HostSettings;
 use crate::state::{HostPorts, HostState};
 
@@ -78,6 +79,7 @@
             tokio::spawn(discover_hosts(Arc::clone(&state))),
             tokio::spawn(watch_store_history(Arc::clone(&state))),
             tokio::spawn(keep_quarantine(Arc::clone(&state))),
+            tokio::spawn(keep_rollouts(Arc::clone(&state))),
             tokio::spawn(run_cleanup(Arc::clone(&state))),
         ];
         let duties = state.ports.duties.clone();
--- a/crates/teaselglade-host/src/lib.rs
+++ b/crates/teaselglade-host/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod port;
 pub mod quarantine;
 pub mod relay;
+pub mod rollout;
 pub mod settings;
 pub mod state;
 pub mod upstream;
--- a/crates/teaselglade-host/src/peer/gossip_transport.rs
+++ b/crates/teaselglade-host/src/peer/gossip_transport.rs
@@ -122,12 +122,20 @@
 
     async fn send_digest(&mut self) {
         let (digest, limits, targets) = self.build_digest();
+        let rollouts = {
+            let (host, now) = (&self.host, self.host.now());
+            let decisions = host.lock_decisions();
+            decisions
+                .rollouts
+                .report(now, host.started_at_us, self.sequence)
+        };
+        let rollouts = (!rollouts.is_empty()).then(|| encode(&PeerMessage::Rollouts(rollouts)));
         let bytes = encode(&PeerMessage::Host(Box::new(digest)));
         let limits = (!limits.is_empty()).then(|| encode(&PeerMessage::Limits(limits)));
         for target in targets {
             self.send_to(&bytes, target).await;
-            if let Some(limits) = &limits {
-                self.send_to(limits, target).await;
+            for message in limits.iter().chain(&rollouts) {
+                self.send_to(message, target).await;
             }
         }
         if self.sequence.is_multiple_of(DIGESTS_PER_AGGREGATE) {
@@ -158,14 +166,19 @@
         self.round.next_send_at += self.round.send_interval;
         self.send_to(&self.round.bytes, target).await;
         let now = self.host.now();
-        let (evidence, limits) = {
+        let (evidence, limits, rollouts) = {
             let decisions = self.host.lock_decisions();
             let number = self.sequence / DIGESTS_PER_AGGREGATE;
             (
                 decisions.crash_ledger.evidence(now, UpdateScope::All),
                 decisions.limit_aggregate(now, number),
+                decisions.rollouts.aggregate(now, number),
             )
         };
+        if !rollouts.is_empty() {
+            let bytes = encode(&PeerMessage::Rollouts(rollouts));
+            self.send_to(&bytes, target).await;
+        }
         if !limits.is_empty() {
             let bytes = encode(&PeerMessage::Limits(limits));
             self.send_to(&bytes, target).await;
@@ -323,6 +336,10 @@
                 decisions.crash_ledger.merge(now, &evidence);
             }
             PeerMessage::Limits(report) => self.host.merge_limits(&report),
+            PeerMessage::Rollouts(report) => {
+                let now = self.host.now();
+                self.host.lock_decisions().merge_rollouts(now, report);
+            }
             PeerMessage::Permit(message) => return self.apply_permit_message(message, sender),
         }
         None
--- a/crates/teaselglade-host/src/port/feed_port.rs
+++ b/crates/teaselglade-host/src/port/feed_port.rs
@@ -7,6 +7,7 @@
 use teaselglade_core::port::PortFuture;
 use teaselglade_routing::gossip::PeerAddress;
 use teaselglade_routing::registry::ServerRegistration;
+use teaselglade_routing::rollout::{RolloutOrder, RolloutStage};
 use teaselglade_routing::table::TableSpec;
 use tokio::sync::watch;
 
@@ -47,6 +48,8 @@
     Host(PeerAddress),
     /// Quarantined prompt parts, as a host published them in the feed of hosts.
     Quarantine(Bytes),
+    /// Order to change a service's version, published by operators beside the table.
+    Rollout(RolloutOrder),
     /// Record of a foreign writer or in an unknown format.
     Unreadable {
         /// Key of the record.
@@ -56,6 +59,26 @@
     },
 }
 
+/// State of a roll-out as the operators see it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct PublishedRollout {
+    /// Name of the service.
+    pub service: String,
+    /// Version that the order names.
+    pub target: String,
+    /// Stage; any that is no verdict stands for an order that runs.
+    pub stage: RolloutStage,
+}
+
+/// State of a roll-out in the store, and the position at which it was read.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RolloutPosition {
+    /// State that the operators see; `None` if there is none for the service.
+    pub published: Option<PublishedRollout>,
+    /// Position that the next publication names.
+    pub position: u64,
+}
+
 /// Page of records of a feed.
 #[derive(Debug, Clone, PartialEq)]
 pub struct FeedPage {
@@ -142,6 +165,21 @@
     /// Publishes the quarantined prompt parts in the feed of hosts, in place of earlier ones.
     fn publish_quarantine(&self, record: Bytes) -> PortFuture<'_, Result<(), StoreError>>;
 
+    /// Returns the state of a service's roll-out that the operators see.
+    fn rollout<'a>(
+        &'a self,
+        service: &'a str,
+    ) -> PortFuture<'a, Result<RolloutPosition, StoreError>>;
+
+    /// Publishes the state of a roll-out, unless anything was published since `position` was read.
+    ///
+    /// A publication that takes effect late thus cannot replace a newer one.
+    fn publish_rollout<'a>(
+        &'a self,
+        rollout: &'a PublishedRollout,
+        position: u64,
+    ) -> PortFuture<'a, Result<(), StoreError>>;
+
     /// Returns a receiver of the generation of the store's history.
     ///
     /// The generation rises by one each time the store returns from an older copy of its records.
--- a/crates/teaselglade-host/src/port/mod.rs
+++ b/crates/teaselglade-host/src/port/mod.rs
@@ -6,6 +6,9 @@
 mod packed_table;
 
 pub use duty_port::{DutyError, DutyPort, LeaderTerm};
-pub use feed_port::{Feed, FeedItem, FeedPage, FeedPort, PublishedTable, StoreError};
+pub use feed_port::{
+    Feed, FeedItem, FeedPage, FeedPort, PublishedRollout, PublishedTable, RolloutPosition,
+    StoreError,
+};
 pub use message_port::{ForwardedHead, MessageError, MessagePort, RequestHead, ResponseHead};
 pub use packed_table::PackedTable;
--- a/crates/teaselglade-host/src/relay/call_context.rs
+++ b/crates/teaselglade-host/src/relay/call_context.rs
@@ -13,6 +13,7 @@
 use teaselglade_routing::capacity::{PlacementTerms, RequestRank};
 use teaselglade_routing::crash::{RequestHash, RequestSubjects};
 use teaselglade_routing::engine::PromptShape;
+use teaselglade_routing::rollout::VersionScope;
 use teaselglade_routing::table::{RouteSpec, ServiceSpec};
 
 use super::CallerResponse;
@@ -30,6 +31,8 @@
     /// Id of the caller's attempt.
     pub(super) id: String,
     pub(super) route: RouteSpec,
+    /// Hash of the route's name.
+    pub(super) route_hash: u64,
     pub(super) service: ServiceSpec,
     pub(super) organisation: Option<String>,
     pub(super) rank: RequestRank,
@@ -74,14 +77,20 @@
         self.organisation.as_deref().unwrap_or_default()
     }
 
-    /// Returns the terms under which an attempt is placed.
-    pub(super) fn placement_terms(&self) -> PlacementTerms<'_> {
+    /// Returns the terms under which an attempt is placed on servers of some versions.
+    pub(super) fn placement_terms<'a>(&'a self, versions: VersionScope<'a>) -> PlacementTerms<'a> {
         PlacementTerms {
             zone: &self.host.settings.zone,
             rank: self.rank,
+            versions,
         }
     }
 
+    /// Returns the time without an answer from which an attempt that is given up counts as slow.
+    pub(super) fn overdue_after(&self) -> Duration {
+        self.route.target / 2
+    }
+
     /// Returns what ended servers may speak against.
     pub(super) const fn subjects(&self) -> RequestSubjects<'_> {
         RequestSubjects {
--- a/crates/teaselglade-host/src/relay/call_handler.rs
+++ b/crates/teaselglade-host/src/relay/call_handler.rs
@@ -13,6 +13,7 @@
 use teaselglade_core::verdict::{RefusalReason, RequestRefusal};
 use teaselglade_routing::capacity::RequestRank;
 use teaselglade_routing::crash::{RequestContent, RequestHash};
+use teaselglade_routing::gossip::name_hash;
 use teaselglade_routing::table::{Caller, IngressLimits, ResponseKind};
 use tokio::time::timeout;
 
@@ -205,6 +206,7 @@
             route.priority,
         ),
         table_version: table.version(),
+        route_hash: name_hash(&route.name),
         route: route.clone(),
         service,
         prompt: head.prompt,
--- a/crates/teaselglade-host/src/relay/engine_attempt.rs
+++ b/crates/teaselglade-host/src/relay/engine_attempt.rs
@@ -72,6 +72,18 @@
 
     /// Reads until whole events, the end or a failure; nothing is lost if the future is dropped.
     pub(super) async fn next_step(&mut self) -> AttemptStep {
+        let step = self.read_step().await;
+        match &step {
+            AttemptStep::ErrorResponse(response) if !response.status.is_client_error() => {
+                self.reservation.record_failure(AttemptOutcome::Failed);
+            }
+            AttemptStep::Failed(failed) => self.reservation.record_failure(failed.outcome),
+            _ => {}
+        }
+        step
+    }
+
+    async fn read_step(&mut self) -> AttemptStep {
         loop {
             match &mut self.progress {
                 CallProgress::Sent(call) => match call.await {
--- a/crates/teaselglade-host/src/relay/plain_relay.rs
+++ b/crates/teaselglade-host/src/relay/plain_relay.rs
@@ -15,6 +15,7 @@
 use teaselglade_routing::attempt::{AttemptOutcome, AttemptTracker, NextStep};
 use teaselglade_routing::crash::ContainedRun;
 use teaselglade_routing::plain::{PlainQuery, ServerLoad};
+use teaselglade_routing::rollout::{AttemptEvidence, AttemptRecord};
 use tokio::time::{sleep, timeout};
 
 use super::call_context::{CallContext, next_step_name};
@@ -169,14 +170,7 @@
         let mut decisions = host.lock_decisions();
         let decisions = &mut *decisions;
         let run = self.permit_attempt(decisions, now)?;
-        let query = PlainQuery {
-            service: &context.service.name,
-            tried,
-            selected_by: run.map(|run| (run.subject.selector(), run.rank)),
-            terms: context.placement_terms(),
-        };
-        let placer = &mut decisions.plain_placer;
-        let chosen = placer.choose(now, &decisions.registry, &query);
+        let chosen = self.choose_server(decisions, now, tried, run);
         match (chosen, run) {
             (Ok(server), _) if !decisions.needs_permit(server) => {
                 let active_call = self.record_start(decisions, now, server, run);
@@ -195,6 +189,46 @@
         }
     }
 
+    /// Chooses a server of the versions that the attempt may use.
+    ///
+    /// # Errors
+    ///
+    /// Returns a "not run" refusal if no untried server takes the call.
+    fn choose_server(
+        &self,
+        decisions: &mut DecisionState,
+        now: Timestamp,
+        tried: &[ServerKey],
+        run: Option<ContainedRun>,
+    ) -> Result<ServerKey> {
+        let context = &self.context;
+        let (service, route) = (&context.service.name, context.route_hash);
+        let is_repeat = self.tracker.attempts() > 0 || run.is_some();
+        let mut choice = decisions.rollouts.choose(now, service, route, is_repeat);
+        loop {
+            let query = PlainQuery {
+                service,
+                tried,
+                selected_by: run.map(|run| (run.subject.selector(), run.rank)),
+                terms: context.placement_terms(choice.scope()),
+            };
+            let placer = &mut decisions.plain_placer;
+            let chosen = placer.choose(now, &decisions.registry, &query);
+            // A trial does not wait for a permit.
+            let is_usable = chosen
+                .as_ref()
+                .is_ok_and(|server| !(choice.is_trial() && decisions.needs_permit(*server)));
+            let fallback = choice.fallback().filter(|_| !is_usable);
+            let Some(fallback) = fallback else {
+                return chosen;
+            };
+            if choice.is_trial() {
+                decisions.rollouts.give_back(service, route);
+            }
+            choice = fallback;
+        }
+    }
+
     /// Decides whether the next attempt may be sent, by what ended servers say of the call.
     ///
     /// # Errors
@@ -220,6 +254,14 @@
         if !decisions.registry.takes_work(server) {
             return None;
         }
+        let (service, route) = (&self.context.service.name, self.context.route_hash);
+        let choice = decisions.rollouts.choose(now, service, route, true);
+        if !choice
+            .scope()
+            .allows(server, decisions.registry.server(server))
+        {
+            return None;
+        }
         match self.permit_attempt(&mut decisions, now) {
             Ok(None) => Some(self.record_start(&mut decisions, now, server, None)),
             Ok(Some(run)) => {
@@ -241,6 +283,14 @@
         let context = &self.context;
         let host = &context.host;
         decisions.plain_placer.record_start(server);
+        let is_first = self.tracker.attempts() == 0;
+        let record = decisions.rollouts.record_sent(
+            now,
+            &decisions.registry,
+            server,
+            context.route_hash,
+            is_first,
+        );
         let registration = &decisions.registry.server(server).registration;
         let placement = crate::journal::PlacementFields {
             server: &registration.id,
@@ -256,6 +306,8 @@
             context: Arc::clone(context),
             server,
             run,
+            record,
+            started_at: now,
         }
     }
 
@@ -296,10 +348,11 @@
     /// Records the result of an attempt; returns the response if it is final.
     async fn handle_result(
         &mut self,
-        active_call: ActiveCall,
+        mut active_call: ActiveCall,
         result: std::result::Result<CollectedResponse, FailedCall>,
     ) -> Result<Option<CallerResponse>> {
         let server = active_call.server;
+        active_call.record_result(&result);
         let context = Arc::clone(&self.context);
         let host = &context.host;
         let now = host.now();
@@ -432,12 +485,69 @@
     server: ServerKey,
     /// Run of the call, if it is contained.
     run: Option<ContainedRun>,
+    /// What a roll-out counts of the call.
+    record: Option<AttemptRecord>,
+    started_at: Timestamp,
+}
+
+impl ActiveCall {
+    /// Records for a roll-out how the call went.
+    fn record_result(&mut self, result: &std::result::Result<CollectedResponse, FailedCall>) {
+        let Some(record) = &mut self.record else {
+            return;
+        };
+        let host = &self.context.host;
+        let elapsed = host.now().since(self.started_at);
+        let result = match result {
+            Ok(response) => {
+                let status = response.status;
+                Some(AttemptEvidence::Answered {
+                    is_failure: !status.is_success() && !status.is_client_error(),
+                    latency: elapsed,
+                })
+            }
+            Err(failed) => attempt_evidence(failed.outcome, elapsed),
+        };
+        match result {
+            Some(result) => host.lock_decisions().rollouts.record_result(record, result),
+            None => record.discard(),
+        }
+    }
+}
+
+/// Returns what a failed attempt says of its server's version; `None` for nothing.
+pub(super) const fn attempt_evidence(
+    outcome: AttemptOutcome,
+    elapsed: Duration,
+) -> Option<AttemptEvidence> {
+    match outcome {
+        AttemptOutcome::Broken => Some(AttemptEvidence::Broken),
+        AttemptOutcome::TimedOut => Some(AttemptEvidence::Overdue(elapsed)),
+        AttemptOutcome::Failed => Some(AttemptEvidence::Answered {
+            is_failure: true,
+            latency: elapsed,
+        }),
+        AttemptOutcome::Unreachable
+        | AttemptOutcome::Withheld
+        | AttemptOutcome::Rejected
+        | AttemptOutcome::Misdirected
+        | AttemptOutcome::Superseded => None,
+    }
 }
 
 impl Drop for ActiveCall {
     fn drop(&mut self) {
-        let mut decisions = self.context.host.lock_decisions();
+        let host = &self.context.host;
+        let elapsed = host.now().since(self.started_at);
+        let mut decisions = host.lock_decisions();
         decisions.plain_placer.record_end(self.server);
+        if let Some(record) = &mut self.record {
+            if elapsed >= self.context.overdue_after() {
+                let overdue = AttemptEvidence::Overdue(elapsed);
+                decisions.rollouts.record_result(record, overdue);
+            }
+            decisions.rollouts.record_closed(record);
+        }
         if let Some(run) = self.run {
             decisions.crash_ledger.record_contained_end(run.subject);
         }
--- a/crates/teaselglade-host/src/relay/stream_reservation.rs
+++ b/crates/teaselglade-host/src/relay/stream_reservation.rs
@@ -7,12 +7,15 @@
 use teaselglade_core::time::Timestamp;
 use teaselglade_core::verdict::{RefusalReason, RequestRefusal};
 use teaselglade_request::retry::RetryDecision;
+use teaselglade_routing::attempt::AttemptOutcome;
 use teaselglade_routing::crash::ContainedRun;
 use teaselglade_routing::engine::{EngineQuery, EngineReservation, PromptShape};
+use teaselglade_routing::rollout::{AttemptEvidence, AttemptRecord, VersionChoice, VersionScope};
 use teaselglade_routing::table::EngineSpec;
 
 use super::Result;
 use super::call_context::CallContext;
+use super::plain_relay::attempt_evidence;
 use super::server_turn::ServerTurn;
 use crate::journal::PlacementFields;
 use crate::permit::SendPermit;
@@ -21,6 +24,9 @@
 /// Interval between the recorded events of a stream after its first one.
 const EVENT_RECORD_INTERVAL: Duration = Duration::from_millis(250);
 
+/// Time to the first event to which others are scaled before they are compared.
+const USUAL_LATENCY: Duration = Duration::from_millis(40);
+
 /// Retry delay of a stream whose prompt selects a limited engine; the time of a few events.
 const SELECTED_RETRY_DELAY: Duration = Duration::from_millis(500);
 /// Capacity of engines of a service that declares none.
@@ -55,6 +61,9 @@
     recorded_at: Timestamp,
     /// Run of the attempt, if it is contained.
     contained_run: Option<ContainedRun>,
+    /// What a roll-out counts of the attempt.
+    record: Option<AttemptRecord>,
+    sent_at: Timestamp,
     /// Whether the attempt may be sent although its request is quarantined.
     is_exempt: bool,
 }
@@ -83,10 +92,13 @@
         attempt: &StreamAttempt<'_>,
     ) -> Result<Self> {
         let turn = ServerTurn::new(context, attempt.is_continued);
-        let engine = obtain_engine(context, attempt, &turn).await;
+        let is_repeat = attempt.number > 1 || attempt.has_events;
+        let choice = choose_versions(context, is_repeat);
+        let engine = obtain_engine(context, attempt, &turn, choice.scope()).await;
         let mut decisions = context.host.lock_decisions();
-        let run = permit_attempt(context, &mut decisions, attempt)?;
-        Self::reserve(context, &mut decisions, attempt, run, engine)
+        let run = permit_attempt(context, &mut decisions, attempt);
+        let run = run.inspect_err(|_refusal| give_back(context, &mut decisions, &choice))?;
+        Self::reserve(context, &mut decisions, attempt, run, engine, choice)
     }
 
     /// Reserves an engine for an attempt beside a silent one.
@@ -112,7 +124,8 @@
             return None;
         }
         let turn = ServerTurn::without_hold(context);
-        let engine = obtain_engine(context, attempt, &turn).await;
+        let choice = choose_versions(context, true);
+        let engine = obtain_engine(context, attempt, &turn, choice.scope()).await;
         let now = host.now();
         let mut decisions = host.lock_decisions();
         if !may_start(&mut decisions) {
@@ -132,7 +145,7 @@
                 return None;
             }
         }
-        Self::reserve(context, &mut decisions, attempt, None, engine).ok()
+        Self::reserve(context, &mut decisions, attempt, None, engine, choice).ok()
     }
 
     /// Reserves an engine and logs the placement.
@@ -147,15 +160,30 @@
         attempt: &StreamAttempt<'_>,
         run: Option<ContainedRun>,
         obtained: ObtainedEngine,
+        mut choice: VersionChoice,
     ) -> Result<Self> {
         let host = &context.host;
         let now = host.now();
-        let query = engine_query(context, decisions, attempt, run);
-        let registry = &decisions.registry;
-        let engines = &mut decisions.engine_placer;
-        let placed = match obtained.server {
-            Some(server) if run.is_none() => engines.place_at(now, registry, &query, server),
-            _ => engines.place(now, registry, &query),
+        // A request that may end servers does not go on trial.
+        let is_withheld = run.is_some() && choice.is_trial();
+        if let Some(fallback) = choice.fallback().filter(|_| is_withheld) {
+            give_back(context, decisions, &choice);
+            choice = fallback;
+        }
+        let placed = loop {
+            let query = engine_query(context, decisions, attempt, run, choice.scope());
+            let registry = &decisions.registry;
+            let engines = &mut decisions.engine_placer;
+            let placed = match obtained.server {
+                Some(server) if run.is_none() => engines.place_at(now, registry, &query, server),
+                _ => engines.place(now, registry, &query),
+            };
+            let fallback = choice.fallback().filter(|_| placed.is_err());
+            let Some(fallback) = fallback else {
+                break placed;
+            };
+            give_back(context, decisions, &choice);
+            choice = fallback;
         };
         let placed = placed.and_then(|engine| {
             let is_permitted = obtained.permit.is_some() && obtained.server == Some(engine.server);
@@ -173,6 +201,13 @@
                 decisions.crash_ledger.record_contained_end(run.subject);
             }
         })?;
+        let record = decisions.rollouts.record_sent(
+            now,
+            &decisions.registry,
+            engine.server,
+            context.route_hash,
+            attempt.number == 1,
+        );
         let server_id = decisions
             .registry
             .server(engine.server)
@@ -197,6 +232,8 @@
             has_first_event: false,
             recorded_at: Timestamp::ZERO,
             contained_run: run,
+            record,
+            sent_at: now,
             is_exempt: attempt.has_events || run.is_some_and(|run| run.is_trial),
         })
     }
@@ -221,6 +258,19 @@
         self.has_first_event
     }
 
+    /// Records for a roll-out that the server failed the stream, or how the attempt failed.
+    pub(super) fn record_failure(&mut self, outcome: AttemptOutcome) {
+        let Some(record) = &mut self.record else {
+            return;
+        };
+        let host = &self.context.host;
+        let elapsed = host.now().since(self.sent_at);
+        match attempt_evidence(outcome, scaled(elapsed, &self.engine)) {
+            Some(result) => host.lock_decisions().rollouts.record_result(record, result),
+            None => record.discard(),
+        }
+    }
+
     /// Records that events of the stream arrived.
     ///
     /// Events after the first one are recorded at most once in [`EVENT_RECORD_INTERVAL`]; they
@@ -241,6 +291,13 @@
             decisions
                 .engine_placer
                 .record_first_event(now, service, self.engine.id);
+            if let Some(record) = &mut self.record {
+                let answered = AttemptEvidence::Answered {
+                    is_failure: false,
+                    latency: scaled(now.since(self.sent_at), &self.engine),
+                };
+                decisions.rollouts.record_result(record, answered);
+            }
         }
         decisions.record_answer(now, self.engine.server, self.context.subjects());
         if let Some(run) = self.contained_run.take() {
@@ -256,6 +313,7 @@
     context: &CallContext,
     attempt: &StreamAttempt<'_>,
     turn: &ServerTurn,
+    versions: VersionScope<'_>,
 ) -> ObtainedEngine {
     loop {
         let server = {
@@ -263,7 +321,7 @@
             if decisions.limits.is_empty() {
                 return ObtainedEngine::default();
             }
-            let query = engine_query(context, &decisions, attempt, None);
+            let query = engine_query(context, &decisions, attempt, None, versions);
             let (placer, registry) = (&decisions.engine_placer, &decisions.registry);
             let server = placer.preview(context.host.now(), registry, &query);
             if let Some(server) = server
@@ -298,6 +356,7 @@
     decisions: &DecisionState,
     attempt: &StreamAttempt<'a>,
     run: Option<ContainedRun>,
+    versions: VersionScope<'a>,
 ) -> EngineQuery<'a> {
     let spec = context.service.engine.as_ref();
     EngineQuery {
@@ -310,10 +369,36 @@
         is_continued: attempt.is_continued,
         is_load_stale: decisions.membership.is_large(),
         selected_by: run.map(|run| (run.subject.selector(), run.rank)),
-        terms: context.placement_terms(),
+        terms: context.placement_terms(versions),
+    }
+}
+
+/// Chooses the versions that an attempt may use.
+fn choose_versions(context: &CallContext, is_repeat: bool) -> VersionChoice {
+    let host = &context.host;
+    let (service, route) = (&context.service.name, context.route_hash);
+    let mut decisions = host.lock_decisions();
+    decisions
+        .rollouts
+        .choose(host.now(), service, route, is_repeat)
+}
+
+/// Gives back the credit of a trial that was not sent.
+fn give_back(context: &CallContext, decisions: &mut DecisionState, choice: &VersionChoice) {
+    if choice.is_trial() {
+        let (service, route) = (&context.service.name, context.route_hash);
+        decisions.rollouts.give_back(service, route);
     }
 }
 
+/// Returns a time to the first event as it would be if [`USUAL_LATENCY`] had been predicted.
+///
+/// The prediction counts what the engine has to prefill, so that a cold cache is not a slow engine.
+fn scaled(elapsed: Duration, engine: &EngineReservation) -> Duration {
+    let predicted = engine.predicted_latency.max(USUAL_LATENCY);
+    elapsed.mul_f64(USUAL_LATENCY.as_secs_f64() / predicted.as_secs_f64())
+}
+
 /// Returns the run of an attempt that must run alone; `None` if it need not.
 ///
 /// # Errors
@@ -340,6 +425,14 @@
         decisions
             .engine_placer
             .record_end(now, service, self.engine.id);
+        if let Some(record) = &mut self.record {
+            let elapsed = now.since(self.sent_at);
+            if elapsed >= self.context.overdue_after() {
+                let overdue = AttemptEvidence::Overdue(scaled(elapsed, &self.engine));
+                decisions.rollouts.record_result(record, overdue);
+            }
+            decisions.rollouts.record_closed(record);
+        }
         if let Some(run) = self.contained_run.take() {
             decisions.crash_ledger.record_contained_end(run.subject);
         }
--- /dev/null
+++ b/crates/teaselglade-host/src/rollout/mod.rs
@@ -0,0 +1,5 @@
+//! Roll-outs of services' versions: reads their evidence, moves them on and reports them.
+
+mod rollout_keeper;
+
+pub use rollout_keeper::keep_rollouts;
--- a/crates/teaselglade-host/src/settings/host_settings.rs
+++ b/crates/teaselglade-host/src/settings/host_settings.rs
@@ -3,6 +3,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use teaselglade_routing::rollout::RolloutBounds;
+
 use super::LogSettings;
 
 /// Addresses on which a host listens.
@@ -46,6 +48,8 @@
     pub shutdown_grace_period: Duration,
     /// Leader duties.
     pub duties: DutySettings,
+    /// Bounds on roll-outs of a service's version; `None` if the deployment sets none.
+    pub rollouts: Option<RolloutBounds>,
     /// Settings of the log.
     pub log: LogSettings,
 }
--- a/crates/teaselglade-host/src/state/decision_state.rs
+++ b/crates/teaselglade-host/src/state/decision_state.rs
@@ -22,6 +22,7 @@
 use teaselglade_routing::registry::{
     ServerAdvice, ServerDeparture, ServerRegistration, ServerRegistry, UpdateScope,
 };
+use teaselglade_routing::rollout::{RolloutDesk, RolloutOrder, RolloutReport};
 use teaselglade_routing::scaling::ZoneStock;
 use teaselglade_routing::usage::UsageLedger;
 
@@ -56,6 +57,8 @@
     pub limits: LimitLedger,
     /// Issues permits to send to limited servers.
     pub permit_issuer: PermitIssuer,
+    /// Roll-outs of services' versions.
+    pub rollouts: RolloutDesk,
     /// Enforces the quotas of organisations.
     pub quotas: QuotaLimiter,
     /// Counts requests that began to run, for usage reports.
@@ -95,6 +98,7 @@
             plain_placer: PlainPlacer::new(seed),
             limits: LimitLedger::default(),
             permit_issuer: PermitIssuer::default(),
+            rollouts: RolloutDesk::new(&settings.name, settings.rollouts),
             quotas: QuotaLimiter::new(ASSUMED_HOSTS).random_seed(seed),
             usage: UsageLedger::new(settings.duties.usage_window),
             membership: PeerMembership::new(&settings.name, seed).in_zone(&settings.zone),
@@ -557,6 +561,28 @@
         capacity
     }
 
+    /// Records an order to change a service's version; returns whether it is new.
+    ///
+    /// `is_listed` tells whether this host found it in the store when it started.
+    pub fn record_order(&mut self, now: Timestamp, order: RolloutOrder, is_listed: bool) -> bool {
+        let hosts = self.fleet_size();
+        self.rollouts.record_order(now, order, hosts, is_listed)
+    }
+
+    /// Merges what a peer or an aggregator says of roll-outs.
+    pub fn merge_rollouts(&mut self, now: Timestamp, report: RolloutReport) {
+        let hosts = self.fleet_size();
+        self.rollouts.merge(now, report, hosts);
+    }
+
+    /// Returns the number of hosts, this one included; an assumed one until peers are known.
+    fn fleet_size(&self) -> usize {
+        match self.membership.peer_count() {
+            0 => ASSUMED_HOSTS as usize,
+            peers => peers + 1,
+        }
+    }
+
     /// Discards the placement state of a server that is gone.
     pub fn forget_server(&mut self, server: ServerKey) {
         self.engine_placer.forget_server(server);
--- a/crates/teaselglade-host/src/state/host_state.rs
+++ b/crates/teaselglade-host/src/state/host_state.rs
@@ -16,6 +16,7 @@
     LimitChange, LimitReport, LimitWord, PermitAnswer, PermitRequest, RequestLimit,
 };
 use teaselglade_routing::registry::ServerAdvice;
+use teaselglade_routing::rollout::RolloutOrder;
 use teaselglade_routing::shutdown::ShutdownPlan;
 use tokio_util::sync::CancellationToken;
 use tracing::{info, warn};
@@ -324,6 +325,25 @@
         log_limit_changes(&decisions, &changes);
     }
 
+    /// Records an order to change a service's version; `is_start` if found when this host started.
+    pub fn record_order(&self, order: RolloutOrder, is_start: bool) {
+        let now = self.now();
+        let is_new = {
+            let mut decisions = self.lock_decisions();
+            decisions.record_order(now, order.clone(), is_start)
+        };
+        if is_new {
+            info!(
+                event = "rollout_ordered",
+                service = order.service,
+                target = order.target,
+                over_ms = order.over_ms,
+                number = order.number,
+                source = "store",
+            );
+        }
+    }
+
     /// Decides on another host's request for a permit.
     pub fn answer_permit(&self, request: &PermitRequest) -> PermitAnswer {
         let now = self.now();
--- a/crates/teaselglade-host/tests/host/fleet_model.rs
+++ b/crates/teaselglade-host/tests/host/fleet_model.rs
@@ -305,6 +305,7 @@
             usage_window: Duration::from_secs(5),
             lease_term: Duration::from_secs(3),
         },
+        rollouts: None,
         log: LogSettings::default(),
     }
 }
--- a/crates/teaselglade-host/tests/host/news_spread.rs
+++ b/crates/teaselglade-host/tests/host/news_spread.rs
@@ -84,6 +84,7 @@
             RegistrationState::Ready
         },
         reclaimable: false,
+        version: String::new(),
     }
 }
 
--- a/crates/teaselglade-host/tests/host/part_crashes.rs
+++ b/crates/teaselglade-host/tests/host/part_crashes.rs
@@ -696,6 +696,7 @@
             RegistrationState::Ready
         },
         reclaimable: true,
+        version: String::new(),
     }
 }
 
--- a/crates/teaselglade-host/tests/host/request_crashes.rs
+++ b/crates/teaselglade-host/tests/host/request_crashes.rs
@@ -688,6 +688,7 @@
         slots: Some(6),
         state: RegistrationState::Ready,
         reclaimable: true,
+        version: String::new(),
     }
 }
 
--- a/crates/teaselglade-host/tests/host/server_limits.rs
+++ b/crates/teaselglade-host/tests/host/server_limits.rs
@@ -162,6 +162,7 @@
         slots: Some(64),
         state: RegistrationState::Ready,
         reclaimable: false,
+        version: String::new(),
     }
 }
 
--- a/crates/teaselglade-routing/src/engine/engine_placer.rs
+++ b/crates/teaselglade-routing/src/engine/engine_placer.rs
@@ -218,7 +218,9 @@
         query: &EngineQuery<'_>,
         server: ServerKey,
     ) -> Result<EngineReservation> {
-        let takes_work = registry.takes_work(server);
+        let versions = query.terms.versions;
+        let takes_work =
+            registry.takes_work(server) && versions.allows(server, registry.server(server));
         let hash = registry.server(server).hash;
         let candidate = takes_work.then(|| self.candidate(now, query, server, hash));
         self.admit(now, registry, query, candidate)
@@ -413,6 +415,8 @@
     ) -> Option<EngineCandidate> {
         let servers = registry.available(now, query.service);
         let untried = servers.filter(|(key, _)| !query.tried.contains(key));
+        let versions = query.terms.versions;
+        let untried = untried.filter(|(key, server)| versions.allows(*key, server));
         let candidates: Vec<EngineCandidate> = untried
             .map(|(key, server)| self.candidate(now, query, key, server.hash))
             .collect();
--- a/crates/teaselglade-routing/src/gossip/aggregate_digest.rs
+++ b/crates/teaselglade-routing/src/gossip/aggregate_digest.rs
@@ -10,6 +10,7 @@
 use crate::limit::{LimitReport, PermitMessage};
 use crate::quota::FleetSpend;
 use crate::registry::{ServerDeparture, ServerRegistration};
+use crate::rollout::RolloutReport;
 
 /// A highly ranked host, from which aggregators and the leader are chosen.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -86,4 +87,6 @@
     Limits(LimitReport),
     /// Message about a permit to send to a limited server.
     Permit(PermitMessage),
+    /// Roll-outs that run or ended lately, sent beside a digest while there are any.
+    Rollouts(RolloutReport),
 }
--- a/crates/teaselglade-routing/src/lib.rs
+++ b/crates/teaselglade-routing/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod plain;
 pub mod quota;
 pub mod registry;
+pub mod rollout;
 pub mod scaling;
 pub mod shutdown;
 pub mod table;
--- a/crates/teaselglade-routing/src/plain/plain_placer.rs
+++ b/crates/teaselglade-routing/src/plain/plain_placer.rs
@@ -132,7 +132,7 @@
         }
         let mut best: Option<(f64, ServerKey)> = None;
         for (key, server) in registry.available(now, query.service) {
-            if query.tried.contains(&key) {
+            if query.tried.contains(&key) || !query.terms.versions.allows(key, server) {
                 continue;
             }
             let tie_break = self.rng.random_range(0.0..0.02);
@@ -199,6 +199,8 @@
     ) -> Option<ServerKey> {
         let servers = registry.available(now, query.service);
         let untried = servers.filter(|(key, _)| !query.tried.contains(key));
+        let versions = query.terms.versions;
+        let untried = untried.filter(|(key, server)| versions.allows(*key, server));
         let mut candidates: Vec<(bool, u64, ServerKey)> = untried
             .map(|(key, server)| {
                 let status = self.statuses.get(&key);
--- a/crates/teaselglade-routing/src/registry/server_registration.rs
+++ b/crates/teaselglade-routing/src/registry/server_registration.rs
@@ -35,5 +35,10 @@
         pub state: RegistrationState,
         /// Whether the platform may reclaim the server.
         pub reclaimable: bool,
+        /// Version of the software that it runs; empty if it registers none.
+        ///
+        /// The last field, as hosts of earlier builds send and read registrations without it.
+        #[serde(default)]
+        pub version: String,
     }
 }
--- a/crates/teaselglade-routing/src/registry/server_registry.rs
+++ b/crates/teaselglade-routing/src/registry/server_registry.rs
@@ -74,9 +74,16 @@
     /// Time until which this host gets no permit to send to the server, which is limited.
     permit_denied_until: Timestamp,
     incarnation_hash: u64,
+    version_hash: u64,
 }
 
 impl RegisteredServer {
+    /// Returns the hash of the version that the server runs.
+    #[must_use]
+    pub const fn version_hash(&self) -> u64 {
+        self.version_hash
+    }
+
     /// Returns the hash of the server's name and start time, which identifies this incarnation.
     #[must_use]
     pub const fn incarnation_hash(&self) -> u64 {
@@ -518,6 +525,7 @@
             resting_until: Timestamp::ZERO,
             permit_denied_until: Timestamp::ZERO,
             incarnation_hash,
+            version_hash: name_hash(&registration.version),
             hash,
             registration,
         });
@@ -542,6 +550,7 @@
             server.phase = ServerPhase::Ready;
         }
         let moved = server.registration.service != registration.service;
+        server.version_hash = name_hash(&registration.version);
         let old_service = std::mem::replace(&mut server.registration, registration).service;
         if moved {
             let service = self.servers[key.index()].registration.service.clone();
--- /dev/null
+++ b/crates/teaselglade-routing/src/rollout/mod.rs
@@ -0,0 +1,27 @@
+//! Roll-outs of a service's version: how much traffic a new version gets, and the verdict on it.
+//!
+//! Each host bounds what it exposes to the new version by what it sent itself, so that the sum over
+//! the fleet holds without coordination. Evidence is summed over hosts; a verdict is final.
+
+mod exposure_credit;
+mod rollout_bounds;
+mod rollout_desk;
+mod rollout_order;
+mod rollout_report;
+mod rollout_stage;
+mod service_rollout;
+mod settled_versions;
+mod version_evidence;
+mod version_scope;
+mod version_test;
+
+pub use exposure_credit::ExposureCredit;
+pub use rollout_bounds::RolloutBounds;
+pub use rollout_desk::{RolloutChange, RolloutDesk, RolloutStatus};
+pub use rollout_order::RolloutOrder;
+pub use rollout_report::{OrderReport, RolloutReport};
+pub use rollout_stage::RolloutStage;
+pub use service_rollout::{AttemptEvidence, AttemptRecord};
+pub use version_evidence::{AnswerTally, RouteEvidence, ServerTally, VersionEvidence};
+pub use version_scope::{VersionChoice, VersionScope};
+pub use version_test::{TestFinding, VersionTest};
--- /dev/null
+++ b/crates/teaselglade-routing/src/rollout/service_rollout.rs
@@ -0,0 +1,392 @@
+//! Roll-out of one service, as one host sees it.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use teaselglade_core::id::ServerKey;
+use teaselglade_core::time::Timestamp;
+
+use super::exposure_credit::ExposureCredit;
+use super::version_evidence::VersionEvidence;
+use super::version_scope::VersionChoice;
+use super::version_test::{TestFinding, VersionTest};
+use super::{OrderReport, RolloutBounds, RolloutOrder, RolloutStage};
+use crate::engine::preference_of;
+use crate::registry::ServerRegistry;
+
+/// Share of the permitted exposure that the trial uses.
+const TRIAL_PART: f64 = 0.6;
+/// The same from the time at which the new servers are also tried under load.
+const PROBE_PART: f64 = 0.85;
+/// Part of an order's time from which credit saved in the trial is spent at once, for its load.
+const PROBE_FROM: f64 = 0.4;
+/// Part of an order's time from which a version without objections gets a quarter of the traffic.
+const QUARTER_FROM: f64 = 0.55;
+/// The same for half of the traffic.
+const HALF_FROM: f64 = 0.62;
+/// The same for all of the traffic.
+const WHOLE_FROM: f64 = 0.69;
+/// Part of an order's time after which silent hosts are not waited for.
+const CLOSE_AT: f64 = 0.9;
+/// Least number of servers on trial, as one server must not stand for its version.
+const MIN_TRIAL_SERVERS: usize = 2;
+/// Answers of the new version that are enough to go on, on each route and on all.
+const MIN_ROUTE_ANSWERS: u32 = 5;
+const MIN_ANSWERS: u32 = 20;
+/// Share of the old version's answers that is enough where there is little traffic.
+const MIN_ANSWER_SHARE: f64 = 0.02;
+/// Share of a bad score up to which a version gets more traffic.
+const MAX_SUSPICION: f64 = 0.5;
+/// Age from which a host's report does not show what it does now.
+const REPORT_TTL: Duration = Duration::from_millis(1_500);
+
+/// Attempt that counts for a roll-out until it is closed.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct AttemptRecord {
+    pub(super) server: ServerKey,
+    pub(super) incarnation: u64,
+    pub(super) version: u64,
+    pub(super) service: Arc<str>,
+    pub(super) route: u64,
+    pub(super) is_first: bool,
+    pub(super) is_timed: bool,
+    pub(super) is_answered: bool,
+}
+
+impl AttemptRecord {
+    /// Marks an attempt that says nothing of the version, such as one that was not run.
+    pub const fn discard(&mut self) {
+        self.is_answered = true;
+    }
+}
+
+/// How an attempt went.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum AttemptEvidence {
+    /// The server answered, or sent the first event of a stream.
+    Answered {
+        /// Whether the answer is a failure or invalid.
+        is_failure: bool,
+        /// Time that it took, comparable between servers.
+        latency: Duration,
+    },
+    /// The attempt was given up after this time without an answer.
+    Overdue(Duration),
+    /// The server broke the attempt off.
+    Broken,
+}
+
+#[derive(Debug, Clone)]
+struct PeerView {
+    started_at_us: u64,
+    received_at: Timestamp,
+    stage: RolloutStage,
+    open_at_old: u32,
+    evidence: VersionEvidence,
+}
+
+/// Roll-out of one service, as one host sees it.
+#[derive(Debug, Clone)]
+pub(super) struct ServiceRollout {
+    pub(super) order: RolloutOrder,
+    /// Time of the order, as far as this host knows.
+    pub(super) ordered_at: Timestamp,
+    pub(super) stage: RolloutStage,
+    pub(super) staged_at: Timestamp,
+    /// Whether this host found the order in the store when it started.
+    pub(super) is_listed: bool,
+    pub(super) finding: Option<TestFinding>,
+    pub(super) open_at_old: u32,
+    target: u64,
+    credit: ExposureCredit,
+    route_exposed: HashMap<u64, u64>,
+    ramp: f64,
+    own: VersionEvidence,
+    peers: HashMap<String, PeerView>,
+    /// Evidence of earlier incarnations of peers.
+    earlier: VersionEvidence,
+    test: VersionTest,
+    trial: Arc<[ServerKey]>,
+    old_servers: usize,
+    new_servers: usize,
+}
+
+impl ServiceRollout {
+    pub(super) fn new(now: Timestamp, order: RolloutOrder, slack: f64, is_listed: bool) -> Self {
+        Self {
+            target: order.target_hash(),
+            order,
+            ordered_at: now,
+            stage: RolloutStage::Trial,
+            staged_at: now,
+            is_listed,
+            finding: None,
+            open_at_old: 0,
+            credit: ExposureCredit::new(slack),
+            route_exposed: HashMap::new(),
+            ramp: 0.0,
+            own: VersionEvidence::default(),
+            peers: HashMap::new(),
+            earlier: VersionEvidence::default(),
+            test: VersionTest::default(),
+            trial: Arc::new([]),
+            old_servers: 0,
+            new_servers: 0,
+        }
+    }
+
+    /// Returns the versions that an attempt may use; a trial takes credit.
+    pub(super) fn choose(
+        &mut self,
+        now: Timestamp,
+        bounds: RolloutBounds,
+        route: u64,
+        is_repeat: bool,
+    ) -> VersionChoice {
+        let old = VersionChoice::Without(self.target);
+        match self.stage {
+            RolloutStage::RolledBack => old,
+            RolloutStage::Whole | RolloutStage::Completed => VersionChoice::Target(self.target),
+            _ if is_repeat => old,
+            RolloutStage::Trial => {
+                if self.is_trial_due(now, bounds, route) {
+                    *self.route_exposed.entry(route).or_default() += 1;
+                    VersionChoice::Trial(Arc::clone(&self.trial), self.target)
+                } else {
+                    old
+                }
+            }
+            RolloutStage::Quarter | RolloutStage::Half => {
+                self.ramp += self.stage.traffic_share();
+                if self.ramp < 1.0 {
+                    return old;
+                }
+                self.ramp -= 1.0;
+                VersionChoice::Target(self.target)
+            }
+        }
+    }
+
+    fn is_trial_due(&mut self, now: Timestamp, bounds: RolloutBounds, route: u64) -> bool {
+        if self.trial.is_empty() || self.old_servers == 0 {
+            return false;
+        }
+        let part = if self.progress(now) >= PROBE_FROM {
+            PROBE_PART
+        } else {
+            TRIAL_PART
+        };
+        // Routes take turns, so that a fault of a rare one shows as early as one of a busy one.
+        let exposed = self.route_exposed.entry(route).or_default();
+        let own = *exposed;
+        let least = self.route_exposed.values().copied().min().unwrap_or(0);
+        let is_ahead = own > least + 1;
+        !is_ahead && self.credit.take(bounds.exposure_share * part)
+    }
+
+    pub(super) fn give_back(&mut self, route: u64) {
+        self.credit.give_back();
+        if let Some(exposed) = self.route_exposed.get_mut(&route) {
+            *exposed = exposed.saturating_sub(1);
+        }
+    }
+
+    /// Returns whether latencies are comparable now: not while the new servers are tried under load.
+    pub(super) fn is_timed(&self, now: Timestamp) -> bool {
+        self.stage != RolloutStage::Trial || self.progress(now) < PROBE_FROM
+    }
+
+    pub(super) fn record_result(&mut self, record: &AttemptRecord, result: AttemptEvidence) {
+        let is_new = record.version == self.target;
+        let server = self
+            .own
+            .server_mut(if is_new { record.incarnation } else { 0 });
+        let (is_failure, latency) = match result {
+            AttemptEvidence::Broken => {
+                server.broken += 1;
+                return;
+            }
+            // A failure may come faster than the work.
+            AttemptEvidence::Answered {
+                is_failure,
+                latency,
+            } => (is_failure, (!is_failure).then_some(latency)),
+            AttemptEvidence::Overdue(waited) => (false, Some(waited)),
+        };
+        let latency = latency.filter(|_| record.is_timed);
+        server.record(is_failure, latency);
+        let route = self.own.route_mut(record.route);
+        let tally = if is_new {
+            &mut route.new
+        } else {
+            &mut route.old
+        };
+        tally.record(is_failure, latency);
+        if record.is_first {
+            self.credit.record_sent();
+        }
+    }
+
+    /// Part of the order's time that has passed.
+    fn progress(&self, now: Timestamp) -> f64 {
+        let age = now.since(self.ordered_at).as_secs_f64();
+        age / self.order.over().as_secs_f64().max(0.001)
+    }
+
+    /// Reads which servers run which version, and tests the evidence.
+    pub(super) fn update(&mut self, now: Timestamp, registry: &ServerRegistry, share: f64) {
+        let servers = registry.of_service(&self.order.service);
+        let (new, old): (Vec<_>, Vec<_>) =
+            servers.partition(|(_, server)| server.version_hash() == self.target);
+        self.old_servers = old.len();
+        self.new_servers = new.len();
+        let mut ranked: Vec<(u64, ServerKey)> = new
+            .into_iter()
+            .map(|(key, server)| (preference_of(self.order.number, server.hash), key))
+            .collect();
+        ranked.sort_unstable();
+        let wanted = (ranked.len() as f64 * share).ceil() as usize;
+        ranked.truncate(wanted.max(MIN_TRIAL_SERVERS));
+        let trial: Vec<ServerKey> = ranked.into_iter().map(|(_, key)| key).collect();
+        if *trial != *self.trial {
+            self.trial = trial.into();
+        }
+        if self.stage.is_final() {
+            return;
+        }
+        let evidence = self.evidence();
+        if let Some(finding) = self.test.update(now, &evidence) {
+            self.finding = Some(finding);
+            self.enter(now, RolloutStage::RolledBack);
+        }
+    }
+
+    /// Returns the evidence of all hosts that this one heard of.
+    pub(super) fn evidence(&self) -> VersionEvidence {
+        let mut evidence = self.own.clone();
+        evidence.add(&self.earlier);
+        for peer in self.peers.values() {
+            evidence.add(&peer.evidence);
+        }
+        evidence
+    }
+
+    pub(super) fn suspicion(&self) -> f64 {
+        self.test.suspicion()
+    }
+
+    /// Returns the requests that this host sent to the service, and to the new version, in the trial.
+    pub(super) const fn exposure(&self) -> (u64, u64) {
+        (self.credit.sent(), self.credit.exposed())
+    }
+
+    pub(super) fn enter(&mut self, now: Timestamp, stage: RolloutStage) {
+        let stage = self.stage.merged(stage);
+        if stage != self.stage {
+            self.stage = stage;
+            self.staged_at = now;
+        }
+    }
+
+    /// Merges what a peer, or an aggregator, says of the same order.
+    pub(super) fn merge(
+        &mut self,
+        now: Timestamp,
+        host: &str,
+        started_at_us: u64,
+        report: OrderReport,
+    ) {
+        let ordered_at = now.before(Duration::from_millis(report.age_ms));
+        self.ordered_at = self.ordered_at.min(ordered_at);
+        self.enter(now, report.stage);
+        if host.is_empty() {
+            return;
+        }
+        let view = PeerView {
+            started_at_us,
+            received_at: now,
+            stage: report.stage,
+            open_at_old: report.open_at_old,
+            evidence: report.evidence,
+        };
+        if let Some(before) = self.peers.insert(host.to_owned(), view)
+            && before.started_at_us != started_at_us
+        {
+            self.earlier.add(&before.evidence);
+        }
+    }
+
+    /// Moves the order on, as the leader; returns whether it is ready to be completed.
+    pub(super) fn lead(&mut self, now: Timestamp, peer_count: usize) -> bool {
+        if self.stage.is_final() {
+            return false;
+        }
+        let progress = self.progress(now);
+        if self.old_servers == 0 && self.new_servers > 0 {
+            self.enter(now, RolloutStage::Whole);
+            return self.open_at_old == 0;
+        }
+        let is_sound = self.is_sound();
+        let due = [
+            (RolloutStage::Trial, QUARTER_FROM, RolloutStage::Quarter),
+            (RolloutStage::Quarter, HALF_FROM, RolloutStage::Half),
+            (RolloutStage::Half, WHOLE_FROM, RolloutStage::Whole),
+        ];
+        let next = due
+            .into_iter()
+            .find(|(from, at, _)| *from == self.stage && progress >= *at);
+        if let Some((_, _, next)) = next
+            && is_sound
+        {
+            self.enter(now, next);
+        } else if self.stage < RolloutStage::Whole && progress >= CLOSE_AT {
+            // What was not shown to be sound within its time is not completed.
+            self.enter(now, RolloutStage::RolledBack);
+        }
+        self.stage == RolloutStage::Whole
+            && self.open_at_old == 0
+            && (self.is_left_by_all(now, peer_count) || progress >= CLOSE_AT)
+    }
+
+    /// Returns whether enough is known of the new version, and nothing speaks against it.
+    fn is_sound(&self) -> bool {
+        let evidence = self.evidence();
+        let routes = evidence.routes.iter();
+        let (old, new) = routes.fold((0, 0), |(old, new), route| {
+            (old + route.old.answers, new + route.new.answers)
+        });
+        let enough = MIN_ANSWERS.min((f64::from(old) * MIN_ANSWER_SHARE).ceil() as u32);
+        let has_routes = evidence.routes.iter().all(|route| {
+            let enough = (f64::from(route.old.answers) * MIN_ANSWER_SHARE) as u32;
+            route.new.answers >= enough.min(MIN_ROUTE_ANSWERS)
+        });
+        self.new_servers > 0 && new >= enough && has_routes && self.test.suspicion() < MAX_SUSPICION
+    }
+
+    /// Returns whether all hosts say that they left the old version.
+    fn is_left_by_all(&self, now: Timestamp, peer_count: usize) -> bool {
+        let peers = self.peers.values();
+        let has_left = |peer: &&PeerView| {
+            peer.stage >= RolloutStage::Whole
+                && peer.open_at_old == 0
+                && now.since(peer.received_at) < REPORT_TTL
+        };
+        peers.filter(has_left).count() >= peer_count
+    }
+
+    /// Returns what this host tells its peers; an aggregate leaves the evidence out.
+    pub(super) fn report(&self, now: Timestamp, has_evidence: bool) -> OrderReport {
+        OrderReport {
+            order: self.order.clone(),
+            age_ms: now.since(self.ordered_at).as_millis() as u64,
+            stage: self.stage,
+            open_at_old: self.open_at_old,
+            evidence: if has_evidence {
+                self.own.clone()
+            } else {
+                VersionEvidence::default()
+            },
+        }
+    }
+}
--- /dev/null
+++ b/crates/teaselglade-routing/src/rollout/version_scope.rs
@@ -0,0 +1,85 @@
+//! Servers that a placement may use, by the version they run.
+
+use std::sync::Arc;
+
+use teaselglade_core::id::ServerKey;
+
+use crate::registry::RegisteredServer;
+
+/// Servers that a placement may use, by the version they run; versions are given by their hashes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub enum VersionScope<'a> {
+    /// All versions.
+    #[default]
+    Any,
+    /// All versions but one.
+    Without(u64),
+    /// One version.
+    Only(u64),
+    /// Some versions.
+    OneOf(&'a [u64]),
+    /// Some servers.
+    Among(&'a [ServerKey]),
+}
+
+impl VersionScope<'_> {
+    /// Returns whether a server may be used.
+    #[must_use]
+    pub fn allows(&self, key: ServerKey, server: &RegisteredServer) -> bool {
+        let version = server.version_hash();
+        match self {
+            Self::Any => true,
+            Self::Without(excluded) => version != *excluded,
+            Self::Only(wanted) => version == *wanted,
+            Self::OneOf(versions) => versions.contains(&version),
+            Self::Among(servers) => servers.contains(&key),
+        }
+    }
+}
+
+/// Versions that one attempt may use, as decided at its start.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub enum VersionChoice {
+    /// All versions.
+    #[default]
+    Any,
+    /// All versions but the target of an order, whatever is left.
+    Without(u64),
+    /// Servers on trial, else all versions but the target; credit for one request is taken.
+    Trial(Arc<[ServerKey]>, u64),
+    /// The target of an order, else the other versions.
+    Target(u64),
+    /// The versions in service, else all but one that was rolled back.
+    Settled(Arc<[u64]>, Option<u64>),
+}
+
+impl VersionChoice {
+    /// Returns the scope in which the attempt is placed first.
+    #[must_use]
+    pub fn scope(&self) -> VersionScope<'_> {
+        match self {
+            Self::Any => VersionScope::Any,
+            Self::Without(target) => VersionScope::Without(*target),
+            Self::Trial(servers, _) => VersionScope::Among(servers),
+            Self::Target(target) => VersionScope::Only(*target),
+            Self::Settled(versions, _) => VersionScope::OneOf(versions),
+        }
+    }
+
+    /// Returns the choice for an attempt that found no server in the first scope, if there is one.
+    #[must_use]
+    pub const fn fallback(&self) -> Option<Self> {
+        match self {
+            Self::Any | Self::Without(_) => None,
+            Self::Trial(_, target) | Self::Target(target) => Some(Self::Without(*target)),
+            Self::Settled(_, None) => Some(Self::Any),
+            Self::Settled(_, Some(barred)) => Some(Self::Without(*barred)),
+        }
+    }
+
+    /// Returns whether credit for one request on trial was taken.
+    #[must_use]
+    pub const fn is_trial(&self) -> bool {
+        matches!(self, Self::Trial(..))
+    }
+}
--- a/crates/teaselglade-routing/tests/routing/fixture.rs
+++ b/crates/teaselglade-routing/tests/routing/fixture.rs
@@ -25,6 +25,7 @@
         slots: Some(64),
         state: RegistrationState::Ready,
         reclaimable: false,
+        version: String::new(),
     }
 }
 
