feat(routing): a part of the new servers carries a part of the traffic; tests on virtual time

A version that fails only under load got more than its share before it was found, as a quarter of the traffic met all new servers.

--- a/crates/teaselglade-host/src/rollout/rollout_keeper.rs
+++ b/crates/teaselglade-host/src/rollout/rollout_keeper.rs
@@ -17,6 +17,8 @@
 ///
 /// A write whose answer was lost may take effect seconds later.
 const VERDICT_CHECK_INTERVAL: Duration = Duration::from_secs(4);
+/// Time after a verdict for which it is checked.
+const VERDICT_CHECK_TIME: Duration = Duration::from_secs(13);
 
 /// What is known to be in the store for a service.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -38,14 +40,19 @@
         sleep(CHECK_INTERVAL).await;
         let statuses = update(&host);
         let now = host.now();
-        if now.since(checked_at) >= VERDICT_CHECK_INTERVAL {
+        let is_check = now.since(checked_at) >= VERDICT_CHECK_INTERVAL;
+        if is_check {
             checked_at = now;
-            written.clear();
         }
+        // A host that does not lead does not see what the leader writes.
         if statuses.is_empty() {
             written.clear();
         }
         for status in statuses {
+            let is_recent = status.stage_age < VERDICT_CHECK_TIME;
+            if is_check && status.stage.is_final() && is_recent {
+                written.remove(&status.order.service);
+            }
             let wanted = WrittenState {
                 number: status.order.number,
                 verdict: Some(status.stage).filter(|stage| stage.is_final()),
@@ -127,11 +134,11 @@
     if let Some(shown) = &shown {
         let is_verdict = shown.stage.is_final() && status.may_adopt;
         if is_verdict && !status.stage.is_final() {
-            record_verdict(host, status, shown.stage, "store");
+            adopt_verdict(host, status, shown.stage);
             return false;
         }
         if is_same(shown.stage, status.stage) {
-            record_verdict(host, status, status.stage, "store");
+            adopt_verdict(host, status, status.stage);
             return true;
         }
     }
@@ -143,7 +150,13 @@
     let published = feeds.publish_rollout(&rollout, read.position).await;
     host.record_result("publish_rollout", &published);
     if published.is_ok() {
-        record_verdict(host, status, status.stage, "written");
+        adopt_verdict(host, status, status.stage);
+        info!(
+            event = "rollout_reported",
+            service = order.service,
+            target = order.target,
+            stage = status.stage.name(),
+        );
     }
     published.is_ok()
 }
@@ -153,20 +166,13 @@
     shown == wanted || !(shown.is_final() || wanted.is_final())
 }
 
-/// Records a verdict that the store shows.
-fn record_verdict(host: &HostState, status: &RolloutStatus, stage: RolloutStage, source: &str) {
-    let order = &status.order;
+/// Makes a verdict that the store shows this host's own.
+fn adopt_verdict(host: &HostState, status: &RolloutStatus, stage: RolloutStage) {
     if stage.is_final() {
+        let order = &status.order;
         let now = host.now();
         let mut decisions = host.lock_decisions();
         let rollouts = &mut decisions.rollouts;
         rollouts.record_verdict(now, &order.service, order.number, stage);
     }
-    info!(
-        event = "rollout_reported",
-        service = order.service,
-        target = order.target,
-        stage = stage.name(),
-        source,
-    );
 }
--- a/crates/teaselglade-host/tests/host/main.rs
+++ b/crates/teaselglade-host/tests/host/main.rs
@@ -8,4 +8,5 @@
 mod part_crashes;
 mod reports;
 mod request_crashes;
+mod rollouts;
 mod server_limits;
--- a/crates/teaselglade-routing/src/rollout/rollout_desk.rs
+++ b/crates/teaselglade-routing/src/rollout/rollout_desk.rs
@@ -46,6 +46,8 @@
     pub order: RolloutOrder,
     /// The stage; any that is no verdict stands for an order that runs.
     pub stage: RolloutStage,
+    /// Time since the stage began.
+    pub stage_age: Duration,
     /// Whether a verdict that the store shows for the target is one on this order.
     pub may_adopt: bool,
 }
@@ -313,6 +315,7 @@
                 } else {
                     rollout.stage
                 },
+                stage_age: now.since(rollout.staged_at),
                 may_adopt: rollout.is_listed,
             }
         });
--- a/crates/teaselglade-routing/src/rollout/service_rollout.rs
+++ b/crates/teaselglade-routing/src/rollout/service_rollout.rs
@@ -16,17 +16,17 @@
 use crate::registry::ServerRegistry;
 
 /// Share of the permitted exposure that the trial uses.
-const TRIAL_PART: f64 = 0.6;
+const TRIAL_PART: f64 = 0.55;
 /// The same from the time at which the new servers are also tried under load.
-const PROBE_PART: f64 = 0.85;
+const PROBE_PART: f64 = 0.95;
 /// Part of an order's time from which credit saved in the trial is spent at once, for its load.
 const PROBE_FROM: f64 = 0.4;
 /// Part of an order's time from which a version without objections gets a quarter of the traffic.
 const QUARTER_FROM: f64 = 0.55;
 /// The same for half of the traffic.
-const HALF_FROM: f64 = 0.62;
+const HALF_FROM: f64 = 0.6;
 /// The same for all of the traffic.
-const WHOLE_FROM: f64 = 0.69;
+const WHOLE_FROM: f64 = 0.64;
 /// Part of an order's time after which silent hosts are not waited for.
 const CLOSE_AT: f64 = 0.9;
 /// Least number of servers on trial, as one server must not stand for its version.
@@ -108,6 +108,8 @@
     earlier: VersionEvidence,
     test: VersionTest,
     trial: Arc<[ServerKey]>,
+    /// Servers that carry the traffic of the stage, so that each has its usual load.
+    part: Arc<[ServerKey]>,
     old_servers: usize,
     new_servers: usize,
 }
@@ -131,6 +133,7 @@
             earlier: VersionEvidence::default(),
             test: VersionTest::default(),
             trial: Arc::new([]),
+            part: Arc::new([]),
             old_servers: 0,
             new_servers: 0,
         }
@@ -163,7 +166,7 @@
                     return old;
                 }
                 self.ramp -= 1.0;
-                VersionChoice::Target(self.target)
+                VersionChoice::Part(Arc::clone(&self.part), self.target)
             }
         }
     }
@@ -246,12 +249,18 @@
             .map(|(key, server)| (preference_of(self.order.number, server.hash), key))
             .collect();
         ranked.sort_unstable();
-        let wanted = (ranked.len() as f64 * share).ceil() as usize;
-        ranked.truncate(wanted.max(MIN_TRIAL_SERVERS));
-        let trial: Vec<ServerKey> = ranked.into_iter().map(|(_, key)| key).collect();
+        let first = |share: f64| -> Vec<ServerKey> {
+            let wanted = (ranked.len() as f64 * share).ceil() as usize;
+            let first = ranked.iter().take(wanted.max(MIN_TRIAL_SERVERS));
+            first.map(|(_, key)| *key).collect()
+        };
+        let (trial, part) = (first(share), first(self.stage.traffic_share()));
         if *trial != *self.trial {
             self.trial = trial.into();
         }
+        if *part != *self.part {
+            self.part = part.into();
+        }
         if self.stage.is_final() {
             return;
         }
@@ -273,7 +282,7 @@
     }
 
     pub(super) fn suspicion(&self) -> f64 {
-        self.test.suspicion()
+        self.test.suspicion(&self.evidence())
     }
 
     /// Returns the requests that this host sent to the service, and to the new version, in the trial.
@@ -361,7 +370,10 @@
             let enough = (f64::from(route.old.answers) * MIN_ANSWER_SHARE) as u32;
             route.new.answers >= enough.min(MIN_ROUTE_ANSWERS)
         });
-        self.new_servers > 0 && new >= enough && has_routes && self.test.suspicion() < MAX_SUSPICION
+        self.new_servers > 0
+            && new >= enough
+            && has_routes
+            && self.test.suspicion(&evidence) < MAX_SUSPICION
     }
 
     /// Returns whether all hosts say that they left the old version.
--- a/crates/teaselglade-routing/src/rollout/version_scope.rs
+++ b/crates/teaselglade-routing/src/rollout/version_scope.rs
@@ -47,6 +47,8 @@
     Without(u64),
     /// Servers on trial, else all versions but the target; credit for one request is taken.
     Trial(Arc<[ServerKey]>, u64),
+    /// Some servers of the target of an order, else all versions but it.
+    Part(Arc<[ServerKey]>, u64),
     /// The target of an order, else the other versions.
     Target(u64),
     /// The versions in service, else all but one that was rolled back.
@@ -60,7 +62,7 @@
         match self {
             Self::Any => VersionScope::Any,
             Self::Without(target) => VersionScope::Without(*target),
-            Self::Trial(servers, _) => VersionScope::Among(servers),
+            Self::Trial(servers, _) | Self::Part(servers, _) => VersionScope::Among(servers),
             Self::Target(target) => VersionScope::Only(*target),
             Self::Settled(versions, _) => VersionScope::OneOf(versions),
         }
@@ -71,7 +73,9 @@
     pub const fn fallback(&self) -> Option<Self> {
         match self {
             Self::Any | Self::Without(_) => None,
-            Self::Trial(_, target) | Self::Target(target) => Some(Self::Without(*target)),
+            Self::Trial(_, target) | Self::Part(_, target) | Self::Target(target) => {
+                Some(Self::Without(*target))
+            }
             Self::Settled(_, None) => Some(Self::Any),
             Self::Settled(_, Some(barred)) => Some(Self::Without(*barred)),
         }
