--- a/crates/teaselglade-host/src/duty/duty_driver.rs
+++ b/crates/teaselglade-host/src/duty/duty_driver.rs
@@ -308,7 +308,8 @@
         let now = self.host.now();
         let mut decisions = self.host.lock_decisions();
         // The stock holds both versions meanwhile, and neither may be ordered away.
-        if decisions.rollouts.is_running(&service.name) {
+        let (rollouts, registry) = (&decisions.rollouts, &decisions.registry);
+        if rollouts.has_two_versions(now, registry, &service.name) {
             return Vec::new();
         }
         let slots = service.engine.as_ref().map(|engine| engine.slots);
--- a/crates/teaselglade-routing/src/rollout/rollout_desk.rs
+++ b/crates/teaselglade-routing/src/rollout/rollout_desk.rs
@@ -13,12 +13,14 @@
 use super::version_test::TestFinding;
 use super::{OrderReport, RolloutBounds, RolloutOrder, RolloutReport, RolloutStage};
 use crate::gossip::rendezvous_weight;
-use crate::registry::ServerRegistry;
+use crate::registry::{RegisteredServer, ServerRegistry};
 
 /// Share of the new servers that carry the trial.
 const TRIAL_SERVER_SHARE: f64 = 0.05;
 /// Time after a verdict in which each digest repeats it.
 const VERDICT_REPEAT: Duration = Duration::from_secs(10);
+/// Longest time in which the servers that a verdict rejects are expected to leave.
+const VERDICT_TIME: Duration = Duration::from_secs(30);
 /// Number of digests of which one names an order whose verdict is old.
 const OLD_VERDICT_DIGESTS: u64 = 10;
 
@@ -101,6 +103,27 @@
         rollout.is_some_and(|rollout| !rollout.stage.is_final())
     }
 
+    /// Returns whether servers of two versions of an order are there, or it runs.
+    ///
+    /// A change of the number of servers could take away those that the verdict keeps.
+    #[must_use]
+    pub fn has_two_versions(
+        &self,
+        now: Timestamp,
+        registry: &ServerRegistry,
+        service: &str,
+    ) -> bool {
+        let Some(rollout) = self.rollouts.get(service) else {
+            return false;
+        };
+        let target = rollout.order.target_hash();
+        let is_target = |server: &RegisteredServer| server.version_hash() == target;
+        let servers = || registry.of_service(service);
+        let are_both_there = servers().any(|(_, server)| is_target(server))
+            && servers().any(|(_, server)| !is_target(server));
+        !rollout.stage.is_final() || (are_both_there && now.since(rollout.staged_at) < VERDICT_TIME)
+    }
+
     /// Records an order of the operators; one that is older than the known one is passed over.
     ///
     /// `hosts` is the size of the fleet; `is_listed` tells whether this host found the order in the
--- a/crates/teaselglade-routing/src/rollout/service_rollout.rs
+++ b/crates/teaselglade-routing/src/rollout/service_rollout.rs
@@ -16,7 +16,7 @@
 use crate::registry::ServerRegistry;
 
 /// Share of the permitted exposure that the trial uses.
-const TRIAL_PART: f64 = 0.55;
+const TRIAL_PART: f64 = 0.5;
 /// The same from the time at which the new servers are also tried under load.
 const PROBE_PART: f64 = 0.95;
 /// Part of an order's time from which credit saved in the trial is spent at once, for its load.
@@ -29,6 +29,8 @@
 const WHOLE_FROM: f64 = 0.64;
 /// Part of an order's time after which silent hosts are not waited for.
 const CLOSE_AT: f64 = 0.9;
+/// Servers that carry a part of the traffic, relative to that part: each gets twice its usual load.
+const PART_SERVERS: f64 = 0.5;
 /// Least number of servers on trial, as one server must not stand for its version.
 const MIN_TRIAL_SERVERS: usize = 2;
 /// Answers of the new version that are enough to go on, on each route and on all.
@@ -37,7 +39,7 @@
 /// Share of the old version's answers that is enough where there is little traffic.
 const MIN_ANSWER_SHARE: f64 = 0.02;
 /// Share of a bad score up to which a version gets more traffic.
-const MAX_SUSPICION: f64 = 0.5;
+const MAX_SUSPICION: f64 = 0.35;
 /// Age from which a host's report does not show what it does now.
 const REPORT_TTL: Duration = Duration::from_millis(1_500);
 
@@ -175,17 +177,16 @@
         if self.trial.is_empty() || self.old_servers == 0 {
             return false;
         }
-        let part = if self.progress(now) >= PROBE_FROM {
-            PROBE_PART
-        } else {
-            TRIAL_PART
-        };
+        if self.progress(now) >= PROBE_FROM {
+            self.route_exposed.entry(route).or_default();
+            return self.credit.take(bounds.exposure_share * PROBE_PART);
+        }
         // Routes take turns, so that a fault of a rare one shows as early as one of a busy one.
         let exposed = self.route_exposed.entry(route).or_default();
         let own = *exposed;
         let least = self.route_exposed.values().copied().min().unwrap_or(0);
         let is_ahead = own > least + 1;
-        !is_ahead && self.credit.take(bounds.exposure_share * part)
+        !is_ahead && self.credit.take(bounds.exposure_share * TRIAL_PART)
     }
 
     pub(super) fn give_back(&mut self, route: u64) {
@@ -254,7 +255,10 @@
             let first = ranked.iter().take(wanted.max(MIN_TRIAL_SERVERS));
             first.map(|(_, key)| *key).collect()
         };
-        let (trial, part) = (first(share), first(self.stage.traffic_share()));
+        // Credit that was saved goes to the fewest servers, so that they fill up.
+        let is_probe = self.progress(now) >= PROBE_FROM;
+        let trial = first(if is_probe { 0.0 } else { share });
+        let part = first(self.stage.traffic_share() * PART_SERVERS);
         if *trial != *self.trial {
             self.trial = trial.into();
         }
