feat(routing): servers that fail by themselves convict a version; a leader goes on only on fresh reports

A property test found that a leader that heard of few hosts went on while others had seen only failures (97 of 465 requests at 18 hosts); a host that hears nothing now keeps to the old version, and the leader waits for reports of three quarters of its peers.

--- a/crates/teaselglade-routing/src/rollout/service_rollout.rs
+++ b/crates/teaselglade-routing/src/rollout/service_rollout.rs
@@ -17,20 +17,23 @@
 
 /// Share of the permitted exposure that the trial uses.
 const TRIAL_PART: f64 = 0.5;
-/// The same from the time at which the new servers are also tried under load.
-const PROBE_PART: f64 = 0.95;
-/// Part of an order's time from which credit saved in the trial is spent at once, for its load.
+/// The same at the end of the time in which the new servers are also tried under load.
+const PROBE_PART: f64 = 0.75;
+/// Part of an order's time from which fewer servers carry more of the trial, for its load.
 const PROBE_FROM: f64 = 0.4;
 /// Part of an order's time from which a version without objections gets a quarter of the traffic.
 const QUARTER_FROM: f64 = 0.55;
 /// The same for half of the traffic.
-const HALF_FROM: f64 = 0.6;
+const HALF_FROM: f64 = 0.61;
 /// The same for all of the traffic.
-const WHOLE_FROM: f64 = 0.64;
+const WHOLE_FROM: f64 = 0.67;
+/// Part up to which a server that fails by itself holds the order up, as others may follow.
+const HOLD_UNTIL: f64 = 0.71;
 /// Part of an order's time after which silent hosts are not waited for.
 const CLOSE_AT: f64 = 0.9;
-/// Servers that carry a part of the traffic, relative to that part: each gets twice its usual load.
-const PART_SERVERS: f64 = 0.5;
+/// Servers that carry a part of the traffic, relative to that part: each gets some
+/// times its usual load, and what it does not take in time goes to the old version.
+const PART_SERVERS: f64 = 0.3;
 /// Least number of servers on trial, as one server must not stand for its version.
 const MIN_TRIAL_SERVERS: usize = 2;
 /// Answers of the new version that are enough to go on, on each route and on all.
@@ -40,6 +43,8 @@
 const MIN_ANSWER_SHARE: f64 = 0.02;
 /// Share of a bad score up to which a version gets more traffic.
 const MAX_SUSPICION: f64 = 0.35;
+/// Share of the known peers whose reports are needed to go on.
+const MIN_HEARD_SHARE: f64 = 0.75;
 /// Age from which a host's report does not show what it does now.
 const REPORT_TTL: Duration = Duration::from_millis(1_500);
 
@@ -104,6 +109,8 @@
     credit: ExposureCredit,
     route_exposed: HashMap<u64, u64>,
     ramp: f64,
+    /// Time of the last report of another host, or at which this host led.
+    heard_at: Timestamp,
     own: VersionEvidence,
     peers: HashMap<String, PeerView>,
     /// Evidence of earlier incarnations of peers.
@@ -130,6 +137,7 @@
             credit: ExposureCredit::new(slack),
             route_exposed: HashMap::new(),
             ramp: 0.0,
+            heard_at: now,
             own: VersionEvidence::default(),
             peers: HashMap::new(),
             earlier: VersionEvidence::default(),
@@ -162,6 +170,8 @@
                     old
                 }
             }
+            // A host that hears nothing would not hear of a verdict either.
+            _ if now.since(self.heard_at) >= REPORT_TTL => old,
             RolloutStage::Quarter | RolloutStage::Half => {
                 self.ramp += self.stage.traffic_share();
                 if self.ramp < 1.0 {
@@ -177,9 +187,13 @@
         if self.trial.is_empty() || self.old_servers == 0 {
             return false;
         }
-        if self.progress(now) >= PROBE_FROM {
+        let progress = self.progress(now);
+        if progress >= PROBE_FROM {
             self.route_exposed.entry(route).or_default();
-            return self.credit.take(bounds.exposure_share * PROBE_PART);
+            // Spent evenly: requests have to arrive at servers that are already busy.
+            let spent = ((progress - PROBE_FROM) / (QUARTER_FROM - PROBE_FROM)).min(1.0);
+            let part = TRIAL_PART + (PROBE_PART - TRIAL_PART) * spent;
+            return self.credit.take(bounds.exposure_share * part);
         }
         // Routes take turns, so that a fault of a rare one shows as early as one of a busy one.
         let exposed = self.route_exposed.entry(route).or_default();
@@ -196,9 +210,14 @@
         }
     }
 
-    /// Returns whether latencies are comparable now: not while the new servers are tried under load.
+    /// Returns whether latencies are comparable now: not while few new servers get more
+    /// than their usual load.
     pub(super) fn is_timed(&self, now: Timestamp) -> bool {
-        self.stage != RolloutStage::Trial || self.progress(now) < PROBE_FROM
+        match self.stage {
+            RolloutStage::Trial => self.progress(now) < PROBE_FROM,
+            RolloutStage::Quarter | RolloutStage::Half => false,
+            _ => true,
+        }
     }
 
     pub(super) fn record_result(&mut self, record: &AttemptRecord, result: AttemptEvidence) {
@@ -255,9 +274,9 @@
             let first = ranked.iter().take(wanted.max(MIN_TRIAL_SERVERS));
             first.map(|(_, key)| *key).collect()
         };
-        // Credit that was saved goes to the fewest servers, so that they fill up.
+        // Fewer servers than before, so that they fill up.
         let is_probe = self.progress(now) >= PROBE_FROM;
-        let trial = first(if is_probe { 0.0 } else { share });
+        let trial = first(if is_probe { share / 2.0 } else { share });
         let part = first(self.stage.traffic_share() * PART_SERVERS);
         if *trial != *self.trial {
             self.trial = trial.into();
@@ -312,6 +331,7 @@
     ) {
         let ordered_at = now.before(Duration::from_millis(report.age_ms));
         self.ordered_at = self.ordered_at.min(ordered_at);
+        self.heard_at = now;
         self.enter(now, report.stage);
         if host.is_empty() {
             return;
@@ -335,12 +355,15 @@
         if self.stage.is_final() {
             return false;
         }
+        self.heard_at = now;
         let progress = self.progress(now);
         if self.old_servers == 0 && self.new_servers > 0 {
             self.enter(now, RolloutStage::Whole);
             return self.open_at_old == 0;
         }
-        let is_sound = self.is_sound();
+        let is_sound = self.hears(now, peer_count)
+            && self.is_sound()
+            && (self.test.failing_servers() == 0 || progress >= HOLD_UNTIL);
         let due = [
             (RolloutStage::Trial, QUARTER_FROM, RolloutStage::Quarter),
             (RolloutStage::Quarter, HALF_FROM, RolloutStage::Half),
@@ -380,6 +403,13 @@
             && self.test.suspicion(&evidence) < MAX_SUSPICION
     }
 
+    /// Returns whether enough hosts report; others may have seen bad answers.
+    fn hears(&self, now: Timestamp, peer_count: usize) -> bool {
+        let peers = self.peers.values();
+        let fresh = peers.filter(|peer| now.since(peer.received_at) < REPORT_TTL);
+        fresh.count() as f64 >= peer_count as f64 * MIN_HEARD_SHARE
+    }
+
     /// Returns whether all hosts say that they left the old version.
     fn is_left_by_all(&self, now: Timestamp, peer_count: usize) -> bool {
         let peers = self.peers.values();
--- a/crates/teaselglade-routing/src/rollout/version_test.rs
+++ b/crates/teaselglade-routing/src/rollout/version_test.rs
@@ -35,6 +35,14 @@
 const MIN_SERVER_ANSWERS: u32 = 4;
 /// Share of the unusual failures that other servers than the worst one must have.
 const OTHERS_SHARE: f64 = 0.15;
+/// Score from which a server fails by itself.
+const SERVER_SCORE: f64 = 8.0;
+/// Least number of servers that fail by themselves under a bad version.
+const MIN_FAILING_SERVERS: f64 = 2.0;
+/// Failing servers that are expected for one among the old ones, as some fail beside any version.
+const FAILING_FACTOR: f64 = 3.0;
+/// Share of its requests that a failing server fails.
+const FAILING_SHARE: f64 = 0.5;
 /// Classes by which a slow server's mean exceeds that of the old version.
 const SLOW_MEAN_CLASSES: f64 = 1.5;
 /// Time after which an answer shows that a server did not end when it broke an attempt off.
@@ -43,7 +51,7 @@
 /// What shows that a version is bad.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct TestFinding {
-    /// Name of the statistic: `failures`, `latency` or `broken`.
+    /// Name of the statistic: `failures`, `servers`, `latency` or `broken`.
     pub statistic: &'static str,
     /// Hash of the route; 0 for all.
     pub route: u64,
@@ -67,6 +75,7 @@
     seen: ServerTally,
     /// Attempts broken off that no later answer confirmed, with the time at which they were seen.
     unconfirmed: Vec<(Timestamp, u32)>,
+    failures: f64,
 }
 
 /// Sequential test of a new version against the versions in service.
@@ -101,7 +110,7 @@
         for route in &evidence.routes {
             self.score_route(route);
         }
-        self.score_broken(now, evidence);
+        self.score_servers(now, evidence);
         let bound = bad_score(evidence);
         let by_route = evidence.routes.iter().find_map(|route| {
             let scores = self.routes.get(&route.route)?;
@@ -124,14 +133,43 @@
                 score: scores.slow,
             })
         });
-        by_route.or_else(|| {
-            (self.broken >= bound).then(|| TestFinding {
-                statistic: "broken",
-                route: 0,
-                new: broken_counts(evidence, false),
-                old: broken_counts(evidence, true),
-                score: self.broken,
+        by_route
+            .or_else(|| self.find_failing_servers(evidence))
+            .or_else(|| {
+                (self.broken >= bound).then(|| TestFinding {
+                    statistic: "broken",
+                    route: 0,
+                    new: broken_counts(evidence, false),
+                    old: broken_counts(evidence, true),
+                    score: self.broken,
+                })
             })
+    }
+
+    /// Returns the number of servers of the new version that fail by themselves.
+    #[must_use]
+    pub fn failing_servers(&self) -> usize {
+        let trails = self.servers.values();
+        trails
+            .filter(|trail| trail.failures >= SERVER_SCORE)
+            .count()
+    }
+
+    /// Returns what shows that more servers fail than the old version's failures let expect.
+    ///
+    /// A version that fails under load fails at the few servers that are busy.
+    fn find_failing_servers(&self, evidence: &VersionEvidence) -> Option<TestFinding> {
+        let (answers, failures) = old_counts(evidence);
+        let old_share = f64::from(failures) / f64::from(answers.max(1)) / FAILING_SHARE;
+        let tested = new_servers(evidence).count();
+        let failing = self.failing_servers();
+        let bound = MIN_FAILING_SERVERS + FAILING_FACTOR * old_share * tested as f64;
+        (failing as f64 >= bound).then(|| TestFinding {
+            statistic: "servers",
+            route: 0,
+            new: (tested as u32, failing as u32),
+            old: (answers, failures),
+            score: failing as f64,
         })
     }
 
@@ -175,15 +213,20 @@
         scores.seen.failures = new.failures;
     }
 
-    /// Scores attempts that servers broke off and survived.
-    fn score_broken(&mut self, now: Timestamp, evidence: &VersionEvidence) {
+    /// Scores failures by server, and attempts that servers broke off and survived.
+    fn score_servers(&mut self, now: Timestamp, evidence: &VersionEvidence) {
         let (old_answers, old_broken) = broken_counts(evidence, true);
         let sound_share = expected_share(old_broken, old_answers, FAILURE_MARGIN);
+        let (usual_answers, usual_failures) = old_counts(evidence);
+        let usual_share = expected_share(usual_failures, usual_answers, FAILURE_MARGIN);
         for server in evidence.servers.iter().filter(|server| server.server != 0) {
             let trail = self.servers.entry(server.server).or_default();
+            let failures = server.failures.saturating_sub(trail.seen.failures);
             let broken = server.broken.saturating_sub(trail.seen.broken);
             let answers = server.answers.saturating_sub(trail.seen.answers);
             trail.seen = *server;
+            let excess = FAILURE_EXCESSES[1];
+            trail.failures = advance(trail.failures, usual_share, excess, failures, answers);
             let mut confirmed = 0;
             if answers > 0 {
                 trail.unconfirmed.retain(|(seen_at, count)| {
@@ -251,13 +294,17 @@
     }
 }
 
+/// Returns the answers of the old version on all routes, and its failures.
+fn old_counts(evidence: &VersionEvidence) -> (u32, u32) {
+    let routes = evidence.routes.iter();
+    routes.fold((0, 0), |(answers, failures), route| {
+        (answers + route.old.answers, failures + route.old.failures)
+    })
+}
+
 /// Returns whether other servers than the worst one fail unusually too, if there are others.
 fn fail_elsewhere(evidence: &VersionEvidence) -> bool {
-    let (mut answers, mut failures) = (0, 0);
-    for route in &evidence.routes {
-        answers += route.old.answers;
-        failures += route.old.failures;
-    }
+    let (answers, failures) = old_counts(evidence);
     let usual_share = f64::from(failures) / f64::from(answers.max(1));
     let unusual: Vec<f64> = new_servers(evidence)
         .map(|server| f64::from(server.failures) - usual_share * f64::from(server.answers))
--- a/crates/teaselglade-routing/tests/routing/main.rs
+++ b/crates/teaselglade-routing/tests/routing/main.rs
@@ -14,6 +14,7 @@
 mod quotas;
 mod registry;
 mod request_crashes;
+mod rollouts;
 mod routes;
 mod shutdown;
 mod slots;
