--- a/crates/teaselglade-host/src/follow/table_follower.rs
+++ b/crates/teaselglade-host/src/follow/table_follower.rs
@@ -114,7 +114,7 @@
                 host.metrics.unreadable_records.inc();
                 warn!(event = "record_passed_over", feed = "table", key, detail);
             }
-            FeedItem::Rollout(order) => host.record_order(order, is_start),
+            FeedItem::Rollout(order) => host.record_order(&order, is_start),
             FeedItem::Server(_)
             | FeedItem::ServerRemoved(_)
             | FeedItem::Host(_)
--- a/crates/teaselglade-host/src/state/host_state.rs
+++ b/crates/teaselglade-host/src/state/host_state.rs
@@ -326,7 +326,7 @@
     }
 
     /// Records an order to change a service's version; `is_start` if found when this host started.
-    pub fn record_order(&self, order: RolloutOrder, is_start: bool) {
+    pub fn record_order(&self, order: &RolloutOrder, is_start: bool) {
         let now = self.now();
         let is_new = {
             let mut decisions = self.lock_decisions();
--- a/crates/teaselglade-host/tests/host/rollouts.rs
+++ b/crates/teaselglade-host/tests/host/rollouts.rs
@@ -409,7 +409,7 @@
 
 fn host_counts() -> Vec<usize> {
     let listed = env::var("ROLLOUT_HOSTS").unwrap_or_else(|_unset| "7,24".to_owned());
-    let counts = listed.split(',').map(|count| count.parse());
+    let counts = listed.split(',').map(str::parse);
     counts.collect::<Result<_, _>>().expect("numbers of hosts")
 }
 
--- a/crates/teaselglade-routing/src/rollout/service_rollout.rs
+++ b/crates/teaselglade-routing/src/rollout/service_rollout.rs
@@ -26,9 +26,9 @@
 /// The same for half of the traffic.
 const HALF_FROM: f64 = 0.61;
 /// The same for all of the traffic.
-const WHOLE_FROM: f64 = 0.67;
+const WHOLE_FROM: f64 = 0.66;
 /// Part up to which a server that fails by itself holds the order up, as others may follow.
-const HOLD_UNTIL: f64 = 0.71;
+const HOLD_UNTIL: f64 = 0.69;
 /// Part of an order's time after which silent hosts are not waited for.
 const CLOSE_AT: f64 = 0.9;
 /// Servers that carry a part of the traffic, relative to that part: each gets some
--- a/crates/teaselglade-routing/src/rollout/settled_versions.rs
+++ b/crates/teaselglade-routing/src/rollout/settled_versions.rs
@@ -1,6 +1,6 @@
 //! Versions of services that take traffic without an order.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -43,10 +43,10 @@
         barred: &[u64],
     ) {
         let mut oldest = None;
-        let mut present = BTreeMap::new();
+        let mut present = BTreeSet::new();
         for (_, server) in registry.of_service(service) {
             let (version, started_at) = (server.version_hash(), server.registration.started_at_ms);
-            present.insert(version, ());
+            present.insert(version);
             if oldest.is_none_or(|(known, _)| started_at < known) {
                 oldest = Some((started_at, version));
             }
@@ -58,12 +58,12 @@
         if versions.first_seen.is_empty() && !barred.contains(&oldest) {
             versions.settled = Arc::new([oldest]);
         }
-        for version in present.keys() {
+        for version in &present {
             versions.first_seen.entry(*version).or_insert(now);
         }
         versions
             .first_seen
-            .retain(|version, _| present.contains_key(version));
+            .retain(|version, _| present.contains(version));
         let is_settled = |(version, seen_at): (&u64, &Timestamp)| {
             let is_in = versions.settled.contains(version) || now.since(*seen_at) >= ORDER_WAIT;
             (is_in && !barred.contains(version)).then_some(*version)
--- a/crates/teaselglade-routing/src/rollout/version_test.rs
+++ b/crates/teaselglade-routing/src/rollout/version_test.rs
@@ -164,7 +164,7 @@
         let tested = new_servers(evidence).count();
         let failing = self.failing_servers();
         let bound = MIN_FAILING_SERVERS + FAILING_FACTOR * old_share * tested as f64;
-        (failing as f64 >= bound).then(|| TestFinding {
+        (failing as f64 >= bound).then_some(TestFinding {
             statistic: "servers",
             route: 0,
             new: (tested as u32, failing as u32),
--- a/crates/teaselglade-routing/tests/routing/rollouts.rs
+++ b/crates/teaselglade-routing/tests/routing/rollouts.rs
@@ -7,8 +7,8 @@
 use teaselglade_core::time::Timestamp;
 use teaselglade_routing::registry::{ServerRegistration, ServerRegistry};
 use teaselglade_routing::rollout::{
-    AnswerTally, AttemptEvidence, RolloutBounds, RolloutDesk, RolloutOrder, RolloutReport,
-    RolloutStage, RouteEvidence, ServerTally, VersionChoice, VersionEvidence, VersionTest,
+    AnswerTally, AttemptEvidence, RolloutBounds, RolloutDesk, RolloutOrder, RolloutStage,
+    RouteEvidence, ServerTally, VersionChoice, VersionEvidence, VersionTest,
 };
 
 use super::fixture::{at, registration};
@@ -291,7 +291,7 @@
     let mut next = RolloutDesk::new("edge-2", Some(BOUNDS));
     next.merge(at(4_000), desk.report(at(4_000), 1, 1), 2);
     next.update(at(4_000), &registry, &[SERVICE]);
-    let report: RolloutReport = next.report(at(4_000), 1, 1);
+    let report = next.report(at(4_000), 1, 1);
     assert_eq!(report.orders[0].age_ms, 4_000);
     for _ in 0..400 {
         send(&mut next, &registry, at(4_000), true);
