feat(routing): the more urgent requests of an organisation spend its quota first

Callers of one organisation over its quota were refused in the order of arrival, whatever their routes' priorities. Returns of urgent callers are no longer promised behind those of others.

--- a/crates/teaselglade-routing/src/quota/quota_limiter.rs
+++ b/crates/teaselglade-routing/src/quota/quota_limiter.rs
@@ -9,6 +9,8 @@
 use teaselglade_core::time::Timestamp;
 use teaselglade_core::verdict::{RefusalReason, RequestRefusal};
 
+use super::RankOrder;
+use crate::capacity::RequestRank;
 use crate::table::{OrganisationSpec, QuotaSpec, QuotaUnit};
 
 /// Age from which a peer's last report is stale.
@@ -29,6 +31,13 @@
 /// All plain calls of an organisation together use about a hundredth of its tokens. They must not
 /// be refused because one large prompt used up the bucket.
 const PLAIN_DEBT_SECONDS: f64 = 0.25;
+/// Debt, in seconds of the rate, up to which the most urgent requests are admitted.
+///
+/// At the start of a rush hosts overspend before they hear of one another; less urgent requests pay
+/// that back.
+const URGENT_DEBT_SECONDS: f64 = 0.75;
+/// Level, in seconds of the rate, that less urgent requests leave to more urgent ones.
+const URGENT_RESERVE_SECONDS: f64 = 0.1;
 /// Longest time for which a peer's spending is extrapolated from the rate that it reported.
 ///
 /// After that the peer counts as silent, and its share of the rate stays reserved for it.
@@ -136,8 +145,8 @@
     own_rate: f64,
     /// Units requested per second at this host, smoothed.
     own_demand: f64,
-    /// Time until which the refill is reserved for requests that were refused with a retry delay.
-    reserved_until: Timestamp,
+    /// Demand and promised returns by rank.
+    ranks: RankOrder,
 }
 
 /// Limits each organisation to its quota across all hosts.
@@ -234,7 +243,7 @@
                     own_total: 0.0,
                     own_rate: 0.0,
                     own_demand: 0.0,
-                    reserved_until: now,
+                    ranks: RankOrder::default(),
                 },
             };
             self.quotas.insert(organisation.name.clone(), state);
@@ -412,6 +421,21 @@
         now: Timestamp,
         organisation: &str,
         tokens: Option<u32>,
+    ) -> Result<(), RequestRefusal> {
+        self.admit_ranked(now, organisation, tokens, RequestRank::default())
+    }
+
+    /// Admits a request like [`QuotaLimiter::admit`], the more urgent ranks first.
+    ///
+    /// # Errors
+    ///
+    /// Returns a refusal if the organisation's quota is used up.
+    pub fn admit_ranked(
+        &mut self,
+        now: Timestamp,
+        organisation: &str,
+        tokens: Option<u32>,
+        rank: RequestRank,
     ) -> Result<(), RequestRefusal> {
         let share = self.group_share(now);
         let unreported = self.unreported_spend(now, organisation);
@@ -426,15 +450,28 @@
         let units = state.units(tokens);
         state.own_demand += units / RATE_TIME_CONSTANT.as_secs_f64();
         let min_level = if is_settled { 0.0 } else { units };
+        let min_level = min_level.max(state.reserve(now, rank, tokens));
+        let is_plain = state.is_plain(tokens);
+        if !is_plain {
+            state.ranks.record(now, rank, units);
+        }
         let admitted_share = state.admitted_share(unreported, share, others_demand, lag);
-        let is_chosen = state.is_plain(tokens)
-            || admitted_share >= 1.0
-            || self.random.random_bool(admitted_share);
-        if is_chosen && state.has_capacity(tokens, unreported, min_level) {
+        let admitted_share = state.ranks.fraction(now, rank, admitted_share);
+        let is_chosen =
+            is_plain || admitted_share >= 1.0 || self.random.random_bool(admitted_share);
+        let debt_seconds = if is_plain {
+            PLAIN_DEBT_SECONDS
+        } else if is_settled && state.ranks.is_urgent(now, rank) {
+            URGENT_DEBT_SECONDS
+        } else {
+            0.0
+        };
+        let debt = state.quota.rate * debt_seconds;
+        if is_chosen && state.level - unreported + debt > min_level {
             state.spend(units);
             return Ok(());
         }
-        let delay = state.reserve_retry(now, units, unreported, share, others_demand);
+        let delay = state.reserve_retry(now, (units, rank), unreported, share, others_demand);
         let detail = format!(
             "quota of {organisation} is used up: {:.0} units left of {:.0} a second, {:.2} of the \
              hosts heard",
@@ -531,13 +568,12 @@
         self.quota.unit == QuotaUnit::Tokens && tokens.is_none()
     }
 
-    fn has_capacity(&self, tokens: Option<u32>, unreported: f64, min_level: f64) -> bool {
-        let debt = if self.is_plain(tokens) {
-            self.quota.rate * PLAIN_DEBT_SECONDS
-        } else {
-            0.0
-        };
-        self.level - unreported + debt > min_level
+    /// Returns the units that requests of a rank leave to more urgent ones.
+    fn reserve(&self, now: Timestamp, rank: RequestRank, tokens: Option<u32>) -> f64 {
+        if self.is_plain(tokens) || !self.ranks.is_outranked(now, rank) {
+            return 0.0;
+        }
+        self.quota.rate * URGENT_RESERVE_SECONDS
     }
 
     /// Returns the share of requests to admit so that all hosts together do not overspend.
@@ -574,7 +610,7 @@
     fn reserve_retry(
         &mut self,
         now: Timestamp,
-        units: f64,
+        (units, rank): (f64, RequestRank),
         unreported: f64,
         share: f64,
         others_demand: f64,
@@ -588,8 +624,8 @@
         let own_time = refill_time(units / own_part.max(MIN_DEMAND_PART))
             .unwrap_or(MAX_RETRY_DELAY)
             .min(MAX_RETRY_DELAY);
-        let available_at = self.reserved_until.max(now + debt_time);
-        self.reserved_until = available_at + own_time;
+        let available_at = self.ranks.reserved_until(rank).max(now + debt_time);
+        self.ranks.reserve(rank, available_at + own_time);
         available_at
             .since(now)
             .clamp(MIN_RETRY_DELAY, MAX_RETRY_DELAY)
--- a/crates/teaselglade-routing/tests/routing/quota_rush.rs
+++ b/crates/teaselglade-routing/tests/routing/quota_rush.rs
@@ -2,6 +2,7 @@
 
 use std::collections::{BTreeMap, HashMap};
 
+use teaselglade_routing::capacity::RequestRank;
 use teaselglade_routing::quota::{FleetSpend, PeerSpend, QuotaLimiter, SpendReport};
 
 use super::fixture::{at, organisation};
@@ -37,6 +38,8 @@
     /// Tokens admitted during the rush.
     admitted_in_rush: f64,
     refused_before_rush: usize,
+    /// First attempts in the rush that were admitted, and all of them, by size.
+    first_attempts: HashMap<u32, (u32, u32)>,
 }
 
 impl RushOutcome {
@@ -53,6 +56,11 @@
 ///
 /// The first host aggregates the reports. Refused callers come back once when they were told to.
 fn run_rush(hosts: usize, rush: f64) -> RushOutcome {
+    run_ranked_rush(hosts, rush, |_tokens| RequestRank::default())
+}
+
+/// Runs [`run_rush`] with requests whose rank follows from their size.
+fn run_ranked_rush(hosts: usize, rush: f64, rank_of: fn(u32) -> RequestRank) -> RushOutcome {
     let mut limiters: Vec<QuotaLimiter> = (0..hosts as u64)
         .map(|host| {
             let mut limiter = QuotaLimiter::new(16).random_seed(host);
@@ -94,7 +102,14 @@
         let mut admitted = 0.0;
         for (index, (tokens, is_first)) in requests.into_iter().enumerate() {
             let host = (arrivals + index).wrapping_mul(7_919) % hosts;
-            match limiters[host].admit(at(now), "halloran", Some(tokens)) {
+            let rank = rank_of(tokens);
+            let verdict = limiters[host].admit_ranked(at(now), "halloran", Some(tokens), rank);
+            if is_rush && is_first {
+                let count = outcome.first_attempts.entry(tokens).or_default();
+                count.0 += u32::from(verdict.is_ok());
+                count.1 += 1;
+            }
+            match verdict {
                 Ok(()) => admitted += f64::from(tokens),
                 Err(refusal) => {
                     outcome.refused_before_rush += usize::from(now < 5_000);
@@ -172,3 +187,21 @@
     let prompts = (0..20).filter(|_| limiter.admit(at(4_000), "halloran", Some(900)).is_ok());
     assert!(prompts.count() < 10, "prompts are limited");
 }
+
+#[test]
+fn the_more_urgent_requests_of_an_organisation_are_admitted_first() {
+    let rank_of = |tokens| RequestRank::new(if tokens < 2_000 { 0 } else { 2 });
+    for hosts in [7, 24, 86] {
+        let ranked = run_ranked_rush(hosts, 4.0, rank_of);
+        assert!(ranked.max_in_window() <= BOUND);
+        let admitted_share = |tokens| {
+            let (admitted, all) = ranked.first_attempts[&tokens];
+            f64::from(admitted) / f64::from(all)
+        };
+        let shares = PROMPT_TOKENS.map(admitted_share);
+        println!("{hosts} hosts: first attempts admitted {shares:.2?}");
+        assert!(shares[0] >= 0.95, "{hosts} hosts: {shares:?}");
+        let common = ranked.admitted_in_rush / (RATE * USUAL_SHARE * 4.0 * 12.0);
+        assert!(shares[1] >= common / 4.0, "no rank starves: {shares:?}");
+    }
+}
