feat(routing): shares of organisations in a service whose room is scarce

Hosts sum up demand by organisation and rank, learn the room from what engines accept while others are late, and admit the same fraction of an organisation's requests everywhere. Callers above their share leave half of the queue to the others, less urgent ranks leave the queue that more urgent ones can wait for.

--- a/crates/teaselglade-core/src/verdict/refusal_reason.rs
+++ b/crates/teaselglade-core/src/verdict/refusal_reason.rs
@@ -17,6 +17,8 @@
         UnknownRequest,
         /// The organisation or service exceeds a limit in its table row.
         OverLimit,
+        /// Room is scarce and the organisation asks for more than its share of it.
+        OverShare,
         /// The request is predicted to miss its latency target.
         PredictedLate,
         /// A part of the prompt ends the servers that begin to write on it.
@@ -58,7 +60,8 @@
             Self::KeyReused => 422,
             Self::AttemptFailed => 502,
             Self::DeadlineExceeded => 504,
-            Self::PredictedLate
+            Self::OverShare
+            | Self::PredictedLate
             | Self::Quarantined
             | Self::ServerLimit
             | Self::NoServer
@@ -78,6 +81,7 @@
             Self::UnknownService => "the service is not in the table",
             Self::UnknownRequest => "no request with this id is known",
             Self::OverLimit => "a limit of the table is reached",
+            Self::OverShare => "the organisation's share of scarce room is used up",
             Self::PredictedLate => "the latency target cannot be met now",
             Self::Quarantined => "a part of the prompt ends servers",
             Self::ServerLimit => "the limits of the backend servers are reached",
--- a/crates/teaselglade-host/src/metrics/host_metrics.rs
+++ b/crates/teaselglade-host/src/metrics/host_metrics.rs
@@ -3,7 +3,7 @@
 use prometheus::{HistogramVec, IntCounter, IntCounterVec, IntGauge, IntGaugeVec};
 use teaselglade_net::metrics::{MetricRegistry, Result};
 
-use super::{AdviceMetrics, CrashMetrics, EndMetrics};
+use super::{AdviceMetrics, CrashMetrics, EndMetrics, ShareMetrics};
 
 /// Upper bounds of latency buckets in seconds.
 ///
@@ -48,6 +48,8 @@
     pub table_version: IntGauge,
     /// What servers said of themselves in responses.
     pub advice: AdviceMetrics,
+    /// Shares of services whose room is scarce.
+    pub shares: ShareMetrics,
     /// Evidence on requests and prompt parts that end servers.
     pub crashes: CrashMetrics,
     /// Age of the newest registration data in milliseconds.
@@ -135,6 +137,7 @@
                 "Version of the table in force.",
             )?,
             advice: AdviceMetrics::new(r)?,
+            shares: ShareMetrics::new(r)?,
             crashes: CrashMetrics::new(r)?,
             update_age: r.gauge(
                 "teaselglade_update_age_ms",
--- a/crates/teaselglade-host/src/peer/gossip_transport.rs
+++ b/crates/teaselglade-host/src/peer/gossip_transport.rs
@@ -51,6 +51,8 @@
 #[derive(Debug)]
 struct AggregateRound {
     bytes: Vec<u8>,
+    /// Sum of the demand for services, which is sent beside the digest.
+    shares: Option<Vec<u8>>,
     remaining: Vec<SocketAddr>,
     next_send_at: Instant,
     send_interval: Duration,
@@ -84,6 +86,7 @@
             newer_tables,
             sequence: 0,
             round: AggregateRound {
+                shares: None,
                 bytes: Vec::new(),
                 remaining: Vec::new(),
                 next_send_at: Instant::now(),
@@ -124,10 +127,12 @@
         let (digest, limits, targets) = self.build_digest();
         let bytes = encode(&PeerMessage::Host(Box::new(digest)));
         let limits = (!limits.is_empty()).then(|| encode(&PeerMessage::Limits(limits)));
+        let shares = self.host.update_shares(self.sequence);
+        let shares = shares.map(|report| encode(&PeerMessage::Shares(report)));
         for target in targets {
             self.send_to(&bytes, target).await;
-            if let Some(limits) = &limits {
-                self.send_to(limits, target).await;
+            for beside in limits.iter().chain(&shares) {
+                self.send_to(beside, target).await;
             }
         }
         if self.sequence.is_multiple_of(DIGESTS_PER_AGGREGATE) {
@@ -143,7 +148,10 @@
             return;
         }
         let send_window = DIGEST_INTERVAL.mul_f64(DIGESTS_PER_AGGREGATE as f64 * PACING_FRACTION);
+        let shares = self.host.lock_decisions().shares.fleet_report(now);
+        let shares = (!shares.is_empty()).then(|| encode(&PeerMessage::Shares(shares)));
         self.round = AggregateRound {
+            shares,
             bytes: encode(&PeerMessage::Aggregate(Box::new(self.build_aggregate()))),
             send_interval: send_window / served.len() as u32,
             remaining: served,
@@ -166,6 +174,9 @@
                 decisions.limit_aggregate(now, number),
             )
         };
+        if let Some(shares) = &self.round.shares {
+            self.send_to(shares, target).await;
+        }
         if !limits.is_empty() {
             let bytes = encode(&PeerMessage::Limits(limits));
             self.send_to(&bytes, target).await;
@@ -323,6 +334,10 @@
                 decisions.crash_ledger.merge(now, &evidence);
             }
             PeerMessage::Limits(report) => self.host.merge_limits(&report),
+            PeerMessage::Shares(report) => {
+                let now = self.host.now();
+                self.host.lock_decisions().shares.receive(now, report);
+            }
             PeerMessage::Permit(message) => return self.apply_permit_message(message, sender),
         }
         None
--- a/crates/teaselglade-host/src/relay/call_context.rs
+++ b/crates/teaselglade-host/src/relay/call_context.rs
@@ -13,6 +13,7 @@
 use teaselglade_routing::capacity::{PlacementTerms, RequestRank};
 use teaselglade_routing::crash::{RequestHash, RequestSubjects};
 use teaselglade_routing::engine::PromptShape;
+use teaselglade_routing::share::ShareRequest;
 use teaselglade_routing::table::{RouteSpec, ServiceSpec};
 
 use super::CallerResponse;
@@ -79,6 +80,17 @@
         PlacementTerms {
             zone: &self.host.settings.zone,
             rank: self.rank,
+            ..PlacementTerms::default()
+        }
+    }
+
+    /// Returns what the request asks of its service's room.
+    pub(super) fn share_request(&self) -> ShareRequest<'_> {
+        ShareRequest {
+            service: &self.service.name,
+            organisation: self.organisation_name(),
+            rank: RequestRank::new(self.route.priority),
+            work: self.prompt.as_ref().map_or(0.0, PromptShape::work),
         }
     }
 
--- a/crates/teaselglade-host/src/relay/call_handler.rs
+++ b/crates/teaselglade-host/src/relay/call_handler.rs
@@ -178,9 +178,14 @@
         let detail = format!("service {service} is not in the table");
         RequestRefusal::not_run(RefusalReason::NoServer, detail).retry_after(NOT_READY_RETRY_DELAY)
     })?;
+    let priority = organisation.and_then(|organisation| organisation.priority);
+    let rank = RequestRank::of(priority, route.priority);
     let mut decisions = host.lock_decisions();
     if let Some(organisation) = organisation {
-        decisions.quotas.admit(now, &organisation.name, tokens)?;
+        let quotas = &mut decisions.quotas;
+        // Within an organisation, whose priority is the same for all, that of the route decides.
+        let rank = RequestRank::new(route.priority);
+        quotas.admit_ranked(now, &organisation.name, tokens, rank)?;
     }
     decisions.record_first_attempt(&service.name);
     drop(decisions);
@@ -200,10 +205,7 @@
     Ok(CallContext {
         id: head.attempt,
         organisation: organisation.map(|organisation| organisation.name.clone()),
-        rank: RequestRank::of(
-            organisation.and_then(|organisation| organisation.priority),
-            route.priority,
-        ),
+        rank,
         table_version: table.version(),
         route: route.clone(),
         service,
--- a/crates/teaselglade-host/src/relay/stream_reservation.rs
+++ b/crates/teaselglade-host/src/relay/stream_reservation.rs
@@ -7,6 +7,7 @@
 use teaselglade_core::time::Timestamp;
 use teaselglade_core::verdict::{RefusalReason, RequestRefusal};
 use teaselglade_request::retry::RetryDecision;
+use teaselglade_routing::capacity::PlacementTerms;
 use teaselglade_routing::crash::ContainedRun;
 use teaselglade_routing::engine::{EngineQuery, EngineReservation, PromptShape};
 use teaselglade_routing::table::EngineSpec;
@@ -86,7 +87,20 @@
         let engine = obtain_engine(context, attempt, &turn).await;
         let mut decisions = context.host.lock_decisions();
         let run = permit_attempt(context, &mut decisions, attempt)?;
-        Self::reserve(context, &mut decisions, attempt, run, engine)
+        let is_new = attempt.number == 1 && !attempt.is_continued && run.is_none();
+        if !is_new {
+            return Self::reserve(context, &mut decisions, attempt, run, engine);
+        }
+        let (now, request) = (context.host.now(), context.share_request());
+        decisions.shares.admit(now, &request)?;
+        let placed = Self::reserve(context, &mut decisions, attempt, run, engine);
+        match &placed {
+            Ok(_) => decisions.shares.record_used(now, &request),
+            Err(refusal) => decisions
+                .shares
+                .record_refusal(now, &request, refusal.reason),
+        }
+        placed
     }
 
     /// Reserves an engine for an attempt beside a silent one.
@@ -310,7 +324,10 @@
         is_continued: attempt.is_continued,
         is_load_stale: decisions.membership.is_large(),
         selected_by: run.map(|run| (run.subject.selector(), run.rank)),
-        terms: context.placement_terms(),
+        terms: PlacementTerms {
+            queue_limit: decisions.shares.queue_limit(&context.share_request()),
+            ..context.placement_terms()
+        },
     }
 }
 
--- a/crates/teaselglade-host/src/state/decision_state.rs
+++ b/crates/teaselglade-host/src/state/decision_state.rs
@@ -23,6 +23,7 @@
     ServerAdvice, ServerDeparture, ServerRegistration, ServerRegistry, UpdateScope,
 };
 use teaselglade_routing::scaling::ZoneStock;
+use teaselglade_routing::share::ShareLimiter;
 use teaselglade_routing::usage::UsageLedger;
 
 use super::PermitStep;
@@ -58,6 +59,8 @@
     pub permit_issuer: PermitIssuer,
     /// Enforces the quotas of organisations.
     pub quotas: QuotaLimiter,
+    /// Shares organisations' requests of services whose room is scarce.
+    pub shares: ShareLimiter,
     /// Counts requests that began to run, for usage reports.
     pub usage: UsageLedger,
     /// Known peers and their liveness.
@@ -96,6 +99,7 @@
             limits: LimitLedger::default(),
             permit_issuer: PermitIssuer::default(),
             quotas: QuotaLimiter::new(ASSUMED_HOSTS).random_seed(seed),
+            shares: ShareLimiter::new(seed),
             usage: UsageLedger::new(settings.duties.usage_window),
             membership: PeerMembership::new(&settings.name, seed).in_zone(&settings.zone),
             transfers: TransferLimiter::new(settings.link_bytes_per_second),
@@ -496,6 +500,7 @@
     /// Releases the quota share of a peer that is gone and discards its demand.
     pub fn remove_peer(&mut self, peer: &str) {
         self.quotas.remove_peer(peer);
+        self.shares.remove_peer(peer);
         self.permit_issuer.remove_peer(peer);
         self.peer_demand.remove(peer);
     }
--- a/crates/teaselglade-host/src/state/host_state.rs
+++ b/crates/teaselglade-host/src/state/host_state.rs
@@ -373,9 +373,11 @@
             return false;
         }
         let active = ActiveTable::new(published);
-        self.lock_decisions()
-            .quotas
-            .set_quotas(self.now(), &active.table.spec().organisations);
+        let mut decisions = self.lock_decisions();
+        let spec = active.table.spec();
+        decisions.quotas.set_quotas(self.now(), &spec.organisations);
+        decisions.shares.set_table(spec);
+        drop(decisions);
         *slot = Some(Arc::new(active));
         drop(slot);
         self.metrics.table_version.set(version.cast_signed());
--- a/crates/teaselglade-routing/src/capacity/placement_terms.rs
+++ b/crates/teaselglade-routing/src/capacity/placement_terms.rs
@@ -1,5 +1,7 @@
 //! Terms under which one request is placed.
 
+use std::time::Duration;
+
 use super::RequestRank;
 
 /// Terms under which one request is placed, from the decisions made before placement.
@@ -18,4 +20,6 @@
     pub zone: &'a str,
     /// Urgency of the request.
     pub rank: RequestRank,
+    /// Longest wait before the request's own prefill; `None` leaves it to the target.
+    pub queue_limit: Option<Duration>,
 }
--- a/crates/teaselglade-routing/src/engine/engine_placer.rs
+++ b/crates/teaselglade-routing/src/engine/engine_placer.rs
@@ -491,7 +491,9 @@
         let is_prefill_too_long = best.prefill_time > target;
         let is_on_time = best.predicted_latency <= target;
         let is_wait_short = is_prefill_too_long && wait <= query.target.mul_f64(MAX_WAIT_SHARE);
-        if (is_on_time || is_wait_short) && best.predicted_latency < query.caller_timeout {
+        let queue_limit = query.terms.queue_limit.unwrap_or(Duration::MAX);
+        let is_admitted = (is_on_time || is_wait_short) && wait <= queue_limit;
+        if is_admitted && best.predicted_latency < query.caller_timeout {
             return Ok(());
         }
         let jitter = self.rng.random_range(1.0..1.6);
--- a/crates/teaselglade-routing/src/engine/prompt_shape.rs
+++ b/crates/teaselglade-routing/src/engine/prompt_shape.rs
@@ -1,5 +1,9 @@
 //! Token counts and prefix parts of a prompt whose text stays opaque.
 
+/// Prompt tokens that an engine prefills in the part of its time that one output token takes.
+///
+/// Such as a step of 4 ms, shared by 50 requests, at 100 prompt tokens a millisecond.
+const OUTPUT_TOKEN_WORK: f64 = 8.0;
 const FNV_OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
 const FNV_PRIME: u64 = 0x0100_0000_01b3;
 
@@ -76,6 +80,30 @@
         self.parts.iter().take(shared).map(|part| part.tokens).sum()
     }
 
+    /// Returns the work that the prompt asks of an engine, in prompt tokens.
+    ///
+    /// Parts that other prompts share count as cached. Output tokens count by the slot time that they
+    /// take, so that all hosts use the same unit.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use teaselglade_routing::engine::PromptShape;
+    ///
+    /// let prompt = PromptShape::new(17_000, 100, [(7, 13_000), (8, 4_000)]);
+    /// assert_eq!(prompt.work(), 4_000.0 + 800.0);
+    /// ```
+    #[must_use]
+    pub fn work(&self) -> f64 {
+        let shared = if self.parts.len() > 1 {
+            self.shared_tokens()
+        } else {
+            0
+        };
+        let own_tokens = self.prompt_tokens.saturating_sub(shared);
+        f64::from(own_tokens) + f64::from(self.output_tokens) * OUTPUT_TOKEN_WORK
+    }
+
     /// Returns the ids of the parts that other prompts may share: all but the last.
     pub fn shared_ids(&self) -> impl Iterator<Item = u64> {
         let shared = self.parts.len().saturating_sub(1);
--- a/crates/teaselglade-routing/src/gossip/aggregate_digest.rs
+++ b/crates/teaselglade-routing/src/gossip/aggregate_digest.rs
@@ -10,6 +10,7 @@
 use crate::limit::{LimitReport, PermitMessage};
 use crate::quota::FleetSpend;
 use crate::registry::{ServerDeparture, ServerRegistration};
+use crate::share::ShareReport;
 
 /// A highly ranked host, from which aggregators and the leader are chosen.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -84,6 +85,8 @@
     Crashes(Vec<SubjectEvidence>),
     /// Limits of servers and issued permits, sent beside a digest.
     Limits(LimitReport),
+    /// Demand by organisation and rank, sent beside a digest.
+    Shares(ShareReport),
     /// Message about a permit to send to a limited server.
     Permit(PermitMessage),
 }
--- a/crates/teaselglade-routing/src/lib.rs
+++ b/crates/teaselglade-routing/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod quota;
 pub mod registry;
 pub mod scaling;
+pub mod share;
 pub mod shutdown;
 pub mod table;
 pub mod usage;
--- a/crates/teaselglade-routing/tests/routing/main.rs
+++ b/crates/teaselglade-routing/tests/routing/main.rs
@@ -15,6 +15,7 @@
 mod registry;
 mod request_crashes;
 mod routes;
+mod shares;
 mod shutdown;
 mod slots;
 mod table_spread;
--- a/crates/teaselglade-routing/tests/routing/plains.rs
+++ b/crates/teaselglade-routing/tests/routing/plains.rs
@@ -14,6 +14,7 @@
     terms: PlacementTerms {
         zone: "galway",
         rank: RequestRank::new(0),
+        queue_limit: None,
     },
 };
 
