--- a/crates/teaselglade-host/src/metrics/host_metrics.rs
+++ b/crates/teaselglade-host/src/metrics/host_metrics.rs
@@ -3,7 +3,7 @@
 use prometheus::{HistogramVec, IntCounter, IntCounterVec, IntGauge, IntGaugeVec};
 use teaselglade_net::metrics::{MetricRegistry, Result};
 
-use super::{AdviceMetrics, CrashMetrics, EndMetrics, RolloutMetrics};
+use super::{AdviceMetrics, CrashMetrics, EndMetrics, RolloutMetrics, ShareMetrics};
 
 /// Upper bounds of latency buckets in seconds.
 ///
@@ -48,6 +48,8 @@
     pub table_version: IntGauge,
     /// What servers said of themselves in responses.
     pub advice: AdviceMetrics,
+    /// Shares of services whose room is scarce.
+    pub shares: ShareMetrics,
     /// Evidence on requests and prompt parts that end servers.
     pub crashes: CrashMetrics,
     /// Roll-outs of services' versions.
@@ -137,6 +139,7 @@
                 "Version of the table in force.",
             )?,
             advice: AdviceMetrics::new(r)?,
+            shares: ShareMetrics::new(r)?,
             crashes: CrashMetrics::new(r)?,
             rollouts: RolloutMetrics::new(r)?,
             update_age: r.gauge(
--- a/crates/teaselglade-host/src/relay/stream_reservation.rs
+++ b/crates/teaselglade-host/src/relay/stream_reservation.rs
@@ -8,6 +8,7 @@
 use teaselglade_core::verdict::{RefusalReason, RequestRefusal};
 use teaselglade_request::retry::RetryDecision;
 use teaselglade_routing::attempt::AttemptOutcome;
+use teaselglade_routing::capacity::PlacementTerms;
 use teaselglade_routing::crash::ContainedRun;
 use teaselglade_routing::engine::{EngineQuery, EngineReservation, PromptShape};
 use teaselglade_routing::rollout::{AttemptEvidence, AttemptRecord, VersionChoice, VersionScope};
@@ -98,7 +99,21 @@
         let mut decisions = context.host.lock_decisions();
         let run = permit_attempt(context, &mut decisions, attempt);
         let run = run.inspect_err(|_refusal| give_back(context, &mut decisions, &choice))?;
-        Self::reserve(context, &mut decisions, attempt, run, engine, choice)
+        let is_new = attempt.number == 1 && !attempt.is_continued && run.is_none();
+        if !is_new {
+            return Self::reserve(context, &mut decisions, attempt, run, engine, choice);
+        }
+        let (now, request) = (context.host.now(), context.share_request());
+        let admitted = decisions.shares.admit(now, &request);
+        admitted.inspect_err(|_refusal| give_back(context, &mut decisions, &choice))?;
+        let placed = Self::reserve(context, &mut decisions, attempt, run, engine, choice);
+        match &placed {
+            Ok(_) => decisions.shares.record_used(now, &request),
+            Err(refusal) => decisions
+                .shares
+                .record_refusal(now, &request, refusal.reason),
+        }
+        placed
     }
 
     /// Reserves an engine for an attempt beside a silent one.
@@ -369,7 +384,10 @@
         is_continued: attempt.is_continued,
         is_load_stale: decisions.membership.is_large(),
         selected_by: run.map(|run| (run.subject.selector(), run.rank)),
-        terms: context.placement_terms(versions),
+        terms: PlacementTerms {
+            queue_limit: decisions.shares.queue_limit(&context.share_request()),
+            ..context.placement_terms(versions)
+        },
     }
 }
 
--- a/crates/teaselglade-host/src/state/decision_state.rs
+++ b/crates/teaselglade-host/src/state/decision_state.rs
@@ -24,6 +24,7 @@
 };
 use teaselglade_routing::rollout::{RolloutDesk, RolloutOrder, RolloutReport};
 use teaselglade_routing::scaling::ZoneStock;
+use teaselglade_routing::share::ShareLimiter;
 use teaselglade_routing::usage::UsageLedger;
 
 use super::PermitStep;
@@ -61,6 +62,8 @@
     pub rollouts: RolloutDesk,
     /// Enforces the quotas of organisations.
     pub quotas: QuotaLimiter,
+    /// Shares organisations' requests of services whose room is scarce.
+    pub shares: ShareLimiter,
     /// Counts requests that began to run, for usage reports.
     pub usage: UsageLedger,
     /// Known peers and their liveness.
@@ -100,6 +103,7 @@
             permit_issuer: PermitIssuer::default(),
             rollouts: RolloutDesk::new(&settings.name, settings.rollouts),
             quotas: QuotaLimiter::new(ASSUMED_HOSTS).random_seed(seed),
+            shares: ShareLimiter::new(seed),
             usage: UsageLedger::new(settings.duties.usage_window),
             membership: PeerMembership::new(&settings.name, seed).in_zone(&settings.zone),
             transfers: TransferLimiter::new(settings.link_bytes_per_second),
@@ -500,6 +504,7 @@
     /// Releases the quota share of a peer that is gone and discards its demand.
     pub fn remove_peer(&mut self, peer: &str) {
         self.quotas.remove_peer(peer);
+        self.shares.remove_peer(peer);
         self.permit_issuer.remove_peer(peer);
         self.peer_demand.remove(peer);
     }
--- a/crates/teaselglade-routing/src/capacity/placement_terms.rs
+++ b/crates/teaselglade-routing/src/capacity/placement_terms.rs
@@ -1,5 +1,7 @@
 //! Terms under which one request is placed.
 
+use std::time::Duration;
+
 use super::RequestRank;
 use crate::rollout::VersionScope;
 
@@ -21,4 +23,6 @@
     pub rank: RequestRank,
     /// Servers that may be used, by the version they run.
     pub versions: VersionScope<'a>,
+    /// Longest wait before the request's own prefill; `None` leaves it to the target.
+    pub queue_limit: Option<Duration>,
 }
--- a/crates/teaselglade-routing/src/gossip/aggregate_digest.rs
+++ b/crates/teaselglade-routing/src/gossip/aggregate_digest.rs
@@ -11,6 +11,7 @@
 use crate::quota::FleetSpend;
 use crate::registry::{ServerDeparture, ServerRegistration};
 use crate::rollout::RolloutReport;
+use crate::share::ShareReport;
 
 /// A highly ranked host, from which aggregators and the leader are chosen.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -85,6 +86,8 @@
     Crashes(Vec<SubjectEvidence>),
     /// Limits of servers and issued permits, sent beside a digest.
     Limits(LimitReport),
+    /// Demand by organisation and rank, sent beside a digest.
+    Shares(ShareReport),
     /// Message about a permit to send to a limited server.
     Permit(PermitMessage),
     /// Roll-outs that run or ended lately, sent beside a digest while there are any.
--- a/crates/teaselglade-routing/src/lib.rs
+++ b/crates/teaselglade-routing/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod registry;
 pub mod rollout;
 pub mod scaling;
+pub mod share;
 pub mod shutdown;
 pub mod table;
 pub mod usage;
--- a/crates/teaselglade-routing/tests/routing/main.rs
+++ b/crates/teaselglade-routing/tests/routing/main.rs
@@ -16,6 +16,7 @@
 mod request_crashes;
 mod rollouts;
 mod routes;
+mod shares;
 mod shutdown;
 mod slots;
 mod table_spread;
--- a/crates/teaselglade-routing/tests/routing/plains.rs
+++ b/crates/teaselglade-routing/tests/routing/plains.rs
@@ -16,6 +16,7 @@
         zone: "galway",
         rank: RequestRank::new(0),
         versions: VersionScope::Any,
+        queue_limit: None,
     },
 };
 
