feat(routing): parts of a zone's demand that leave it

Plain calls paid a fixed cost for another zone, and engines were chosen without a look at zones. ZonePlanner distributes a service's demand over zones by marginal cost; ZoneDirector draws the requests that leave, and charges a crossing for a cached part until it cost as much as a prefill. Default prices switch it off.

--- a/crates/teaselglade-host/src/settings/host_settings.rs
+++ b/crates/teaselglade-host/src/settings/host_settings.rs
@@ -3,6 +3,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use teaselglade_routing::zone::ZonePrices;
+
 use super::LogSettings;
 
 /// Addresses on which a host listens.
@@ -46,6 +48,8 @@
     pub shutdown_grace_period: Duration,
     /// Leader duties.
     pub duties: DutySettings,
+    /// What it costs to serve a request in another data centre; nothing by default.
+    pub zone_prices: ZonePrices,
     /// Settings of the log.
     pub log: LogSettings,
 }
--- a/crates/teaselglade-routing/src/capacity/placement_terms.rs
+++ b/crates/teaselglade-routing/src/capacity/placement_terms.rs
@@ -1,6 +1,7 @@
 //! Terms under which one request is placed.
 
 use super::RequestRank;
+use crate::zone::ZoneTerms;
 
 /// Terms under which one request is placed, from the decisions made before placement.
 ///
@@ -18,4 +19,6 @@
     pub zone: &'a str,
     /// Urgency of the request.
     pub rank: RequestRank,
+    /// What the zone decision says of the request; by default zones are disregarded.
+    pub zones: ZoneTerms<'a>,
 }
--- a/crates/teaselglade-routing/src/engine/engine_candidate.rs
+++ b/crates/teaselglade-routing/src/engine/engine_candidate.rs
@@ -13,6 +13,12 @@
 #[derive(Debug, Clone, Copy)]
 pub(super) struct EngineCandidate {
     pub(super) server: ServerKey,
+    /// Hash of the server's name.
+    pub(super) hash: u64,
+    /// Whether recent failures speak against the engine.
+    pub(super) is_avoided: bool,
+    /// Part of the cost that stems from the engine's zone; zero in the wanted zone.
+    pub(super) zone_cost_ms: f64,
     /// Known requests as a share of the engine's slots; above 1 if some wait.
     pub(super) used_share: f64,
     pub(super) predicted_latency: Duration,
@@ -25,6 +31,16 @@
 }
 
 impl EngineCandidate {
+    /// Adds the cost of the engine's zone.
+    pub(super) fn add_zone_cost(self, zone_cost: Duration) -> Self {
+        let zone_cost_ms = zone_cost.as_secs_f64() * 1_000.0;
+        Self {
+            zone_cost_ms,
+            cost_ms: self.cost_ms + zone_cost_ms,
+            ..self
+        }
+    }
+
     /// Orders candidates by rounded cost, and those of equal cost by descending preference.
     pub(super) fn compare(&self, other: &Self) -> std::cmp::Ordering {
         let (a, b) = (self.cost_ms / EQUAL_COST_MS, other.cost_ms / EQUAL_COST_MS);
--- a/crates/teaselglade-routing/src/engine/engine_placer.rs
+++ b/crates/teaselglade-routing/src/engine/engine_placer.rs
@@ -10,9 +10,9 @@
 use teaselglade_core::verdict::{RefusalReason, RequestRefusal};
 use teaselglade_placement::limit::DemandMeter;
 
-use super::engine_candidate::{EngineCandidate, preference, preference_of};
+use super::engine_candidate::{EngineCandidate, preference};
+use super::engine_choice::choose_engine;
 use super::engine_loads::EngineLoads;
-use super::stale_choice::choose_with_stale_loads;
 use super::{CachedPart, EngineLoad, EngineSpeed, PrefixLocations, PromptShape, Result, SlotPace};
 use crate::capacity::PlacementTerms;
 use crate::registry::{ServerHealth, ServerRegistry};
@@ -411,33 +411,24 @@
         registry: &ServerRegistry,
         query: &EngineQuery<'_>,
     ) -> Option<EngineCandidate> {
+        choose_engine(&self.candidates(now, registry, query), query, TARGET_SHARE)
+    }
+
+    /// Returns the engines that a stream may be sent to.
+    fn candidates(
+        &self,
+        now: Timestamp,
+        registry: &ServerRegistry,
+        query: &EngineQuery<'_>,
+    ) -> Vec<EngineCandidate> {
         let servers = registry.available(now, query.service);
         let untried = servers.filter(|(key, _)| !query.tried.contains(key));
-        let candidates: Vec<EngineCandidate> = untried
-            .map(|(key, server)| self.candidate(now, query, key, server.hash))
-            .collect();
-        let healthy = candidates.iter().filter(|candidate| {
-            let health = self.health.get(&candidate.server);
-            !health.is_some_and(|health| health.is_avoided(now))
+        let candidates = untried.map(|(key, server)| {
+            let candidate = self.candidate(now, query, key, server.hash);
+            let terms = &query.terms;
+            candidate.add_zone_cost(terms.zones.cost(terms.zone, &server.registration.zone))
         });
-        let mut healthy: Vec<&EngineCandidate> = healthy.collect();
-        if let Some((part, rank)) = query.selected_by {
-            let weight = |candidate: &&EngineCandidate| {
-                preference_of(part, registry.server(candidate.server).hash)
-            };
-            healthy.sort_unstable_by_key(|candidate| std::cmp::Reverse(weight(candidate)));
-            let index = (rank as usize).min(healthy.len().saturating_sub(1));
-            return healthy.get(index).map(|candidate| **candidate);
-        }
-        if query.is_load_stale {
-            let target = query.target.mul_f64(TARGET_SHARE);
-            if let Some(chosen) = choose_with_stale_loads(&mut healthy, query.prompt, target) {
-                return Some(chosen);
-            }
-        }
-        let best = healthy.into_iter().min_by(|a, b| a.compare(b));
-        best.or_else(|| candidates.iter().min_by(|a, b| a.compare(b)))
-            .copied()
+        candidates.collect()
     }
 
     fn candidate(
@@ -459,15 +450,16 @@
         if needed_memory > query.spec.memory_tokens * MEMORY_SHARE {
             predicted_latency += MEMORY_DELAY;
         }
-        let failures = self
-            .health
-            .get(&server)
-            .map_or(0.0, ServerHealth::failure_share);
+        let health = self.health.get(&server);
+        let failures = health.map_or(0.0, ServerHealth::failure_share);
         let cost = predicted_latency.as_secs_f64()
             + prefill_time.as_secs_f64() * WORK_WEIGHT
             + failures * query.target.as_secs_f64();
         EngineCandidate {
             server,
+            hash,
+            is_avoided: health.is_some_and(|health| health.is_avoided(now)),
+            zone_cost_ms: 0.0,
             used_share: load.requests / f64::from(query.spec.slots),
             predicted_latency,
             prefill_time,
--- a/crates/teaselglade-routing/src/engine/mod.rs
+++ b/crates/teaselglade-routing/src/engine/mod.rs
@@ -1,6 +1,7 @@
 //! Placement of streams on model engines.
 
 mod engine_candidate;
+mod engine_choice;
 mod engine_load;
 mod engine_loads;
 mod engine_placer;
--- a/crates/teaselglade-routing/src/gossip/aggregate_digest.rs
+++ b/crates/teaselglade-routing/src/gossip/aggregate_digest.rs
@@ -10,6 +10,7 @@
 use crate::limit::{LimitReport, PermitMessage};
 use crate::quota::FleetSpend;
 use crate::registry::{ServerDeparture, ServerRegistration};
+use crate::zone::ZoneReport;
 
 /// A highly ranked host, from which aggregators and the leader are chosen.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -86,4 +87,6 @@
     Limits(LimitReport),
     /// Message about a permit to send to a limited server.
     Permit(PermitMessage),
+    /// Parts of the zones' demand that leave them, sent by an aggregator beside its digest.
+    Zones(ZoneReport),
 }
--- a/crates/teaselglade-routing/src/lib.rs
+++ b/crates/teaselglade-routing/src/lib.rs
@@ -18,3 +18,4 @@
 pub mod shutdown;
 pub mod table;
 pub mod usage;
+pub mod zone;
--- a/crates/teaselglade-routing/src/plain/plain_placer.rs
+++ b/crates/teaselglade-routing/src/plain/plain_placer.rs
@@ -230,7 +230,8 @@
             .max(1.0);
         let reported_requests = reported.map_or(0.0, |load| f64::from(load.running + load.waiting));
         let load_per_slot = f64::from(status.in_flight).max(reported_requests) / slots;
-        let zone_cost = if server.registration.zone == query.terms.zone {
+        let wanted_zone = query.terms.zones.leaves_to.unwrap_or(query.terms.zone);
+        let zone_cost = if server.registration.zone == wanted_zone {
             0.0
         } else {
             OTHER_ZONE_COST
--- a/crates/teaselglade-routing/tests/routing/main.rs
+++ b/crates/teaselglade-routing/tests/routing/main.rs
@@ -19,3 +19,5 @@
 mod slots;
 mod table_spread;
 mod usage;
+mod zone_placement;
+mod zones;
--- a/crates/teaselglade-routing/tests/routing/plains.rs
+++ b/crates/teaselglade-routing/tests/routing/plains.rs
@@ -4,6 +4,7 @@
 use teaselglade_routing::capacity::{PlacementTerms, RequestRank};
 use teaselglade_routing::plain::{PlainPlacer, PlainQuery, ServerLoad};
 use teaselglade_routing::registry::{ServerRegistration, ServerRegistry};
+use teaselglade_routing::zone::ZoneTerms;
 
 use super::fixture::{at, registration};
 
@@ -14,6 +15,7 @@
     terms: PlacementTerms {
         zone: "galway",
         rank: RequestRank::new(0),
+        zones: ZoneTerms::NONE,
     },
 };
 
