feat(host): data centre of a stream, by plan, price and cached parts

Aggregators, or every host of a small fleet, plan the outflows from the demand in digests; hosts of a large fleet follow PeerMessage::Zones. Streams carry the choice to the placer. Without prices in the settings nothing changes.

--- a/crates/teaselglade-host/src/metrics/host_metrics.rs
+++ b/crates/teaselglade-host/src/metrics/host_metrics.rs
@@ -3,7 +3,7 @@
 use prometheus::{HistogramVec, IntCounter, IntCounterVec, IntGauge, IntGaugeVec};
 use teaselglade_net::metrics::{MetricRegistry, Result};
 
-use super::{AdviceMetrics, CrashMetrics, EndMetrics};
+use super::{AdviceMetrics, CrashMetrics, EndMetrics, ZoneMetrics};
 
 /// Upper bounds of latency buckets in seconds.
 ///
@@ -50,6 +50,8 @@
     pub advice: AdviceMetrics,
     /// Evidence on requests and prompt parts that end servers.
     pub crashes: CrashMetrics,
+    /// Requests between data centres.
+    pub zones: ZoneMetrics,
     /// Age of the newest registration data in milliseconds.
     pub update_age: IntGauge,
     /// Fetches of state from peers by outcome.
@@ -136,6 +138,7 @@
             )?,
             advice: AdviceMetrics::new(r)?,
             crashes: CrashMetrics::new(r)?,
+            zones: ZoneMetrics::new(r)?,
             update_age: r.gauge(
                 "teaselglade_update_age_ms",
                 "Age of the newest data on servers.",
--- a/crates/teaselglade-host/src/metrics/mod.rs
+++ b/crates/teaselglade-host/src/metrics/mod.rs
@@ -4,8 +4,10 @@
 mod crash_metrics;
 mod end_metrics;
 mod host_metrics;
+mod zone_metrics;
 
 pub use advice_metrics::AdviceMetrics;
 pub use crash_metrics::CrashMetrics;
 pub use end_metrics::EndMetrics;
 pub use host_metrics::HostMetrics;
+pub use zone_metrics::ZoneMetrics;
--- a/crates/teaselglade-host/src/peer/gossip_transport.rs
+++ b/crates/teaselglade-host/src/peer/gossip_transport.rs
@@ -158,18 +158,23 @@
         self.round.next_send_at += self.round.send_interval;
         self.send_to(&self.round.bytes, target).await;
         let now = self.host.now();
-        let (evidence, limits) = {
+        let (evidence, limits, zones) = {
             let decisions = self.host.lock_decisions();
             let number = self.sequence / DIGESTS_PER_AGGREGATE;
             (
                 decisions.crash_ledger.evidence(now, UpdateScope::All),
                 decisions.limit_aggregate(now, number),
+                decisions.zones.report(now),
             )
         };
         if !limits.is_empty() {
             let bytes = encode(&PeerMessage::Limits(limits));
             self.send_to(&bytes, target).await;
         }
+        if let Some(zones) = zones {
+            let bytes = encode(&PeerMessage::Zones(zones));
+            self.send_to(&bytes, target).await;
+        }
         if !evidence.is_empty() {
             let bytes = encode(&PeerMessage::Crashes(evidence));
             self.send_to(&bytes, target).await;
@@ -199,6 +204,7 @@
             info!(event = "peer_gone", peer = name);
         }
         decisions.engine_placer.prune(now);
+        decisions.plan_zones(now);
         decisions.prune_limits(now);
         let limited_servers = decisions.limits.limited_servers().cast_signed() as i64;
         host.metrics.advice.limited_servers.set(limited_servers);
@@ -323,6 +329,10 @@
                 decisions.crash_ledger.merge(now, &evidence);
             }
             PeerMessage::Limits(report) => self.host.merge_limits(&report),
+            PeerMessage::Zones(report) => {
+                let now = self.host.now();
+                self.host.lock_decisions().zones.apply_report(now, report);
+            }
             PeerMessage::Permit(message) => return self.apply_permit_message(message, sender),
         }
         None
@@ -424,7 +434,7 @@
         for report in digest.decided_reports {
             decisions.usage.record_decided(report);
         }
-        decisions.record_peer_demand(now, &name, digest.demand);
+        decisions.record_peer_demand(now, &name, &digest.zone, digest.demand);
         drop(guard);
         self.announce_newer_table(digest.host.address, digest.table_version);
     }
--- a/crates/teaselglade-host/src/relay/call_context.rs
+++ b/crates/teaselglade-host/src/relay/call_context.rs
@@ -1,6 +1,6 @@
 //! State of one request while this host relays it.
 
-use std::sync::Arc;
+use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -14,6 +14,7 @@
 use teaselglade_routing::crash::{RequestHash, RequestSubjects};
 use teaselglade_routing::engine::PromptShape;
 use teaselglade_routing::table::{RouteSpec, ServiceSpec};
+use teaselglade_routing::zone::ZoneChoice;
 
 use super::CallerResponse;
 use super::header_filter::end_to_end_headers;
@@ -33,6 +34,8 @@
     pub(super) service: ServiceSpec,
     pub(super) organisation: Option<String>,
     pub(super) rank: RequestRank,
+    /// Data centre chosen for the request, if it matters.
+    pub(super) zone_choice: OnceLock<ZoneChoice>,
     /// Version of the route table that the request was matched against.
     pub(super) table_version: u64,
     pub(super) prompt: Option<PromptShape>,
@@ -79,6 +82,11 @@
         PlacementTerms {
             zone: &self.host.settings.zone,
             rank: self.rank,
+            zones: self
+                .zone_choice
+                .get()
+                .map(ZoneChoice::terms)
+                .unwrap_or_default(),
         }
     }
 
--- a/crates/teaselglade-host/src/relay/call_handler.rs
+++ b/crates/teaselglade-host/src/relay/call_handler.rs
@@ -204,6 +204,7 @@
             organisation.and_then(|organisation| organisation.priority),
             route.priority,
         ),
+        zone_choice: std::sync::OnceLock::new(),
         table_version: table.version(),
         route: route.clone(),
         service,
--- a/crates/teaselglade-host/src/relay/mod.rs
+++ b/crates/teaselglade-host/src/relay/mod.rs
@@ -12,6 +12,7 @@
 mod server_turn;
 mod stream_relay;
 mod stream_reservation;
+mod zone_step;
 
 pub use call_handler::serve_call;
 pub use response_body::{AbortedResponse, ResponseBody};
--- a/crates/teaselglade-host/src/relay/stream_reservation.rs
+++ b/crates/teaselglade-host/src/relay/stream_reservation.rs
@@ -14,6 +14,7 @@
 use super::Result;
 use super::call_context::CallContext;
 use super::server_turn::ServerTurn;
+use super::zone_step::{choose_zone, record_zone};
 use crate::journal::PlacementFields;
 use crate::permit::SendPermit;
 use crate::state::DecisionState;
@@ -82,6 +83,7 @@
         context: &Arc<CallContext>,
         attempt: &StreamAttempt<'_>,
     ) -> Result<Self> {
+        choose_zone(context, &mut context.host.lock_decisions());
         let turn = ServerTurn::new(context, attempt.is_continued);
         let engine = obtain_engine(context, attempt, &turn).await;
         let mut decisions = context.host.lock_decisions();
@@ -173,6 +175,7 @@
                 decisions.crash_ledger.record_contained_end(run.subject);
             }
         })?;
+        record_zone(context, decisions, &engine);
         let server_id = decisions
             .registry
             .server(engine.server)
--- a/crates/teaselglade-host/src/state/decision_state.rs
+++ b/crates/teaselglade-host/src/state/decision_state.rs
@@ -24,8 +24,10 @@
 };
 use teaselglade_routing::scaling::ZoneStock;
 use teaselglade_routing::usage::UsageLedger;
+use teaselglade_routing::zone::ZoneDirector;
 
 use super::PermitStep;
+use super::peer_demand::PeerDemand;
 use crate::settings::HostSettings;
 
 /// Number of hosts assumed until peers are seen: a small fleet including its spare hosts.
@@ -56,6 +58,8 @@
     pub limits: LimitLedger,
     /// Issues permits to send to limited servers.
     pub permit_issuer: PermitIssuer,
+    /// Decides which requests leave the data centre.
+    pub zones: ZoneDirector,
     /// Enforces the quotas of organisations.
     pub quotas: QuotaLimiter,
     /// Counts requests that began to run, for usage reports.
@@ -74,7 +78,7 @@
     unreadable_servers: HashSet<ServerKey>,
     own_name: String,
     retry_budgets: HashMap<String, RetryBudget>,
-    peer_demand: HashMap<String, (Timestamp, Vec<ServiceDemand>)>,
+    peer_demand: HashMap<String, PeerDemand>,
     seed: u64,
 }
 
@@ -95,6 +99,7 @@
             plain_placer: PlainPlacer::new(seed),
             limits: LimitLedger::default(),
             permit_issuer: PermitIssuer::default(),
+            zones: ZoneDirector::new(&settings.zone, settings.zone_prices),
             quotas: QuotaLimiter::new(ASSUMED_HOSTS).random_seed(seed),
             usage: UsageLedger::new(settings.duties.usage_window),
             membership: PeerMembership::new(&settings.name, seed).in_zone(&settings.zone),
@@ -489,8 +494,36 @@
     }
 
     /// Records the prefill demand that a peer reported.
-    pub fn record_peer_demand(&mut self, now: Timestamp, peer: &str, demand: Vec<ServiceDemand>) {
-        self.peer_demand.insert(peer.to_owned(), (now, demand));
+    pub fn record_peer_demand(
+        &mut self,
+        now: Timestamp,
+        peer: &str,
+        zone: &str,
+        services: Vec<ServiceDemand>,
+    ) {
+        self.zones.record_zone(now, zone);
+        let demand = PeerDemand {
+            received_at: now,
+            zone: zone.to_owned(),
+            services,
+        };
+        self.peer_demand.insert(peer.to_owned(), demand);
+    }
+
+    /// Returns zone, service and prompt tokens per second of what peers reported recently.
+    pub(super) fn fresh_peer_demand(
+        &self,
+        now: Timestamp,
+    ) -> impl Iterator<Item = (String, String, f64)> {
+        let peers = self.peer_demand.values();
+        let fresh = peers.filter(move |demand| now.since(demand.received_at) < DEMAND_TTL);
+        fresh.flat_map(|demand| {
+            let services = demand.services.iter();
+            services.map(|service| {
+                let (zone, name) = (demand.zone.clone(), service.service.clone());
+                (zone, name, service.tokens_per_second)
+            })
+        })
     }
 
     /// Releases the quota share of a peer that is gone and discards its demand.
@@ -518,14 +551,10 @@
         let own = own
             .filter(|(name, _)| name == service)
             .map(|(_, tokens)| tokens);
-        let fresh = self
-            .peer_demand
-            .values()
-            .filter(|(received_at, _)| now.since(*received_at) < DEMAND_TTL);
-        let reported = fresh
-            .flat_map(|(_, demand)| demand)
-            .filter(|demand| demand.service == service)
-            .map(|demand| demand.tokens_per_second);
+        let reported = self.fresh_peer_demand(now);
+        let reported = reported
+            .filter(|(_, name, _)| name == service)
+            .map(|(_, _, tokens)| tokens);
         let tokens: f64 = own.chain(reported).sum();
         tokens / self.engine_placer.speed(service).tokens_per_second()
     }
--- a/crates/teaselglade-host/src/state/mod.rs
+++ b/crates/teaselglade-host/src/state/mod.rs
@@ -4,7 +4,9 @@
 mod decision_state;
 mod host_ports;
 mod host_state;
+mod peer_demand;
 mod permit_step;
+mod zone_state;
 
 pub use active_table::ActiveTable;
 pub use decision_state::DecisionState;
--- a/crates/teaselglade-host/tests/host/fleet_model.rs
+++ b/crates/teaselglade-host/tests/host/fleet_model.rs
@@ -11,6 +11,7 @@
 use teaselglade_routing::gossip::{AggregateDigest, CandidateHost, HostDigest, PeerAddress};
 use teaselglade_routing::limit::LimitReport;
 use teaselglade_routing::registry::UpdateScope;
+use teaselglade_routing::zone::ZonePrices;
 
 pub const ZONES: [&str; 4] = ["ennis", "galway", "limerick", "sligo"];
 pub const STEP_MS: u64 = 10;
@@ -305,6 +306,7 @@
             usage_window: Duration::from_secs(5),
             lease_term: Duration::from_secs(3),
         },
+        zone_prices: ZonePrices::default(),
         log: LogSettings::default(),
     }
 }
--- a/crates/teaselglade-routing/src/engine/engine_placer.rs
+++ b/crates/teaselglade-routing/src/engine/engine_placer.rs
@@ -373,6 +373,22 @@
             .collect()
     }
 
+    /// Returns the most prompt tokens that an engine of certain zones has cached.
+    #[must_use]
+    pub fn most_cached_tokens(
+        &self,
+        now: Timestamp,
+        registry: &ServerRegistry,
+        service: &str,
+        prompt: &PromptShape,
+        in_zone: impl Fn(&str) -> bool,
+    ) -> u32 {
+        let servers = registry.available(now, service);
+        let servers = servers.filter(|(_, server)| in_zone(&server.registration.zone));
+        let tokens = servers.map(|(key, _)| self.cache.cached_tokens(now, key, prompt));
+        tokens.max().unwrap_or_default()
+    }
+
     /// Returns the prefill speed of a service's engines.
     #[must_use]
     pub fn speed(&self, service: &str) -> EngineSpeed {
--- a/crates/teaselglade-routing/src/zone/zone_director.rs
+++ b/crates/teaselglade-routing/src/zone/zone_director.rs
@@ -128,6 +128,12 @@
         self.prices.is_active()
     }
 
+    /// Returns the zone of the host.
+    #[must_use]
+    pub fn home(&self) -> &str {
+        &self.home
+    }
+
     /// Chooses the zone of a request, and counts it towards the planned share.
     pub fn choose(&mut self, now: Timestamp, request: &ZoneRequest<'_>) -> ZoneChoice {
         if !self.is_active() {
--- a/crates/teaselglade/src/program/host_program.rs
+++ b/crates/teaselglade/src/program/host_program.rs
@@ -4,6 +4,7 @@
 use std::path::PathBuf;
 use std::process::ExitCode;
 use std::sync::Arc;
+use std::time::Duration;
 
 use clap::Parser;
 use eyre::{Result, WrapErr};
@@ -14,7 +15,7 @@
 use teaselglade_host::state::HostPorts;
 use teaselglade_net::client::HttpClient;
 use teaselglade_platform::{
-    BootFile, CloudClient, PlatformMessages, SETTINGS_VARIABLE, StoreClient,
+    BootError, BootFile, CloudClient, PlatformMessages, SETTINGS_VARIABLE, StoreClient,
 };
 use tracing::{error, info, warn};
 
@@ -40,6 +41,14 @@
     /// over `log.filter` of the settings file and is not changed by a reload.
     #[arg(long)]
     log: Option<String>,
+    /// Time that a request and its answer need between data centres, in milliseconds; takes
+    /// precedence over `between_zones.trip_ms` of the settings file.
+    #[arg(long)]
+    zone_trip_ms: Option<u64>,
+    /// Lateness in milliseconds that a kilobyte between data centres is worth; takes precedence over
+    /// `between_zones.ms_per_kb` of the settings file.
+    #[arg(long, value_parser = parse_byte_cost)]
+    zone_ms_per_kb: Option<f64>,
     /// Only check the settings file.
     #[arg(long)]
     check: bool,
@@ -52,7 +61,7 @@
 #[must_use]
 pub fn run_host() -> ExitCode {
     let options = HostOptions::parse();
-    let boot = match BootFile::read(&options.settings) {
+    let boot = match read_settings(&options) {
         Ok(boot) => boot,
         Err(error) => {
             eprintln!("teaselglade-host: {error}");
@@ -72,6 +81,26 @@
     }
 }
 
+/// Reads the settings file; prices of the command line take precedence over its own.
+fn read_settings(options: &HostOptions) -> Result<BootFile, BootError> {
+    let mut boot = BootFile::read(&options.settings)?;
+    let prices = &mut boot.host.zone_prices;
+    let trip = options.zone_trip_ms.map(Duration::from_millis);
+    prices.trip = trip.unwrap_or(prices.trip);
+    let byte_cost = options.zone_ms_per_kb;
+    prices.byte_cost_ms_per_kb = byte_cost.unwrap_or(prices.byte_cost_ms_per_kb);
+    Ok(boot)
+}
+
+/// Parses a price of bytes, which is finite and not negative.
+fn parse_byte_cost(text: &str) -> Result<f64, String> {
+    let cost: f64 = text.parse().map_err(|error| format!("{error}"))?;
+    if cost.is_finite() && cost >= 0.0 {
+        return Ok(cost);
+    }
+    Err("expected a finite number, 0 or above".to_owned())
+}
+
 /// Runs the host; the log outlives the runtime, whose open requests are logged when it drops them.
 fn run(options: &HostOptions, boot: &BootFile) -> Result<()> {
     let log = start_log(log_filter(options, boot), boot.host.log.queued_lines);
@@ -152,7 +181,7 @@
 ///
 /// Other settings take effect after a restart only.
 fn reload_settings(options: &HostOptions, boot: &BootFile, host: &ServingHost, filter: &LogFilter) {
-    let reloaded = match BootFile::read(&options.settings) {
+    let reloaded = match read_settings(options) {
         Ok(reloaded) => reloaded,
         Err(faults) => {
             warn!(event = "reload_failed", error = %faults);
