feat(host): explain where a request would go

POST /where of the admin listener asks the placers' own functions without reserving, counting or logging, and returns the sums, what is left out and the ages of the facts; `teaselglade where` prints them.

--- /dev/null
+++ b/crates/teaselglade-host/src/explain/mod.rs
@@ -0,0 +1,16 @@
+//! Explains where a request would go now, without sending it.
+
+mod explain_error;
+mod placement_explainer;
+mod placement_query;
+mod placement_report;
+mod prompt_query;
+
+pub use explain_error::ExplainError;
+pub use placement_explainer::{PLACEMENT_PATH, explain_placement};
+pub use placement_query::PlacementQuery;
+pub use placement_report::{FactAges, LeftOutServer, PlacementReport, ServerOption, ZoneDecision};
+pub use prompt_query::{PartQuery, PromptQuery};
+
+/// Result of an explanation.
+pub type Result<T> = std::result::Result<T, ExplainError>;
--- a/crates/teaselglade-host/src/ingress/admin_listeners.rs
+++ b/crates/teaselglade-host/src/ingress/admin_listeners.rs
@@ -7,6 +7,7 @@
 use teaselglade_net::server::{HttpServer, ServerHandle};
 use viz::{IntoResponse, Request, Response, Router, StatusCode};
 
+use super::placement_endpoint::add_placement_endpoint;
 use crate::state::HostState;
 
 /// Listeners for readiness probes and, if configured, for metrics.
@@ -31,7 +32,7 @@
         });
         let readiness = HttpServer::bind(host.settings.listen.readiness).await?;
         let metrics = match metrics {
-            Some(address) => Some(HttpServer::bind(address).await?.start(metrics_router(host))),
+            Some(address) => Some(HttpServer::bind(address).await?.start(admin_router(host))),
             None => None,
         };
         Ok(Self {
@@ -58,11 +59,12 @@
     }
 }
 
-/// Returns a router that serves the metrics at `/metrics`.
-fn metrics_router(host: &Arc<HostState>) -> Router {
-    let host = Arc::clone(host);
-    Router::new().get("/metrics", move |_request: Request| {
-        let host = Arc::clone(&host);
+/// Returns a router that serves the metrics at `/metrics`, and explains placements.
+fn admin_router(host: &Arc<HostState>) -> Router {
+    let state = Arc::clone(host);
+    let router = Router::new().get("/metrics", move |_request: Request| {
+        let host = Arc::clone(&state);
         async move { Ok::<Response, viz::Error>(host.metrics.render().into_response()) }
-    })
+    });
+    add_placement_endpoint(router, host)
 }
--- a/crates/teaselglade-host/src/ingress/mod.rs
+++ b/crates/teaselglade-host/src/ingress/mod.rs
@@ -2,6 +2,7 @@
 
 mod admin_listeners;
 mod caller_listener;
+mod placement_endpoint;
 
 pub use admin_listeners::AdminListeners;
 pub use caller_listener::CallerListener;
--- a/crates/teaselglade-host/src/lib.rs
+++ b/crates/teaselglade-host/src/lib.rs
@@ -5,6 +5,7 @@
 //! and timers. The platform's protocols and formats are behind the port traits.
 
 pub mod duty;
+pub mod explain;
 pub mod follow;
 pub mod host;
 pub mod ingress;
--- a/crates/teaselglade-host/src/relay/mod.rs
+++ b/crates/teaselglade-host/src/relay/mod.rs
@@ -16,6 +16,7 @@
 
 pub use call_handler::serve_call;
 pub use response_body::{AbortedResponse, ResponseBody};
+pub(crate) use stream_reservation::UNLIMITED_ENGINE;
 
 use hyper::Response;
 use teaselglade_core::verdict::RequestRefusal;
--- a/crates/teaselglade-host/src/relay/stream_reservation.rs
+++ b/crates/teaselglade-host/src/relay/stream_reservation.rs
@@ -25,7 +25,7 @@
 /// Retry delay of a stream whose prompt selects a limited engine; the time of a few events.
 const SELECTED_RETRY_DELAY: Duration = Duration::from_millis(500);
 /// Capacity of engines of a service that declares none.
-const UNLIMITED_ENGINE: EngineSpec = EngineSpec {
+pub(crate) const UNLIMITED_ENGINE: EngineSpec = EngineSpec {
     slots: u32::MAX,
     memory_tokens: f64::INFINITY,
     event_tokens: 1,
--- a/crates/teaselglade-routing/src/engine/engine_loads.rs
+++ b/crates/teaselglade-routing/src/engine/engine_loads.rs
@@ -176,6 +176,15 @@
         self.sum_peers(now);
     }
 
+    /// Returns the age of the last aggregate, or of the oldest loads of peers that are used.
+    pub(super) fn age(&self, now: Timestamp) -> Option<Duration> {
+        if self.has_fresh_aggregate(now) {
+            return self.aggregate_at.map(|at| now.since(at));
+        }
+        let ages = self.peers.values().map(|peer| now.since(peer.received_at));
+        ages.filter(|age| *age < LOAD_TTL).max()
+    }
+
     fn has_fresh_aggregate(&self, now: Timestamp) -> bool {
         self.aggregate_at.is_some_and(|at| now.since(at) < LOAD_TTL)
     }
--- a/crates/teaselglade-routing/src/engine/engine_placer.rs
+++ b/crates/teaselglade-routing/src/engine/engine_placer.rs
@@ -13,7 +13,10 @@
 use super::engine_candidate::{EngineCandidate, preference};
 use super::engine_choice::choose_engine;
 use super::engine_loads::EngineLoads;
-use super::{CachedPart, EngineLoad, EngineSpeed, PrefixLocations, PromptShape, Result, SlotPace};
+use super::{
+    CachedPart, EngineExplanation, EngineLoad, EngineOption, EngineSpeed, PrefixLocations,
+    PromptShape, Result, SlotPace,
+};
 use crate::capacity::PlacementTerms;
 use crate::registry::{ServerHealth, ServerRegistry};
 use crate::table::EngineSpec;
@@ -205,6 +208,33 @@
         best.map(|best| best.server)
     }
 
+    /// Explains what [`EnginePlacer::place`] would decide, without reserving or counting anything.
+    pub fn explain(
+        &mut self,
+        now: Timestamp,
+        registry: &ServerRegistry,
+        query: &EngineQuery<'_>,
+    ) -> EngineExplanation {
+        let rng = self.rng.clone();
+        let decision = match self.best_candidate(now, registry, query) {
+            Some(best) => self.check_admission(query, best).map(|()| best.server),
+            None => Err(self.no_engine_refusal(now, registry, query.service)),
+        };
+        self.rng = rng;
+        let mut candidates = self.candidates(now, registry, query);
+        candidates.sort_by(EngineCandidate::compare);
+        EngineExplanation {
+            decision,
+            options: candidates.iter().map(EngineOption::from).collect(),
+        }
+    }
+
+    /// Returns the age of the oldest loads of other hosts that are used.
+    #[must_use]
+    pub fn load_age(&self, now: Timestamp) -> Option<Duration> {
+        self.loads.age(now)
+    }
+
     /// Reserves a place for the stream at a given engine, like [`EnginePlacer::place`].
     ///
     /// # Errors
--- a/crates/teaselglade-routing/src/engine/mod.rs
+++ b/crates/teaselglade-routing/src/engine/mod.rs
@@ -2,6 +2,7 @@
 
 mod engine_candidate;
 mod engine_choice;
+mod engine_explanation;
 mod engine_load;
 mod engine_loads;
 mod engine_placer;
@@ -12,6 +13,7 @@
 mod stale_choice;
 
 pub(crate) use engine_candidate::preference_of;
+pub use engine_explanation::{EngineExplanation, EngineOption};
 pub use engine_load::{CachedPart, EngineLoad};
 pub use engine_placer::{EnginePlacer, EngineQuery, EngineReservation, ReservationId};
 pub use engine_speed::EngineSpeed;
--- a/crates/teaselglade-routing/src/plain/plain_placer.rs
+++ b/crates/teaselglade-routing/src/plain/plain_placer.rs
@@ -9,6 +9,7 @@
 use teaselglade_core::time::Timestamp;
 use teaselglade_core::verdict::{RefusalReason, RequestRefusal};
 
+use super::{PlainExplanation, PlainOption};
 use crate::capacity::PlacementTerms;
 use crate::engine::preference_of;
 use crate::registry::{RegisteredServer, ServerHealth, ServerRegistry};
@@ -150,6 +151,32 @@
         }
     }
 
+    /// Explains what [`PlainPlacer::choose`] would decide, without counting anything.
+    pub fn explain(
+        &mut self,
+        now: Timestamp,
+        registry: &ServerRegistry,
+        query: &PlainQuery<'_>,
+    ) -> PlainExplanation {
+        let rng = self.rng.clone();
+        let decision = self.choose(now, registry, query);
+        self.rng = rng;
+        let servers = registry.available(now, query.service);
+        let untried = servers.filter(|(key, _)| !query.tried.contains(key));
+        let options = untried.map(|(key, server)| {
+            let status = self.statuses.get(&key).copied().unwrap_or_default();
+            PlainOption {
+                server: key,
+                in_flight: status.in_flight,
+                load_age: status.reported_load.map(|(at, _)| now.since(at)),
+                cost: self.cost(now, query, key, server),
+            }
+        });
+        let mut options: Vec<PlainOption> = options.collect();
+        options.sort_by(|a, b| a.cost.total_cmp(&b.cost));
+        PlainExplanation { decision, options }
+    }
+
     /// Counts a call at a server until [`PlainPlacer::record_end`].
     pub fn record_start(&mut self, server: ServerKey) {
         self.statuses.entry(server).or_default().in_flight += 1;
--- a/crates/teaselglade-routing/src/registry/server_registry.rs
+++ b/crates/teaselglade-routing/src/registry/server_registry.rs
@@ -83,6 +83,18 @@
         self.incarnation_hash
     }
 
+    /// Returns why this host may not send to the server now, and for how long.
+    #[must_use]
+    pub fn wait(&self, now: Timestamp) -> Option<(&'static str, Duration)> {
+        let reason = if self.resting_until > now {
+            "resting"
+        } else {
+            "permit denied"
+        };
+        let wait = self.available_from().since(now);
+        (!wait.is_zero()).then_some((reason, wait))
+    }
+
     /// Returns from when on this host may send to the server.
     fn available_from(&self) -> Timestamp {
         self.resting_until.max(self.permit_denied_until)
--- a/crates/teaselglade/src/command/mod.rs
+++ b/crates/teaselglade/src/command/mod.rs
@@ -8,6 +8,7 @@
 mod quarantine_command;
 mod shell_command;
 mod table_command;
+mod where_command;
 
 use eyre::Result;
 
@@ -34,6 +35,7 @@
         ToolCommand::Audit(audit) => audit_command::run(audit, format).await,
         ToolCommand::Quarantine(command) => quarantine_command::run(&command, format).await,
         ToolCommand::Explain(explain) => explain_command::run(&explain, format),
+        ToolCommand::Where(options) => where_command::run(&options, format).await,
         ToolCommand::Demo(demo) => demo_command::run(demo, format).await,
         ToolCommand::Bench(bench) => bench_command::run(&bench, format),
         ToolCommand::Completions { shell } => Ok(shell_command::print_completions(shell)),
--- a/crates/teaselglade/src/command_line/mod.rs
+++ b/crates/teaselglade/src/command_line/mod.rs
@@ -8,6 +8,7 @@
 mod quarantine_options;
 mod table_options;
 mod tool_options;
+mod where_options;
 
 pub use audit_options::AuditOptions;
 pub use bench_options::BenchOptions;
@@ -19,3 +20,4 @@
     TableCheckOptions, TableCommand, TableHistoryOptions, TablePublishOptions, TableShowOptions,
 };
 pub use tool_options::{FleetCommand, ToolCommand, ToolOptions};
+pub use where_options::WhereOptions;
--- a/crates/teaselglade/src/command_line/tool_options.rs
+++ b/crates/teaselglade/src/command_line/tool_options.rs
@@ -5,14 +5,14 @@
 
 use super::{
     AuditOptions, BenchOptions, DemoOptions, ExplainOptions, HostListOptions, QuarantineCommand,
-    TableCommand,
+    TableCommand, WhereOptions,
 };
 
 /// Operators' tool of teaselglade.
 ///
 /// Exit codes: 0 done; 1 the call failed; 2 the command line or the table is faulty; 3 the log
 /// decided against the publication; 4 it is not known yet whether the publication is accepted; 5 a
-/// promise did not hold in the demo.
+/// promise did not hold in the demo; 6 the request of `where` would be refused now.
 #[derive(Debug, Parser)]
 #[command(name = "teaselglade", version)]
 pub struct ToolOptions {
@@ -40,6 +40,8 @@
     Quarantine(QuarantineCommand),
     /// Tell from log lines of hosts what happened to one request.
     Explain(ExplainOptions),
+    /// Tell where a request would go now, and why, without sending it.
+    Where(WhereOptions),
     /// Run a whole fleet in this process, with a zone reclaimed midway.
     Demo(DemoOptions),
     /// Compare placement policies on virtual time.
--- a/crates/teaselglade/src/output/exit_status.rs
+++ b/crates/teaselglade/src/output/exit_status.rs
@@ -17,6 +17,8 @@
     Unresolved,
     /// 5: the demo violated one of its guarantees.
     GuaranteeViolated,
+    /// 6: no server would take the request now.
+    NotPlaced,
 }
 
 impl From<ExitStatus> for ExitCode {
@@ -28,6 +30,7 @@
             ExitStatus::Rejected => Self::from(3),
             ExitStatus::Unresolved => Self::from(4),
             ExitStatus::GuaranteeViolated => Self::from(5),
+            ExitStatus::NotPlaced => Self::from(6),
         }
     }
 }
