--- a/crates/teaselglade-host/src/explain/mod.rs
+++ b/crates/teaselglade-host/src/explain/mod.rs
@@ -5,12 +5,14 @@
 mod placement_query;
 mod placement_report;
 mod prompt_query;
+mod query_limiter;
 
 pub use explain_error::ExplainError;
 pub use placement_explainer::{PLACEMENT_PATH, explain_placement};
 pub use placement_query::PlacementQuery;
 pub use placement_report::{FactAges, LeftOutServer, PlacementReport, ServerOption, ZoneDecision};
 pub use prompt_query::{PartQuery, PromptQuery};
+pub use query_limiter::QueryLimiter;
 
 /// Result of an explanation.
 pub type Result<T> = std::result::Result<T, ExplainError>;
--- a/crates/teaselglade-host/src/ingress/placement_endpoint.rs
+++ b/crates/teaselglade-host/src/ingress/placement_endpoint.rs
@@ -1,20 +1,16 @@
 //! Endpoint at which operators ask where a request would go.
 
 use std::sync::{Arc, Mutex, PoisonError};
-use std::time::Duration;
 
 use http_body_util::{BodyExt, Limited};
 use serde::Serialize;
-use teaselglade_core::time::Timestamp;
 use viz::{IntoResponse, Request, Response, Router, StatusCode};
 
 use crate::explain::{
-    ExplainError, PLACEMENT_PATH, PlacementQuery, PlacementReport, explain_placement,
+    ExplainError, PLACEMENT_PATH, PlacementQuery, PlacementReport, QueryLimiter, explain_placement,
 };
 use crate::state::HostState;
 
-/// Shortest interval between two explanations, each of which looks at all servers.
-const MIN_INTERVAL: Duration = Duration::from_millis(100);
 /// Maximum size of a query.
 const MAX_QUERY_BYTES: usize = 16 * 1024;
 
@@ -27,11 +23,11 @@
 /// Adds the endpoint that explains placements.
 pub(super) fn add_placement_endpoint(router: Router, host: &Arc<HostState>) -> Router {
     let host = Arc::clone(host);
-    let next_at = Arc::new(Mutex::new(Timestamp::ZERO));
+    let limiter = Arc::new(Mutex::new(QueryLimiter::default()));
     router.post(PLACEMENT_PATH, move |request: Request| {
-        let (host, next_at) = (Arc::clone(&host), Arc::clone(&next_at));
+        let (host, limiter) = (Arc::clone(&host), Arc::clone(&limiter));
         async move {
-            let explained = explain(&host, &next_at, request).await;
+            let explained = explain(&host, &limiter, request).await;
             Ok::<Response, viz::Error>(respond(explained))
         }
     })
@@ -40,7 +36,7 @@
 /// Reads a query and explains the placement, at most once in an interval.
 async fn explain(
     host: &HostState,
-    next_at: &Mutex<Timestamp>,
+    limiter: &Mutex<QueryLimiter>,
     request: Request,
 ) -> Result<PlacementReport, ExplainError> {
     let invalid = |error: String| ExplainError::InvalidQuery(format!("invalid query: {error}"));
@@ -48,13 +44,12 @@
     let body = body.await.map_err(|error| invalid(error.to_string()))?;
     let query: PlacementQuery =
         serde_json::from_slice(&body.to_bytes()).map_err(|error| invalid(error.to_string()))?;
-    let now = host.now();
-    {
-        let mut next_at = next_at.lock().unwrap_or_else(PoisonError::into_inner);
-        if now < *next_at {
-            return Err(ExplainError::TooOften);
-        }
-        *next_at = now + MIN_INTERVAL;
+    let may_start = {
+        let mut limiter = limiter.lock().unwrap_or_else(PoisonError::into_inner);
+        limiter.try_start(host.now())
+    };
+    if !may_start {
+        return Err(ExplainError::TooOften);
     }
     explain_placement(host, &query)
 }
--- a/crates/teaselglade-routing/src/zone/crossing_ledger.rs
+++ b/crates/teaselglade-routing/src/zone/crossing_ledger.rs
@@ -6,7 +6,7 @@
 use teaselglade_core::time::Timestamp;
 
 /// Time after which a part that no request crossed for is forgotten.
-const PART_TTL: Duration = Duration::from_secs(60);
+const PART_TTL: Duration = Duration::from_mins(1);
 /// Maximum number of parts; about 100 KB.
 const MAX_PARTS: usize = 4_096;
 
--- a/crates/teaselglade-routing/src/zone/zone_director.rs
+++ b/crates/teaselglade-routing/src/zone/zone_director.rs
@@ -180,7 +180,7 @@
             let size = request.bytes / (request.bytes + mean_bytes).max(1.0);
             let trip_share =
                 self.prices.trip.as_secs_f64() / request.target.as_secs_f64().max(0.001);
-            let reluctance = (size + trip_share.min(1.0)) / 2.0 + request.saved_at_home;
+            let reluctance = f64::midpoint(size, trip_share.min(1.0)) + request.saved_at_home;
             draw.draw(outflow, request.work, reluctance)
         });
         let paid = request
--- a/crates/teaselglade-routing/tests/routing/zone_placement.rs
+++ b/crates/teaselglade-routing/tests/routing/zone_placement.rs
@@ -80,11 +80,11 @@
         let home = (0..40).filter(|index| {
             let prompt = prompt(*index, 1_000 + *index);
             let query = query(&prompt, crossing(3), is_load_stale);
-            let placed = placer.place(at(0), &registry, &query);
-            let placed = placed.expect("an engine");
-            placer.record_first_event(at(50), "draft-fleet", placed.id);
-            placer.record_end(at(60), "draft-fleet", placed.id);
-            zone_of(&registry, placed.server) == "galway"
+            let taken = placer.place(at(0), &registry, &query);
+            let taken = taken.expect("an engine");
+            placer.record_first_event(at(50), "draft-fleet", taken.id);
+            placer.record_end(at(60), "draft-fleet", taken.id);
+            zone_of(&registry, taken.server) == "galway"
         });
         assert_eq!(home.count(), 40, "stale: {is_load_stale}");
     }
@@ -99,8 +99,8 @@
         for index in 0..60 {
             let prompt = prompt(index, 1_000 + index);
             let query = query(&prompt, crossing(30), is_load_stale);
-            if let Ok(placed) = placer.place(at(0), &registry, &query) {
-                let is_home = zone_of(&registry, placed.server) == "galway";
+            if let Ok(taken) = placer.place(at(0), &registry, &query) {
+                let is_home = zone_of(&registry, taken.server) == "galway";
                 left += u32::from(!is_home);
             }
         }
@@ -119,8 +119,8 @@
     for is_load_stale in [false, true] {
         let query = query(&prompt, terms, is_load_stale);
         let mut placer = EnginePlacer::new(1);
-        let placed = placer.place(at(0), &registry, &query).expect("an engine");
-        assert_eq!(zone_of(&registry, placed.server), "sligo");
+        let taken = placer.place(at(0), &registry, &query).expect("an engine");
+        assert_eq!(zone_of(&registry, taken.server), "sligo");
     }
     let sligo: Vec<ServerKey> = registry
         .of_service("draft-fleet")
@@ -133,7 +133,7 @@
     for is_load_stale in [false, true] {
         let query = query(&prompt, terms, is_load_stale);
         let mut placer = EnginePlacer::new(1);
-        assert!(placer.place(at(1), &registry, &query).is_ok());
+        placer.place(at(1), &registry, &query).expect("an engine");
     }
 }
 
@@ -170,9 +170,9 @@
                 };
                 let choice = director.choose(now, &request);
                 let query = query(&prompt, choice.terms(), is_load_stale);
-                let placed = placer.place(now, &registry, &query).expect("an engine");
-                placer.record_end(now, "draft-fleet", placed.id);
-                let zone = zone_of(&registry, placed.server);
+                let taken = placer.place(now, &registry, &query).expect("an engine");
+                placer.record_end(now, "draft-fleet", taken.id);
+                let zone = zone_of(&registry, taken.server);
                 director.record_placement(now, &request, zone);
                 zone != "galway"
             })
@@ -183,3 +183,27 @@
         assert!(!crossed[29], "the part is cached at home by now");
     }
 }
+
+#[test]
+fn an_explanation_names_the_engine_that_a_placement_takes_and_changes_nothing() {
+    let registry = registry();
+    for is_load_stale in [false, true] {
+        let mut explained = EnginePlacer::new(3);
+        let mut undisturbed = EnginePlacer::new(3);
+        for index in 0..400 {
+            let now = at(index * 5);
+            let prompt = prompt(index % 12, 1_000 + index);
+            let query = query(&prompt, crossing(index % 30), is_load_stale);
+            let first = explained.explain(now, &registry, &query);
+            let second = explained.explain(now, &registry, &query);
+            assert_eq!(first.options, second.options);
+            let taken = explained.place(now, &registry, &query);
+            assert_eq!(taken, undisturbed.place(now, &registry, &query));
+            let server = taken.map(|taken| taken.server);
+            assert_eq!(first.decision, server, "prompt {index}");
+            if let Ok(server) = server {
+                assert!(first.options.iter().any(|option| option.server == server));
+            }
+        }
+    }
+}
--- a/crates/teaselglade/tests/host/main.rs
+++ b/crates/teaselglade/tests/host/main.rs
@@ -17,5 +17,6 @@
 mod explained;
 mod host_process;
 mod log_stream;
+mod placements;
 mod signals;
 mod stop_log;
