--- a/crates/teaselglade-routing/src/engine/engine_choice.rs
+++ b/crates/teaselglade-routing/src/engine/engine_choice.rs
@@ -24,14 +24,15 @@
     if query.is_load_stale {
         let target = query.target.mul_f64(target_share);
         let mut near = near_candidates(&healthy);
-        if near.len() < healthy.len() {
-            let near = choose_with_stale_loads(&mut near, query.prompt, target);
-            // A zone whose engines are all late keeps no request.
-            if near.is_some_and(|near| near.predicted_latency <= target) {
-                return near;
-            }
-        }
-        if let Some(chosen) = choose_with_stale_loads(&mut healthy, query.prompt, target) {
+        let is_zoned = near.len() < healthy.len();
+        let chosen = choose_with_stale_loads(&mut healthy, query.prompt, target);
+        // An engine of the wanted zone is taken unless it is late, or another saves the crossing.
+        let near = is_zoned
+            .then(|| choose_with_stale_loads(&mut near, query.prompt, target))
+            .flatten()
+            .filter(|near| near.predicted_latency <= target)
+            .filter(|near| chosen.is_none_or(|chosen| near.cost_ms <= chosen.cost_ms));
+        if let Some(chosen) = near.or(chosen) {
             return Some(chosen);
         }
     }
--- a/crates/teaselglade-routing/src/engine/engine_explanation.rs
+++ b/crates/teaselglade-routing/src/engine/engine_explanation.rs
@@ -3,9 +3,11 @@
 use std::time::Duration;
 
 use teaselglade_core::id::ServerKey;
+use teaselglade_core::time::Timestamp;
 
-use super::Result;
 use super::engine_candidate::EngineCandidate;
+use super::{EnginePlacer, EngineQuery, PromptShape, Result};
+use crate::registry::ServerRegistry;
 
 /// What a placement would decide now, and the engines that it would choose from.
 #[derive(Debug, Clone)]
@@ -54,3 +56,48 @@
         }
     }
 }
+
+impl EnginePlacer {
+    /// Explains what [`EnginePlacer::place`] would decide, without reserving or counting anything.
+    pub fn explain(
+        &mut self,
+        now: Timestamp,
+        registry: &ServerRegistry,
+        query: &EngineQuery<'_>,
+    ) -> EngineExplanation {
+        let rng = self.rng.clone();
+        let decision = match self.best_candidate(now, registry, query) {
+            Some(best) => self.check_admission(query, best).map(|()| best.server),
+            None => Err(self.no_engine_refusal(now, registry, query.service)),
+        };
+        self.rng = rng;
+        let mut candidates = self.candidates(now, registry, query);
+        candidates.sort_by(EngineCandidate::compare);
+        EngineExplanation {
+            decision,
+            options: candidates.iter().map(EngineOption::from).collect(),
+        }
+    }
+
+    /// Returns the age of the oldest loads of other hosts that are used.
+    #[must_use]
+    pub fn load_age(&self, now: Timestamp) -> Option<Duration> {
+        self.loads.age(now)
+    }
+
+    /// Returns the most prompt tokens that an engine of certain zones has cached.
+    #[must_use]
+    pub fn most_cached_tokens(
+        &self,
+        now: Timestamp,
+        registry: &ServerRegistry,
+        service: &str,
+        prompt: &PromptShape,
+        in_zone: impl Fn(&str) -> bool,
+    ) -> u32 {
+        let servers = registry.available(now, service);
+        let servers = servers.filter(|(_, server)| in_zone(&server.registration.zone));
+        let tokens = servers.map(|(key, _)| self.cache.cached_tokens(now, key, prompt));
+        tokens.max().unwrap_or_default()
+    }
+}
--- a/crates/teaselglade-routing/src/engine/engine_placer.rs
+++ b/crates/teaselglade-routing/src/engine/engine_placer.rs
@@ -13,10 +13,7 @@
 use super::engine_candidate::{EngineCandidate, preference};
 use super::engine_choice::choose_engine;
 use super::engine_loads::EngineLoads;
-use super::{
-    CachedPart, EngineExplanation, EngineLoad, EngineOption, EngineSpeed, PrefixLocations,
-    PromptShape, Result, SlotPace,
-};
+use super::{CachedPart, EngineLoad, EngineSpeed, PrefixLocations, PromptShape, Result, SlotPace};
 use crate::capacity::PlacementTerms;
 use crate::registry::{ServerHealth, ServerRegistry};
 use crate::table::EngineSpec;
@@ -149,17 +146,17 @@
 /// ```
 #[derive(Debug)]
 pub struct EnginePlacer {
-    cache: PrefixLocations,
+    pub(super) cache: PrefixLocations,
     speeds: HashMap<String, EngineSpeed>,
     paces: HashMap<String, SlotPace>,
     open_streams: HashMap<ReservationId, OpenStream>,
-    loads: EngineLoads,
+    pub(super) loads: EngineLoads,
     health: HashMap<ServerKey, ServerHealth>,
     recent_parts: Vec<(Timestamp, CachedPart)>,
     /// Prompt tokens that need prefill, by service, including those of refused streams.
     demand: HashMap<String, DemandMeter>,
     last_id: u64,
-    rng: Pcg32,
+    pub(super) rng: Pcg32,
 }
 
 impl EnginePlacer {
@@ -208,33 +205,6 @@
         best.map(|best| best.server)
     }
 
-    /// Explains what [`EnginePlacer::place`] would decide, without reserving or counting anything.
-    pub fn explain(
-        &mut self,
-        now: Timestamp,
-        registry: &ServerRegistry,
-        query: &EngineQuery<'_>,
-    ) -> EngineExplanation {
-        let rng = self.rng.clone();
-        let decision = match self.best_candidate(now, registry, query) {
-            Some(best) => self.check_admission(query, best).map(|()| best.server),
-            None => Err(self.no_engine_refusal(now, registry, query.service)),
-        };
-        self.rng = rng;
-        let mut candidates = self.candidates(now, registry, query);
-        candidates.sort_by(EngineCandidate::compare);
-        EngineExplanation {
-            decision,
-            options: candidates.iter().map(EngineOption::from).collect(),
-        }
-    }
-
-    /// Returns the age of the oldest loads of other hosts that are used.
-    #[must_use]
-    pub fn load_age(&self, now: Timestamp) -> Option<Duration> {
-        self.loads.age(now)
-    }
-
     /// Reserves a place for the stream at a given engine, like [`EnginePlacer::place`].
     ///
     /// # Errors
@@ -403,22 +373,6 @@
             .collect()
     }
 
-    /// Returns the most prompt tokens that an engine of certain zones has cached.
-    #[must_use]
-    pub fn most_cached_tokens(
-        &self,
-        now: Timestamp,
-        registry: &ServerRegistry,
-        service: &str,
-        prompt: &PromptShape,
-        in_zone: impl Fn(&str) -> bool,
-    ) -> u32 {
-        let servers = registry.available(now, service);
-        let servers = servers.filter(|(_, server)| in_zone(&server.registration.zone));
-        let tokens = servers.map(|(key, _)| self.cache.cached_tokens(now, key, prompt));
-        tokens.max().unwrap_or_default()
-    }
-
     /// Returns the prefill speed of a service's engines.
     #[must_use]
     pub fn speed(&self, service: &str) -> EngineSpeed {
@@ -451,7 +405,7 @@
         self.loads.prune(now);
     }
 
-    fn best_candidate(
+    pub(super) fn best_candidate(
         &self,
         now: Timestamp,
         registry: &ServerRegistry,
@@ -461,7 +415,7 @@
     }
 
     /// Returns the engines that a stream may be sent to.
-    fn candidates(
+    pub(super) fn candidates(
         &self,
         now: Timestamp,
         registry: &ServerRegistry,
@@ -523,7 +477,11 @@
         release_interval.mul_f64(excess_requests.max(0.0))
     }
 
-    fn check_admission(&mut self, query: &EngineQuery<'_>, best: EngineCandidate) -> Result<()> {
+    pub(super) fn check_admission(
+        &mut self,
+        query: &EngineQuery<'_>,
+        best: EngineCandidate,
+    ) -> Result<()> {
         let target = query.target.mul_f64(TARGET_SHARE);
         let wait = best.predicted_latency.saturating_sub(best.prefill_time);
         let is_prefill_too_long = best.prefill_time > target;
@@ -590,7 +548,7 @@
         }
     }
 
-    fn no_engine_refusal(
+    pub(super) fn no_engine_refusal(
         &mut self,
         now: Timestamp,
         registry: &ServerRegistry,
