--- a/crates/teaselglade-host/src/metrics/host_metrics.rs
+++ b/crates/teaselglade-host/src/metrics/host_metrics.rs
@@ -3,7 +3,7 @@
 use prometheus::{HistogramVec, IntCounter, IntCounterVec, IntGauge, IntGaugeVec};
 use teaselglade_net::metrics::{MetricRegistry, Result};
 
-use super::{AdviceMetrics, CrashMetrics, EndMetrics, RolloutMetrics, ShareMetrics};
+use super::{AdviceMetrics, CrashMetrics, EndMetrics, RolloutMetrics, ShareMetrics, ZoneMetrics};
 
 /// Upper bounds of latency buckets in seconds.
 ///
@@ -54,6 +54,8 @@
     pub crashes: CrashMetrics,
     /// Roll-outs of services' versions.
     pub rollouts: RolloutMetrics,
+    /// Requests between data centres.
+    pub zones: ZoneMetrics,
     /// Age of the newest registration data in milliseconds.
     pub update_age: IntGauge,
     /// Fetches of state from peers by outcome.
@@ -142,6 +144,7 @@
             shares: ShareMetrics::new(r)?,
             crashes: CrashMetrics::new(r)?,
             rollouts: RolloutMetrics::new(r)?,
+            zones: ZoneMetrics::new(r)?,
             update_age: r.gauge(
                 "teaselglade_update_age_ms",
                 "Age of the newest data on servers.",
--- a/crates/teaselglade-host/src/relay/call_context.rs
+++ b/crates/teaselglade-host/src/relay/call_context.rs
@@ -1,6 +1,6 @@
 //! State of one request while this host relays it.
 
-use std::sync::Arc;
+use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -16,6 +16,7 @@
 use teaselglade_routing::rollout::VersionScope;
 use teaselglade_routing::share::ShareRequest;
 use teaselglade_routing::table::{RouteSpec, ServiceSpec};
+use teaselglade_routing::zone::ZoneChoice;
 
 use super::CallerResponse;
 use super::header_filter::end_to_end_headers;
@@ -37,6 +38,8 @@
     pub(super) service: ServiceSpec,
     pub(super) organisation: Option<String>,
     pub(super) rank: RequestRank,
+    /// Data centre chosen for the request, if it matters.
+    pub(super) zone_choice: OnceLock<ZoneChoice>,
     /// Version of the route table that the request was matched against.
     pub(super) table_version: u64,
     pub(super) prompt: Option<PromptShape>,
@@ -84,6 +87,11 @@
             zone: &self.host.settings.zone,
             rank: self.rank,
             versions,
+            zones: self
+                .zone_choice
+                .get()
+                .map(ZoneChoice::terms)
+                .unwrap_or_default(),
             ..PlacementTerms::default()
         }
     }
--- a/crates/teaselglade-host/src/relay/call_handler.rs
+++ b/crates/teaselglade-host/src/relay/call_handler.rs
@@ -207,6 +207,7 @@
         id: head.attempt,
         organisation: organisation.map(|organisation| organisation.name.clone()),
         rank,
+        zone_choice: std::sync::OnceLock::new(),
         table_version: table.version(),
         route_hash: name_hash(&route.name),
         route: route.clone(),
--- a/crates/teaselglade-host/src/relay/stream_reservation.rs
+++ b/crates/teaselglade-host/src/relay/stream_reservation.rs
@@ -18,6 +18,7 @@
 use super::call_context::CallContext;
 use super::plain_relay::attempt_evidence;
 use super::server_turn::ServerTurn;
+use super::zone_step::{choose_zone, record_zone};
 use crate::journal::PlacementFields;
 use crate::permit::SendPermit;
 use crate::state::DecisionState;
@@ -31,7 +32,7 @@
 /// Retry delay of a stream whose prompt selects a limited engine; the time of a few events.
 const SELECTED_RETRY_DELAY: Duration = Duration::from_millis(500);
 /// Capacity of engines of a service that declares none.
-const UNLIMITED_ENGINE: EngineSpec = EngineSpec {
+pub(crate) const UNLIMITED_ENGINE: EngineSpec = EngineSpec {
     slots: u32::MAX,
     memory_tokens: f64::INFINITY,
     event_tokens: 1,
@@ -92,6 +93,7 @@
         context: &Arc<CallContext>,
         attempt: &StreamAttempt<'_>,
     ) -> Result<Self> {
+        choose_zone(context, &mut context.host.lock_decisions());
         let turn = ServerTurn::new(context, attempt.is_continued);
         let is_repeat = attempt.number > 1 || attempt.has_events;
         let choice = choose_versions(context, is_repeat);
@@ -223,6 +225,7 @@
             context.route_hash,
             attempt.number == 1,
         );
+        record_zone(context, decisions, &engine);
         let server_id = decisions
             .registry
             .server(engine.server)
--- a/crates/teaselglade-host/src/settings/host_settings.rs
+++ b/crates/teaselglade-host/src/settings/host_settings.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use teaselglade_routing::rollout::RolloutBounds;
+use teaselglade_routing::zone::ZonePrices;
 
 use super::LogSettings;
 
@@ -50,6 +51,8 @@
     pub duties: DutySettings,
     /// Bounds on roll-outs of a service's version; `None` if the deployment sets none.
     pub rollouts: Option<RolloutBounds>,
+    /// What it costs to serve a request in another data centre; nothing by default.
+    pub zone_prices: ZonePrices,
     /// Settings of the log.
     pub log: LogSettings,
 }
--- a/crates/teaselglade-host/tests/host/fleet_model.rs
+++ b/crates/teaselglade-host/tests/host/fleet_model.rs
@@ -12,6 +12,7 @@
 use teaselglade_routing::limit::LimitReport;
 use teaselglade_routing::registry::UpdateScope;
 use teaselglade_routing::rollout::{RolloutBounds, RolloutReport};
+use teaselglade_routing::zone::ZonePrices;
 
 pub const ZONES: [&str; 4] = ["ennis", "galway", "limerick", "sligo"];
 pub const STEP_MS: u64 = 10;
@@ -323,6 +324,7 @@
             exposure_share: 0.1,
             exposure_slack: 50.0,
         }),
+        zone_prices: ZonePrices::default(),
         log: LogSettings::default(),
     }
 }
--- a/crates/teaselglade-routing/src/capacity/placement_terms.rs
+++ b/crates/teaselglade-routing/src/capacity/placement_terms.rs
@@ -4,6 +4,7 @@
 
 use super::RequestRank;
 use crate::rollout::VersionScope;
+use crate::zone::ZoneTerms;
 
 /// Terms under which one request is placed, from the decisions made before placement.
 ///
@@ -25,4 +26,6 @@
     pub versions: VersionScope<'a>,
     /// Longest wait before the request's own prefill; `None` leaves it to the target.
     pub queue_limit: Option<Duration>,
+    /// What the zone decision says of the request; by default zones are disregarded.
+    pub zones: ZoneTerms<'a>,
 }
--- a/crates/teaselglade-routing/src/gossip/aggregate_digest.rs
+++ b/crates/teaselglade-routing/src/gossip/aggregate_digest.rs
@@ -12,6 +12,7 @@
 use crate::registry::{ServerDeparture, ServerRegistration};
 use crate::rollout::RolloutReport;
 use crate::share::ShareReport;
+use crate::zone::ZoneReport;
 
 /// A highly ranked host, from which aggregators and the leader are chosen.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -92,4 +93,6 @@
     Permit(PermitMessage),
     /// Roll-outs that run or ended lately, sent beside a digest while there are any.
     Rollouts(RolloutReport),
+    /// Parts of the zones' demand that leave them, sent by an aggregator beside its digest.
+    Zones(ZoneReport),
 }
--- a/crates/teaselglade-routing/src/lib.rs
+++ b/crates/teaselglade-routing/src/lib.rs
@@ -20,3 +20,4 @@
 pub mod shutdown;
 pub mod table;
 pub mod usage;
+pub mod zone;
--- a/crates/teaselglade-routing/src/rollout/rollout_desk.rs
+++ b/crates/teaselglade-routing/src/rollout/rollout_desk.rs
@@ -96,7 +96,13 @@
         }
     }
 
-    /// Returns whether an order for the service runs.
+    /// Returns the stage of a service's order, if there was one.
+    #[must_use]
+    pub fn stage(&self, service: &str) -> Option<RolloutStage> {
+        self.rollouts.get(service).map(|rollout| rollout.stage)
+    }
+
+    /// Returns whether an order for a service runs.
     #[must_use]
     pub fn is_running(&self, service: &str) -> bool {
         let rollout = self.rollouts.get(service);
--- a/crates/teaselglade-routing/tests/routing/plains.rs
+++ b/crates/teaselglade-routing/tests/routing/plains.rs
@@ -5,6 +5,7 @@
 use teaselglade_routing::plain::{PlainPlacer, PlainQuery, ServerLoad};
 use teaselglade_routing::registry::{ServerRegistration, ServerRegistry};
 use teaselglade_routing::rollout::VersionScope;
+use teaselglade_routing::zone::ZoneTerms;
 
 use super::fixture::{at, registration};
 
@@ -17,6 +18,7 @@
         rank: RequestRank::new(0),
         versions: VersionScope::Any,
         queue_limit: None,
+        zones: ZoneTerms::NONE,
     },
 };
 
