--- a/crates/teaselglade-routing/src/rollout/service_rollout.rs
+++ b/crates/teaselglade-routing/src/rollout/service_rollout.rs
@@ -33,7 +33,7 @@
 const CLOSE_AT: f64 = 0.9;
 /// Servers that carry a part of the traffic, relative to that part: each gets some
 /// times its usual load, and what it does not take in time goes to the old version.
-const PART_SERVERS: f64 = 0.3;
+const PART_SERVERS: f64 = 0.2;
 /// Least number of servers on trial, as one server must not stand for its version.
 const MIN_TRIAL_SERVERS: usize = 2;
 /// Answers of the new version that are enough to go on, on each route and on all.
--- a/crates/teaselglade-routing/src/rollout/version_test.rs
+++ b/crates/teaselglade-routing/src/rollout/version_test.rs
@@ -16,9 +16,13 @@
 /// Factor on [`BAD_SCORE`] while a single server carries the new version.
 const SINGLE_SERVER_FACTOR: f64 = 1.5;
 /// Share by which the failures of a bad version are taken to exceed those of the old one.
-const FAILURE_EXCESSES: [f64; 2] = [0.1, 0.35];
+const FAILURE_EXCESSES: [f64; 3] = [0.05, 0.1, 0.35];
+/// The share of these by which a server that fails by itself exceeds the old version.
+const SERVER_EXCESS: f64 = 0.35;
 /// Share of failures that a sound version may have beyond 1.5 times the share of the old one.
-const FAILURE_MARGIN: f64 = 0.02;
+const FAILURE_MARGIN: f64 = 0.005;
+/// The same for one server, and for attempts that servers break off.
+const SERVER_MARGIN: f64 = 0.02;
 /// Factor on the old version's share of failures, for what differs by chance.
 const SHARE_FACTOR: f64 = 1.5;
 /// Share of the old version's answers that lie above the class from which slowness counts.
@@ -216,16 +220,16 @@
     /// Scores failures by server, and attempts that servers broke off and survived.
     fn score_servers(&mut self, now: Timestamp, evidence: &VersionEvidence) {
         let (old_answers, old_broken) = broken_counts(evidence, true);
-        let sound_share = expected_share(old_broken, old_answers, FAILURE_MARGIN);
+        let sound_share = expected_share(old_broken, old_answers, SERVER_MARGIN);
         let (usual_answers, usual_failures) = old_counts(evidence);
-        let usual_share = expected_share(usual_failures, usual_answers, FAILURE_MARGIN);
+        let usual_share = expected_share(usual_failures, usual_answers, SERVER_MARGIN);
         for server in evidence.servers.iter().filter(|server| server.server != 0) {
             let trail = self.servers.entry(server.server).or_default();
             let failures = server.failures.saturating_sub(trail.seen.failures);
             let broken = server.broken.saturating_sub(trail.seen.broken);
             let answers = server.answers.saturating_sub(trail.seen.answers);
             trail.seen = *server;
-            let excess = FAILURE_EXCESSES[1];
+            let excess = SERVER_EXCESS;
             trail.failures = advance(trail.failures, usual_share, excess, failures, answers);
             let mut confirmed = 0;
             if answers > 0 {
@@ -239,13 +243,7 @@
                 trail.unconfirmed.push((now, broken));
             }
             let attempts = answers + confirmed;
-            self.broken = advance(
-                self.broken,
-                sound_share,
-                FAILURE_EXCESSES[1],
-                confirmed,
-                attempts,
-            );
+            self.broken = advance(self.broken, sound_share, SERVER_EXCESS, confirmed, attempts);
         }
     }
 }
