feat(routing): speed ledger: lasting speed and pace of the moment by server

The fourth figure of a server's load was dropped, and all engines of a service counted as equally fast. The figure is parsed; each host learns a relative speed of every server from prefills, event intervals and calls, tells its samples to peers, and predicts each server's time with it.

--- a/crates/teaselglade-host/src/journal/decision_log.rs
+++ b/crates/teaselglade-host/src/journal/decision_log.rs
@@ -7,6 +7,7 @@
 use teaselglade_core::time::Timestamp;
 use teaselglade_core::verdict::{ExecutionVerdict, RequestRefusal};
 use teaselglade_routing::crash::RequestHash;
+use teaselglade_routing::speed::SpeedEvidence;
 use tracing::info;
 
 use super::{LineBudget, SuppressedLines};
@@ -43,6 +44,8 @@
     pub tokens_ahead: u32,
     /// Age of the newest registration data.
     pub update_age: Duration,
+    /// Expected time of work on the server, if it proves to differ or states its pace.
+    pub speed: Option<SpeedEvidence>,
 }
 
 /// Log fields of an attempt that broke before its first event or whole response.
@@ -112,6 +115,8 @@
             new_tokens = placement.new_tokens,
             tokens_ahead = placement.tokens_ahead,
             news_age_ms = millis(placement.update_age),
+            time_percent = placement.speed.map(|speed| speed.time_percent),
+            pace_age_ms = placement.speed.and_then(|speed| speed.pace_age).map(millis),
         );
     }
 
--- a/crates/teaselglade-host/src/peer/gossip_transport.rs
+++ b/crates/teaselglade-host/src/peer/gossip_transport.rs
@@ -51,6 +51,8 @@
 #[derive(Debug)]
 struct AggregateRound {
     bytes: Vec<u8>,
+    /// Speeds of servers, sent beside the aggregate.
+    speeds: Option<Vec<u8>>,
     remaining: Vec<SocketAddr>,
     next_send_at: Instant,
     send_interval: Duration,
@@ -85,6 +87,7 @@
             sequence: 0,
             round: AggregateRound {
                 bytes: Vec::new(),
+                speeds: None,
                 remaining: Vec::new(),
                 next_send_at: Instant::now(),
                 send_interval: Duration::ZERO,
@@ -124,8 +127,13 @@
         let (digest, limits, targets) = self.build_digest();
         let bytes = encode(&PeerMessage::Host(Box::new(digest)));
         let limits = (!limits.is_empty()).then(|| encode(&PeerMessage::Limits(limits)));
+        let speeds = self.host.lock_decisions().speed_message(self.sequence);
+        let speeds = speeds.map(|speeds| encode(&speeds));
         for target in targets {
             self.send_to(&bytes, target).await;
+            if let Some(speeds) = &speeds {
+                self.send_to(speeds, target).await;
+            }
             if let Some(limits) = &limits {
                 self.send_to(limits, target).await;
             }
@@ -143,7 +151,10 @@
             return;
         }
         let send_window = DIGEST_INTERVAL.mul_f64(DIGESTS_PER_AGGREGATE as f64 * PACING_FRACTION);
+        let number = self.sequence / DIGESTS_PER_AGGREGATE;
+        let speeds = self.host.lock_decisions().speed_aggregate(number);
         self.round = AggregateRound {
+            speeds: speeds.map(|speeds| encode(&speeds)),
             bytes: encode(&PeerMessage::Aggregate(Box::new(self.build_aggregate()))),
             send_interval: send_window / served.len() as u32,
             remaining: served,
@@ -157,6 +168,9 @@
         };
         self.round.next_send_at += self.round.send_interval;
         self.send_to(&self.round.bytes, target).await;
+        if let Some(speeds) = &self.round.speeds {
+            self.send_to(speeds, target).await;
+        }
         let now = self.host.now();
         let (evidence, limits) = {
             let decisions = self.host.lock_decisions();
@@ -323,6 +337,10 @@
                 decisions.crash_ledger.merge(now, &evidence);
             }
             PeerMessage::Limits(report) => self.host.merge_limits(&report),
+            PeerMessage::Speeds { engines, plain } => {
+                let mut decisions = self.host.lock_decisions();
+                decisions.merge_speeds(&engines, &plain);
+            }
             PeerMessage::Permit(message) => return self.apply_permit_message(message, sender),
         }
         None
--- a/crates/teaselglade-host/src/relay/engine_attempt.rs
+++ b/crates/teaselglade-host/src/relay/engine_attempt.rs
@@ -128,7 +128,7 @@
     fn decode(&mut self, data: &Bytes) -> Option<AttemptStep> {
         let events = self.splitter.push(data);
         if !events.is_empty() {
-            self.reservation.record_events();
+            self.reservation.record_events(events.len());
             return Some(AttemptStep::Events(events));
         }
         let is_oversized = self.splitter.is_oversized();
--- a/crates/teaselglade-host/src/relay/mod.rs
+++ b/crates/teaselglade-host/src/relay/mod.rs
@@ -3,6 +3,7 @@
 mod call_context;
 mod call_handler;
 mod engine_attempt;
+mod event_pace;
 mod header_filter;
 mod plain_relay;
 mod refusal_response;
--- a/crates/teaselglade-host/src/relay/plain_relay.rs
+++ b/crates/teaselglade-host/src/relay/plain_relay.rs
@@ -249,6 +249,7 @@
             new_tokens: 0,
             tokens_ahead: 0,
             update_age: now.since(decisions.registry_updated_at),
+            speed: decisions.plain_placer.ledger().evidence(now, server),
         };
         host.log.placed(now, &context.log_fields(), &placement);
         host.update_request(context.open_key, |open| open.start_attempt(server));
@@ -256,6 +257,7 @@
             context: Arc::clone(context),
             server,
             run,
+            started_at: now,
         }
     }
 
@@ -311,6 +313,12 @@
                 decisions
                     .plain_placer
                     .record_response(now, server, is_healthy, response.load);
+                if response.status.is_success() {
+                    let (service, elapsed) =
+                        (&context.service.name, now.since(active_call.started_at));
+                    let placer = &mut decisions.plain_placer;
+                    placer.record_time(now, service, server, elapsed);
+                }
                 if is_healthy {
                     decisions.record_answer(now, server, context.subjects());
                 }
@@ -432,6 +440,7 @@
     server: ServerKey,
     /// Run of the call, if it is contained.
     run: Option<ContainedRun>,
+    started_at: Timestamp,
 }
 
 impl Drop for ActiveCall {
--- a/crates/teaselglade-host/src/relay/server_call.rs
+++ b/crates/teaselglade-host/src/relay/server_call.rs
@@ -242,6 +242,10 @@
         return Err(FailedCall::new(AttemptOutcome::Misdirected, detail));
     }
     context.host.apply_advice(server, sent_at, head.advice);
+    if let Some(pace) = head.load.and_then(|load| load.pace) {
+        let now = context.host.now();
+        context.host.lock_decisions().record_pace(now, server, pace);
+    }
     context
         .host
         .report_unknown_headers(server, &head.unknown_headers);
--- a/crates/teaselglade-host/src/relay/stream_reservation.rs
+++ b/crates/teaselglade-host/src/relay/stream_reservation.rs
@@ -9,10 +9,12 @@
 use teaselglade_request::retry::RetryDecision;
 use teaselglade_routing::crash::ContainedRun;
 use teaselglade_routing::engine::{EngineQuery, EngineReservation, PromptShape};
+use teaselglade_routing::speed::TimeSample;
 use teaselglade_routing::table::EngineSpec;
 
 use super::Result;
 use super::call_context::CallContext;
+use super::event_pace::EventPace;
 use super::server_turn::ServerTurn;
 use crate::journal::PlacementFields;
 use crate::permit::SendPermit;
@@ -53,6 +55,8 @@
     has_first_event: bool,
     /// Time of the last event that was recorded.
     recorded_at: Timestamp,
+    /// Times of the events, which tell the engine's speed.
+    event_pace: EventPace,
     /// Run of the attempt, if it is contained.
     contained_run: Option<ContainedRun>,
     /// Whether the attempt may be sent although its request is quarantined.
@@ -186,6 +190,10 @@
             new_tokens: engine.new_tokens,
             tokens_ahead: engine.tokens_ahead as u32,
             update_age: now.since(decisions.registry_updated_at),
+            speed: decisions
+                .engine_placer
+                .ledger()
+                .evidence(now, engine.server),
         };
         host.log.placed(now, &context.log_fields(), &placement);
         host.update_request(context.open_key, |open| open.start_attempt(engine.server));
@@ -196,6 +204,7 @@
             server_id,
             has_first_event: false,
             recorded_at: Timestamp::ZERO,
+            event_pace: EventPace::default(),
             contained_run: run,
             is_exempt: attempt.has_events || run.is_some_and(|run| run.is_trial),
         })
@@ -225,9 +234,10 @@
     ///
     /// Events after the first one are recorded at most once in [`EVENT_RECORD_INTERVAL`]; they
     /// still speak for the request and the prompt's parts.
-    pub(super) fn record_events(&mut self) {
+    pub(super) fn record_events(&mut self, count: usize) {
         let host = Arc::clone(&self.context.host);
         let now = host.now();
+        self.event_pace.record(now, count);
         host.update_request(self.context.open_key, |open| open.record_event(now));
         let is_first = !std::mem::replace(&mut self.has_first_event, true);
         if !is_first && now.since(self.recorded_at) < EVENT_RECORD_INTERVAL {
@@ -337,6 +347,14 @@
         let now = host.now();
         let service = &self.context.service.name;
         let mut decisions = host.lock_decisions();
+        if let Some(elapsed) = self.event_pace.interval() {
+            let sample = TimeSample {
+                elapsed,
+                weight: 1.0,
+            };
+            let speeds = decisions.engine_placer.ledger_mut();
+            speeds.record_time(now, service, self.engine.server, sample);
+        }
         decisions
             .engine_placer
             .record_end(now, service, self.engine.id);
--- a/crates/teaselglade-host/src/state/decision_state.rs
+++ b/crates/teaselglade-host/src/state/decision_state.rs
@@ -23,6 +23,7 @@
     ServerAdvice, ServerDeparture, ServerRegistration, ServerRegistry, UpdateScope,
 };
 use teaselglade_routing::scaling::ZoneStock;
+use teaselglade_routing::speed::ServerPace;
 use teaselglade_routing::usage::UsageLedger;
 
 use super::PermitStep;
@@ -527,7 +528,9 @@
             .filter(|demand| demand.service == service)
             .map(|demand| demand.tokens_per_second);
         let tokens: f64 = own.chain(reported).sum();
-        tokens / self.engine_placer.speed(service).tokens_per_second()
+        // Servers are ordered by number, so the demand counts in servers like those at hand.
+        let mean_speed = self.engine_placer.mean_speed(&self.registry, service);
+        tokens / (self.engine_placer.speed(service).tokens_per_second() * mean_speed)
     }
 
     /// Returns the number of servers of a service that accept new work, by zone.
@@ -557,6 +560,15 @@
         capacity
     }
 
+    /// Records a server's word on how long work takes there at the moment.
+    pub fn record_pace(&mut self, now: Timestamp, server: ServerKey, pace: ServerPace) {
+        let engines = self.engine_placer.ledger_mut();
+        engines.record_pace(now, server, pace);
+        self.plain_placer
+            .ledger_mut()
+            .record_pace(now, server, pace);
+    }
+
     /// Discards the placement state of a server that is gone.
     pub fn forget_server(&mut self, server: ServerKey) {
         self.engine_placer.forget_server(server);
--- a/crates/teaselglade-host/src/state/mod.rs
+++ b/crates/teaselglade-host/src/state/mod.rs
@@ -5,6 +5,7 @@
 mod host_ports;
 mod host_state;
 mod permit_step;
+mod speed_sharing;
 
 pub use active_table::ActiveTable;
 pub use decision_state::DecisionState;
--- a/crates/teaselglade-routing/src/engine/engine_candidate.rs
+++ b/crates/teaselglade-routing/src/engine/engine_candidate.rs
@@ -42,6 +42,18 @@
     preference_of(shared.map_or(0, |part| part.prefix_hash), server)
 }
 
+/// Returns a preference weighted by the server's speed, so that a faster server ranks first more often.
+///
+/// Of servers with uniform preferences, each ranks first in proportion to its speed. A speed of 1
+/// leaves the preference as it is.
+pub(super) fn weighted_preference(preference: u64, speed: f64) -> u64 {
+    if speed == 1.0 {
+        return preference;
+    }
+    let uniform = (preference as f64 + 0.5) / u64::MAX as f64;
+    (uniform.powf(1.0 / speed) * u64::MAX as f64) as u64
+}
+
 /// Returns the preference of a hash for a server, the same on every host.
 pub(crate) fn preference_of(hash: u64, server: u64) -> u64 {
     let mixed = (hash ^ server.rotate_left(32)).wrapping_mul(0x9e37_79b9_7f4a_7c15);
--- a/crates/teaselglade-routing/src/engine/engine_placer.rs
+++ b/crates/teaselglade-routing/src/engine/engine_placer.rs
@@ -10,12 +10,13 @@
 use teaselglade_core::verdict::{RefusalReason, RequestRefusal};
 use teaselglade_placement::limit::DemandMeter;
 
-use super::engine_candidate::{EngineCandidate, preference, preference_of};
+use super::engine_candidate::{EngineCandidate, preference, preference_of, weighted_preference};
 use super::engine_loads::EngineLoads;
 use super::stale_choice::choose_with_stale_loads;
 use super::{CachedPart, EngineLoad, EngineSpeed, PrefixLocations, PromptShape, Result, SlotPace};
 use crate::capacity::PlacementTerms;
 use crate::registry::{ServerHealth, ServerRegistry};
+use crate::speed::SpeedLedger;
 use crate::table::EngineSpec;
 
 /// Share of the target within which the first event must be predicted.
@@ -36,6 +37,8 @@
 const PART_GOSSIP_WINDOW: Duration = Duration::from_millis(700);
 /// Maximum number of cached parts in one aggregate digest; about 4 KB.
 const MAX_AGGREGATE_PARTS: usize = 200;
+/// Weight of a prefill time in an engine's speed; it spreads twice as much as event intervals.
+const PREFILL_SAMPLE_WEIGHT: f64 = 0.25;
 /// Shortest retry delay in a refusal.
 const MIN_RETRY_DELAY: Duration = Duration::from_millis(150);
 /// Longest retry delay in a refusal.
@@ -148,6 +151,7 @@
 pub struct EnginePlacer {
     cache: PrefixLocations,
     speeds: HashMap<String, EngineSpeed>,
+    ledger: SpeedLedger,
     paces: HashMap<String, SlotPace>,
     open_streams: HashMap<ReservationId, OpenStream>,
     loads: EngineLoads,
@@ -166,6 +170,7 @@
         Self {
             cache: PrefixLocations::default(),
             speeds: HashMap::new(),
+            ledger: SpeedLedger::default(),
             paces: HashMap::new(),
             open_streams: HashMap::new(),
             loads: EngineLoads::default(),
@@ -254,7 +259,12 @@
         let (server, elapsed) = (stream.server, now.since(stream.sent_at));
         self.loads.end_prefill(server, tokens);
         let speed = self.speeds.entry(service.to_owned()).or_default();
-        speed.observe(tokens + tokens_ahead, elapsed);
+        let factor = self.ledger.time_factor(now, server);
+        if let Some(ratio) = speed.time_ratio(tokens + tokens_ahead, elapsed) {
+            let weight = PREFILL_SAMPLE_WEIGHT;
+            self.ledger.record_ratio(now, server, ratio, weight);
+        }
+        speed.observe((tokens + tokens_ahead) * factor, elapsed);
         self.health.entry(server).or_default().record_response(true);
     }
 
@@ -285,6 +295,7 @@
     pub fn forget_server(&mut self, server: ServerKey) {
         self.cache.remove_server(server);
         self.health.remove(&server);
+        self.ledger.forget_server(server);
     }
 
     /// Replaces a peer's loads and merges the parts that it placed.
@@ -393,6 +404,17 @@
         self.loads.own_requests(server)
     }
 
+    /// Returns the speeds and paces of engines.
+    #[must_use]
+    pub const fn ledger(&self) -> &SpeedLedger {
+        &self.ledger
+    }
+
+    /// Returns the speeds and paces of engines, to record observations.
+    pub const fn ledger_mut(&mut self) -> &mut SpeedLedger {
+        &mut self.ledger
+    }
+
     /// Returns how long streams of a service hold their slots.
     #[must_use]
     pub fn pace(&self, service: &str) -> SlotPace {
@@ -449,12 +471,14 @@
     ) -> EngineCandidate {
         let load = self.loads.of_engine(server, hash);
         let speed = self.speed(query.service);
+        let time_factor = self.ledger.time_factor(now, server);
         let cached = self.cache.cached_tokens(now, server, query.prompt);
         let new_tokens = query.prompt.prompt_tokens.saturating_sub(cached);
         let tokens_ahead = load.waiting_tokens;
-        let prefill_time = speed.prefill_time(f64::from(new_tokens));
-        let mut predicted_latency = speed.prefill_time(f64::from(new_tokens) + tokens_ahead);
-        predicted_latency += self.slot_delay(query, load.requests);
+        let prefill_time = speed.prefill_time(f64::from(new_tokens) * time_factor);
+        let all_tokens = f64::from(new_tokens) + tokens_ahead;
+        let mut predicted_latency = speed.prefill_time(all_tokens * time_factor);
+        predicted_latency += self.slot_delay(query, load.requests).mul_f64(time_factor);
         let needed_memory = load.memory_tokens + f64::from(query.prompt.total_tokens());
         if needed_memory > query.spec.memory_tokens * MEMORY_SHARE {
             predicted_latency += MEMORY_DELAY;
@@ -474,7 +498,10 @@
             new_tokens,
             tokens_ahead,
             cost_ms: cost * 1_000.0,
-            preference: preference(query.prompt, hash),
+            preference: weighted_preference(
+                preference(query.prompt, hash),
+                self.ledger.speed(server),
+            ),
         }
     }
 
--- a/crates/teaselglade-routing/src/engine/engine_speed.rs
+++ b/crates/teaselglade-routing/src/engine/engine_speed.rs
@@ -53,6 +53,16 @@
         self.tokens_per_ms = rate.clamp(TOKENS_PER_MS_RANGE.0, TOKENS_PER_MS_RANGE.1);
     }
 
+    /// Returns the time of a prefill relative to the estimate; `None` for one too short to tell.
+    #[must_use]
+    pub fn time_ratio(self, tokens: f64, elapsed: Duration) -> Option<f64> {
+        if tokens < MIN_SAMPLE_TOKENS {
+            return None;
+        }
+        let prefill_ms = elapsed.saturating_sub(BASE_LATENCY).as_secs_f64() * 1_000.0;
+        Some(prefill_ms.max(1.0) * self.tokens_per_ms / tokens)
+    }
+
     /// Returns the time to the first event after a prefill of `tokens`.
     #[must_use]
     pub fn prefill_time(self, tokens: f64) -> Duration {
--- a/crates/teaselglade-routing/src/engine/mod.rs
+++ b/crates/teaselglade-routing/src/engine/mod.rs
@@ -4,6 +4,7 @@
 mod engine_load;
 mod engine_loads;
 mod engine_placer;
+mod engine_room;
 mod engine_speed;
 mod prefix_locations;
 mod prompt_shape;
--- a/crates/teaselglade-routing/src/gossip/aggregate_digest.rs
+++ b/crates/teaselglade-routing/src/gossip/aggregate_digest.rs
@@ -10,6 +10,7 @@
 use crate::limit::{LimitReport, PermitMessage};
 use crate::quota::FleetSpend;
 use crate::registry::{ServerDeparture, ServerRegistration};
+use crate::speed::SpeedReport;
 
 /// A highly ranked host, from which aggregators and the leader are chosen.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -86,4 +87,11 @@
     Limits(LimitReport),
     /// Message about a permit to send to a limited server.
     Permit(PermitMessage),
+    /// Lasting speeds of servers, sent beside a digest.
+    Speeds {
+        /// Speeds of engines.
+        engines: SpeedReport,
+        /// Speeds of servers of plain calls.
+        plain: SpeedReport,
+    },
 }
--- a/crates/teaselglade-routing/src/lib.rs
+++ b/crates/teaselglade-routing/src/lib.rs
@@ -16,5 +16,6 @@
 pub mod registry;
 pub mod scaling;
 pub mod shutdown;
+pub mod speed;
 pub mod table;
 pub mod usage;
--- a/crates/teaselglade-routing/src/plain/plain_placer.rs
+++ b/crates/teaselglade-routing/src/plain/plain_placer.rs
@@ -12,6 +12,7 @@
 use crate::capacity::PlacementTerms;
 use crate::engine::preference_of;
 use crate::registry::{RegisteredServer, ServerHealth, ServerRegistry};
+use crate::speed::{ServerPace, SpeedLedger, TimeSample};
 
 /// Age from which a server's reported load is ignored; calls take some tens of milliseconds.
 const LOAD_TTL: Duration = Duration::from_millis(500);
@@ -27,6 +28,8 @@
 const DEFAULT_SLOTS: f64 = 4.0;
 /// Load per slot, beyond [`FAILURE_COST`], at which a server is expected to reject calls.
 const FULL_LOAD_PER_SLOT: f64 = 3.0;
+/// Weight of a call's time in its server's speed; calls differ more than streams' intervals.
+const CALL_SAMPLE_WEIGHT: f64 = 0.25;
 /// Shortest retry delay in a refusal: the time of a few calls.
 const MIN_RETRY_DELAY: Duration = Duration::from_millis(100);
 
@@ -42,6 +45,8 @@
     pub waiting: u32,
     /// Maximum number of requests that run at a time.
     pub slots: u32,
+    /// How long work takes on the server's machine at the moment, if the server says so.
+    pub pace: Option<ServerPace>,
 }
 
 /// Plain call to be placed on a server.
@@ -66,7 +71,8 @@
 
 /// Places plain calls on servers.
 ///
-/// The server with the lowest load per slot is chosen, servers of the host's own zone first.
+/// The server with the lowest load per slot is chosen, servers of the host's own zone first; where
+/// servers differ in speed, the one at which the call is expected to end first.
 /// Failing servers are avoided while others are not full. This handles services with few slots and
 /// short deadlines, and servers that fail part of their calls while they report to be healthy.
 ///
@@ -86,6 +92,7 @@
 #[derive(Debug)]
 pub struct PlainPlacer {
     statuses: HashMap<ServerKey, ServerStatus>,
+    ledger: SpeedLedger,
     rng: Pcg32,
 }
 
@@ -95,6 +102,7 @@
     pub fn new(seed: u64) -> Self {
         Self {
             statuses: HashMap::new(),
+            ledger: SpeedLedger::default(),
             rng: Pcg32::seed_from_u64(seed),
         }
     }
@@ -177,6 +185,35 @@
         }
     }
 
+    /// Records how long a call took at a server; calls of a server with a queue are left out.
+    pub fn record_time(
+        &mut self,
+        now: Timestamp,
+        service: &str,
+        server: ServerKey,
+        elapsed: Duration,
+    ) {
+        let status = self.statuses.get(&server);
+        let load = status.and_then(|status| status.reported_load);
+        if load.is_some_and(|(_, load)| load.waiting > 0) {
+            return;
+        }
+        let weight = CALL_SAMPLE_WEIGHT;
+        let sample = TimeSample { elapsed, weight };
+        self.ledger.record_time(now, service, server, sample);
+    }
+
+    /// Returns the speeds and paces of servers.
+    #[must_use]
+    pub const fn ledger(&self) -> &SpeedLedger {
+        &self.ledger
+    }
+
+    /// Returns the speeds and paces of servers, to record observations.
+    pub const fn ledger_mut(&mut self) -> &mut SpeedLedger {
+        &mut self.ledger
+    }
+
     /// Records that a server was unreachable or did not respond in time.
     pub fn record_failure(&mut self, now: Timestamp, server: ServerKey) {
         let status = self.statuses.entry(server).or_default();
@@ -186,6 +223,7 @@
     /// Removes the load and health of a server that is gone.
     pub fn forget_server(&mut self, server: ServerKey) {
         self.statuses.remove(&server);
+        self.ledger.forget_server(server);
     }
 
     /// Returns the server that a number selects, of those that do not fail if there are any.
@@ -230,6 +268,10 @@
             .max(1.0);
         let reported_requests = reported.map_or(0.0, |load| f64::from(load.running + load.waiting));
         let load_per_slot = f64::from(status.in_flight).max(reported_requests) / slots;
+        let expected_load = match self.ledger.time_factor(now, key) {
+            1.0 => load_per_slot,
+            time_factor => (load_per_slot + 1.0) * time_factor - 1.0,
+        };
         let zone_cost = if server.registration.zone == query.terms.zone {
             0.0
         } else {
@@ -241,7 +283,7 @@
             0.0
         };
         let failure_share = status.health.failure_share().max(avoided_share);
-        load_per_slot + zone_cost + FAILURE_COST * failure_share
+        expected_load + zone_cost + FAILURE_COST * failure_share
     }
 
     fn no_server_refusal(
--- a/crates/teaselglade-routing/tests/routing/plains.rs
+++ b/crates/teaselglade-routing/tests/routing/plains.rs
@@ -65,6 +65,7 @@
     let (registry, keys) = three_zone_registry();
     let mut placer = PlainPlacer::new(1);
     let load = ServerLoad {
+        pace: None,
         running: 6,
         waiting: 60,
         slots: 6,
