feat(routing): hosts that learned speeds do not herd to the fast engines

Where an engine's lasting speed proves to differ, the choice for stale loads is taken; the engine time that a placement takes from others counts at the service's speed.

--- a/crates/teaselglade-routing/src/engine/engine_candidate.rs
+++ b/crates/teaselglade-routing/src/engine/engine_candidate.rs
@@ -22,6 +22,8 @@
     pub(super) tokens_ahead: f64,
     pub(super) cost_ms: f64,
     pub(super) preference: u64,
+    /// Lasting speed relative to the service.
+    pub(super) speed: f64,
 }
 
 impl EngineCandidate {
--- a/crates/teaselglade-routing/src/engine/engine_placer.rs
+++ b/crates/teaselglade-routing/src/engine/engine_placer.rs
@@ -261,8 +261,10 @@
         let speed = self.speeds.entry(service.to_owned()).or_default();
         let factor = self.ledger.time_factor(now, server);
         if let Some(ratio) = speed.time_ratio(tokens + tokens_ahead, elapsed) {
-            let weight = PREFILL_SAMPLE_WEIGHT;
-            self.ledger.record_ratio(now, server, ratio, weight);
+            // Of a long queue, this host may not know all, nor what of it has ended.
+            let weight = PREFILL_SAMPLE_WEIGHT * tokens / (tokens + tokens_ahead);
+            self.ledger
+                .record_ratio(now, service, server, ratio, weight);
         }
         speed.observe((tokens + tokens_ahead) * factor, elapsed);
         self.health.entry(server).or_default().record_response(true);
@@ -451,7 +453,9 @@
             let index = (rank as usize).min(healthy.len().saturating_sub(1));
             return healthy.get(index).map(|candidate| **candidate);
         }
-        if query.is_load_stale {
+        // Hosts that know the same engines to be fast would all choose the same one of them.
+        let are_uneven = || healthy.iter().any(|engine| engine.speed != 1.0);
+        if query.is_load_stale || are_uneven() {
             let target = query.target.mul_f64(TARGET_SHARE);
             if let Some(chosen) = choose_with_stale_loads(&mut healthy, query.prompt, target) {
                 return Some(chosen);
@@ -472,10 +476,13 @@
         let load = self.loads.of_engine(server, hash);
         let speed = self.speed(query.service);
         let time_factor = self.ledger.time_factor(now, server);
+        let lasting_speed = self.ledger.speed(server);
         let cached = self.cache.cached_tokens(now, server, query.prompt);
         let new_tokens = query.prompt.prompt_tokens.saturating_sub(cached);
         let tokens_ahead = load.waiting_tokens;
         let prefill_time = speed.prefill_time(f64::from(new_tokens) * time_factor);
+        // A slow engine's time is worth less to later requests, in proportion to its speed.
+        let work_time = speed.prefill_time(f64::from(new_tokens));
         let all_tokens = f64::from(new_tokens) + tokens_ahead;
         let mut predicted_latency = speed.prefill_time(all_tokens * time_factor);
         predicted_latency += self.slot_delay(query, load.requests).mul_f64(time_factor);
@@ -488,7 +495,7 @@
             .get(&server)
             .map_or(0.0, ServerHealth::failure_share);
         let cost = predicted_latency.as_secs_f64()
-            + prefill_time.as_secs_f64() * WORK_WEIGHT
+            + work_time.as_secs_f64() * WORK_WEIGHT
             + failures * query.target.as_secs_f64();
         EngineCandidate {
             server,
@@ -498,10 +505,8 @@
             new_tokens,
             tokens_ahead,
             cost_ms: cost * 1_000.0,
-            preference: weighted_preference(
-                preference(query.prompt, hash),
-                self.ledger.speed(server),
-            ),
+            preference: weighted_preference(preference(query.prompt, hash), lasting_speed),
+            speed: lasting_speed,
         }
     }
 
--- a/crates/teaselglade-routing/src/speed/speed_ledger.rs
+++ b/crates/teaselglade-routing/src/speed/speed_ledger.rs
@@ -43,13 +43,30 @@
     unsent: (f64, f64),
 }
 
-/// Mean logarithm of the time of a unit of work in a service.
+/// Geometric mean of a service's samples; all count alike at first, the last fifty later.
 #[derive(Debug, Clone, Copy, Default)]
-struct ServiceTime {
+struct ServiceMean {
     log_mean: f64,
     samples: u32,
 }
 
+impl ServiceMean {
+    /// Adds a sample and returns the mean.
+    fn observe(&mut self, sample: f64) -> f64 {
+        self.samples = self.samples.saturating_add(1);
+        let weight = (1.0 / f64::from(self.samples)).max(MIN_MEAN_WEIGHT);
+        self.log_mean += (sample.ln() - self.log_mean) * weight;
+        self.log_mean.exp()
+    }
+}
+
+/// Means of the samples of a service, by kind.
+#[derive(Debug, Clone, Copy, Default)]
+struct ServiceMeans {
+    time: ServiceMean,
+    ratio: ServiceMean,
+}
+
 /// Lasting speeds and paces of the moment of the servers that this host sends to.
 ///
 /// Servers that state no pace and prove to be alike all have a factor of exactly 1.
@@ -65,7 +82,7 @@
 #[derive(Debug, Default)]
 pub struct SpeedLedger {
     servers: HashMap<ServerKey, SpeedEntry>,
-    services: HashMap<String, ServiceTime>,
+    services: HashMap<String, ServiceMeans>,
     /// Number of estimates sent so far; they are sent in turn.
     turn: usize,
 }
@@ -77,21 +94,25 @@
         entry.pace.observe(now, pace);
     }
 
-    /// Records that work on a server took `ratio` times what it takes in the service.
-    pub fn record_ratio(&mut self, now: Timestamp, server: ServerKey, ratio: f64, weight: f64) {
+    /// Records that work on a server took `ratio` times what the service's servers are known to take.
+    ///
+    /// The mean ratio of the service is divided out, so that an estimate for the whole service that
+    /// is still wrong makes no server look fast or slow.
+    pub fn record_ratio(
+        &mut self,
+        now: Timestamp,
+        service: &str,
+        server: ServerKey,
+        ratio: f64,
+        weight: f64,
+    ) {
         if !(ratio.is_finite() && ratio > 0.0) {
             return;
         }
-        let entry = self.servers.entry(server).or_default();
-        let pace = entry.pace.fresh_ratio(now);
-        entry.lasting.observe(ratio, pace, weight);
-        let explained = if entry.lasting.trusts_pace() {
-            pace.unwrap_or(1.0)
-        } else {
-            1.0
-        };
-        entry.unsent.0 += (ratio / explained).ln() * weight;
-        entry.unsent.1 += weight;
+        let factor = self.time_factor(now, server);
+        let means = self.services.entry(service.to_owned()).or_default();
+        let mean = means.ratio.observe(ratio / factor);
+        self.record_sample(now, server, ratio / mean, weight);
     }
 
     /// Records the time of one unit of work, compared with the mean of the service.
@@ -107,12 +128,22 @@
             return;
         }
         let factor = self.time_factor(now, server);
-        let mean = self.services.entry(service.to_owned()).or_default();
-        mean.samples = mean.samples.saturating_add(1);
-        let deviation = (seconds / factor).ln() - mean.log_mean;
-        mean.log_mean += deviation * (1.0 / f64::from(mean.samples)).max(MIN_MEAN_WEIGHT);
-        let ratio = seconds / mean.log_mean.exp();
-        self.record_ratio(now, server, ratio, sample.weight);
+        let means = self.services.entry(service.to_owned()).or_default();
+        let mean = means.time.observe(seconds / factor);
+        self.record_sample(now, server, seconds / mean, sample.weight);
+    }
+
+    fn record_sample(&mut self, now: Timestamp, server: ServerKey, ratio: f64, weight: f64) {
+        let entry = self.servers.entry(server).or_default();
+        let pace = entry.pace.fresh_ratio(now);
+        entry.lasting.observe(ratio, pace, weight);
+        let explained = if entry.lasting.trusts_pace() {
+            pace.unwrap_or(1.0)
+        } else {
+            1.0
+        };
+        entry.unsent.0 += (ratio / explained).ln() * weight;
+        entry.unsent.1 += weight;
     }
 
     /// Returns the expected time of work on a server now, relative to its service.
--- a/crates/teaselglade-routing/tests/routing/main.rs
+++ b/crates/teaselglade-routing/tests/routing/main.rs
@@ -17,5 +17,6 @@
 mod routes;
 mod shutdown;
 mod slots;
+mod speeds;
 mod table_spread;
 mod usage;
