--- a/crates/teaselglade-host/src/state/speed_sharing.rs
+++ b/crates/teaselglade-host/src/state/speed_sharing.rs
@@ -9,10 +9,10 @@
 const DIGESTS_PER_REPORT: u64 = 5;
 /// Number of aggregates per report of estimates.
 const AGGREGATES_PER_REPORT: u64 = 3;
-/// Most samples or estimates in a host's report; about 0.2 KB each.
-const MAX_HOST_NOTICES: usize = 16;
-/// Most estimates in an aggregator's report; about 2 KB.
-const MAX_AGGREGATE_NOTICES: usize = 150;
+/// Most samples, and most estimates, of one kind of server in a host's report; 0.5 KB together.
+const MAX_HOST_NOTICES: usize = 8;
+/// Most estimates in an aggregator's report; 2 KB.
+const MAX_AGGREGATE_NOTICES: usize = 140;
 
 impl DecisionState {
     /// Returns what this host tells its peers of speeds with its digest of this number, if anything.
--- a/crates/teaselglade-host/tests/host/main.rs
+++ b/crates/teaselglade-host/tests/host/main.rs
@@ -9,3 +9,4 @@
 mod reports;
 mod request_crashes;
 mod server_limits;
+mod speed_reports;
--- a/crates/teaselglade-routing/src/engine/engine_candidate.rs
+++ b/crates/teaselglade-routing/src/engine/engine_candidate.rs
@@ -49,7 +49,7 @@
 /// Of servers with uniform preferences, each ranks first in proportion to its speed. A speed of 1
 /// leaves the preference as it is.
 pub(super) fn weighted_preference(preference: u64, speed: f64) -> u64 {
-    if speed == 1.0 {
+    if (speed - 1.0).abs() < f64::EPSILON {
         return preference;
     }
     let uniform = (preference as f64 + 0.5) / u64::MAX as f64;
--- a/crates/teaselglade-routing/src/engine/engine_placer.rs
+++ b/crates/teaselglade-routing/src/engine/engine_placer.rs
@@ -454,7 +454,11 @@
             return healthy.get(index).map(|candidate| **candidate);
         }
         // Hosts that know the same engines to be fast would all choose the same one of them.
-        let are_uneven = || healthy.iter().any(|engine| engine.speed != 1.0);
+        let are_uneven = || {
+            healthy
+                .iter()
+                .any(|engine| (engine.speed - 1.0).abs() > f64::EPSILON)
+        };
         if query.is_load_stale || are_uneven() {
             let target = query.target.mul_f64(TARGET_SHARE);
             if let Some(chosen) = choose_with_stale_loads(&mut healthy, query.prompt, target) {
--- a/crates/teaselglade-routing/src/speed/lasting_speed.rs
+++ b/crates/teaselglade-routing/src/speed/lasting_speed.rs
@@ -99,13 +99,22 @@
     /// Coarse steps let all hosts rank servers alike although their estimates differ a little.
     #[must_use]
     pub fn time_ratio(&self) -> f64 {
-        let mean = self.mean();
-        let shrunk = mean.value * mean.weight / (mean.weight + PRIOR_WEIGHT);
-        let steps = (shrunk / STEP_LOG).round();
-        if steps.abs() <= f64::from(ALIKE_STEPS) {
+        if self.is_alike() {
             return 1.0;
         }
-        (steps * STEP_LOG).exp()
+        (self.shrunk_steps() * STEP_LOG).exp()
+    }
+
+    /// Returns whether the server counts as being like its service.
+    #[must_use]
+    pub fn is_alike(&self) -> bool {
+        self.shrunk_steps().abs() <= f64::from(ALIKE_STEPS)
+    }
+
+    fn shrunk_steps(&self) -> f64 {
+        let mean = self.mean();
+        let shrunk = mean.value * mean.weight / (mean.weight + PRIOR_WEIGHT);
+        (shrunk / STEP_LOG).round()
     }
 
     /// Returns the estimate in steps, for messages to other hosts.
--- a/crates/teaselglade-routing/src/speed/speed_ledger.rs
+++ b/crates/teaselglade-routing/src/speed/speed_ledger.rs
@@ -182,7 +182,7 @@
     #[must_use]
     pub fn is_uneven(&self) -> bool {
         let mut servers = self.servers.values();
-        servers.any(|entry| entry.lasting.time_ratio() != 1.0)
+        servers.any(|entry| !entry.lasting.is_alike())
     }
 
     /// Returns what a choice of a server rests on; `None` if its expected time is the usual one.
