--- a/crates/teaselglade-host/src/relay/stream_relay.rs
+++ b/crates/teaselglade-host/src/relay/stream_relay.rs
@@ -51,7 +51,7 @@
     /// The only attempt's server responded with an error instead of a stream.
     ErrorResponse(Box<ServerResponse>),
     /// The last open attempt failed.
-    Failed(LostAttempt),
+    Failed(Box<LostAttempt>),
 }
 
 /// What happened while the open attempts were read.
@@ -148,7 +148,7 @@
                 StreamStep::End => return Ok(None),
                 StreamStep::ErrorResponse(response) => return Ok(Some(response)),
                 StreamStep::Failed(lost) => {
-                    self.prepare_next(lost).await?;
+                    self.prepare_next(*lost).await?;
                     self.start_primary(true).await?;
                 }
             }
@@ -238,7 +238,7 @@
             };
             match role {
                 AttemptRole::Primary => match self.replace_by_standby(failed) {
-                    Some(lost) => return StreamStep::Failed(lost),
+                    Some(lost) => return StreamStep::Failed(Box::new(lost)),
                     None => check_at = self.stall_deadline(),
                 },
                 AttemptRole::Standby => check_at = self.end_failed_standby(&failed).await,
@@ -539,7 +539,7 @@
     ///
     /// Returns whether one was started.
     async fn resume(&mut self, lost: LostAttempt) -> bool {
-        if self.prepare_next(lost).await.is_err() {
+        if self.prepare_next(*lost).await.is_err() {
             return false;
         }
         match self.start_primary(true).await {
--- a/crates/teaselglade-routing/tests/routing/speeds.rs
+++ b/crates/teaselglade-routing/tests/routing/speeds.rs
@@ -106,10 +106,8 @@
         if now % DIGEST_MS == 0 {
             exchange_loads(&mut placers, &registry, now);
         }
-        if now % REPORT_MS == 0 {
-            if knowledge == Knowledge::Learned {
-                exchange_samples(&mut placers, &registry);
-            }
+        if now % REPORT_MS == 0 && knowledge == Knowledge::Learned {
+            exchange_samples(&mut placers, &registry);
         }
         let expected = if now < WARM_UP_MS {
             per_ms * 0.5
@@ -292,7 +290,7 @@
     let (mut total_ms, mut calls) = (0.0, 0_u32);
     for now in 0..120_000_u64 {
         for (server, is_slow) in is_slow.iter_mut().enumerate() {
-            if (now + server as u64 * 150) % PERIOD_MS == 0 {
+            if (now + server as u64 * 150).is_multiple_of(PERIOD_MS) {
                 *is_slow = rng.random_range(0..7) == 0;
             }
         }
@@ -396,7 +394,7 @@
         estimates: old.next_estimates(&registry, 16),
     };
     new.merge(&registry, &report);
-    assert_eq!(new.speed(slow), old.speed(slow));
+    assert_eq!(new.speed(slow).to_bits(), old.speed(slow).to_bits());
     assert!(new.speed(slow) < 0.7);
 }
 
@@ -423,7 +421,8 @@
         "{}",
         uneven / alike
     );
-    assert_eq!(placer.room(&registry, SERVICE, Some("sligo")), 0.0);
+    let elsewhere = placer.room(&registry, SERVICE, Some("sligo"));
+    assert_eq!(elsewhere.to_bits(), 0.0_f64.to_bits());
 }
 
 proptest! {
