--- a/crates/teaselglade-host/src/relay/stream_relay.rs
+++ b/crates/teaselglade-host/src/relay/stream_relay.rs
@@ -525,7 +525,7 @@
                 }
                 StreamStep::End => true,
                 StreamStep::ErrorResponse(_response) => false,
-                StreamStep::Failed(lost) => self.resume(lost).await,
+                StreamStep::Failed(lost) => self.resume(*lost).await,
             };
             if !is_resumed {
                 self.is_finished = true;
@@ -539,7 +539,7 @@
     ///
     /// Returns whether one was started.
     async fn resume(&mut self, lost: LostAttempt) -> bool {
-        if self.prepare_next(*lost).await.is_err() {
+        if self.prepare_next(lost).await.is_err() {
             return false;
         }
         match self.start_primary(true).await {
--- a/crates/teaselglade-routing/src/speed/speed_ledger.rs
+++ b/crates/teaselglade-routing/src/speed/speed_ledger.rs
@@ -69,7 +69,7 @@
 
 /// Lasting speeds and paces of the moment of the servers that this host sends to.
 ///
-/// Servers that state no pace and prove to be alike all have a factor of exactly 1.
+/// Speeds are learned of servers that state their pace; others have a factor of exactly 1.
 ///
 /// # Examples
 ///
@@ -133,8 +133,11 @@
         self.record_sample(now, server, seconds / mean, sample.weight);
     }
 
+    /// Adds a sample of a server that has stated its pace before.
     fn record_sample(&mut self, now: Timestamp, server: ServerKey, ratio: f64, weight: f64) {
-        let entry = self.servers.entry(server).or_default();
+        let Some(entry) = self.servers.get_mut(&server) else {
+            return;
+        };
         let pace = entry.pace.fresh_ratio(now);
         entry.lasting.observe(ratio, pace, weight);
         let explained = if entry.lasting.trusts_pace() {
