--- a/crates/teaselglade-host/src/peer/gossip_transport.rs
+++ b/crates/teaselglade-host/src/peer/gossip_transport.rs
@@ -53,6 +53,8 @@
     bytes: Vec<u8>,
     /// Sum of the demand for services, which is sent beside the digest.
     shares: Option<Vec<u8>>,
+    /// Speeds of servers, sent beside the aggregate.
+    speeds: Option<Vec<u8>>,
     remaining: Vec<SocketAddr>,
     next_send_at: Instant,
     send_interval: Duration,
@@ -88,6 +90,7 @@
             round: AggregateRound {
                 shares: None,
                 bytes: Vec::new(),
+                speeds: None,
                 remaining: Vec::new(),
                 next_send_at: Instant::now(),
                 send_interval: Duration::ZERO,
@@ -137,9 +140,12 @@
         let limits = (!limits.is_empty()).then(|| encode(&PeerMessage::Limits(limits)));
         let shares = self.host.update_shares(self.sequence);
         let shares = shares.map(|report| encode(&PeerMessage::Shares(report)));
+        let speeds = self.host.lock_decisions().speed_message(self.sequence);
+        let speeds = speeds.map(|speeds| encode(&speeds));
         for target in targets {
             self.send_to(&bytes, target).await;
-            for message in limits.iter().chain(&rollouts).chain(&shares) {
+            let beside = limits.iter().chain(&rollouts).chain(&shares).chain(&speeds);
+            for message in beside {
                 self.send_to(message, target).await;
             }
         }
@@ -158,8 +164,11 @@
         let send_window = DIGEST_INTERVAL.mul_f64(DIGESTS_PER_AGGREGATE as f64 * PACING_FRACTION);
         let shares = self.host.lock_decisions().shares.fleet_report(now);
         let shares = (!shares.is_empty()).then(|| encode(&PeerMessage::Shares(shares)));
+        let number = self.sequence / DIGESTS_PER_AGGREGATE;
+        let speeds = self.host.lock_decisions().speed_aggregate(number);
         self.round = AggregateRound {
             shares,
+            speeds: speeds.map(|speeds| encode(&speeds)),
             bytes: encode(&PeerMessage::Aggregate(Box::new(self.build_aggregate()))),
             send_interval: send_window / served.len() as u32,
             remaining: served,
@@ -173,6 +182,9 @@
         };
         self.round.next_send_at += self.round.send_interval;
         self.send_to(&self.round.bytes, target).await;
+        if let Some(speeds) = &self.round.speeds {
+            self.send_to(speeds, target).await;
+        }
         let now = self.host.now();
         let (evidence, limits, rollouts, zones) = {
             let decisions = self.host.lock_decisions();
@@ -365,6 +377,10 @@
                 let now = self.host.now();
                 self.host.lock_decisions().zones.apply_report(now, report);
             }
+            PeerMessage::Speeds { engines, plain } => {
+                let mut decisions = self.host.lock_decisions();
+                decisions.merge_speeds(&engines, &plain);
+            }
             PeerMessage::Permit(message) => return self.apply_permit_message(message, sender),
         }
         None
--- a/crates/teaselglade-host/src/relay/stream_reservation.rs
+++ b/crates/teaselglade-host/src/relay/stream_reservation.rs
@@ -12,10 +12,12 @@
 use teaselglade_routing::crash::ContainedRun;
 use teaselglade_routing::engine::{EngineQuery, EngineReservation, PromptShape};
 use teaselglade_routing::rollout::{AttemptEvidence, AttemptRecord, VersionChoice, VersionScope};
+use teaselglade_routing::speed::TimeSample;
 use teaselglade_routing::table::EngineSpec;
 
 use super::Result;
 use super::call_context::CallContext;
+use super::event_pace::EventPace;
 use super::plain_relay::attempt_evidence;
 use super::server_turn::ServerTurn;
 use super::zone_step::{choose_zone, record_zone};
@@ -61,6 +63,8 @@
     has_first_event: bool,
     /// Time of the last event that was recorded.
     recorded_at: Timestamp,
+    /// Times of the events, which tell the engine's speed.
+    event_pace: EventPace,
     /// Run of the attempt, if it is contained.
     contained_run: Option<ContainedRun>,
     /// What a roll-out counts of the attempt.
@@ -239,6 +243,10 @@
             new_tokens: engine.new_tokens,
             tokens_ahead: engine.tokens_ahead as u32,
             update_age: now.since(decisions.registry_updated_at),
+            speed: decisions
+                .engine_placer
+                .ledger()
+                .evidence(now, engine.server),
         };
         host.log.placed(now, &context.log_fields(), &placement);
         host.update_request(context.open_key, |open| open.start_attempt(engine.server));
@@ -249,6 +257,7 @@
             server_id,
             has_first_event: false,
             recorded_at: Timestamp::ZERO,
+            event_pace: EventPace::default(),
             contained_run: run,
             record,
             sent_at: now,
@@ -293,9 +302,10 @@
     ///
     /// Events after the first one are recorded at most once in [`EVENT_RECORD_INTERVAL`]; they
     /// still speak for the request and the prompt's parts.
-    pub(super) fn record_events(&mut self) {
+    pub(super) fn record_events(&mut self, count: usize) {
         let host = Arc::clone(&self.context.host);
         let now = host.now();
+        self.event_pace.record(now, count);
         host.update_request(self.context.open_key, |open| open.record_event(now));
         let is_first = !std::mem::replace(&mut self.has_first_event, true);
         if !is_first && now.since(self.recorded_at) < EVENT_RECORD_INTERVAL {
@@ -443,6 +453,14 @@
         let now = host.now();
         let service = &self.context.service.name;
         let mut decisions = host.lock_decisions();
+        if let Some(elapsed) = self.event_pace.interval() {
+            let sample = TimeSample {
+                elapsed,
+                weight: 1.0,
+            };
+            let speeds = decisions.engine_placer.ledger_mut();
+            speeds.record_time(now, service, self.engine.server, sample);
+        }
         decisions
             .engine_placer
             .record_end(now, service, self.engine.id);
--- a/crates/teaselglade-host/src/state/mod.rs
+++ b/crates/teaselglade-host/src/state/mod.rs
@@ -7,6 +7,7 @@
 mod peer_demand;
 mod permit_step;
 mod share_update;
+mod speed_sharing;
 mod zone_state;
 
 pub use active_table::ActiveTable;
--- a/crates/teaselglade-host/tests/host/main.rs
+++ b/crates/teaselglade-host/tests/host/main.rs
@@ -10,3 +10,4 @@
 mod request_crashes;
 mod rollouts;
 mod server_limits;
+mod speed_reports;
--- a/crates/teaselglade-routing/src/engine/engine_choice.rs
+++ b/crates/teaselglade-routing/src/engine/engine_choice.rs
@@ -21,7 +21,10 @@
         let index = (rank as usize).min(healthy.len().saturating_sub(1));
         return healthy.get(index).map(|candidate| **candidate);
     }
-    if query.is_load_stale {
+    // Hosts that know the same engines to be fast would all choose the same one of them.
+    let mut engines = healthy.iter();
+    let are_uneven = engines.any(|engine| (engine.speed - 1.0).abs() > f64::EPSILON);
+    if query.is_load_stale || are_uneven {
         let target = query.target.mul_f64(target_share);
         let mut near = near_candidates(&healthy);
         let is_zoned = near.len() < healthy.len();
--- a/crates/teaselglade-routing/src/gossip/aggregate_digest.rs
+++ b/crates/teaselglade-routing/src/gossip/aggregate_digest.rs
@@ -12,6 +12,7 @@
 use crate::registry::{ServerDeparture, ServerRegistration};
 use crate::rollout::RolloutReport;
 use crate::share::ShareReport;
+use crate::speed::SpeedReport;
 use crate::zone::ZoneReport;
 
 /// A highly ranked host, from which aggregators and the leader are chosen.
@@ -95,4 +96,11 @@
     Rollouts(RolloutReport),
     /// Parts of the zones' demand that leave them, sent by an aggregator beside its digest.
     Zones(ZoneReport),
+    /// Lasting speeds of servers, sent beside a digest.
+    Speeds {
+        /// Speeds of engines.
+        engines: SpeedReport,
+        /// Speeds of servers of plain calls.
+        plain: SpeedReport,
+    },
 }
--- a/crates/teaselglade-routing/src/lib.rs
+++ b/crates/teaselglade-routing/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod scaling;
 pub mod share;
 pub mod shutdown;
+pub mod speed;
 pub mod table;
 pub mod usage;
 pub mod zone;
--- a/crates/teaselglade-routing/tests/routing/main.rs
+++ b/crates/teaselglade-routing/tests/routing/main.rs
@@ -19,6 +19,7 @@
 mod shares;
 mod shutdown;
 mod slots;
+mod speeds;
 mod table_spread;
 mod usage;
 mod zone_placement;
