--- a/crates/teaselglade-host/src/explain/placement_explainer.rs
+++ b/crates/teaselglade-host/src/explain/placement_explainer.rs
@@ -64,9 +64,10 @@
         work: prompt.work(),
     };
     // Copies decide, so that neither credit of a trial nor a part of a share is used up.
-    let admitted = match is_stream {
-        true => decisions.shares.clone().admit(now, &share_request),
-        false => Ok(()),
+    let admitted = if is_stream {
+        decisions.shares.clone().admit(now, &share_request)
+    } else {
+        Ok(())
     };
     let mut rollouts = decisions.rollouts.clone();
     let versions = rollouts.choose(now, &service.name, name_hash(&route.name), false);
