fix(routing): news about a server is ordered by its position in the store

Cause: a removal took over the heartbeat of the registration that was known when it was read. A store reader that had been turned away read old removals after its peers had told it of the new registrations; the tombstone then refused the live servers for good, on all hosts.

Change: registrations and removals carry their position (era, then offset), also in gossip. Positions are at the end of the messages and default to unknown; hosts of earlier builds cannot decode digests that name servers (MessagePack arrays with more fields).

--- a/crates/teaselglade-host/src/follow/server_follower.rs
+++ b/crates/teaselglade-host/src/follow/server_follower.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use teaselglade_core::time::Timestamp;
-use teaselglade_routing::registry::{ServerRegistration, ServerRegistry};
+use teaselglade_routing::registry::{ServerRegistration, ServerRegistry, ServerRemoval};
 use tokio::time::sleep;
 use tracing::{debug, info};
 
@@ -124,6 +124,7 @@
 fn apply_listing(host: &HostState, requested_at: Timestamp, page: FeedPage) {
     let now = host.now();
     let mut registrations = Vec::new();
+    let end = page.end;
     for item in page.items {
         match item {
             FeedItem::Server(registration) => registrations.push(registration),
@@ -137,7 +138,7 @@
     let count = registrations.len();
     host.lock_decisions()
         .registry
-        .apply_snapshot(now, requested_at, registrations);
+        .apply_snapshot(now, requested_at, end, registrations);
     info!(event = "servers_listed", count);
 }
 
@@ -145,7 +146,7 @@
     for item in page.items {
         match item {
             FeedItem::Server(registration) => apply_update(host, registration),
-            FeedItem::ServerRemoved(id) => apply_removal(host, &id),
+            FeedItem::ServerRemoved(removal) => apply_removal(host, &removal),
             FeedItem::Unreadable { key, detail } => skip_unreadable(host, &key, &detail),
             FeedItem::Table(_) | FeedItem::Host(_) | FeedItem::Quarantine(_) => {}
         }
@@ -166,11 +167,12 @@
     }
 }
 
-fn apply_removal(host: &HostState, id: &str) {
+fn apply_removal(host: &HostState, removal: &ServerRemoval) {
     let now = host.now();
+    let id = removal.id.as_str();
     let mut decisions = host.lock_decisions();
     let before = phase_name(&decisions.registry, id);
-    let removed = decisions.registry.apply_removal(now, id);
+    let removed = decisions.registry.remove(now, removal);
     let after = phase_name(&decisions.registry, id);
     if let Some(server) = removed.filter(|server| !decisions.registry.takes_work(*server)) {
         decisions.forget_server(server);
--- a/crates/teaselglade-host/src/port/feed_port.rs
+++ b/crates/teaselglade-host/src/port/feed_port.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use teaselglade_core::port::PortFuture;
 use teaselglade_routing::gossip::PeerAddress;
-use teaselglade_routing::registry::ServerRegistration;
+use teaselglade_routing::registry::{ServerRegistration, ServerRemoval, StorePosition};
 use teaselglade_routing::table::TableSpec;
 use tokio::sync::watch;
 
@@ -41,8 +41,8 @@
     Table(PublishedTable),
     /// Registration of a server.
     Server(ServerRegistration),
-    /// Id of a server whose registration was removed.
-    ServerRemoved(String),
+    /// Removal of a server's registration.
+    ServerRemoved(ServerRemoval),
     /// Address of a serving host.
     Host(PeerAddress),
     /// Quarantined prompt parts, as a host published them in the feed of hosts.
@@ -65,6 +65,8 @@
     ///
     /// Offsets rise also when the store returns from an older copy.
     pub next_offset: u64,
+    /// Position up to which the page contains the feed.
+    pub end: StorePosition,
 }
 
 /// Failure of a call to the store.
--- a/crates/teaselglade-host/tests/host/news_spread.rs
+++ b/crates/teaselglade-host/tests/host/news_spread.rs
@@ -7,7 +7,7 @@
 
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg32;
-use teaselglade_routing::registry::{RegistrationState, ServerRegistration};
+use teaselglade_routing::registry::{RegistrationState, ServerRegistration, StorePosition};
 
 use super::fleet_model::{ModelDigest, ModelHost, STEP_MS, ZONES, at, introduce};
 
@@ -84,6 +84,7 @@
             RegistrationState::Ready
         },
         reclaimable: false,
+        position: StorePosition::default(),
     }
 }
 
--- a/crates/teaselglade-host/tests/host/part_crashes.rs
+++ b/crates/teaselglade-host/tests/host/part_crashes.rs
@@ -12,7 +12,9 @@
 use teaselglade_routing::capacity::PlacementTerms;
 use teaselglade_routing::crash::{CrashSubject, SubjectStanding};
 use teaselglade_routing::engine::{EngineQuery, EngineReservation, PromptShape};
-use teaselglade_routing::registry::{RegistrationState, ServerRegistration, UpdateScope};
+use teaselglade_routing::registry::{
+    RegistrationState, ServerRegistration, StorePosition, UpdateScope,
+};
 use teaselglade_routing::table::EngineSpec;
 
 use super::fleet_model::{ModelDigest, ModelHost, STEP_MS, ZONES, at, introduce};
@@ -696,6 +698,7 @@
             RegistrationState::Ready
         },
         reclaimable: true,
+        position: StorePosition::default(),
     }
 }
 
--- a/crates/teaselglade-host/tests/host/request_crashes.rs
+++ b/crates/teaselglade-host/tests/host/request_crashes.rs
@@ -16,7 +16,9 @@
     ContainedRun, RequestContent, RequestHash, RequestSubjects, SubjectStanding,
 };
 use teaselglade_routing::plain::PlainQuery;
-use teaselglade_routing::registry::{RegistrationState, ServerRegistration, UpdateScope};
+use teaselglade_routing::registry::{
+    RegistrationState, ServerRegistration, StorePosition, UpdateScope,
+};
 
 use super::fleet_model::{ModelDigest, ModelHost, STEP_MS, ZONES, at, introduce};
 
@@ -688,6 +690,7 @@
         slots: Some(6),
         state: RegistrationState::Ready,
         reclaimable: true,
+        position: StorePosition::default(),
     }
 }
 
--- a/crates/teaselglade-host/tests/host/server_limits.rs
+++ b/crates/teaselglade-host/tests/host/server_limits.rs
@@ -15,7 +15,7 @@
 use teaselglade_routing::limit::{
     LimitWord, PermitAnswer, PermitMessage, PermitRequest, RequestLimit,
 };
-use teaselglade_routing::registry::{RegistrationState, ServerRegistration};
+use teaselglade_routing::registry::{RegistrationState, ServerRegistration, StorePosition};
 
 use super::fleet_model::{ModelDigest, ModelHost, STEP_MS, ZONES, at, host_of, introduce};
 
@@ -162,6 +162,7 @@
         slots: Some(64),
         state: RegistrationState::Ready,
         reclaimable: false,
+        position: StorePosition::default(),
     }
 }
 
--- a/crates/teaselglade-routing/src/registry/server_registration.rs
+++ b/crates/teaselglade-routing/src/registry/server_registration.rs
@@ -2,6 +2,8 @@
 
 use std::net::SocketAddr;
 
+use super::StorePosition;
+
 teaselglade_core::value_type! {
     /// State of a registration: whether the server accepts new work.
     pub enum RegistrationState {
@@ -35,5 +37,8 @@
         pub state: RegistrationState,
         /// Whether the platform may reclaim the server.
         pub reclaimable: bool,
+        /// Position of the registration in the store.
+        #[serde(rename = "pos", default)]
+        pub position: StorePosition,
     }
 }
--- a/crates/teaselglade-routing/src/registry/server_registry.rs
+++ b/crates/teaselglade-routing/src/registry/server_registry.rs
@@ -4,11 +4,14 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use serde::{Deserialize, Serialize};
 use teaselglade_core::id::ServerKey;
 use teaselglade_core::time::Timestamp;
 
-use super::{RegistrationState, ServerRegistration};
+use super::server_tombstones::{ServerTombstones, TombstoneVerdict};
+use super::{
+    RegisteredServer, RegistrationState, ServerDeparture, ServerPhase, ServerRegistration,
+    ServerRemoval, StorePosition,
+};
 use crate::gossip::name_hash;
 
 /// Time after the store's recovery in which an expired registration may return.
@@ -34,88 +37,6 @@
     Local,
 }
 
-/// Phase of one incarnation of a server: whether it accepts new work.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-pub enum ServerPhase {
-    /// The server accepts new work.
-    Ready,
-    /// The registration vanished while the store was unreachable.
-    ///
-    /// The server accepts new work unless the registration stays missing.
-    Expired {
-        /// Time at which the server is removed.
-        remove_at: Timestamp,
-    },
-    /// The server leaves or is gone; this phase is final.
-    Leaving,
-}
-
-/// A known incarnation of a server.
-#[derive(Debug, Clone)]
-pub struct RegisteredServer {
-    /// Latest registration of the incarnation.
-    pub registration: ServerRegistration,
-    /// Hash of the server's name, which identifies it in messages between hosts.
-    pub hash: u64,
-    /// Whether the server accepts new work.
-    pub phase: ServerPhase,
-    /// Time at which this host observed that the server leaves.
-    leaving_since: Option<Timestamp>,
-    /// Whether the server itself registered that it drains.
-    has_drained: bool,
-    /// Whether the registration is removed as well.
-    pub is_removed: bool,
-    /// Time of the last change apart from the heartbeat.
-    changed_at: Timestamp,
-    /// Whether a peer reported the latest change.
-    is_from_peer: bool,
-    /// Time until which the server wants no requests from this host.
-    resting_until: Timestamp,
-    /// Time until which this host gets no permit to send to the server, which is limited.
-    permit_denied_until: Timestamp,
-    incarnation_hash: u64,
-}
-
-impl RegisteredServer {
-    /// Returns the hash of the server's name and start time, which identifies this incarnation.
-    #[must_use]
-    pub const fn incarnation_hash(&self) -> u64 {
-        self.incarnation_hash
-    }
-
-    /// Returns from when on this host may send to the server.
-    fn available_from(&self) -> Timestamp {
-        self.resting_until.max(self.permit_denied_until)
-    }
-
-    const fn is_in_scope(&self, scope: UpdateScope) -> bool {
-        matches!(scope, UpdateScope::All) || !self.is_from_peer
-    }
-}
-
-/// Tombstone of an incarnation, which rejects older registrations of it.
-#[derive(Debug, Clone, Copy)]
-struct ServerTombstone {
-    started_at_ms: u64,
-    heartbeat: u64,
-    was_draining: bool,
-}
-
-/// Departure of one incarnation of a server, as gossiped between hosts.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct ServerDeparture {
-    /// Name of the server.
-    pub id: String,
-    /// Start time of the incarnation in Unix milliseconds.
-    #[serde(rename = "born")]
-    pub started_at_ms: u64,
-    /// Number of the last heartbeat that was seen.
-    #[serde(rename = "beat")]
-    pub heartbeat: u64,
-    /// Whether the registration is removed as well, without a drain.
-    pub is_removed: bool,
-}
-
 /// Registry of the backend servers that a host knows, by incarnation.
 ///
 /// # Examples
@@ -133,8 +54,8 @@
     by_hash: HashMap<u64, ServerKey>,
     by_incarnation: HashMap<u64, ServerKey>,
     by_service: HashMap<String, Vec<ServerKey>>,
-    /// Tombstone of the latest departed incarnation, by server name.
-    tombstones: HashMap<String, ServerTombstone>,
+    /// Tombstones of departed incarnations.
+    tombstones: ServerTombstones,
     /// Time of the store's latest recovery from an outage.
     store_recovered_at: Option<Timestamp>,
     /// Addresses at which no server can listen, as this host does.
@@ -174,25 +95,25 @@
         if self.own_addresses.contains(&registration.address) {
             return None;
         }
+        let verdict = self.tombstones.judge(now, &registration);
+        if verdict == TombstoneVerdict::Outdated {
+            self.tombstones.record_outdated(now, &registration);
+            self.apply_tombstone(now, &registration.id);
+            return None;
+        }
         let known = self.by_id.get(&registration.id).copied();
+        let started_at_ms = registration.started_at_ms;
+        let known_start = known.map(|key| self.server(key).registration.started_at_ms);
         match known {
-            Some(key)
-                if self.server(key).registration.started_at_ms > registration.started_at_ms =>
-            {
-                None
-            }
-            Some(key)
-                if self.server(key).registration.started_at_ms == registration.started_at_ms =>
-            {
-                if self.server(key).registration.heartbeat <= registration.heartbeat {
-                    self.update(now, key, registration);
-                }
+            Some(_) if known_start > Some(started_at_ms) => None,
+            Some(key) if known_start == Some(started_at_ms) => {
+                self.update(now, key, registration);
                 Some(key)
             }
-            _ if self.has_tombstone(&registration) => None,
+            _ if verdict == TombstoneVerdict::Draining => None,
             _ => {
                 if let Some(old) = known {
-                    self.retire(now, old);
+                    self.retire(now, old, StorePosition::default());
                 }
                 Some(self.add(now, registration))
             }
@@ -210,12 +131,32 @@
         Some(key)
     }
 
+    /// Applies a removal whose position in the store is unknown, like [`ServerRegistry::remove`].
+    pub fn apply_removal(&mut self, now: Timestamp, id: &str) -> Option<ServerKey> {
+        let removal = ServerRemoval {
+            id: id.to_owned(),
+            position: StorePosition::default(),
+        };
+        self.remove(now, &removal)
+    }
+
     /// Applies the removal of a server's registration from the store.
     ///
-    /// Shortly after the store's recovery, a ready server becomes expired instead of leaving,
-    /// because its registration may return.
-    pub fn apply_removal(&mut self, now: Timestamp, id: &str) -> Option<ServerKey> {
-        let key = self.by_id.get(id).copied()?;
+    /// Returns the server's key unless a newer registration is known. Shortly after the store's
+    /// recovery, a ready server becomes expired instead of leaving, because its registration may
+    /// return.
+    pub fn remove(&mut self, now: Timestamp, removal: &ServerRemoval) -> Option<ServerKey> {
+        let removed_at = removal.position;
+        let key = self.by_id.get(&removal.id).copied().filter(|key| {
+            let position = self.server(*key).registration.position;
+            !removed_at.is_known() || position <= removed_at
+        });
+        let Some(key) = key else {
+            if removed_at.is_known() {
+                self.tombstones.record_removal(now, &removal.id, removed_at);
+            }
+            return None;
+        };
         let grace_end = self
             .store_recovered_at
             .map(|recovered_at| recovered_at + EXPIRY_GRACE);
@@ -223,61 +164,61 @@
         let server = &mut self.servers[key.index()];
         match (expiry, server.phase) {
             (Some(remove_at), ServerPhase::Ready) => {
-                server.phase = ServerPhase::Expired { remove_at };
+                server.phase = ServerPhase::Expired {
+                    remove_at,
+                    removed_at,
+                };
             }
-            (Some(_), ServerPhase::Expired { .. }) => {}
-            _ => self.retire(now, key),
+            (
+                Some(_),
+                ServerPhase::Expired {
+                    remove_at,
+                    removed_at: known,
+                },
+            ) => {
+                server.phase = ServerPhase::Expired {
+                    remove_at,
+                    removed_at: removed_at.max(known),
+                };
+            }
+            _ => self.retire(now, key, removed_at),
         }
         Some(key)
     }
 
     /// Applies a departure that a peer sent.
     ///
-    /// A departure is ignored if a newer incarnation is registered, or if the removed incarnation
-    /// has sent a newer heartbeat since.
+    /// A departure is ignored if a newer registration is known, which peers are then told again.
     pub fn apply_departure(&mut self, now: Timestamp, departure: &ServerDeparture) {
-        let known = self.by_id.get(&departure.id).copied();
-        let registration = known.map(|key| &self.server(key).registration);
-        let is_newer = registration.is_some_and(|registration| {
-            let came_back = departure.is_removed && registration.heartbeat > departure.heartbeat;
-            registration.started_at_ms > departure.started_at_ms
-                || (registration.started_at_ms == departure.started_at_ms && came_back)
-        });
-        if is_newer {
+        self.tombstones.record_departure(now, departure);
+        let Some(key) = self.by_id.get(&departure.id).copied() else {
             return;
-        }
-        if let Some(key) = known
-            .filter(|key| self.server(*key).registration.started_at_ms == departure.started_at_ms)
+        };
+        let verdict = self.apply_tombstone(now, &departure.id);
+        if verdict == TombstoneVerdict::Newer
+            && departure.removed_at.is_known()
+            && now.since(self.server(key).changed_at) >= UPDATE_GOSSIP_TTL
         {
-            if departure.is_removed {
-                self.retire(now, key);
-            } else {
-                self.mark_leaving(now, key);
-                self.servers[key.index()].has_drained = true;
-            }
-            self.mark_from_peer(now, key);
+            self.servers[key.index()].changed_at = now;
         }
-        self.record_tombstone(departure);
+        self.mark_from_peer(now, key);
     }
 
-    /// Records a tombstone, so that older registrations do not bring the incarnation back.
-    fn record_tombstone(&mut self, departure: &ServerDeparture) {
-        let tombstone = ServerTombstone {
-            started_at_ms: departure.started_at_ms,
-            heartbeat: departure.heartbeat,
-            was_draining: !departure.is_removed,
-        };
-        let known = self.tombstones.get(&departure.id).copied();
-        let merged = match known {
-            Some(known) if known.started_at_ms > tombstone.started_at_ms => known,
-            Some(known) if known.started_at_ms == tombstone.started_at_ms => ServerTombstone {
-                started_at_ms: tombstone.started_at_ms,
-                heartbeat: known.heartbeat.max(tombstone.heartbeat),
-                was_draining: known.was_draining || tombstone.was_draining,
-            },
-            _ => tombstone,
+    /// Applies what is known of a server's departures to its current incarnation.
+    fn apply_tombstone(&mut self, now: Timestamp, id: &str) -> TombstoneVerdict {
+        let Some(key) = self.by_id.get(id).copied() else {
+            return TombstoneVerdict::Newer;
         };
-        self.tombstones.insert(departure.id.clone(), merged);
+        let verdict = self.tombstones.judge(now, &self.server(key).registration);
+        match verdict {
+            TombstoneVerdict::Newer => {}
+            TombstoneVerdict::Draining => {
+                self.mark_leaving(now, key);
+                self.servers[key.index()].has_drained = true;
+            }
+            TombstoneVerdict::Outdated => self.retire(now, key, StorePosition::default()),
+        }
+        verdict
     }
 
     /// Marks a server as leaving because another server responds at its address.
@@ -329,12 +270,13 @@
 
     /// Applies a snapshot of all registrations; those missing from it count as removed.
     ///
-    /// The snapshot was requested at `requested_at`. It may lack servers that registered after that,
-    /// of which peers have told this host in the meantime.
+    /// The snapshot was requested at `requested_at` and contains all records up to `end`. It may lack
+    /// servers that registered after that, of which peers have told this host in the meantime.
     pub fn apply_snapshot(
         &mut self,
         now: Timestamp,
         requested_at: Timestamp,
+        end: StorePosition,
         registrations: Vec<ServerRegistration>,
     ) {
         let listed: Vec<ServerKey> = registrations
@@ -345,28 +287,40 @@
             .by_id
             .iter()
             .filter(|(_, key)| !listed.contains(key))
-            .filter(|(_, key)| self.server(**key).changed_at < requested_at)
+            .filter(|(_, key)| {
+                let server = self.server(**key);
+                let position = server.registration.position;
+                if position.is_known() && end.is_known() {
+                    position <= end
+                } else {
+                    server.changed_at < requested_at
+                }
+            })
             .map(|(id, _)| id.clone())
             .collect();
         for id in missing {
-            self.apply_removal(now, &id);
+            let position = end;
+            self.remove(now, &ServerRemoval { id, position });
         }
     }
 
     /// Removes the expired servers whose registrations did not return in time.
     pub fn remove_expired(&mut self, now: Timestamp) {
-        let expired: Vec<ServerKey> = self
+        let expired: Vec<(ServerKey, StorePosition)> = self
             .by_id
             .values()
-            .copied()
-            .filter(|key| match self.server(*key).phase {
-                ServerPhase::Expired { remove_at } => remove_at <= now,
-                ServerPhase::Ready | ServerPhase::Leaving => false,
+            .filter_map(|key| match self.server(*key).phase {
+                ServerPhase::Expired {
+                    remove_at,
+                    removed_at,
+                } => (remove_at <= now).then_some((*key, removed_at)),
+                ServerPhase::Ready | ServerPhase::Leaving => None,
             })
             .collect();
-        for key in expired {
-            self.retire(now, key);
+        for (key, removed_at) in expired {
+            self.retire(now, key, removed_at);
         }
+        self.tombstones.prune(now);
     }
 
     /// Returns a server by its key.
@@ -470,28 +424,19 @@
             is_due && server.is_in_scope(scope)
         };
         let recent = self.servers.iter().filter(is_gossiped);
-        let departures = recent.map(|server| ServerDeparture {
-            id: server.registration.id.clone(),
-            started_at_ms: server.registration.started_at_ms,
-            heartbeat: server.registration.heartbeat,
-            is_removed: server.is_removed && !server.has_drained,
-        });
-        departures.collect()
+        let departed = recent.filter(|server| !self.is_back(server));
+        departed
+            .map(|server| {
+                let departure = server.departure(StorePosition::default());
+                self.tombstones.complete(departure)
+            })
+            .collect()
     }
 
-    /// Returns whether a tombstone rejects a registration.
-    ///
-    /// Delayed heartbeats may reach the store after the removal. Only a newer heartbeat of a server
-    /// that was not draining shows that the server still runs.
-    fn has_tombstone(&self, registration: &ServerRegistration) -> bool {
-        self.tombstones
-            .get(&registration.id)
-            .is_some_and(|tombstone| {
-                let is_delayed =
-                    tombstone.was_draining || registration.heartbeat <= tombstone.heartbeat;
-                registration.started_at_ms < tombstone.started_at_ms
-                    || (registration.started_at_ms == tombstone.started_at_ms && is_delayed)
-            })
+    /// Returns whether a removed incarnation is registered again.
+    fn is_back(&self, server: &RegisteredServer) -> bool {
+        let current = self.by_incarnation.get(&server.incarnation_hash);
+        server.is_removed && current.is_some_and(|key| self.takes_work(*key))
     }
 
     fn add(&mut self, now: Timestamp, registration: ServerRegistration) -> ServerKey {
@@ -527,10 +472,23 @@
         key
     }
 
+    /// Applies another registration of a known incarnation.
+    ///
+    /// The later heartbeat counts, of two records with the same one the later record. That the server
+    /// drains counts in any order.
     fn update(&mut self, now: Timestamp, key: ServerKey, registration: ServerRegistration) {
         let is_draining = registration.state == RegistrationState::Draining;
         let server = &mut self.servers[key.index()];
         server.has_drained |= is_draining;
+        let known = &server.registration;
+        let is_newer =
+            (known.heartbeat, known.position) <= (registration.heartbeat, registration.position);
+        if !is_newer {
+            if is_draining {
+                self.mark_leaving(now, key);
+            }
+            return;
+        }
         let is_changed = server.registration.state != registration.state
             || server.registration.address != registration.address
             || server.registration.service != registration.service;
@@ -538,7 +496,9 @@
             server.changed_at = now;
             server.is_from_peer = false;
         }
-        if matches!(server.phase, ServerPhase::Expired { .. }) {
+        if let ServerPhase::Expired { removed_at, .. } = server.phase
+            && (!registration.position.is_known() || registration.position > removed_at)
+        {
             server.phase = ServerPhase::Ready;
         }
         let moved = server.registration.service != registration.service;
@@ -570,29 +530,17 @@
         server.is_from_peer |= server.changed_at == now || server.leaving_since == Some(now);
     }
 
-    /// Removes an incarnation for good; its entry in `servers` stays for requests in progress.
-    fn retire(&mut self, now: Timestamp, key: ServerKey) {
+    /// Removes an incarnation; its entry in `servers` stays for requests in progress.
+    fn retire(&mut self, now: Timestamp, key: ServerKey, removed_at: StorePosition) {
         self.mark_leaving(now, key);
         let server = &mut self.servers[key.index()];
         server.is_removed = true;
-        let (id, service) = (
-            server.registration.id.clone(),
-            server.registration.service.clone(),
-        );
-        let departure = ServerDeparture {
-            id: id.clone(),
-            started_at_ms: server.registration.started_at_ms,
-            heartbeat: server.registration.heartbeat,
-            is_removed: !server.has_drained,
-        };
-        self.record_tombstone(&departure);
-        if self.by_id.get(&id) == Some(&key) {
-            self.by_id.remove(&id);
-            let RegisteredServer {
-                hash,
-                incarnation_hash,
-                ..
-            } = *self.server(key);
+        let departure = server.departure(removed_at);
+        self.tombstones.record_departure(now, &departure);
+        let service = server.registration.service.clone();
+        let (hash, incarnation_hash) = (server.hash, server.incarnation_hash);
+        if self.by_id.get(&departure.id) == Some(&key) {
+            self.by_id.remove(&departure.id);
             self.by_hash.remove(&hash);
             self.by_incarnation.remove(&incarnation_hash);
         }
--- a/crates/teaselglade-routing/tests/routing/fixture.rs
+++ b/crates/teaselglade-routing/tests/routing/fixture.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use teaselglade_core::time::Timestamp;
-use teaselglade_routing::registry::{RegistrationState, ServerRegistration};
+use teaselglade_routing::registry::{RegistrationState, ServerRegistration, StorePosition};
 use teaselglade_routing::table::{
     OrganisationSpec, QuotaSpec, QuotaUnit, ResponseKind, RetryPolicy, RouteSpec, ScalingSpec,
     ServiceShare,
@@ -25,6 +25,7 @@
         slots: Some(64),
         state: RegistrationState::Ready,
         reclaimable: false,
+        position: StorePosition::default(),
     }
 }
 
--- a/crates/teaselglade-routing/tests/routing/main.rs
+++ b/crates/teaselglade-routing/tests/routing/main.rs
@@ -15,6 +15,7 @@
 mod registry;
 mod request_crashes;
 mod routes;
+mod server_news;
 mod shutdown;
 mod slots;
 mod table_spread;
--- a/crates/teaselglade-routing/tests/routing/registry.rs
+++ b/crates/teaselglade-routing/tests/routing/registry.rs
@@ -2,7 +2,7 @@
 
 use proptest::prelude::*;
 use teaselglade_routing::registry::{
-    RegistrationState, ServerDeparture, ServerPhase, ServerRegistry, UpdateScope,
+    RegistrationState, ServerDeparture, ServerPhase, ServerRegistry, StorePosition, UpdateScope,
 };
 
 use super::fixture::{at, draining, registration};
@@ -14,7 +14,12 @@
     registry.apply_registration(at(0), registration("i-2", 1, 1));
     let requested_at = at(1_000);
     registry.merge_registration(at(1_040), registration("i-3", 1, 1));
-    registry.apply_snapshot(at(1_050), requested_at, vec![registration("i-1", 1, 2)]);
+    registry.apply_snapshot(
+        at(1_050),
+        requested_at,
+        StorePosition::default(),
+        vec![registration("i-1", 1, 2)],
+    );
     let mut known: Vec<&str> = registry
         .of_service("draft-fleet")
         .map(|(_, server)| server.registration.id.as_str())
@@ -101,6 +106,8 @@
         started_at_ms: 5,
         heartbeat,
         is_removed,
+        registered_at: StorePosition::default(),
+        removed_at: StorePosition::default(),
     }
 }
 
