fix(routing): a server's rest outlives its registration

Cause: a registration that lapsed and came back made a new entry without the rest that its incarnation had asked for.

Change: rests are kept by incarnation until they end. The new test failed before.

--- a/crates/teaselglade-routing/src/registry/server_registry.rs
+++ b/crates/teaselglade-routing/src/registry/server_registry.rs
@@ -56,6 +56,8 @@
     by_service: HashMap<String, Vec<ServerKey>>,
     /// Tombstones of departed incarnations.
     tombstones: ServerTombstones,
+    /// Times until which incarnations want no requests from this host.
+    rests: HashMap<u64, Timestamp>,
     /// Time of the store's latest recovery from an outage.
     store_recovered_at: Option<Timestamp>,
     /// Addresses at which no server can listen, as this host does.
@@ -238,9 +240,16 @@
     }
 
     /// Records until when a server wants no requests from this host.
+    ///
+    /// It holds for the incarnation, also while its registration is removed and after its return.
     pub fn record_rest(&mut self, key: ServerKey, until: Timestamp) {
-        let server = &mut self.servers[key.index()];
-        server.resting_until = server.resting_until.max(until);
+        let incarnation = self.server(key).incarnation_hash;
+        let rest = self.rests.entry(incarnation).or_default();
+        *rest = until.max(*rest);
+        let current = self.by_incarnation.get(&incarnation).copied();
+        for server in [Some(key), current].into_iter().flatten() {
+            self.servers[server.index()].resting_until = *rest;
+        }
     }
 
     /// Records until when this host gets no permit to send to a server.
@@ -305,6 +314,8 @@
     }
 
     /// Removes the expired servers whose registrations did not return in time.
+    ///
+    /// Tombstones and rests whose time is over are dropped as well.
     pub fn remove_expired(&mut self, now: Timestamp) {
         let expired: Vec<(ServerKey, StorePosition)> = self
             .by_id
@@ -321,6 +332,7 @@
             self.retire(now, key, removed_at);
         }
         self.tombstones.prune(now);
+        self.rests.retain(|_, until| *until > now);
     }
 
     /// Returns a server by its key.
@@ -448,6 +460,8 @@
         let started_at_ms = registration.started_at_ms;
         let incarnation_hash = name_hash(&format!("{}/{started_at_ms}", registration.id));
         self.by_incarnation.insert(incarnation_hash, key);
+        let rest = self.rests.get(&incarnation_hash).copied();
+        let resting_until = rest.unwrap_or(Timestamp::ZERO);
         let of_service = self
             .by_service
             .entry(registration.service.clone())
@@ -460,7 +474,7 @@
             is_removed: false,
             changed_at: now,
             is_from_peer: false,
-            resting_until: Timestamp::ZERO,
+            resting_until,
             permit_denied_until: Timestamp::ZERO,
             incarnation_hash,
             hash,
--- a/crates/teaselglade-routing/tests/routing/registry.rs
+++ b/crates/teaselglade-routing/tests/routing/registry.rs
@@ -319,3 +319,26 @@
     // Capacity that rests is still there.
     assert_eq!(registry.of_service("draft-fleet").count(), 2);
 }
+
+/// A registration lapses and comes back within the time for which its server wants no requests.
+#[test]
+fn a_rest_outlives_the_registration_of_its_incarnation() {
+    let mut registry = ServerRegistry::default();
+    let key = registry
+        .apply_registration(at(0), registration("i-1", 10, 1))
+        .expect("a server");
+    registry.record_rest(key, at(20_000));
+    registry.apply_removal(at(3_600), "i-1");
+    registry.remove_expired(at(4_000));
+    let back = registry.apply_registration(at(5_000), registration("i-1", 10, 2));
+    assert!(back.is_some());
+    assert_eq!(registry.available(at(5_100), "draft-fleet").count(), 0);
+    assert_eq!(
+        registry.next_return(at(5_100), "draft-fleet"),
+        Some(at(20_000))
+    );
+    assert_eq!(registry.available(at(20_000), "draft-fleet").count(), 1);
+    // What an earlier incarnation asked for does not bind a later one.
+    registry.apply_registration(at(6_000), registration("i-1", 11, 1));
+    assert_eq!(registry.available(at(6_000), "draft-fleet").count(), 1);
+}
