--- a/crates/teaselglade-host/src/state/host_state.rs
+++ b/crates/teaselglade-host/src/state/host_state.rs
@@ -287,6 +287,10 @@
             let rest_ms = rest.as_millis() as u64;
             info!(event = "server_rests", id, rest_ms);
         }
+        if let Some(rest) = advice.excessive_rest() {
+            let asked_s = rest.as_secs();
+            warn!(event = "server_rest_shortened", id, asked_s);
+        }
         if advice.is_unreadable {
             count("unreadable");
         }
--- a/crates/teaselglade-routing/src/registry/server_advice.rs
+++ b/crates/teaselglade-routing/src/registry/server_advice.rs
@@ -5,7 +5,10 @@
 use crate::limit::LimitWord;
 
 /// Longest rest that a server may ask for; a longer one is cut to this.
-const MAX_REST: Duration = Duration::from_secs(30);
+///
+/// Maintenance and loading of weights take minutes. A number beyond an hour is taken for an error,
+/// which must not cost the server for as long as this host runs.
+const MAX_REST: Duration = Duration::from_hours(1);
 
 /// What a server says of itself in a response.
 ///
@@ -15,8 +18,8 @@
 /// use std::time::Duration;
 /// use teaselglade_routing::registry::ServerAdvice;
 ///
-/// let advice = ServerAdvice::default().rest(Duration::from_secs(90));
-/// assert_eq!(advice.rest_time(), Some(Duration::from_secs(30)));
+/// let advice = ServerAdvice::default().rest(Duration::from_hours(2));
+/// assert_eq!(advice.rest_time(), Some(Duration::from_hours(1)));
 /// ```
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct ServerAdvice {
@@ -39,8 +42,8 @@
 
     /// Sets for how long the server wants no requests from this host.
     #[must_use]
-    pub fn rest(mut self, rest: Duration) -> Self {
-        self.rest = Some(rest.min(MAX_REST));
+    pub const fn rest(mut self, rest: Duration) -> Self {
+        self.rest = Some(rest);
         self
     }
 
@@ -58,9 +61,25 @@
         self
     }
 
-    /// Returns for how long the server wants no requests from this host, at most 30 s.
+    /// Returns for how long the server wants no requests from this host, at most an hour.
+    #[must_use]
+    pub fn rest_time(&self) -> Option<Duration> {
+        self.rest.map(|rest| rest.min(MAX_REST))
+    }
+
+    /// Returns the rest that the server asked for, if it is longer than an hour.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use teaselglade_routing::registry::ServerAdvice;
+    ///
+    /// let rest = Duration::from_hours(2);
+    /// assert_eq!(ServerAdvice::default().rest(rest).excessive_rest(), Some(rest));
+    /// ```
     #[must_use]
-    pub const fn rest_time(&self) -> Option<Duration> {
-        self.rest
+    pub fn excessive_rest(&self) -> Option<Duration> {
+        self.rest.filter(|rest| *rest > MAX_REST)
     }
 }
