fix(host): a response behind an extra one is read for its server's word

Cause: the attempt fails with the extra response, and the HTTP library drops the connection with what follows, a 503 with Retry-After for instance.

Change: up to 16 KiB of a response are recorded until its head is accepted. If it names another attempt, the connection is read on, for a second and 64 KiB at most, until a response names this one; only its advice is used.

--- a/crates/teaselglade-host/src/relay/server_call.rs
+++ b/crates/teaselglade-host/src/relay/server_call.rs
@@ -1,5 +1,6 @@
 //! Sends a request to one server and validates the head of its response.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -229,14 +230,15 @@
         .read_response(parts.status, &parts.headers);
     let broken = |detail: String| Err(FailedCall::new(AttemptOutcome::Broken, detail));
     // Any other response may be an earlier one that the server wrote once more, also a refusal.
-    match head.attempt.as_deref() {
-        Some(attempt) if attempt == context.id => {}
-        Some(attempt) => return broken(format!("answer to {attempt}")),
-        None => {
-            let status = parts.status.as_u16();
-            return broken(format!("{status} without an attempt id"));
-        }
+    if head.attempt.as_deref() != Some(context.id.as_str()) {
+        drop(body);
+        read_late_advice(context, server, sent_at, connection);
+        return broken(match head.attempt {
+            Some(attempt) => format!("answer to {attempt}"),
+            None => format!("{} without an attempt id", parts.status.as_u16()),
+        });
     }
+    connection.accept_response();
     if parts.status == StatusCode::MISDIRECTED_REQUEST {
         let detail = "another server has the address";
         return Err(FailedCall::new(AttemptOutcome::Misdirected, detail));
@@ -263,6 +265,32 @@
     })
 }
 
+/// Reads what follows a response to another attempt for what the server says of itself.
+///
+/// The response to this attempt may be behind it. Nothing else of it is used: the attempt has failed.
+fn read_late_advice(
+    context: &CallContext,
+    server: ServerKey,
+    sent_at: Timestamp,
+    connection: LeasedConnection,
+) {
+    let Some(late) = connection.await_late_response() else {
+        return;
+    };
+    let (host, attempt) = (Arc::clone(&context.host), context.id.clone());
+    tokio::spawn(async move {
+        let messages = &host.ports.messages;
+        let is_match = |status, headers: &HeaderMap| {
+            let head = messages.read_response(status, headers);
+            status != StatusCode::MISDIRECTED_REQUEST && head.attempt.as_ref() == Some(&attempt)
+        };
+        if let Some((status, headers)) = late.read(is_match).await {
+            let advice = messages.read_response(status, &headers).advice;
+            host.apply_advice(server, sent_at, advice);
+        }
+    });
+}
+
 /// Reads the short body of a rejection to its end and returns the connection to the pool.
 ///
 /// A body beyond the limits closes the connection.
--- a/crates/teaselglade-host/src/upstream/connection_pool.rs
+++ b/crates/teaselglade-host/src/upstream/connection_pool.rs
@@ -17,7 +17,8 @@
 use tokio::net::TcpStream;
 use tokio::time::{Instant, timeout};
 
-use super::{Result, SendError};
+use super::recorded_stream::{RecordHandle, RecordedStream};
+use super::{LateResponse, Result, SendError};
 
 /// Longest time to open a connection; servers are milliseconds away.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
@@ -32,7 +33,12 @@
 /// Load differs between hosts, but more than twice the equal share is rarely needed.
 const HOST_SHARE_FACTOR: u32 = 2;
 
-type Sender = SendRequest<Full<Bytes>>;
+/// Open connection to a server, with the record of what is read from it.
+#[derive(Debug)]
+struct Sender {
+    requests: SendRequest<Full<Bytes>>,
+    record: RecordHandle,
+}
 
 /// Connection that waits for its next request.
 #[derive(Debug)]
@@ -63,12 +69,18 @@
 #[derive(Debug)]
 pub struct LeasedConnection {
     sender: Option<Sender>,
-    server: ServerKey,
-    servers: ServerMap,
+    lease: ConnectionLease,
     /// Whether the connection was used before.
     pub is_reused: bool,
 }
 
+/// Counts one connection to a server as leased until it is dropped.
+#[derive(Debug)]
+pub(super) struct ConnectionLease {
+    server: ServerKey,
+    servers: ServerMap,
+}
+
 impl ConnectionPool {
     /// Leases an idle connection to a server, or opens one.
     ///
@@ -88,8 +100,10 @@
         let mut lease = LeasedConnection {
             is_reused: idle.is_some(),
             sender: idle,
-            server,
-            servers: Arc::clone(&self.servers),
+            lease: ConnectionLease {
+                server,
+                servers: Arc::clone(&self.servers),
+            },
         };
         if lease.sender.is_none() {
             lease.sender = Some(connect(address).await?);
@@ -177,10 +191,12 @@
                 "the connection is closed",
             ));
         };
-        if let Err(error) = sender.ready().await {
+        if let Err(error) = sender.requests.ready().await {
             return Err(SendError::new(SendProgress::NotSent, error.to_string()));
         }
+        sender.record.start();
         sender
+            .requests
             .try_send_request(request)
             .await
             .map_err(|mut failed| {
@@ -192,6 +208,23 @@
             })
     }
 
+    /// Drops the record of the response, which matches its request.
+    pub fn accept_response(&self) {
+        if let Some(sender) = &self.sender {
+            sender.record.stop();
+        }
+    }
+
+    /// Gives the connection up after a response that does not match its request.
+    ///
+    /// Returns `None` if the response was too long to find what follows it.
+    #[must_use]
+    pub fn await_late_response(self) -> Option<LateResponse> {
+        let Self { sender, lease, .. } = self;
+        let released = sender?.record.release()?;
+        Some(LateResponse::new(released, lease))
+    }
+
     /// Returns the connection to the pool after a whole response with these headers.
     ///
     /// It is closed instead if the response or the connection's state forbids reuse.
@@ -207,19 +240,20 @@
                     .to_str()
                     .is_ok_and(|text| text.to_ascii_lowercase().contains("close"))
             });
-        if is_closing || sender.is_closed() {
+        if is_closing || sender.requests.is_closed() {
             return;
         }
         let idle = IdleConnection {
             sender,
             usable_until: Instant::now() + reuse_window(headers),
         };
-        let mut servers = self.servers.lock().unwrap_or_else(PoisonError::into_inner);
-        servers.entry(self.server).or_default().idle.push(idle);
+        let lease = &self.lease;
+        let mut servers = lease.servers.lock().unwrap_or_else(PoisonError::into_inner);
+        servers.entry(lease.server).or_default().idle.push(idle);
     }
 }
 
-impl Drop for LeasedConnection {
+impl Drop for ConnectionLease {
     fn drop(&mut self) {
         let mut servers = self.servers.lock().unwrap_or_else(PoisonError::into_inner);
         if let Some(connections) = servers.get_mut(&self.server) {
@@ -244,18 +278,20 @@
     // Resets the connection when it is dropped. Otherwise a request that was sent over a cut link
     // may still reach its server when the link recovers.
     let _linger_result = stream.set_zero_linger();
-    let handshake_result = handshake(TokioIo::new(stream)).await;
-    let (sender, connection) = handshake_result.map_err(|error| not_sent(error.to_string()))?;
+    let record = RecordHandle::default();
+    let recorded = RecordedStream::new(stream, record.clone());
+    let handshake_result = handshake(TokioIo::new(recorded)).await;
+    let (requests, connection) = handshake_result.map_err(|error| not_sent(error.to_string()))?;
     tokio::spawn(async move {
         // A request on the connection gets its own error when the connection ends.
         let _connection_result = connection.await;
     });
-    Ok(sender)
+    Ok(Sender { requests, record })
 }
 
 /// Returns whether an idle connection is open and its reuse window has not passed.
 fn is_usable(idle: &IdleConnection, now: Instant) -> bool {
-    now < idle.usable_until && idle.sender.is_ready()
+    now < idle.usable_until && idle.sender.requests.is_ready()
 }
 
 /// Returns how long a connection may be reused after a response with these headers.
