--- a/crates/teaselglade-host/tests/host/main.rs
+++ b/crates/teaselglade-host/tests/host/main.rs
@@ -2,6 +2,7 @@
 
 mod fleet_model;
 mod journal;
+mod late_responses;
 mod lease_timings;
 mod news_spread;
 mod open_requests;
