fix(host): a host that may have missed departures takes no claim from digests

Cause: a host that heard nothing for longer than every digest names a departure took the age of the next digest for its own.

--- a/crates/teaselglade-host/src/state/decision_state.rs
+++ b/crates/teaselglade-host/src/state/decision_state.rs
@@ -391,10 +391,12 @@
 
     /// Advances the time of the newest registration data to that of a peer's data.
     ///
-    /// Has no effect before the first full read, because digests contain only recent updates.
+    /// Has no effect before the first full read, because digests contain only recent updates, nor once
+    /// the own data is older than the departures that each digest names.
     fn advance_update_time(&mut self, now: Timestamp, age: Duration) {
         let updated_at = now.before(age);
-        if self.registry_updated_at > Timestamp::ZERO {
+        let repeated = ServerRegistry::departure_repeat(self.membership.is_large());
+        if self.registry_updated_at > Timestamp::ZERO && self.update_age(now) < repeated {
             self.registry_updated_at = self.registry_updated_at.max(updated_at);
         }
     }
--- a/crates/teaselglade-routing/src/registry/server_registry.rs
+++ b/crates/teaselglade-routing/src/registry/server_registry.rs
@@ -406,6 +406,27 @@
         changed.map(|server| server.registration.clone()).collect()
     }
 
+    /// Returns the time for which every digest names a departure.
+    ///
+    /// A host that hears no digest for longer may miss it. `has_numbers` tells whether digests are
+    /// numbered, see [`ServerRegistry::departures`].
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use teaselglade_routing::registry::ServerRegistry;
+    ///
+    /// assert!(ServerRegistry::departure_repeat(true) < ServerRegistry::departure_repeat(false));
+    /// ```
+    #[must_use]
+    pub const fn departure_repeat(has_numbers: bool) -> Duration {
+        if has_numbers {
+            UPDATE_GOSSIP_TTL
+        } else {
+            DEPARTURE_GOSSIP_TTL
+        }
+    }
+
     /// Returns the departures that peers may not have received yet.
     ///
     /// `digest_number` counts the digests of a host; every fifth one names a given older departure.
