fix(routing): an unreadable entry in a listing keeps its server

Cause: with positions, a listing removes what it lacks up to its end; an entry that another writer replaced was lacking, and hosts_go_on_following_servers_beside_odd_entries waited without end.

Change: a listing names its unreadable entries, and what is known of them holds. Peers are told again only of servers that take work.

--- a/crates/teaselglade-host/src/follow/server_follower.rs
+++ b/crates/teaselglade-host/src/follow/server_follower.rs
@@ -4,7 +4,9 @@
 use std::time::Duration;
 
 use teaselglade_core::time::Timestamp;
-use teaselglade_routing::registry::{ServerRegistration, ServerRegistry, ServerRemoval};
+use teaselglade_routing::registry::{
+    ServerListing, ServerRegistration, ServerRegistry, ServerRemoval,
+};
 use tokio::time::sleep;
 use tracing::{debug, info};
 
@@ -123,22 +125,27 @@
 
 fn apply_listing(host: &HostState, requested_at: Timestamp, page: FeedPage) {
     let now = host.now();
-    let mut registrations = Vec::new();
-    let end = page.end;
+    let mut listing = ServerListing {
+        requested_at,
+        end: page.end,
+        registrations: Vec::new(),
+        unreadable: Vec::new(),
+    };
     for item in page.items {
         match item {
-            FeedItem::Server(registration) => registrations.push(registration),
-            FeedItem::Unreadable { key, detail } => skip_unreadable(host, &key, &detail),
+            FeedItem::Server(registration) => listing.registrations.push(registration),
+            FeedItem::Unreadable { key, detail } => {
+                skip_unreadable(host, &key, &detail);
+                listing.unreadable.push(key);
+            }
             FeedItem::ServerRemoved(_)
             | FeedItem::Table(_)
             | FeedItem::Host(_)
             | FeedItem::Quarantine(_) => {}
         }
     }
-    let count = registrations.len();
-    host.lock_decisions()
-        .registry
-        .apply_snapshot(now, requested_at, end, registrations);
+    let count = listing.registrations.len();
+    host.lock_decisions().registry.apply_listing(now, listing);
     info!(event = "servers_listed", count);
 }
 
--- a/crates/teaselglade-routing/src/registry/registered_server.rs
+++ b/crates/teaselglade-routing/src/registry/registered_server.rs
@@ -16,7 +16,7 @@
         /// Time at which the server is removed.
         remove_at: Timestamp,
         /// Position of the removal in the store.
-        removed_at: StorePosition,
+        position: StorePosition,
     },
     /// The server leaves or is gone; this phase is final.
     Leaving,
--- a/crates/teaselglade-routing/src/registry/server_registry.rs
+++ b/crates/teaselglade-routing/src/registry/server_registry.rs
@@ -9,8 +9,8 @@
 
 use super::server_tombstones::{ServerTombstones, TombstoneVerdict};
 use super::{
-    RegisteredServer, RegistrationState, ServerDeparture, ServerPhase, ServerRegistration,
-    ServerRemoval, StorePosition,
+    RegisteredServer, RegistrationState, ServerDeparture, ServerListing, ServerPhase,
+    ServerRegistration, ServerRemoval, StorePosition,
 };
 use crate::gossip::name_hash;
 
@@ -148,14 +148,14 @@
     /// recovery, a ready server becomes expired instead of leaving, because its registration may
     /// return.
     pub fn remove(&mut self, now: Timestamp, removal: &ServerRemoval) -> Option<ServerKey> {
-        let removed_at = removal.position;
+        let position = removal.position;
         let key = self.by_id.get(&removal.id).copied().filter(|key| {
-            let position = self.server(*key).registration.position;
-            !removed_at.is_known() || position <= removed_at
+            let known = self.server(*key).registration.position;
+            !position.is_known() || known <= position
         });
         let Some(key) = key else {
-            if removed_at.is_known() {
-                self.tombstones.record_removal(now, &removal.id, removed_at);
+            if position.is_known() {
+                self.tombstones.record_removal(now, &removal.id, position);
             }
             return None;
         };
@@ -168,22 +168,22 @@
             (Some(remove_at), ServerPhase::Ready) => {
                 server.phase = ServerPhase::Expired {
                     remove_at,
-                    removed_at,
+                    position,
                 };
             }
             (
                 Some(_),
                 ServerPhase::Expired {
                     remove_at,
-                    removed_at: known,
+                    position: known,
                 },
             ) => {
                 server.phase = ServerPhase::Expired {
                     remove_at,
-                    removed_at: removed_at.max(known),
+                    position: position.max(known),
                 };
             }
-            _ => self.retire(now, key, removed_at),
+            _ => self.retire(now, key, position),
         }
         Some(key)
     }
@@ -199,6 +199,7 @@
         let verdict = self.apply_tombstone(now, &departure.id);
         if verdict == TombstoneVerdict::Newer
             && departure.removed_at.is_known()
+            && self.takes_work(key)
             && now.since(self.server(key).changed_at) >= UPDATE_GOSSIP_TTL
         {
             self.servers[key.index()].changed_at = now;
@@ -277,17 +278,17 @@
         self.store_recovered_at = Some(now);
     }
 
-    /// Applies a snapshot of all registrations; those missing from it count as removed.
+    /// Applies a listing of all registrations; those missing from it count as removed.
     ///
-    /// The snapshot was requested at `requested_at` and contains all records up to `end`. It may lack
-    /// servers that registered after that, of which peers have told this host in the meantime.
-    pub fn apply_snapshot(
-        &mut self,
-        now: Timestamp,
-        requested_at: Timestamp,
-        end: StorePosition,
-        registrations: Vec<ServerRegistration>,
-    ) {
+    /// It may lack servers that registered after it was requested, of which peers have told this host
+    /// in the meantime.
+    pub fn apply_listing(&mut self, now: Timestamp, listing: ServerListing) {
+        let ServerListing {
+            requested_at,
+            end,
+            registrations,
+            unreadable,
+        } = listing;
         let listed: Vec<ServerKey> = registrations
             .into_iter()
             .filter_map(|registration| self.apply_registration(now, registration))
@@ -295,7 +296,7 @@
         let missing: Vec<String> = self
             .by_id
             .iter()
-            .filter(|(_, key)| !listed.contains(key))
+            .filter(|(id, key)| !listed.contains(key) && !unreadable.contains(id))
             .filter(|(_, key)| {
                 let server = self.server(**key);
                 let position = server.registration.position;
@@ -323,13 +324,13 @@
             .filter_map(|key| match self.server(*key).phase {
                 ServerPhase::Expired {
                     remove_at,
-                    removed_at,
-                } => (remove_at <= now).then_some((*key, removed_at)),
+                    position,
+                } => (remove_at <= now).then_some((*key, position)),
                 ServerPhase::Ready | ServerPhase::Leaving => None,
             })
             .collect();
-        for (key, removed_at) in expired {
-            self.retire(now, key, removed_at);
+        for (key, position) in expired {
+            self.retire(now, key, position);
         }
         self.tombstones.prune(now);
         self.rests.retain(|_, until| *until > now);
@@ -531,8 +532,8 @@
             server.changed_at = now;
             server.is_from_peer = false;
         }
-        if let ServerPhase::Expired { removed_at, .. } = server.phase
-            && (!registration.position.is_known() || registration.position > removed_at)
+        if let ServerPhase::Expired { position, .. } = server.phase
+            && (!registration.position.is_known() || registration.position > position)
         {
             server.phase = ServerPhase::Ready;
         }
--- a/crates/teaselglade-routing/tests/routing/registry.rs
+++ b/crates/teaselglade-routing/tests/routing/registry.rs
@@ -4,8 +4,8 @@
 
 use proptest::prelude::*;
 use teaselglade_routing::registry::{
-    RegistrationState, ServerAdvice, ServerDeparture, ServerPhase, ServerRegistry, StorePosition,
-    UpdateScope,
+    RegistrationState, ServerAdvice, ServerDeparture, ServerListing, ServerPhase, ServerRegistry,
+    StorePosition, UpdateScope,
 };
 
 use super::fixture::{at, draining, registration};
@@ -17,12 +17,13 @@
     registry.apply_registration(at(0), registration("i-2", 1, 1));
     let requested_at = at(1_000);
     registry.merge_registration(at(1_040), registration("i-3", 1, 1));
-    registry.apply_snapshot(
-        at(1_050),
+    let listing = ServerListing {
         requested_at,
-        StorePosition::default(),
-        vec![registration("i-1", 1, 2)],
-    );
+        end: StorePosition::default(),
+        registrations: vec![registration("i-1", 1, 2)],
+        unreadable: Vec::new(),
+    };
+    registry.apply_listing(at(1_050), listing);
     let mut known: Vec<&str> = registry
         .of_service("draft-fleet")
         .map(|(_, server)| server.registration.id.as_str())
@@ -354,3 +355,22 @@
         assert_eq!(advice.rest_time(), Some(rest));
     }
 }
+
+#[test]
+fn a_listing_with_an_unreadable_entry_does_not_remove_its_server() {
+    let mut registry = ServerRegistry::default();
+    for id in ["i-1", "i-2"] {
+        let mut registration = registration(id, 1, 1);
+        registration.position = StorePosition::of_record(0, 1);
+        registry.apply_registration(at(0), registration);
+    }
+    let listing = ServerListing {
+        requested_at: at(1_000),
+        end: StorePosition::before_offset(0, 9),
+        registrations: Vec::new(),
+        unreadable: vec!["i-1".to_owned()],
+    };
+    registry.apply_listing(at(1_050), listing);
+    assert!(registry.find("i-1").is_some());
+    assert!(registry.find("i-2").is_none());
+}
