--- a/crates/teaselglade-host/tests/host/request_crashes.rs
+++ b/crates/teaselglade-host/tests/host/request_crashes.rs
@@ -16,7 +16,9 @@
     ContainedRun, RequestContent, RequestHash, RequestSubjects, SubjectStanding,
 };
 use teaselglade_routing::plain::PlainQuery;
-use teaselglade_routing::registry::{RegistrationState, ServerRegistration, UpdateScope};
+use teaselglade_routing::registry::{
+    RegistrationState, ServerRegistration, StorePosition, UpdateScope,
+};
 
 use super::fleet_model::{ModelDigest, ModelHost, STEP_MS, ZONES, at, introduce};
 
@@ -689,6 +691,7 @@
         state: RegistrationState::Ready,
         reclaimable: true,
         version: String::new(),
+        position: StorePosition::default(),
     }
 }
 
--- a/crates/teaselglade-host/tests/host/rollouts.rs
+++ b/crates/teaselglade-host/tests/host/rollouts.rs
@@ -10,7 +10,7 @@
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg32;
 use teaselglade_core::id::ServerKey;
-use teaselglade_routing::registry::{RegistrationState, ServerRegistration};
+use teaselglade_routing::registry::{RegistrationState, ServerRegistration, StorePosition};
 use teaselglade_routing::rollout::{
     AttemptEvidence, AttemptRecord, RolloutOrder, RolloutStage, VersionChoice,
 };
@@ -138,6 +138,7 @@
         state: RegistrationState::Ready,
         reclaimable: false,
         version: if is_new { "v2" } else { "v1" }.to_owned(),
+        position: StorePosition::default(),
     }
 }
 
--- a/crates/teaselglade-host/tests/host/server_limits.rs
+++ b/crates/teaselglade-host/tests/host/server_limits.rs
@@ -15,7 +15,7 @@
 use teaselglade_routing::limit::{
     LimitWord, PermitAnswer, PermitMessage, PermitRequest, RequestLimit,
 };
-use teaselglade_routing::registry::{RegistrationState, ServerRegistration};
+use teaselglade_routing::registry::{RegistrationState, ServerRegistration, StorePosition};
 
 use super::fleet_model::{ModelDigest, ModelHost, STEP_MS, ZONES, at, host_of, introduce};
 
@@ -163,6 +163,7 @@
         state: RegistrationState::Ready,
         reclaimable: false,
         version: String::new(),
+        position: StorePosition::default(),
     }
 }
 
--- a/crates/teaselglade-routing/tests/routing/fixture.rs
+++ b/crates/teaselglade-routing/tests/routing/fixture.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use teaselglade_core::time::Timestamp;
-use teaselglade_routing::registry::{RegistrationState, ServerRegistration};
+use teaselglade_routing::registry::{RegistrationState, ServerRegistration, StorePosition};
 use teaselglade_routing::table::{
     OrganisationSpec, QuotaSpec, QuotaUnit, ResponseKind, RetryPolicy, RouteSpec, ScalingSpec,
     ServiceShare,
@@ -26,6 +26,7 @@
         state: RegistrationState::Ready,
         reclaimable: false,
         version: String::new(),
+        position: StorePosition::default(),
     }
 }
 
--- a/crates/teaselglade-routing/tests/routing/main.rs
+++ b/crates/teaselglade-routing/tests/routing/main.rs
@@ -16,6 +16,7 @@
 mod request_crashes;
 mod rollouts;
 mod routes;
+mod server_news;
 mod shares;
 mod shutdown;
 mod slots;
--- a/crates/teaselglade-routing/tests/routing/registry.rs
+++ b/crates/teaselglade-routing/tests/routing/registry.rs
@@ -1,8 +1,11 @@
 //! Servers by incarnation: leaving is final, expired registrations return or are removed.
 
+use std::time::Duration;
+
 use proptest::prelude::*;
 use teaselglade_routing::registry::{
-    RegistrationState, ServerDeparture, ServerPhase, ServerRegistry, UpdateScope,
+    RegistrationState, ServerAdvice, ServerDeparture, ServerListing, ServerPhase, ServerRegistry,
+    StorePosition, UpdateScope,
 };
 
 use super::fixture::{at, draining, registration};
@@ -14,7 +17,13 @@
     registry.apply_registration(at(0), registration("i-2", 1, 1));
     let requested_at = at(1_000);
     registry.merge_registration(at(1_040), registration("i-3", 1, 1));
-    registry.apply_snapshot(at(1_050), requested_at, vec![registration("i-1", 1, 2)]);
+    let listing = ServerListing {
+        requested_at,
+        end: StorePosition::default(),
+        registrations: vec![registration("i-1", 1, 2)],
+        unreadable: Vec::new(),
+    };
+    registry.apply_listing(at(1_050), listing);
     let mut known: Vec<&str> = registry
         .of_service("draft-fleet")
         .map(|(_, server)| server.registration.id.as_str())
@@ -101,6 +110,8 @@
         started_at_ms: 5,
         heartbeat,
         is_removed,
+        registered_at: StorePosition::default(),
+        removed_at: StorePosition::default(),
     }
 }
 
@@ -312,3 +323,54 @@
     // Capacity that rests is still there.
     assert_eq!(registry.of_service("draft-fleet").count(), 2);
 }
+
+/// A registration lapses and comes back within the time for which its server wants no requests.
+#[test]
+fn a_rest_outlives_the_registration_of_its_incarnation() {
+    let mut registry = ServerRegistry::default();
+    let key = registry
+        .apply_registration(at(0), registration("i-1", 10, 1))
+        .expect("a server");
+    registry.record_rest(key, at(20_000));
+    registry.apply_removal(at(3_600), "i-1");
+    registry.remove_expired(at(4_000));
+    let back = registry.apply_registration(at(5_000), registration("i-1", 10, 2));
+    assert!(back.is_some());
+    assert_eq!(registry.available(at(5_100), "draft-fleet").count(), 0);
+    assert_eq!(
+        registry.next_return(at(5_100), "draft-fleet"),
+        Some(at(20_000))
+    );
+    assert_eq!(registry.available(at(20_000), "draft-fleet").count(), 1);
+    // What an earlier incarnation asked for does not bind a later one.
+    registry.apply_registration(at(6_000), registration("i-1", 11, 1));
+    assert_eq!(registry.available(at(6_000), "draft-fleet").count(), 1);
+}
+
+#[test]
+fn a_rest_is_kept_whole_up_to_the_longest_that_a_sound_server_asks_for() {
+    for seconds in [1, 30, 50, 600, 3_600] {
+        let rest = Duration::from_secs(seconds);
+        let advice = ServerAdvice::default().rest(rest);
+        assert_eq!(advice.rest_time(), Some(rest));
+    }
+}
+
+#[test]
+fn a_listing_with_an_unreadable_entry_does_not_remove_its_server() {
+    let mut registry = ServerRegistry::default();
+    for id in ["i-1", "i-2"] {
+        let mut registration = registration(id, 1, 1);
+        registration.position = StorePosition::of_record(0, 1);
+        registry.apply_registration(at(0), registration);
+    }
+    let listing = ServerListing {
+        requested_at: at(1_000),
+        end: StorePosition::before_offset(0, 9),
+        registrations: Vec::new(),
+        unreadable: vec!["i-1".to_owned()],
+    };
+    registry.apply_listing(at(1_050), listing);
+    assert!(registry.find("i-1").is_some());
+    assert!(registry.find("i-2").is_none());
+}
