--- a/crates/teaselglade-host/src/lib.rs
+++ b/crates/teaselglade-host/src/lib.rs
@@ -5,6 +5,7 @@
 //! and timers. The platform's protocols and formats are behind the port traits.
 
 pub mod duty;
+pub mod explain;
 pub mod follow;
 pub mod host;
 pub mod ingress;
@@ -16,6 +17,7 @@
 pub mod port;
 pub mod quarantine;
 pub mod relay;
+pub mod rollout;
 pub mod settings;
 pub mod state;
 pub mod upstream;
--- a/crates/teaselglade-host/src/metrics/host_metrics.rs
+++ b/crates/teaselglade-host/src/metrics/host_metrics.rs
@@ -3,7 +3,7 @@
 use prometheus::{HistogramVec, IntCounter, IntCounterVec, IntGauge, IntGaugeVec};
 use teaselglade_net::metrics::{MetricRegistry, Result};
 
-use super::{AdviceMetrics, CrashMetrics, EndMetrics};
+use super::{AdviceMetrics, CrashMetrics, EndMetrics, RolloutMetrics, ShareMetrics, ZoneMetrics};
 
 /// Upper bounds of latency buckets in seconds.
 ///
@@ -48,8 +48,14 @@
     pub table_version: IntGauge,
     /// What servers said of themselves in responses.
     pub advice: AdviceMetrics,
+    /// Shares of services whose room is scarce.
+    pub shares: ShareMetrics,
     /// Evidence on requests and prompt parts that end servers.
     pub crashes: CrashMetrics,
+    /// Roll-outs of services' versions.
+    pub rollouts: RolloutMetrics,
+    /// Requests between data centres.
+    pub zones: ZoneMetrics,
     /// Age of the newest registration data in milliseconds.
     pub update_age: IntGauge,
     /// Fetches of state from peers by outcome.
@@ -135,7 +141,10 @@
                 "Version of the table in force.",
             )?,
             advice: AdviceMetrics::new(r)?,
+            shares: ShareMetrics::new(r)?,
             crashes: CrashMetrics::new(r)?,
+            rollouts: RolloutMetrics::new(r)?,
+            zones: ZoneMetrics::new(r)?,
             update_age: r.gauge(
                 "teaselglade_update_age_ms",
                 "Age of the newest data on servers.",
--- a/crates/teaselglade-host/src/peer/gossip_transport.rs
+++ b/crates/teaselglade-host/src/peer/gossip_transport.rs
@@ -51,6 +51,10 @@
 #[derive(Debug)]
 struct AggregateRound {
     bytes: Vec<u8>,
+    /// Sum of the demand for services, which is sent beside the digest.
+    shares: Option<Vec<u8>>,
+    /// Speeds of servers, sent beside the aggregate.
+    speeds: Option<Vec<u8>>,
     remaining: Vec<SocketAddr>,
     next_send_at: Instant,
     send_interval: Duration,
@@ -84,7 +88,9 @@
             newer_tables,
             sequence: 0,
             round: AggregateRound {
+                shares: None,
                 bytes: Vec::new(),
+                speeds: None,
                 remaining: Vec::new(),
                 next_send_at: Instant::now(),
                 send_interval: Duration::ZERO,
@@ -122,12 +128,25 @@
 
     async fn send_digest(&mut self) {
         let (digest, limits, targets) = self.build_digest();
+        let rollouts = {
+            let (host, now) = (&self.host, self.host.now());
+            let decisions = host.lock_decisions();
+            decisions
+                .rollouts
+                .report(now, host.started_at_us, self.sequence)
+        };
+        let rollouts = (!rollouts.is_empty()).then(|| encode(&PeerMessage::Rollouts(rollouts)));
         let bytes = encode(&PeerMessage::Host(Box::new(digest)));
         let limits = (!limits.is_empty()).then(|| encode(&PeerMessage::Limits(limits)));
+        let shares = self.host.update_shares(self.sequence);
+        let shares = shares.map(|report| encode(&PeerMessage::Shares(report)));
+        let speeds = self.host.lock_decisions().speed_message(self.sequence);
+        let speeds = speeds.map(|speeds| encode(&speeds));
         for target in targets {
             self.send_to(&bytes, target).await;
-            if let Some(limits) = &limits {
-                self.send_to(limits, target).await;
+            let beside = limits.iter().chain(&rollouts).chain(&shares).chain(&speeds);
+            for message in beside {
+                self.send_to(message, target).await;
             }
         }
         if self.sequence.is_multiple_of(DIGESTS_PER_AGGREGATE) {
@@ -143,7 +162,13 @@
             return;
         }
         let send_window = DIGEST_INTERVAL.mul_f64(DIGESTS_PER_AGGREGATE as f64 * PACING_FRACTION);
+        let shares = self.host.lock_decisions().shares.fleet_report(now);
+        let shares = (!shares.is_empty()).then(|| encode(&PeerMessage::Shares(shares)));
+        let number = self.sequence / DIGESTS_PER_AGGREGATE;
+        let speeds = self.host.lock_decisions().speed_aggregate(number);
         self.round = AggregateRound {
+            shares,
+            speeds: speeds.map(|speeds| encode(&speeds)),
             bytes: encode(&PeerMessage::Aggregate(Box::new(self.build_aggregate()))),
             send_interval: send_window / served.len() as u32,
             remaining: served,
@@ -157,19 +182,35 @@
         };
         self.round.next_send_at += self.round.send_interval;
         self.send_to(&self.round.bytes, target).await;
+        if let Some(speeds) = &self.round.speeds {
+            self.send_to(speeds, target).await;
+        }
         let now = self.host.now();
-        let (evidence, limits) = {
+        let (evidence, limits, rollouts, zones) = {
             let decisions = self.host.lock_decisions();
             let number = self.sequence / DIGESTS_PER_AGGREGATE;
             (
                 decisions.crash_ledger.evidence(now, UpdateScope::All),
                 decisions.limit_aggregate(now, number),
+                decisions.rollouts.aggregate(now, number),
+                decisions.zones.report(now),
             )
         };
+        if !rollouts.is_empty() {
+            let bytes = encode(&PeerMessage::Rollouts(rollouts));
+            self.send_to(&bytes, target).await;
+        }
+        if let Some(shares) = &self.round.shares {
+            self.send_to(shares, target).await;
+        }
         if !limits.is_empty() {
             let bytes = encode(&PeerMessage::Limits(limits));
             self.send_to(&bytes, target).await;
         }
+        if let Some(zones) = zones {
+            let bytes = encode(&PeerMessage::Zones(zones));
+            self.send_to(&bytes, target).await;
+        }
         if !evidence.is_empty() {
             let bytes = encode(&PeerMessage::Crashes(evidence));
             self.send_to(&bytes, target).await;
@@ -199,6 +240,7 @@
             info!(event = "peer_gone", peer = name);
         }
         decisions.engine_placer.prune(now);
+        decisions.plan_zones(now);
         decisions.prune_limits(now);
         let limited_servers = decisions.limits.limited_servers().cast_signed() as i64;
         host.metrics.advice.limited_servers.set(limited_servers);
@@ -323,6 +365,22 @@
                 decisions.crash_ledger.merge(now, &evidence);
             }
             PeerMessage::Limits(report) => self.host.merge_limits(&report),
+            PeerMessage::Rollouts(report) => {
+                let now = self.host.now();
+                self.host.lock_decisions().merge_rollouts(now, report);
+            }
+            PeerMessage::Shares(report) => {
+                let now = self.host.now();
+                self.host.lock_decisions().shares.receive(now, report);
+            }
+            PeerMessage::Zones(report) => {
+                let now = self.host.now();
+                self.host.lock_decisions().zones.apply_report(now, report);
+            }
+            PeerMessage::Speeds { engines, plain } => {
+                let mut decisions = self.host.lock_decisions();
+                decisions.merge_speeds(&engines, &plain);
+            }
             PeerMessage::Permit(message) => return self.apply_permit_message(message, sender),
         }
         None
@@ -424,7 +482,7 @@
         for report in digest.decided_reports {
             decisions.usage.record_decided(report);
         }
-        decisions.record_peer_demand(now, &name, digest.demand);
+        decisions.record_peer_demand(now, &name, &digest.zone, digest.demand);
         drop(guard);
         self.announce_newer_table(digest.host.address, digest.table_version);
     }
--- a/crates/teaselglade-host/src/relay/call_context.rs
+++ b/crates/teaselglade-host/src/relay/call_context.rs
@@ -1,6 +1,6 @@
 //! State of one request while this host relays it.
 
-use std::sync::Arc;
+use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -13,7 +13,10 @@
 use teaselglade_routing::capacity::{PlacementTerms, RequestRank};
 use teaselglade_routing::crash::{RequestHash, RequestSubjects};
 use teaselglade_routing::engine::PromptShape;
+use teaselglade_routing::rollout::VersionScope;
+use teaselglade_routing::share::ShareRequest;
 use teaselglade_routing::table::{RouteSpec, ServiceSpec};
+use teaselglade_routing::zone::ZoneChoice;
 
 use super::CallerResponse;
 use super::header_filter::end_to_end_headers;
@@ -30,9 +33,13 @@
     /// Id of the caller's attempt.
     pub(super) id: String,
     pub(super) route: RouteSpec,
+    /// Hash of the route's name.
+    pub(super) route_hash: u64,
     pub(super) service: ServiceSpec,
     pub(super) organisation: Option<String>,
     pub(super) rank: RequestRank,
+    /// Data centre chosen for the request, if it matters.
+    pub(super) zone_choice: OnceLock<ZoneChoice>,
     /// Version of the route table that the request was matched against.
     pub(super) table_version: u64,
     pub(super) prompt: Option<PromptShape>,
@@ -74,14 +81,36 @@
         self.organisation.as_deref().unwrap_or_default()
     }
 
-    /// Returns the terms under which an attempt is placed.
-    pub(super) fn placement_terms(&self) -> PlacementTerms<'_> {
+    /// Returns the terms under which an attempt is placed on servers of some versions.
+    pub(super) fn placement_terms<'a>(&'a self, versions: VersionScope<'a>) -> PlacementTerms<'a> {
         PlacementTerms {
             zone: &self.host.settings.zone,
             rank: self.rank,
+            versions,
+            zones: self
+                .zone_choice
+                .get()
+                .map(ZoneChoice::terms)
+                .unwrap_or_default(),
+            ..PlacementTerms::default()
         }
     }
 
+    /// Returns what the request asks of its service's room.
+    pub(super) fn share_request(&self) -> ShareRequest<'_> {
+        ShareRequest {
+            service: &self.service.name,
+            organisation: self.organisation_name(),
+            rank: RequestRank::new(self.route.priority),
+            work: self.prompt.as_ref().map_or(0.0, PromptShape::work),
+        }
+    }
+
+    /// Returns the time without an answer from which an attempt that is given up counts as slow.
+    pub(super) fn overdue_after(&self) -> Duration {
+        self.route.target / 2
+    }
+
     /// Returns what ended servers may speak against.
     pub(super) const fn subjects(&self) -> RequestSubjects<'_> {
         RequestSubjects {
--- a/crates/teaselglade-host/src/relay/call_handler.rs
+++ b/crates/teaselglade-host/src/relay/call_handler.rs
@@ -13,6 +13,7 @@
 use teaselglade_core::verdict::{RefusalReason, RequestRefusal};
 use teaselglade_routing::capacity::RequestRank;
 use teaselglade_routing::crash::{RequestContent, RequestHash};
+use teaselglade_routing::gossip::name_hash;
 use teaselglade_routing::table::{Caller, IngressLimits, ResponseKind};
 use tokio::time::timeout;
 
@@ -178,9 +179,14 @@
         let detail = format!("service {service} is not in the table");
         RequestRefusal::not_run(RefusalReason::NoServer, detail).retry_after(NOT_READY_RETRY_DELAY)
     })?;
+    let priority = organisation.and_then(|organisation| organisation.priority);
+    let rank = RequestRank::of(priority, route.priority);
     let mut decisions = host.lock_decisions();
     if let Some(organisation) = organisation {
-        decisions.quotas.admit(now, &organisation.name, tokens)?;
+        let quotas = &mut decisions.quotas;
+        // Within an organisation, whose priority is the same for all, that of the route decides.
+        let rank = RequestRank::new(route.priority);
+        quotas.admit_ranked(now, &organisation.name, tokens, rank)?;
     }
     decisions.record_first_attempt(&service.name);
     drop(decisions);
@@ -200,11 +206,10 @@
     Ok(CallContext {
         id: head.attempt,
         organisation: organisation.map(|organisation| organisation.name.clone()),
-        rank: RequestRank::of(
-            organisation.and_then(|organisation| organisation.priority),
-            route.priority,
-        ),
+        rank,
+        zone_choice: std::sync::OnceLock::new(),
         table_version: table.version(),
+        route_hash: name_hash(&route.name),
         route: route.clone(),
         service,
         prompt: head.prompt,
--- a/crates/teaselglade-host/src/relay/mod.rs
+++ b/crates/teaselglade-host/src/relay/mod.rs
@@ -3,6 +3,7 @@
 mod call_context;
 mod call_handler;
 mod engine_attempt;
+mod event_pace;
 mod header_filter;
 mod plain_relay;
 mod refusal_response;
@@ -12,9 +13,11 @@
 mod server_turn;
 mod stream_relay;
 mod stream_reservation;
+mod zone_step;
 
 pub use call_handler::serve_call;
 pub use response_body::{AbortedResponse, ResponseBody};
+pub(crate) use stream_reservation::UNLIMITED_ENGINE;
 
 use hyper::Response;
 use teaselglade_core::verdict::RequestRefusal;
--- a/crates/teaselglade-host/src/relay/stream_reservation.rs
+++ b/crates/teaselglade-host/src/relay/stream_reservation.rs
@@ -7,13 +7,20 @@
 use teaselglade_core::time::Timestamp;
 use teaselglade_core::verdict::{RefusalReason, RequestRefusal};
 use teaselglade_request::retry::RetryDecision;
+use teaselglade_routing::attempt::AttemptOutcome;
+use teaselglade_routing::capacity::PlacementTerms;
 use teaselglade_routing::crash::ContainedRun;
 use teaselglade_routing::engine::{EngineQuery, EngineReservation, PromptShape};
+use teaselglade_routing::rollout::{AttemptEvidence, AttemptRecord, VersionChoice, VersionScope};
+use teaselglade_routing::speed::TimeSample;
 use teaselglade_routing::table::EngineSpec;
 
 use super::Result;
 use super::call_context::CallContext;
+use super::event_pace::EventPace;
+use super::plain_relay::attempt_evidence;
 use super::server_turn::ServerTurn;
+use super::zone_step::{choose_zone, record_zone};
 use crate::journal::PlacementFields;
 use crate::permit::SendPermit;
 use crate::state::DecisionState;
@@ -21,10 +28,13 @@
 /// Interval between the recorded events of a stream after its first one.
 const EVENT_RECORD_INTERVAL: Duration = Duration::from_millis(250);
 
+/// Time to the first event to which others are scaled before they are compared.
+const USUAL_LATENCY: Duration = Duration::from_millis(40);
+
 /// Retry delay of a stream whose prompt selects a limited engine; the time of a few events.
 const SELECTED_RETRY_DELAY: Duration = Duration::from_millis(500);
 /// Capacity of engines of a service that declares none.
-const UNLIMITED_ENGINE: EngineSpec = EngineSpec {
+pub(crate) const UNLIMITED_ENGINE: EngineSpec = EngineSpec {
     slots: u32::MAX,
     memory_tokens: f64::INFINITY,
     event_tokens: 1,
@@ -53,8 +63,13 @@
     has_first_event: bool,
     /// Time of the last event that was recorded.
     recorded_at: Timestamp,
+    /// Times of the events, which tell the engine's speed.
+    event_pace: EventPace,
     /// Run of the attempt, if it is contained.
     contained_run: Option<ContainedRun>,
+    /// What a roll-out counts of the attempt.
+    record: Option<AttemptRecord>,
+    sent_at: Timestamp,
     /// Whether the attempt may be sent although its request is quarantined.
     is_exempt: bool,
 }
@@ -82,11 +97,29 @@
         context: &Arc<CallContext>,
         attempt: &StreamAttempt<'_>,
     ) -> Result<Self> {
+        choose_zone(context, &mut context.host.lock_decisions());
         let turn = ServerTurn::new(context, attempt.is_continued);
-        let engine = obtain_engine(context, attempt, &turn).await;
+        let is_repeat = attempt.number > 1 || attempt.has_events;
+        let choice = choose_versions(context, is_repeat);
+        let engine = obtain_engine(context, attempt, &turn, choice.scope()).await;
         let mut decisions = context.host.lock_decisions();
-        let run = permit_attempt(context, &mut decisions, attempt)?;
-        Self::reserve(context, &mut decisions, attempt, run, engine)
+        let run = permit_attempt(context, &mut decisions, attempt);
+        let run = run.inspect_err(|_refusal| give_back(context, &mut decisions, &choice))?;
+        let is_new = attempt.number == 1 && !attempt.is_continued && run.is_none();
+        if !is_new {
+            return Self::reserve(context, &mut decisions, attempt, run, engine, choice);
+        }
+        let (now, request) = (context.host.now(), context.share_request());
+        let admitted = decisions.shares.admit(now, &request);
+        admitted.inspect_err(|_refusal| give_back(context, &mut decisions, &choice))?;
+        let placed = Self::reserve(context, &mut decisions, attempt, run, engine, choice);
+        match &placed {
+            Ok(_) => decisions.shares.record_used(now, &request),
+            Err(refusal) => decisions
+                .shares
+                .record_refusal(now, &request, refusal.reason),
+        }
+        placed
     }
 
     /// Reserves an engine for an attempt beside a silent one.
@@ -112,7 +145,8 @@
             return None;
         }
         let turn = ServerTurn::without_hold(context);
-        let engine = obtain_engine(context, attempt, &turn).await;
+        let choice = choose_versions(context, true);
+        let engine = obtain_engine(context, attempt, &turn, choice.scope()).await;
         let now = host.now();
         let mut decisions = host.lock_decisions();
         if !may_start(&mut decisions) {
@@ -132,7 +166,7 @@
                 return None;
             }
         }
-        Self::reserve(context, &mut decisions, attempt, None, engine).ok()
+        Self::reserve(context, &mut decisions, attempt, None, engine, choice).ok()
     }
 
     /// Reserves an engine and logs the placement.
@@ -147,15 +181,30 @@
         attempt: &StreamAttempt<'_>,
         run: Option<ContainedRun>,
         obtained: ObtainedEngine,
+        mut choice: VersionChoice,
     ) -> Result<Self> {
         let host = &context.host;
         let now = host.now();
-        let query = engine_query(context, decisions, attempt, run);
-        let registry = &decisions.registry;
-        let engines = &mut decisions.engine_placer;
-        let placed = match obtained.server {
-            Some(server) if run.is_none() => engines.place_at(now, registry, &query, server),
-            _ => engines.place(now, registry, &query),
+        // A request that may end servers does not go on trial.
+        let is_withheld = run.is_some() && choice.is_trial();
+        if let Some(fallback) = choice.fallback().filter(|_| is_withheld) {
+            give_back(context, decisions, &choice);
+            choice = fallback;
+        }
+        let placed = loop {
+            let query = engine_query(context, decisions, attempt, run, choice.scope());
+            let registry = &decisions.registry;
+            let engines = &mut decisions.engine_placer;
+            let placed = match obtained.server {
+                Some(server) if run.is_none() => engines.place_at(now, registry, &query, server),
+                _ => engines.place(now, registry, &query),
+            };
+            let fallback = choice.fallback().filter(|_| placed.is_err());
+            let Some(fallback) = fallback else {
+                break placed;
+            };
+            give_back(context, decisions, &choice);
+            choice = fallback;
         };
         let placed = placed.and_then(|engine| {
             let is_permitted = obtained.permit.is_some() && obtained.server == Some(engine.server);
@@ -173,6 +222,14 @@
                 decisions.crash_ledger.record_contained_end(run.subject);
             }
         })?;
+        let record = decisions.rollouts.record_sent(
+            now,
+            &decisions.registry,
+            engine.server,
+            context.route_hash,
+            attempt.number == 1,
+        );
+        record_zone(context, decisions, &engine);
         let server_id = decisions
             .registry
             .server(engine.server)
@@ -186,6 +243,10 @@
             new_tokens: engine.new_tokens,
             tokens_ahead: engine.tokens_ahead as u32,
             update_age: now.since(decisions.registry_updated_at),
+            speed: decisions
+                .engine_placer
+                .ledger()
+                .evidence(now, engine.server),
         };
         host.log.placed(now, &context.log_fields(), &placement);
         host.update_request(context.open_key, |open| open.start_attempt(engine.server));
@@ -196,7 +257,10 @@
             server_id,
             has_first_event: false,
             recorded_at: Timestamp::ZERO,
+            event_pace: EventPace::default(),
             contained_run: run,
+            record,
+            sent_at: now,
             is_exempt: attempt.has_events || run.is_some_and(|run| run.is_trial),
         })
     }
@@ -221,13 +285,27 @@
         self.has_first_event
     }
 
+    /// Records for a roll-out that the server failed the stream, or how the attempt failed.
+    pub(super) fn record_failure(&mut self, outcome: AttemptOutcome) {
+        let Some(record) = &mut self.record else {
+            return;
+        };
+        let host = &self.context.host;
+        let elapsed = host.now().since(self.sent_at);
+        match attempt_evidence(outcome, scaled(elapsed, &self.engine)) {
+            Some(result) => host.lock_decisions().rollouts.record_result(record, result),
+            None => record.discard(),
+        }
+    }
+
     /// Records that events of the stream arrived.
     ///
     /// Events after the first one are recorded at most once in [`EVENT_RECORD_INTERVAL`]; they
     /// still speak for the request and the prompt's parts.
-    pub(super) fn record_events(&mut self) {
+    pub(super) fn record_events(&mut self, count: usize) {
         let host = Arc::clone(&self.context.host);
         let now = host.now();
+        self.event_pace.record(now, count);
         host.update_request(self.context.open_key, |open| open.record_event(now));
         let is_first = !std::mem::replace(&mut self.has_first_event, true);
         if !is_first && now.since(self.recorded_at) < EVENT_RECORD_INTERVAL {
@@ -241,6 +319,13 @@
             decisions
                 .engine_placer
                 .record_first_event(now, service, self.engine.id);
+            if let Some(record) = &mut self.record {
+                let answered = AttemptEvidence::Answered {
+                    is_failure: false,
+                    latency: scaled(now.since(self.sent_at), &self.engine),
+                };
+                decisions.rollouts.record_result(record, answered);
+            }
         }
         decisions.record_answer(now, self.engine.server, self.context.subjects());
         if let Some(run) = self.contained_run.take() {
@@ -256,6 +341,7 @@
     context: &CallContext,
     attempt: &StreamAttempt<'_>,
     turn: &ServerTurn,
+    versions: VersionScope<'_>,
 ) -> ObtainedEngine {
     loop {
         let server = {
@@ -263,7 +349,7 @@
             if decisions.limits.is_empty() {
                 return ObtainedEngine::default();
             }
-            let query = engine_query(context, &decisions, attempt, None);
+            let query = engine_query(context, &decisions, attempt, None, versions);
             let (placer, registry) = (&decisions.engine_placer, &decisions.registry);
             let server = placer.preview(context.host.now(), registry, &query);
             if let Some(server) = server
@@ -298,6 +384,7 @@
     decisions: &DecisionState,
     attempt: &StreamAttempt<'a>,
     run: Option<ContainedRun>,
+    versions: VersionScope<'a>,
 ) -> EngineQuery<'a> {
     let spec = context.service.engine.as_ref();
     EngineQuery {
@@ -310,10 +397,39 @@
         is_continued: attempt.is_continued,
         is_load_stale: decisions.membership.is_large(),
         selected_by: run.map(|run| (run.subject.selector(), run.rank)),
-        terms: context.placement_terms(),
+        terms: PlacementTerms {
+            queue_limit: decisions.shares.queue_limit(&context.share_request()),
+            ..context.placement_terms(versions)
+        },
     }
 }
 
+/// Chooses the versions that an attempt may use.
+fn choose_versions(context: &CallContext, is_repeat: bool) -> VersionChoice {
+    let host = &context.host;
+    let (service, route) = (&context.service.name, context.route_hash);
+    let mut decisions = host.lock_decisions();
+    decisions
+        .rollouts
+        .choose(host.now(), service, route, is_repeat)
+}
+
+/// Gives back the credit of a trial that was not sent.
+fn give_back(context: &CallContext, decisions: &mut DecisionState, choice: &VersionChoice) {
+    if choice.is_trial() {
+        let (service, route) = (&context.service.name, context.route_hash);
+        decisions.rollouts.give_back(service, route);
+    }
+}
+
+/// Returns a time to the first event as it would be if [`USUAL_LATENCY`] had been predicted.
+///
+/// The prediction counts what the engine has to prefill, so that a cold cache is not a slow engine.
+fn scaled(elapsed: Duration, engine: &EngineReservation) -> Duration {
+    let predicted = engine.predicted_latency.max(USUAL_LATENCY);
+    elapsed.mul_f64(USUAL_LATENCY.as_secs_f64() / predicted.as_secs_f64())
+}
+
 /// Returns the run of an attempt that must run alone; `None` if it need not.
 ///
 /// # Errors
@@ -337,9 +453,25 @@
         let now = host.now();
         let service = &self.context.service.name;
         let mut decisions = host.lock_decisions();
+        if let Some(elapsed) = self.event_pace.interval() {
+            let sample = TimeSample {
+                elapsed,
+                weight: 1.0,
+            };
+            let speeds = decisions.engine_placer.ledger_mut();
+            speeds.record_time(now, service, self.engine.server, sample);
+        }
         decisions
             .engine_placer
             .record_end(now, service, self.engine.id);
+        if let Some(record) = &mut self.record {
+            let elapsed = now.since(self.sent_at);
+            if elapsed >= self.context.overdue_after() {
+                let overdue = AttemptEvidence::Overdue(scaled(elapsed, &self.engine));
+                decisions.rollouts.record_result(record, overdue);
+            }
+            decisions.rollouts.record_closed(record);
+        }
         if let Some(run) = self.contained_run.take() {
             decisions.crash_ledger.record_contained_end(run.subject);
         }
--- a/crates/teaselglade-host/src/state/decision_state.rs
+++ b/crates/teaselglade-host/src/state/decision_state.rs
@@ -22,10 +22,15 @@
 use teaselglade_routing::registry::{
     ServerAdvice, ServerDeparture, ServerRegistration, ServerRegistry, UpdateScope,
 };
+use teaselglade_routing::rollout::{RolloutDesk, RolloutOrder, RolloutReport};
 use teaselglade_routing::scaling::ZoneStock;
+use teaselglade_routing::share::ShareLimiter;
+use teaselglade_routing::speed::ServerPace;
 use teaselglade_routing::usage::UsageLedger;
+use teaselglade_routing::zone::ZoneDirector;
 
 use super::PermitStep;
+use super::peer_demand::PeerDemand;
 use crate::settings::HostSettings;
 
 /// Number of hosts assumed until peers are seen: a small fleet including its spare hosts.
@@ -56,8 +61,14 @@
     pub limits: LimitLedger,
     /// Issues permits to send to limited servers.
     pub permit_issuer: PermitIssuer,
+    /// Roll-outs of services' versions.
+    pub rollouts: RolloutDesk,
+    /// Decides which requests leave the data centre.
+    pub zones: ZoneDirector,
     /// Enforces the quotas of organisations.
     pub quotas: QuotaLimiter,
+    /// Shares organisations' requests of services whose room is scarce.
+    pub shares: ShareLimiter,
     /// Counts requests that began to run, for usage reports.
     pub usage: UsageLedger,
     /// Known peers and their liveness.
@@ -74,7 +85,7 @@
     unreadable_servers: HashSet<ServerKey>,
     own_name: String,
     retry_budgets: HashMap<String, RetryBudget>,
-    peer_demand: HashMap<String, (Timestamp, Vec<ServiceDemand>)>,
+    peer_demand: HashMap<String, PeerDemand>,
     seed: u64,
 }
 
@@ -95,7 +106,10 @@
             plain_placer: PlainPlacer::new(seed),
             limits: LimitLedger::default(),
             permit_issuer: PermitIssuer::default(),
+            rollouts: RolloutDesk::new(&settings.name, settings.rollouts),
+            zones: ZoneDirector::new(&settings.zone, settings.zone_prices),
             quotas: QuotaLimiter::new(ASSUMED_HOSTS).random_seed(seed),
+            shares: ShareLimiter::new(seed),
             usage: UsageLedger::new(settings.duties.usage_window),
             membership: PeerMembership::new(&settings.name, seed).in_zone(&settings.zone),
             transfers: TransferLimiter::new(settings.link_bytes_per_second),
@@ -391,10 +405,12 @@
 
     /// Advances the time of the newest registration data to that of a peer's data.
     ///
-    /// Has no effect before the first full read, because digests contain only recent updates.
+    /// Has no effect before the first full read, because digests contain only recent updates, nor once
+    /// the own data is older than the departures that each digest names.
     fn advance_update_time(&mut self, now: Timestamp, age: Duration) {
         let updated_at = now.before(age);
-        if self.registry_updated_at > Timestamp::ZERO {
+        let repeated = ServerRegistry::departure_repeat(self.membership.is_large());
+        if self.registry_updated_at > Timestamp::ZERO && self.update_age(now) < repeated {
             self.registry_updated_at = self.registry_updated_at.max(updated_at);
         }
     }
@@ -489,13 +505,42 @@
     }
 
     /// Records the prefill demand that a peer reported.
-    pub fn record_peer_demand(&mut self, now: Timestamp, peer: &str, demand: Vec<ServiceDemand>) {
-        self.peer_demand.insert(peer.to_owned(), (now, demand));
+    pub fn record_peer_demand(
+        &mut self,
+        now: Timestamp,
+        peer: &str,
+        zone: &str,
+        services: Vec<ServiceDemand>,
+    ) {
+        self.zones.record_zone(now, zone);
+        let demand = PeerDemand {
+            received_at: now,
+            zone: zone.to_owned(),
+            services,
+        };
+        self.peer_demand.insert(peer.to_owned(), demand);
+    }
+
+    /// Returns zone, service and prompt tokens per second of what peers reported recently.
+    pub(super) fn fresh_peer_demand(
+        &self,
+        now: Timestamp,
+    ) -> impl Iterator<Item = (String, String, f64)> {
+        let peers = self.peer_demand.values();
+        let fresh = peers.filter(move |demand| now.since(demand.received_at) < DEMAND_TTL);
+        fresh.flat_map(|demand| {
+            let services = demand.services.iter();
+            services.map(|service| {
+                let (zone, name) = (demand.zone.clone(), service.service.clone());
+                (zone, name, service.tokens_per_second)
+            })
+        })
     }
 
     /// Releases the quota share of a peer that is gone and discards its demand.
     pub fn remove_peer(&mut self, peer: &str) {
         self.quotas.remove_peer(peer);
+        self.shares.remove_peer(peer);
         self.permit_issuer.remove_peer(peer);
         self.peer_demand.remove(peer);
     }
@@ -518,16 +563,14 @@
         let own = own
             .filter(|(name, _)| name == service)
             .map(|(_, tokens)| tokens);
-        let fresh = self
-            .peer_demand
-            .values()
-            .filter(|(received_at, _)| now.since(*received_at) < DEMAND_TTL);
-        let reported = fresh
-            .flat_map(|(_, demand)| demand)
-            .filter(|demand| demand.service == service)
-            .map(|demand| demand.tokens_per_second);
+        let reported = self.fresh_peer_demand(now);
+        let reported = reported
+            .filter(|(_, name, _)| name == service)
+            .map(|(_, _, tokens)| tokens);
         let tokens: f64 = own.chain(reported).sum();
-        tokens / self.engine_placer.speed(service).tokens_per_second()
+        // Servers are ordered by number, so the demand counts in servers like those at hand.
+        let mean_speed = self.engine_placer.mean_speed(&self.registry, service);
+        tokens / (self.engine_placer.speed(service).tokens_per_second() * mean_speed)
     }
 
     /// Returns the number of servers of a service that accept new work, by zone.
@@ -557,6 +600,37 @@
         capacity
     }
 
+    /// Records an order to change a service's version; returns whether it is new.
+    ///
+    /// `is_listed` tells whether this host found it in the store when it started.
+    pub fn record_order(&mut self, now: Timestamp, order: RolloutOrder, is_listed: bool) -> bool {
+        let hosts = self.fleet_size();
+        self.rollouts.record_order(now, order, hosts, is_listed)
+    }
+
+    /// Merges what a peer or an aggregator says of roll-outs.
+    pub fn merge_rollouts(&mut self, now: Timestamp, report: RolloutReport) {
+        let hosts = self.fleet_size();
+        self.rollouts.merge(now, report, hosts);
+    }
+
+    /// Returns the number of hosts, this one included; an assumed one until peers are known.
+    fn fleet_size(&self) -> usize {
+        match self.membership.peer_count() {
+            0 => ASSUMED_HOSTS as usize,
+            peers => peers + 1,
+        }
+    }
+
+    /// Records a server's word on how long work takes there at the moment.
+    pub fn record_pace(&mut self, now: Timestamp, server: ServerKey, pace: ServerPace) {
+        let engines = self.engine_placer.ledger_mut();
+        engines.record_pace(now, server, pace);
+        self.plain_placer
+            .ledger_mut()
+            .record_pace(now, server, pace);
+    }
+
     /// Discards the placement state of a server that is gone.
     pub fn forget_server(&mut self, server: ServerKey) {
         self.engine_placer.forget_server(server);
--- a/crates/teaselglade-host/src/state/host_state.rs
+++ b/crates/teaselglade-host/src/state/host_state.rs
@@ -16,6 +16,7 @@
     LimitChange, LimitReport, LimitWord, PermitAnswer, PermitRequest, RequestLimit,
 };
 use teaselglade_routing::registry::ServerAdvice;
+use teaselglade_routing::rollout::RolloutOrder;
 use teaselglade_routing::shutdown::ShutdownPlan;
 use tokio_util::sync::CancellationToken;
 use tracing::{info, warn};
@@ -287,6 +288,10 @@
             let rest_ms = rest.as_millis() as u64;
             info!(event = "server_rests", id, rest_ms);
         }
+        if let Some(rest) = advice.excessive_rest() {
+            let asked_s = rest.as_secs();
+            warn!(event = "server_rest_shortened", id, asked_s);
+        }
         if advice.is_unreadable {
             count("unreadable");
         }
@@ -324,6 +329,25 @@
         log_limit_changes(&decisions, &changes);
     }
 
+    /// Records an order to change a service's version; `is_start` if found when this host started.
+    pub fn record_order(&self, order: &RolloutOrder, is_start: bool) {
+        let now = self.now();
+        let is_new = {
+            let mut decisions = self.lock_decisions();
+            decisions.record_order(now, order.clone(), is_start)
+        };
+        if is_new {
+            info!(
+                event = "rollout_ordered",
+                service = order.service,
+                target = order.target,
+                over_ms = order.over_ms,
+                number = order.number,
+                source = "store",
+            );
+        }
+    }
+
     /// Decides on another host's request for a permit.
     pub fn answer_permit(&self, request: &PermitRequest) -> PermitAnswer {
         let now = self.now();
@@ -373,9 +397,11 @@
             return false;
         }
         let active = ActiveTable::new(published);
-        self.lock_decisions()
-            .quotas
-            .set_quotas(self.now(), &active.table.spec().organisations);
+        let mut decisions = self.lock_decisions();
+        let spec = active.table.spec();
+        decisions.quotas.set_quotas(self.now(), &spec.organisations);
+        decisions.shares.set_table(spec);
+        drop(decisions);
         *slot = Some(Arc::new(active));
         drop(slot);
         self.metrics.table_version.set(version.cast_signed());
--- a/crates/teaselglade-host/tests/host/main.rs
+++ b/crates/teaselglade-host/tests/host/main.rs
@@ -2,10 +2,13 @@
 
 mod fleet_model;
 mod journal;
+mod late_responses;
 mod lease_timings;
 mod news_spread;
 mod open_requests;
 mod part_crashes;
 mod reports;
 mod request_crashes;
+mod rollouts;
 mod server_limits;
+mod speed_reports;
--- a/crates/teaselglade-routing/src/capacity/placement_terms.rs
+++ b/crates/teaselglade-routing/src/capacity/placement_terms.rs
@@ -1,6 +1,10 @@
 //! Terms under which one request is placed.
 
+use std::time::Duration;
+
 use super::RequestRank;
+use crate::rollout::VersionScope;
+use crate::zone::ZoneTerms;
 
 /// Terms under which one request is placed, from the decisions made before placement.
 ///
@@ -18,4 +22,10 @@
     pub zone: &'a str,
     /// Urgency of the request.
     pub rank: RequestRank,
+    /// Servers that may be used, by the version they run.
+    pub versions: VersionScope<'a>,
+    /// Longest wait before the request's own prefill; `None` leaves it to the target.
+    pub queue_limit: Option<Duration>,
+    /// What the zone decision says of the request; by default zones are disregarded.
+    pub zones: ZoneTerms<'a>,
 }
--- a/crates/teaselglade-routing/src/engine/engine_placer.rs
+++ b/crates/teaselglade-routing/src/engine/engine_placer.rs
@@ -10,12 +10,13 @@
 use teaselglade_core::verdict::{RefusalReason, RequestRefusal};
 use teaselglade_placement::limit::DemandMeter;
 
-use super::engine_candidate::{EngineCandidate, preference, preference_of};
+use super::engine_candidate::{EngineCandidate, preference, weighted_preference};
+use super::engine_choice::choose_engine;
 use super::engine_loads::EngineLoads;
-use super::stale_choice::choose_with_stale_loads;
 use super::{CachedPart, EngineLoad, EngineSpeed, PrefixLocations, PromptShape, Result, SlotPace};
 use crate::capacity::PlacementTerms;
 use crate::registry::{ServerHealth, ServerRegistry};
+use crate::speed::SpeedLedger;
 use crate::table::EngineSpec;
 
 /// Share of the target within which the first event must be predicted.
@@ -36,6 +37,8 @@
 const PART_GOSSIP_WINDOW: Duration = Duration::from_millis(700);
 /// Maximum number of cached parts in one aggregate digest; about 4 KB.
 const MAX_AGGREGATE_PARTS: usize = 200;
+/// Weight of a prefill time in an engine's speed; it spreads twice as much as event intervals.
+const PREFILL_SAMPLE_WEIGHT: f64 = 0.25;
 /// Shortest retry delay in a refusal.
 const MIN_RETRY_DELAY: Duration = Duration::from_millis(150);
 /// Longest retry delay in a refusal.
@@ -146,17 +149,18 @@
 /// ```
 #[derive(Debug)]
 pub struct EnginePlacer {
-    cache: PrefixLocations,
+    pub(super) cache: PrefixLocations,
     speeds: HashMap<String, EngineSpeed>,
+    ledger: SpeedLedger,
     paces: HashMap<String, SlotPace>,
     open_streams: HashMap<ReservationId, OpenStream>,
-    loads: EngineLoads,
+    pub(super) loads: EngineLoads,
     health: HashMap<ServerKey, ServerHealth>,
     recent_parts: Vec<(Timestamp, CachedPart)>,
     /// Prompt tokens that need prefill, by service, including those of refused streams.
     demand: HashMap<String, DemandMeter>,
     last_id: u64,
-    rng: Pcg32,
+    pub(super) rng: Pcg32,
 }
 
 impl EnginePlacer {
@@ -166,6 +170,7 @@
         Self {
             cache: PrefixLocations::default(),
             speeds: HashMap::new(),
+            ledger: SpeedLedger::default(),
             paces: HashMap::new(),
             open_streams: HashMap::new(),
             loads: EngineLoads::default(),
@@ -218,7 +223,9 @@
         query: &EngineQuery<'_>,
         server: ServerKey,
     ) -> Result<EngineReservation> {
-        let takes_work = registry.takes_work(server);
+        let versions = query.terms.versions;
+        let takes_work =
+            registry.takes_work(server) && versions.allows(server, registry.server(server));
         let hash = registry.server(server).hash;
         let candidate = takes_work.then(|| self.candidate(now, query, server, hash));
         self.admit(now, registry, query, candidate)
@@ -254,7 +261,14 @@
         let (server, elapsed) = (stream.server, now.since(stream.sent_at));
         self.loads.end_prefill(server, tokens);
         let speed = self.speeds.entry(service.to_owned()).or_default();
-        speed.observe(tokens + tokens_ahead, elapsed);
+        let factor = self.ledger.time_factor(now, server);
+        if let Some(ratio) = speed.time_ratio(tokens + tokens_ahead, elapsed) {
+            // Of a long queue, this host may not know all, nor what of it has ended.
+            let weight = PREFILL_SAMPLE_WEIGHT * tokens / (tokens + tokens_ahead);
+            self.ledger
+                .record_ratio(now, service, server, ratio, weight);
+        }
+        speed.observe((tokens + tokens_ahead) * factor, elapsed);
         self.health.entry(server).or_default().record_response(true);
     }
 
@@ -285,6 +299,7 @@
     pub fn forget_server(&mut self, server: ServerKey) {
         self.cache.remove_server(server);
         self.health.remove(&server);
+        self.ledger.forget_server(server);
     }
 
     /// Replaces a peer's loads and merges the parts that it placed.
@@ -393,6 +408,17 @@
         self.loads.own_requests(server)
     }
 
+    /// Returns the speeds and paces of engines.
+    #[must_use]
+    pub const fn ledger(&self) -> &SpeedLedger {
+        &self.ledger
+    }
+
+    /// Returns the speeds and paces of engines, to record observations.
+    pub const fn ledger_mut(&mut self) -> &mut SpeedLedger {
+        &mut self.ledger
+    }
+
     /// Returns how long streams of a service hold their slots.
     #[must_use]
     pub fn pace(&self, service: &str) -> SlotPace {
@@ -405,39 +431,32 @@
         self.loads.prune(now);
     }
 
-    fn best_candidate(
+    pub(super) fn best_candidate(
         &self,
         now: Timestamp,
         registry: &ServerRegistry,
         query: &EngineQuery<'_>,
     ) -> Option<EngineCandidate> {
+        choose_engine(&self.candidates(now, registry, query), query, TARGET_SHARE)
+    }
+
+    /// Returns the engines that a stream may be sent to.
+    pub(super) fn candidates(
+        &self,
+        now: Timestamp,
+        registry: &ServerRegistry,
+        query: &EngineQuery<'_>,
+    ) -> Vec<EngineCandidate> {
         let servers = registry.available(now, query.service);
         let untried = servers.filter(|(key, _)| !query.tried.contains(key));
-        let candidates: Vec<EngineCandidate> = untried
-            .map(|(key, server)| self.candidate(now, query, key, server.hash))
-            .collect();
-        let healthy = candidates.iter().filter(|candidate| {
-            let health = self.health.get(&candidate.server);
-            !health.is_some_and(|health| health.is_avoided(now))
+        let versions = query.terms.versions;
+        let untried = untried.filter(|(key, server)| versions.allows(*key, server));
+        let candidates = untried.map(|(key, server)| {
+            let candidate = self.candidate(now, query, key, server.hash);
+            let terms = &query.terms;
+            candidate.add_zone_cost(terms.zones.cost(terms.zone, &server.registration.zone))
         });
-        let mut healthy: Vec<&EngineCandidate> = healthy.collect();
-        if let Some((part, rank)) = query.selected_by {
-            let weight = |candidate: &&EngineCandidate| {
-                preference_of(part, registry.server(candidate.server).hash)
-            };
-            healthy.sort_unstable_by_key(|candidate| std::cmp::Reverse(weight(candidate)));
-            let index = (rank as usize).min(healthy.len().saturating_sub(1));
-            return healthy.get(index).map(|candidate| **candidate);
-        }
-        if query.is_load_stale {
-            let target = query.target.mul_f64(TARGET_SHARE);
-            if let Some(chosen) = choose_with_stale_loads(&mut healthy, query.prompt, target) {
-                return Some(chosen);
-            }
-        }
-        let best = healthy.into_iter().min_by(|a, b| a.compare(b));
-        best.or_else(|| candidates.iter().min_by(|a, b| a.compare(b)))
-            .copied()
+        candidates.collect()
     }
 
     fn candidate(
@@ -449,32 +468,39 @@
     ) -> EngineCandidate {
         let load = self.loads.of_engine(server, hash);
         let speed = self.speed(query.service);
+        let time_factor = self.ledger.time_factor(now, server);
+        let lasting_speed = self.ledger.speed(server);
         let cached = self.cache.cached_tokens(now, server, query.prompt);
         let new_tokens = query.prompt.prompt_tokens.saturating_sub(cached);
         let tokens_ahead = load.waiting_tokens;
-        let prefill_time = speed.prefill_time(f64::from(new_tokens));
-        let mut predicted_latency = speed.prefill_time(f64::from(new_tokens) + tokens_ahead);
-        predicted_latency += self.slot_delay(query, load.requests);
+        let prefill_time = speed.prefill_time(f64::from(new_tokens) * time_factor);
+        // A slow engine's time is worth less to later requests, in proportion to its speed.
+        let work_time = speed.prefill_time(f64::from(new_tokens));
+        let all_tokens = f64::from(new_tokens) + tokens_ahead;
+        let mut predicted_latency = speed.prefill_time(all_tokens * time_factor);
+        predicted_latency += self.slot_delay(query, load.requests).mul_f64(time_factor);
         let needed_memory = load.memory_tokens + f64::from(query.prompt.total_tokens());
         if needed_memory > query.spec.memory_tokens * MEMORY_SHARE {
             predicted_latency += MEMORY_DELAY;
         }
-        let failures = self
-            .health
-            .get(&server)
-            .map_or(0.0, ServerHealth::failure_share);
+        let health = self.health.get(&server);
+        let failures = health.map_or(0.0, ServerHealth::failure_share);
         let cost = predicted_latency.as_secs_f64()
-            + prefill_time.as_secs_f64() * WORK_WEIGHT
+            + work_time.as_secs_f64() * WORK_WEIGHT
             + failures * query.target.as_secs_f64();
         EngineCandidate {
             server,
+            hash,
+            is_avoided: health.is_some_and(|health| health.is_avoided(now)),
+            zone_cost_ms: 0.0,
             used_share: load.requests / f64::from(query.spec.slots),
             predicted_latency,
             prefill_time,
             new_tokens,
             tokens_ahead,
             cost_ms: cost * 1_000.0,
-            preference: preference(query.prompt, hash),
+            preference: weighted_preference(preference(query.prompt, hash), lasting_speed),
+            speed: lasting_speed,
         }
     }
 
@@ -485,13 +511,19 @@
         release_interval.mul_f64(excess_requests.max(0.0))
     }
 
-    fn check_admission(&mut self, query: &EngineQuery<'_>, best: EngineCandidate) -> Result<()> {
+    pub(super) fn check_admission(
+        &mut self,
+        query: &EngineQuery<'_>,
+        best: EngineCandidate,
+    ) -> Result<()> {
         let target = query.target.mul_f64(TARGET_SHARE);
         let wait = best.predicted_latency.saturating_sub(best.prefill_time);
         let is_prefill_too_long = best.prefill_time > target;
         let is_on_time = best.predicted_latency <= target;
         let is_wait_short = is_prefill_too_long && wait <= query.target.mul_f64(MAX_WAIT_SHARE);
-        if (is_on_time || is_wait_short) && best.predicted_latency < query.caller_timeout {
+        let queue_limit = query.terms.queue_limit.unwrap_or(Duration::MAX);
+        let is_admitted = (is_on_time || is_wait_short) && wait <= queue_limit;
+        if is_admitted && best.predicted_latency < query.caller_timeout {
             return Ok(());
         }
         let jitter = self.rng.random_range(1.0..1.6);
@@ -552,7 +584,7 @@
         }
     }
 
-    fn no_engine_refusal(
+    pub(super) fn no_engine_refusal(
         &mut self,
         now: Timestamp,
         registry: &ServerRegistry,
--- a/crates/teaselglade-routing/src/gossip/aggregate_digest.rs
+++ b/crates/teaselglade-routing/src/gossip/aggregate_digest.rs
@@ -10,6 +10,10 @@
 use crate::limit::{LimitReport, PermitMessage};
 use crate::quota::FleetSpend;
 use crate::registry::{ServerDeparture, ServerRegistration};
+use crate::rollout::RolloutReport;
+use crate::share::ShareReport;
+use crate::speed::SpeedReport;
+use crate::zone::ZoneReport;
 
 /// A highly ranked host, from which aggregators and the leader are chosen.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -84,6 +88,19 @@
     Crashes(Vec<SubjectEvidence>),
     /// Limits of servers and issued permits, sent beside a digest.
     Limits(LimitReport),
+    /// Demand by organisation and rank, sent beside a digest.
+    Shares(ShareReport),
     /// Message about a permit to send to a limited server.
     Permit(PermitMessage),
+    /// Roll-outs that run or ended lately, sent beside a digest while there are any.
+    Rollouts(RolloutReport),
+    /// Parts of the zones' demand that leave them, sent by an aggregator beside its digest.
+    Zones(ZoneReport),
+    /// Lasting speeds of servers, sent beside a digest.
+    Speeds {
+        /// Speeds of engines.
+        engines: SpeedReport,
+        /// Speeds of servers of plain calls.
+        plain: SpeedReport,
+    },
 }
--- a/crates/teaselglade-routing/tests/routing/plains.rs
+++ b/crates/teaselglade-routing/tests/routing/plains.rs
@@ -4,6 +4,8 @@
 use teaselglade_routing::capacity::{PlacementTerms, RequestRank};
 use teaselglade_routing::plain::{PlainPlacer, PlainQuery, ServerLoad};
 use teaselglade_routing::registry::{ServerRegistration, ServerRegistry};
+use teaselglade_routing::rollout::VersionScope;
+use teaselglade_routing::zone::ZoneTerms;
 
 use super::fixture::{at, registration};
 
@@ -14,6 +16,9 @@
     terms: PlacementTerms {
         zone: "galway",
         rank: RequestRank::new(0),
+        versions: VersionScope::Any,
+        queue_limit: None,
+        zones: ZoneTerms::NONE,
     },
 };
 
@@ -65,6 +70,7 @@
     let (registry, keys) = three_zone_registry();
     let mut placer = PlainPlacer::new(1);
     let load = ServerLoad {
+        pace: None,
         running: 6,
         waiting: 60,
         slots: 6,
