fix(rollout): a verdict in the store stands

Cause: a host that got an order while it ran adopted no verdict that the store shows, final verdicts overwrote each other, and 'completed' was published over a finding heard while the store was read.

Change: a verdict is adoptable unless the replaced order had the same target; any that differs is adopted; the stage is read again before publishing. 'Completed' wins a merge, as hosts enter it only once the store shows it.

--- a/crates/teaselglade-host/src/rollout/rollout_keeper.rs
+++ b/crates/teaselglade-host/src/rollout/rollout_keeper.rs
@@ -133,7 +133,7 @@
     let shown = shown.filter(|shown| shown.target == order.target);
     if let Some(shown) = &shown {
         let is_verdict = shown.stage.is_final() && status.may_adopt;
-        if is_verdict && !status.stage.is_final() {
+        if is_verdict && shown.stage != status.stage {
             adopt_verdict(host, status, shown.stage);
             return false;
         }
@@ -142,6 +142,11 @@
             return true;
         }
     }
+    // The evidence is read while the store is.
+    let current = host.lock_decisions().rollouts.stage(&order.service);
+    if current.is_some_and(|current| current.is_final() && current != status.stage) {
+        return false;
+    }
     let rollout = PublishedRollout {
         service: order.service.clone(),
         target: order.target.clone(),
--- a/crates/teaselglade-routing/src/rollout/rollout_desk.rs
+++ b/crates/teaselglade-routing/src/rollout/rollout_desk.rs
@@ -141,8 +141,8 @@
         hosts: usize,
         is_listed: bool,
     ) -> bool {
-        let known = self.rollouts.get_mut(&order.service);
-        if let Some(known) = known {
+        let mut may_adopt = true;
+        if let Some(known) = self.rollouts.get_mut(&order.service) {
             if known.order.is_same(&order) {
                 known.order.number = known.order.number.max(order.number);
                 return false;
@@ -150,13 +150,15 @@
             if known.order.number > order.number {
                 return false;
             }
+            // A verdict on the same target may be that of the replaced order.
+            may_adopt = is_listed || known.order.target != order.target;
         }
         if let Some(barred) = self.barred.get_mut(&order.service) {
             let target = order.target_hash();
             barred.retain(|version| *version != target);
         }
         let slack = self.own_slack(&order, hosts);
-        let rollout = ServiceRollout::new(now, order.clone(), slack, is_listed);
+        let rollout = ServiceRollout::new(now, order.clone(), slack, may_adopt);
         self.rollouts.insert(order.service, rollout);
         true
     }
@@ -172,7 +174,7 @@
         part * (weight as f64 / u64::MAX as f64)
     }
 
-    /// Records a verdict that the store shows.
+    /// Records a verdict that the store shows, which stands whatever this host found.
     pub fn record_verdict(
         &mut self,
         now: Timestamp,
@@ -182,7 +184,7 @@
     ) {
         let rollout = self.rollouts.get_mut(service);
         if let Some(rollout) = rollout.filter(|rollout| rollout.order.number == number) {
-            rollout.enter(now, stage);
+            rollout.adopt(now, stage);
         }
     }
 
@@ -345,7 +347,7 @@
                     rollout.stage
                 },
                 stage_age: now.since(rollout.staged_at),
-                may_adopt: rollout.is_listed,
+                may_adopt: rollout.may_adopt,
             }
         });
         statuses.collect()
--- a/crates/teaselglade-routing/src/rollout/rollout_stage.rs
+++ b/crates/teaselglade-routing/src/rollout/rollout_stage.rs
@@ -64,7 +64,8 @@
 
     /// Returns the stage that stands for two verdicts or stages of one order.
     ///
-    /// A verdict is final: of two, `Completed` stands, because the old servers have stopped.
+    /// A verdict is final: of two, `Completed` stands. Hosts enter it only once the store shows it,
+    /// while any host may find a version bad.
     #[must_use]
     pub fn merged(self, other: Self) -> Self {
         if self == Self::Completed || other == Self::Completed {
--- a/crates/teaselglade-routing/src/rollout/service_rollout.rs
+++ b/crates/teaselglade-routing/src/rollout/service_rollout.rs
@@ -101,8 +101,8 @@
     pub(super) ordered_at: Timestamp,
     pub(super) stage: RolloutStage,
     pub(super) staged_at: Timestamp,
-    /// Whether this host found the order in the store when it started.
-    pub(super) is_listed: bool,
+    /// Whether a verdict that the store shows for the target is one on this order.
+    pub(super) may_adopt: bool,
     pub(super) finding: Option<TestFinding>,
     pub(super) open_at_old: u32,
     target: u64,
@@ -124,14 +124,14 @@
 }
 
 impl ServiceRollout {
-    pub(super) fn new(now: Timestamp, order: RolloutOrder, slack: f64, is_listed: bool) -> Self {
+    pub(super) fn new(now: Timestamp, order: RolloutOrder, slack: f64, may_adopt: bool) -> Self {
         Self {
             target: order.target_hash(),
             order,
             ordered_at: now,
             stage: RolloutStage::Trial,
             staged_at: now,
-            is_listed,
+            may_adopt,
             finding: None,
             open_at_old: 0,
             credit: ExposureCredit::new(slack),
@@ -314,7 +314,11 @@
     }
 
     pub(super) fn enter(&mut self, now: Timestamp, stage: RolloutStage) {
-        let stage = self.stage.merged(stage);
+        self.adopt(now, self.stage.merged(stage));
+    }
+
+    /// Takes over what the store shows.
+    pub(super) fn adopt(&mut self, now: Timestamp, stage: RolloutStage) {
         if stage != self.stage {
             self.stage = stage;
             self.staged_at = now;
