fix(rollout): an order for the version in service leaves no request unserved

Cause: without servers of another version a trial chose 'all but the target', for which there is no fallback; so did a host that starts after a completed order.

Change: while no other version was seen, the target is used; servers are read as soon as an order is recorded.

--- a/crates/teaselglade-host/src/state/decision_state.rs
+++ b/crates/teaselglade-host/src/state/decision_state.rs
@@ -605,13 +605,16 @@
     /// `is_listed` tells whether this host found it in the store when it started.
     pub fn record_order(&mut self, now: Timestamp, order: RolloutOrder, is_listed: bool) -> bool {
         let hosts = self.fleet_size();
-        self.rollouts.record_order(now, order, hosts, is_listed)
+        let is_new = self.rollouts.record_order(now, order, hosts, is_listed);
+        self.rollouts.read_servers(now, &self.registry);
+        is_new
     }
 
     /// Merges what a peer or an aggregator says of roll-outs.
     pub fn merge_rollouts(&mut self, now: Timestamp, report: RolloutReport) {
         let hosts = self.fleet_size();
         self.rollouts.merge(now, report, hosts);
+        self.rollouts.read_servers(now, &self.registry);
     }
 
     /// Returns the number of hosts, this one included; an assumed one until peers are known.
--- a/crates/teaselglade-routing/src/rollout/rollout_desk.rs
+++ b/crates/teaselglade-routing/src/rollout/rollout_desk.rs
@@ -163,6 +163,16 @@
         true
     }
 
+    /// Reads the servers of orders that were recorded since the last update.
+    ///
+    /// Until then an order for the version in service leaves no server to use.
+    pub fn read_servers(&mut self, now: Timestamp, registry: &ServerRegistry) {
+        let rollouts = self.rollouts.values_mut();
+        for rollout in rollouts.filter(|rollout| !rollout.is_read) {
+            rollout.update(now, registry, TRIAL_SERVER_SHARE);
+        }
+    }
+
     /// Returns this host's part of the slack, which differs from host to host.
     ///
     /// Below one request: hosts with little traffic then do not all send their first request to the
--- a/crates/teaselglade-routing/src/rollout/service_rollout.rs
+++ b/crates/teaselglade-routing/src/rollout/service_rollout.rs
@@ -121,6 +121,10 @@
     part: Arc<[ServerKey]>,
     old_servers: usize,
     new_servers: usize,
+    /// Whether a server of another version than the target was seen since the order.
+    has_old: bool,
+    /// Whether the servers were read since the order.
+    pub(super) is_read: bool,
 }
 
 impl ServiceRollout {
@@ -146,6 +150,8 @@
             part: Arc::new([]),
             old_servers: 0,
             new_servers: 0,
+            has_old: false,
+            is_read: false,
         }
     }
 
@@ -158,6 +164,10 @@
         is_repeat: bool,
     ) -> VersionChoice {
         let old = VersionChoice::Without(self.target);
+        // The target is the version in service.
+        if !self.stage.is_final() && !self.has_old && self.new_servers > 0 {
+            return VersionChoice::Target(self.target);
+        }
         match self.stage {
             RolloutStage::RolledBack => old,
             RolloutStage::Whole | RolloutStage::Completed => VersionChoice::Target(self.target),
@@ -264,6 +274,8 @@
             servers.partition(|(_, server)| server.version_hash() == self.target);
         self.old_servers = old.len();
         self.new_servers = new.len();
+        self.has_old |= self.old_servers > 0;
+        self.is_read = true;
         let mut ranked: Vec<(u64, ServerKey)> = new
             .into_iter()
             .map(|(key, server)| (preference_of(self.order.number, server.hash), key))
--- a/crates/teaselglade-routing/tests/routing/rollouts.rs
+++ b/crates/teaselglade-routing/tests/routing/rollouts.rs
@@ -260,6 +260,18 @@
     assert_eq!(stage(&desk), Some(RolloutStage::RolledBack));
 }
 
+#[test]
+fn an_order_for_the_version_in_service_leaves_no_request_unserved() {
+    let registry = registry(0, 2);
+    let mut desk = RolloutDesk::new("edge-1", Some(BOUNDS));
+    desk.record_order(at(0), order("v2", 3), 1, true);
+    desk.read_servers(at(0), &registry);
+    for is_repeat in [false, true] {
+        let choice = desk.choose(at(0), SERVICE, 1, is_repeat);
+        assert!(first_allowed(&registry, &choice).is_some());
+    }
+}
+
 #[test]
 fn an_order_for_an_unknown_service_changes_nothing_for_others() {
     let mut desk = RolloutDesk::new("edge-1", None);
