fix(rollout): a second order gives the rest to the version in service only

Cause: what an order does not give to its target went to all other versions, also to one that was rolled back, on trial under the replaced order, or without an order.

Change: a replaced order that was not completed bars its target; the rest goes to the versions in service, else to all that are not barred, and a trial falls back to the same.

Test: a_second_order_gives_neither_version_that_was_not_completed_the_rest. repeats_of_a_request_go_to_the_old_version compares the versions that are allowed, in all scopes, as the choice has another form.

--- a/crates/teaselglade-routing/src/rollout/rollout_desk.rs
+++ b/crates/teaselglade-routing/src/rollout/rollout_desk.rs
@@ -74,7 +74,7 @@
     own_name: String,
     bounds: Option<RolloutBounds>,
     rollouts: BTreeMap<String, ServiceRollout>,
-    /// Versions that were rolled back, by service.
+    /// Versions that were rolled back, or whose order was replaced before its verdict, by service.
     barred: HashMap<String, Vec<u64>>,
     settled: SettledVersions,
     open: HashMap<ServerKey, u32>,
@@ -152,11 +152,17 @@
             }
             // A verdict on the same target may be that of the replaced order.
             may_adopt = is_listed || known.order.target != order.target;
+            if known.stage != RolloutStage::Completed {
+                let barred = self.barred.entry(order.service.clone()).or_default();
+                barred.push(known.order.target_hash());
+                barred.dedup();
+            }
         }
+        let target = order.target_hash();
         if let Some(barred) = self.barred.get_mut(&order.service) {
-            let target = order.target_hash();
             barred.retain(|version| *version != target);
         }
+        self.settled.remove(&order.service, target);
         let slack = self.own_slack(&order, hosts);
         let rollout = ServiceRollout::new(now, order.clone(), slack, may_adopt);
         self.rollouts.insert(order.service, rollout);
@@ -210,20 +216,27 @@
         is_repeat: bool,
     ) -> VersionChoice {
         let bounds = self.bounds.unwrap_or_default();
-        let settled = self.settled.of_service(service);
+        let settled = self.settled.of_service(service).map(Arc::clone);
+        let barred = self.barred.get(service).map_or(&[][..], Vec::as_slice);
         let Some(rollout) = self.rollouts.get_mut(service) else {
             return settled.map_or(VersionChoice::Any, |settled| {
-                VersionChoice::Settled(Arc::clone(settled), None)
+                VersionChoice::Settled(settled, barred.into())
             });
         };
-        match settled {
-            // A later order may follow the servers of its version.
-            Some(settled) if rollout.stage == RolloutStage::RolledBack => {
-                let target = rollout.order.target_hash();
-                VersionChoice::Settled(Arc::clone(settled), Some(target))
+        let target = rollout.order.target_hash();
+        let excluded = || {
+            let others = barred.iter().filter(|version| **version != target);
+            others.copied().chain([target]).collect()
+        };
+        // Neither a later version nor one of an earlier order takes what the target does not get.
+        let old = match settled {
+            Some(settled) => VersionChoice::Settled(settled, excluded()),
+            None if barred.iter().all(|version| *version == target) => {
+                VersionChoice::Without(target)
             }
-            _ => rollout.choose(now, bounds, route, is_repeat),
-        }
+            None => VersionChoice::WithoutAll(excluded()),
+        };
+        rollout.choose(now, bounds, route, is_repeat, old)
     }
 
     /// Gives back the credit of an attempt that was not placed on trial.
--- a/crates/teaselglade-routing/src/rollout/service_rollout.rs
+++ b/crates/teaselglade-routing/src/rollout/service_rollout.rs
@@ -156,26 +156,30 @@
     }
 
     /// Returns the versions that an attempt may use; a trial takes credit.
+    ///
+    /// `old` stands for all that the order does not give to its target.
     pub(super) fn choose(
         &mut self,
         now: Timestamp,
         bounds: RolloutBounds,
         route: u64,
         is_repeat: bool,
+        old: VersionChoice,
     ) -> VersionChoice {
-        let old = VersionChoice::Without(self.target);
         // The target is the version in service.
         if !self.stage.is_final() && !self.has_old && self.new_servers > 0 {
-            return VersionChoice::Target(self.target);
+            return VersionChoice::Target(self.target, Box::new(old));
         }
         match self.stage {
             RolloutStage::RolledBack => old,
-            RolloutStage::Whole | RolloutStage::Completed => VersionChoice::Target(self.target),
+            RolloutStage::Whole | RolloutStage::Completed => {
+                VersionChoice::Target(self.target, Box::new(old))
+            }
             _ if is_repeat => old,
             RolloutStage::Trial => {
                 if self.is_trial_due(now, bounds, route) {
                     *self.route_exposed.entry(route).or_default() += 1;
-                    VersionChoice::Trial(Arc::clone(&self.trial), self.target)
+                    VersionChoice::Trial(Arc::clone(&self.trial), Box::new(old))
                 } else {
                     old
                 }
@@ -188,7 +192,7 @@
                     return old;
                 }
                 self.ramp -= 1.0;
-                VersionChoice::Part(Arc::clone(&self.part), self.target)
+                VersionChoice::Part(Arc::clone(&self.part), Box::new(old))
             }
         }
     }
--- a/crates/teaselglade-routing/src/rollout/settled_versions.rs
+++ b/crates/teaselglade-routing/src/rollout/settled_versions.rs
@@ -74,6 +74,14 @@
         }
     }
 
+    /// Takes a version out of service, because an order decides on it.
+    pub(super) fn remove(&mut self, service: &str, version: u64) {
+        if let Some(versions) = self.services.get_mut(service) {
+            let settled = versions.settled.iter().copied();
+            versions.settled = settled.filter(|settled| *settled != version).collect();
+        }
+    }
+
     /// Makes a version the one in service.
     pub(super) fn settle(&mut self, service: &str, version: u64) {
         let versions = self.services.entry(service.to_owned()).or_default();
--- a/crates/teaselglade-routing/src/rollout/version_scope.rs
+++ b/crates/teaselglade-routing/src/rollout/version_scope.rs
@@ -14,6 +14,8 @@
     Any,
     /// All versions but one.
     Without(u64),
+    /// All versions but some.
+    WithoutAll(&'a [u64]),
     /// One version.
     Only(u64),
     /// Some versions.
@@ -30,6 +32,7 @@
         match self {
             Self::Any => true,
             Self::Without(excluded) => version != *excluded,
+            Self::WithoutAll(excluded) => !excluded.contains(&version),
             Self::Only(wanted) => version == *wanted,
             Self::OneOf(versions) => versions.contains(&version),
             Self::Among(servers) => servers.contains(&key),
@@ -45,14 +48,16 @@
     Any,
     /// All versions but the target of an order, whatever is left.
     Without(u64),
-    /// Servers on trial, else all versions but the target; credit for one request is taken.
-    Trial(Arc<[ServerKey]>, u64),
-    /// Some servers of the target of an order, else all versions but it.
-    Part(Arc<[ServerKey]>, u64),
-    /// The target of an order, else the other versions.
-    Target(u64),
-    /// The versions in service, else all but one that was rolled back.
-    Settled(Arc<[u64]>, Option<u64>),
+    /// All versions but the target of an order and others that were not completed.
+    WithoutAll(Arc<[u64]>),
+    /// Servers on trial, else another choice; credit for one request is taken.
+    Trial(Arc<[ServerKey]>, Box<Self>),
+    /// Some servers of the target of an order, else another choice.
+    Part(Arc<[ServerKey]>, Box<Self>),
+    /// The target of an order, else another choice.
+    Target(u64, Box<Self>),
+    /// The versions in service, else all but some that were not completed.
+    Settled(Arc<[u64]>, Arc<[u64]>),
 }
 
 impl VersionChoice {
@@ -62,22 +67,23 @@
         match self {
             Self::Any => VersionScope::Any,
             Self::Without(target) => VersionScope::Without(*target),
+            Self::WithoutAll(excluded) => VersionScope::WithoutAll(excluded),
             Self::Trial(servers, _) | Self::Part(servers, _) => VersionScope::Among(servers),
-            Self::Target(target) => VersionScope::Only(*target),
+            Self::Target(target, _) => VersionScope::Only(*target),
             Self::Settled(versions, _) => VersionScope::OneOf(versions),
         }
     }
 
     /// Returns the choice for an attempt that found no server in the first scope, if there is one.
     #[must_use]
-    pub const fn fallback(&self) -> Option<Self> {
+    pub fn fallback(&self) -> Option<Self> {
         match self {
-            Self::Any | Self::Without(_) => None,
-            Self::Trial(_, target) | Self::Part(_, target) | Self::Target(target) => {
-                Some(Self::Without(*target))
+            Self::Any | Self::Without(_) | Self::WithoutAll(_) => None,
+            Self::Trial(_, old) | Self::Part(_, old) | Self::Target(_, old) => {
+                Some(Self::clone(old))
             }
-            Self::Settled(_, None) => Some(Self::Any),
-            Self::Settled(_, Some(barred)) => Some(Self::Without(*barred)),
+            Self::Settled(_, barred) if barred.is_empty() => Some(Self::Any),
+            Self::Settled(_, barred) => Some(Self::WithoutAll(Arc::clone(barred))),
         }
     }
 
--- a/crates/teaselglade-routing/tests/routing/rollouts.rs
+++ b/crates/teaselglade-routing/tests/routing/rollouts.rs
@@ -1,5 +1,7 @@
 //! Exposure of a new version, its test, and the states of an order.
 
+use std::collections::BTreeSet;
+use std::iter::successors;
 use std::time::Duration;
 
 use proptest::prelude::*;
@@ -76,6 +78,18 @@
     allowed.map(|(key, _)| key).or_else(fallback)
 }
 
+/// Returns the versions that an attempt may use in its first scope or a later one.
+fn allowed_versions(registry: &ServerRegistry, choice: VersionChoice) -> BTreeSet<&str> {
+    let choices = successors(Some(choice), VersionChoice::fallback);
+    let of_choice = choices.flat_map(|choice| {
+        let servers = registry.of_service(SERVICE);
+        let allowed = servers.filter(|(key, server)| choice.scope().allows(*key, server));
+        let versions = allowed.map(|(_, server)| server.registration.version.as_str());
+        versions.collect::<Vec<_>>()
+    });
+    of_choice.collect()
+}
+
 #[derive(Debug, Clone, Copy)]
 enum Step {
     Send(usize),
@@ -208,9 +222,30 @@
     for _ in 0..100 {
         send(&mut desk, &registry, at(0), false);
     }
-    let target = order("v2", 3).target_hash();
     let choice = desk.choose(at(0), SERVICE, 1, true);
-    assert_eq!(choice, VersionChoice::Without(target));
+    assert_eq!(allowed_versions(&registry, choice), BTreeSet::from(["v1"]));
+}
+
+#[test]
+fn a_second_order_gives_neither_version_that_was_not_completed_the_rest() {
+    for verdict in [None, Some(RolloutStage::RolledBack)] {
+        for bounds in [None, Some(BOUNDS)] {
+            let mut registry = registry(2, 2);
+            registry.apply_registration(at(0), versioned("i-third", "v3"));
+            let mut desk = RolloutDesk::new("edge-1", bounds);
+            desk.record_order(at(0), order("v2", 3), 1, false);
+            desk.update(at(0), &registry, &[SERVICE]);
+            if let Some(verdict) = verdict {
+                desk.record_verdict(at(10), SERVICE, 3, verdict);
+            }
+            desk.record_order(at(20), order("v3", 4), 1, false);
+            for now in [20, 100, 6_000] {
+                let choice = desk.choose(at(now), SERVICE, 1, true);
+                assert_eq!(allowed_versions(&registry, choice), BTreeSet::from(["v1"]));
+                desk.update(at(now), &registry, &[SERVICE]);
+            }
+        }
+    }
 }
 
 #[test]
