fix(rollout): ordinary replacement goes on after a completed order

Cause: a completed order chose its target for ever, and each update settled it anew, which the registered old servers undid in the same update.

Test: a_version_after_a_completed_one_needs_no_order.

--- a/crates/teaselglade-routing/src/rollout/rollout_desk.rs
+++ b/crates/teaselglade-routing/src/rollout/rollout_desk.rs
@@ -224,6 +224,12 @@
             });
         };
         let target = rollout.order.target_hash();
+        // Later versions need no order once the old servers have stopped.
+        if rollout.is_settled && now.since(rollout.staged_at) > VERDICT_TIME {
+            return settled.map_or(VersionChoice::Any, |settled| {
+                VersionChoice::Settled(settled, barred.into())
+            });
+        }
         let excluded = || {
             let others = barred.iter().filter(|version| **version != target);
             others.copied().chain([target]).collect()
@@ -317,14 +323,18 @@
                 if !barred.contains(&target) {
                     barred.push(target);
                 }
-            } else if rollout.stage == RolloutStage::Completed {
-                self.settled.settle(&service, target);
+            } else if rollout.stage == RolloutStage::Completed && !rollout.is_settled {
+                rollout.is_settled = true;
+                self.settled.settle(registry, &service, target);
+                if let Some(barred) = self.barred.get_mut(&service) {
+                    barred.retain(|version| *version != target);
+                }
             }
         }
-        if self.bounds.is_some() {
-            for service in services.iter().copied() {
+        for service in services.iter().copied() {
+            let rollout = self.rollouts.get(service);
+            if self.bounds.is_some() || rollout.is_some_and(|rollout| rollout.is_settled) {
                 let mut barred = self.barred.get(service).cloned().unwrap_or_default();
-                let rollout = self.rollouts.get(service);
                 if let Some(running) = rollout.filter(|rollout| !rollout.stage.is_final()) {
                     barred.push(running.order.target_hash());
                 }
--- a/crates/teaselglade-routing/src/rollout/service_rollout.rs
+++ b/crates/teaselglade-routing/src/rollout/service_rollout.rs
@@ -125,6 +125,8 @@
     has_old: bool,
     /// Whether the servers were read since the order.
     pub(super) is_read: bool,
+    /// Whether the target was made the version in service.
+    pub(super) is_settled: bool,
 }
 
 impl ServiceRollout {
@@ -152,6 +154,7 @@
             new_servers: 0,
             has_old: false,
             is_read: false,
+            is_settled: false,
         }
     }
 
--- a/crates/teaselglade-routing/src/rollout/settled_versions.rs
+++ b/crates/teaselglade-routing/src/rollout/settled_versions.rs
@@ -17,6 +17,8 @@
 struct ServiceVersions {
     first_seen: BTreeMap<u64, Timestamp>,
     settled: Arc<[u64]>,
+    /// Versions that a completed order left and whose servers have not all gone.
+    left: BTreeSet<u64>,
 }
 
 /// Versions of services that take traffic without an order.
@@ -55,7 +57,10 @@
             return;
         };
         let versions = self.services.entry(service.to_owned()).or_default();
-        if versions.first_seen.is_empty() && !barred.contains(&oldest) {
+        if versions.first_seen.is_empty()
+            && versions.settled.is_empty()
+            && !barred.contains(&oldest)
+        {
             versions.settled = Arc::new([oldest]);
         }
         for version in &present {
@@ -64,9 +69,11 @@
         versions
             .first_seen
             .retain(|version, _| present.contains(version));
+        versions.left.retain(|version| present.contains(version));
         let is_settled = |(version, seen_at): (&u64, &Timestamp)| {
             let is_in = versions.settled.contains(version) || now.since(*seen_at) >= ORDER_WAIT;
-            (is_in && !barred.contains(version)).then_some(*version)
+            let is_out = barred.contains(version) || versions.left.contains(version);
+            (is_in && !is_out).then_some(*version)
         };
         let settled: Vec<u64> = versions.first_seen.iter().filter_map(is_settled).collect();
         if *settled != *versions.settled {
@@ -77,14 +84,18 @@
     /// Takes a version out of service, because an order decides on it.
     pub(super) fn remove(&mut self, service: &str, version: u64) {
         if let Some(versions) = self.services.get_mut(service) {
+            versions.left.remove(&version);
             let settled = versions.settled.iter().copied();
             versions.settled = settled.filter(|settled| *settled != version).collect();
         }
     }
 
-    /// Makes a version the one in service.
-    pub(super) fn settle(&mut self, service: &str, version: u64) {
+    /// Makes a version the one in service, and leaves the others that have servers.
+    pub(super) fn settle(&mut self, registry: &ServerRegistry, service: &str, version: u64) {
         let versions = self.services.entry(service.to_owned()).or_default();
         versions.settled = Arc::new([version]);
+        let present = registry.of_service(service);
+        let present = present.map(|(_, server)| server.version_hash());
+        versions.left = present.filter(|present| *present != version).collect();
     }
 }
--- a/crates/teaselglade-routing/tests/routing/rollouts.rs
+++ b/crates/teaselglade-routing/tests/routing/rollouts.rs
@@ -273,6 +273,34 @@
     assert_eq!(stage(&desk), Some(RolloutStage::Trial));
 }
 
+#[test]
+fn a_version_after_a_completed_one_needs_no_order() {
+    for bounds in [None, Some(BOUNDS)] {
+        let mut registry = registry(2, 2);
+        let mut desk = RolloutDesk::new("edge-1", bounds);
+        desk.record_order(at(0), order("v2", 3), 1, false);
+        desk.update(at(0), &registry, &[SERVICE]);
+        desk.record_verdict(at(10), SERVICE, 3, RolloutStage::Completed);
+        let allows = |desk: &mut RolloutDesk, registry: &ServerRegistry, id: &str, now| {
+            let key = registry.find(id).expect("the server");
+            let choice = desk.choose(at(now), SERVICE, 1, false);
+            choice.scope().allows(key, registry.server(key))
+        };
+        for now in [10, 6_000, 40_000] {
+            desk.update(at(now), &registry, &[SERVICE]);
+            assert!(allows(&mut desk, &registry, "i-new-0", now));
+            assert!(!allows(&mut desk, &registry, "i-old-0", now));
+        }
+        registry.apply_registration(at(41_000), versioned("i-third", "v3"));
+        desk.update(at(41_000), &registry, &[SERVICE]);
+        assert!(!allows(&mut desk, &registry, "i-third", 41_000));
+        desk.update(at(47_000), &registry, &[SERVICE]);
+        assert!(allows(&mut desk, &registry, "i-third", 47_000));
+        assert!(allows(&mut desk, &registry, "i-new-0", 47_000));
+        assert!(!allows(&mut desk, &registry, "i-old-0", 47_000));
+    }
+}
+
 #[test]
 fn an_order_that_is_read_again_after_a_return_of_the_store_is_the_same() {
     let mut desk = RolloutDesk::new("edge-1", Some(BOUNDS));
