fix(rollout): a stream that waited for a permit follows a verdict

Cause: the versions of a stream were chosen before it waited for a permit and used afterwards without another look.

Change: they are chosen again once an engine is obtained. A trial is kept only while its order runs and the rest of the traffic goes where it went; otherwise its credit goes back, and the permit too unless its server may still be used.

Not tested by itself: no test has permits beside an order.

--- a/crates/teaselglade-host/src/relay/stream_reservation.rs
+++ b/crates/teaselglade-host/src/relay/stream_reservation.rs
@@ -180,11 +180,26 @@
         decisions: &mut DecisionState,
         attempt: &StreamAttempt<'_>,
         run: Option<ContainedRun>,
-        obtained: ObtainedEngine,
+        mut obtained: ObtainedEngine,
         mut choice: VersionChoice,
     ) -> Result<Self> {
         let host = &context.host;
         let now = host.now();
+        // The order may have moved on while the attempt waited for a permit.
+        let (service, route) = (&context.service.name, context.route_hash);
+        let current = decisions.rollouts.choose(now, service, route, true);
+        let is_still_partial = choice.is_partial()
+            && decisions.rollouts.is_running(service)
+            && choice.fallback().as_ref() == Some(&current);
+        if !is_still_partial && choice != current {
+            give_back(context, decisions, &choice);
+            choice = current;
+            let registry = &decisions.registry;
+            let is_usable = |server| choice.allows(server, registry.server(server));
+            if !obtained.server.is_some_and(is_usable) {
+                obtained = ObtainedEngine::default();
+            }
+        }
         // A request that may end servers does not go on trial.
         let is_withheld = run.is_some() && choice.is_trial();
         if let Some(fallback) = choice.fallback().filter(|_| is_withheld) {
--- a/crates/teaselglade-routing/src/rollout/version_scope.rs
+++ b/crates/teaselglade-routing/src/rollout/version_scope.rs
@@ -92,4 +92,19 @@
     pub const fn is_trial(&self) -> bool {
         matches!(self, Self::Trial(..))
     }
+
+    /// Returns whether only a part of the traffic goes to the first scope.
+    #[must_use]
+    pub const fn is_partial(&self) -> bool {
+        matches!(self, Self::Trial(..) | Self::Part(..))
+    }
+
+    /// Returns whether a server may be used in any scope.
+    #[must_use]
+    pub fn allows(&self, key: ServerKey, server: &RegisteredServer) -> bool {
+        self.scope().allows(key, server)
+            || self
+                .fallback()
+                .is_some_and(|fallback| fallback.allows(key, server))
+    }
 }
