fix(rollout): a stream on trial without room goes to the old version

Cause: the fallback was placed at the engine obtained for the trial, which it does not allow, so the stream was refused.

Change: without an engine in a scope one of its fallback is obtained, with a permit if it is limited; a trial does not wait for a permit. An engine that a scope allowed is not kept for its fallback.

Not tested by itself: no test has permits beside an order.

--- a/crates/teaselglade-host/src/relay/stream_reservation.rs
+++ b/crates/teaselglade-host/src/relay/stream_reservation.rs
@@ -100,8 +100,8 @@
         choose_zone(context, &mut context.host.lock_decisions());
         let turn = ServerTurn::new(context, attempt.is_continued);
         let is_repeat = attempt.number > 1 || attempt.has_events;
-        let choice = choose_versions(context, is_repeat);
-        let engine = obtain_engine(context, attempt, &turn, choice.scope()).await;
+        let mut choice = choose_versions(context, is_repeat);
+        let engine = obtain_engine(context, attempt, &turn, &mut choice).await;
         let mut decisions = context.host.lock_decisions();
         let run = permit_attempt(context, &mut decisions, attempt);
         let run = run.inspect_err(|_refusal| give_back(context, &mut decisions, &choice))?;
@@ -145,8 +145,8 @@
             return None;
         }
         let turn = ServerTurn::without_hold(context);
-        let choice = choose_versions(context, true);
-        let engine = obtain_engine(context, attempt, &turn, choice.scope()).await;
+        let mut choice = choose_versions(context, true);
+        let engine = obtain_engine(context, attempt, &turn, &mut choice).await;
         let now = host.now();
         let mut decisions = host.lock_decisions();
         if !may_start(&mut decisions) {
@@ -219,6 +219,14 @@
                 break placed;
             };
             give_back(context, decisions, &choice);
+            let is_left = |server| {
+                let registered = decisions.registry.server(server);
+                !choice.scope().allows(server, registered) && fallback.allows(server, registered)
+            };
+            // Only an engine that this scope left out may still take the stream.
+            if !obtained.server.is_some_and(is_left) {
+                obtained = ObtainedEngine::default();
+            }
             choice = fallback;
         };
         let placed = placed.and_then(|engine| {
@@ -351,20 +359,21 @@
 
 /// Chooses an engine; obtains a permit if it is limited.
 ///
-/// An engine whose permit is denied is left out, and the next one is considered.
+/// An engine whose permit is denied is left out, and the next one is considered. Without an engine in
+/// the first scope of `choice` it becomes its fallback.
 async fn obtain_engine(
     context: &CallContext,
     attempt: &StreamAttempt<'_>,
     turn: &ServerTurn,
-    versions: VersionScope<'_>,
+    choice: &mut VersionChoice,
 ) -> ObtainedEngine {
     loop {
         let server = {
-            let decisions = context.host.lock_decisions();
+            let mut decisions = context.host.lock_decisions();
             if decisions.limits.is_empty() {
                 return ObtainedEngine::default();
             }
-            let query = engine_query(context, &decisions, attempt, None, versions);
+            let query = engine_query(context, &decisions, attempt, None, choice.scope());
             let (placer, registry) = (&decisions.engine_placer, &decisions.registry);
             let server = placer.preview(context.host.now(), registry, &query);
             if let Some(server) = server
@@ -375,10 +384,21 @@
                     permit: None,
                 };
             }
+            // A trial does not wait for a permit.
+            if let Some(old) = choice.fallback().filter(|_| choice.is_partial()) {
+                give_back(context, &mut decisions, choice);
+                *choice = old;
+                continue;
+            }
             server
         };
         let Some(server) = server else {
             if turn.wait_for_first().await {
+                *choice = choose_versions(context, true);
+                continue;
+            }
+            if let Some(fallback) = choice.fallback() {
+                *choice = fallback;
                 continue;
             }
             return ObtainedEngine::default();
