fix(rollout): a plain call with a permit may go to a server of the fallback

Cause: after the permit only the first scope was compared, so a call whose server was of the fallback dropped its permit and asked again; one for a part of the traffic always did.

Change: all scopes are compared; a part of the traffic waits for no permit, like a trial.

Not tested by itself: no test has permits beside an order.

--- a/crates/teaselglade-host/src/relay/plain_relay.rs
+++ b/crates/teaselglade-host/src/relay/plain_relay.rs
@@ -217,7 +217,7 @@
             // A trial does not wait for a permit.
             let is_usable = chosen
                 .as_ref()
-                .is_ok_and(|server| !(choice.is_trial() && decisions.needs_permit(*server)));
+                .is_ok_and(|server| !(choice.is_partial() && decisions.needs_permit(*server)));
             let fallback = choice.fallback().filter(|_| !is_usable);
             let Some(fallback) = fallback else {
                 return chosen;
@@ -256,10 +256,8 @@
         }
         let (service, route) = (&self.context.service.name, self.context.route_hash);
         let choice = decisions.rollouts.choose(now, service, route, true);
-        if !choice
-            .scope()
-            .allows(server, decisions.registry.server(server))
-        {
+        // The server may be one of a fallback, as all of the first scope may be limited.
+        if !choice.allows(server, decisions.registry.server(server)) {
             return None;
         }
         match self.permit_attempt(&mut decisions, now) {
