--- a/crates/teaselglade-host/src/relay/stream_reservation.rs
+++ b/crates/teaselglade-host/src/relay/stream_reservation.rs
@@ -201,7 +201,7 @@
             }
         }
         // A request that may end servers does not go on trial.
-        let is_withheld = run.is_some() && choice.is_trial();
+        let is_withheld = run.is_some() && choice.is_partial();
         if let Some(fallback) = choice.fallback().filter(|_| is_withheld) {
             give_back(context, decisions, &choice);
             choice = fallback;
