--- a/crates/teaselglade-routing/src/rollout/rollout_desk.rs
+++ b/crates/teaselglade-routing/src/rollout/rollout_desk.rs
@@ -74,7 +74,7 @@
     own_name: String,
     bounds: Option<RolloutBounds>,
     rollouts: BTreeMap<String, ServiceRollout>,
-    /// Versions that were rolled back, by service.
+    /// Versions that were rolled back, or whose order was replaced before its verdict, by service.
     barred: HashMap<String, Vec<u64>>,
     settled: SettledVersions,
     open: HashMap<ServerKey, u32>,
@@ -141,8 +141,8 @@
         hosts: usize,
         is_listed: bool,
     ) -> bool {
-        let known = self.rollouts.get_mut(&order.service);
-        if let Some(known) = known {
+        let mut may_adopt = true;
+        if let Some(known) = self.rollouts.get_mut(&order.service) {
             if known.order.is_same(&order) {
                 known.order.number = known.order.number.max(order.number);
                 return false;
@@ -150,17 +150,35 @@
             if known.order.number > order.number {
                 return false;
             }
+            // A verdict on the same target may be that of the replaced order.
+            may_adopt = is_listed || known.order.target != order.target;
+            if known.stage != RolloutStage::Completed {
+                let barred = self.barred.entry(order.service.clone()).or_default();
+                barred.push(known.order.target_hash());
+                barred.dedup();
+            }
         }
+        let target = order.target_hash();
         if let Some(barred) = self.barred.get_mut(&order.service) {
-            let target = order.target_hash();
             barred.retain(|version| *version != target);
         }
+        self.settled.remove(&order.service, target);
         let slack = self.own_slack(&order, hosts);
-        let rollout = ServiceRollout::new(now, order.clone(), slack, is_listed);
+        let rollout = ServiceRollout::new(now, order.clone(), slack, may_adopt);
         self.rollouts.insert(order.service, rollout);
         true
     }
 
+    /// Reads the servers of orders that were recorded since the last update.
+    ///
+    /// Until then an order for the version in service leaves no server to use.
+    pub fn read_servers(&mut self, now: Timestamp, registry: &ServerRegistry) {
+        let rollouts = self.rollouts.values_mut();
+        for rollout in rollouts.filter(|rollout| !rollout.is_read) {
+            rollout.update(now, registry, TRIAL_SERVER_SHARE);
+        }
+    }
+
     /// Returns this host's part of the slack, which differs from host to host.
     ///
     /// Below one request: hosts with little traffic then do not all send their first request to the
@@ -172,7 +190,7 @@
         part * (weight as f64 / u64::MAX as f64)
     }
 
-    /// Records a verdict that the store shows.
+    /// Records a verdict that the store shows, which stands whatever this host found.
     pub fn record_verdict(
         &mut self,
         now: Timestamp,
@@ -182,7 +200,7 @@
     ) {
         let rollout = self.rollouts.get_mut(service);
         if let Some(rollout) = rollout.filter(|rollout| rollout.order.number == number) {
-            rollout.enter(now, stage);
+            rollout.adopt(now, stage);
         }
     }
 
@@ -198,20 +216,33 @@
         is_repeat: bool,
     ) -> VersionChoice {
         let bounds = self.bounds.unwrap_or_default();
-        let settled = self.settled.of_service(service);
+        let settled = self.settled.of_service(service).map(Arc::clone);
+        let barred = self.barred.get(service).map_or(&[][..], Vec::as_slice);
         let Some(rollout) = self.rollouts.get_mut(service) else {
             return settled.map_or(VersionChoice::Any, |settled| {
-                VersionChoice::Settled(Arc::clone(settled), None)
+                VersionChoice::Settled(settled, barred.into())
             });
         };
-        match settled {
-            // A later order may follow the servers of its version.
-            Some(settled) if rollout.stage == RolloutStage::RolledBack => {
-                let target = rollout.order.target_hash();
-                VersionChoice::Settled(Arc::clone(settled), Some(target))
-            }
-            _ => rollout.choose(now, bounds, route, is_repeat),
+        let target = rollout.order.target_hash();
+        // Later versions need no order once the old servers have stopped.
+        if rollout.is_settled && now.since(rollout.staged_at) > VERDICT_TIME {
+            return settled.map_or(VersionChoice::Any, |settled| {
+                VersionChoice::Settled(settled, barred.into())
+            });
         }
+        let excluded = || {
+            let others = barred.iter().filter(|version| **version != target);
+            others.copied().chain([target]).collect()
+        };
+        // Neither a later version nor one of an earlier order takes what the target does not get.
+        let old = match settled {
+            Some(settled) => VersionChoice::Settled(settled, excluded()),
+            None if barred.iter().all(|version| *version == target) => {
+                VersionChoice::Without(target)
+            }
+            None => VersionChoice::WithoutAll(excluded()),
+        };
+        rollout.choose(now, bounds, route, is_repeat, old)
     }
 
     /// Gives back the credit of an attempt that was not placed on trial.
@@ -292,14 +323,18 @@
                 if !barred.contains(&target) {
                     barred.push(target);
                 }
-            } else if rollout.stage == RolloutStage::Completed {
-                self.settled.settle(&service, target);
+            } else if rollout.stage == RolloutStage::Completed && !rollout.is_settled {
+                rollout.is_settled = true;
+                self.settled.settle(registry, &service, target);
+                if let Some(barred) = self.barred.get_mut(&service) {
+                    barred.retain(|version| *version != target);
+                }
             }
         }
-        if self.bounds.is_some() {
-            for service in services.iter().copied() {
+        for service in services.iter().copied() {
+            let rollout = self.rollouts.get(service);
+            if self.bounds.is_some() || rollout.is_some_and(|rollout| rollout.is_settled) {
                 let mut barred = self.barred.get(service).cloned().unwrap_or_default();
-                let rollout = self.rollouts.get(service);
                 if let Some(running) = rollout.filter(|rollout| !rollout.stage.is_final()) {
                     barred.push(running.order.target_hash());
                 }
@@ -345,7 +380,7 @@
                     rollout.stage
                 },
                 stage_age: now.since(rollout.staged_at),
-                may_adopt: rollout.is_listed,
+                may_adopt: rollout.may_adopt,
             }
         });
         statuses.collect()
--- a/crates/teaselglade-routing/src/rollout/service_rollout.rs
+++ b/crates/teaselglade-routing/src/rollout/service_rollout.rs
@@ -101,8 +101,8 @@
     pub(super) ordered_at: Timestamp,
     pub(super) stage: RolloutStage,
     pub(super) staged_at: Timestamp,
-    /// Whether this host found the order in the store when it started.
-    pub(super) is_listed: bool,
+    /// Whether a verdict that the store shows for the target is one on this order.
+    pub(super) may_adopt: bool,
     pub(super) finding: Option<TestFinding>,
     pub(super) open_at_old: u32,
     target: u64,
@@ -121,17 +121,23 @@
     part: Arc<[ServerKey]>,
     old_servers: usize,
     new_servers: usize,
+    /// Whether a server of another version than the target was seen since the order.
+    has_old: bool,
+    /// Whether the servers were read since the order.
+    pub(super) is_read: bool,
+    /// Whether the target was made the version in service.
+    pub(super) is_settled: bool,
 }
 
 impl ServiceRollout {
-    pub(super) fn new(now: Timestamp, order: RolloutOrder, slack: f64, is_listed: bool) -> Self {
+    pub(super) fn new(now: Timestamp, order: RolloutOrder, slack: f64, may_adopt: bool) -> Self {
         Self {
             target: order.target_hash(),
             order,
             ordered_at: now,
             stage: RolloutStage::Trial,
             staged_at: now,
-            is_listed,
+            may_adopt,
             finding: None,
             open_at_old: 0,
             credit: ExposureCredit::new(slack),
@@ -146,26 +152,37 @@
             part: Arc::new([]),
             old_servers: 0,
             new_servers: 0,
+            has_old: false,
+            is_read: false,
+            is_settled: false,
         }
     }
 
     /// Returns the versions that an attempt may use; a trial takes credit.
+    ///
+    /// `old` stands for all that the order does not give to its target.
     pub(super) fn choose(
         &mut self,
         now: Timestamp,
         bounds: RolloutBounds,
         route: u64,
         is_repeat: bool,
+        old: VersionChoice,
     ) -> VersionChoice {
-        let old = VersionChoice::Without(self.target);
+        // The target is the version in service.
+        if !self.stage.is_final() && !self.has_old && self.new_servers > 0 {
+            return VersionChoice::Target(self.target, Box::new(old));
+        }
         match self.stage {
             RolloutStage::RolledBack => old,
-            RolloutStage::Whole | RolloutStage::Completed => VersionChoice::Target(self.target),
+            RolloutStage::Whole | RolloutStage::Completed => {
+                VersionChoice::Target(self.target, Box::new(old))
+            }
             _ if is_repeat => old,
             RolloutStage::Trial => {
                 if self.is_trial_due(now, bounds, route) {
                     *self.route_exposed.entry(route).or_default() += 1;
-                    VersionChoice::Trial(Arc::clone(&self.trial), self.target)
+                    VersionChoice::Trial(Arc::clone(&self.trial), Box::new(old))
                 } else {
                     old
                 }
@@ -178,7 +195,7 @@
                     return old;
                 }
                 self.ramp -= 1.0;
-                VersionChoice::Part(Arc::clone(&self.part), self.target)
+                VersionChoice::Part(Arc::clone(&self.part), Box::new(old))
             }
         }
     }
@@ -264,6 +281,8 @@
             servers.partition(|(_, server)| server.version_hash() == self.target);
         self.old_servers = old.len();
         self.new_servers = new.len();
+        self.has_old |= self.old_servers > 0;
+        self.is_read = true;
         let mut ranked: Vec<(u64, ServerKey)> = new
             .into_iter()
             .map(|(key, server)| (preference_of(self.order.number, server.hash), key))
@@ -314,7 +333,11 @@
     }
 
     pub(super) fn enter(&mut self, now: Timestamp, stage: RolloutStage) {
-        let stage = self.stage.merged(stage);
+        self.adopt(now, self.stage.merged(stage));
+    }
+
+    /// Takes over what the store shows.
+    pub(super) fn adopt(&mut self, now: Timestamp, stage: RolloutStage) {
         if stage != self.stage {
             self.stage = stage;
             self.staged_at = now;
