fix(registry): a listing keeps a server whose newest entry is a delayed write

Cause: apply_listing counted a server as listed only if its entry was applied. An entry of an earlier start or heartbeat is not, so the live incarnation counted as missing and was retired. Change: the ids of all listed registrations count, except those that name an own address. Test: a_listing_with_a_delayed_write_does_not_take_the_server (failed before).

--- a/crates/teaselglade-routing/src/registry/server_registry.rs
+++ b/crates/teaselglade-routing/src/registry/server_registry.rs
@@ -1,6 +1,6 @@
 //! Registry of the backend servers that a host knows, by incarnation.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -289,14 +289,20 @@
             registrations,
             unreadable,
         } = listing;
-        let listed: Vec<ServerKey> = registrations
-            .into_iter()
-            .filter_map(|registration| self.apply_registration(now, registration))
+        // An outdated entry proves too that the store has no removal behind it.
+        let own_addresses = &self.own_addresses;
+        let listed: HashSet<String> = registrations
+            .iter()
+            .filter(|registration| !own_addresses.contains(&registration.address))
+            .map(|registration| registration.id.clone())
             .collect();
+        for registration in registrations {
+            self.apply_registration(now, registration);
+        }
         let missing: Vec<String> = self
             .by_id
             .iter()
-            .filter(|(id, key)| !listed.contains(key) && !unreadable.contains(id))
+            .filter(|(id, _)| !listed.contains(*id) && !unreadable.contains(id))
             .filter(|(_, key)| {
                 let server = self.server(**key);
                 let position = server.registration.position;
--- a/crates/teaselglade-routing/tests/routing/server_news.rs
+++ b/crates/teaselglade-routing/tests/routing/server_news.rs
@@ -2,7 +2,7 @@
 
 use proptest::prelude::*;
 use teaselglade_routing::registry::{
-    ServerRegistration, ServerRegistry, ServerRemoval, StorePosition, UpdateScope,
+    ServerListing, ServerRegistration, ServerRegistry, ServerRemoval, StorePosition, UpdateScope,
 };
 
 use super::fixture::{at, draining, registration};
@@ -245,6 +245,40 @@
     assert!(registry.apply_registration(at(300), listed).is_some());
 }
 
+/// A listing holds the newest entry of each server, which may be a delayed write.
+#[test]
+fn a_listing_with_a_delayed_write_does_not_take_the_server() {
+    let cases = [
+        vec![(11, Write::Ready(6, 1)), (12, Write::Ready(5, 7))],
+        vec![
+            (9, Write::Ready(5, 7)),
+            (10, Write::Removal),
+            (11, Write::Ready(5, 40)),
+            (12, Write::Ready(5, 6)),
+        ],
+    ];
+    for writes in cases {
+        let mut registry = ServerRegistry::default();
+        let (&(offset, late), known) = writes.split_last().expect("a case has writes");
+        for (offset, write) in known {
+            apply(&mut registry, 0, &record(*offset, *write));
+        }
+        let expected = live(&registry);
+        let Record::Registration(listed) = record(offset, late) else {
+            unreachable!("a case ends with a registration");
+        };
+        let listing = ServerListing {
+            requested_at: at(9_000),
+            end: StorePosition::before_offset(0, offset as u64 + 1),
+            registrations: vec![listed],
+            unreadable: Vec::new(),
+        };
+        registry.apply_listing(at(9_000), listing);
+        assert!(expected.is_some(), "{writes:?}");
+        assert_eq!(live(&registry), expected, "{writes:?}");
+    }
+}
+
 #[test]
 fn a_tombstone_ends() {
     let mut registry = ServerRegistry::default();
