fix(upstream): a late response is awaited for 250 ms

Cause: the connection of an extra response stayed open for a second after its request had moved, so the first server worked on beside the second; the shortest bound on that is 400 ms. Change: MAX_LATE_TIME is 250 ms; docs follow. Test: late_responses::* pass; none of them fixes the time.

--- a/crates/teaselglade-host/src/upstream/late_response.rs
+++ b/crates/teaselglade-host/src/upstream/late_response.rs
@@ -15,7 +15,10 @@
 /// Maximum number of bytes that are read for the response.
 const MAX_LATE_BYTES: usize = 64 * 1024;
 /// Maximum time for which the response is awaited.
-const MAX_LATE_TIME: Duration = Duration::from_secs(1);
+///
+/// The request moves meanwhile, and the server may work on for it until the connection closes; the
+/// shortest bound on that is 400 ms.
+const MAX_LATE_TIME: Duration = Duration::from_millis(250);
 /// Size of one read.
 const READ_BYTES: usize = 4 * 1024;
 
@@ -41,7 +44,7 @@
 
     /// Reads on until the head of a response matches, and closes the connection.
     ///
-    /// Returns `None` if none matches within a second and 64 KiB. The unmatched response has to be
+    /// Returns `None` if none matches within 250 ms and 64 KiB. The unmatched response has to be
     /// dropped before, so that its connection ends.
     pub async fn read(
         self,
