fix(registry): a newer registration is told again as this host's own news

Cause: apply_departure renewed changed_at and then marked the change as a peer's, so a host of a large fleet left it out of what it sends to its aggregators, and they were never corrected. Change: the registration that is told again counts as local. Test: a_host_that_knows_a_newer_registration_tells_it_again also with UpdateScope::Local (failed before).

--- a/crates/teaselglade-routing/src/registry/server_registry.rs
+++ b/crates/teaselglade-routing/src/registry/server_registry.rs
@@ -202,7 +202,11 @@
             && self.takes_work(key)
             && now.since(self.server(key).changed_at) >= UPDATE_GOSSIP_TTL
         {
-            self.servers[key.index()].changed_at = now;
+            // The sender may be an aggregator, to which this host sends only its own news.
+            let server = &mut self.servers[key.index()];
+            server.changed_at = now;
+            server.is_from_peer = false;
+            return;
         }
         self.mark_from_peer(now, key);
     }
--- a/crates/teaselglade-routing/tests/routing/server_news.rs
+++ b/crates/teaselglade-routing/tests/routing/server_news.rs
@@ -84,9 +84,19 @@
     }
 }
 
-/// Gossips from one host to another, departures before registrations or after them.
+/// Gossips all from one host to another, departures before registrations or after them.
 fn gossip(from: &ServerRegistry, to: &mut ServerRegistry, now: u64, departures_first: bool) {
-    let departures = from.departures(at(now), UpdateScope::All, None);
+    gossip_scope(UpdateScope::All, from, to, now, departures_first);
+}
+
+fn gossip_scope(
+    scope: UpdateScope,
+    from: &ServerRegistry,
+    to: &mut ServerRegistry,
+    now: u64,
+    departures_first: bool,
+) {
+    let departures = from.departures(at(now), scope, None);
     let depart = |to: &mut ServerRegistry| {
         for departure in &departures {
             to.apply_departure(at(now), departure);
@@ -95,7 +105,7 @@
     if departures_first {
         depart(to);
     }
-    for registration in from.updates(at(now), UpdateScope::All) {
+    for registration in from.updates(at(now), scope) {
         to.merge_registration(at(now), registration);
     }
     if !departures_first {
@@ -211,17 +221,19 @@
 #[test]
 fn a_host_that_knows_a_newer_registration_tells_it_again() {
     let records = records(&[Write::Ready(5, 7), Write::Removal, Write::Ready(5, 7)]);
-    let (mut reader, mut behind) = (ServerRegistry::default(), ServerRegistry::default());
-    for record in &records {
-        apply(&mut reader, 0, record);
-    }
-    for record in &records[..2] {
-        apply(&mut behind, 20_000, record);
+    for scope in [UpdateScope::All, UpdateScope::Local] {
+        let (mut reader, mut behind) = (ServerRegistry::default(), ServerRegistry::default());
+        for record in &records {
+            apply(&mut reader, 0, record);
+        }
+        for record in &records[..2] {
+            apply(&mut behind, 20_000, record);
+        }
+        assert!(reader.updates(at(20_000), UpdateScope::All).is_empty());
+        gossip(&behind, &mut reader, 20_000, true);
+        gossip_scope(scope, &reader, &mut behind, 20_100, true);
+        assert_eq!([live(&reader), live(&behind)], [Some(5); 2], "{scope:?}");
     }
-    assert!(reader.updates(at(20_000), UpdateScope::All).is_empty());
-    gossip(&behind, &mut reader, 20_000, true);
-    gossip(&reader, &mut behind, 20_100, true);
-    assert_eq!([live(&reader), live(&behind)], [Some(5); 2]);
 }
 
 #[test]
