fix(registry): a refused registration does not prolong a tombstone

Cause: each refused registration made the tombstone grow and renewed its time, so a wrong one refused a running server for ever. Change: record_outdated keeps the time; only departures and removals renew it. Test: a_tombstone_ends_for_a_server_that_registers_on (failed before).

--- a/crates/teaselglade-routing/src/registry/server_tombstones.rs
+++ b/crates/teaselglade-routing/src/registry/server_tombstones.rs
@@ -140,6 +140,8 @@
     }
 
     /// Records a registration that is older than the departure of its server.
+    ///
+    /// It does not renew the tombstone: a wrong one would refuse a running server for ever.
     pub(super) fn record_outdated(&mut self, now: Timestamp, registration: &ServerRegistration) {
         let tombstone = ServerTombstone {
             started_at_ms: registration.started_at_ms,
@@ -148,7 +150,10 @@
             has_drained: registration.state == RegistrationState::Draining,
             removed_at: StorePosition::default(),
         };
-        self.join(now, &registration.id, tombstone);
+        match self.by_id.get_mut(&registration.id) {
+            Some((known, _)) => *known = known.join(tombstone),
+            None => self.join(now, &registration.id, tombstone),
+        }
     }
 
     /// Adds to a departure what the tombstone of its incarnation knows.
--- a/crates/teaselglade-routing/tests/routing/server_news.rs
+++ b/crates/teaselglade-routing/tests/routing/server_news.rs
@@ -313,6 +313,21 @@
     );
 }
 
+/// A refused registration adds to the tombstone, but does not prolong it.
+#[test]
+fn a_tombstone_ends_for_a_server_that_registers_on() {
+    let mut registry = ServerRegistry::default();
+    for (offset, write) in [(0, Write::Ready(5, 8)), (100, Write::Removal)] {
+        apply(&mut registry, 0, &record(offset, write));
+    }
+    let minute = 60_000;
+    apply(&mut registry, 9 * minute, &record(5, Write::Ready(5, 9)));
+    assert_eq!(live(&registry), None);
+    registry.remove_expired(at(11 * minute));
+    apply(&mut registry, 11 * minute, &record(6, Write::Ready(5, 10)));
+    assert_eq!(live(&registry), Some(5));
+}
+
 proptest! {
     /// Records are read late, twice, by any of three hosts, and digests are lost; in the end each
     /// host has read all.
