fix(registry): a departure says that the incarnation drained where the tombstone knows it

Cause: ServerTombstones::complete left out has_drained, so a peer that heard only the departure took a later registration of that start for a return. Change: a departure whose tombstone has drained is no mere removal. Test: a_departure_tells_that_the_server_has_drained; the interleavings have a later heartbeat too.

--- a/crates/teaselglade-routing/src/registry/server_tombstones.rs
+++ b/crates/teaselglade-routing/src/registry/server_tombstones.rs
@@ -167,6 +167,7 @@
                 heartbeat: known.heartbeat,
                 registered_at: known.registered_at,
                 removed_at: known.removed_at,
+                is_removed: departure.is_removed && !known.has_drained,
                 ..departure
             },
             None => departure,
--- a/crates/teaselglade-routing/tests/routing/server_news.rs
+++ b/crates/teaselglade-routing/tests/routing/server_news.rs
@@ -23,8 +23,9 @@
 }
 
 /// Each write that one server makes: a heartbeat of an earlier and of a later start, a delayed one, a drain.
-const WRITES: [Write; 6] = [
+const WRITES: [Write; 7] = [
     Write::Ready(5, 7),
+    Write::Ready(5, 9),
     Write::Ready(5, 6),
     Write::Ready(6, 1),
     Write::Draining(5, 8),
@@ -291,6 +292,24 @@
     }
 }
 
+/// The drain is read after the removal, and one host hears of both from the departure alone.
+#[test]
+fn a_departure_tells_that_the_server_has_drained() {
+    let records = records(&[
+        Write::Draining(5, 6),
+        Write::Ready(5, 7),
+        Write::Removal,
+        Write::Ready(5, 9),
+    ]);
+    let (mut reader, mut peer) = (ServerRegistry::default(), ServerRegistry::default());
+    for offset in [1, 2, 0] {
+        apply(&mut reader, 0, &records[offset]);
+    }
+    gossip(&reader, &mut peer, 100, true);
+    apply(&mut peer, 200, &records[3]);
+    assert_eq!(live(&peer), None);
+}
+
 #[test]
 fn a_tombstone_ends() {
     let mut registry = ServerRegistry::default();
