fix(peer): a host that was cut off for more than 10 s does not take a peer's age for its own

Cause: apply_state set registry_updated_at without a condition. Peers name departures for 10 s, so a host that was cut off for longer kept a departed server as ready and counted as fresh. Change: DecisionState::record_peer_state takes the age of a first read, or while the own data is younger. Test: a_host_that_was_cut_off_for_longer_than_departures_are_named_does_not_take_a_peers_age; the branch without the condition was not run.

--- a/crates/teaselglade-host/src/peer/peer_pull.rs
+++ b/crates/teaselglade-host/src/peer/peer_pull.rs
@@ -132,7 +132,7 @@
         for registration in state.servers {
             decisions.registry.merge_registration(now, registration);
         }
-        decisions.registry_updated_at = now.before(peer_age);
+        decisions.record_peer_state(now, peer_age);
         drop(decisions);
         info!(event = "servers_from_peer", count);
     }
--- a/crates/teaselglade-host/src/state/decision_state.rs
+++ b/crates/teaselglade-host/src/state/decision_state.rs
@@ -415,6 +415,17 @@
         }
     }
 
+    /// Records that a peer sent all that it knows of servers, as old as `age`.
+    ///
+    /// The first full read may come from a peer. Later, a host whose own data is older than the
+    /// departures that peers name may have missed one; only the store tells.
+    pub fn record_peer_state(&mut self, now: Timestamp, age: Duration) {
+        let repeated = ServerRegistry::departure_repeat(false);
+        if self.registry_updated_at == Timestamp::ZERO || self.update_age(now) < repeated {
+            self.registry_updated_at = now.before(age);
+        }
+    }
+
     /// Returns the scope of the registration updates that this host gossips.
     ///
     /// In a large fleet, a host served by an aggregator does not send back the updates that it
--- a/crates/teaselglade-host/tests/host/news_spread.rs
+++ b/crates/teaselglade-host/tests/host/news_spread.rs
@@ -339,3 +339,15 @@
     let key = key.expect("a known server");
     assert!(!decisions.registry.takes_work(key));
 }
+
+#[test]
+fn a_host_that_was_cut_off_for_longer_than_departures_are_named_does_not_take_a_peers_age() {
+    let age = Duration::from_millis(100);
+    for (cut_ms, is_stale) in [(9_000, false), (11_000, true)] {
+        let decisions = &mut ModelHost::new(0, 1).decisions;
+        decisions.record_peer_state(at(1_000), age);
+        assert!(!decisions.lacks_news(at(1_000)));
+        decisions.record_peer_state(at(1_000 + cut_ms), age);
+        assert_eq!(decisions.has_stale_news(at(1_000 + cut_ms)), is_stale);
+    }
+}
