fix(state): an outage counts as shared only if peers' data is old as well

Cause: a host of a large fleet whose data is older than 1.5 s takes no claims, so has_stale_news was true though its peers were current, and its next read gave departed servers a grace of 2 s. Change: the newest time that peers claimed has a field of its own. Test: a_removal_is_final_for_a_turned_away_host_that_missed_digests_of_current_peers (failed before).

--- a/crates/teaselglade-host/src/state/decision_state.rs
+++ b/crates/teaselglade-host/src/state/decision_state.rs
@@ -77,6 +77,8 @@
     pub transfers: TransferLimiter,
     /// Time of the newest registration data; zero until the first full read.
     pub registry_updated_at: Timestamp,
+    /// Newest time that peers claimed for their data, also where this host could not take it over.
+    peers_updated_at: Timestamp,
     /// Start of the current store outage, as seen by reads of registrations.
     store_lost_at: Option<Timestamp>,
     /// Whether peers did not keep the registration data up to date in that outage either.
@@ -114,6 +116,7 @@
             membership: PeerMembership::new(&settings.name, seed).in_zone(&settings.zone),
             transfers: TransferLimiter::new(settings.link_bytes_per_second),
             registry_updated_at: Timestamp::ZERO,
+            peers_updated_at: Timestamp::ZERO,
             store_lost_at: None,
             is_outage_shared: false,
             unreadable_servers: HashSet::new(),
@@ -141,7 +144,8 @@
     /// Records a failed read of registrations from the store.
     pub fn record_store_failure(&mut self, now: Timestamp) {
         self.store_lost_at.get_or_insert(now);
-        self.is_outage_shared |= self.has_stale_news(now);
+        let are_peers_stale = self.membership.is_stale(now.since(self.peers_updated_at));
+        self.is_outage_shared |= self.has_stale_news(now) && are_peers_stale;
         self.membership.set_store_reachable(false);
     }
 
@@ -409,6 +413,7 @@
     /// the own data is older than the departures that each digest names.
     fn advance_update_time(&mut self, now: Timestamp, age: Duration) {
         let updated_at = now.before(age);
+        self.peers_updated_at = self.peers_updated_at.max(updated_at);
         let repeated = ServerRegistry::departure_repeat(self.membership.is_large());
         if self.registry_updated_at > Timestamp::ZERO && self.update_age(now) < repeated {
             self.registry_updated_at = self.registry_updated_at.max(updated_at);
@@ -420,6 +425,7 @@
     /// The first full read may come from a peer. Later, a host whose own data is older than the
     /// departures that peers name may have missed one; only the store tells.
     pub fn record_peer_state(&mut self, now: Timestamp, age: Duration) {
+        self.peers_updated_at = self.peers_updated_at.max(now.before(age));
         let repeated = ServerRegistry::departure_repeat(false);
         if self.registry_updated_at == Timestamp::ZERO || self.update_age(now) < repeated {
             self.registry_updated_at = now.before(age);
--- a/crates/teaselglade-host/tests/host/news_spread.rs
+++ b/crates/teaselglade-host/tests/host/news_spread.rs
@@ -351,3 +351,24 @@
         assert_eq!(decisions.has_stale_news(at(1_000 + cut_ms)), is_stale);
     }
 }
+
+#[test]
+fn a_removal_is_final_for_a_turned_away_host_that_missed_digests_of_current_peers() {
+    let mut hosts: Vec<ModelHost> = (0..24).map(|number| ModelHost::new(number, 1)).collect();
+    introduce(&mut hosts);
+    let decisions = &mut hosts[0].decisions;
+    decisions
+        .registry
+        .apply_registration(at(0), registration(false));
+    decisions.record_store_response(at(100));
+    // After 1.5 s without a digest the host takes no claims, but its peers read the store.
+    for now in (1_650..9_000).step_by(200) {
+        decisions.merge_server_updates(at(now), Duration::from_millis(100), Vec::new(), &[]);
+        decisions.record_store_failure(at(now));
+    }
+    assert!(decisions.has_stale_news(at(8_900)));
+    decisions.record_store_response(at(9_000));
+    let key = decisions.registry.apply_removal(at(9_300), SERVER);
+    let key = key.expect("a known server");
+    assert!(!decisions.registry.takes_work(key));
+}
