fix(follow): hosts that are no store readers list again once a second after a failure

Cause: the error branch of a full read retried every 300 ms on every host during an outage of the store; docs/design/news.md says once a second. Change: retry_delay counts as soon as the host has listed once. Test: none of its own; the tests of the host crate have no follower without a store.

--- a/crates/teaselglade-host/src/follow/server_follower.rs
+++ b/crates/teaselglade-host/src/follow/server_follower.rs
@@ -34,6 +34,7 @@
 pub async fn follow_servers(host: Arc<HostState>) {
     let generations = host.ports.feeds.history_generation();
     let mut listed_generation = 0;
+    let mut has_listed = false;
     loop {
         let requested_at = host.now();
         match host.ports.feeds.latest(Feed::Servers).await {
@@ -45,13 +46,19 @@
                     expect_missing_servers(&host);
                 }
                 listed_generation = generation;
+                has_listed = true;
                 let next = page.next_offset;
                 apply_listing(&host, requested_at, page);
                 poll_changes(&host, next).await;
             }
             Err(error) => {
                 record_failure(&host, "read_servers", &error);
-                sleep(STORE_RETRY_DELAY).await;
+                let delay = if has_listed {
+                    retry_delay(&host)
+                } else {
+                    STORE_RETRY_DELAY
+                };
+                sleep(delay).await;
             }
         }
     }
