fix(registry): an unknown store position neither sorts above known ones nor replaces one

Cause: before_offset(era, 0) kept its era, so it was unknown but greater than positions of earlier eras; a registration without a position wiped that of the known one. Change: offset 0 gives the default; update keeps the known position. A known one is not raised, which would make the order of records matter. Test: a_registration_without_a_position_leaves_the_known_one (failed before), the example of before_offset.

--- a/crates/teaselglade-routing/src/registry/server_registry.rs
+++ b/crates/teaselglade-routing/src/registry/server_registry.rs
@@ -523,7 +523,7 @@
     ///
     /// The later heartbeat counts, of two records with the same one the later record. That the server
     /// drains counts in any order.
-    fn update(&mut self, now: Timestamp, key: ServerKey, registration: ServerRegistration) {
+    fn update(&mut self, now: Timestamp, key: ServerKey, mut registration: ServerRegistration) {
         let is_draining = registration.state == RegistrationState::Draining;
         let server = &mut self.servers[key.index()];
         server.has_drained |= is_draining;
@@ -548,6 +548,10 @@
         {
             server.phase = ServerPhase::Ready;
         }
+        // Hosts of earlier builds send no position; the known one still bounds it.
+        if !registration.position.is_known() {
+            registration.position = server.registration.position;
+        }
         let moved = server.registration.service != registration.service;
         server.version_hash = name_hash(&registration.version);
         let old_service = std::mem::replace(&mut server.registration, registration).service;
--- a/crates/teaselglade-routing/src/registry/store_position.rs
+++ b/crates/teaselglade-routing/src/registry/store_position.rs
@@ -43,6 +43,8 @@
 
     /// Returns the position of the last record before an offset of one era of the store.
     ///
+    /// No record lies before offset 0, so that position is unknown in every era.
+    ///
     /// # Examples
     ///
     /// ```
@@ -50,9 +52,11 @@
     ///
     /// let listing = StorePosition::before_offset(0, 5);
     /// assert!(listing < StorePosition::of_record(0, 5));
+    /// assert_eq!(StorePosition::before_offset(2, 0), StorePosition::default());
     /// ```
     #[must_use]
     pub const fn before_offset(era: u64, offset: u64) -> Self {
+        let era = if offset == 0 { 0 } else { era };
         Self { era, end: offset }
     }
 
--- a/crates/teaselglade-routing/tests/routing/server_news.rs
+++ b/crates/teaselglade-routing/tests/routing/server_news.rs
@@ -310,6 +310,15 @@
     assert_eq!(live(&peer), None);
 }
 
+#[test]
+fn a_registration_without_a_position_leaves_the_known_one() {
+    let mut registry = ServerRegistry::default();
+    apply(&mut registry, 0, &record(4, Write::Ready(5, 7)));
+    registry.apply_registration(at(100), registration("i-1", 5, 8));
+    apply(&mut registry, 200, &record(3, Write::Removal));
+    assert_eq!(live(&registry), Some(5));
+}
+
 #[test]
 fn a_tombstone_ends() {
     let mut registry = ServerRegistry::default();
