--- a/crates/teaselglade-routing/src/registry/server_registry.rs
+++ b/crates/teaselglade-routing/src/registry/server_registry.rs
@@ -1,6 +1,6 @@
 //! Registry of the backend servers that a host knows, by incarnation.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -202,7 +202,11 @@
             && self.takes_work(key)
             && now.since(self.server(key).changed_at) >= UPDATE_GOSSIP_TTL
         {
-            self.servers[key.index()].changed_at = now;
+            // The sender may be an aggregator, to which this host sends only its own news.
+            let server = &mut self.servers[key.index()];
+            server.changed_at = now;
+            server.is_from_peer = false;
+            return;
         }
         self.mark_from_peer(now, key);
     }
@@ -289,14 +293,20 @@
             registrations,
             unreadable,
         } = listing;
-        let listed: Vec<ServerKey> = registrations
-            .into_iter()
-            .filter_map(|registration| self.apply_registration(now, registration))
+        // An outdated entry proves too that the store has no removal behind it.
+        let own_addresses = &self.own_addresses;
+        let listed: HashSet<String> = registrations
+            .iter()
+            .filter(|registration| !own_addresses.contains(&registration.address))
+            .map(|registration| registration.id.clone())
             .collect();
+        for registration in registrations {
+            self.apply_registration(now, registration);
+        }
         let missing: Vec<String> = self
             .by_id
             .iter()
-            .filter(|(id, key)| !listed.contains(key) && !unreadable.contains(id))
+            .filter(|(id, _)| !listed.contains(*id) && !unreadable.contains(id))
             .filter(|(_, key)| {
                 let server = self.server(**key);
                 let position = server.registration.position;
@@ -513,7 +523,7 @@
     ///
     /// The later heartbeat counts, of two records with the same one the later record. That the server
     /// drains counts in any order.
-    fn update(&mut self, now: Timestamp, key: ServerKey, registration: ServerRegistration) {
+    fn update(&mut self, now: Timestamp, key: ServerKey, mut registration: ServerRegistration) {
         let is_draining = registration.state == RegistrationState::Draining;
         let server = &mut self.servers[key.index()];
         server.has_drained |= is_draining;
@@ -538,6 +548,10 @@
         {
             server.phase = ServerPhase::Ready;
         }
+        // Hosts of earlier builds send no position; the known one still bounds it.
+        if !registration.position.is_known() {
+            registration.position = server.registration.position;
+        }
         let moved = server.registration.service != registration.service;
         server.version_hash = name_hash(&registration.version);
         let old_service = std::mem::replace(&mut server.registration, registration).service;
