fix(routing): less urgent requests are not refused while a quota is unused

Cause: the reserve for urgent requests was 0.1 s of the whole rate, but the level is capped at the bucket times the share of the hosts seen; and any urgent request in the past counted as competing, however long ago. Change: the reserve is at most a fifth of the bucket and is scaled by the share; urgent requests compete from a hundredth of the demand. Test: less_urgent_requests_are_admitted_where_few_hosts_are_seen_or_the_burst_is_small

--- a/crates/teaselglade-routing/src/quota/quota_limiter.rs
+++ b/crates/teaselglade-routing/src/quota/quota_limiter.rs
@@ -38,6 +38,8 @@
 const URGENT_DEBT_SECONDS: f64 = 0.75;
 /// Level, in seconds of the rate, that less urgent requests leave to more urgent ones.
 const URGENT_RESERVE_SECONDS: f64 = 0.1;
+/// Largest part of the bucket that less urgent requests leave to more urgent ones.
+const MAX_RESERVE_PART: f64 = 0.2;
 /// Longest time for which a peer's spending is extrapolated from the rate that it reported.
 ///
 /// After that the peer counts as silent, and its share of the rate stays reserved for it.
@@ -450,7 +452,7 @@
         let units = state.units(tokens);
         state.own_demand += units / RATE_TIME_CONSTANT.as_secs_f64();
         let min_level = if is_settled { 0.0 } else { units };
-        let min_level = min_level.max(state.reserve(now, rank, tokens));
+        let min_level = min_level.max(state.reserve(now, rank, tokens, share));
         let is_plain = state.is_plain(tokens);
         if !is_plain {
             state.ranks.record(now, rank, units);
@@ -569,11 +571,13 @@
     }
 
     /// Returns the units that requests of a rank leave to more urgent ones.
-    fn reserve(&self, now: Timestamp, rank: RequestRank, tokens: Option<u32>) -> f64 {
+    fn reserve(&self, now: Timestamp, rank: RequestRank, tokens: Option<u32>, share: f64) -> f64 {
         if self.is_plain(tokens) || !self.ranks.is_outranked(now, rank) {
             return 0.0;
         }
-        self.quota.rate * URGENT_RESERVE_SECONDS
+        let most = capacity(&self.quota) * MAX_RESERVE_PART;
+        // The refill caps the level by the share, too.
+        (self.quota.rate * URGENT_RESERVE_SECONDS).min(most) * share
     }
 
     /// Returns the share of requests to admit so that all hosts together do not overspend.
--- a/crates/teaselglade-routing/src/quota/rank_order.rs
+++ b/crates/teaselglade-routing/src/quota/rank_order.rs
@@ -13,6 +13,8 @@
 const TIME_CONSTANT: Duration = Duration::from_secs(10);
 /// Part of the common fraction that every rank is admitted with, so that none starves.
 const MIN_RANK_PART: f64 = 0.5;
+/// Part of the demand from which more urgent requests count as competing.
+const MIN_COMPETING_PART: f64 = 0.01;
 
 #[derive(Debug, Clone, Copy, Default)]
 struct RankState {
@@ -72,8 +74,10 @@
 
     /// Returns whether more urgent requests compete with those of a rank.
     pub(super) fn is_outranked(&self, now: Timestamp, rank: RequestRank) -> bool {
-        let mut earlier = self.ranks.range(..rank);
-        earlier.any(|(_, state)| state.demand(now) > 0.0)
+        let total: f64 = self.ranks.values().map(|state| state.demand(now)).sum();
+        let earlier = self.ranks.range(..rank);
+        let earlier: f64 = earlier.map(|(_, state)| state.demand(now)).sum();
+        earlier > total * MIN_COMPETING_PART
     }
 
     /// Returns the time until which returns of a rank and of more urgent ones are promised.
--- a/crates/teaselglade-routing/tests/routing/quotas.rs
+++ b/crates/teaselglade-routing/tests/routing/quotas.rs
@@ -1,6 +1,7 @@
 //! Quotas hold across all hosts, whichever hosts receive one another's reports.
 
 use proptest::prelude::*;
+use teaselglade_routing::capacity::RequestRank;
 use teaselglade_routing::quota::QuotaLimiter;
 
 use super::fixture::{at, organisation};
@@ -146,6 +147,23 @@
     assert!(times.windows(2).all(|pair| pair[0] < pair[1]), "{times:?}");
 }
 
+/// Guards against a reserve for urgent requests above what the bucket of a small group holds.
+#[test]
+fn less_urgent_requests_are_admitted_where_few_hosts_are_seen_or_the_burst_is_small() {
+    for (hosts, burst) in [(10, 47_000.0), (1, 4_700.0)] {
+        let mut limiter = QuotaLimiter::new(hosts);
+        let mut spec = organisation("corrib", "k", 47_000.0);
+        spec.quota.as_mut().unwrap().burst = burst;
+        limiter.set_quotas(at(0), &[spec]);
+        let mut admit = |now, rank| {
+            let rank = RequestRank::new(rank);
+            limiter.admit_ranked(at(now), "corrib", Some(100), rank)
+        };
+        admit(10_000, 0).unwrap();
+        admit(11_000, 1).unwrap();
+    }
+}
+
 #[test]
 fn a_request_that_did_not_run_is_refunded() {
     let mut limiter = QuotaLimiter::new(1);
