fix(routing): only hosts that hear of all others allow urgent debt

Cause: each side of a cut and each isolated or restarted host might owe 0.75 s of the full rate. Change: the debt needs a share of 1.0, by peers' reports or a fresh aggregate; time alone does not allow it. A factor of the share would then always be 1. Test: an_isolated_host_admits_no_urgent_requests_beyond_its_part_of_the_bucket

--- a/crates/teaselglade-routing/src/quota/quota_limiter.rs
+++ b/crates/teaselglade-routing/src/quota/quota_limiter.rs
@@ -34,7 +34,8 @@
 /// Debt, in seconds of the rate, up to which the most urgent requests are admitted.
 ///
 /// At the start of a rush hosts overspend before they hear of one another; less urgent requests pay
-/// that back.
+/// that back. Only a host that hears of all others allows it, as groups that do not hear of one
+/// another would each owe it.
 const URGENT_DEBT_SECONDS: f64 = 0.75;
 /// Level, in seconds of the rate, that less urgent requests leave to more urgent ones.
 const URGENT_RESERVE_SECONDS: f64 = 0.1;
@@ -463,7 +464,7 @@
             is_plain || admitted_share >= 1.0 || self.random.random_bool(admitted_share);
         let debt_seconds = if is_plain {
             PLAIN_DEBT_SECONDS
-        } else if is_settled && state.ranks.is_urgent(now, rank) {
+        } else if share >= 1.0 && state.ranks.is_urgent(now, rank) {
             URGENT_DEBT_SECONDS
         } else {
             0.0
--- a/crates/teaselglade-routing/tests/routing/quotas.rs
+++ b/crates/teaselglade-routing/tests/routing/quotas.rs
@@ -164,6 +164,21 @@
     }
 }
 
+/// Guards against a debt for urgent requests at each host that hears of no other.
+#[test]
+fn an_isolated_host_admits_no_urgent_requests_beyond_its_part_of_the_bucket() {
+    let mut limiter = QuotaLimiter::new(10);
+    limiter.set_quotas(at(0), &[organisation("corrib", "k", 47_000.0)]);
+    let mut admit = |rank| {
+        let rank = RequestRank::new(rank);
+        limiter.admit_ranked(at(10_000), "corrib", Some(1_000), rank)
+    };
+    // Demand of less urgent requests makes the others urgent.
+    (0..100).for_each(|_| drop(admit(1)));
+    let admitted = (0..40).filter(|_| admit(0).is_ok()).count();
+    assert!(admitted <= 1, "{admitted} of the urgent requests");
+}
+
 #[test]
 fn a_request_that_did_not_run_is_refunded() {
     let mut limiter = QuotaLimiter::new(1);
