--- a/crates/teaselglade-routing/tests/routing/quota_rush.rs
+++ b/crates/teaselglade-routing/tests/routing/quota_rush.rs
@@ -168,6 +168,19 @@
     println!("largest spending in 8 s: {}", overshoots.join(", "));
 }
 
+/// Guards against debts of urgent requests, at each host, that exceed the bound together.
+#[test]
+fn the_bound_holds_in_a_rush_with_urgent_requests_at_any_number_of_hosts() {
+    let rank_of = |tokens| RequestRank::new(u8::from(tokens > 9_000));
+    let mut overshoots = Vec::new();
+    for hosts in [1, 2, 7, 16, 40, 86, 195, 400] {
+        let most = run_ranked_rush(hosts, 6.0, rank_of).max_in_window();
+        overshoots.push(format!("{hosts} hosts: {:.2} of the bound", most / BOUND));
+        assert!(most <= BOUND, "{hosts} hosts: {most} of {BOUND}");
+    }
+    println!("largest spending in 8 s: {}", overshoots.join(", "));
+}
+
 /// Guards against refused bookings while an organisation's prompts exceed its quota.
 #[test]
 fn plain_calls_are_admitted_in_a_rush_of_prompts() {
