fix(routing): less urgent ranks are not starved at a host without others' demand

Cause: without demand at other hosts the common fraction was 1, so that the least part of each rank had no effect. Change: the fraction is 1 only while a single rank is asked for. Test: a case of one host in the_more_urgent_requests_of_an_organisation_are_admitted_first; a_large_prompt_beside_urgent_requests_is_admitted_at_a_lone_host

--- a/crates/teaselglade-routing/src/quota/quota_limiter.rs
+++ b/crates/teaselglade-routing/src/quota/quota_limiter.rs
@@ -458,7 +458,7 @@
         if !is_plain {
             state.ranks.record(now, rank, units);
         }
-        let admitted_share = state.admitted_share(unreported, share, others_demand, lag);
+        let admitted_share = state.admitted_share(now, unreported, share, others_demand, lag);
         let admitted_share = state.ranks.fraction(now, rank, admitted_share);
         let is_chosen =
             is_plain || admitted_share >= 1.0 || self.random.random_bool(admitted_share);
@@ -585,15 +585,17 @@
     ///
     /// Until the hosts hear of one another's spending, each sees the same remaining units. It
     /// admits such a share of its requests that all of them together spend what is left and what
-    /// is refilled meanwhile. A host that knows of no demand elsewhere needs no such reserve.
+    /// is refilled meanwhile. A host that knows of no demand elsewhere needs no such reserve, unless
+    /// ranks compete: then less urgent ones get their part only by it.
     fn admitted_share(
         &self,
+        now: Timestamp,
         unreported: f64,
         share: f64,
         others_demand: f64,
         lag: Duration,
     ) -> f64 {
-        if others_demand <= 0.0 {
+        if others_demand <= 0.0 && !self.ranks.do_compete(now) {
             return 1.0;
         }
         let lag = lag.as_secs_f64();
--- a/crates/teaselglade-routing/src/quota/rank_order.rs
+++ b/crates/teaselglade-routing/src/quota/rank_order.rs
@@ -80,6 +80,12 @@
         earlier > total * MIN_COMPETING_PART
     }
 
+    /// Returns whether requests of several ranks are asked for.
+    pub(super) fn do_compete(&self, now: Timestamp) -> bool {
+        let last = self.ranks.last_key_value();
+        last.is_some_and(|(rank, _)| self.is_outranked(now, *rank))
+    }
+
     /// Returns the time until which returns of a rank and of more urgent ones are promised.
     pub(super) fn reserved_until(&self, rank: RequestRank) -> Timestamp {
         let earlier = self.ranks.range(..=rank);
--- a/crates/teaselglade-routing/tests/routing/quota_rush.rs
+++ b/crates/teaselglade-routing/tests/routing/quota_rush.rs
@@ -204,7 +204,7 @@
 #[test]
 fn the_more_urgent_requests_of_an_organisation_are_admitted_first() {
     let rank_of = |tokens| RequestRank::new(if tokens < 2_000 { 0 } else { 2 });
-    for hosts in [7, 24, 86] {
+    for hosts in [1, 7, 24, 86] {
         let ranked = run_ranked_rush(hosts, 4.0, rank_of);
         assert!(ranked.max_in_window() <= BOUND);
         let admitted_share = |tokens| {
--- a/crates/teaselglade-routing/tests/routing/quotas.rs
+++ b/crates/teaselglade-routing/tests/routing/quotas.rs
@@ -122,6 +122,18 @@
     limiter.admit(at(20), "corrib", Some(17_000)).unwrap();
 }
 
+#[test]
+fn a_large_prompt_beside_urgent_requests_is_admitted_at_a_lone_host() {
+    let mut limiter = QuotaLimiter::new(1);
+    limiter.set_quotas(at(0), &[organisation("corrib", "k", 47_000.0)]);
+    let mut admit = |tokens, rank| {
+        let rank = RequestRank::new(rank);
+        limiter.admit_ranked(at(10_000), "corrib", Some(tokens), rank)
+    };
+    admit(1_300, 0).unwrap();
+    admit(17_000, 1).unwrap();
+}
+
 #[test]
 fn plain_calls_are_admitted_after_a_large_prompt_used_up_the_bucket() {
     let mut limiter = QuotaLimiter::new(1);
