fix(routing): a host alone stops refusing when its demand has fallen

Cause: the factor of grants without fresh sums was at most 1, so that falling demand was refused as before. Change: the factor rises as demand falls; the host still admits no more work than with the last sums. Test: a_host_alone_refuses_none_once_demand_has_fallen

--- a/crates/teaselglade-routing/src/share/service_share.rs
+++ b/crates/teaselglade-routing/src/share/service_share.rs
@@ -102,7 +102,7 @@
     /// Servers that took work when the last sums were applied.
     summed_servers: f64,
     /// Factor of all grants while this host has no fresh sums.
-    scale: f64,
+    scale: Option<f64>,
     /// Least latency target by rank, from the table.
     targets: BTreeMap<RequestRank, Duration>,
     /// Priorities of organisations that have one, by the hashes of their names.
@@ -163,11 +163,11 @@
     /// Returns the demand and grant of a flow, scaled to this host's part if sums are missing.
     pub(super) fn grant(&self, key: FlowKey) -> FlowGrant {
         let grant = self.grants.get(&key).copied().unwrap_or_default();
-        if self.scale >= 1.0 {
+        let Some(scale) = self.scale else {
             return grant;
-        }
+        };
         FlowGrant {
-            granted: grant.granted.min(grant.asked) * self.scale,
+            granted: grant.granted.min(grant.asked) * scale,
             ..grant
         }
     }
@@ -255,7 +255,7 @@
         }
         let own_asked = self.own_asked(now);
         self.own_part = (own_asked / asked.max(f64::MIN_POSITIVE)).clamp(0.0, 1.0);
-        (self.summed_own_asked, self.summed_servers, self.scale) = (own_asked, servers, 1.0);
+        (self.summed_own_asked, self.summed_servers, self.scale) = (own_asked, servers, None);
         let room = self.room.scarce_room().unwrap_or(f64::INFINITY);
         self.grants = grant_flows(room, group, &self.priorities);
     }
@@ -271,7 +271,7 @@
         let own_asked = self.own_asked(now).max(f64::MIN_POSITIVE);
         let by_demand = self.summed_own_asked / own_asked;
         let by_servers = servers / self.summed_servers.max(f64::MIN_POSITIVE);
-        self.scale = by_demand.min(1.0) * by_servers.min(1.0);
+        self.scale = Some(by_demand * by_servers.min(1.0));
     }
 
     fn own_asked(&self, now: Timestamp) -> f64 {
--- a/crates/teaselglade-routing/tests/routing/shares.rs
+++ b/crates/teaselglade-routing/tests/routing/shares.rs
@@ -618,6 +618,56 @@
     assert!(outcome.utilisation() >= 0.9, "{}", outcome.utilisation());
 }
 
+/// Guards against a host that refuses for ever what it has room for, as it hears of no other.
+#[test]
+fn a_host_alone_refuses_none_once_demand_has_fallen() {
+    let load = Load::skewed(2);
+    let mut limiters = [limiter(&load, 0, 0), limiter(&load, 1, 0)];
+    let rooms = [ServiceRoom {
+        service: SERVICE,
+        servers: 1.0,
+        least_per_server: 1.0,
+    }];
+    let request = ShareRequest {
+        service: SERVICE,
+        organisation: "shop-0",
+        rank: RequestRank::new(0),
+        work: 1_000.0,
+    };
+    let mut refused_alone = Vec::new();
+    let mut free = 0.0;
+    for now in (0..30_000).step_by(10) {
+        let is_alone = now >= 10_000;
+        // The servers do 50 requests a second; the hosts get 100 each, later 10.
+        let is_due = !is_alone || now % 100 == 0;
+        free = f64::min(free + 0.5, 2.0);
+        for limiter in limiters.iter_mut().filter(|_| is_due) {
+            if limiter.admit(at(now), &request).is_err() {
+                refused_alone.extend(is_alone.then_some(now));
+            } else if is_alone || free >= 1.0 {
+                free -= 1.0;
+                limiter.record_used(at(now), &request);
+            } else {
+                limiter.record_refusal(at(now), &request, RefusalReason::PredictedLate);
+            }
+        }
+        if now % DIGEST_MS == 0 {
+            let reports = [0, 1].map(|host| limiters[host].report(at(now), &format!("edge-{host}")));
+            for (host, limiter) in limiters.iter_mut().enumerate() {
+                if !is_alone {
+                    limiter.receive(at(now), reports[1 - host].clone());
+                }
+                limiter.rebalance(at(now), &rooms);
+            }
+        }
+        if now == 9_900 {
+            assert!(limiters[0].scarce_room(SERVICE).is_some(), "room is scarce");
+        }
+    }
+    let last = refused_alone.last().copied().unwrap_or_default();
+    assert!(last < 20_000, "refused until {last} ms");
+}
+
 #[test]
 fn hosts_whose_table_comes_late_take_part_from_then_on() {
     let mut load = Load::skewed(24);
