fix(host): aggregators of shares do not follow one another's room

Cause: an aggregator preferred the sums of another to its own figures, so none learned the room; an estimate kept the time of fullness from before it followed. Change: aggregators drop sums; following resets the times of fullness. Test: an_estimate_that_followed_another_confirms_full_servers_anew. The drop in the transport has no test.

--- a/crates/teaselglade-host/src/peer/gossip_transport.rs
+++ b/crates/teaselglade-host/src/peer/gossip_transport.rs
@@ -371,7 +371,12 @@
             }
             PeerMessage::Shares(report) => {
                 let now = self.host.now();
-                self.host.lock_decisions().shares.receive(now, report);
+                let mut decisions = self.host.lock_decisions();
+                // Aggregators that followed one another's sums would never learn the room.
+                let is_sum = report.host.is_empty();
+                if !(is_sum && decisions.membership.is_aggregator(now)) {
+                    decisions.shares.receive(now, report);
+                }
             }
             PeerMessage::Zones(report) => {
                 let now = self.host.now();
--- a/crates/teaselglade-routing/src/share/room_estimate.rs
+++ b/crates/teaselglade-routing/src/share/room_estimate.rs
@@ -132,6 +132,8 @@
         self.is_scarce = is_scarce;
         self.servers = servers;
         self.updated_at = None;
+        self.full_since = None;
+        self.full_at = None;
     }
 
     /// Returns the work per second of the group, if more is asked for.
--- a/crates/teaselglade-routing/tests/routing/shares.rs
+++ b/crates/teaselglade-routing/tests/routing/shares.rs
@@ -9,7 +9,8 @@
 use teaselglade_core::verdict::RefusalReason;
 use teaselglade_routing::capacity::RequestRank;
 use teaselglade_routing::share::{
-    ServiceRoom, ShareClaim, ShareLimiter, ShareReport, ShareRequest, max_min_shares,
+    RoomEstimate, RoomSample, ServiceRoom, ShareClaim, ShareLimiter, ShareReport, ShareRequest,
+    max_min_shares,
 };
 use teaselglade_routing::table::{ServiceSpec, TableSpec};
 
@@ -652,7 +653,8 @@
             }
         }
         if now % DIGEST_MS == 0 {
-            let reports = [0, 1].map(|host| limiters[host].report(at(now), &format!("edge-{host}")));
+            let reports =
+                [0, 1].map(|host| limiters[host].report(at(now), &format!("edge-{host}")));
             for (host, limiter) in limiters.iter_mut().enumerate() {
                 if !is_alone {
                     limiter.receive(at(now), reports[1 - host].clone());
@@ -738,6 +740,25 @@
     }
 }
 
+/// Guards against scarcity from a fullness that an estimate saw before it followed another.
+#[test]
+fn an_estimate_that_followed_another_confirms_full_servers_anew() {
+    let full = RoomSample {
+        asked: 300.0,
+        used: 200.0,
+        late: 100.0,
+        servers: 4.0,
+        least_per_server: 10.0,
+    };
+    let mut estimate = RoomEstimate::default();
+    estimate.update(at(0), &full);
+    estimate.follow(50.0, false, 4.0);
+    estimate.update(at(1_000), &full);
+    assert_eq!(estimate.scarce_room(), None);
+    estimate.update(at(1_200), &full);
+    assert_eq!(estimate.scarce_room(), Some(200.0));
+}
+
 #[test]
 fn max_min_shares_never_exceed_room_or_demand() {
     let demands: HashMap<u32, f64> = (0..8)
