--- a/crates/teaselglade-routing/src/share/service_share.rs
+++ b/crates/teaselglade-routing/src/share/service_share.rs
@@ -26,6 +26,10 @@
 const QUEUE_TARGET_SHARE: f64 = 0.9;
 /// Fraction of a latency target that organisations above their share may fill with a queue.
 const LIMITED_QUEUE_SHARE: f64 = 0.5;
+/// Time constant by which a host without fresh sums forgets its largest demand.
+///
+/// The demand of one host is noisy; a short lull must not raise what it admits.
+const PEAK_MEMORY: Duration = Duration::from_secs(3);
 /// Rate below which a flow is idle, in work per second.
 const IDLE_RATE: f64 = 1.0;
 
@@ -99,6 +103,8 @@
     own_part: f64,
     /// Work per second that this host's callers asked for when the last sums were applied.
     summed_own_asked: f64,
+    /// Recent peak of that demand since then, and its time.
+    peak_asked: (f64, Timestamp),
     /// Servers that took work when the last sums were applied.
     summed_servers: f64,
     /// Factor of all grants while this host has no fresh sums.
@@ -256,6 +262,7 @@
         let own_asked = self.own_asked(now);
         self.own_part = (own_asked / asked.max(f64::MIN_POSITIVE)).clamp(0.0, 1.0);
         (self.summed_own_asked, self.summed_servers, self.scale) = (own_asked, servers, None);
+        self.peak_asked = (own_asked, now);
         let room = self.room.scarce_room().unwrap_or(f64::INFINITY);
         self.grants = grant_flows(room, group, &self.priorities);
     }
@@ -268,8 +275,10 @@
         if self.room.scarce_room().is_none() {
             return;
         }
-        let own_asked = self.own_asked(now).max(f64::MIN_POSITIVE);
-        let by_demand = self.summed_own_asked / own_asked;
+        let (peak, peak_at) = self.peak_asked;
+        let kept = (-now.since(peak_at).as_secs_f64() / PEAK_MEMORY.as_secs_f64()).exp();
+        self.peak_asked = (self.own_asked(now).max(peak * kept), now);
+        let by_demand = self.summed_own_asked / self.peak_asked.0.max(f64::MIN_POSITIVE);
         let by_servers = servers / self.summed_servers.max(f64::MIN_POSITIVE);
         self.scale = Some(by_demand * by_servers.min(1.0));
     }
