--- a/crates/teaselglade-routing/src/share/service_share.rs
+++ b/crates/teaselglade-routing/src/share/service_share.rs
@@ -280,6 +280,8 @@
         self.peak_asked = (self.own_asked(now).max(peak * kept), now);
         let by_demand = self.summed_own_asked / self.peak_asked.0.max(f64::MIN_POSITIVE);
         let by_servers = servers / self.summed_servers.max(f64::MIN_POSITIVE);
+        // Noise and returns that are still due must not raise the work admitted.
+        let by_demand = by_demand.min((by_demand / EXCESS_TOLERANCE).max(1.0));
         self.scale = Some(by_demand * by_servers.min(1.0));
     }
 
