fix(routing): an organisation's priority goes before its routes' in queues and returns

Cause: queue limits and returns of refused callers used the route's rank only. Change: both use the organisation's priority, if any; the route's rank orders grants within one organisation. Test: the_priority_of_an_organisation_limits_its_queues; returns have no test.

--- a/crates/teaselglade-routing/src/share/service_share.rs
+++ b/crates/teaselglade-routing/src/share/service_share.rs
@@ -156,13 +156,14 @@
     /// share leave a part of it to the others, which are therefore not refused because of them.
     pub(super) fn queue_limit(&self, key: FlowKey) -> Option<Duration> {
         self.room.scarce_room()?;
+        let rank = self.rank(key);
         let target = |least: Option<&Duration>, share: f64| least.map(|least| least.mul_f64(share));
-        let more_urgent = self.targets.range(..key.rank).map(|(_, target)| target);
+        let more_urgent = self.targets.range(..rank).map(|(_, target)| target);
         let by_rank = target(more_urgent.min(), QUEUE_TARGET_SHARE);
         if self.grant(key).fraction() >= 1.0 {
             return by_rank;
         }
-        let upto = self.targets.range(..=key.rank).map(|(_, target)| target);
+        let upto = self.targets.range(..=rank).map(|(_, target)| target);
         target(upto.min(), LIMITED_QUEUE_SHARE)
     }
 
@@ -178,15 +179,22 @@
         }
     }
 
+    /// Returns the rank of a flow among all: that of its organisation, or else of its route.
+    fn rank(&self, key: FlowKey) -> RequestRank {
+        let priority = self.priorities.get(&key.organisation).copied();
+        RequestRank::of(priority, key.rank.get())
+    }
+
     /// Reserves the return of a refused caller and returns the delay until then.
     pub(super) fn reserve_return(
         &mut self,
         now: Timestamp,
-        rank: RequestRank,
+        key: FlowKey,
         work: f64,
         jitter: f64,
     ) -> Duration {
         let rate = self.room.scarce_room().unwrap_or_default() * self.own_part;
+        let rank = self.rank(key);
         self.returns.reserve(now, rank, work, rate, jitter)
     }
 
--- a/crates/teaselglade-routing/src/share/share_limiter.rs
+++ b/crates/teaselglade-routing/src/share/share_limiter.rs
@@ -197,7 +197,7 @@
         let refusal = RequestRefusal::not_run(RefusalReason::OverShare, detail);
         let delay = self
             .shared(request.service)
-            .map(|share| share.reserve_return(now, request.rank, request.work, jitter));
+            .map(|share| share.reserve_return(now, key, request.work, jitter));
         Err(refusal.retry_after(delay.unwrap_or_default()))
     }
 
--- a/crates/teaselglade-routing/tests/routing/shares.rs
+++ b/crates/teaselglade-routing/tests/routing/shares.rs
@@ -672,6 +672,45 @@
     assert!(last < 20_000, "refused until {last} ms");
 }
 
+/// Guards against queues that are limited by a route's rank where the organisation's goes before it.
+#[test]
+fn the_priority_of_an_organisation_limits_its_queues() {
+    let mut load = Load::skewed(1);
+    load.usual.truncate(2);
+    load.priorities = vec![Some(0), Some(1)];
+    let mut limiter = limiter(&load, 0, 0);
+    let rooms = [ServiceRoom {
+        service: SERVICE,
+        servers: 1.0,
+        least_per_server: 1.0,
+    }];
+    let request = |organisation, rank, work| ShareRequest {
+        service: SERVICE,
+        organisation,
+        rank: RequestRank::new(rank),
+        work,
+    };
+    let (small, large) = (request("shop-0", 2, 10.0), request("shop-1", 0, 1_000.0));
+    for now in (0..3_000).step_by(10) {
+        limiter.admit(at(now), &small).unwrap();
+        limiter.record_used(at(now), &small);
+        if limiter.admit(at(now), &large).is_ok() {
+            let is_free = now % 40 == 0;
+            if is_free {
+                limiter.record_used(at(now), &large);
+            } else {
+                limiter.record_refusal(at(now), &large, RefusalReason::PredictedLate);
+            }
+        }
+        if now % DIGEST_MS == 0 {
+            limiter.rebalance(at(now), &rooms);
+        }
+    }
+    assert!(limiter.scarce_room(SERVICE).is_some(), "room is scarce");
+    assert_eq!(limiter.queue_limit(&small), None);
+    assert!(limiter.queue_limit(&large).is_some());
+}
+
 #[test]
 fn hosts_whose_table_comes_late_take_part_from_then_on() {
     let mut load = Load::skewed(24);
