fix(routing): promised returns of a quota end with the longest delay

Cause: each refusal moved the promised time on without bound, so that all later callers came back after exactly 4 s. Change: promises end 4 s from now at the latest; delays at that limit are spread over 2 to 4 s. Test: promised_returns_end_with_the_longest_delay_and_are_spread

--- a/crates/teaselglade-routing/src/quota/quota_limiter.rs
+++ b/crates/teaselglade-routing/src/quota/quota_limiter.rs
@@ -47,6 +47,8 @@
 const EXTRAPOLATION_WINDOW: Duration = REPORT_TTL;
 /// Longest retry delay in a refusal.
 const MAX_RETRY_DELAY: Duration = Duration::from_secs(4);
+/// Fraction of the longest retry delay over which callers are spread that no earlier time is left for.
+const LATE_SPREAD: f64 = 0.5;
 /// Age from which an aggregate is stale; three aggregator intervals.
 const AGGREGATE_TTL: Duration = Duration::from_millis(1_200);
 /// Ratio of an aggregate's seen share to the previous one's below which it is rejected.
@@ -475,6 +477,11 @@
             return Ok(());
         }
         let delay = state.reserve_retry(now, (units, rank), unreported, share, others_demand);
+        let delay = if delay >= MAX_RETRY_DELAY {
+            delay.mul_f64(1.0 - LATE_SPREAD * self.random.random_range(0.0..1.0))
+        } else {
+            delay
+        };
         let detail = format!(
             "quota of {organisation} is used up: {:.0} units left of {:.0} a second, {:.2} of the \
              hosts heard",
@@ -632,7 +639,8 @@
             .unwrap_or(MAX_RETRY_DELAY)
             .min(MAX_RETRY_DELAY);
         let available_at = self.ranks.reserved_until(rank).max(now + debt_time);
-        self.ranks.reserve(rank, available_at + own_time);
+        let until = (available_at + own_time).min(now + MAX_RETRY_DELAY);
+        self.ranks.reserve(rank, until);
         available_at
             .since(now)
             .clamp(MIN_RETRY_DELAY, MAX_RETRY_DELAY)
--- a/crates/teaselglade-routing/tests/routing/quotas.rs
+++ b/crates/teaselglade-routing/tests/routing/quotas.rs
@@ -191,6 +191,26 @@
     assert!(admitted <= 1, "{admitted} of the urgent requests");
 }
 
+/// Guards against promises that outlast a rush and send all callers back at one time.
+#[test]
+fn promised_returns_end_with_the_longest_delay_and_are_spread() {
+    let mut limiter = QuotaLimiter::new(1);
+    limiter.set_quotas(at(0), &[organisation("corrib", "k", 47_000.0)]);
+    let mut delay_at = |now| {
+        let verdict = limiter.admit(at(now), "corrib", Some(9_400));
+        verdict.err()?.retry_after
+    };
+    let delays: Vec<_> = (0..200).filter_map(|_| delay_at(10)).collect();
+    let late: std::collections::BTreeSet<_> = delays[100..].iter().collect();
+    assert!(late.len() > 50, "{} different delays", late.len());
+    assert!(
+        late.iter()
+            .all(|delay| (2_000..=4_000).contains(&delay.as_millis()))
+    );
+    let again = (0..10).find_map(|_| delay_at(6_000)).unwrap();
+    assert!(again.as_millis() < 1_000, "{again:?}");
+}
+
 #[test]
 fn a_request_that_did_not_run_is_refunded() {
     let mut limiter = QuotaLimiter::new(1);
