refactor(routing): debts, shares and ranks are named by their rules

Cause: is_urgent did not say its rule; flows of "other" overwrote one another in the metrics; rounding could exceed the room; two variables were named rank. Change: may_owe with the rule; the metrics add; shares end at the room that is left; route_rank.

--- a/crates/teaselglade-host/src/metrics/share_metrics.rs
+++ b/crates/teaselglade-host/src/metrics/share_metrics.rs
@@ -52,7 +52,8 @@
             ];
             for (figure, work) in figures {
                 let labels = [&state.service, &state.organisation, rank.as_str(), figure];
-                self.work.with_label_values(&labels).set(work as i64);
+                // Several flows may be those of "other".
+                self.work.with_label_values(&labels).add(work as i64);
             }
         }
     }
--- a/crates/teaselglade-host/src/relay/call_handler.rs
+++ b/crates/teaselglade-host/src/relay/call_handler.rs
@@ -185,8 +185,8 @@
     if let Some(organisation) = organisation {
         let quotas = &mut decisions.quotas;
         // Within an organisation, whose priority is the same for all, that of the route decides.
-        let rank = RequestRank::new(route.priority);
-        quotas.admit_ranked(now, &organisation.name, tokens, rank)?;
+        let route_rank = RequestRank::new(route.priority);
+        quotas.admit_ranked(now, &organisation.name, tokens, route_rank)?;
     }
     decisions.record_first_attempt(&service.name);
     drop(decisions);
--- a/crates/teaselglade-routing/src/quota/quota_limiter.rs
+++ b/crates/teaselglade-routing/src/quota/quota_limiter.rs
@@ -466,7 +466,7 @@
             is_plain || admitted_share >= 1.0 || self.random.random_bool(admitted_share);
         let debt_seconds = if is_plain {
             PLAIN_DEBT_SECONDS
-        } else if share >= 1.0 && state.ranks.is_urgent(now, rank) {
+        } else if share >= 1.0 && state.ranks.may_owe(now, rank) {
             URGENT_DEBT_SECONDS
         } else {
             0.0
--- a/crates/teaselglade-routing/src/quota/rank_order.rs
+++ b/crates/teaselglade-routing/src/quota/rank_order.rs
@@ -64,8 +64,10 @@
         (least + extra.max(0.0) / own).min(1.0)
     }
 
-    /// Returns whether less urgent requests compete with those of a rank.
-    pub(super) fn is_urgent(&self, now: Timestamp, rank: RequestRank) -> bool {
+    /// Returns whether requests of a rank may go into debt.
+    ///
+    /// They may if their rank and more urgent ones ask for at most half of the demand.
+    pub(super) fn may_owe(&self, now: Timestamp, rank: RequestRank) -> bool {
         let total: f64 = self.ranks.values().map(|state| state.demand(now)).sum();
         let upto = self.ranks.range(..=rank);
         let upto: f64 = upto.map(|(_, state)| state.demand(now)).sum();
--- a/crates/teaselglade-routing/src/share/max_min.rs
+++ b/crates/teaselglade-routing/src/share/max_min.rs
@@ -32,7 +32,8 @@
     for index in order {
         let claim = claims[index];
         let part = room_left * claim.weight / weight_left.max(f64::MIN_POSITIVE);
-        shares[index] = claim.demand.min(part);
+        // Rounding may leave more weight than room.
+        shares[index] = claim.demand.min(part).min(room_left.max(0.0));
         room_left -= shares[index];
         weight_left -= claim.weight;
     }
