--- a/crates/teaselglade-routing/src/quota/quota_limiter.rs
+++ b/crates/teaselglade-routing/src/quota/quota_limiter.rs
@@ -34,16 +34,21 @@
 /// Debt, in seconds of the rate, up to which the most urgent requests are admitted.
 ///
 /// At the start of a rush hosts overspend before they hear of one another; less urgent requests pay
-/// that back.
+/// that back. Only a host that hears of all others allows it, as groups that do not hear of one
+/// another would each owe it.
 const URGENT_DEBT_SECONDS: f64 = 0.75;
 /// Level, in seconds of the rate, that less urgent requests leave to more urgent ones.
 const URGENT_RESERVE_SECONDS: f64 = 0.1;
+/// Largest part of the bucket that less urgent requests leave to more urgent ones.
+const MAX_RESERVE_PART: f64 = 0.2;
 /// Longest time for which a peer's spending is extrapolated from the rate that it reported.
 ///
 /// After that the peer counts as silent, and its share of the rate stays reserved for it.
 const EXTRAPOLATION_WINDOW: Duration = REPORT_TTL;
 /// Longest retry delay in a refusal.
 const MAX_RETRY_DELAY: Duration = Duration::from_secs(4);
+/// Fraction of the longest retry delay over which callers are spread that no earlier time is left for.
+const LATE_SPREAD: f64 = 0.5;
 /// Age from which an aggregate is stale; three aggregator intervals.
 const AGGREGATE_TTL: Duration = Duration::from_millis(1_200);
 /// Ratio of an aggregate's seen share to the previous one's below which it is rejected.
@@ -450,18 +455,18 @@
         let units = state.units(tokens);
         state.own_demand += units / RATE_TIME_CONSTANT.as_secs_f64();
         let min_level = if is_settled { 0.0 } else { units };
-        let min_level = min_level.max(state.reserve(now, rank, tokens));
+        let min_level = min_level.max(state.reserve(now, rank, tokens, share));
         let is_plain = state.is_plain(tokens);
         if !is_plain {
             state.ranks.record(now, rank, units);
         }
-        let admitted_share = state.admitted_share(unreported, share, others_demand, lag);
+        let admitted_share = state.admitted_share(now, unreported, share, others_demand, lag);
         let admitted_share = state.ranks.fraction(now, rank, admitted_share);
         let is_chosen =
             is_plain || admitted_share >= 1.0 || self.random.random_bool(admitted_share);
         let debt_seconds = if is_plain {
             PLAIN_DEBT_SECONDS
-        } else if is_settled && state.ranks.is_urgent(now, rank) {
+        } else if share >= 1.0 && state.ranks.may_owe(now, rank) {
             URGENT_DEBT_SECONDS
         } else {
             0.0
@@ -472,6 +477,11 @@
             return Ok(());
         }
         let delay = state.reserve_retry(now, (units, rank), unreported, share, others_demand);
+        let delay = if delay >= MAX_RETRY_DELAY {
+            delay.mul_f64(1.0 - LATE_SPREAD * self.random.random_range(0.0..1.0))
+        } else {
+            delay
+        };
         let detail = format!(
             "quota of {organisation} is used up: {:.0} units left of {:.0} a second, {:.2} of the \
              hosts heard",
@@ -569,26 +579,30 @@
     }
 
     /// Returns the units that requests of a rank leave to more urgent ones.
-    fn reserve(&self, now: Timestamp, rank: RequestRank, tokens: Option<u32>) -> f64 {
+    fn reserve(&self, now: Timestamp, rank: RequestRank, tokens: Option<u32>, share: f64) -> f64 {
         if self.is_plain(tokens) || !self.ranks.is_outranked(now, rank) {
             return 0.0;
         }
-        self.quota.rate * URGENT_RESERVE_SECONDS
+        let most = capacity(&self.quota) * MAX_RESERVE_PART;
+        // The refill caps the level by the share, too.
+        (self.quota.rate * URGENT_RESERVE_SECONDS).min(most) * share
     }
 
     /// Returns the share of requests to admit so that all hosts together do not overspend.
     ///
     /// Until the hosts hear of one another's spending, each sees the same remaining units. It
     /// admits such a share of its requests that all of them together spend what is left and what
-    /// is refilled meanwhile. A host that knows of no demand elsewhere needs no such reserve.
+    /// is refilled meanwhile. A host that knows of no demand elsewhere needs no such reserve, unless
+    /// ranks compete: then less urgent ones get their part only by it.
     fn admitted_share(
         &self,
+        now: Timestamp,
         unreported: f64,
         share: f64,
         others_demand: f64,
         lag: Duration,
     ) -> f64 {
-        if others_demand <= 0.0 {
+        if others_demand <= 0.0 && !self.ranks.do_compete(now) {
             return 1.0;
         }
         let lag = lag.as_secs_f64();
@@ -625,7 +639,8 @@
             .unwrap_or(MAX_RETRY_DELAY)
             .min(MAX_RETRY_DELAY);
         let available_at = self.ranks.reserved_until(rank).max(now + debt_time);
-        self.ranks.reserve(rank, available_at + own_time);
+        let until = (available_at + own_time).min(now + MAX_RETRY_DELAY);
+        self.ranks.reserve(rank, until);
         available_at
             .since(now)
             .clamp(MIN_RETRY_DELAY, MAX_RETRY_DELAY)
--- a/crates/teaselglade-routing/src/quota/rank_order.rs
+++ b/crates/teaselglade-routing/src/quota/rank_order.rs
@@ -13,6 +13,8 @@
 const TIME_CONSTANT: Duration = Duration::from_secs(10);
 /// Part of the common fraction that every rank is admitted with, so that none starves.
 const MIN_RANK_PART: f64 = 0.5;
+/// Part of the demand from which more urgent requests count as competing.
+const MIN_COMPETING_PART: f64 = 0.01;
 
 #[derive(Debug, Clone, Copy, Default)]
 struct RankState {
@@ -62,8 +64,10 @@
         (least + extra.max(0.0) / own).min(1.0)
     }
 
-    /// Returns whether less urgent requests compete with those of a rank.
-    pub(super) fn is_urgent(&self, now: Timestamp, rank: RequestRank) -> bool {
+    /// Returns whether requests of a rank may go into debt.
+    ///
+    /// They may if their rank and more urgent ones ask for at most half of the demand.
+    pub(super) fn may_owe(&self, now: Timestamp, rank: RequestRank) -> bool {
         let total: f64 = self.ranks.values().map(|state| state.demand(now)).sum();
         let upto = self.ranks.range(..=rank);
         let upto: f64 = upto.map(|(_, state)| state.demand(now)).sum();
@@ -72,8 +76,16 @@
 
     /// Returns whether more urgent requests compete with those of a rank.
     pub(super) fn is_outranked(&self, now: Timestamp, rank: RequestRank) -> bool {
-        let mut earlier = self.ranks.range(..rank);
-        earlier.any(|(_, state)| state.demand(now) > 0.0)
+        let total: f64 = self.ranks.values().map(|state| state.demand(now)).sum();
+        let earlier = self.ranks.range(..rank);
+        let earlier: f64 = earlier.map(|(_, state)| state.demand(now)).sum();
+        earlier > total * MIN_COMPETING_PART
+    }
+
+    /// Returns whether requests of several ranks are asked for.
+    pub(super) fn do_compete(&self, now: Timestamp) -> bool {
+        let last = self.ranks.last_key_value();
+        last.is_some_and(|(rank, _)| self.is_outranked(now, *rank))
     }
 
     /// Returns the time until which returns of a rank and of more urgent ones are promised.
