fix(scope): a restarted server no longer inherits a speed

Cause: notices of speeds named a server by the hash of its name, so that a report sent before a restart set the speed of the new incarnation. Change: samples and estimates name the incarnation; merge looks it up by that. Test: a report taken before a restart is merged after it; the new incarnation has speed 1.

--- a/crates/teaselglade-routing/src/speed/speed_ledger.rs
+++ b/crates/teaselglade-routing/src/speed/speed_ledger.rs
@@ -217,7 +217,7 @@
         let notices = unsent.take(most).map(|(server, entry)| {
             let (sum, weight) = std::mem::take(&mut entry.unsent);
             SpeedNotice {
-                server: registry.server(*server).hash,
+                server: registry.server(*server).incarnation_hash(),
                 step: (sum / weight * SAMPLE_UNITS).round() as i8,
                 weight: (weight * WEIGHT_UNITS).round() as u8,
             }
@@ -231,7 +231,7 @@
         let known = known.filter(|(_, entry)| entry.lasting.weight() > 0);
         let mut notices: Vec<SpeedNotice> = known
             .map(|(server, entry)| SpeedNotice {
-                server: registry.server(*server).hash,
+                server: registry.server(*server).incarnation_hash(),
                 step: entry.lasting.step(),
                 weight: entry.lasting.weight(),
             })
@@ -250,7 +250,7 @@
     /// Merges the report of a peer; servers that this host does not know are passed over.
     pub fn merge(&mut self, registry: &ServerRegistry, report: &SpeedReport) {
         for notice in &report.samples {
-            if let Some(server) = registry.find_by_hash(notice.server) {
+            if let Some(server) = registry.find_incarnation(notice.server) {
                 let ratio = (f64::from(notice.step) / SAMPLE_UNITS).exp();
                 let weight = f64::from(notice.weight) / WEIGHT_UNITS;
                 let entry = self.servers.entry(server).or_default();
@@ -258,7 +258,7 @@
             }
         }
         for notice in &report.estimates {
-            if let Some(server) = registry.find_by_hash(notice.server) {
+            if let Some(server) = registry.find_incarnation(notice.server) {
                 let entry = self.servers.entry(server).or_default();
                 entry.lasting.adopt(notice.step, notice.weight);
             }
--- a/crates/teaselglade-routing/tests/routing/speeds.rs
+++ b/crates/teaselglade-routing/tests/routing/speeds.rs
@@ -176,7 +176,7 @@
 fn true_speed(registry: &ServerRegistry, server: ServerKey, time_ratio: f64) -> SpeedReport {
     // The weight is at its maximum, where the prior draws the estimate by a sixth only.
     let estimate = SpeedNotice {
-        server: registry.server(server).hash,
+        server: registry.server(server).incarnation_hash(),
         step: (time_ratio.ln() / 0.18 * 24.0 / 20.0).round() as i8,
         weight: u8::MAX,
     };
@@ -404,6 +404,36 @@
     assert!(new.speed(slow) < 0.7);
 }
 
+#[test]
+fn a_restarted_server_does_not_inherit_a_speed_from_a_late_report() {
+    let mut registry = registry_of(4);
+    let (mut sender, mut receiver) = (SpeedLedger::default(), SpeedLedger::default());
+    let old = key_of(&registry, 0);
+    sender.record_pace(at(0), old, usual_pace());
+    for _sample in 0..40 {
+        // The other servers of the service hold the mean.
+        for (key, ms) in [(old, 90), (key_of(&registry, 1), 20)] {
+            let sample = TimeSample {
+                elapsed: Duration::from_millis(ms),
+                weight: 1.0,
+            };
+            sender.record_time(at(0), SERVICE, key, sample);
+        }
+    }
+    let late = SpeedReport {
+        samples: sender.take_samples(&registry, 16),
+        estimates: sender.next_estimates(&registry, 16),
+    };
+    let mut informed = SpeedLedger::default();
+    informed.merge(&registry, &late);
+    assert!(informed.speed(old) < 0.8, "{}", informed.speed(old));
+    registry.apply_registration(at(10), registration("i-0", 2, 1));
+    let new = key_of(&registry, 0);
+    receiver.merge(&registry, &late);
+    assert_ne!(old, new);
+    assert_eq!(receiver.speed(new).to_bits(), 1.0_f64.to_bits());
+}
+
 #[test]
 fn room_is_the_sum_of_what_engines_prove_to_do() {
     let registry = registry_of(4);
