fix(scope): speeds of servers that left are pruned

Cause: ledgers forgot a server on one of several departures only, so that they grew and is_uneven stayed true. Change: the clean-up loop of the host drops the speeds of all servers that take no work. Test: after a restart the ledger that knew the slow incarnation is no longer uneven.

--- a/crates/teaselglade-host/src/host/serving_host.rs
+++ b/crates/teaselglade-host/src/host/serving_host.rs
@@ -228,7 +228,10 @@
         }
         log_roles(&host, &mut last_roles);
         log_news_age(&host, &mut stale_since);
-        host.lock_decisions().registry.remove_expired(now);
+        let mut decisions = host.lock_decisions();
+        decisions.registry.remove_expired(now);
+        decisions.prune_speeds();
+        drop(decisions);
         host.pool
             .prune(|server| host.lock_decisions().registry.takes_work(server));
         count_servers(&host);
--- a/crates/teaselglade-host/src/state/decision_state.rs
+++ b/crates/teaselglade-host/src/state/decision_state.rs
@@ -637,6 +637,15 @@
         self.plain_placer.forget_server(server);
     }
 
+    /// Discards the speeds of servers that take no more work, however they left.
+    pub fn prune_speeds(&mut self) {
+        let registry = &self.registry;
+        let engines = self.engine_placer.ledger_mut();
+        engines.retain(|server| registry.takes_work(server));
+        let plain = self.plain_placer.ledger_mut();
+        plain.retain(|server| registry.takes_work(server));
+    }
+
     fn retry_budget(&mut self, service: &str) -> &mut RetryBudget {
         let seed = self.seed;
         let retry_budgets = &mut self.retry_budgets;
--- a/crates/teaselglade-routing/src/speed/speed_ledger.rs
+++ b/crates/teaselglade-routing/src/speed/speed_ledger.rs
@@ -210,6 +210,11 @@
         self.servers.remove(&server);
     }
 
+    /// Forgets the servers that `keeps` rejects.
+    pub fn retain(&mut self, keeps: impl Fn(ServerKey) -> bool) {
+        self.servers.retain(|server, _| keeps(*server));
+    }
+
     /// Returns the samples that peers have not been told, and marks them as sent.
     pub fn take_samples(&mut self, registry: &ServerRegistry, most: usize) -> Vec<SpeedNotice> {
         let unsent = self.servers.iter_mut();
--- a/crates/teaselglade-routing/tests/routing/speeds.rs
+++ b/crates/teaselglade-routing/tests/routing/speeds.rs
@@ -432,6 +432,9 @@
     receiver.merge(&registry, &late);
     assert_ne!(old, new);
     assert_eq!(receiver.speed(new).to_bits(), 1.0_f64.to_bits());
+    assert!(informed.is_uneven());
+    informed.retain(|server| registry.takes_work(server));
+    assert!(!informed.is_uneven(), "the slow incarnation is gone");
 }
 
 #[test]
