fix(scope): a huge price of bytes no longer panics

Cause: a finite but huge price of bytes gave seconds that a duration cannot hold. Change: the cost of bytes between zones is at most an hour. Test: prices of 1e300 and the largest number cost an hour and the trip.

--- a/crates/teaselglade-routing/src/zone/zone_prices.rs
+++ b/crates/teaselglade-routing/src/zone/zone_prices.rs
@@ -5,6 +5,9 @@
 /// Number of bytes in a kilobyte.
 const BYTES_PER_KB: f64 = 1_000.0;
 
+/// Largest cost of bytes between zones; an hour is beyond any target.
+const MAX_COST_MS: f64 = 3_600_000.0;
+
 /// What it costs to serve a request in another zone, as time; by default nothing.
 ///
 /// # Examples
@@ -35,7 +38,8 @@
     /// Returns what it costs to move `bytes` of a request and its answer between zones.
     #[must_use]
     pub fn crossing(&self, bytes: f64) -> Duration {
-        let cost_ms = self.byte_cost_ms_per_kb * bytes / BYTES_PER_KB;
-        self.trip + Duration::from_secs_f64(cost_ms.max(0.0) / 1_000.0)
+        // `max` turns a cost that is no number into 0.
+        let cost_ms = (self.byte_cost_ms_per_kb * bytes / BYTES_PER_KB).max(0.0);
+        self.trip + Duration::from_secs_f64(cost_ms.min(MAX_COST_MS) / 1_000.0)
     }
 }
--- a/crates/teaselglade-routing/tests/routing/zones.rs
+++ b/crates/teaselglade-routing/tests/routing/zones.rs
@@ -403,3 +403,15 @@
     }
     assert!(left[0] > 4 * left[1], "{left:?}");
 }
+
+#[test]
+fn a_huge_price_of_bytes_is_bounded() {
+    for byte_cost_ms_per_kb in [1e300, f64::MAX] {
+        let prices = ZonePrices {
+            trip: Duration::from_millis(2),
+            byte_cost_ms_per_kb,
+        };
+        let hour = Duration::from_secs(3_600);
+        assert_eq!(prices.crossing(16_000.0), prices.trip + hour);
+    }
+}
