fix(scope): `where` falls back among versions as the relay does

Cause: the explainer tried the next versions only if no server was an option, and plain options included servers of versions that the placement may not use. Change: it falls back as long as placement fails; plain options are filtered by version. Test: plain options among one of three servers. The loop of fallbacks has no test.

--- a/crates/teaselglade-host/src/explain/placement_explainer.rs
+++ b/crates/teaselglade-host/src/explain/placement_explainer.rs
@@ -71,19 +71,23 @@
     };
     let mut rollouts = decisions.rollouts.clone();
     let versions = rollouts.choose(now, &service.name, name_hash(&route.name), false);
-    let mut terms = PlacementTerms {
+    let terms = PlacementTerms {
         zone: &host.settings.zone,
         rank,
         versions: versions.scope(),
         queue_limit: decisions.shares.queue_limit(&share_request),
         zones: choice.terms(),
     };
-    let fallback = versions.fallback();
     let (mut decision, mut options) =
         explain_within(now, &mut decisions, route, service, &prompt, terms);
-    if let Some(fallback) = fallback.filter(|_| options.is_empty()) {
-        terms.versions = fallback.scope();
+    let mut next = versions.fallback();
+    while let Some(fallback) = next.filter(|_| decision.is_err()) {
+        let terms = PlacementTerms {
+            versions: fallback.scope(),
+            ..terms
+        };
         (decision, options) = explain_within(now, &mut decisions, route, service, &prompt, terms);
+        next = fallback.fallback();
     }
     let decision = admitted.and(decision);
     let outflow = decisions.zones.outflow(now, &service.name);
--- a/crates/teaselglade-routing/src/plain/plain_placer.rs
+++ b/crates/teaselglade-routing/src/plain/plain_placer.rs
@@ -171,7 +171,9 @@
         self.rng = rng;
         let servers = registry.available(now, query.service);
         let untried = servers.filter(|(key, _)| !query.tried.contains(key));
-        let options = untried.map(|(key, server)| {
+        let versions = query.terms.versions;
+        let allowed = untried.filter(|(key, server)| versions.allows(*key, server));
+        let options = allowed.map(|(key, server)| {
             let status = self.statuses.get(&key).copied().unwrap_or_default();
             PlainOption {
                 server: key,
--- a/crates/teaselglade-routing/tests/routing/plains.rs
+++ b/crates/teaselglade-routing/tests/routing/plains.rs
@@ -87,3 +87,20 @@
         "the reported loads are stale"
     );
 }
+
+#[test]
+fn an_explanation_offers_only_servers_of_the_versions_in_scope() {
+    let (registry, keys) = three_zone_registry();
+    let mut placer = PlainPlacer::new(1);
+    let mut query = QUERY;
+    let among = [keys[2]];
+    query.terms.versions = VersionScope::Among(&among);
+    let explanation = placer.explain(at(0), &registry, &query);
+    let offered: Vec<ServerKey> = explanation
+        .options
+        .iter()
+        .map(|option| option.server)
+        .collect();
+    assert_eq!(offered, among);
+    assert_eq!(explanation.decision, Ok(keys[2]));
+}
