fix(scope): a constant word on the pace is neutral

Cause: the pace was taken as stated, so that a server that always states 50 got every call of its zone at low load; a stale word left the mean, which counted beside the lasting speed. Change: the pace is relative to the server's own mean, within 0.5 to 4, and 1 when stale or unknown. The lasting speed has the constant part. The word counts only where times vary less with it.

--- a/crates/teaselglade-routing/src/speed/lasting_speed.rs
+++ b/crates/teaselglade-routing/src/speed/lasting_speed.rs
@@ -36,8 +36,8 @@
 /// Lasting time of work on a server, relative to the servers of its service.
 ///
 /// The estimate is a mean of logarithms, drawn towards 1 while samples are few and bounded to a
-/// factor of 4 either way. A sample is divided by the server's own word on its pace, unless times
-/// prove to vary more with that word than without it. Servers within about a quarter of their
+/// factor of 4 either way. A sample is divided by the server's own word on its pace where times prove
+/// to vary less with that word than without it. Servers within about a quarter of their
 /// service count as alike.
 ///
 /// # Examples
@@ -61,7 +61,7 @@
 impl LastingSpeed {
     /// Records that work took `ratio` times what it takes on the service's servers.
     ///
-    /// `pace` is the server's own word at that time. Ratios that are no positive number are ignored.
+    /// `pace` is the server's own word at that time, relative to its mean. Ratios that are no positive number are ignored.
     pub fn observe(&mut self, ratio: f64, pace: Option<f64>, weight: f64) {
         if !(ratio.is_finite() && ratio > 0.0 && weight > 0.0) {
             return;
@@ -91,7 +91,7 @@
     /// Returns whether the server's word on its pace explains its times.
     #[must_use]
     pub fn trusts_pace(&self) -> bool {
-        self.normalised.square_error <= self.plain.square_error
+        self.normalised.square_error < self.plain.square_error
     }
 
     /// Returns the time of work, relative to the service, as a factor in coarse steps.
--- a/crates/teaselglade-routing/src/speed/moment_pace.rs
+++ b/crates/teaselglade-routing/src/speed/moment_pace.rs
@@ -14,12 +14,16 @@
 const MAX_AGE: Duration = Duration::from_millis(1_500);
 /// Weight of one observation in the server's mean pace.
 const MEAN_WEIGHT: f64 = 0.05;
+/// Bounds on the pace relative to the server's own mean.
+const MIN_RATIO: f64 = 0.5;
+const MAX_RATIO: f64 = 4.0;
 
-/// Pace of a server at the moment, from this host's own observations.
+/// Pace of a server at the moment, relative to its own mean.
 ///
-/// The last observation counts fully while it is fresh and less with its age; then the server's
-/// mean remains. It is never told to other hosts: it would be out of date on arrival, and all of
-/// them would send to the server that was fast last.
+/// The last observation of this host counts fully while it is fresh and less with its age; then
+/// nothing is known of the moment. A word that never changes is neutral, as what lasts is part of
+/// the lasting speed. The pace is never told to other hosts: it would be out of date on arrival, and
+/// all of them would send to the server that was fast last.
 ///
 /// # Examples
 ///
@@ -31,7 +35,7 @@
 /// pace.observe(Timestamp::ZERO, ServerPace::from_percent(250).unwrap());
 /// let fresh = pace.ratio(Timestamp::ZERO);
 /// let stale = pace.ratio(Timestamp::from_millis(2_000));
-/// assert!(fresh > 2.4 && stale < 1.2);
+/// assert!(fresh > 2.3 && stale == 1.0);
 /// ```
 #[derive(Debug, Clone, Copy)]
 pub struct MomentPace {
@@ -59,22 +63,28 @@
     /// Returns the expected time of work at `now`, as a ratio to its usual time.
     #[must_use]
     pub fn ratio(&self, now: Timestamp) -> f64 {
-        let Some((at, ratio)) = self.last else {
-            return self.mean;
+        let Some((at, pace)) = self.last else {
+            return 1.0;
         };
         let age = now.since(at);
         if age >= MAX_AGE {
-            return self.mean;
+            return 1.0;
         }
         let remaining = (-age.as_secs_f64() / MEMORY.as_secs_f64()).exp();
-        self.mean + (ratio - self.mean) * remaining
+        self.relative(self.mean + (pace - self.mean) * remaining)
     }
 
-    /// Returns the last observation, if it is fresh enough to explain a time that ended at `now`.
+    /// Returns the last observation relative to the mean, if it is fresh.
+    ///
+    /// It then explains a time that ended at `now`.
     #[must_use]
     pub fn fresh_ratio(&self, now: Timestamp) -> Option<f64> {
         let fresh = self.last.filter(|(at, _)| now.since(*at) <= MEMORY);
-        fresh.map(|(_, ratio)| ratio)
+        fresh.map(|(_, pace)| self.relative(pace))
+    }
+
+    fn relative(&self, pace: f64) -> f64 {
+        (pace / self.mean).clamp(MIN_RATIO, MAX_RATIO)
     }
 
     /// Returns the age of the last observation.
--- a/crates/teaselglade-routing/tests/routing/speeds.rs
+++ b/crates/teaselglade-routing/tests/routing/speeds.rs
@@ -378,6 +378,57 @@
     }
 }
 
+/// Replays single calls to four idle servers, the first of which always states the same pace.
+///
+/// Returns the share of the calls that the first server gets.
+fn share_of_constant_word(percent: u32) -> f64 {
+    const CALLS: u64 = 6_000;
+    let registry = registry_of(4);
+    let mut placer = PlainPlacer::new(3);
+    let mut rng = Pcg32::seed_from_u64(5);
+    let first = key_of(&registry, 0);
+    let mut sent = 0_u32;
+    for call in 0..CALLS {
+        let now = at(call * 20);
+        let query = PlainQuery {
+            service: SERVICE,
+            tried: &[],
+            selected_by: None,
+            terms: PlacementTerms {
+                zone: "galway",
+                ..PlacementTerms::default()
+            },
+        };
+        let key = placer.place(now, &registry, &query).expect("a server");
+        let word = if key == first { percent } else { 100 };
+        let pace = ServerPace::from_percent(word);
+        let load = ServerLoad {
+            running: 0,
+            waiting: 0,
+            slots: 6,
+            pace,
+        };
+        if let Some(pace) = pace {
+            placer.ledger_mut().record_pace(now, key, pace);
+        }
+        placer.record_response(now, key, true, Some(load));
+        let elapsed = Duration::from_secs_f64(0.03 * rng.random_range(0.8..1.2));
+        placer.record_time(now, SERVICE, key, elapsed);
+        placer.record_end(key);
+        sent += u32::from(key == first);
+    }
+    f64::from(sent) / CALLS as f64
+}
+
+#[test]
+fn a_constant_word_draws_no_calls() {
+    for percent in [50, 75, 100, 200] {
+        let share = share_of_constant_word(percent);
+        println!("constant {percent}: share {share:.3}");
+        assert!((0.2..0.3).contains(&share), "{percent}: {share}");
+    }
+}
+
 #[test]
 fn a_host_that_restarted_learns_lasting_speeds_from_a_peer() {
     let registry = registry_of(4);
