fix(scope): `where` copies the state of one service only

Cause: each explanation cloned the shares and roll-outs of all services under the lock. Change: ShareLimiter::preview and RolloutDesk::preview copy the state of the service asked. Test: the replays of roll-outs and shares compare previews with the decisions after them.

--- a/crates/teaselglade-host/src/explain/placement_explainer.rs
+++ b/crates/teaselglade-host/src/explain/placement_explainer.rs
@@ -63,14 +63,14 @@
         rank: RequestRank::new(route.priority),
         work: prompt.work(),
     };
-    // Copies decide, so that neither credit of a trial nor a part of a share is used up.
+    // Previews decide, so that neither credit of a trial nor a part of a share is used up.
     let admitted = if is_stream {
-        decisions.shares.clone().admit(now, &share_request)
+        decisions.shares.preview(now, &share_request)
     } else {
         Ok(())
     };
-    let mut rollouts = decisions.rollouts.clone();
-    let versions = rollouts.choose(now, &service.name, name_hash(&route.name), false);
+    let rollouts = &decisions.rollouts;
+    let versions = rollouts.preview(now, &service.name, name_hash(&route.name));
     let terms = PlacementTerms {
         zone: &host.settings.zone,
         rank,
--- a/crates/teaselglade-routing/src/rollout/rollout_desk.rs
+++ b/crates/teaselglade-routing/src/rollout/rollout_desk.rs
@@ -406,4 +406,24 @@
             )
         })
     }
+
+    /// Returns what [`RolloutDesk::choose`] would decide for a first attempt, without using credit.
+    ///
+    /// Only the state of the service is copied.
+    #[must_use]
+    pub fn preview(&self, now: Timestamp, service: &str, route: u64) -> VersionChoice {
+        let settled = self.settled.of_service(service);
+        match (self.rollouts.get(service), settled) {
+            (None, None) => VersionChoice::Any,
+            (None, Some(settled)) => VersionChoice::Settled(Arc::clone(settled), None),
+            (Some(rollout), Some(settled)) if rollout.stage == RolloutStage::RolledBack => {
+                let target = rollout.order.target_hash();
+                VersionChoice::Settled(Arc::clone(settled), Some(target))
+            }
+            (Some(rollout), _) => {
+                let bounds = self.bounds.unwrap_or_default();
+                rollout.clone().choose(now, bounds, route, false)
+            }
+        }
+    }
 }
--- a/crates/teaselglade-routing/src/share/share_limiter.rs
+++ b/crates/teaselglade-routing/src/share/share_limiter.rs
@@ -387,6 +387,30 @@
         let share = self.services.get_mut(service)?;
         share.is_shared.then_some(share)
     }
+
+    /// Returns what [`ShareLimiter::admit`] would decide, without counting the request.
+    ///
+    /// Only the state of the request's service is copied.
+    ///
+    /// # Errors
+    ///
+    /// Returns a refusal like [`ShareLimiter::admit`].
+    pub fn preview(&self, now: Timestamp, request: &ShareRequest<'_>) -> Result<()> {
+        let share = self.services.get(request.service);
+        let Some(share) = share.filter(|share| share.is_shared) else {
+            return Ok(());
+        };
+        let mut copy = Self {
+            services: HashMap::from([(request.service.to_owned(), share.clone())]),
+            organisations: HashMap::new(),
+            peers: HashMap::new(),
+            sum: None,
+            fleet_size: self.fleet_size,
+            figures_age: self.figures_age,
+            rng: self.rng.clone(),
+        };
+        copy.admit(now, request)
+    }
 }
 
 /// Sums up the demand for one service.
--- a/crates/teaselglade-routing/tests/routing/rollouts.rs
+++ b/crates/teaselglade-routing/tests/routing/rollouts.rs
@@ -52,7 +52,9 @@
 
 /// Sends one request and returns whether it went to the new version, whose answers are bad.
 fn send(desk: &mut RolloutDesk, registry: &ServerRegistry, now: Timestamp, is_bad: bool) -> bool {
+    let preview = desk.preview(now, SERVICE, 1);
     let choice = desk.choose(now, SERVICE, 1, false);
+    assert_eq!(preview, choice);
     let Some(server) = first_allowed(registry, &choice) else {
         return false;
     };
--- a/crates/teaselglade-routing/tests/routing/shares.rs
+++ b/crates/teaselglade-routing/tests/routing/shares.rs
@@ -370,7 +370,11 @@
                     work: request.work,
                 };
                 let limiter = &mut self.limiters[host];
+                let preview = now
+                    .is_multiple_of(1_000)
+                    .then(|| limiter.preview(at(now), &asked));
                 let admitted = limiter.admit(at(now), &asked);
+                assert!(preview.is_none_or(|preview| preview == admitted));
                 passed += if admitted.is_ok() { request.work } else { 0.0 };
                 let limit = limiter
                     .queue_limit(&asked)
