fix(scope): a drawn stream pays no charge for its shared part

Cause: what earlier crossings for a part cost was added to the charge also where the stream was drawn to leave; there the charge is that of home, so the part was moved further out. Change: the paid crossings count only for requests that are not drawn. Test: 1,000 choices for a part that crossed once; drawn ones are charged one trip, others two.

--- a/crates/teaselglade-routing/src/zone/zone_director.rs
+++ b/crates/teaselglade-routing/src/zone/zone_director.rs
@@ -183,9 +183,9 @@
             let reluctance = f64::midpoint(size, trip_share.min(1.0)) + request.saved_at_home;
             draw.draw(outflow, request.work, reluctance)
         });
-        let paid = request
-            .shared_part
-            .map_or(Duration::ZERO, |part| self.crossings.paid(part));
+        // Once a stream is drawn, servers at home have the charge, which the part must not add to.
+        let charged_part = request.shared_part.filter(|_| leaves_to.is_none());
+        let paid = charged_part.map_or(Duration::ZERO, |part| self.crossings.paid(part));
         ZoneChoice {
             // The charge never exceeds the target, beyond which an answer is late anyway.
             crossing: (crossing + paid).min(request.target.max(crossing)),
--- a/crates/teaselglade-routing/tests/routing/zones.rs
+++ b/crates/teaselglade-routing/tests/routing/zones.rs
@@ -404,6 +404,36 @@
     assert!(left[0] > 4 * left[1], "{left:?}");
 }
 
+#[test]
+fn a_shared_part_adds_to_the_charge_only_of_requests_that_stay() {
+    let mut director = ZoneDirector::new("zone-0", quick_links());
+    let load = ZoneFleet::new(4, 4, |_, zone| if zone == 0 { 1.3 } else { 0.5 }).load(0);
+    let mut planner = ZonePlanner::default();
+    (0..20).for_each(|step| planner.update(at(step * 200), SERVICE, &load));
+    let now = at(3_800);
+    let outflows = planner.outflows(now).cloned().collect();
+    director.apply_report(now, ZoneReport { outflows });
+    let request = ZoneRequest {
+        service: SERVICE,
+        work: 1.0,
+        bytes: 2_000.0,
+        target: Duration::from_millis(500),
+        shared_part: Some(7),
+        saved_at_home: 0.0,
+    };
+    director.record_placement(now, &request, "zone-1");
+    let trip = quick_links().trip;
+    let mut seen = [0, 0];
+    for _request in 0..1_000 {
+        let choice = director.choose(now, &request);
+        let leaves = choice.leaves_to.is_some();
+        let expected = if leaves { trip } else { trip * 2 };
+        assert_eq!(choice.crossing, expected, "leaves: {leaves}");
+        seen[usize::from(leaves)] += 1;
+    }
+    assert!(seen.iter().all(|count| *count > 50), "{seen:?}");
+}
+
 #[test]
 fn a_huge_price_of_bytes_is_bounded() {
     for byte_cost_ms_per_kb in [1e300, f64::MAX] {
