fix(scope): the room of a zone counts lasting speeds

Cause: the zone planner took the number of servers times the speed of the service. Change: it takes the sum of the servers' lasting speeds; exactly 1 each where none is learned. No test of its own; those of zones use loads, not hosts.

--- a/crates/teaselglade-host/src/state/zone_state.rs
+++ b/crates/teaselglade-host/src/state/zone_state.rs
@@ -84,9 +84,12 @@
         service: &str,
         demand: &BTreeMap<String, f64>,
     ) -> ServiceLoad {
-        let mut servers: BTreeMap<&str, u32> = BTreeMap::new();
-        for (_, server) in self.registry.available(now, service) {
-            *servers.entry(&server.registration.zone).or_default() += 1;
+        let ledger = self.engine_placer.ledger();
+        let mut servers: BTreeMap<&str, (u32, f64)> = BTreeMap::new();
+        for (key, server) in self.registry.available(now, service) {
+            let (count, speeds) = servers.entry(&server.registration.zone).or_default();
+            *count += 1;
+            *speeds += ledger.speed(key);
         }
         servers.retain(|zone, _| !self.zones.is_cut_off(now, zone));
         let demanding = demand.keys().map(String::as_str);
@@ -94,11 +97,11 @@
             demanding.chain(servers.keys().copied()).collect();
         let speed = self.engine_placer.speed(service);
         let zones = names.into_iter().map(|zone| {
-            let servers = servers.get(zone).copied().unwrap_or_default();
+            let (servers, speeds) = servers.get(zone).copied().unwrap_or_default();
             ZoneLoad {
                 zone: zone.to_owned(),
                 demand: demand.get(zone).copied().unwrap_or_default(),
-                room: f64::from(servers) * speed.tokens_per_second(),
+                room: speeds * speed.tokens_per_second(),
                 servers,
             }
         });
