fix(scope): replays of speeds assert the gap that they close

Cause: closed_share returned 1 where no knowledge and true knowledge differ by less than 0.01, so that a replay without a gap passed whatever was learned. Change: it asserts that learning costs at most 0.01 and that the gap is at least 0.01.

--- a/crates/teaselglade-routing/tests/routing/speeds.rs
+++ b/crates/teaselglade-routing/tests/routing/speeds.rs
@@ -220,9 +220,8 @@
     let learned = run_engines(hosts, load, Knowledge::Learned, speed_at);
     let ideal = run_engines(hosts, load, Knowledge::True, speed_at);
     println!("{hosts} hosts: before {before:.3}, learned {learned:.3}, true {ideal:.3}");
-    if ideal - before < 0.01 {
-        return 1.0;
-    }
+    assert!(learned >= before - 0.01, "{learned:.3} after {before:.3}");
+    assert!(ideal - before >= 0.01, "no gap to close");
     (learned - before) / (ideal - before)
 }
 
