fix(rollout): a rare route does not stop the trial of all others

Cause: a route was listed with no exposure at its first request, even without credit, and every other route then stopped at two requests until it had its turn.

Change: a route that is ahead goes on trial only if there is also credit for one request of each route behind it.

Test: a_rare_route_does_not_stop_the_trial_of_others.

--- a/crates/teaselglade-routing/src/rollout/exposure_credit.rs
+++ b/crates/teaselglade-routing/src/rollout/exposure_credit.rs
@@ -43,11 +43,17 @@
 
     /// Takes credit for one request to the new version, of `share` of all; returns whether it was there.
     pub fn take(&mut self, share: f64) -> bool {
-        let is_granted = self.exposed as f64 + 1.0 <= self.left_bound(share);
+        let is_granted = self.has(share, 1);
         self.exposed += u64::from(is_granted);
         is_granted
     }
 
+    /// Returns whether there is credit for some requests to the new version.
+    #[must_use]
+    pub fn has(&self, share: f64, requests: usize) -> bool {
+        self.exposed as f64 + requests as f64 <= self.left_bound(share)
+    }
+
     /// Gives back the credit of a request that was not sent to the new version.
     pub const fn give_back(&mut self) {
         self.exposed = self.exposed.saturating_sub(1);
--- a/crates/teaselglade-routing/src/rollout/service_rollout.rs
+++ b/crates/teaselglade-routing/src/rollout/service_rollout.rs
@@ -215,9 +215,11 @@
         // Routes take turns, so that a fault of a rare one shows as early as one of a busy one.
         let exposed = self.route_exposed.entry(route).or_default();
         let own = *exposed;
-        let least = self.route_exposed.values().copied().min().unwrap_or(0);
-        let is_ahead = own > least + 1;
-        !is_ahead && self.credit.take(bounds.exposure_share * TRIAL_PART)
+        let exposed = self.route_exposed.values();
+        let behind = exposed.filter(|exposed| own > **exposed + 1).count();
+        // A route that seldom has requests must not stop the others.
+        let share = bounds.exposure_share * TRIAL_PART;
+        self.credit.has(share, behind + 1) && self.credit.take(share)
     }
 
     pub(super) fn give_back(&mut self, route: u64) {
--- a/crates/teaselglade-routing/tests/routing/rollouts.rs
+++ b/crates/teaselglade-routing/tests/routing/rollouts.rs
@@ -248,6 +248,21 @@
     }
 }
 
+#[test]
+fn a_rare_route_does_not_stop_the_trial_of_others() {
+    let registry = registry(2, 2);
+    let mut desk = RolloutDesk::new("edge-1", Some(BOUNDS));
+    desk.record_order(at(0), order("v2", 3), 100, false);
+    desk.update(at(0), &registry, &[SERVICE]);
+    // Without credit, as nothing was sent before.
+    desk.choose(at(0), SERVICE, 2, false);
+    let mut exposed = 0;
+    for _ in 0..400 {
+        exposed += u32::from(send(&mut desk, &registry, at(0), false));
+    }
+    assert!(exposed >= 18, "{exposed}");
+}
+
 #[test]
 fn a_version_that_was_rolled_back_is_not_used_even_if_it_is_the_only_one() {
     let registry = registry(0, 2);
