--- a/crates/teaselglade-routing/src/rollout/rollout_desk.rs
+++ b/crates/teaselglade-routing/src/rollout/rollout_desk.rs
@@ -214,22 +214,36 @@
         service: &str,
         route: u64,
         is_repeat: bool,
+    ) -> VersionChoice {
+        let mut rollout = self.rollouts.remove(service);
+        let choice = self.choose_with(rollout.as_mut(), now, service, route, is_repeat);
+        if let Some(rollout) = rollout {
+            self.rollouts.insert(service.to_owned(), rollout);
+        }
+        choice
+    }
+
+    /// Returns the versions that an attempt may use, by the state of its service's roll-out.
+    fn choose_with(
+        &self,
+        rollout: Option<&mut ServiceRollout>,
+        now: Timestamp,
+        service: &str,
+        route: u64,
+        is_repeat: bool,
     ) -> VersionChoice {
         let bounds = self.bounds.unwrap_or_default();
         let settled = self.settled.of_service(service).map(Arc::clone);
         let barred = self.barred.get(service).map_or(&[][..], Vec::as_slice);
-        let Some(rollout) = self.rollouts.get_mut(service) else {
+        // Later versions need no order once the old servers have stopped.
+        let running = rollout
+            .filter(|rollout| !rollout.is_settled || now.since(rollout.staged_at) <= VERDICT_TIME);
+        let Some(rollout) = running else {
             return settled.map_or(VersionChoice::Any, |settled| {
                 VersionChoice::Settled(settled, barred.into())
             });
         };
         let target = rollout.order.target_hash();
-        // Later versions need no order once the old servers have stopped.
-        if rollout.is_settled && now.since(rollout.staged_at) > VERDICT_TIME {
-            return settled.map_or(VersionChoice::Any, |settled| {
-                VersionChoice::Settled(settled, barred.into())
-            });
-        }
         let excluded = || {
             let others = barred.iter().filter(|version| **version != target);
             others.copied().chain([target]).collect()
@@ -447,18 +461,7 @@
     /// Only the state of the service is copied.
     #[must_use]
     pub fn preview(&self, now: Timestamp, service: &str, route: u64) -> VersionChoice {
-        let settled = self.settled.of_service(service);
-        match (self.rollouts.get(service), settled) {
-            (None, None) => VersionChoice::Any,
-            (None, Some(settled)) => VersionChoice::Settled(Arc::clone(settled), None),
-            (Some(rollout), Some(settled)) if rollout.stage == RolloutStage::RolledBack => {
-                let target = rollout.order.target_hash();
-                VersionChoice::Settled(Arc::clone(settled), Some(target))
-            }
-            (Some(rollout), _) => {
-                let bounds = self.bounds.unwrap_or_default();
-                rollout.clone().choose(now, bounds, route, false)
-            }
-        }
+        let mut rollout = self.rollouts.get(service).cloned();
+        self.choose_with(rollout.as_mut(), now, service, route, false)
     }
 }
