--- a/crates/teaselglade-routing/src/rollout/rollout_desk.rs
+++ b/crates/teaselglade-routing/src/rollout/rollout_desk.rs
@@ -169,12 +169,12 @@
         true
     }
 
-    /// Reads the servers of orders that were recorded since the last update.
+    /// Reads the servers of orders for which none were found yet.
     ///
     /// Until then an order for the version in service leaves no server to use.
     pub fn read_servers(&mut self, now: Timestamp, registry: &ServerRegistry) {
         let rollouts = self.rollouts.values_mut();
-        for rollout in rollouts.filter(|rollout| !rollout.is_read) {
+        for rollout in rollouts.filter(|rollout| rollout.is_without_servers()) {
             rollout.update(now, registry, TRIAL_SERVER_SHARE);
         }
     }
--- a/crates/teaselglade-routing/src/rollout/service_rollout.rs
+++ b/crates/teaselglade-routing/src/rollout/service_rollout.rs
@@ -123,8 +123,6 @@
     new_servers: usize,
     /// Whether a server of another version than the target was seen since the order.
     has_old: bool,
-    /// Whether the servers were read since the order.
-    pub(super) is_read: bool,
     /// Whether the target was made the version in service.
     pub(super) is_settled: bool,
 }
@@ -153,11 +151,15 @@
             old_servers: 0,
             new_servers: 0,
             has_old: false,
-            is_read: false,
             is_settled: false,
         }
     }
 
+    /// Returns whether no server of the service was found since the order.
+    pub(super) const fn is_without_servers(&self) -> bool {
+        self.old_servers == 0 && self.new_servers == 0
+    }
+
     /// Returns the versions that an attempt may use; a trial takes credit.
     ///
     /// `old` stands for all that the order does not give to its target.
@@ -284,7 +286,6 @@
         self.old_servers = old.len();
         self.new_servers = new.len();
         self.has_old |= self.old_servers > 0;
-        self.is_read = true;
         let mut ranked: Vec<(u64, ServerKey)> = new
             .into_iter()
             .map(|(key, server)| (preference_of(self.order.number, server.hash), key))
