fix(scope): a placement query no longer shows the key in debug output

Cause: the derived Debug shows the organisation, which may be given by its key. Change: a written Debug leaves it out. Units of a test's duration follow clippy.

--- a/crates/teaselglade-host/src/explain/placement_query.rs
+++ b/crates/teaselglade-host/src/explain/placement_query.rs
@@ -1,11 +1,13 @@
 //! Request whose placement is to be explained.
 
+use std::fmt;
+
 use serde::{Deserialize, Serialize};
 
 use super::PromptQuery;
 
 /// Request whose placement is to be explained.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct PlacementQuery {
     /// Host name in the request, without a port.
@@ -25,3 +27,16 @@
     #[serde(default)]
     pub body_bytes: usize,
 }
+
+impl fmt::Debug for PlacementQuery {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        // The organisation may be given by its key.
+        f.debug_struct("PlacementQuery")
+            .field("host", &self.host)
+            .field("path", &self.path)
+            .field("service", &self.service)
+            .field("prompt", &self.prompt)
+            .field("body_bytes", &self.body_bytes)
+            .finish_non_exhaustive()
+    }
+}
--- a/crates/teaselglade-routing/tests/routing/zones.rs
+++ b/crates/teaselglade-routing/tests/routing/zones.rs
@@ -441,7 +441,7 @@
             trip: Duration::from_millis(2),
             byte_cost_ms_per_kb,
         };
-        let hour = Duration::from_secs(3_600);
+        let hour = Duration::from_hours(1);
         assert_eq!(prices.crossing(16_000.0), prices.trip + hour);
     }
 }
