--- a/crates/teaselglade-host/src/state/decision_state.rs
+++ b/crates/teaselglade-host/src/state/decision_state.rs
@@ -5,36 +5,30 @@
 
 use teaselglade_core::id::ServerKey;
 use teaselglade_core::time::Timestamp;
-use teaselglade_core::verdict::{RefusalReason, RequestRefusal};
 use teaselglade_request::retry::{BudgetLimits, RetryBudget, RetryDecision};
-use teaselglade_routing::crash::{
-    ContainedRun, CrashLedger, CrashSubject, RequestSubjects, SubjectPermit, SubjectQuery,
-};
+use teaselglade_routing::crash::CrashLedger;
 use teaselglade_routing::engine::EnginePlacer;
 use teaselglade_routing::gossip::{
     PeerMembership, ServiceDemand, TransferLimiter, rendezvous_weight,
 };
-use teaselglade_routing::limit::{
-    LimitChange, LimitLedger, LimitReport, LimitWord, PermitAnswer, PermitIssuer, PermitRequest,
-};
+use teaselglade_routing::limit::{LimitLedger, PermitIssuer};
 use teaselglade_routing::plain::PlainPlacer;
 use teaselglade_routing::quota::QuotaLimiter;
 use teaselglade_routing::registry::{
     ServerAdvice, ServerDeparture, ServerRegistration, ServerRegistry, UpdateScope,
 };
-use teaselglade_routing::rollout::{RolloutDesk, RolloutOrder, RolloutReport};
+use teaselglade_routing::rollout::RolloutDesk;
 use teaselglade_routing::scaling::ZoneStock;
 use teaselglade_routing::share::ShareLimiter;
 use teaselglade_routing::speed::ServerPace;
 use teaselglade_routing::usage::UsageLedger;
 use teaselglade_routing::zone::ZoneDirector;
 
-use super::PermitStep;
 use super::peer_demand::PeerDemand;
 use crate::settings::HostSettings;
 
 /// Number of hosts assumed until peers are seen: a small fleet including its spare hosts.
-const ASSUMED_HOSTS: u32 = 16;
+pub(super) const ASSUMED_HOSTS: u32 = 16;
 /// Minimum time without a response that counts as an outage of the store.
 const MIN_STORE_OUTAGE: Duration = Duration::from_secs(1);
 /// Fraction of a server's rest over which requests of all hosts come back after it.
@@ -85,7 +79,7 @@
     is_outage_shared: bool,
     /// Servers whose advice could not be read.
     unreadable_servers: HashSet<ServerKey>,
-    own_name: String,
+    pub(super) own_name: String,
     retry_budgets: HashMap<String, RetryBudget>,
     peer_demand: HashMap<String, PeerDemand>,
     seed: u64,
@@ -196,217 +190,6 @@
         applied
     }
 
-    /// Records what a response says of its server's limit; returns the change, if any.
-    ///
-    /// `sent_at` is the time at which its request was sent.
-    pub fn record_limit(
-        &mut self,
-        now: Timestamp,
-        server: ServerKey,
-        sent_at: Timestamp,
-        word: LimitWord,
-    ) -> Option<LimitChange> {
-        let incarnation = self.registry.server(server).incarnation_hash();
-        let change = self
-            .limits
-            .record_response(now, incarnation, sent_at, word)?;
-        self.registry.record_permit_denial(server, now);
-        Some(change)
-    }
-
-    /// Merges what another host knows of limited servers; returns the changes.
-    pub fn merge_limits(&mut self, now: Timestamp, report: &LimitReport) -> Vec<LimitChange> {
-        if !report.host.is_empty() {
-            let issued = &report.issued;
-            self.permit_issuer
-                .receive_issued(now, &report.host, report.started_at_us, issued);
-        }
-        let changes = self.limits.merge(now, &report.notices);
-        for change in &changes {
-            if let Some(server) = self.registry.find_incarnation(change.server) {
-                self.registry.record_permit_denial(server, now);
-            }
-        }
-        changes
-    }
-
-    /// Returns what this host tells its peers of limited servers with its digest of this number.
-    ///
-    /// What peers told this host is left out, as they tell it themselves or through an aggregator.
-    #[must_use]
-    pub fn limit_report(
-        &self,
-        now: Timestamp,
-        started_at_us: u64,
-        digest_number: u64,
-    ) -> LimitReport {
-        LimitReport {
-            host: self.own_name.clone(),
-            started_at_us,
-            notices: self.limits.notices(now, digest_number, true),
-            issued: self.permit_issuer.issued(),
-        }
-    }
-
-    /// Returns what an aggregator tells the hosts that it serves of limited servers.
-    #[must_use]
-    pub fn limit_aggregate(&self, now: Timestamp, aggregate_number: u64) -> LimitReport {
-        LimitReport {
-            host: String::new(),
-            started_at_us: 0,
-            notices: self.limits.notices(now, aggregate_number, false),
-            issued: Vec::new(),
-        }
-    }
-
-    /// Drops what is known of limits that ended and of servers that are gone.
-    pub fn prune_limits(&mut self, now: Timestamp) {
-        let registry = &self.registry;
-        self.limits
-            .prune(now, |server| registry.find_incarnation(server).is_some());
-        self.permit_issuer.prune(now);
-    }
-
-    /// Returns whether requests to a server need permits.
-    #[must_use]
-    pub fn needs_permit(&self, server: ServerKey) -> bool {
-        let incarnation = self.registry.server(server).incarnation_hash();
-        self.limits.limit(incarnation).is_some()
-    }
-
-    /// Takes the first step towards a permit to send one request to a limited server.
-    ///
-    /// `max_wait` is how long the request may wait for its turn.
-    pub fn begin_permit(
-        &mut self,
-        now: Timestamp,
-        server: ServerKey,
-        max_wait: Duration,
-    ) -> PermitStep {
-        let incarnation = self.registry.server(server).incarnation_hash();
-        let Some(notice) = self.limits.notice(now, incarnation) else {
-            let answer = PermitAnswer::Granted { wait_ms: 0 };
-            return PermitStep::Decided {
-                incarnation,
-                answer,
-            };
-        };
-        match self.membership.permit_issuer(now, incarnation) {
-            Some(issuer) => PermitStep::Ask {
-                incarnation,
-                issuer,
-                notice,
-            },
-            None => PermitStep::Decided {
-                incarnation,
-                answer: self.issue_own_permit(now, incarnation, max_wait),
-            },
-        }
-    }
-
-    /// Decides on another host's request for a permit, which also tells this host of the limit.
-    ///
-    /// Returns the decision, and the change of the limit as this host knew it.
-    pub fn answer_permit(
-        &mut self,
-        now: Timestamp,
-        request: &PermitRequest,
-    ) -> (PermitAnswer, Vec<LimitChange>) {
-        let changes = self.limits.merge(now, &[request.notice]);
-        let Some(limit) = self.limits.limit(request.notice.server) else {
-            return (PermitAnswer::Granted { wait_ms: 0 }, changes);
-        };
-        let view = self.membership.issuer_view(now);
-        let answer = self.permit_issuer.answer(now, request, limit, view);
-        (answer, changes)
-    }
-
-    /// Issues a permit to this host; a server whose limit has ended needs none.
-    fn issue_own_permit(
-        &mut self,
-        now: Timestamp,
-        incarnation: u64,
-        max_wait: Duration,
-    ) -> PermitAnswer {
-        let Some(limit) = self.limits.limit(incarnation) else {
-            return PermitAnswer::Granted { wait_ms: 0 };
-        };
-        let view = self.membership.issuer_view(now);
-        self.permit_issuer
-            .issue(now, incarnation, limit, view, max_wait)
-    }
-
-    /// Decides whether an attempt may be sent, by the standing of its request's subjects.
-    ///
-    /// Returns the run if a subject is contained; the ledger must then be told of the attempt's end.
-    /// `attempt` is the number of the attempt within its request, from 1.
-    ///
-    /// # Errors
-    ///
-    /// Returns a "not run" refusal if a subject is quarantined, or contained and the attempt is a
-    /// repeat or another one runs.
-    pub fn permit_attempt<'a>(
-        &mut self,
-        now: Timestamp,
-        organisation: &str,
-        subjects: impl Into<RequestSubjects<'a>>,
-        attempt: u32,
-    ) -> Result<Option<ContainedRun>, RequestRefusal> {
-        let query = SubjectQuery {
-            organisation,
-            subjects: subjects.into(),
-            is_repeat: attempt > 1,
-            may_try: self.membership.is_leader(),
-        };
-        match self.crash_ledger.permit(now, &query) {
-            SubjectPermit::Unrestricted => Ok(None),
-            SubjectPermit::Contained(run) => Ok(Some(run)),
-            SubjectPermit::Refused {
-                subject,
-                retry_after,
-            } => {
-                let detail = match subject {
-                    CrashSubject::Part(part) => {
-                        format!("servers ended on part {part:x} of the prompt")
-                    }
-                    CrashSubject::Request(hash) => {
-                        format!("servers ended under requests with the content {hash}")
-                    }
-                };
-                let refusal = RequestRefusal::not_run(RefusalReason::Quarantined, detail);
-                Err(refusal.retry_after(retry_after))
-            }
-        }
-    }
-
-    /// Records that a server ended while an attempt had brought no event or response.
-    ///
-    /// The end of a server that was known to leave says nothing of the request.
-    pub fn record_server_end<'a>(
-        &mut self,
-        now: Timestamp,
-        server: ServerKey,
-        organisation: &str,
-        subjects: impl Into<RequestSubjects<'a>>,
-    ) {
-        if self.registry.takes_work(server) {
-            let incarnation = self.registry.server(server).incarnation_hash();
-            self.crash_ledger
-                .record_end(now, incarnation, organisation, subjects);
-        }
-    }
-
-    /// Records that an attempt brought an event or a response of a healthy server.
-    pub fn record_answer<'a>(
-        &mut self,
-        now: Timestamp,
-        server: ServerKey,
-        subjects: impl Into<RequestSubjects<'a>>,
-    ) {
-        let incarnation = self.registry.server(server).incarnation_hash();
-        self.crash_ledger.record_event(now, incarnation, subjects);
-    }
-
     /// Advances the time of the newest registration data to that of a peer's data.
     ///
     /// Has no effect before the first full read, because digests contain only recent updates, nor once
@@ -617,31 +400,6 @@
         capacity
     }
 
-    /// Records an order to change a service's version; returns whether it is new.
-    ///
-    /// `is_listed` tells whether this host found it in the store when it started.
-    pub fn record_order(&mut self, now: Timestamp, order: RolloutOrder, is_listed: bool) -> bool {
-        let hosts = self.fleet_size();
-        let is_new = self.rollouts.record_order(now, order, hosts, is_listed);
-        self.rollouts.read_servers(now, &self.registry);
-        is_new
-    }
-
-    /// Merges what a peer or an aggregator says of roll-outs.
-    pub fn merge_rollouts(&mut self, now: Timestamp, report: RolloutReport) {
-        let hosts = self.fleet_size();
-        self.rollouts.merge(now, report, hosts);
-        self.rollouts.read_servers(now, &self.registry);
-    }
-
-    /// Returns the number of hosts, this one included; an assumed one until peers are known.
-    fn fleet_size(&self) -> usize {
-        match self.membership.peer_count() {
-            0 => ASSUMED_HOSTS as usize,
-            peers => peers + 1,
-        }
-    }
-
     /// Records a server's word on how long work takes there at the moment.
     pub fn record_pace(&mut self, now: Timestamp, server: ServerKey, pace: ServerPace) {
         let engines = self.engine_placer.ledger_mut();
--- a/crates/teaselglade-host/src/state/mod.rs
+++ b/crates/teaselglade-host/src/state/mod.rs
@@ -1,11 +1,14 @@
 //! State shared by the components of a host.
 
 mod active_table;
+mod crash_state;
 mod decision_state;
 mod host_ports;
 mod host_state;
+mod limit_state;
 mod peer_demand;
 mod permit_step;
+mod rollout_state;
 mod share_update;
 mod speed_sharing;
 mod zone_state;
