--- a/crates/teaselglade-host/src/state/decision_state.rs
+++ b/crates/teaselglade-host/src/state/decision_state.rs
@@ -5,36 +5,30 @@
 
 use teaselglade_core::id::ServerKey;
 use teaselglade_core::time::Timestamp;
-use teaselglade_core::verdict::{RefusalReason, RequestRefusal};
 use teaselglade_request::retry::{BudgetLimits, RetryBudget, RetryDecision};
-use teaselglade_routing::crash::{
-    ContainedRun, CrashLedger, CrashSubject, RequestSubjects, SubjectPermit, SubjectQuery,
-};
+use teaselglade_routing::crash::CrashLedger;
 use teaselglade_routing::engine::EnginePlacer;
 use teaselglade_routing::gossip::{
     PeerMembership, ServiceDemand, TransferLimiter, rendezvous_weight,
 };
-use teaselglade_routing::limit::{
-    LimitChange, LimitLedger, LimitReport, LimitWord, PermitAnswer, PermitIssuer, PermitRequest,
-};
+use teaselglade_routing::limit::{LimitLedger, PermitIssuer};
 use teaselglade_routing::plain::PlainPlacer;
 use teaselglade_routing::quota::QuotaLimiter;
 use teaselglade_routing::registry::{
     ServerAdvice, ServerDeparture, ServerRegistration, ServerRegistry, UpdateScope,
 };
-use teaselglade_routing::rollout::{RolloutDesk, RolloutOrder, RolloutReport};
+use teaselglade_routing::rollout::RolloutDesk;
 use teaselglade_routing::scaling::ZoneStock;
 use teaselglade_routing::share::ShareLimiter;
 use teaselglade_routing::speed::ServerPace;
 use teaselglade_routing::usage::UsageLedger;
 use teaselglade_routing::zone::ZoneDirector;
 
-use super::PermitStep;
 use super::peer_demand::PeerDemand;
 use crate::settings::HostSettings;
 
 /// Number of hosts assumed until peers are seen: a small fleet including its spare hosts.
-const ASSUMED_HOSTS: u32 = 16;
+pub(super) const ASSUMED_HOSTS: u32 = 16;
 /// Minimum time without a response that counts as an outage of the store.
 const MIN_STORE_OUTAGE: Duration = Duration::from_secs(1);
 /// Fraction of a server's rest over which requests of all hosts come back after it.
@@ -77,13 +71,15 @@
     pub transfers: TransferLimiter,
     /// Time of the newest registration data; zero until the first full read.
     pub registry_updated_at: Timestamp,
+    /// Newest time that peers claimed for their data, also where this host could not take it over.
+    peers_updated_at: Timestamp,
     /// Start of the current store outage, as seen by reads of registrations.
     store_lost_at: Option<Timestamp>,
     /// Whether peers did not keep the registration data up to date in that outage either.
     is_outage_shared: bool,
     /// Servers whose advice could not be read.
     unreadable_servers: HashSet<ServerKey>,
-    own_name: String,
+    pub(super) own_name: String,
     retry_budgets: HashMap<String, RetryBudget>,
     peer_demand: HashMap<String, PeerDemand>,
     seed: u64,
@@ -114,6 +110,7 @@
             membership: PeerMembership::new(&settings.name, seed).in_zone(&settings.zone),
             transfers: TransferLimiter::new(settings.link_bytes_per_second),
             registry_updated_at: Timestamp::ZERO,
+            peers_updated_at: Timestamp::ZERO,
             store_lost_at: None,
             is_outage_shared: false,
             unreadable_servers: HashSet::new(),
@@ -141,7 +138,8 @@
     /// Records a failed read of registrations from the store.
     pub fn record_store_failure(&mut self, now: Timestamp) {
         self.store_lost_at.get_or_insert(now);
-        self.is_outage_shared |= self.has_stale_news(now);
+        let are_peers_stale = self.membership.is_stale(now.since(self.peers_updated_at));
+        self.is_outage_shared |= self.has_stale_news(now) && are_peers_stale;
         self.membership.set_store_reachable(false);
     }
 
@@ -192,229 +190,31 @@
         applied
     }
 
-    /// Records what a response says of its server's limit; returns the change, if any.
-    ///
-    /// `sent_at` is the time at which its request was sent.
-    pub fn record_limit(
-        &mut self,
-        now: Timestamp,
-        server: ServerKey,
-        sent_at: Timestamp,
-        word: LimitWord,
-    ) -> Option<LimitChange> {
-        let incarnation = self.registry.server(server).incarnation_hash();
-        let change = self
-            .limits
-            .record_response(now, incarnation, sent_at, word)?;
-        self.registry.record_permit_denial(server, now);
-        Some(change)
-    }
-
-    /// Merges what another host knows of limited servers; returns the changes.
-    pub fn merge_limits(&mut self, now: Timestamp, report: &LimitReport) -> Vec<LimitChange> {
-        if !report.host.is_empty() {
-            let issued = &report.issued;
-            self.permit_issuer
-                .receive_issued(now, &report.host, report.started_at_us, issued);
-        }
-        let changes = self.limits.merge(now, &report.notices);
-        for change in &changes {
-            if let Some(server) = self.registry.find_incarnation(change.server) {
-                self.registry.record_permit_denial(server, now);
-            }
-        }
-        changes
-    }
-
-    /// Returns what this host tells its peers of limited servers with its digest of this number.
-    ///
-    /// What peers told this host is left out, as they tell it themselves or through an aggregator.
-    #[must_use]
-    pub fn limit_report(
-        &self,
-        now: Timestamp,
-        started_at_us: u64,
-        digest_number: u64,
-    ) -> LimitReport {
-        LimitReport {
-            host: self.own_name.clone(),
-            started_at_us,
-            notices: self.limits.notices(now, digest_number, true),
-            issued: self.permit_issuer.issued(),
-        }
-    }
-
-    /// Returns what an aggregator tells the hosts that it serves of limited servers.
-    #[must_use]
-    pub fn limit_aggregate(&self, now: Timestamp, aggregate_number: u64) -> LimitReport {
-        LimitReport {
-            host: String::new(),
-            started_at_us: 0,
-            notices: self.limits.notices(now, aggregate_number, false),
-            issued: Vec::new(),
-        }
-    }
-
-    /// Drops what is known of limits that ended and of servers that are gone.
-    pub fn prune_limits(&mut self, now: Timestamp) {
-        let registry = &self.registry;
-        self.limits
-            .prune(now, |server| registry.find_incarnation(server).is_some());
-        self.permit_issuer.prune(now);
-    }
-
-    /// Returns whether requests to a server need permits.
-    #[must_use]
-    pub fn needs_permit(&self, server: ServerKey) -> bool {
-        let incarnation = self.registry.server(server).incarnation_hash();
-        self.limits.limit(incarnation).is_some()
-    }
-
-    /// Takes the first step towards a permit to send one request to a limited server.
-    ///
-    /// `max_wait` is how long the request may wait for its turn.
-    pub fn begin_permit(
-        &mut self,
-        now: Timestamp,
-        server: ServerKey,
-        max_wait: Duration,
-    ) -> PermitStep {
-        let incarnation = self.registry.server(server).incarnation_hash();
-        let Some(notice) = self.limits.notice(now, incarnation) else {
-            let answer = PermitAnswer::Granted { wait_ms: 0 };
-            return PermitStep::Decided {
-                incarnation,
-                answer,
-            };
-        };
-        match self.membership.permit_issuer(now, incarnation) {
-            Some(issuer) => PermitStep::Ask {
-                incarnation,
-                issuer,
-                notice,
-            },
-            None => PermitStep::Decided {
-                incarnation,
-                answer: self.issue_own_permit(now, incarnation, max_wait),
-            },
-        }
-    }
-
-    /// Decides on another host's request for a permit, which also tells this host of the limit.
-    ///
-    /// Returns the decision, and the change of the limit as this host knew it.
-    pub fn answer_permit(
-        &mut self,
-        now: Timestamp,
-        request: &PermitRequest,
-    ) -> (PermitAnswer, Vec<LimitChange>) {
-        let changes = self.limits.merge(now, &[request.notice]);
-        let Some(limit) = self.limits.limit(request.notice.server) else {
-            return (PermitAnswer::Granted { wait_ms: 0 }, changes);
-        };
-        let view = self.membership.issuer_view(now);
-        let answer = self.permit_issuer.answer(now, request, limit, view);
-        (answer, changes)
-    }
-
-    /// Issues a permit to this host; a server whose limit has ended needs none.
-    fn issue_own_permit(
-        &mut self,
-        now: Timestamp,
-        incarnation: u64,
-        max_wait: Duration,
-    ) -> PermitAnswer {
-        let Some(limit) = self.limits.limit(incarnation) else {
-            return PermitAnswer::Granted { wait_ms: 0 };
-        };
-        let view = self.membership.issuer_view(now);
-        self.permit_issuer
-            .issue(now, incarnation, limit, view, max_wait)
-    }
-
-    /// Decides whether an attempt may be sent, by the standing of its request's subjects.
-    ///
-    /// Returns the run if a subject is contained; the ledger must then be told of the attempt's end.
-    /// `attempt` is the number of the attempt within its request, from 1.
-    ///
-    /// # Errors
-    ///
-    /// Returns a "not run" refusal if a subject is quarantined, or contained and the attempt is a
-    /// repeat or another one runs.
-    pub fn permit_attempt<'a>(
-        &mut self,
-        now: Timestamp,
-        organisation: &str,
-        subjects: impl Into<RequestSubjects<'a>>,
-        attempt: u32,
-    ) -> Result<Option<ContainedRun>, RequestRefusal> {
-        let query = SubjectQuery {
-            organisation,
-            subjects: subjects.into(),
-            is_repeat: attempt > 1,
-            may_try: self.membership.is_leader(),
-        };
-        match self.crash_ledger.permit(now, &query) {
-            SubjectPermit::Unrestricted => Ok(None),
-            SubjectPermit::Contained(run) => Ok(Some(run)),
-            SubjectPermit::Refused {
-                subject,
-                retry_after,
-            } => {
-                let detail = match subject {
-                    CrashSubject::Part(part) => {
-                        format!("servers ended on part {part:x} of the prompt")
-                    }
-                    CrashSubject::Request(hash) => {
-                        format!("servers ended under requests with the content {hash}")
-                    }
-                };
-                let refusal = RequestRefusal::not_run(RefusalReason::Quarantined, detail);
-                Err(refusal.retry_after(retry_after))
-            }
-        }
-    }
-
-    /// Records that a server ended while an attempt had brought no event or response.
-    ///
-    /// The end of a server that was known to leave says nothing of the request.
-    pub fn record_server_end<'a>(
-        &mut self,
-        now: Timestamp,
-        server: ServerKey,
-        organisation: &str,
-        subjects: impl Into<RequestSubjects<'a>>,
-    ) {
-        if self.registry.takes_work(server) {
-            let incarnation = self.registry.server(server).incarnation_hash();
-            self.crash_ledger
-                .record_end(now, incarnation, organisation, subjects);
-        }
-    }
-
-    /// Records that an attempt brought an event or a response of a healthy server.
-    pub fn record_answer<'a>(
-        &mut self,
-        now: Timestamp,
-        server: ServerKey,
-        subjects: impl Into<RequestSubjects<'a>>,
-    ) {
-        let incarnation = self.registry.server(server).incarnation_hash();
-        self.crash_ledger.record_event(now, incarnation, subjects);
-    }
-
     /// Advances the time of the newest registration data to that of a peer's data.
     ///
     /// Has no effect before the first full read, because digests contain only recent updates, nor once
     /// the own data is older than the departures that each digest names.
     fn advance_update_time(&mut self, now: Timestamp, age: Duration) {
         let updated_at = now.before(age);
+        self.peers_updated_at = self.peers_updated_at.max(updated_at);
         let repeated = ServerRegistry::departure_repeat(self.membership.is_large());
         if self.registry_updated_at > Timestamp::ZERO && self.update_age(now) < repeated {
             self.registry_updated_at = self.registry_updated_at.max(updated_at);
         }
     }
 
+    /// Records that a peer sent all that it knows of servers, as old as `age`.
+    ///
+    /// The first full read may come from a peer. Later, a host whose own data is older than the
+    /// departures that peers name may have missed one; only the store tells.
+    pub fn record_peer_state(&mut self, now: Timestamp, age: Duration) {
+        self.peers_updated_at = self.peers_updated_at.max(now.before(age));
+        let repeated = ServerRegistry::departure_repeat(false);
+        if self.registry_updated_at == Timestamp::ZERO || self.update_age(now) < repeated {
+            self.registry_updated_at = now.before(age);
+        }
+    }
+
     /// Returns the scope of the registration updates that this host gossips.
     ///
     /// In a large fleet, a host served by an aggregator does not send back the updates that it
@@ -600,28 +400,6 @@
         capacity
     }
 
-    /// Records an order to change a service's version; returns whether it is new.
-    ///
-    /// `is_listed` tells whether this host found it in the store when it started.
-    pub fn record_order(&mut self, now: Timestamp, order: RolloutOrder, is_listed: bool) -> bool {
-        let hosts = self.fleet_size();
-        self.rollouts.record_order(now, order, hosts, is_listed)
-    }
-
-    /// Merges what a peer or an aggregator says of roll-outs.
-    pub fn merge_rollouts(&mut self, now: Timestamp, report: RolloutReport) {
-        let hosts = self.fleet_size();
-        self.rollouts.merge(now, report, hosts);
-    }
-
-    /// Returns the number of hosts, this one included; an assumed one until peers are known.
-    fn fleet_size(&self) -> usize {
-        match self.membership.peer_count() {
-            0 => ASSUMED_HOSTS as usize,
-            peers => peers + 1,
-        }
-    }
-
     /// Records a server's word on how long work takes there at the moment.
     pub fn record_pace(&mut self, now: Timestamp, server: ServerKey, pace: ServerPace) {
         let engines = self.engine_placer.ledger_mut();
@@ -637,6 +415,15 @@
         self.plain_placer.forget_server(server);
     }
 
+    /// Discards the speeds of servers that take no more work, however they left.
+    pub fn prune_speeds(&mut self) {
+        let registry = &self.registry;
+        let engines = self.engine_placer.ledger_mut();
+        engines.retain(|server| registry.takes_work(server));
+        let plain = self.plain_placer.ledger_mut();
+        plain.retain(|server| registry.takes_work(server));
+    }
+
     fn retry_budget(&mut self, service: &str) -> &mut RetryBudget {
         let seed = self.seed;
         let retry_budgets = &mut self.retry_budgets;
--- a/crates/teaselglade-routing/src/rollout/exposure_credit.rs
+++ b/crates/teaselglade-routing/src/rollout/exposure_credit.rs
@@ -14,7 +14,7 @@
 ///
 /// let mut credit = ExposureCredit::new(0.0);
 /// assert!(!credit.take(0.1));
-/// (0..10).for_each(|_| credit.record_sent());
+/// (0..10).for_each(|_| credit.record_answered());
 /// assert!(credit.take(0.1));
 /// assert!(!credit.take(0.1));
 /// ```
@@ -36,29 +36,30 @@
         }
     }
 
-    /// Records a request that was sent to the service, whatever the version.
-    pub const fn record_sent(&mut self) {
+    /// Records a request to the service that was answered, whatever the version.
+    pub const fn record_answered(&mut self) {
         self.sent += 1;
     }
 
     /// Takes credit for one request to the new version, of `share` of all; returns whether it was there.
     pub fn take(&mut self, share: f64) -> bool {
-        let is_granted = self.exposed as f64 + 1.0 <= self.left_bound(share);
+        let is_granted = self.has(share, 1);
         self.exposed += u64::from(is_granted);
         is_granted
     }
 
+    /// Returns whether there is credit for some requests to the new version.
+    #[must_use]
+    pub fn has(&self, share: f64, requests: usize) -> bool {
+        self.exposed as f64 + requests as f64 <= self.left_bound(share)
+    }
+
     /// Gives back the credit of a request that was not sent to the new version.
     pub const fn give_back(&mut self) {
         self.exposed = self.exposed.saturating_sub(1);
     }
 
-    /// Counts a request that went to the new version beside the trial.
-    pub const fn record_exposed(&mut self) {
-        self.exposed += 1;
-    }
-
-    /// Returns the number of requests sent to the service since the order.
+    /// Returns the number of requests to the service that were answered since the order.
     #[must_use]
     pub const fn sent(&self) -> u64 {
         self.sent
--- a/crates/teaselglade-routing/src/rollout/service_rollout.rs
+++ b/crates/teaselglade-routing/src/rollout/service_rollout.rs
@@ -101,8 +101,8 @@
     pub(super) ordered_at: Timestamp,
     pub(super) stage: RolloutStage,
     pub(super) staged_at: Timestamp,
-    /// Whether this host found the order in the store when it started.
-    pub(super) is_listed: bool,
+    /// Whether a verdict that the store shows for the target is one on this order.
+    pub(super) may_adopt: bool,
     pub(super) finding: Option<TestFinding>,
     pub(super) open_at_old: u32,
     target: u64,
@@ -121,17 +121,21 @@
     part: Arc<[ServerKey]>,
     old_servers: usize,
     new_servers: usize,
+    /// Whether a server of another version than the target was seen since the order.
+    has_old: bool,
+    /// Whether the target was made the version in service.
+    pub(super) is_settled: bool,
 }
 
 impl ServiceRollout {
-    pub(super) fn new(now: Timestamp, order: RolloutOrder, slack: f64, is_listed: bool) -> Self {
+    pub(super) fn new(now: Timestamp, order: RolloutOrder, slack: f64, may_adopt: bool) -> Self {
         Self {
             target: order.target_hash(),
             order,
             ordered_at: now,
             stage: RolloutStage::Trial,
             staged_at: now,
-            is_listed,
+            may_adopt,
             finding: None,
             open_at_old: 0,
             credit: ExposureCredit::new(slack),
@@ -146,26 +150,41 @@
             part: Arc::new([]),
             old_servers: 0,
             new_servers: 0,
+            has_old: false,
+            is_settled: false,
         }
     }
 
+    /// Returns whether no server of the service was found since the order.
+    pub(super) const fn is_without_servers(&self) -> bool {
+        self.old_servers == 0 && self.new_servers == 0
+    }
+
     /// Returns the versions that an attempt may use; a trial takes credit.
+    ///
+    /// `old` stands for all that the order does not give to its target.
     pub(super) fn choose(
         &mut self,
         now: Timestamp,
         bounds: RolloutBounds,
         route: u64,
         is_repeat: bool,
+        old: VersionChoice,
     ) -> VersionChoice {
-        let old = VersionChoice::Without(self.target);
+        // The target is the version in service.
+        if !self.stage.is_final() && !self.has_old && self.new_servers > 0 {
+            return VersionChoice::Target(self.target, Box::new(old));
+        }
         match self.stage {
             RolloutStage::RolledBack => old,
-            RolloutStage::Whole | RolloutStage::Completed => VersionChoice::Target(self.target),
+            RolloutStage::Whole | RolloutStage::Completed => {
+                VersionChoice::Target(self.target, Box::new(old))
+            }
             _ if is_repeat => old,
             RolloutStage::Trial => {
                 if self.is_trial_due(now, bounds, route) {
                     *self.route_exposed.entry(route).or_default() += 1;
-                    VersionChoice::Trial(Arc::clone(&self.trial), self.target)
+                    VersionChoice::Trial(Arc::clone(&self.trial), Box::new(old))
                 } else {
                     old
                 }
@@ -178,7 +197,7 @@
                     return old;
                 }
                 self.ramp -= 1.0;
-                VersionChoice::Part(Arc::clone(&self.part), self.target)
+                VersionChoice::Part(Arc::clone(&self.part), Box::new(old))
             }
         }
     }
@@ -198,9 +217,11 @@
         // Routes take turns, so that a fault of a rare one shows as early as one of a busy one.
         let exposed = self.route_exposed.entry(route).or_default();
         let own = *exposed;
-        let least = self.route_exposed.values().copied().min().unwrap_or(0);
-        let is_ahead = own > least + 1;
-        !is_ahead && self.credit.take(bounds.exposure_share * TRIAL_PART)
+        let exposed = self.route_exposed.values();
+        let behind = exposed.filter(|exposed| own > **exposed + 1).count();
+        // A route that seldom has requests must not stop the others.
+        let share = bounds.exposure_share * TRIAL_PART;
+        self.credit.has(share, behind + 1) && self.credit.take(share)
     }
 
     pub(super) fn give_back(&mut self, route: u64) {
@@ -247,7 +268,7 @@
         };
         tally.record(is_failure, latency);
         if record.is_first {
-            self.credit.record_sent();
+            self.credit.record_answered();
         }
     }
 
@@ -264,6 +285,7 @@
             servers.partition(|(_, server)| server.version_hash() == self.target);
         self.old_servers = old.len();
         self.new_servers = new.len();
+        self.has_old |= self.old_servers > 0;
         let mut ranked: Vec<(u64, ServerKey)> = new
             .into_iter()
             .map(|(key, server)| (preference_of(self.order.number, server.hash), key))
@@ -314,7 +336,11 @@
     }
 
     pub(super) fn enter(&mut self, now: Timestamp, stage: RolloutStage) {
-        let stage = self.stage.merged(stage);
+        self.adopt(now, self.stage.merged(stage));
+    }
+
+    /// Takes over what the store shows.
+    pub(super) fn adopt(&mut self, now: Timestamp, stage: RolloutStage) {
         if stage != self.stage {
             self.stage = stage;
             self.staged_at = now;
--- a/crates/teaselglade-routing/src/share/service_share.rs
+++ b/crates/teaselglade-routing/src/share/service_share.rs
@@ -26,6 +26,10 @@
 const QUEUE_TARGET_SHARE: f64 = 0.9;
 /// Fraction of a latency target that organisations above their share may fill with a queue.
 const LIMITED_QUEUE_SHARE: f64 = 0.5;
+/// Time constant by which a host without fresh sums forgets its largest demand.
+///
+/// The demand of one host is noisy; a short lull must not raise what it admits.
+const PEAK_MEMORY: Duration = Duration::from_secs(3);
 /// Rate below which a flow is idle, in work per second.
 const IDLE_RATE: f64 = 1.0;
 
@@ -99,10 +103,12 @@
     own_part: f64,
     /// Work per second that this host's callers asked for when the last sums were applied.
     summed_own_asked: f64,
+    /// Recent peak of that demand since then, and its time.
+    peak_asked: (f64, Timestamp),
     /// Servers that took work when the last sums were applied.
     summed_servers: f64,
     /// Factor of all grants while this host has no fresh sums.
-    scale: f64,
+    scale: Option<f64>,
     /// Least latency target by rank, from the table.
     targets: BTreeMap<RequestRank, Duration>,
     /// Priorities of organisations that have one, by the hashes of their names.
@@ -150,37 +156,45 @@
     /// share leave a part of it to the others, which are therefore not refused because of them.
     pub(super) fn queue_limit(&self, key: FlowKey) -> Option<Duration> {
         self.room.scarce_room()?;
+        let rank = self.rank(key);
         let target = |least: Option<&Duration>, share: f64| least.map(|least| least.mul_f64(share));
-        let more_urgent = self.targets.range(..key.rank).map(|(_, target)| target);
+        let more_urgent = self.targets.range(..rank).map(|(_, target)| target);
         let by_rank = target(more_urgent.min(), QUEUE_TARGET_SHARE);
         if self.grant(key).fraction() >= 1.0 {
             return by_rank;
         }
-        let upto = self.targets.range(..=key.rank).map(|(_, target)| target);
+        let upto = self.targets.range(..=rank).map(|(_, target)| target);
         target(upto.min(), LIMITED_QUEUE_SHARE)
     }
 
     /// Returns the demand and grant of a flow, scaled to this host's part if sums are missing.
     pub(super) fn grant(&self, key: FlowKey) -> FlowGrant {
         let grant = self.grants.get(&key).copied().unwrap_or_default();
-        if self.scale >= 1.0 {
+        let Some(scale) = self.scale else {
             return grant;
-        }
+        };
         FlowGrant {
-            granted: grant.granted.min(grant.asked) * self.scale,
+            granted: grant.granted.min(grant.asked) * scale,
             ..grant
         }
     }
 
+    /// Returns the rank of a flow among all: that of its organisation, or else of its route.
+    fn rank(&self, key: FlowKey) -> RequestRank {
+        let priority = self.priorities.get(&key.organisation).copied();
+        RequestRank::of(priority, key.rank.get())
+    }
+
     /// Reserves the return of a refused caller and returns the delay until then.
     pub(super) fn reserve_return(
         &mut self,
         now: Timestamp,
-        rank: RequestRank,
+        key: FlowKey,
         work: f64,
         jitter: f64,
     ) -> Duration {
         let rate = self.room.scarce_room().unwrap_or_default() * self.own_part;
+        let rank = self.rank(key);
         self.returns.reserve(now, rank, work, rate, jitter)
     }
 
@@ -255,7 +269,8 @@
         }
         let own_asked = self.own_asked(now);
         self.own_part = (own_asked / asked.max(f64::MIN_POSITIVE)).clamp(0.0, 1.0);
-        (self.summed_own_asked, self.summed_servers, self.scale) = (own_asked, servers, 1.0);
+        (self.summed_own_asked, self.summed_servers, self.scale) = (own_asked, servers, None);
+        self.peak_asked = (own_asked, now);
         let room = self.room.scarce_room().unwrap_or(f64::INFINITY);
         self.grants = grant_flows(room, group, &self.priorities);
     }
@@ -268,10 +283,14 @@
         if self.room.scarce_room().is_none() {
             return;
         }
-        let own_asked = self.own_asked(now).max(f64::MIN_POSITIVE);
-        let by_demand = self.summed_own_asked / own_asked;
+        let (peak, peak_at) = self.peak_asked;
+        let kept = (-now.since(peak_at).as_secs_f64() / PEAK_MEMORY.as_secs_f64()).exp();
+        self.peak_asked = (self.own_asked(now).max(peak * kept), now);
+        let by_demand = self.summed_own_asked / self.peak_asked.0.max(f64::MIN_POSITIVE);
         let by_servers = servers / self.summed_servers.max(f64::MIN_POSITIVE);
-        self.scale = by_demand.min(1.0) * by_servers.min(1.0);
+        // Noise and returns that are still due must not raise the work admitted.
+        let by_demand = by_demand.min((by_demand / EXCESS_TOLERANCE).max(1.0));
+        self.scale = Some(by_demand * by_servers.min(1.0));
     }
 
     fn own_asked(&self, now: Timestamp) -> f64 {
--- a/crates/teaselglade-routing/src/speed/speed_ledger.rs
+++ b/crates/teaselglade-routing/src/speed/speed_ledger.rs
@@ -210,14 +210,22 @@
         self.servers.remove(&server);
     }
 
-    /// Returns the samples that peers have not been told, and marks them as sent.
+    /// Forgets the servers that `keeps` rejects.
+    pub fn retain(&mut self, keeps: impl Fn(ServerKey) -> bool) {
+        self.servers.retain(|server, _| keeps(*server));
+    }
+
+    /// Returns the weightiest samples that peers have not been told, and marks them as sent.
     pub fn take_samples(&mut self, registry: &ServerRegistry, most: usize) -> Vec<SpeedNotice> {
         let unsent = self.servers.iter_mut();
         let unsent = unsent.filter(|(_, entry)| entry.unsent.1 >= 1.0 / WEIGHT_UNITS);
-        let notices = unsent.take(most).map(|(server, entry)| {
+        let mut unsent: Vec<_> = unsent.collect();
+        // Samples that wait grow in weight, so that each server has its turn.
+        unsent.sort_unstable_by(|(_, a), (_, b)| b.unsent.1.total_cmp(&a.unsent.1));
+        let notices = unsent.into_iter().take(most).map(|(server, entry)| {
             let (sum, weight) = std::mem::take(&mut entry.unsent);
             SpeedNotice {
-                server: registry.server(*server).hash,
+                server: registry.server(*server).incarnation_hash(),
                 step: (sum / weight * SAMPLE_UNITS).round() as i8,
                 weight: (weight * WEIGHT_UNITS).round() as u8,
             }
@@ -231,7 +239,7 @@
         let known = known.filter(|(_, entry)| entry.lasting.weight() > 0);
         let mut notices: Vec<SpeedNotice> = known
             .map(|(server, entry)| SpeedNotice {
-                server: registry.server(*server).hash,
+                server: registry.server(*server).incarnation_hash(),
                 step: entry.lasting.step(),
                 weight: entry.lasting.weight(),
             })
@@ -250,7 +258,7 @@
     /// Merges the report of a peer; servers that this host does not know are passed over.
     pub fn merge(&mut self, registry: &ServerRegistry, report: &SpeedReport) {
         for notice in &report.samples {
-            if let Some(server) = registry.find_by_hash(notice.server) {
+            if let Some(server) = registry.find_incarnation(notice.server) {
                 let ratio = (f64::from(notice.step) / SAMPLE_UNITS).exp();
                 let weight = f64::from(notice.weight) / WEIGHT_UNITS;
                 let entry = self.servers.entry(server).or_default();
@@ -258,7 +266,7 @@
             }
         }
         for notice in &report.estimates {
-            if let Some(server) = registry.find_by_hash(notice.server) {
+            if let Some(server) = registry.find_incarnation(notice.server) {
                 let entry = self.servers.entry(server).or_default();
                 entry.lasting.adopt(notice.step, notice.weight);
             }
--- a/crates/teaselglade-routing/tests/routing/quotas.rs
+++ b/crates/teaselglade-routing/tests/routing/quotas.rs
@@ -1,6 +1,7 @@
 //! Quotas hold across all hosts, whichever hosts receive one another's reports.
 
 use proptest::prelude::*;
+use teaselglade_routing::capacity::RequestRank;
 use teaselglade_routing::quota::QuotaLimiter;
 
 use super::fixture::{at, organisation};
@@ -121,6 +122,18 @@
     limiter.admit(at(20), "corrib", Some(17_000)).unwrap();
 }
 
+#[test]
+fn a_large_prompt_beside_urgent_requests_is_admitted_at_a_lone_host() {
+    let mut limiter = QuotaLimiter::new(1);
+    limiter.set_quotas(at(0), &[organisation("corrib", "k", 47_000.0)]);
+    let mut admit = |tokens, rank| {
+        let rank = RequestRank::new(rank);
+        limiter.admit_ranked(at(10_000), "corrib", Some(tokens), rank)
+    };
+    admit(1_300, 0).unwrap();
+    admit(17_000, 1).unwrap();
+}
+
 #[test]
 fn plain_calls_are_admitted_after_a_large_prompt_used_up_the_bucket() {
     let mut limiter = QuotaLimiter::new(1);
@@ -146,6 +159,58 @@
     assert!(times.windows(2).all(|pair| pair[0] < pair[1]), "{times:?}");
 }
 
+/// Guards against a reserve for urgent requests above what the bucket of a small group holds.
+#[test]
+fn less_urgent_requests_are_admitted_where_few_hosts_are_seen_or_the_burst_is_small() {
+    for (hosts, burst) in [(10, 47_000.0), (1, 4_700.0)] {
+        let mut limiter = QuotaLimiter::new(hosts);
+        let mut spec = organisation("corrib", "k", 47_000.0);
+        spec.quota.as_mut().unwrap().burst = burst;
+        limiter.set_quotas(at(0), &[spec]);
+        let mut admit = |now, rank| {
+            let rank = RequestRank::new(rank);
+            limiter.admit_ranked(at(now), "corrib", Some(100), rank)
+        };
+        admit(10_000, 0).unwrap();
+        admit(11_000, 1).unwrap();
+    }
+}
+
+/// Guards against a debt for urgent requests at each host that hears of no other.
+#[test]
+fn an_isolated_host_admits_no_urgent_requests_beyond_its_part_of_the_bucket() {
+    let mut limiter = QuotaLimiter::new(10);
+    limiter.set_quotas(at(0), &[organisation("corrib", "k", 47_000.0)]);
+    let mut admit = |rank| {
+        let rank = RequestRank::new(rank);
+        limiter.admit_ranked(at(10_000), "corrib", Some(1_000), rank)
+    };
+    // Demand of less urgent requests makes the others urgent.
+    (0..100).for_each(|_| drop(admit(1)));
+    let admitted = (0..40).filter(|_| admit(0).is_ok()).count();
+    assert!(admitted <= 1, "{admitted} of the urgent requests");
+}
+
+/// Guards against promises that outlast a rush and send all callers back at one time.
+#[test]
+fn promised_returns_end_with_the_longest_delay_and_are_spread() {
+    let mut limiter = QuotaLimiter::new(1);
+    limiter.set_quotas(at(0), &[organisation("corrib", "k", 47_000.0)]);
+    let mut delay_at = |now| {
+        let verdict = limiter.admit(at(now), "corrib", Some(9_400));
+        verdict.err()?.retry_after
+    };
+    let delays: Vec<_> = (0..200).filter_map(|_| delay_at(10)).collect();
+    let late: std::collections::BTreeSet<_> = delays[100..].iter().collect();
+    assert!(late.len() > 50, "{} different delays", late.len());
+    assert!(
+        late.iter()
+            .all(|delay| (2_000..=4_000).contains(&delay.as_millis()))
+    );
+    let again = (0..10).find_map(|_| delay_at(6_000)).unwrap();
+    assert!(again.as_millis() < 1_000, "{again:?}");
+}
+
 #[test]
 fn a_request_that_did_not_run_is_refunded() {
     let mut limiter = QuotaLimiter::new(1);
--- a/crates/teaselglade-routing/tests/routing/server_news.rs
+++ b/crates/teaselglade-routing/tests/routing/server_news.rs
@@ -2,7 +2,7 @@
 
 use proptest::prelude::*;
 use teaselglade_routing::registry::{
-    ServerRegistration, ServerRegistry, ServerRemoval, StorePosition, UpdateScope,
+    ServerListing, ServerRegistration, ServerRegistry, ServerRemoval, StorePosition, UpdateScope,
 };
 
 use super::fixture::{at, draining, registration};
@@ -23,8 +23,9 @@
 }
 
 /// Each write that one server makes: a heartbeat of an earlier and of a later start, a delayed one, a drain.
-const WRITES: [Write; 6] = [
+const WRITES: [Write; 7] = [
     Write::Ready(5, 7),
+    Write::Ready(5, 9),
     Write::Ready(5, 6),
     Write::Ready(6, 1),
     Write::Draining(5, 8),
@@ -84,9 +85,19 @@
     }
 }
 
-/// Gossips from one host to another, departures before registrations or after them.
+/// Gossips all from one host to another, departures before registrations or after them.
 fn gossip(from: &ServerRegistry, to: &mut ServerRegistry, now: u64, departures_first: bool) {
-    let departures = from.departures(at(now), UpdateScope::All, None);
+    gossip_scope(UpdateScope::All, from, to, now, departures_first);
+}
+
+fn gossip_scope(
+    scope: UpdateScope,
+    from: &ServerRegistry,
+    to: &mut ServerRegistry,
+    now: u64,
+    departures_first: bool,
+) {
+    let departures = from.departures(at(now), scope, None);
     let depart = |to: &mut ServerRegistry| {
         for departure in &departures {
             to.apply_departure(at(now), departure);
@@ -95,7 +106,7 @@
     if departures_first {
         depart(to);
     }
-    for registration in from.updates(at(now), UpdateScope::All) {
+    for registration in from.updates(at(now), scope) {
         to.merge_registration(at(now), registration);
     }
     if !departures_first {
@@ -211,17 +222,19 @@
 #[test]
 fn a_host_that_knows_a_newer_registration_tells_it_again() {
     let records = records(&[Write::Ready(5, 7), Write::Removal, Write::Ready(5, 7)]);
-    let (mut reader, mut behind) = (ServerRegistry::default(), ServerRegistry::default());
-    for record in &records {
-        apply(&mut reader, 0, record);
-    }
-    for record in &records[..2] {
-        apply(&mut behind, 20_000, record);
+    for scope in [UpdateScope::All, UpdateScope::Local] {
+        let (mut reader, mut behind) = (ServerRegistry::default(), ServerRegistry::default());
+        for record in &records {
+            apply(&mut reader, 0, record);
+        }
+        for record in &records[..2] {
+            apply(&mut behind, 20_000, record);
+        }
+        assert!(reader.updates(at(20_000), UpdateScope::All).is_empty());
+        gossip(&behind, &mut reader, 20_000, true);
+        gossip_scope(scope, &reader, &mut behind, 20_100, true);
+        assert_eq!([live(&reader), live(&behind)], [Some(5); 2], "{scope:?}");
     }
-    assert!(reader.updates(at(20_000), UpdateScope::All).is_empty());
-    gossip(&behind, &mut reader, 20_000, true);
-    gossip(&reader, &mut behind, 20_100, true);
-    assert_eq!([live(&reader), live(&behind)], [Some(5); 2]);
 }
 
 #[test]
@@ -245,6 +258,67 @@
     assert!(registry.apply_registration(at(300), listed).is_some());
 }
 
+/// A listing holds the newest entry of each server, which may be a delayed write.
+#[test]
+fn a_listing_with_a_delayed_write_does_not_take_the_server() {
+    let cases = [
+        vec![(11, Write::Ready(6, 1)), (12, Write::Ready(5, 7))],
+        vec![
+            (9, Write::Ready(5, 7)),
+            (10, Write::Removal),
+            (11, Write::Ready(5, 40)),
+            (12, Write::Ready(5, 6)),
+        ],
+    ];
+    for writes in cases {
+        let mut registry = ServerRegistry::default();
+        let (&(offset, late), known) = writes.split_last().expect("a case has writes");
+        for (offset, write) in known {
+            apply(&mut registry, 0, &record(*offset, *write));
+        }
+        let expected = live(&registry);
+        let Record::Registration(listed) = record(offset, late) else {
+            unreachable!("a case ends with a registration");
+        };
+        let listing = ServerListing {
+            requested_at: at(9_000),
+            end: StorePosition::before_offset(0, offset as u64 + 1),
+            registrations: vec![listed],
+            unreadable: Vec::new(),
+        };
+        registry.apply_listing(at(9_000), listing);
+        assert!(expected.is_some(), "{writes:?}");
+        assert_eq!(live(&registry), expected, "{writes:?}");
+    }
+}
+
+/// The drain is read after the removal, and one host hears of both from the departure alone.
+#[test]
+fn a_departure_tells_that_the_server_has_drained() {
+    let records = records(&[
+        Write::Draining(5, 6),
+        Write::Ready(5, 7),
+        Write::Removal,
+        Write::Ready(5, 9),
+    ]);
+    let (mut reader, mut peer) = (ServerRegistry::default(), ServerRegistry::default());
+    for offset in [1, 2, 0] {
+        apply(&mut reader, 0, &records[offset]);
+    }
+    gossip(&reader, &mut peer, 100, true);
+    apply(&mut peer, 200, &records[3]);
+    assert_eq!(live(&peer), None);
+}
+
+#[test]
+fn a_registration_without_a_position_leaves_the_known_one() {
+    let mut registry = ServerRegistry::default();
+    apply(&mut registry, 0, &record(4, Write::Ready(5, 7)));
+    registry.apply_registration(at(100), registration("i-1", 5, 8));
+    apply(&mut registry, 200, &record(3, Write::Removal));
+    assert_eq!(live(&registry), Some(5));
+}
+
 #[test]
 fn a_tombstone_ends() {
     let mut registry = ServerRegistry::default();
@@ -267,6 +341,21 @@
     );
 }
 
+/// A refused registration adds to the tombstone, but does not prolong it.
+#[test]
+fn a_tombstone_ends_for_a_server_that_registers_on() {
+    let mut registry = ServerRegistry::default();
+    for (offset, write) in [(0, Write::Ready(5, 8)), (100, Write::Removal)] {
+        apply(&mut registry, 0, &record(offset, write));
+    }
+    let minute = 60_000;
+    apply(&mut registry, 9 * minute, &record(5, Write::Ready(5, 9)));
+    assert_eq!(live(&registry), None);
+    registry.remove_expired(at(11 * minute));
+    apply(&mut registry, 11 * minute, &record(6, Write::Ready(5, 10)));
+    assert_eq!(live(&registry), Some(5));
+}
+
 proptest! {
     /// Records are read late, twice, by any of three hosts, and digests are lost; in the end each
     /// host has read all.
--- a/crates/teaselglade-routing/tests/routing/shares.rs
+++ b/crates/teaselglade-routing/tests/routing/shares.rs
@@ -9,7 +9,8 @@
 use teaselglade_core::verdict::RefusalReason;
 use teaselglade_routing::capacity::RequestRank;
 use teaselglade_routing::share::{
-    ServiceRoom, ShareClaim, ShareLimiter, ShareReport, ShareRequest, max_min_shares,
+    RoomEstimate, RoomSample, ServiceRoom, ShareClaim, ShareLimiter, ShareReport, ShareRequest,
+    max_min_shares,
 };
 use teaselglade_routing::table::{ServiceSpec, TableSpec};
 
@@ -370,7 +371,11 @@
                     work: request.work,
                 };
                 let limiter = &mut self.limiters[host];
+                let preview = now
+                    .is_multiple_of(1_000)
+                    .then(|| limiter.preview(at(now), &asked));
                 let admitted = limiter.admit(at(now), &asked);
+                assert!(preview.is_none_or(|preview| preview == admitted));
                 passed += if admitted.is_ok() { request.work } else { 0.0 };
                 let limit = limiter
                     .queue_limit(&asked)
@@ -618,6 +623,98 @@
     assert!(outcome.utilisation() >= 0.9, "{}", outcome.utilisation());
 }
 
+/// Guards against a host that refuses for ever what it has room for, as it hears of no other.
+#[test]
+fn a_host_alone_refuses_none_once_demand_has_fallen() {
+    let load = Load::skewed(2);
+    let mut limiters = [limiter(&load, 0, 0), limiter(&load, 1, 0)];
+    let rooms = [ServiceRoom {
+        service: SERVICE,
+        servers: 1.0,
+        least_per_server: 1.0,
+    }];
+    let request = ShareRequest {
+        service: SERVICE,
+        organisation: "shop-0",
+        rank: RequestRank::new(0),
+        work: 1_000.0,
+    };
+    let mut refused_alone = Vec::new();
+    let mut free = 0.0;
+    for now in (0..30_000).step_by(10) {
+        let is_alone = now >= 10_000;
+        // The servers do 50 requests a second; the hosts get 100 each, later 10.
+        // Demand falls when the hosts have noticed that they are alone.
+        let has_fallen = now >= 12_000;
+        let is_due = !has_fallen || now % 100 == 0;
+        free = f64::min(free + 0.5, 2.0);
+        for limiter in limiters.iter_mut().filter(|_| is_due) {
+            if limiter.admit(at(now), &request).is_err() {
+                refused_alone.extend(has_fallen.then_some(now));
+            } else if has_fallen || free >= 1.0 {
+                free -= 1.0;
+                limiter.record_used(at(now), &request);
+            } else {
+                limiter.record_refusal(at(now), &request, RefusalReason::PredictedLate);
+            }
+        }
+        if now % DIGEST_MS == 0 {
+            let reports =
+                [0, 1].map(|host| limiters[host].report(at(now), &format!("edge-{host}")));
+            for (host, limiter) in limiters.iter_mut().enumerate() {
+                if !is_alone {
+                    limiter.receive(at(now), reports[1 - host].clone());
+                }
+                limiter.rebalance(at(now), &rooms);
+            }
+        }
+        if now == 9_900 {
+            assert!(limiters[0].scarce_room(SERVICE).is_some(), "room is scarce");
+        }
+    }
+    let last = refused_alone.last().copied().unwrap_or_default();
+    assert!(last < 20_000, "refused until {last} ms");
+}
+
+/// Guards against queues that are limited by a route's rank where the organisation's goes before it.
+#[test]
+fn the_priority_of_an_organisation_limits_its_queues() {
+    let mut load = Load::skewed(1);
+    load.usual.truncate(2);
+    load.priorities = vec![Some(0), Some(1)];
+    let mut limiter = limiter(&load, 0, 0);
+    let rooms = [ServiceRoom {
+        service: SERVICE,
+        servers: 1.0,
+        least_per_server: 1.0,
+    }];
+    let request = |organisation, rank, work| ShareRequest {
+        service: SERVICE,
+        organisation,
+        rank: RequestRank::new(rank),
+        work,
+    };
+    let (small, large) = (request("shop-0", 2, 10.0), request("shop-1", 0, 1_000.0));
+    for now in (0..3_000).step_by(10) {
+        limiter.admit(at(now), &small).unwrap();
+        limiter.record_used(at(now), &small);
+        if limiter.admit(at(now), &large).is_ok() {
+            let is_free = now % 40 == 0;
+            if is_free {
+                limiter.record_used(at(now), &large);
+            } else {
+                limiter.record_refusal(at(now), &large, RefusalReason::PredictedLate);
+            }
+        }
+        if now % DIGEST_MS == 0 {
+            limiter.rebalance(at(now), &rooms);
+        }
+    }
+    assert!(limiter.scarce_room(SERVICE).is_some(), "room is scarce");
+    assert_eq!(limiter.queue_limit(&small), None);
+    assert!(limiter.queue_limit(&large).is_some());
+}
+
 #[test]
 fn hosts_whose_table_comes_late_take_part_from_then_on() {
     let mut load = Load::skewed(24);
@@ -688,6 +785,25 @@
     }
 }
 
+/// Guards against scarcity from a fullness that an estimate saw before it followed another.
+#[test]
+fn an_estimate_that_followed_another_confirms_full_servers_anew() {
+    let full = RoomSample {
+        asked: 300.0,
+        used: 200.0,
+        late: 100.0,
+        servers: 4.0,
+        least_per_server: 10.0,
+    };
+    let mut estimate = RoomEstimate::default();
+    estimate.update(at(0), &full);
+    estimate.follow(50.0, false, 4.0);
+    estimate.update(at(1_000), &full);
+    assert_eq!(estimate.scarce_room(), None);
+    estimate.update(at(1_200), &full);
+    assert_eq!(estimate.scarce_room(), Some(200.0));
+}
+
 #[test]
 fn max_min_shares_never_exceed_room_or_demand() {
     let demands: HashMap<u32, f64> = (0..8)
