--- a/crates/teaselglade-routing/tests/routing/shares.rs
+++ b/crates/teaselglade-routing/tests/routing/shares.rs
@@ -511,7 +511,6 @@
 }
 
 #[test]
-#[ignore = "large fleets, by hand"]
 fn organisations_of_different_size_get_equal_shares_in_large_fleets() {
     for hosts in [86, 195] {
         check_targets(&Load::skewed(hosts), 1.0);
--- a/crates/teaselglade-routing/tests/routing/zones.rs
+++ b/crates/teaselglade-routing/tests/routing/zones.rs
@@ -255,7 +255,6 @@
 }
 
 #[test]
-#[ignore = "takes long; run by hand with --ignored"]
 fn large_fleets_follow_the_same_bounds() {
     for (hosts, zones) in [(86, 4), (86, 6), (195, 4), (195, 6)] {
         assert_equal_zones_keep_their_traffic(hosts, zones);
