--- a/crates/teaselglade-routing/tests/routing/main.rs
+++ b/crates/teaselglade-routing/tests/routing/main.rs
@@ -3,6 +3,7 @@
 mod attempts;
 mod autoscaler;
 mod crashes;
+mod defences;
 mod engines;
 mod events;
 mod fixture;
@@ -14,6 +15,7 @@
 mod quotas;
 mod registry;
 mod request_crashes;
+mod rollout_defences;
 mod rollouts;
 mod routes;
 mod server_news;
