--- a/crates/teaselglade-host/src/peer/gossip_transport.rs
+++ b/crates/teaselglade-host/src/peer/gossip_transport.rs
@@ -245,6 +245,7 @@
         let limited_servers = decisions.limits.limited_servers().cast_signed() as i64;
         host.metrics.advice.limited_servers.set(limited_servers);
         let limits = decisions.limit_report(now, host.started_at_us, self.sequence);
+        decisions.confirm_responses(now);
         host.report_subject_changes(now, &mut decisions.crash_ledger);
         let peer_count = decisions.membership.peer_count() as u32;
         if peer_count > 0 {
--- a/crates/teaselglade-host/src/state/crash_state.rs
+++ b/crates/teaselglade-host/src/state/crash_state.rs
@@ -80,4 +80,11 @@
         let incarnation = self.registry.server(server).incarnation_hash();
         self.crash_ledger.record_event(now, incarnation, subjects);
     }
+
+    /// Refutes the ends of servers that responded later and are still registered with the same start.
+    pub fn confirm_responses(&mut self, now: Timestamp) {
+        let registry = &self.registry;
+        let is_current = |incarnation| registry.find_incarnation(incarnation).is_some();
+        self.crash_ledger.confirm_responses(now, is_current);
+    }
 }
--- a/crates/teaselglade-host/tests/host/fleet_model.rs
+++ b/crates/teaselglade-host/tests/host/fleet_model.rs
@@ -153,6 +153,7 @@
         for name in decisions.membership.expire(time) {
             decisions.remove_peer(&name);
         }
+        decisions.confirm_responses(time);
         decisions.crash_ledger.prune(time);
         decisions.prune_limits(time);
         let scope = decisions.update_scope(time);
--- a/crates/teaselglade-routing/src/crash/crash_ledger.rs
+++ b/crates/teaselglade-routing/src/crash/crash_ledger.rs
@@ -28,6 +28,10 @@
 ///
 /// Responses sent before the end may arrive until then.
 const LATE_RESPONSE: Duration = Duration::from_millis(100);
+/// Time after a server's response within which the news of its new start arrives, if it has one.
+///
+/// Hosts that are in touch hear of a registration within 3 s.
+const START_NEWS_TIME: Duration = Duration::from_secs(5);
 /// Time without an event of a contained attempt after which another one may run.
 ///
 /// Its server may be stuck, which says nothing of the subject.
@@ -71,6 +75,8 @@
     answer_times: HashMap<CrashSubject, Timestamp>,
     /// Incarnations with an end that is not refuted.
     ended: HashSet<u64>,
+    /// First response after the news of their end, of incarnations that may have started anew.
+    responded: HashMap<u64, Timestamp>,
     changes: Vec<SubjectChange>,
 }
 
@@ -94,6 +100,9 @@
     }
 
     /// Records that an attempt brought an event or response on a server.
+    ///
+    /// It speaks for the request and its parts at once, and for the server as
+    /// [`CrashLedger::confirm_responses`] says.
     pub fn record_event<'a>(
         &mut self,
         now: Timestamp,
@@ -108,8 +117,39 @@
             }
         }
         if self.ended.contains(&incarnation) {
+            let mut records = self.records.values();
+            if records.any(|record| record.is_refutable(incarnation, now, LATE_RESPONSE)) {
+                self.responded.entry(incarnation).or_insert(now);
+            }
+        }
+        if is_changed {
+            self.update_standings(now);
+        }
+    }
+
+    /// Refutes the ends of servers that responded later and still run under the same start.
+    ///
+    /// A server that ended and returned at once under its name and address responds before its new
+    /// start is known. `is_current` tells whether an incarnation is the registered one of its server.
+    pub fn confirm_responses(&mut self, now: Timestamp, is_current: impl Fn(u64) -> bool) {
+        if self.responded.is_empty() {
+            return;
+        }
+        let mut confirmed = Vec::new();
+        self.responded.retain(|incarnation, responded_at| {
+            let is_due = now.since(*responded_at) >= START_NEWS_TIME;
+            let is_kept = is_current(*incarnation);
+            if is_due && is_kept {
+                confirmed.push((*incarnation, *responded_at));
+            }
+            is_kept && !is_due
+        });
+        let mut is_changed = false;
+        for (incarnation, responded_at) in confirmed {
             for record in self.records.values_mut() {
-                is_changed |= record.refute_end(now, incarnation, LATE_RESPONSE);
+                if record.is_refutable(incarnation, responded_at, LATE_RESPONSE) {
+                    is_changed |= record.refute_end(now, incarnation);
+                }
             }
         }
         if is_changed {
@@ -249,7 +289,7 @@
         let ends: Vec<u64> = lifted.open_incarnations().collect();
         for record in self.records.values_mut() {
             for end in &ends {
-                record.refute_end(now, *end, Duration::ZERO);
+                record.refute_end(now, *end);
             }
         }
         self.update_standings(now);
--- a/crates/teaselglade-routing/src/crash/subject_record.rs
+++ b/crates/teaselglade-routing/src/crash/subject_record.rs
@@ -123,18 +123,21 @@
         count > 0
     }
 
-    /// Records that a server answered long after this host learned of its end.
-    pub(super) fn refute_end(
-        &mut self,
-        now: Timestamp,
+    /// Returns whether a response at `responded_at` came this long after the news of a server's end.
+    pub(super) fn is_refutable(
+        &self,
         incarnation: u64,
+        responded_at: Timestamp,
         min_age: Duration,
     ) -> bool {
-        let refuted = self
-            .ends
-            .get_mut(&incarnation)
-            .filter(|end| !end.is_refuted && now.since(end.learned_at) >= min_age);
-        let Some(end) = refuted else {
+        let end = self.ends.get(&incarnation);
+        end.is_some_and(|end| !end.is_refuted && responded_at.since(end.learned_at) >= min_age)
+    }
+
+    /// Records that a server did not end; returns whether that is news.
+    pub(super) fn refute_end(&mut self, now: Timestamp, incarnation: u64) -> bool {
+        let end = self.ends.get_mut(&incarnation);
+        let Some(end) = end.filter(|end| !end.is_refuted) else {
             return false;
         };
         end.is_refuted = true;
--- a/crates/teaselglade-routing/tests/routing/crashes.rs
+++ b/crates/teaselglade-routing/tests/routing/crashes.rs
@@ -172,8 +172,15 @@
     // A response that was on its way when the server ended proves nothing.
     ledger.record_event(at(2_050), 102, &prompt(&[7]));
     assert!(is_refused(&mut ledger, 2_600, "kati", &[BAD]));
-    ledger.record_event(at(2_700), 102, &prompt(&[7]));
-    assert!(!is_refused(&mut ledger, 2_800, "kati", &[BAD]));
+    ledger.confirm_responses(at(2_650), |_server| true);
+    ledger.confirm_responses(at(7_100), |_server| true);
+    assert!(is_refused(&mut ledger, 7_150, "kati", &[BAD]));
+    // It may also have started anew, of which this host hears within five seconds.
+    ledger.record_event(at(7_200), 102, &prompt(&[7]));
+    ledger.confirm_responses(at(12_100), |_server| true);
+    assert!(is_refused(&mut ledger, 12_150, "kati", &[BAD]));
+    ledger.confirm_responses(at(12_200), |server| server == 102);
+    assert!(!is_refused(&mut ledger, 12_300, "kati", &[BAD]));
 }
 
 #[test]
--- a/crates/teaselglade-routing/tests/routing/request_crashes.rs
+++ b/crates/teaselglade-routing/tests/routing/request_crashes.rs
@@ -241,6 +241,28 @@
     assert_eq!(standing(&ledger, 5_000, "sound"), SubjectStanding::Clear);
 }
 
+/// Three servers end; they are back under their names and addresses before their new start is known.
+#[test]
+fn servers_that_return_at_once_refute_no_end_of_their_last_start() {
+    let mut ledger = ledger_of(&[(0, 1, "bad"), (300, 2, "bad"), (600, 3, "bad")]);
+    for server in 1..=3 {
+        ledger.record_event(at(1_800), server, subjects_of("sound"));
+    }
+    ledger.prune(at(2_500));
+    assert_eq!(
+        standing(&ledger, 2_500, "bad"),
+        SubjectStanding::Quarantined
+    );
+    // Their new start is known; what the last one seemed to do is no evidence any more.
+    ledger.confirm_responses(at(3_000), |_server| false);
+    ledger.confirm_responses(at(20_000), |_server| true);
+    ledger.prune(at(20_000));
+    assert_eq!(
+        standing(&ledger, 20_000, "bad"),
+        SubjectStanding::Quarantined
+    );
+}
+
 /// A host answers the content before it hears of ends under it.
 #[test]
 fn an_answer_clears_a_request_also_before_the_evidence_arrives() {
