--- a/crates/teaselglade-routing/tests/routing/defences.rs
+++ b/crates/teaselglade-routing/tests/routing/defences.rs
@@ -1,6 +1,6 @@
 //! Defences that the tests of their features pass without; see the table in `docs/PROOFS.md`.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeSet, HashMap};
 use std::time::Duration;
 
 use teaselglade_core::time::Timestamp;
@@ -13,6 +13,7 @@
 use teaselglade_routing::limit::{
     IssuedCount, IssuerView, LimitNotice, PermitAnswer, PermitIssuer, PermitRequest, RequestLimit,
 };
+use teaselglade_routing::quota::{FleetSpend, QuotaLimiter, SpendReport};
 use teaselglade_routing::registry::{
     ServerAdvice, ServerListing, ServerRegistration, ServerRegistry, StorePosition, UpdateScope,
 };
@@ -238,6 +239,64 @@
     assert!(ask(&mut issuer, 9_000));
 }
 
+/// Returns a limiter of two hosts for a quota of 100 a second, of which 50 may come at once.
+fn quota_limiter() -> QuotaLimiter {
+    let mut limiter = QuotaLimiter::new(2);
+    limiter.set_quotas(at(0), &[organisation("kati", "kati", 100.0)]);
+    limiter
+}
+
+fn receive_spend(limiter: &mut QuotaLimiter, millis: u64, total: f64, rate: f64) {
+    let demand = 0.0;
+    let report = SpendReport {
+        total,
+        rate,
+        demand,
+    };
+    let spend = HashMap::from([("kati".to_owned(), report)]);
+    limiter.receive_spend(at(millis), "edge-2", 1, spend);
+}
+
+#[test]
+fn what_a_peer_spends_until_its_next_report_counts_before_it_arrives() {
+    let is_admitted = |rate| {
+        let mut limiter = quota_limiter();
+        receive_spend(&mut limiter, 0, 0.0, rate);
+        limiter.admit(at(700), "kati", Some(10)).is_ok()
+    };
+    assert!(is_admitted(0.0));
+    assert!(!is_admitted(100.0));
+}
+
+#[test]
+fn a_new_aggregator_counts_what_peers_spent_since_the_last_aggregate() {
+    let mut limiter = quota_limiter();
+    let spend = FleetSpend {
+        level: 50.0,
+        rate: 100.0,
+        demand: 100.0,
+    };
+    let spend = HashMap::from([("kati".to_owned(), spend)]);
+    assert!(limiter.apply_aggregate(at(0), spend, 1.0));
+    limiter.start_aggregating();
+    receive_spend(&mut limiter, 400, 5_000.0, 100.0);
+    let level = limiter.level("kati").expect("a quota");
+    assert!((level - 10.0).abs() < 1e-6, "{level}");
+}
+
+#[test]
+fn less_urgent_requests_leave_a_reserve_for_the_more_urgent_ones() {
+    let mut limiter = quota_limiter();
+    receive_spend(&mut limiter, 0, 0.0, 0.0);
+    let urgent = limiter.admit_ranked(at(0), "kati", Some(10), RequestRank::new(0));
+    assert_eq!(urgent, Ok(()));
+    for _ in 0..100 {
+        let _refused = limiter.admit_ranked(at(10), "kati", Some(1), RequestRank::new(2));
+    }
+    let level = limiter.level("kati").expect("a quota");
+    assert!((9.0..=11.0).contains(&level), "{level}");
+}
+
 fn shared_table() -> TableSpec {
     let routes = [(0, 500), (1, 2_000)].map(|(priority, target_ms)| {
         let mut spec = route(&format!("kind-{priority}"), &format!("/{priority}/"));
