--- a/crates/teaselglade-host/tests/host/main.rs
+++ b/crates/teaselglade-host/tests/host/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the components of a serving host that need no sockets.
 
+mod defences;
 mod fleet_model;
 mod journal;
 mod late_responses;
