--- a/crates/teaselglade-routing/tests/routing/rollout_defences.rs
+++ b/crates/teaselglade-routing/tests/routing/rollout_defences.rs
@@ -160,3 +160,24 @@
     assert_eq!(sent(200), 20);
     assert_eq!(sent(1_600), 0);
 }
+
+/// Only the peer had the new version on trial; it counts from nothing after its restart.
+#[test]
+fn answers_that_a_peer_told_before_its_restart_still_count() {
+    let registry = registry();
+    let server = |id: &str| registry.find(id).expect("a server");
+    let mut leader = desk("edge-1", &registry);
+    for _ in 0..2_000 {
+        answer(&mut leader, &registry, at(0), server("i-old-0"));
+    }
+    let mut peer = desk("edge-2", &registry);
+    for id in ["i-new-0", "i-new-1"].repeat(15) {
+        answer(&mut peer, &registry, at(0), server(id));
+    }
+    leader.merge(at(100), peer.report(at(100), 1, 1), 2);
+    let restarted = desk("edge-2", &registry);
+    leader.merge(at(6_700), restarted.report(at(6_700), 2, 1), 2);
+    leader.update(at(6_700), &registry, &[SERVICE]);
+    leader.lead(at(6_700), 1);
+    assert_eq!(leader.stage(SERVICE), Some(RolloutStage::Quarter));
+}
