--- a/crates/teaselglade-host/src/duty/mod.rs
+++ b/crates/teaselglade-host/src/duty/mod.rs
@@ -7,4 +7,4 @@
 
 pub use duty_driver::{DutyDriver, lease_identity, lease_timings};
 pub use report_log::{ReportLog, ReportRecord};
-use term_guard::TermGuard;
+pub use term_guard::TermGuard;
--- a/crates/teaselglade-host/tests/host/lease_timings.rs
+++ b/crates/teaselglade-host/tests/host/lease_timings.rs
@@ -1,12 +1,14 @@
 //! Lease timings and identities.
 
+use std::sync::Arc;
 use std::time::Duration;
 
-use teaselglade_core::port::{LogPage, LogRecord};
+use teaselglade_core::port::{ClockPort, LogPage, LogRecord};
 use teaselglade_core::time::Timestamp;
-use teaselglade_host::duty::{lease_identity, lease_timings};
+use teaselglade_host::duty::{TermGuard, lease_identity, lease_timings};
 use teaselglade_host::settings::DutySettings;
-use teaselglade_state::lease::{LeaseAction, LeaseEvent, LeaseHolder, LeaseTimings};
+use teaselglade_net::clock::SuspendClock;
+use teaselglade_state::lease::{LeaseAction, LeaseEvent, LeaseHolder, LeaseNumber, LeaseTimings};
 
 #[test]
 fn a_leader_stops_within_the_lease_term_and_a_rival_waits_longer() {
@@ -23,6 +25,22 @@
     }
 }
 
+/// The call was prepared within the term and waited for longer.
+#[test]
+fn a_duty_makes_no_call_after_its_term_or_under_another_number() {
+    let clock = Arc::new(SuspendClock::start());
+    let guard = TermGuard::new(Arc::clone(&clock));
+    let number = LeaseNumber(7);
+    assert!(!guard.allows(number));
+    guard.set(Some(number), clock.now() + Duration::from_hours(1));
+    assert!(guard.allows(number));
+    assert!(!guard.allows(LeaseNumber(6)), "an earlier lease");
+    guard.set(Some(number), clock.now());
+    assert!(!guard.allows(number), "the term is over");
+    guard.set(None, clock.now() + Duration::from_hours(1));
+    assert!(!guard.allows(number), "the lease is lost");
+}
+
 /// Two hosts that start in the same microsecond claim the lease of an empty log at once.
 #[test]
 fn hosts_with_the_same_start_time_do_not_mistake_each_others_lease_for_their_own() {
