refactor(rollout): what decides on a roll-out can be read within the module

Fields and predicates of ServiceRollout and the bound of the credit become visible in rollout/, and the age of a peer's report is judged in one place, so that a view for operators reads them instead of a copy. No change of behaviour.

--- a/crates/teaselglade-routing/src/rollout/exposure_credit.rs
+++ b/crates/teaselglade-routing/src/rollout/exposure_credit.rs
@@ -71,7 +71,8 @@
         self.exposed
     }
 
-    fn left_bound(&self, share: f64) -> f64 {
+    /// Returns the number of requests that may go to the new version in all, at this share.
+    pub(super) fn left_bound(&self, share: f64) -> f64 {
         self.sent as f64 * share + self.slack
     }
 }
--- a/crates/teaselglade-routing/src/rollout/service_rollout.rs
+++ b/crates/teaselglade-routing/src/rollout/service_rollout.rs
@@ -85,7 +85,7 @@
 }
 
 #[derive(Debug, Clone)]
-struct PeerView {
+pub(super) struct PeerView {
     started_at_us: u64,
     received_at: Timestamp,
     stage: RolloutStage,
@@ -93,6 +93,13 @@
     evidence: VersionEvidence,
 }
 
+impl PeerView {
+    /// Returns whether the report shows what the host does now.
+    pub(super) fn is_fresh(&self, now: Timestamp) -> bool {
+        now.since(self.received_at) < REPORT_TTL
+    }
+}
+
 /// Roll-out of one service, as one host sees it.
 #[derive(Debug, Clone)]
 pub(super) struct ServiceRollout {
@@ -106,21 +113,21 @@
     pub(super) finding: Option<TestFinding>,
     pub(super) open_at_old: u32,
     target: u64,
-    credit: ExposureCredit,
+    pub(super) credit: ExposureCredit,
     route_exposed: HashMap<u64, u64>,
     ramp: f64,
     /// Time of the last report of another host, or at which this host led.
-    heard_at: Timestamp,
-    own: VersionEvidence,
-    peers: HashMap<String, PeerView>,
+    pub(super) heard_at: Timestamp,
+    pub(super) own: VersionEvidence,
+    pub(super) peers: HashMap<String, PeerView>,
     /// Evidence of earlier incarnations of peers.
     earlier: VersionEvidence,
-    test: VersionTest,
-    trial: Arc<[ServerKey]>,
+    pub(super) test: VersionTest,
+    pub(super) trial: Arc<[ServerKey]>,
     /// Servers that carry the traffic of the stage, so that each has its usual load.
     part: Arc<[ServerKey]>,
-    old_servers: usize,
-    new_servers: usize,
+    pub(super) old_servers: usize,
+    pub(super) new_servers: usize,
     /// Whether a server of another version than the target was seen since the order.
     has_old: bool,
     /// Whether the target was made the version in service.
@@ -412,7 +419,7 @@
     }
 
     /// Returns whether enough is known of the new version, and nothing speaks against it.
-    fn is_sound(&self) -> bool {
+    pub(super) fn is_sound(&self) -> bool {
         let evidence = self.evidence();
         let routes = evidence.routes.iter();
         let (old, new) = routes.fold((0, 0), |(old, new), route| {
@@ -430,19 +437,17 @@
     }
 
     /// Returns whether enough hosts report; others may have seen bad answers.
-    fn hears(&self, now: Timestamp, peer_count: usize) -> bool {
+    pub(super) fn hears(&self, now: Timestamp, peer_count: usize) -> bool {
         let peers = self.peers.values();
-        let fresh = peers.filter(|peer| now.since(peer.received_at) < REPORT_TTL);
+        let fresh = peers.filter(|peer| peer.is_fresh(now));
         fresh.count() as f64 >= peer_count as f64 * MIN_HEARD_SHARE
     }
 
     /// Returns whether all hosts say that they left the old version.
-    fn is_left_by_all(&self, now: Timestamp, peer_count: usize) -> bool {
+    pub(super) fn is_left_by_all(&self, now: Timestamp, peer_count: usize) -> bool {
         let peers = self.peers.values();
         let has_left = |peer: &&PeerView| {
-            peer.stage >= RolloutStage::Whole
-                && peer.open_at_old == 0
-                && now.since(peer.received_at) < REPORT_TTL
+            peer.stage >= RolloutStage::Whole && peer.open_at_old == 0 && peer.is_fresh(now)
         };
         peers.filter(has_left).count() >= peer_count
     }
