feat(tool): `teaselglade rollouts` tells how the roll-outs of a host stand, and why

Operators saw stage, score and exposure in metrics and the cause of a verdict in one log line of one host, but not what an order waits for or who does not report. Where the answers of servers are counted, the test compares with what the servers themselves saw, over sockets.

--- a/crates/teaselglade-host/src/ingress/admin_listeners.rs
+++ b/crates/teaselglade-host/src/ingress/admin_listeners.rs
@@ -8,6 +8,7 @@
 use viz::{IntoResponse, Request, Response, Router, StatusCode};
 
 use super::placement_endpoint::add_placement_endpoint;
+use super::rollout_endpoint::add_rollout_endpoint;
 use crate::state::HostState;
 
 /// Listeners for readiness probes and, if configured, for metrics.
@@ -59,12 +60,12 @@
     }
 }
 
-/// Returns a router that serves the metrics at `/metrics`, and explains placements.
+/// Returns a router that serves the metrics at `/metrics`, and explains placements and roll-outs.
 fn admin_router(host: &Arc<HostState>) -> Router {
     let state = Arc::clone(host);
     let router = Router::new().get("/metrics", move |_request: Request| {
         let host = Arc::clone(&state);
         async move { Ok::<Response, viz::Error>(host.metrics.render().into_response()) }
     });
-    add_placement_endpoint(router, host)
+    add_rollout_endpoint(add_placement_endpoint(router, host), host)
 }
--- a/crates/teaselglade-host/src/ingress/mod.rs
+++ b/crates/teaselglade-host/src/ingress/mod.rs
@@ -3,6 +3,7 @@
 mod admin_listeners;
 mod caller_listener;
 mod placement_endpoint;
+mod rollout_endpoint;
 
 pub use admin_listeners::AdminListeners;
 pub use caller_listener::CallerListener;
--- a/crates/teaselglade-host/src/ingress/placement_endpoint.rs
+++ b/crates/teaselglade-host/src/ingress/placement_endpoint.rs
@@ -54,7 +54,8 @@
     explain_placement(host, &query)
 }
 
-fn respond(explained: Result<PlacementReport, ExplainError>) -> Response {
+/// Returns an explanation as JSON, or the status and the text of its error.
+pub(super) fn respond(explained: Result<impl Serialize, ExplainError>) -> Response {
     let error = match explained {
         // The report holds only numbers and names, so no error is expected.
         Ok(report) => {
--- a/crates/teaselglade-host/src/rollout/mod.rs
+++ b/crates/teaselglade-host/src/rollout/mod.rs
@@ -3,3 +3,4 @@
 mod rollout_keeper;
 
 pub use rollout_keeper::keep_rollouts;
+pub(crate) use rollout_keeper::leads_rollouts;
--- a/crates/teaselglade-host/src/rollout/rollout_keeper.rs
+++ b/crates/teaselglade-host/src/rollout/rollout_keeper.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use teaselglade_routing::gossip::PeerMembership;
 use teaselglade_routing::rollout::{RolloutChange, RolloutStage, RolloutStatus};
 use tokio::time::sleep;
 use tracing::info;
@@ -66,6 +67,13 @@
     }
 }
 
+/// Returns whether this host moves the orders on.
+pub(crate) fn leads_rollouts(host: &HostState, membership: &PeerMembership) -> bool {
+    // Without leader duties no host holds the lease.
+    membership.is_leader()
+        || (host.ports.duties.is_none() && membership.store_reader_rank(host.now()) == 0)
+}
+
 /// Reads the evidence; returns what the store is to show, if this host leads.
 fn update(host: &HostState) -> Vec<RolloutStatus> {
     let now = host.now();
@@ -79,11 +87,8 @@
     let (rollouts, registry) = (&mut decisions.rollouts, &decisions.registry);
     let mut changes = rollouts.update(now, registry, &services);
     let membership = &decisions.membership;
-    // Without leader duties no host holds the lease.
-    let leads = membership.is_leader()
-        || (host.ports.duties.is_none() && membership.store_reader_rank(now) == 0);
     let peers = membership.peer_count();
-    let statuses = if leads {
+    let statuses = if leads_rollouts(host, membership) {
         rollouts.lead(now, peers)
     } else {
         Vec::new()
--- a/crates/teaselglade-routing/src/gossip/peer_membership.rs
+++ b/crates/teaselglade-routing/src/gossip/peer_membership.rs
@@ -278,6 +278,11 @@
         self.peers.len()
     }
 
+    /// Returns the names of all known peers, in their order.
+    pub fn peer_names(&self) -> impl Iterator<Item = &str> {
+        self.peers.keys().map(String::as_str)
+    }
+
     /// Returns the addresses of all known peers, the last seen first.
     #[must_use]
     pub fn peers_by_recency(&self) -> Vec<SocketAddr> {
--- a/crates/teaselglade-routing/src/rollout/rollout_desk.rs
+++ b/crates/teaselglade-routing/src/rollout/rollout_desk.rs
@@ -72,8 +72,8 @@
 #[derive(Debug, Clone)]
 pub struct RolloutDesk {
     own_name: String,
-    bounds: Option<RolloutBounds>,
-    rollouts: BTreeMap<String, ServiceRollout>,
+    pub(super) bounds: Option<RolloutBounds>,
+    pub(super) rollouts: BTreeMap<String, ServiceRollout>,
     /// Versions that were rolled back, or whose order was replaced before its verdict, by service.
     barred: HashMap<String, Vec<u64>>,
     settled: SettledVersions,
--- a/crates/teaselglade/src/command/mod.rs
+++ b/crates/teaselglade/src/command/mod.rs
@@ -6,6 +6,7 @@
 mod explain_command;
 mod fleet_command;
 mod quarantine_command;
+mod rollouts_command;
 mod shell_command;
 mod table_command;
 mod where_command;
@@ -36,6 +37,7 @@
         ToolCommand::Quarantine(command) => quarantine_command::run(&command, format).await,
         ToolCommand::Explain(explain) => explain_command::run(&explain, format),
         ToolCommand::Where(options) => where_command::run(&options, format).await,
+        ToolCommand::Rollouts(options) => rollouts_command::run(&options, format).await,
         ToolCommand::Demo(demo) => demo_command::run(demo, format).await,
         ToolCommand::Bench(bench) => bench_command::run(&bench, format),
         ToolCommand::Completions { shell } => Ok(shell_command::print_completions(shell)),
--- a/crates/teaselglade/src/command_line/mod.rs
+++ b/crates/teaselglade/src/command_line/mod.rs
@@ -6,6 +6,7 @@
 mod explain_options;
 mod platform_options;
 mod quarantine_options;
+mod rollouts_options;
 mod table_options;
 mod tool_options;
 mod where_options;
@@ -16,6 +17,7 @@
 pub use explain_options::ExplainOptions;
 pub use platform_options::{HostListOptions, LogOptions};
 pub use quarantine_options::{QuarantineCommand, QuarantineHost};
+pub use rollouts_options::RolloutsOptions;
 pub use table_options::{
     TableCheckOptions, TableCommand, TableHistoryOptions, TablePublishOptions, TableShowOptions,
 };
--- a/crates/teaselglade/src/command_line/tool_options.rs
+++ b/crates/teaselglade/src/command_line/tool_options.rs
@@ -5,14 +5,15 @@
 
 use super::{
     AuditOptions, BenchOptions, DemoOptions, ExplainOptions, HostListOptions, QuarantineCommand,
-    TableCommand, WhereOptions,
+    RolloutsOptions, TableCommand, WhereOptions,
 };
 
 /// Operators' tool of teaselglade.
 ///
 /// Exit codes: 0 done; 1 the call failed; 2 the command line or the table is faulty; 3 the log
 /// decided against the publication; 4 it is not known yet whether the publication is accepted; 5 a
-/// promise did not hold in the demo; 6 the request of `where` would be refused now.
+/// promise did not hold in the demo; 6 the request of `where` would be refused now; 7 `rollouts`
+/// shows a version that was rolled back.
 #[derive(Debug, Parser)]
 #[command(name = "teaselglade", version)]
 pub struct ToolOptions {
@@ -42,6 +43,8 @@
     Explain(ExplainOptions),
     /// Tell where a request would go now, and why, without sending it.
     Where(WhereOptions),
+    /// Tell how the roll-outs of versions stand that a host knows, and why.
+    Rollouts(RolloutsOptions),
     /// Run a whole fleet in this process, with a zone reclaimed midway.
     Demo(DemoOptions),
     /// Compare placement policies on virtual time.
--- a/crates/teaselglade/src/output/exit_status.rs
+++ b/crates/teaselglade/src/output/exit_status.rs
@@ -19,6 +19,8 @@
     GuaranteeViolated,
     /// 6: no server would take the request now.
     NotPlaced,
+    /// 7: a version that is shown was rolled back.
+    RolledBack,
 }
 
 impl From<ExitStatus> for ExitCode {
@@ -31,6 +33,7 @@
             ExitStatus::Unresolved => Self::from(4),
             ExitStatus::GuaranteeViolated => Self::from(5),
             ExitStatus::NotPlaced => Self::from(6),
+            ExitStatus::RolledBack => Self::from(7),
         }
     }
 }
--- a/crates/teaselglade/tests/host/main.rs
+++ b/crates/teaselglade/tests/host/main.rs
@@ -18,5 +18,6 @@
 mod host_process;
 mod log_stream;
 mod placements;
+mod rollouts;
 mod signals;
 mod stop_log;
