fix(rollout): a leader that knows no old server completes an order only after two seconds

A leader that saw only servers of the target for one check, because it had just started or registrations had lapsed for a moment, wrote Completed at once, which nothing undoes (seen: both tests of rollout_leaders.rs showed Completed at the first call). The old version now counts as gone after 2 s without a server of it, and the order then goes through the stage whole, in which all hosts have to leave. Answers of the old version in a peer's report show too that the target is not the one in service, so that a starting host doesn't send it everything.

--- a/crates/teaselglade-routing/src/rollout/service_rollout.rs
+++ b/crates/teaselglade-routing/src/rollout/service_rollout.rs
@@ -48,6 +48,11 @@
 /// Age from which a host's report does not show what it does now.
 const REPORT_TTL: Duration = Duration::from_millis(1_500);
 
+/// Time without a server of another version after which the old version counts as gone.
+///
+/// News of registrations reach a host within it; a starting leader may know only a part.
+const GONE_TIME: Duration = Duration::from_secs(2);
+
 /// Attempt that counts for a roll-out until it is closed.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct AttemptRecord {
@@ -130,6 +135,8 @@
     pub(super) new_servers: usize,
     /// Whether a server of another version than the target was seen since the order.
     has_old: bool,
+    /// Time from which no such server is known.
+    old_gone_at: Option<Timestamp>,
     /// Whether the target was made the version in service.
     pub(super) is_settled: bool,
 }
@@ -158,6 +165,7 @@
             old_servers: 0,
             new_servers: 0,
             has_old: false,
+            old_gone_at: None,
             is_settled: false,
         }
     }
@@ -293,6 +301,8 @@
         self.old_servers = old.len();
         self.new_servers = new.len();
         self.has_old |= self.old_servers > 0;
+        let gone_at = self.old_gone_at.unwrap_or(now);
+        self.old_gone_at = (self.old_servers == 0).then_some(gone_at);
         let mut ranked: Vec<(u64, ServerKey)> = new
             .into_iter()
             .map(|(key, server)| (preference_of(self.order.number, server.hash), key))
@@ -369,6 +379,8 @@
         if host.is_empty() {
             return;
         }
+        let mut routes = report.evidence.routes.iter();
+        self.has_old |= routes.any(|route| route.old.answers > 0);
         let view = PeerView {
             started_at_us,
             received_at: now,
@@ -390,9 +402,8 @@
         }
         self.heard_at = now;
         let progress = self.progress(now);
-        if self.old_servers == 0 && self.new_servers > 0 {
+        if self.is_old_gone(now) {
             self.enter(now, RolloutStage::Whole);
-            return self.open_at_old == 0;
         }
         let is_sound = self.hears(now, peer_count)
             && self.is_sound()
@@ -418,6 +429,12 @@
             && (self.is_left_by_all(now, peer_count) || progress >= CLOSE_AT)
     }
 
+    /// Returns whether only servers of the target are left, and for long enough to be sure.
+    fn is_old_gone(&self, now: Timestamp) -> bool {
+        let gone_since = self.old_gone_at.filter(|_| self.new_servers > 0);
+        gone_since.is_some_and(|since| now.since(since) >= GONE_TIME)
+    }
+
     /// Returns whether enough is known of the new version, and nothing speaks against it.
     pub(super) fn is_sound(&self) -> bool {
         let evidence = self.evidence();
