fix(rollout): the report of a host is as large with a thousand new servers as with a hundred

In the stage whole a host counted attempts by server for each new server, and sent all of it with each digest: 2,704 bytes at 100 new servers, 21,730 at 1,000 (rollout_reports.rs, which failed so before), beside a sum over peers that is quadratic in servers. Counted by server are now the first 64 in the order in which servers go on trial, which is the same on all hosts, and as many later incarnations; the others count by route only. Now 1,948 and 2,074 bytes. A sample keeps what tells one failing server from a version that fails.

--- a/crates/teaselglade-host/tests/host/main.rs
+++ b/crates/teaselglade-host/tests/host/main.rs
@@ -9,6 +9,7 @@
 mod part_crashes;
 mod reports;
 mod request_crashes;
+mod rollout_reports;
 mod rollouts;
 mod server_limits;
 mod speed_reports;
--- a/crates/teaselglade-routing/src/rollout/service_rollout.rs
+++ b/crates/teaselglade-routing/src/rollout/service_rollout.rs
@@ -1,6 +1,6 @@
 //! Roll-out of one service, as one host sees it.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -48,6 +48,8 @@
 /// Age from which a host's report does not show what it does now.
 const REPORT_TTL: Duration = Duration::from_millis(1_500);
 
+/// Servers of the new version whose attempts are counted by server, so that reports are bounded.
+const MAX_TALLIED_SERVERS: usize = 64;
 /// Time without a server of another version after which the old version counts as gone.
 ///
 /// News of registrations reach a host within it; a starting leader may know only a part.
@@ -129,6 +131,8 @@
     earlier: VersionEvidence,
     pub(super) test: VersionTest,
     pub(super) trial: Arc<[ServerKey]>,
+    /// Incarnation hashes of the servers whose attempts are counted by server, the same on all hosts.
+    tallied: HashSet<u64>,
     /// Servers that carry the traffic of the stage, so that each has its usual load.
     part: Arc<[ServerKey]>,
     pub(super) old_servers: usize,
@@ -161,6 +165,7 @@
             earlier: VersionEvidence::default(),
             test: VersionTest::default(),
             trial: Arc::new([]),
+            tallied: HashSet::new(),
             part: Arc::new([]),
             old_servers: 0,
             new_servers: 0,
@@ -258,12 +263,14 @@
 
     pub(super) fn record_result(&mut self, record: &AttemptRecord, result: AttemptEvidence) {
         let is_new = record.version == self.target;
-        let server = self
-            .own
-            .server_mut(if is_new { record.incarnation } else { 0 });
+        let is_tallied = !is_new || self.is_tallied(record.incarnation);
+        let server = if is_new { record.incarnation } else { 0 };
+        let server = is_tallied.then(|| self.own.server_mut(server));
         let (is_failure, latency) = match result {
             AttemptEvidence::Broken => {
-                server.broken += 1;
+                if let Some(server) = server {
+                    server.broken += 1;
+                }
                 return;
             }
             // A failure may come faster than the work.
@@ -274,7 +281,9 @@
             AttemptEvidence::Overdue(waited) => (false, Some(waited)),
         };
         let latency = latency.filter(|_| record.is_timed);
-        server.record(is_failure, latency);
+        if let Some(server) = server {
+            server.record(is_failure, latency);
+        }
         let route = self.own.route_mut(record.route);
         let tally = if is_new {
             &mut route.new
@@ -287,6 +296,15 @@
         }
     }
 
+    /// Returns whether attempts at a server of the new version are counted by server.
+    fn is_tallied(&self, incarnation: u64) -> bool {
+        let known = &self.own.servers;
+        // Servers that start again have a tally for each incarnation.
+        let has_room = known.len() <= 2 * MAX_TALLIED_SERVERS;
+        known.iter().any(|known| known.server == incarnation)
+            || (has_room && self.tallied.contains(&incarnation))
+    }
+
     /// Part of the order's time that has passed.
     fn progress(&self, now: Timestamp) -> f64 {
         let age = now.since(self.ordered_at).as_secs_f64();
@@ -308,6 +326,9 @@
             .map(|(key, server)| (preference_of(self.order.number, server.hash), key))
             .collect();
         ranked.sort_unstable();
+        let tallied = ranked.iter().take(MAX_TALLIED_SERVERS);
+        let tallied = tallied.map(|(_, key)| registry.server(*key).incarnation_hash());
+        self.tallied = tallied.collect();
         let first = |share: f64| -> Vec<ServerKey> {
             let wanted = (ranked.len() as f64 * share).ceil() as usize;
             let first = ranked.iter().take(wanted.max(MIN_TRIAL_SERVERS));
