fix(rollout): a host that finds an order at its start reads its verdict before it acts

A listed order went on trial until the leader had read the state in the store: after a start of all hosts an old version that a completed order had left got 16 of 800 requests in four seconds (rollout_restarts.rs, which failed so; the same test with a version that was rolled back passed before too, as its credit comes later). The first page of the table's feed now waits for the state of each order in it, and both are recorded under one lock; a store that refuses is asked again.

Known red: a sound version whose servers all name a limit is never on trial.

--- a/crates/teaselglade-host/src/follow/table_follower.rs
+++ b/crates/teaselglade-host/src/follow/table_follower.rs
@@ -1,9 +1,11 @@
 //! Follows the published route table in the store.
 
+use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
 
 use teaselglade_routing::gossip::name_hash;
+use teaselglade_routing::rollout::RolloutStage;
 use tokio::time::sleep;
 use tracing::{info, warn};
 
@@ -37,7 +39,11 @@
         match host.ports.feeds.latest(Feed::Table).await {
             Ok(page) => {
                 host.record_call("read_table", None);
-                apply_page(&host, page, is_start);
+                let Some(verdicts) = read_verdicts(&host, &page, is_start).await else {
+                    sleep(STORE_RETRY_DELAY).await;
+                    continue;
+                };
+                apply_page(&host, page, is_start, &verdicts);
                 is_start = false;
                 poll_changes(&host).await;
             }
@@ -64,7 +70,7 @@
         match host.ports.feeds.changes(Feed::Table, next, wait).await {
             Ok(page) => {
                 host.record_call("follow_table", None);
-                apply_page(host, page, false);
+                apply_page(host, page, false, &HashMap::new());
             }
             Err(error @ (StoreError::HistoryLost { .. } | StoreError::HistoryReplaced { .. })) => {
                 info!(event = "history_lost", feed = "table", next, error = %error);
@@ -102,8 +108,38 @@
     }
 }
 
+/// Reads the verdicts on the orders that this host finds at its start; `None` if the store refuses.
+///
+/// Without them a version that was rolled back, or left, would be used until the leader reads them.
+async fn read_verdicts(
+    host: &HostState,
+    page: &FeedPage,
+    is_start: bool,
+) -> Option<HashMap<u64, RolloutStage>> {
+    let mut verdicts = HashMap::new();
+    let orders = page.items.iter().filter_map(|item| match item {
+        FeedItem::Rollout(order) if is_start => Some(order),
+        _ => None,
+    });
+    for order in orders {
+        let read = host.ports.feeds.rollout(&order.service).await;
+        host.record_result("read_rollout", &read);
+        let shown = read.ok()?.published;
+        let shown = shown.filter(|shown| shown.target == order.target && shown.stage.is_final());
+        verdicts.extend(shown.map(|shown| (order.number, shown.stage)));
+    }
+    Some(verdicts)
+}
+
 /// Applies a page; `is_start` marks the first one that this host reads.
-fn apply_page(host: &HostState, page: FeedPage, is_start: bool) {
+///
+/// `verdicts` has what the store shows of orders, by their numbers.
+fn apply_page(
+    host: &HostState,
+    page: FeedPage,
+    is_start: bool,
+    verdicts: &HashMap<u64, RolloutStage>,
+) {
     let next_offset = page.next_offset;
     for item in page.items {
         match item {
@@ -114,7 +150,9 @@
                 host.metrics.unreadable_records.inc();
                 warn!(event = "record_passed_over", feed = "table", key, detail);
             }
-            FeedItem::Rollout(order) => host.record_order(&order, is_start),
+            FeedItem::Rollout(order) => {
+                host.record_order(&order, is_start, verdicts.get(&order.number).copied());
+            }
             FeedItem::Server(_)
             | FeedItem::ServerRemoved(_)
             | FeedItem::Host(_)
--- a/crates/teaselglade-host/src/state/host_state.rs
+++ b/crates/teaselglade-host/src/state/host_state.rs
@@ -16,7 +16,7 @@
     LimitChange, LimitReport, LimitWord, PermitAnswer, PermitRequest, RequestLimit,
 };
 use teaselglade_routing::registry::ServerAdvice;
-use teaselglade_routing::rollout::RolloutOrder;
+use teaselglade_routing::rollout::{RolloutOrder, RolloutStage};
 use teaselglade_routing::shutdown::ShutdownPlan;
 use tokio_util::sync::CancellationToken;
 use tracing::{info, warn};
@@ -330,11 +330,23 @@
     }
 
     /// Records an order to change a service's version; `is_start` if found when this host started.
-    pub fn record_order(&self, order: &RolloutOrder, is_start: bool) {
+    ///
+    /// `verdict` is what the store shows of it, if it was read.
+    pub fn record_order(
+        &self,
+        order: &RolloutOrder,
+        is_start: bool,
+        verdict: Option<RolloutStage>,
+    ) {
         let now = self.now();
         let is_new = {
             let mut decisions = self.lock_decisions();
-            decisions.record_order(now, order.clone(), is_start)
+            let is_new = decisions.record_order(now, order.clone(), is_start);
+            if let Some(stage) = verdict {
+                let rollouts = &mut decisions.rollouts;
+                rollouts.record_verdict(now, &order.service, order.number, stage);
+            }
+            is_new
         };
         if is_new {
             info!(
