--- a/crates/teaselglade-host/tests/host/rollouts.rs
+++ b/crates/teaselglade-host/tests/host/rollouts.rs
@@ -501,6 +501,24 @@
     }
 }
 
+/// The part of the large fleets for which there is always time.
+#[test]
+fn a_bad_version_is_rolled_back_by_all_hosts_of_a_large_fleet() {
+    for (hosts, fault) in [
+        (86, LinkFault::ZoneCut),
+        (86, LinkFault::Lossy),
+        (195, LinkFault::ZoneCut),
+    ] {
+        check_bad(Scenario {
+            hosts,
+            version: NewVersion::Errors,
+            trouble: Trouble::None,
+            fault,
+            seed: 0,
+        });
+    }
+}
+
 #[test]
 fn a_good_version_is_completed_in_time_and_never_rolled_back() {
     for trouble in TROUBLES {
