fix(rollout): a request on trial asks for a free permit of a limited server

A plain call or stream on trial, or in a part of the traffic, now asks once for a permit; if none is free it gives its credit back and goes to the old version. Where others are available the request does not wait, as before. A permit is kept only while the order still allows it.

--- a/crates/teaselglade-host/src/relay/plain_relay.rs
+++ b/crates/teaselglade-host/src/relay/plain_relay.rs
@@ -15,7 +15,7 @@
 use teaselglade_routing::attempt::{AttemptOutcome, AttemptTracker, NextStep};
 use teaselglade_routing::crash::ContainedRun;
 use teaselglade_routing::plain::{PlainQuery, ServerLoad};
-use teaselglade_routing::rollout::{AttemptEvidence, AttemptRecord};
+use teaselglade_routing::rollout::{AttemptEvidence, AttemptRecord, VersionChoice};
 use tokio::time::{sleep, timeout};
 
 use super::call_context::{CallContext, next_step_name};
@@ -59,7 +59,7 @@
     /// The call counts at the server.
     Started(ActiveCall),
     /// The server is limited, so the call needs a permit first.
-    Limited(ServerKey),
+    Limited(ServerKey, VersionChoice),
 }
 
 /// Attempts of one plain call, of which two may run at a time.
@@ -131,16 +131,21 @@
     async fn start(&mut self) -> Result<()> {
         let turn = ServerTurn::new(&self.context, false);
         let tried = self.tracker.tried();
+        let mut may_ask_on_trial = true;
         let (active_call, permit) = loop {
-            match self.place(&tried) {
+            match self.place(&tried, may_ask_on_trial) {
                 Ok(PlacedCall::Started(active_call)) => break (active_call, None),
-                Ok(PlacedCall::Limited(server)) => {
+                Ok(PlacedCall::Limited(server, choice)) => {
                     let permit = turn.request(server, &tried).await;
                     if permit.is_some()
-                        && let Some(active_call) = self.start_at(server)
+                        && let Some(active_call) = self.start_at(server, &choice)
                     {
                         break (active_call, permit);
                     }
+                    if choice.is_partial() {
+                        self.give_back(&mut self.context.host.lock_decisions(), &choice);
+                        may_ask_on_trial = false;
+                    }
                 }
                 Err(refusal) => {
                     let is_final = refusal.reason == RefusalReason::Quarantined;
@@ -163,20 +168,21 @@
     /// # Errors
     ///
     /// Returns a "not run" refusal if no untried server takes the call, or calls like it end servers.
-    fn place(&self, tried: &[ServerKey]) -> Result<PlacedCall> {
+    fn place(&self, tried: &[ServerKey], may_ask_on_trial: bool) -> Result<PlacedCall> {
         let context = &self.context;
         let host = &context.host;
         let now = host.now();
         let mut decisions = host.lock_decisions();
         let decisions = &mut *decisions;
         let run = self.permit_attempt(decisions, now)?;
-        let chosen = self.choose_server(decisions, now, tried, run);
+        let may_ask_on_trial = may_ask_on_trial && run.is_none();
+        let chosen = self.choose_server(decisions, now, tried, run, may_ask_on_trial);
         match (chosen, run) {
-            (Ok(server), _) if !decisions.needs_permit(server) => {
+            (Ok((server, _)), _) if !decisions.needs_permit(server) => {
                 let active_call = self.record_start(decisions, now, server, run);
                 Ok(PlacedCall::Started(active_call))
             }
-            (Ok(server), None) => Ok(PlacedCall::Limited(server)),
+            (Ok((server, choice)), None) => Ok(PlacedCall::Limited(server, choice)),
             (unplaced, run) => {
                 if let Some(run) = run {
                     decisions.crash_ledger.record_contained_end(run.subject);
@@ -200,7 +206,8 @@
         now: Timestamp,
         tried: &[ServerKey],
         run: Option<ContainedRun>,
-    ) -> Result<ServerKey> {
+        may_ask_on_trial: bool,
+    ) -> Result<(ServerKey, VersionChoice)> {
         let context = &self.context;
         let (service, route) = (&context.service.name, context.route_hash);
         let is_repeat = self.tracker.attempts() > 0 || run.is_some();
@@ -214,17 +221,15 @@
             };
             let placer = &mut decisions.plain_placer;
             let chosen = placer.choose(now, &decisions.registry, &query);
-            // A trial does not wait for a permit.
-            let is_usable = chosen
-                .as_ref()
-                .is_ok_and(|server| !(choice.is_partial() && decisions.needs_permit(*server)));
+            // A trial takes a permit that is free, but asks for one only once.
+            let is_usable = chosen.as_ref().is_ok_and(|server| {
+                may_ask_on_trial || !(choice.is_partial() && decisions.needs_permit(*server))
+            });
             let fallback = choice.fallback().filter(|_| !is_usable);
             let Some(fallback) = fallback else {
-                return chosen;
+                return chosen.map(|server| (server, choice));
             };
-            if choice.is_trial() {
-                decisions.rollouts.give_back(service, route);
-            }
+            self.give_back(decisions, &choice);
             choice = fallback;
         }
     }
@@ -247,7 +252,8 @@
     /// Counts the call at a server for which it has a permit, if it may still be sent there.
     ///
     /// A call that became contained while it waited is placed anew.
-    fn start_at(&self, server: ServerKey) -> Option<ActiveCall> {
+    /// The order may have moved on meanwhile, too.
+    fn start_at(&self, server: ServerKey, choice: &VersionChoice) -> Option<ActiveCall> {
         let host = &self.context.host;
         let now = host.now();
         let mut decisions = host.lock_decisions();
@@ -255,7 +261,11 @@
             return None;
         }
         let (service, route) = (&self.context.service.name, self.context.route_hash);
-        let choice = decisions.rollouts.choose(now, service, route, true);
+        let current = decisions.rollouts.choose(now, service, route, true);
+        let is_still_partial = choice.is_partial()
+            && decisions.rollouts.is_running(service)
+            && choice.fallback().as_ref() == Some(&current);
+        let choice = if is_still_partial { choice } else { &current };
         // The server may be one of a fallback, as all of the first scope may be limited.
         if !choice.allows(server, decisions.registry.server(server)) {
             return None;
@@ -270,6 +280,14 @@
         }
     }
 
+    /// Gives back the credit of a trial that was not sent.
+    fn give_back(&self, decisions: &mut DecisionState, choice: &VersionChoice) {
+        if choice.is_trial() {
+            let (service, route) = (&self.context.service.name, self.context.route_hash);
+            decisions.rollouts.give_back(service, route);
+        }
+    }
+
     /// Counts the call at a server and logs the placement.
     fn record_start(
         &self,
--- a/crates/teaselglade-host/src/relay/stream_reservation.rs
+++ b/crates/teaselglade-host/src/relay/stream_reservation.rs
@@ -384,10 +384,7 @@
                     permit: None,
                 };
             }
-            // A trial does not wait for a permit.
-            if let Some(old) = choice.fallback().filter(|_| choice.is_partial()) {
-                give_back(context, &mut decisions, choice);
-                *choice = old;
+            if server.is_none() && leave_trial(context, &mut decisions, choice) {
                 continue;
             }
             server
@@ -410,9 +407,25 @@
                 permit,
             };
         }
+        // A trial takes a permit that is free, but asks for one only once.
+        leave_trial(context, &mut context.host.lock_decisions(), choice);
     }
 }
 
+/// Makes a choice of a part of the new servers its fallback; returns whether it was one.
+fn leave_trial(
+    context: &CallContext,
+    decisions: &mut DecisionState,
+    choice: &mut VersionChoice,
+) -> bool {
+    let Some(old) = choice.fallback().filter(|_| choice.is_partial()) else {
+        return false;
+    };
+    give_back(context, decisions, choice);
+    *choice = old;
+    true
+}
+
 /// Returns the query by which the engine of an attempt is chosen.
 fn engine_query<'a>(
     context: &'a CallContext,
