--- a/crates/teaselglade-routing/src/rollout/service_rollout.rs
+++ b/crates/teaselglade-routing/src/rollout/service_rollout.rs
@@ -1,6 +1,6 @@
 //! Roll-out of one service, as one host sees it.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -48,6 +48,13 @@
 /// Age from which a host's report does not show what it does now.
 const REPORT_TTL: Duration = Duration::from_millis(1_500);
 
+/// Servers of the new version whose attempts are counted by server, so that reports are bounded.
+const MAX_TALLIED_SERVERS: usize = 64;
+/// Time without a server of another version after which the old version counts as gone.
+///
+/// News of registrations reach a host within it; a starting leader may know only a part.
+const GONE_TIME: Duration = Duration::from_secs(2);
+
 /// Attempt that counts for a roll-out until it is closed.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct AttemptRecord {
@@ -85,7 +92,7 @@
 }
 
 #[derive(Debug, Clone)]
-struct PeerView {
+pub(super) struct PeerView {
     started_at_us: u64,
     received_at: Timestamp,
     stage: RolloutStage,
@@ -93,6 +100,13 @@
     evidence: VersionEvidence,
 }
 
+impl PeerView {
+    /// Returns whether the report shows what the host does now.
+    pub(super) fn is_fresh(&self, now: Timestamp) -> bool {
+        now.since(self.received_at) < REPORT_TTL
+    }
+}
+
 /// Roll-out of one service, as one host sees it.
 #[derive(Debug, Clone)]
 pub(super) struct ServiceRollout {
@@ -106,23 +120,27 @@
     pub(super) finding: Option<TestFinding>,
     pub(super) open_at_old: u32,
     target: u64,
-    credit: ExposureCredit,
+    pub(super) credit: ExposureCredit,
     route_exposed: HashMap<u64, u64>,
     ramp: f64,
     /// Time of the last report of another host, or at which this host led.
-    heard_at: Timestamp,
-    own: VersionEvidence,
-    peers: HashMap<String, PeerView>,
+    pub(super) heard_at: Timestamp,
+    pub(super) own: VersionEvidence,
+    pub(super) peers: HashMap<String, PeerView>,
     /// Evidence of earlier incarnations of peers.
     earlier: VersionEvidence,
-    test: VersionTest,
-    trial: Arc<[ServerKey]>,
+    pub(super) test: VersionTest,
+    pub(super) trial: Arc<[ServerKey]>,
+    /// Incarnation hashes of the servers whose attempts are counted by server, the same on all hosts.
+    tallied: HashSet<u64>,
     /// Servers that carry the traffic of the stage, so that each has its usual load.
     part: Arc<[ServerKey]>,
-    old_servers: usize,
-    new_servers: usize,
+    pub(super) old_servers: usize,
+    pub(super) new_servers: usize,
     /// Whether a server of another version than the target was seen since the order.
     has_old: bool,
+    /// Time from which no such server is known.
+    old_gone_at: Option<Timestamp>,
     /// Whether the target was made the version in service.
     pub(super) is_settled: bool,
 }
@@ -147,10 +165,12 @@
             earlier: VersionEvidence::default(),
             test: VersionTest::default(),
             trial: Arc::new([]),
+            tallied: HashSet::new(),
             part: Arc::new([]),
             old_servers: 0,
             new_servers: 0,
             has_old: false,
+            old_gone_at: None,
             is_settled: false,
         }
     }
@@ -243,12 +263,14 @@
 
     pub(super) fn record_result(&mut self, record: &AttemptRecord, result: AttemptEvidence) {
         let is_new = record.version == self.target;
-        let server = self
-            .own
-            .server_mut(if is_new { record.incarnation } else { 0 });
+        let is_tallied = !is_new || self.is_tallied(record.incarnation);
+        let server = if is_new { record.incarnation } else { 0 };
+        let server = is_tallied.then(|| self.own.server_mut(server));
         let (is_failure, latency) = match result {
             AttemptEvidence::Broken => {
-                server.broken += 1;
+                if let Some(server) = server {
+                    server.broken += 1;
+                }
                 return;
             }
             // A failure may come faster than the work.
@@ -259,7 +281,9 @@
             AttemptEvidence::Overdue(waited) => (false, Some(waited)),
         };
         let latency = latency.filter(|_| record.is_timed);
-        server.record(is_failure, latency);
+        if let Some(server) = server {
+            server.record(is_failure, latency);
+        }
         let route = self.own.route_mut(record.route);
         let tally = if is_new {
             &mut route.new
@@ -272,6 +296,15 @@
         }
     }
 
+    /// Returns whether attempts at a server of the new version are counted by server.
+    fn is_tallied(&self, incarnation: u64) -> bool {
+        let known = &self.own.servers;
+        // Servers that start again have a tally for each incarnation.
+        let has_room = known.len() <= 2 * MAX_TALLIED_SERVERS;
+        known.iter().any(|known| known.server == incarnation)
+            || (has_room && self.tallied.contains(&incarnation))
+    }
+
     /// Part of the order's time that has passed.
     fn progress(&self, now: Timestamp) -> f64 {
         let age = now.since(self.ordered_at).as_secs_f64();
@@ -286,11 +319,16 @@
         self.old_servers = old.len();
         self.new_servers = new.len();
         self.has_old |= self.old_servers > 0;
+        let gone_at = self.old_gone_at.unwrap_or(now);
+        self.old_gone_at = (self.old_servers == 0).then_some(gone_at);
         let mut ranked: Vec<(u64, ServerKey)> = new
             .into_iter()
             .map(|(key, server)| (preference_of(self.order.number, server.hash), key))
             .collect();
         ranked.sort_unstable();
+        let tallied = ranked.iter().take(MAX_TALLIED_SERVERS);
+        let tallied = tallied.map(|(_, key)| registry.server(*key).incarnation_hash());
+        self.tallied = tallied.collect();
         let first = |share: f64| -> Vec<ServerKey> {
             let wanted = (ranked.len() as f64 * share).ceil() as usize;
             let first = ranked.iter().take(wanted.max(MIN_TRIAL_SERVERS));
@@ -362,6 +400,8 @@
         if host.is_empty() {
             return;
         }
+        let mut routes = report.evidence.routes.iter();
+        self.has_old |= routes.any(|route| route.old.answers > 0);
         let view = PeerView {
             started_at_us,
             received_at: now,
@@ -383,9 +423,8 @@
         }
         self.heard_at = now;
         let progress = self.progress(now);
-        if self.old_servers == 0 && self.new_servers > 0 {
+        if self.is_old_gone(now) {
             self.enter(now, RolloutStage::Whole);
-            return self.open_at_old == 0;
         }
         let is_sound = self.hears(now, peer_count)
             && self.is_sound()
@@ -411,8 +450,14 @@
             && (self.is_left_by_all(now, peer_count) || progress >= CLOSE_AT)
     }
 
+    /// Returns whether only servers of the target are left, and for long enough to be sure.
+    fn is_old_gone(&self, now: Timestamp) -> bool {
+        let gone_since = self.old_gone_at.filter(|_| self.new_servers > 0);
+        gone_since.is_some_and(|since| now.since(since) >= GONE_TIME)
+    }
+
     /// Returns whether enough is known of the new version, and nothing speaks against it.
-    fn is_sound(&self) -> bool {
+    pub(super) fn is_sound(&self) -> bool {
         let evidence = self.evidence();
         let routes = evidence.routes.iter();
         let (old, new) = routes.fold((0, 0), |(old, new), route| {
@@ -430,19 +475,17 @@
     }
 
     /// Returns whether enough hosts report; others may have seen bad answers.
-    fn hears(&self, now: Timestamp, peer_count: usize) -> bool {
+    pub(super) fn hears(&self, now: Timestamp, peer_count: usize) -> bool {
         let peers = self.peers.values();
-        let fresh = peers.filter(|peer| now.since(peer.received_at) < REPORT_TTL);
+        let fresh = peers.filter(|peer| peer.is_fresh(now));
         fresh.count() as f64 >= peer_count as f64 * MIN_HEARD_SHARE
     }
 
     /// Returns whether all hosts say that they left the old version.
-    fn is_left_by_all(&self, now: Timestamp, peer_count: usize) -> bool {
+    pub(super) fn is_left_by_all(&self, now: Timestamp, peer_count: usize) -> bool {
         let peers = self.peers.values();
         let has_left = |peer: &&PeerView| {
-            peer.stage >= RolloutStage::Whole
-                && peer.open_at_old == 0
-                && now.since(peer.received_at) < REPORT_TTL
+            peer.stage >= RolloutStage::Whole && peer.open_at_old == 0 && peer.is_fresh(now)
         };
         peers.filter(has_left).count() >= peer_count
     }
--- a/crates/teaselglade-routing/tests/routing/main.rs
+++ b/crates/teaselglade-routing/tests/routing/main.rs
@@ -16,6 +16,7 @@
 mod registry;
 mod request_crashes;
 mod rollout_defences;
+mod rollout_leaders;
 mod rollouts;
 mod routes;
 mod server_news;
