fix(share): a room learned in a burst does not fall once servers refuse no more

Cause: the refusals for lateness of the group are a smoothed rate (time constant 0.5 s), which counts as "servers are full" for up to 2 s after the last one. Meanwhile shares already held demand down, so that servers accepted what they were asked for; that was taken for proof of a smaller room. Traced with 7 hosts that restart: from 1.0 to 0.82 of the true room between 5.4 and 7.2 s, with a queue that drained from 0.44 to 0 s, and organisations within their share were limited.

Ruled out: figures of the first half second after the start (the first estimate was 0.96 to 1.03 of the room).

Change: a proof below the estimate counts only while refusals for lateness have occurred since the last sample.

--- a/crates/teaselglade-routing/src/share/rate_meter.rs
+++ b/crates/teaselglade-routing/src/share/rate_meter.rs
@@ -31,6 +31,16 @@
     }
 }
 
+/// Returns the rate since an earlier reading of a smoothed rate, in units per second.
+pub(super) fn latest_rate(elapsed: Duration, earlier: f64, rate: f64) -> f64 {
+    let kept = (-elapsed.as_secs_f64() / TIME_CONSTANT.as_secs_f64()).exp();
+    let weight = 1.0 - kept;
+    if weight <= 0.0 {
+        return rate;
+    }
+    ((rate - earlier * kept) / weight).max(0.0)
+}
+
 /// Returns the factor by which a rate is too low when it is measured for `age` only.
 pub(super) fn warm_up_factor(age: Duration) -> f64 {
     let age = age.max(MIN_AGE).as_secs_f64();
--- a/crates/teaselglade-routing/src/share/room_estimate.rs
+++ b/crates/teaselglade-routing/src/share/room_estimate.rs
@@ -4,6 +4,8 @@
 
 use teaselglade_core::time::Timestamp;
 
+use super::rate_meter::latest_rate;
+
 /// Share of the demand that may be predicted late before servers count as full.
 const FULL_LATE_SHARE: f64 = 0.02;
 /// Time for which servers must be full before room counts as scarce.
@@ -75,6 +77,8 @@
     /// Proofs of one and of two windows ago.
     last_proofs: [f64; 2],
     proofs_at: Option<Timestamp>,
+    /// Smoothed lateness of the last sample.
+    last_late: f64,
     is_scarce: bool,
 }
 
@@ -96,7 +100,12 @@
             self.proofs_at = Some(now);
             self.last_proofs = [proven, self.last_proofs[0]];
         }
-        let is_full = sample.late > sample.asked * FULL_LATE_SHARE;
+        let full_late = sample.asked * FULL_LATE_SHARE;
+        let is_full = sample.late > full_late;
+        // Refusals that ended still have their part in the smoothed lateness. Servers that accept
+        // less since then were asked for less, which proves nothing.
+        let is_still_full = latest_rate(elapsed, self.last_late, sample.late) > full_late;
+        self.last_late = sample.late;
         let full_since = is_full.then(|| *self.full_since.get_or_insert(now));
         self.full_since = full_since;
         self.full_at = full_since.map(|_| now).or(self.full_at);
@@ -108,10 +117,10 @@
             let [last, earlier] = self.last_proofs;
             let most_proven = proven.max(last).max(earlier);
             let is_raised = most_proven > self.per_server;
-            let weight = if is_raised {
-                RAISE_WEIGHT
-            } else {
-                LOWER_WEIGHT
+            let weight = match (is_raised, is_still_full) {
+                (true, _) => RAISE_WEIGHT,
+                (false, true) => LOWER_WEIGHT,
+                (false, false) => 0.0,
             };
             self.per_server += weight * (most_proven - self.per_server);
         } else {
@@ -134,6 +143,7 @@
         self.updated_at = None;
         self.full_since = None;
         self.full_at = None;
+        self.last_late = 0.0;
     }
 
     /// Returns the work per second of the group, if more is asked for.
--- a/crates/teaselglade-routing/tests/routing/shares.rs
+++ b/crates/teaselglade-routing/tests/routing/shares.rs
@@ -803,6 +803,33 @@
     assert_eq!(estimate.scarce_room(), Some(200.0));
 }
 
+/// Guards against a room that falls with the work asked for, while past refusals still show in the sums.
+#[test]
+fn an_estimate_keeps_its_room_once_servers_refuse_no_more() {
+    let full = RoomSample {
+        asked: 300.0,
+        used: 200.0,
+        late: 100.0,
+        servers: 4.0,
+        least_per_server: 10.0,
+    };
+    let mut estimate = RoomEstimate::default();
+    (0..10).for_each(|step| estimate.update(at(step * 200), &full));
+    assert_eq!(estimate.scarce_room(), Some(200.0));
+    // Nothing is refused for lateness any more; the smoothed rate of it falls with its time constant.
+    for step in 1..6 {
+        let late = full.late * (-0.4 * step as f64).exp();
+        let calm = RoomSample {
+            used: 160.0,
+            late,
+            ..full
+        };
+        estimate.update(at(1_800 + step * 200), &calm);
+    }
+    let room = estimate.scarce_room().unwrap();
+    assert!(room >= 200.0, "room {room}");
+}
+
 #[test]
 fn max_min_shares_never_exceed_room_or_demand() {
     let demands: HashMap<u32, f64> = (0..8)
