--- a/crates/teaselglade-routing/tests/routing/shares.rs
+++ b/crates/teaselglade-routing/tests/routing/shares.rs
@@ -64,6 +64,8 @@
 #[derive(Debug, Clone)]
 struct Load {
     hosts: usize,
+    /// Aggregators of a large fleet: the first hosts, each of which serves its part of the others.
+    aggregators: usize,
     /// Usual demand by organisation, as a share of the room.
     usual: Vec<f64>,
     /// Demand by organisation in the burst, as a share of the room.
@@ -86,6 +88,7 @@
         let usual: Vec<f64> = sizes.iter().map(|size| 0.7 * size / total).collect();
         Self {
             hosts,
+            aggregators: 1,
             burst: usual.iter().map(|demand| demand * 2.5).collect(),
             priorities: vec![None; usual.len()],
             usual,
@@ -293,7 +296,11 @@
                 self.limiters[sender].rebalance(at(now), &rooms);
                 let report = self.limiters[sender].report(at(now), &format!("edge-{sender}"));
                 self.measure(&report);
-                let receivers = if is_small { 0..self.load.hosts } else { 0..1 };
+                let receivers = if is_small {
+                    0..self.load.hosts
+                } else {
+                    0..self.load.aggregators
+                };
                 for receiver in receivers.filter(|receiver| *receiver != sender) {
                     let mail = self.mail.entry(now + DIGEST_LAG_MS).or_default();
                     mail.push((sender, receiver, report.clone()));
@@ -301,10 +308,14 @@
             }
         }
         if !is_small && now.is_multiple_of(AGGREGATE_MS) {
-            let sum = self.limiters[0].fleet_report(at(now));
-            self.measure(&sum);
-            let mail = self.mail.entry(now + AGGREGATE_LAG_MS).or_default();
-            mail.extend((1..self.load.hosts).map(|receiver| (0, receiver, sum.clone())));
+            for sender in 0..self.load.aggregators {
+                let sum = self.limiters[sender].fleet_report(at(now));
+                self.measure(&sum);
+                let mail = self.mail.entry(now + AGGREGATE_LAG_MS).or_default();
+                let others = self.load.aggregators..self.load.hosts;
+                let served = others.filter(|host| host % self.load.aggregators == sender);
+                mail.extend(served.map(|receiver| (sender, receiver, sum.clone())));
+            }
         }
         for (sender, receiver, report) in self.mail.remove(&now).unwrap_or_default() {
             if self.is_delivered(now, sender, receiver) {
@@ -620,6 +631,40 @@
     assert!(outcome.utilisation() >= 0.9, "{}", outcome.utilisation());
 }
 
+#[test]
+fn shares_settle_alike_under_three_aggregators() {
+    for hosts in [24, 86] {
+        for make in [Load::skewed, restarting, repeating] {
+            let load = Load {
+                aggregators: 3,
+                ..make(hosts)
+            };
+            let outcome = check_targets(&load, 1.0);
+            assert!(
+                outcome.max_passed() <= MAX_PASSED,
+                "{}",
+                outcome.max_passed()
+            );
+        }
+    }
+}
+
+#[test]
+fn hosts_served_by_other_aggregators_bound_the_sum_while_one_is_frozen() {
+    let load = Load {
+        aggregators: 3,
+        fault: Fault::AggregatorFrozen,
+        ..Load::skewed(24)
+    };
+    let outcome = ShareFleet::new(&load).run();
+    assert!(
+        outcome.max_passed() <= MAX_PASSED,
+        "{}",
+        outcome.max_passed()
+    );
+    assert!(outcome.utilisation() >= 0.95, "{}", outcome.utilisation());
+}
+
 #[test]
 fn both_sides_of_a_cut_keep_to_their_part() {
     let mut load = Load::skewed(7);
