test(quota): the bound holds in a rush in which a fleet is cut in two

16, 40, 86 and 195 hosts, one organisation at six times its usual load, urgent and other requests, each half with an aggregator: for 6 s neither half hears the other.

--- a/crates/teaselglade-routing/tests/routing/quota_rush.rs
+++ b/crates/teaselglade-routing/tests/routing/quota_rush.rs
@@ -23,11 +23,14 @@
 /// Tokens of the prompts, in turn.
 const PROMPT_TOKENS: [u32; 4] = [1_300, 17_000, 4_000, 9_000];
 
+/// What an aggregator, named by its index, found to be left.
+type SentAggregate = (usize, HashMap<String, FleetSpend>);
+
 /// Messages that are on their way, by arrival time.
 #[derive(Default)]
 struct Mail {
     digests: BTreeMap<u64, Vec<(usize, PeerSpend)>>,
-    aggregates: BTreeMap<u64, HashMap<String, FleetSpend>>,
+    aggregates: BTreeMap<u64, Vec<SentAggregate>>,
 }
 
 /// Outcome of a rush.
@@ -61,7 +64,7 @@
 
 /// Runs [`run_rush`] with requests whose rank follows from their size.
 fn run_ranked_rush(hosts: usize, rush: f64, rank_of: fn(u32) -> RequestRank) -> RushOutcome {
-    run_rush_with_restart(hosts, rush, rank_of, None)
+    run_disturbed_rush(hosts, rush, rank_of, Fault::None)
 }
 
 /// Creates limiters of hosts that start at `now`; the first aggregates the reports.
@@ -78,23 +81,40 @@
     limiters
 }
 
-/// Runs [`run_ranked_rush`] with a restart of all hosts at a time.
-fn run_rush_with_restart(
+/// Disturbance of a rush.
+#[derive(Debug, Clone, Copy, PartialEq)]
+enum Fault {
+    None,
+    /// All hosts restart at this time.
+    RestartAt(u64),
+    /// From 8 s to 14 s neither half of the hosts hears the other; each has an aggregator.
+    Cut,
+}
+
+/// Runs [`run_ranked_rush`] with a disturbance.
+fn run_disturbed_rush(
     hosts: usize,
     rush: f64,
     rank_of: fn(u32) -> RequestRank,
-    restart_at: Option<u64>,
+    fault: Fault,
 ) -> RushOutcome {
     let mut limiters = start_limiters(hosts, 0);
+    if fault == Fault::Cut {
+        limiters[hosts / 2].start_aggregating();
+    }
     let mut mail = Mail::default();
     let mut returning: BTreeMap<u64, Vec<u32>> = BTreeMap::new();
     let mut outcome = RushOutcome::default();
     let (mut offered, mut due, mut arrivals) = (0.0, 0.0, 0_usize);
     for now in (0..22_000).step_by(STEP_MS as usize) {
-        if restart_at == Some(now) {
+        if fault == Fault::RestartAt(now) {
             limiters = start_limiters(hosts, now);
         }
-        exchange_spend(&mut limiters, &mut mail, now);
+        if fault == Fault::Cut {
+            exchange_by_halves(&mut limiters, &mut mail, now);
+        } else {
+            exchange_spend(&mut limiters, &mut mail, now);
+        }
         let is_rush = (5_000..17_000).contains(&now);
         let factor = if is_rush { rush } else { 1.0 };
         // Hosts know of one another after 2 s.
@@ -158,15 +178,61 @@
     }
     if now.is_multiple_of(AGGREGATE_MS) {
         let spend = limiters[0].fleet_spend(at(now));
-        mail.aggregates.insert(now + AGGREGATE_LAG_MS, spend);
+        let aggregates = vec![(0, spend)];
+        mail.aggregates.insert(now + AGGREGATE_LAG_MS, aggregates);
     }
-    if let Some(spend) = mail.aggregates.remove(&now) {
+    for (_, spend) in mail.aggregates.remove(&now).into_iter().flatten() {
         for limiter in limiters.iter_mut().skip(1) {
             limiter.apply_aggregate(at(now), spend.clone(), 1.0);
         }
     }
 }
 
+/// Sends and delivers what is due where each half of the hosts has an aggregator, which a cut
+/// keeps from hearing the other half.
+fn exchange_by_halves(limiters: &mut [QuotaLimiter], mail: &mut Mail, now: u64) {
+    let half = limiters.len() / 2;
+    let is_cut = (8_000..14_000).contains(&now);
+    if now.is_multiple_of(DIGEST_MS) {
+        let reports = limiters.iter_mut().map(|limiter| limiter.report(at(now)));
+        let reports = reports.enumerate().collect();
+        mail.digests.insert(now + DIGEST_LAG_MS, reports);
+    }
+    for (host, report) in mail.digests.remove(&now).into_iter().flatten() {
+        for aggregator in [0, half] {
+            let is_heard = !is_cut || (host < half) == (aggregator < half);
+            if is_heard && host != aggregator {
+                let name = format!("edge-{host}");
+                limiters[aggregator].receive_spend(at(now), &name, 1, report.clone());
+            }
+        }
+    }
+    if now.is_multiple_of(AGGREGATE_MS) {
+        let aggregators = [0, half].into_iter();
+        let aggregates = aggregators.map(|host| (host, limiters[host].fleet_spend(at(now))));
+        let aggregates = aggregates.collect();
+        mail.aggregates.insert(now + AGGREGATE_LAG_MS, aggregates);
+    }
+    for (aggregator, spend) in mail.aggregates.remove(&now).into_iter().flatten() {
+        let end = if aggregator < half {
+            half
+        } else {
+            limiters.len()
+        };
+        // A host notices after 1.2 s that it hears no more of another.
+        let is_noticed = (9_200..14_000).contains(&now);
+        let seen = if is_noticed {
+            end - aggregator
+        } else {
+            limiters.len()
+        };
+        let seen_share = seen as f64 / limiters.len() as f64;
+        for limiter in &mut limiters[aggregator + 1..end] {
+            limiter.apply_aggregate(at(now), spend.clone(), seen_share);
+        }
+    }
+}
+
 /// Guards against all hosts spending the same remaining tokens before they hear of one another.
 ///
 /// On grown Corrib the bucket swung between its capacity and a debt of 3.6 s of the rate: it was
@@ -205,7 +271,18 @@
 fn the_bound_holds_in_a_rush_in_which_all_hosts_restart() {
     let rank_of = |tokens| RequestRank::new(u8::from(tokens > 9_000));
     for hosts in [7, 86] {
-        let most = run_rush_with_restart(hosts, 6.0, rank_of, Some(9_000)).max_in_window();
+        let most = run_disturbed_rush(hosts, 6.0, rank_of, Fault::RestartAt(9_000)).max_in_window();
+        println!("{hosts} hosts: {:.2} of the bound", most / BOUND);
+        assert!(most <= BOUND, "{hosts} hosts: {most} of {BOUND}");
+    }
+}
+
+/// Guards against halves of a fleet that each spend the whole quota while they do not hear each other.
+#[test]
+fn the_bound_holds_in_a_rush_in_which_the_fleet_is_cut_in_two() {
+    let rank_of = |tokens| RequestRank::new(u8::from(tokens > 9_000));
+    for hosts in [16, 40, 86, 195] {
+        let most = run_disturbed_rush(hosts, 6.0, rank_of, Fault::Cut).max_in_window();
         println!("{hosts} hosts: {:.2} of the bound", most / BOUND);
         assert!(most <= BOUND, "{hosts} hosts: {most} of {BOUND}");
     }
