--- a/crates/teaselglade-routing/tests/routing/shares.rs
+++ b/crates/teaselglade-routing/tests/routing/shares.rs
@@ -64,6 +64,8 @@
 #[derive(Debug, Clone)]
 struct Load {
     hosts: usize,
+    /// Aggregators of a large fleet: the first hosts, each of which serves its part of the others.
+    aggregators: usize,
     /// Usual demand by organisation, as a share of the room.
     usual: Vec<f64>,
     /// Demand by organisation in the burst, as a share of the room.
@@ -86,6 +88,7 @@
         let usual: Vec<f64> = sizes.iter().map(|size| 0.7 * size / total).collect();
         Self {
             hosts,
+            aggregators: 1,
             burst: usual.iter().map(|demand| demand * 2.5).collect(),
             priorities: vec![None; usual.len()],
             usual,
@@ -293,7 +296,11 @@
                 self.limiters[sender].rebalance(at(now), &rooms);
                 let report = self.limiters[sender].report(at(now), &format!("edge-{sender}"));
                 self.measure(&report);
-                let receivers = if is_small { 0..self.load.hosts } else { 0..1 };
+                let receivers = if is_small {
+                    0..self.load.hosts
+                } else {
+                    0..self.load.aggregators
+                };
                 for receiver in receivers.filter(|receiver| *receiver != sender) {
                     let mail = self.mail.entry(now + DIGEST_LAG_MS).or_default();
                     mail.push((sender, receiver, report.clone()));
@@ -301,10 +308,14 @@
             }
         }
         if !is_small && now.is_multiple_of(AGGREGATE_MS) {
-            let sum = self.limiters[0].fleet_report(at(now));
-            self.measure(&sum);
-            let mail = self.mail.entry(now + AGGREGATE_LAG_MS).or_default();
-            mail.extend((1..self.load.hosts).map(|receiver| (0, receiver, sum.clone())));
+            for sender in 0..self.load.aggregators {
+                let sum = self.limiters[sender].fleet_report(at(now));
+                self.measure(&sum);
+                let mail = self.mail.entry(now + AGGREGATE_LAG_MS).or_default();
+                let others = self.load.aggregators..self.load.hosts;
+                let served = others.filter(|host| host % self.load.aggregators == sender);
+                mail.extend(served.map(|receiver| (sender, receiver, sum.clone())));
+            }
         }
         for (sender, receiver, report) in self.mail.remove(&now).unwrap_or_default() {
             if self.is_delivered(now, sender, receiver) {
@@ -553,7 +564,13 @@
 
 #[test]
 fn callers_that_repeat_at_once_in_a_large_fleet_cost_none_within_its_share() {
-    check_targets(&repeating(24), 1.0);
+    for seed in 1..9 {
+        let load = Load {
+            seed,
+            ..repeating(24)
+        };
+        check_targets(&load, 1.0);
+    }
 }
 
 #[test]
@@ -591,8 +608,13 @@
 
 #[test]
 fn hosts_that_restart_in_a_burst_refuse_none_within_its_share() {
-    for hosts in [7, 24] {
-        check_targets(&restarting(hosts), 1.0);
+    let cases = (1..9).flat_map(|seed| [7, 24].map(|hosts| (hosts, seed)));
+    for (hosts, seed) in cases {
+        let load = Load {
+            seed,
+            ..restarting(hosts)
+        };
+        check_targets(&load, 1.0);
     }
 }
 
@@ -609,6 +631,40 @@
     assert!(outcome.utilisation() >= 0.9, "{}", outcome.utilisation());
 }
 
+#[test]
+fn shares_settle_alike_under_three_aggregators() {
+    for hosts in [24, 86] {
+        for make in [Load::skewed, restarting, repeating] {
+            let load = Load {
+                aggregators: 3,
+                ..make(hosts)
+            };
+            let outcome = check_targets(&load, 1.0);
+            assert!(
+                outcome.max_passed() <= MAX_PASSED,
+                "{}",
+                outcome.max_passed()
+            );
+        }
+    }
+}
+
+#[test]
+fn hosts_served_by_other_aggregators_bound_the_sum_while_one_is_frozen() {
+    let load = Load {
+        aggregators: 3,
+        fault: Fault::AggregatorFrozen,
+        ..Load::skewed(24)
+    };
+    let outcome = ShareFleet::new(&load).run();
+    assert!(
+        outcome.max_passed() <= MAX_PASSED,
+        "{}",
+        outcome.max_passed()
+    );
+    assert!(outcome.utilisation() >= 0.95, "{}", outcome.utilisation());
+}
+
 #[test]
 fn both_sides_of_a_cut_keep_to_their_part() {
     let mut load = Load::skewed(7);
@@ -803,6 +859,57 @@
     assert_eq!(estimate.scarce_room(), Some(200.0));
 }
 
+/// Guards against a room that counts what servers accepted into their queues before they were full.
+#[test]
+fn an_estimate_leaves_out_the_work_that_filled_queues() {
+    let mut estimate = RoomEstimate::default();
+    // Servers accept 300 a second for 0.6 s; then they are full and accept the 200 that they do.
+    let mut used = 200.0;
+    for step in 0..10 {
+        let is_full = step >= 3;
+        let target = if is_full { 200.0 } else { 300.0 };
+        let sample = RoomSample {
+            asked: 400.0,
+            used,
+            late: if is_full { 200.0 } else { 0.0 },
+            servers: 4.0,
+            least_per_server: 10.0,
+        };
+        estimate.update(at(step * 200), &sample);
+        let room = estimate.scarce_room().unwrap_or(200.0);
+        assert!((195.0..=205.0).contains(&room), "room {room} at {step}");
+        used = target + (used - target) * f64::exp(-0.4);
+    }
+    assert!(estimate.scarce_room().is_some());
+}
+
+/// Guards against a room that falls with the work asked for, while past refusals still show in the sums.
+#[test]
+fn an_estimate_keeps_its_room_once_servers_refuse_no_more() {
+    let full = RoomSample {
+        asked: 300.0,
+        used: 200.0,
+        late: 100.0,
+        servers: 4.0,
+        least_per_server: 10.0,
+    };
+    let mut estimate = RoomEstimate::default();
+    (0..10).for_each(|step| estimate.update(at(step * 200), &full));
+    assert_eq!(estimate.scarce_room(), Some(200.0));
+    // Nothing is refused for lateness any more; the smoothed rate of it falls with its time constant.
+    for step in 1..6 {
+        let late = full.late * (-0.4 * step as f64).exp();
+        let calm = RoomSample {
+            used: 160.0,
+            late,
+            ..full
+        };
+        estimate.update(at(1_800 + step * 200), &calm);
+    }
+    let room = estimate.scarce_room().unwrap();
+    assert!(room >= 200.0, "room {room}");
+}
+
 #[test]
 fn max_min_shares_never_exceed_room_or_demand() {
     let demands: HashMap<u32, f64> = (0..8)
