--- a/crates/teaselglade-host/src/peer/gossip_transport.rs
+++ b/crates/teaselglade-host/src/peer/gossip_transport.rs
@@ -5,8 +5,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use teaselglade_routing::engine::{EngineLoad, ToldLoads};
 use teaselglade_routing::gossip::{
-    AggregateDigest, CandidateHost, HostDigest, PeerMessage, ServiceDemand,
+    AggregateDigest, CandidateHost, HostDigest, PeerMessage, ServerNews, ServiceDemand,
 };
 use teaselglade_routing::limit::{LimitReport, PermitAnswer, PermitMessage};
 use teaselglade_routing::registry::UpdateScope;
@@ -29,6 +30,10 @@
 ///
 /// Aggregate digests that are sent in one burst would find a full link.
 const PACING_FRACTION: f64 = 0.8;
+/// Most parts of news beside which an aggregator tells loads in turn.
+///
+/// While hundreds of servers leave, their departures take the place of the loads on its link.
+const LOADS_BESIDE_PARTS: usize = 4;
 /// Maximum size of a received digest; longer datagrams are truncated.
 const MAX_DIGEST_BYTES: usize = 60 * 1024;
 
@@ -51,6 +56,8 @@
 #[derive(Debug)]
 struct AggregateRound {
     bytes: Vec<u8>,
+    /// Loads of engines, if the aggregate has no room for them.
+    loads: Option<Vec<u8>>,
     /// Sum of the demand for services, which is sent beside the digest.
     shares: Option<Vec<u8>>,
     /// Speeds of servers, sent beside the aggregate.
@@ -88,6 +95,7 @@
             newer_tables,
             sequence: 0,
             round: AggregateRound {
+                loads: None,
                 shares: None,
                 bytes: Vec::new(),
                 speeds: None,
@@ -127,7 +135,11 @@
     }
 
     async fn send_digest(&mut self) {
-        let (digest, limits, targets) = self.build_digest();
+        let (digest, news, limits, targets) = self.build_digest();
+        let news: Vec<Vec<u8>> = news
+            .into_iter()
+            .map(|part| encode(&PeerMessage::News(part)))
+            .collect();
         let rollouts = {
             let (host, now) = (&self.host, self.host.now());
             let decisions = host.lock_decisions();
@@ -143,6 +155,9 @@
         let speeds = self.host.lock_decisions().speed_message(self.sequence);
         let speeds = speeds.map(|speeds| encode(&speeds));
         for target in targets {
+            for part in &news {
+                self.send_to(part, target).await;
+            }
             self.send_to(&bytes, target).await;
             let beside = limits.iter().chain(&rollouts).chain(&shares).chain(&speeds);
             for message in beside {
@@ -166,10 +181,12 @@
         let shares = (!shares.is_empty()).then(|| encode(&PeerMessage::Shares(shares)));
         let number = self.sequence / DIGESTS_PER_AGGREGATE;
         let speeds = self.host.lock_decisions().speed_aggregate(number);
+        let (aggregate, loads) = self.build_aggregate();
         self.round = AggregateRound {
+            loads: loads.map(|loads| encode(&PeerMessage::Loads(loads))),
             shares,
             speeds: speeds.map(|speeds| encode(&speeds)),
-            bytes: encode(&PeerMessage::Aggregate(Box::new(self.build_aggregate()))),
+            bytes: encode(&PeerMessage::Aggregate(Box::new(aggregate))),
             send_interval: send_window / served.len() as u32,
             remaining: served,
             next_send_at: Instant::now(),
@@ -181,7 +198,21 @@
             return;
         };
         self.round.next_send_at += self.round.send_interval;
+        // Departures go first, and as they are known now: a full link drops what comes later.
+        let news = {
+            let now = self.host.now();
+            let number = self.sequence / DIGESTS_PER_AGGREGATE;
+            self.host.lock_decisions().aggregate_parts(now, number)
+        };
+        let has_room = news.len() <= LOADS_BESIDE_PARTS;
+        for part in news {
+            let bytes = encode(&PeerMessage::News(part));
+            self.send_to(&bytes, target).await;
+        }
         self.send_to(&self.round.bytes, target).await;
+        if let Some(loads) = self.round.loads.as_ref().filter(|_| has_room) {
+            self.send_to(loads, target).await;
+        }
         if let Some(speeds) = &self.round.speeds {
             self.send_to(speeds, target).await;
         }
@@ -226,10 +257,11 @@
         sent_bytes.inc_by(bytes.len() as u64);
     }
 
-    /// Returns the next digest of this host, what it knows of limited servers, and their targets.
+    /// Returns the next digest of this host, news of servers to send before it, what the host knows
+    /// of limited servers, and their targets.
     ///
     /// Expires silent peers before.
-    fn build_digest(&mut self) -> (HostDigest, LimitReport, Vec<SocketAddr>) {
+    fn build_digest(&mut self) -> (HostDigest, Vec<ServerNews>, LimitReport, Vec<SocketAddr>) {
         self.sequence += 1;
         let host = &self.host;
         let (now, wall_time) = (host.now(), HostState::wall_time());
@@ -261,13 +293,13 @@
         });
         let demand = demand.collect();
         let scope = decisions.update_scope(now);
-        let digest_number = decisions.membership.is_large().then_some(self.sequence);
+        let (news, parts) = decisions.host_news(now, self.sequence);
         let last_aggregate_at = decisions.quotas.last_aggregate_at();
         let aggregator = decisions
             .membership
             .choose_aggregator(now, last_aggregate_at);
-        let includes_peers =
-            digest_number.is_none_or(|number| number.is_multiple_of(DIGESTS_PER_PEER_SAMPLE));
+        let includes_peers = !decisions.membership.is_large()
+            || self.sequence.is_multiple_of(DIGESTS_PER_PEER_SAMPLE);
         let peers = if includes_peers {
             decisions.membership.sample_peers()
         } else {
@@ -281,8 +313,8 @@
             table_version: active_version,
             store_reachable: decisions.store_reachable(),
             is_leader,
-            update_age_ms: decisions.shared_update_age(now).as_millis() as u64,
-            updates: decisions.registry.updates(now, scope),
+            update_age_ms: news.update_age_ms,
+            updates: news.updates,
             spend: decisions.quotas.report(now),
             loads: decisions.engine_placer.own_loads(&decisions.registry),
             cached_parts: decisions.engine_placer.recent_parts(now),
@@ -293,18 +325,20 @@
             } else {
                 Vec::new()
             },
-            departures: decisions.registry.departures(now, scope, digest_number),
+            departures: news.departures,
             requested_aggregator: aggregator,
             peers,
             zone: host.settings.zone.clone(),
             crash_evidence: decisions.crash_ledger.evidence(now, scope),
         };
         let targets = decisions.membership.gossip_targets(now);
-        (digest, limits, targets)
+        (digest, parts, limits, targets)
     }
 
     /// Returns the sum of the digests that this aggregator received, for its served hosts.
-    fn build_aggregate(&self) -> AggregateDigest {
+    ///
+    /// Loads for which it has no room come apart.
+    fn build_aggregate(&self) -> (AggregateDigest, Option<Vec<EngineLoad>>) {
         let host = &self.host;
         let now = host.now();
         let active_version = host.table_version();
@@ -319,23 +353,27 @@
             is_leader: decisions.membership.is_leader(),
             zone: host.settings.zone.clone(),
         };
-        let aggregate_number = Some(self.sequence / DIGESTS_PER_AGGREGATE);
-        AggregateDigest {
+        let number = self.sequence / DIGESTS_PER_AGGREGATE;
+        let news = decisions.aggregate_news(now, number);
+        let (loads, turn) = match decisions.engine_placer.tell_loads(&decisions.registry) {
+            ToldLoads::All(loads) => (loads, None),
+            ToldLoads::Some(loads) => (Vec::new(), Some(loads)),
+        };
+        let aggregate = AggregateDigest {
             candidates: decisions.membership.candidates(now, own),
             table_version: active_version,
             sender,
             seen_share: decisions.membership.seen_share(now),
-            update_age_ms: decisions.update_age(now).as_millis() as u64,
-            updates: decisions.registry.updates(now, UpdateScope::All),
-            departures: decisions
-                .registry
-                .departures(now, UpdateScope::All, aggregate_number),
-            loads: decisions.engine_placer.total_loads(&decisions.registry),
+            update_age_ms: news.update_age_ms,
+            updates: news.updates,
+            departures: news.departures,
+            loads,
             cached_parts: decisions
                 .engine_placer
                 .take_unsent_parts(now, &decisions.registry),
             spend: decisions.quotas.fleet_spend(now),
-        }
+        };
+        (aggregate, turn)
     }
 
     /// Applies a received message; returns the reply to its sender, if any.
@@ -386,6 +424,11 @@
                 let mut decisions = self.host.lock_decisions();
                 decisions.merge_speeds(&engines, &plain);
             }
+            PeerMessage::News(news) => {
+                let now = self.host.now();
+                self.host.lock_decisions().merge_news(now, news);
+            }
+            PeerMessage::Loads(loads) => self.apply_load_turn(&loads),
             PeerMessage::Permit(message) => return self.apply_permit_message(message, sender),
         }
         None
@@ -425,6 +468,18 @@
         }
     }
 
+    fn apply_load_turn(&self, loads: &[EngineLoad]) {
+        let now = self.host.now();
+        let mut guard = self.host.lock_decisions();
+        let decisions = &mut *guard;
+        // An aggregator receives the digests of all hosts itself.
+        if !decisions.membership.is_aggregator(now) {
+            decisions
+                .engine_placer
+                .apply_load_turn(now, &decisions.registry, loads);
+        }
+    }
+
     fn apply_aggregate_digest(&self, digest: AggregateDigest) {
         let host = &self.host;
         let now = host.now();
--- a/crates/teaselglade-host/src/state/decision_state.rs
+++ b/crates/teaselglade-host/src/state/decision_state.rs
@@ -24,6 +24,7 @@
 use teaselglade_routing::usage::UsageLedger;
 use teaselglade_routing::zone::ZoneDirector;
 
+use super::news_state::NewsRound;
 use super::peer_demand::PeerDemand;
 use crate::settings::HostSettings;
 
@@ -36,7 +37,7 @@
 /// Longest time over which requests come back after a server's rest.
 const MAX_RETURN_SPREAD: Duration = Duration::from_secs(1);
 /// Age of registration data in digests that prove nothing of it; a year, in effect.
-const UNKNOWN_AGE: Duration = Duration::from_hours(365 * 24);
+pub(super) const UNKNOWN_AGE: Duration = Duration::from_hours(365 * 24);
 /// Age at which a peer's reported demand expires.
 const DEMAND_TTL: Duration = Duration::from_secs(3);
 
@@ -80,6 +81,10 @@
     /// Servers whose advice could not be read.
     unreadable_servers: HashSet<ServerKey>,
     pub(super) own_name: String,
+    /// Number of the last round of news.
+    pub(super) news_round: u64,
+    /// Rounds of peers' news of which parts arrived, by sender.
+    pub(super) heard_rounds: HashMap<String, NewsRound>,
     retry_budgets: HashMap<String, RetryBudget>,
     peer_demand: HashMap<String, PeerDemand>,
     seed: u64,
@@ -115,6 +120,9 @@
             is_outage_shared: false,
             unreadable_servers: HashSet::new(),
             own_name: settings.name.clone(),
+            // Another incarnation of the host begins elsewhere.
+            news_round: seed,
+            heard_rounds: HashMap::new(),
             retry_budgets: HashMap::new(),
             peer_demand: HashMap::new(),
             seed,
--- a/crates/teaselglade-host/tests/host/fleet_model.rs
+++ b/crates/teaselglade-host/tests/host/fleet_model.rs
@@ -8,7 +8,10 @@
 use teaselglade_host::settings::{DutySettings, HostSettings, ListenAddresses, LogSettings};
 use teaselglade_host::state::DecisionState;
 use teaselglade_routing::crash::SubjectEvidence;
-use teaselglade_routing::gossip::{AggregateDigest, CandidateHost, HostDigest, PeerAddress};
+use teaselglade_routing::engine::{EngineLoad, ToldLoads};
+use teaselglade_routing::gossip::{
+    AggregateDigest, CandidateHost, HostDigest, PeerAddress, PeerMessage, ServerNews,
+};
 use teaselglade_routing::limit::LimitReport;
 use teaselglade_routing::registry::UpdateScope;
 use teaselglade_routing::rollout::{RolloutBounds, RolloutReport};
@@ -35,6 +38,24 @@
     Parts(Vec<SubjectEvidence>),
     Limits(LimitReport),
     Rollouts(RolloutReport),
+    News(ServerNews),
+    Loads(Vec<EngineLoad>),
+}
+
+impl ModelDigest {
+    /// Returns the size of the datagram that carries it.
+    pub fn encoded_len(&self) -> usize {
+        let message = match self.clone() {
+            Self::Host(digest) => PeerMessage::Host(digest),
+            Self::Aggregate(digest) => PeerMessage::Aggregate(digest),
+            Self::Parts(evidence) => PeerMessage::Crashes(evidence),
+            Self::Limits(report) => PeerMessage::Limits(report),
+            Self::Rollouts(report) => PeerMessage::Rollouts(report),
+            Self::News(news) => PeerMessage::News(news),
+            Self::Loads(loads) => PeerMessage::Loads(loads),
+        };
+        rmp_serde::to_vec(&message).expect("a message").len()
+    }
 }
 
 /// Digest with the number of its receiver and its time of arrival, in milliseconds.
@@ -50,6 +71,8 @@
 pub struct ModelHost {
     pub decisions: DecisionState,
     pub zone: &'static str,
+    /// Loads that the host reports beside those of its decisions.
+    pub placed_loads: Vec<EngineLoad>,
     number: usize,
     started_at_us: u64,
     sequence: u64,
@@ -62,6 +85,7 @@
         Self {
             decisions,
             zone: ZONES[number % ZONES.len()],
+            placed_loads: Vec::new(),
             number,
             started_at_us: 1,
             sequence: 1,
@@ -82,7 +106,7 @@
         if !(now + offset).is_multiple_of(DIGEST_MS) {
             return Vec::new();
         }
-        let (digest, targets) = self.digest(now);
+        let (digest, news, targets) = self.parted_digest(now);
         let limits = self
             .decisions
             .limit_report(at(now), self.started_at_us, self.sequence);
@@ -99,6 +123,9 @@
                     digest,
                 });
             };
+            for part in &news {
+                post(ModelDigest::News(part.clone()));
+            }
             post(ModelDigest::Host(Box::new(digest.clone())));
             if !limits.is_empty() {
                 post(ModelDigest::Limits(limits.clone()));
@@ -110,7 +137,10 @@
         let is_aggregator = self.decisions.membership.is_aggregator(at(now));
         if is_aggregator && (now + offset).is_multiple_of(AGGREGATE_MS) {
             let served = self.decisions.membership.served_peers(at(now));
-            let aggregate = self.aggregate(now);
+            let (aggregate, loads) = self.aggregate(now);
+            let number = self.sequence / 2;
+            // The model sends what the aggregator knows now.
+            let news = self.decisions.aggregate_parts(at(now), number);
             let count = served.len() as u64;
             for (number, target) in (0..).zip(served) {
                 let sent_at = now + AGGREGATE_SPREAD_MS * number / count;
@@ -121,7 +151,13 @@
                         digest,
                     });
                 };
+                for part in &news {
+                    post(ModelDigest::News(part.clone()));
+                }
                 post(ModelDigest::Aggregate(Box::new(aggregate.clone())));
+                if let Some(loads) = loads.as_ref().filter(|_| news.len() <= 4) {
+                    post(ModelDigest::Loads(loads.clone()));
+                }
                 // The model sends what the aggregator knows now, with the ages of the time of sending.
                 let ledger = &self.decisions.crash_ledger;
                 let evidence = ledger.evidence(at(now), UpdateScope::All);
@@ -147,6 +183,12 @@
 
     /// Builds the host's digest as the transport does, with its targets.
     pub fn digest(&mut self, now: u64) -> (HostDigest, Vec<SocketAddr>) {
+        let (digest, _, targets) = self.parted_digest(now);
+        (digest, targets)
+    }
+
+    /// Builds the host's digest, and the news to send before it.
+    fn parted_digest(&mut self, now: u64) -> (HostDigest, Vec<ServerNews>, Vec<SocketAddr>) {
         let time = at(now);
         self.sequence += 1;
         let decisions = &mut self.decisions;
@@ -156,7 +198,7 @@
         decisions.crash_ledger.prune(time);
         decisions.prune_limits(time);
         let scope = decisions.update_scope(time);
-        let number = decisions.membership.is_large().then_some(self.sequence);
+        let (news, parts) = decisions.host_news(time, self.sequence);
         let last_aggregate_at = decisions.quotas.last_aggregate_at();
         let requested_aggregator = decisions
             .membership
@@ -168,24 +210,27 @@
             table_version: 1,
             store_reachable: decisions.store_reachable(),
             is_leader: false,
-            update_age_ms: decisions.shared_update_age(time).as_millis() as u64,
-            updates: decisions.registry.updates(time, scope),
+            update_age_ms: news.update_age_ms,
+            updates: news.updates,
             spend: HashMap::default(),
-            loads: decisions.engine_placer.own_loads(&decisions.registry),
+            loads: {
+                let own = decisions.engine_placer.own_loads(&decisions.registry);
+                own.into_iter().chain(self.placed_loads.clone()).collect()
+            },
             cached_parts: Vec::new(),
             demand: Vec::new(),
             usage: Vec::new(),
             decided_reports: Vec::new(),
-            departures: decisions.registry.departures(time, scope, number),
+            departures: news.departures,
             requested_aggregator,
             peers: Vec::new(),
             zone: self.zone.to_owned(),
             crash_evidence: decisions.crash_ledger.evidence(time, scope),
         };
-        (digest, decisions.membership.gossip_targets(time))
+        (digest, parts, decisions.membership.gossip_targets(time))
     }
 
-    fn aggregate(&mut self, now: u64) -> AggregateDigest {
+    fn aggregate(&mut self, now: u64) -> (AggregateDigest, Option<Vec<EngineLoad>>) {
         let time = at(now);
         let decisions = &mut self.decisions;
         let own = CandidateHost {
@@ -196,21 +241,24 @@
             is_leader: false,
             zone: self.zone.to_owned(),
         };
-        let number = Some(self.sequence / 2);
-        AggregateDigest {
+        let news = decisions.aggregate_news(time, self.sequence / 2);
+        let (loads, turn) = match decisions.engine_placer.tell_loads(&decisions.registry) {
+            ToldLoads::All(loads) => (loads, None),
+            ToldLoads::Some(loads) => (Vec::new(), Some(loads)),
+        };
+        let aggregate = AggregateDigest {
             sender: own.host.clone(),
             candidates: decisions.membership.candidates(time, own),
             table_version: 1,
             seen_share: decisions.membership.seen_share(time),
-            update_age_ms: decisions.update_age(time).as_millis() as u64,
-            updates: decisions.registry.updates(time, UpdateScope::All),
-            departures: decisions
-                .registry
-                .departures(time, UpdateScope::All, number),
-            loads: decisions.engine_placer.total_loads(&decisions.registry),
+            update_age_ms: news.update_age_ms,
+            updates: news.updates,
+            departures: news.departures,
+            loads,
             cached_parts: Vec::new(),
             spend: HashMap::default(),
-        }
+        };
+        (aggregate, turn)
     }
 
     /// Applies a digest as the transport does.
@@ -238,6 +286,14 @@
                 decisions.merge_limits(time, &report);
             }
             ModelDigest::Rollouts(report) => decisions.merge_rollouts(time, report),
+            ModelDigest::News(news) => decisions.merge_news(time, news),
+            ModelDigest::Loads(loads) => {
+                if !decisions.membership.is_aggregator(time) {
+                    let registry = &decisions.registry;
+                    let placer = &mut decisions.engine_placer;
+                    placer.apply_load_turn(time, registry, &loads);
+                }
+            }
             ModelDigest::Aggregate(digest) => {
                 for candidate in &digest.candidates {
                     decisions.membership.record_candidate(time, candidate);
--- a/crates/teaselglade-host/tests/host/main.rs
+++ b/crates/teaselglade-host/tests/host/main.rs
@@ -2,6 +2,7 @@
 
 mod fleet_model;
 mod journal;
+mod large_news;
 mod late_responses;
 mod lease_timings;
 mod news_spread;
--- a/crates/teaselglade-routing/src/engine/engine_loads.rs
+++ b/crates/teaselglade-routing/src/engine/engine_loads.rs
@@ -7,10 +7,16 @@
 use teaselglade_core::time::Timestamp;
 
 use super::EngineLoad;
+use super::load_turns::{LoadTurns, ToldLoads};
 use crate::registry::ServerRegistry;
 
 /// Age from which loads from peers and aggregators are ignored.
 const LOAD_TTL: Duration = Duration::from_millis(1_500);
+/// Age from which a load that an aggregator tells in turn is ignored.
+///
+/// All of four thousand engines have their turn in this time, an engine that became idle is told
+/// as such at once.
+const TURN_TTL: Duration = Duration::from_secs(8);
 
 /// Load on one engine, from one host or from several together.
 #[derive(Debug, Clone, Copy, Default)]
@@ -45,6 +51,12 @@
     others: HashMap<u64, LoadSum>,
     /// Time at which the last aggregate of all hosts' loads was received.
     aggregate_at: Option<Timestamp>,
+    /// Times at which loads were received that an aggregator tells in turn.
+    told_at: HashMap<u64, Timestamp>,
+    /// Time of the last of them.
+    turn_at: Option<Timestamp>,
+    /// What this host tells if it is an aggregator.
+    turns: LoadTurns,
 }
 
 impl EngineLoads {
@@ -104,7 +116,41 @@
         loads: &[EngineLoad],
     ) {
         self.aggregate_at = Some(now);
+        let is_told_in_turn = self.turn_at.is_some_and(|at| now.since(at) < LOAD_TTL);
+        if loads.is_empty() && is_told_in_turn {
+            let told_at = &self.told_at;
+            self.others.retain(|server, _| {
+                let told_at = told_at.get(server);
+                told_at.is_some_and(|at| now.since(*at) < TURN_TTL)
+            });
+            return;
+        }
         self.others.clear();
+        self.told_at.clear();
+        self.set_others(registry, loads);
+    }
+
+    /// Replaces the loads of other hosts on some engines, like [`EngineLoads::apply_aggregate`].
+    pub(super) fn apply_turn(
+        &mut self,
+        now: Timestamp,
+        registry: &ServerRegistry,
+        loads: &[EngineLoad],
+    ) {
+        self.turn_at = Some(now);
+        self.told_at.retain(|_, at| now.since(*at) < TURN_TTL);
+        self.told_at
+            .extend(loads.iter().map(|load| (load.server, now)));
+        self.set_others(registry, loads);
+    }
+
+    /// Returns what the next aggregate tells of the loads of all hosts together.
+    pub(super) fn tell(&mut self, registry: &ServerRegistry) -> ToldLoads {
+        let loads = self.total(registry);
+        self.turns.choose(loads)
+    }
+
+    fn set_others(&mut self, registry: &ServerRegistry, loads: &[EngineLoad]) {
         for load in loads {
             let own = registry
                 .find_by_hash(load.server)
--- a/crates/teaselglade-routing/src/engine/engine_placer.rs
+++ b/crates/teaselglade-routing/src/engine/engine_placer.rs
@@ -10,6 +10,7 @@
 use teaselglade_core::verdict::{RefusalReason, RequestRefusal};
 use teaselglade_placement::limit::DemandMeter;
 
+use super::ToldLoads;
 use super::engine_candidate::{EngineCandidate, preference, weighted_preference};
 use super::engine_choice::choose_engine;
 use super::engine_loads::EngineLoads;
@@ -356,6 +357,21 @@
         self.loads.apply_aggregate(now, registry, loads);
     }
 
+    /// Replaces the loads of other hosts on engines that an aggregator tells in turn.
+    pub fn apply_load_turn(
+        &mut self,
+        now: Timestamp,
+        registry: &ServerRegistry,
+        loads: &[EngineLoad],
+    ) {
+        self.loads.apply_turn(now, registry, loads);
+    }
+
+    /// Returns what the next aggregate tells of the loads of all hosts together.
+    pub fn tell_loads(&mut self, registry: &ServerRegistry) -> ToldLoads {
+        self.loads.tell(registry)
+    }
+
     /// Stops using the last aggregate. This host now aggregates the digests of peers itself.
     pub const fn stop_applying_aggregate(&mut self) {
         self.loads.stop_applying_aggregate();
--- a/crates/teaselglade-routing/src/gossip/aggregate_digest.rs
+++ b/crates/teaselglade-routing/src/gossip/aggregate_digest.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::{HostDigest, PeerAddress};
+use super::{HostDigest, PeerAddress, ServerNews};
 use crate::crash::SubjectEvidence;
 use crate::engine::{CachedPart, EngineLoad};
 use crate::limit::{LimitReport, PermitMessage};
@@ -63,7 +63,7 @@
     pub updates: Vec<ServerRegistration>,
     /// Recent server departures.
     pub departures: Vec<ServerDeparture>,
-    /// Load that all hosts together placed on each engine.
+    /// Load that all hosts together placed on each engine; empty if there are too many.
     pub loads: Vec<EngineLoad>,
     /// Prompt prefix parts cached on engines that the receivers may not know of yet.
     #[serde(rename = "placed")]
@@ -103,4 +103,8 @@
         /// Speeds of servers of plain calls.
         plain: SpeedReport,
     },
+    /// Changes of servers, sent before a digest that has no room for them.
+    News(ServerNews),
+    /// Loads of some engines, sent by an aggregator whose digest has no room for those of all.
+    Loads(Vec<EngineLoad>),
 }
--- a/crates/teaselglade-routing/src/gossip/mod.rs
+++ b/crates/teaselglade-routing/src/gossip/mod.rs
@@ -4,6 +4,7 @@
 mod fetch_planner;
 mod host_digest;
 mod peer_membership;
+mod server_news;
 mod transfer_limiter;
 mod zone_order;
 
@@ -11,6 +12,7 @@
 pub use fetch_planner::FetchPlanner;
 pub use host_digest::{HostDigest, PeerAddress, ServiceDemand};
 pub use peer_membership::PeerMembership;
+pub use server_news::{NewsTurn, ServerNews};
 pub use teaselglade_placement::subset::rendezvous_weight;
 pub use transfer_limiter::TransferLimiter;
 
--- a/crates/teaselglade-routing/src/registry/mod.rs
+++ b/crates/teaselglade-routing/src/registry/mod.rs
@@ -18,3 +18,4 @@
 pub use server_registration::{RegistrationState, ServerRegistration};
 pub use server_registry::{ServerRegistry, UpdateScope};
 pub use store_position::StorePosition;
+pub(crate) use store_position::encoded_len;
--- a/crates/teaselglade-routing/src/registry/server_registry.rs
+++ b/crates/teaselglade-routing/src/registry/server_registry.rs
@@ -25,8 +25,9 @@
 /// Number of digests of which one names a departure that is no longer recent.
 ///
 /// Every digest names the recent departures. Older ones are repeated for hosts that were
-/// partitioned, which receive several digests.
-const DEPARTURE_REPEAT_DIGESTS: u64 = 5;
+/// partitioned, or whose aggregator's link was full; every third aggregate names them again within
+/// the time in which a departure has to be known.
+const DEPARTURE_REPEAT_DIGESTS: u64 = 3;
 
 /// Scope of the server updates that a message carries.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -414,6 +415,8 @@
         let servers = self.by_id.values().map(|key| self.server(*key));
         let in_scope = servers.filter(|server| server.is_in_scope(scope));
         let changed = in_scope.filter(|server| now.since(server.changed_at) < UPDATE_GOSSIP_TTL);
+        // A departure says what a draining registration says, in a third of the bytes.
+        let changed = changed.filter(|server| server.leaving_since.is_none());
         changed.map(|server| server.registration.clone()).collect()
     }
 
--- a/crates/teaselglade-routing/src/registry/store_position.rs
+++ b/crates/teaselglade-routing/src/registry/store_position.rs
@@ -27,6 +27,11 @@
 }
 
 impl StorePosition {
+    /// Returns the number of bytes of the position in a message between hosts.
+    pub(crate) fn encoded_len(self) -> usize {
+        1 + encoded_len(self.era) + encoded_len(self.end)
+    }
+
     /// Returns the position of the record at an offset of one era of the store.
     ///
     /// # Examples
@@ -76,3 +81,14 @@
         self.end > other.end
     }
 }
+
+/// Returns the number of bytes of a number in a message between hosts.
+pub(crate) const fn encoded_len(number: u64) -> usize {
+    match number {
+        0..=0x7f => 1,
+        0x80..=0xff => 2,
+        0x100..=0xffff => 3,
+        0x1_0000..=0xffff_ffff => 5,
+        _ => 9,
+    }
+}
