--- a/crates/teaselglade-routing/src/registry/server_registry.rs
+++ b/crates/teaselglade-routing/src/registry/server_registry.rs
@@ -25,9 +25,8 @@
 /// Number of digests of which one names a departure that is no longer recent.
 ///
 /// Every digest names the recent departures. Older ones are repeated for hosts that were
-/// partitioned, or whose aggregator's link was full; every third aggregate names them again within
-/// the time in which a departure has to be known.
-const DEPARTURE_REPEAT_DIGESTS: u64 = 3;
+/// partitioned, which receive several digests.
+const DEPARTURE_REPEAT_DIGESTS: u64 = 5;
 
 /// Scope of the server updates that a message carries.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
