--- a/crates/teaselglade-host/src/peer/gossip_transport.rs
+++ b/crates/teaselglade-host/src/peer/gossip_transport.rs
@@ -30,6 +30,8 @@
 ///
 /// Aggregate digests that are sent in one burst would find a full link.
 const PACING_FRACTION: f64 = 0.8;
+/// Age from which an aggregator builds its news of servers anew while it sends an aggregate.
+const NEWS_INTERVAL: Duration = Duration::from_millis(100);
 /// Most parts of news beside which an aggregator tells loads in turn.
 ///
 /// While hundreds of servers leave, their departures take the place of the loads on its link.
@@ -56,6 +58,9 @@
 #[derive(Debug)]
 struct AggregateRound {
     bytes: Vec<u8>,
+    /// News of servers, sent before the aggregate, and the time at which it was built.
+    news: Vec<Vec<u8>>,
+    news_at: Instant,
     /// Loads of engines, if the aggregate has no room for them.
     loads: Option<Vec<u8>>,
     /// Sum of the demand for services, which is sent beside the digest.
@@ -95,6 +100,8 @@
             newer_tables,
             sequence: 0,
             round: AggregateRound {
+                news: Vec::new(),
+                news_at: Instant::now(),
                 loads: None,
                 shares: None,
                 bytes: Vec::new(),
@@ -183,6 +190,8 @@
         let speeds = self.host.lock_decisions().speed_aggregate(number);
         let (aggregate, loads) = self.build_aggregate();
         self.round = AggregateRound {
+            news: self.build_news(),
+            news_at: Instant::now(),
             loads: loads.map(|loads| encode(&PeerMessage::Loads(loads))),
             shares,
             speeds: speeds.map(|speeds| encode(&speeds)),
@@ -193,22 +202,29 @@
         };
     }
 
+    /// Returns the news of servers that this aggregator tells the hosts that it serves now.
+    fn build_news(&self) -> Vec<Vec<u8>> {
+        let now = self.host.now();
+        let number = self.sequence / DIGESTS_PER_AGGREGATE;
+        let parts = self.host.lock_decisions().aggregate_parts(now, number);
+        let parts = parts.into_iter();
+        parts.map(|part| encode(&PeerMessage::News(part))).collect()
+    }
+
     async fn send_next_aggregate(&mut self) {
         let Some(target) = self.round.remaining.pop() else {
             return;
         };
         self.round.next_send_at += self.round.send_interval;
-        // Departures go first, and as they are known now: a full link drops what comes later.
-        let news = {
-            let now = self.host.now();
-            let number = self.sequence / DIGESTS_PER_AGGREGATE;
-            self.host.lock_decisions().aggregate_parts(now, number)
-        };
-        let has_room = news.len() <= LOADS_BESIDE_PARTS;
-        for part in news {
-            let bytes = encode(&PeerMessage::News(part));
-            self.send_to(&bytes, target).await;
+        if self.round.news_at.elapsed() >= NEWS_INTERVAL {
+            self.round.news = self.build_news();
+            self.round.news_at = Instant::now();
+        }
+        // Departures go first: a full link drops what comes later.
+        for part in &self.round.news {
+            self.send_to(part, target).await;
         }
+        let has_room = self.round.news.len() <= LOADS_BESIDE_PARTS;
         self.send_to(&self.round.bytes, target).await;
         if let Some(loads) = self.round.loads.as_ref().filter(|_| has_room) {
             self.send_to(loads, target).await;
--- a/crates/teaselglade-routing/tests/routing/main.rs
+++ b/crates/teaselglade-routing/tests/routing/main.rs
@@ -6,6 +6,7 @@
 mod engines;
 mod events;
 mod fixture;
+mod large_news;
 mod limits;
 mod membership;
 mod moves;
