fix(net): a call to a slow plain server waits as long as its caller does

Cause: the backend client gave every plain call five seconds, so that a caller that waits for 30 s got "may have run" from a server that answers after 6 s. The limit was also what detects dead connections.

Change: a call carries the time that its caller has left and waits for that, five seconds at least. After five silent seconds the client drops its pooled connections, as it did with the failure, so that other calls open new ones; the call itself goes on waiting.

--- a/crates/teaselglade-core/src/port/backend_port.rs
+++ b/crates/teaselglade-core/src/port/backend_port.rs
@@ -2,6 +2,7 @@
 
 use std::fmt::{self, Debug};
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use bytes::Bytes;
 use futures::stream::BoxStream;
@@ -99,6 +100,8 @@
     pub body: Bytes,
     /// Idempotency key of a call that must not run twice.
     pub key: Option<String>,
+    /// Time for which its caller waits, if it is longer than a call takes at least.
+    pub time_left: Option<Duration>,
 }
 
 /// Response of a plain server.
--- a/crates/teaselglade-entry/src/caller_api/plain_route.rs
+++ b/crates/teaselglade-entry/src/caller_api/plain_route.rs
@@ -147,6 +147,7 @@
         headers,
         body,
         key,
+        time_left: None,
     })
 }
 
--- a/crates/teaselglade-entry/src/plain/plain_request.rs
+++ b/crates/teaselglade-entry/src/plain/plain_request.rs
@@ -58,14 +58,15 @@
         }
     }
 
-    /// Returns the call for the attempt with the given number.
-    pub(crate) fn attempt(&self, number: u32) -> PlainCall {
+    /// Returns the call for the attempt with the given number, which starts now.
+    pub(crate) fn attempt(&self, now: Timestamp, number: u32) -> PlainCall {
         let attempt = AttemptId {
             number,
             ..self.call.attempt
         };
         PlainCall {
             attempt,
+            time_left: Some(self.deadline.since(now)),
             ..self.call.clone()
         }
     }
--- a/crates/teaselglade-entry/src/plain/plain_task.rs
+++ b/crates/teaselglade-entry/src/plain/plain_task.rs
@@ -55,7 +55,7 @@
     let result = host
         .ports
         .backend
-        .call(server.address, request.attempt(number))
+        .call(server.address, request.attempt(host.now(), number))
         .await;
     host.release_server(server.key);
     if result.is_err() {
--- a/crates/teaselglade-net/src/backend/backend_client.rs
+++ b/crates/teaselglade-net/src/backend/backend_client.rs
@@ -1,6 +1,7 @@
 //! Client of model engines and plain servers.
 
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -19,11 +20,14 @@
     EngineHandle, EngineLoad,
 };
 
+use tokio::time::timeout;
+
 use super::engine_frames::read_events;
 use crate::client::{CallError, HttpClient, HttpRequest, HttpResponse};
 
 const GENERATE_HEAD_TIMEOUT: Duration = Duration::from_secs(2);
-const PLAIN_CALL_TIMEOUT: Duration = Duration::from_secs(5);
+/// Time without a response after which pooled connections are taken for dead.
+const SILENCE_TIMEOUT: Duration = Duration::from_secs(5);
 const NOT_RUN_HEADER: &str = "x-not-run";
 
 /// Client of model engines and plain servers.
@@ -116,10 +120,7 @@
         if let Some(key) = call.key {
             request = request.header("idempotency-key", key);
         }
-        let result = self
-            .client
-            .call(request.head_timeout(PLAIN_CALL_TIMEOUT))
-            .await;
+        let result = self.call_while_awaited(request, call.time_left).await;
         let response = result.map_err(|error| self.handle_plain_failure(error))?;
         if response.header(NOT_RUN_HEADER).is_some() {
             return Err(status_error(true, response.status));
@@ -131,6 +132,26 @@
         })
     }
 
+    /// Sends a call and waits as long as its caller does, and [`SILENCE_TIMEOUT`] at least.
+    ///
+    /// Other calls use no connection of before once this one was silent for that time: it may be
+    /// slow, or its connection may be dead, and others with it.
+    async fn call_while_awaited(
+        &self,
+        request: HttpRequest,
+        time_left: Option<Duration>,
+    ) -> Result<HttpResponse, CallError> {
+        let time_limit = time_left.unwrap_or_default().max(SILENCE_TIMEOUT);
+        let mut answer = pin!(self.client.call(request.head_timeout(time_limit)));
+        if time_limit > SILENCE_TIMEOUT {
+            if let Ok(answer) = timeout(SILENCE_TIMEOUT, &mut answer).await {
+                return answer;
+            }
+            self.client.reset_connections();
+        }
+        answer.await
+    }
+
     /// Converts a failed call to a plain server.
     ///
     /// If the call may have been sent, drops the pooled connections: others may be dead as well.
--- a/crates/teaselglade/tests/processes/keyed_calls.rs
+++ b/crates/teaselglade/tests/processes/keyed_calls.rs
@@ -291,3 +291,39 @@
     let response = fleet.http.call(request).await.expect("a response");
     assert_eq!(call_outcome(&response), CallOutcome::Succeeded);
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_patient_call_on_a_dead_connection_delays_others_for_five_seconds_at_most() {
+    let fleet = TestFleet::start(FleetPlan::corrib(), 1).await;
+    let warm_up = (0..8).map(|_| async {
+        let key = new_key();
+        assert_eq!(
+            send_keyed_call(&fleet, 0, &key, false).await,
+            CallOutcome::Succeeded
+        );
+    });
+    futures::future::join_all(warm_up).await;
+    for server in fleet.servers(SERVICE).await {
+        let address = server.address.parse().expect("an address");
+        fleet.set_faults(address, "{\"silence\":true}").await;
+    }
+    let path = format!("/v1/services/{SERVICE}/call/book");
+    let patient = HttpRequest::post(fleet.callers()[0], path, "deposit")
+        .header("x-organisation", ORGANISATION)
+        .header("idempotency-key", new_key())
+        .header("x-idempotent-first", "true")
+        .header("x-deadline-ms", "12000")
+        .head_timeout(Duration::from_secs(14));
+    let others = async {
+        tokio::time::sleep(Duration::from_millis(5_500)).await;
+        for _ in 0..8 {
+            let started_at = std::time::Instant::now();
+            let outcome = send_keyed_call(&fleet, 0, &new_key(), false).await;
+            assert_eq!(outcome, CallOutcome::Succeeded);
+            assert!(started_at.elapsed() < Duration::from_secs(2));
+        }
+    };
+    let (patient, ()) = tokio::join!(fleet.http.call(patient), others);
+    // Its server may have run it, or not have read it; the caller is told that nothing is known.
+    assert!(!patient.expect("a response").is_success());
+}
