--- a/crates/teaselglade-host/src/peer/gossip_transport.rs
+++ b/crates/teaselglade-host/src/peer/gossip_transport.rs
@@ -17,6 +17,7 @@
 use tracing::{debug, info, warn};
 
 use super::TableAnnouncement;
+use super::aggregate_round::AggregateRound;
 use crate::permit::{OutgoingMessage, give_back};
 use crate::state::HostState;
 
@@ -30,12 +31,6 @@
 ///
 /// Aggregate digests that are sent in one burst would find a full link.
 const PACING_FRACTION: f64 = 0.8;
-/// Age from which an aggregator builds its news of servers anew while it sends an aggregate.
-const NEWS_INTERVAL: Duration = Duration::from_millis(100);
-/// Most parts of news beside which an aggregator tells loads in turn.
-///
-/// While hundreds of servers leave, their departures take the place of the loads on its link.
-const LOADS_BESIDE_PARTS: usize = 4;
 /// Maximum size of a received digest; longer datagrams are truncated.
 const MAX_DIGEST_BYTES: usize = 60 * 1024;
 
@@ -54,24 +49,6 @@
     round: AggregateRound,
 }
 
-/// Progress of an aggregator in sending one aggregate digest to its served hosts in turn.
-#[derive(Debug)]
-struct AggregateRound {
-    bytes: Vec<u8>,
-    /// News of servers, sent before the aggregate, and the time at which it was built.
-    news: Vec<Vec<u8>>,
-    news_at: Instant,
-    /// Loads of engines, if the aggregate has no room for them.
-    loads: Option<Vec<u8>>,
-    /// Sum of the demand for services, which is sent beside the digest.
-    shares: Option<Vec<u8>>,
-    /// Speeds of servers, sent beside the aggregate.
-    speeds: Option<Vec<u8>>,
-    remaining: Vec<SocketAddr>,
-    next_send_at: Instant,
-    send_interval: Duration,
-}
-
 impl GossipTransport {
     /// Binds the peer address and adds the seeds of the settings to the membership.
     ///
@@ -99,17 +76,7 @@
             outbox,
             newer_tables,
             sequence: 0,
-            round: AggregateRound {
-                news: Vec::new(),
-                news_at: Instant::now(),
-                loads: None,
-                shares: None,
-                bytes: Vec::new(),
-                speeds: None,
-                remaining: Vec::new(),
-                next_send_at: Instant::now(),
-                send_interval: Duration::ZERO,
-            },
+            round: AggregateRound::default(),
         })
     }
 
@@ -216,7 +183,7 @@
             return;
         };
         self.round.next_send_at += self.round.send_interval;
-        if self.round.news_at.elapsed() >= NEWS_INTERVAL {
+        if self.round.has_old_news() {
             self.round.news = self.build_news();
             self.round.news_at = Instant::now();
         }
@@ -224,9 +191,8 @@
         for part in &self.round.news {
             self.send_to(part, target).await;
         }
-        let has_room = self.round.news.len() <= LOADS_BESIDE_PARTS;
         self.send_to(&self.round.bytes, target).await;
-        if let Some(loads) = self.round.loads.as_ref().filter(|_| has_room) {
+        if let Some(loads) = self.round.loads_beside_news() {
             self.send_to(loads, target).await;
         }
         if let Some(speeds) = &self.round.speeds {
--- a/crates/teaselglade-host/src/peer/mod.rs
+++ b/crates/teaselglade-host/src/peer/mod.rs
@@ -1,5 +1,6 @@
 //! Gossip and state transfer between hosts.
 
+mod aggregate_round;
 mod gossip_transport;
 mod peer_api;
 mod peer_client;
--- a/crates/teaselglade-host/tests/host/large_news.rs
+++ b/crates/teaselglade-host/tests/host/large_news.rs
@@ -186,7 +186,7 @@
         }
         let decisions = &self.hosts[host].decisions;
         let is_reader = decisions.membership.is_store_reader(at(now));
-        if !is_reader && !(self.tells_all && decisions.has_stale_news(at(now))) {
+        if !(is_reader || self.tells_all && decisions.has_stale_news(at(now))) {
             self.next_reads[host] = now + READ_INTERVAL_MS;
             return;
         }
