--- a/crates/teaselglade-host/tests/host/main.rs
+++ b/crates/teaselglade-host/tests/host/main.rs
@@ -3,6 +3,7 @@
 mod defences;
 mod fleet_model;
 mod journal;
+mod large_news;
 mod late_responses;
 mod lease_timings;
 mod news_spread;
--- a/crates/teaselglade-routing/src/registry/server_registry.rs
+++ b/crates/teaselglade-routing/src/registry/server_registry.rs
@@ -414,6 +414,8 @@
         let servers = self.by_id.values().map(|key| self.server(*key));
         let in_scope = servers.filter(|server| server.is_in_scope(scope));
         let changed = in_scope.filter(|server| now.since(server.changed_at) < UPDATE_GOSSIP_TTL);
+        // A departure says what a draining registration says, in a third of the bytes.
+        let changed = changed.filter(|server| server.leaving_since.is_none());
         changed.map(|server| server.registration.clone()).collect()
     }
 
--- a/crates/teaselglade-routing/tests/routing/main.rs
+++ b/crates/teaselglade-routing/tests/routing/main.rs
@@ -7,6 +7,7 @@
 mod engines;
 mod events;
 mod fixture;
+mod large_news;
 mod limits;
 mod membership;
 mod moves;
