fix(crash): a server's further responses are not looked up again; a test is named after the guard it tests

Cause (review): until an end is confirmed or refuted each response looked through all records under the lock. The first one is enough, as its time is the one that counts.

--- a/crates/teaselglade-host/tests/host/lease_timings.rs
+++ b/crates/teaselglade-host/tests/host/lease_timings.rs
@@ -27,7 +27,7 @@
 
 /// The call was prepared within the term and waited for longer.
 #[test]
-fn a_duty_makes_no_call_after_its_term_or_under_another_number() {
+fn a_term_permits_no_call_after_it_or_under_another_number() {
     let clock = Arc::new(SuspendClock::start());
     let guard = TermGuard::new(Arc::clone(&clock));
     let number = LeaseNumber(7);
--- a/crates/teaselglade-routing/src/crash/crash_ledger.rs
+++ b/crates/teaselglade-routing/src/crash/crash_ledger.rs
@@ -116,7 +116,7 @@
                 is_changed |= record.refute_all(now);
             }
         }
-        if self.ended.contains(&incarnation) {
+        if self.ended.contains(&incarnation) && !self.responded.contains_key(&incarnation) {
             let mut records = self.records.values();
             if records.any(|record| record.is_refutable(incarnation, now, LATE_RESPONSE)) {
                 self.responded.entry(incarnation).or_insert(now);
