--- a/crates/teaselglade-routing/src/share/room_estimate.rs
+++ b/crates/teaselglade-routing/src/share/room_estimate.rs
@@ -70,8 +70,7 @@
     servers: f64,
     /// Servers that the smoothed figures come from.
     remembered: f64,
-    /// Time since which servers are full, the work that they accepted then, and their number.
-    full_from: Option<(Timestamp, f64, f64)>,
+    full_since: Option<Timestamp>,
     /// Last time at which servers were full.
     full_at: Option<Timestamp>,
     updated_at: Option<Timestamp>,
@@ -93,24 +92,7 @@
         let kept = (-elapsed.as_secs_f64() / SERVER_MEMORY.as_secs_f64()).exp();
         let remembered = sample.servers + (self.remembered - sample.servers) * kept;
         self.remembered = remembered.max(sample.servers);
-        let full_late = sample.asked * FULL_LATE_SHARE;
-        let is_full = sample.late > full_late;
-        let full_from = is_full.then(|| {
-            *self
-                .full_from
-                .get_or_insert((now, sample.used, sample.servers))
-        });
-        self.full_from = full_from;
-        let confirmed = full_from.filter(|(since, ..)| now.since(*since) >= CONFIRMATION_TIME);
-        // What servers accepted before they were full filled their queues, those since lost included.
-        let accepted = confirmed
-            .filter(|(_, _, servers)| *servers <= sample.servers)
-            .map(|(since, used, _)| latest_rate(now.since(since), used, sample.used))
-            .filter(|accepted| *accepted <= sample.used);
-        let proven = match accepted {
-            Some(accepted) => accepted / sample.servers.max(f64::MIN_POSITIVE),
-            None => sample.used / self.remembered.max(f64::MIN_POSITIVE),
-        };
+        let proven = sample.used / self.remembered.max(f64::MIN_POSITIVE);
         if self
             .proofs_at
             .is_none_or(|at| now.since(at) >= PROOF_WINDOW)
@@ -118,15 +100,19 @@
             self.proofs_at = Some(now);
             self.last_proofs = [proven, self.last_proofs[0]];
         }
+        let full_late = sample.asked * FULL_LATE_SHARE;
+        let is_full = sample.late > full_late;
         // Refusals that ended still have their part in the smoothed lateness. Servers that accept
         // less since then were asked for less, which proves nothing.
         let is_still_full = latest_rate(elapsed, self.last_late, sample.late) > full_late;
         self.last_late = sample.late;
-        self.full_at = full_from.map(|_| now).or(self.full_at);
+        let full_since = is_full.then(|| *self.full_since.get_or_insert(now));
+        self.full_since = full_since;
+        self.full_at = full_since.map(|_| now).or(self.full_at);
+        let is_confirmed = full_since.is_some_and(|since| now.since(since) >= CONFIRMATION_TIME);
         if !self.is_scarce {
             self.per_server = proven.max(sample.least_per_server);
-            self.last_proofs = [proven; 2];
-            self.is_scarce = confirmed.is_some() && sample.asked > self.room();
+            self.is_scarce = is_confirmed && sample.asked > self.room();
         } else if is_full {
             let [last, earlier] = self.last_proofs;
             let most_proven = proven.max(last).max(earlier);
@@ -155,7 +141,7 @@
         self.is_scarce = is_scarce;
         self.servers = servers;
         self.updated_at = None;
-        self.full_from = None;
+        self.full_since = None;
         self.full_at = None;
         self.last_late = 0.0;
     }
