--- a/crates/teaselglade-routing/src/share/service_share.rs
+++ b/crates/teaselglade-routing/src/share/service_share.rs
@@ -22,8 +22,6 @@
 ///
 /// Measured demand is noisy; a request within its organisation's share must not be refused for it.
 const EXCESS_TOLERANCE: f64 = 1.3;
-/// Largest factor by which an organisation is admitted more while it uses less than its share.
-const MAX_SHORTFALL_FACTOR: f64 = 2.0;
 /// Fraction of a rank's latency target that less urgent requests may fill with a queue.
 const QUEUE_TARGET_SHARE: f64 = 0.9;
 /// Fraction of a latency target that organisations above their share may fill with a queue.
@@ -51,10 +49,6 @@
     pub(super) used: f64,
     /// Work per second that is granted.
     pub(super) granted: f64,
-    /// Work per second that is granted whatever is used.
-    ///
-    /// A host that does not hear what others use admits no more.
-    pub(super) guaranteed: f64,
 }
 
 impl FlowGrant {
@@ -180,7 +174,7 @@
             return grant;
         };
         FlowGrant {
-            granted: grant.guaranteed.min(grant.asked) * scale,
+            granted: grant.granted.min(grant.asked) * scale,
             ..grant
         }
     }
@@ -351,15 +345,6 @@
         .collect()
 }
 
-/// Returns the factor by which an organisation is admitted more while it uses less than its share.
-///
-/// Requests that were refused come back and are counted again, which what servers accept shows. The
-/// square root dampens the correction, as sums are up to a second old.
-fn shortfall_factor(used: f64, share: f64) -> f64 {
-    let shortfall = share / used.max(f64::MIN_POSITIVE);
-    shortfall.sqrt().clamp(1.0, MAX_SHORTFALL_FACTOR)
-}
-
 /// Divides an organisation's share among its ranks, the more urgent first.
 fn grant_ranks(
     flows: &[(FlowKey, FlowDemand)],
@@ -367,34 +352,20 @@
     share: f64,
 ) -> Vec<(FlowKey, FlowGrant)> {
     let is_limited = demand > share * EXCESS_TOLERANCE;
-    let used: f64 = flows.iter().map(|(_, flow)| f64::from(flow.used)).sum();
-    let raised = divide_share(flows, demand, share * shortfall_factor(used, share));
-    let guaranteed = divide_share(flows, demand, share);
-    let grants = flows.iter().zip(raised.into_iter().zip(guaranteed));
-    let grants = grants.map(|((key, flow), (raised, guaranteed))| {
+    let fraction = if is_limited { share / demand } else { 1.0 };
+    let mut left = share * (1.0 - MIN_RANK_PART);
+    // The map that `flows` comes from orders them by rank.
+    let grants = flows.iter().map(|(key, flow)| {
         let asked = f64::from(flow.asked);
+        let least = asked * fraction * MIN_RANK_PART;
+        let more = (asked - least).min(left);
+        left -= more;
         let grant = FlowGrant {
             asked,
             used: f64::from(flow.used),
-            granted: if is_limited { raised } else { asked },
-            guaranteed: if is_limited { guaranteed } else { asked },
+            granted: if is_limited { least + more } else { asked },
         };
         (*key, grant)
     });
     grants.collect()
 }
-
-/// Returns the part of each rank in `share`; each has at least half of the common fraction.
-fn divide_share(flows: &[(FlowKey, FlowDemand)], demand: f64, share: f64) -> Vec<f64> {
-    let fraction = (share / demand.max(f64::MIN_POSITIVE)).min(1.0);
-    let mut left = share * (1.0 - MIN_RANK_PART);
-    // The map that `flows` comes from orders them by rank.
-    let parts = flows.iter().map(|(_, flow)| {
-        let asked = f64::from(flow.asked);
-        let least = asked * fraction * MIN_RANK_PART;
-        let more = (asked - least).min(left);
-        left -= more;
-        least + more
-    });
-    parts.collect()
-}
