fix(host): hosts of a large fleet don't tell each other their first listing

Cause, by counting on virtual time (start_news.rs): what a host lists at its start counts as changed, so that every host told all of it for 1.5 s to five peers, in up to 12 parts every 200 ms, and aggregators told it on. Of 1,022 servers the busiest of 98 hosts told 26,208 registrations in the first 8 s and sent 2.2 MB; of 160 that of 80 hosts 22,617 and 1.9 MB. Above some 400 servers such a datagram was never sent before it was split into parts.

Change: in a large fleet (20 peers) entries of the first listing, from the store or a peer, are not told. A server that registered between two hosts' listings is one that the earlier host may lack, so a host claims no age for its peers for 1.5 s after its first listing: a peer takes a claim only while its own data is younger than that, and reads the store otherwise. Smaller fleets tell as before.

--- a/crates/teaselglade-host/src/peer/peer_pull.rs
+++ b/crates/teaselglade-host/src/peer/peer_pull.rs
@@ -129,9 +129,7 @@
     let peer_age = Duration::from_millis(state.update_age_ms);
     if decisions.lacks_news(now) && !decisions.membership.is_stale(peer_age) {
         let count = state.servers.len();
-        for registration in state.servers {
-            decisions.registry.merge_registration(now, registration);
-        }
+        decisions.registry.merge_listing(now, state.servers);
         decisions.record_peer_state(now, peer_age);
         drop(decisions);
         info!(event = "servers_from_peer", count);
--- a/crates/teaselglade-host/src/state/news_state.rs
+++ b/crates/teaselglade-host/src/state/news_state.rs
@@ -4,7 +4,9 @@
 
 use teaselglade_core::time::Timestamp;
 use teaselglade_routing::gossip::{NewsTurn, ServerNews};
-use teaselglade_routing::registry::{ServerDeparture, ServerRegistration, UpdateScope};
+use teaselglade_routing::registry::{
+    ServerDeparture, ServerRegistration, ServerRegistry, UpdateScope,
+};
 
 use super::DecisionState;
 use super::decision_state::UNKNOWN_AGE;
@@ -110,15 +112,31 @@
             Some(_) => turn,
             None => turn.most_parts(SMALL_FLEET_PARTS),
         };
+        let updates = if self.membership.is_large() {
+            self.registry.changes(now, scope)
+        } else {
+            self.registry.updates(now, scope)
+        };
+        let is_known = age < UNKNOWN_AGE && !self.has_untold_listing(now);
         ServerNews::split(
             &self.own_name,
             turn,
-            Some(age).filter(|age| *age < UNKNOWN_AGE),
+            Some(age).filter(|_| is_known),
             self.registry.departures(now, scope, number),
-            self.registry.updates(now, scope),
+            updates,
         )
     }
 
+    /// Returns whether peers may lack servers of the first listing, which a large fleet is not told.
+    ///
+    /// A peer whose data is older than the repeats of a departure takes no claim, see
+    /// `advance_update_time`; after this time the data of all others is younger than the listing.
+    fn has_untold_listing(&self, now: Timestamp) -> bool {
+        let listed_since = self.registry.first_listed_since(now);
+        let untold_time = ServerRegistry::departure_repeat(true);
+        self.membership.is_large() && listed_since.is_some_and(|since| since < untold_time)
+    }
+
     /// Merges a part of a peer's news of servers.
     ///
     /// The age of the peer's data counts when all parts of the round have arrived.
--- a/crates/teaselglade-host/tests/host/fleet_model.rs
+++ b/crates/teaselglade-host/tests/host/fleet_model.rs
@@ -80,10 +80,15 @@
 
 impl ModelHost {
     pub fn new(number: usize, seed: u64) -> Self {
-        let mut decisions = DecisionState::new(&settings(number), seed + number as u64);
-        decisions.record_store_response(at(0));
+        let mut host = Self::unread(number, seed);
+        host.decisions.record_store_response(at(0));
+        host
+    }
+
+    /// Creates a host that has not read the store yet.
+    pub fn unread(number: usize, seed: u64) -> Self {
         Self {
-            decisions,
+            decisions: DecisionState::new(&settings(number), seed + number as u64),
             zone: ZONES[number % ZONES.len()],
             placed_loads: Vec::new(),
             number,
--- a/crates/teaselglade-host/tests/host/main.rs
+++ b/crates/teaselglade-host/tests/host/main.rs
@@ -13,3 +13,4 @@
 mod rollouts;
 mod server_limits;
 mod speed_reports;
+mod start_news;
--- a/crates/teaselglade-routing/src/registry/registered_server.rs
+++ b/crates/teaselglade-routing/src/registry/registered_server.rs
@@ -6,6 +6,9 @@
 
 use super::{ServerDeparture, ServerRegistration, StorePosition, UpdateScope};
 
+/// Time for which a changed registration is gossiped: several digests, because some are lost.
+pub(super) const UPDATE_GOSSIP_TTL: Duration = Duration::from_millis(1_500);
+
 /// Phase of one incarnation of a server: whether it accepts new work.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum ServerPhase {
@@ -43,6 +46,8 @@
     pub(super) changed_at: Timestamp,
     /// Whether a peer reported the latest change.
     pub(super) is_from_peer: bool,
+    /// Whether this host knows the latest change from its first listing of all servers.
+    pub(super) is_first_listed: bool,
     /// Time until which the server wants no requests from this host.
     pub(super) resting_until: Timestamp,
     /// Time until which this host gets no permit to send to the server, which is limited.
@@ -81,6 +86,13 @@
         self.resting_until.max(self.permit_denied_until)
     }
 
+    /// Returns whether the registration changed recently.
+    ///
+    /// A departure says what a draining registration says, in a third of the bytes.
+    pub(super) fn is_update(&self, now: Timestamp) -> bool {
+        self.leaving_since.is_none() && now.since(self.changed_at) < UPDATE_GOSSIP_TTL
+    }
+
     pub(super) const fn is_in_scope(&self, scope: UpdateScope) -> bool {
         matches!(scope, UpdateScope::All) || !self.is_from_peer
     }
--- a/crates/teaselglade-routing/src/registry/server_registry.rs
+++ b/crates/teaselglade-routing/src/registry/server_registry.rs
@@ -7,6 +7,7 @@
 use teaselglade_core::id::ServerKey;
 use teaselglade_core::time::Timestamp;
 
+use super::registered_server::UPDATE_GOSSIP_TTL;
 use super::server_tombstones::{ServerTombstones, TombstoneVerdict};
 use super::{
     RegisteredServer, RegistrationState, ServerDeparture, ServerListing, ServerPhase,
@@ -19,9 +20,6 @@
 /// Time for which a departure is gossiped: twice what any host needs to receive it.
 const DEPARTURE_GOSSIP_TTL: Duration = Duration::from_secs(10);
 
-/// Time for which a changed registration is gossiped: several digests, because some are lost.
-const UPDATE_GOSSIP_TTL: Duration = Duration::from_millis(1_500);
-
 /// Number of digests of which one names a departure that is no longer recent.
 ///
 /// Every digest names the recent departures. Older ones are repeated for hosts that were
@@ -60,6 +58,8 @@
     rests: HashMap<u64, Timestamp>,
     /// Time of the store's latest recovery from an outage.
     store_recovered_at: Option<Timestamp>,
+    /// Time of the first listing of all servers, from the store or a peer.
+    first_listed_at: Option<Timestamp>,
     /// Addresses at which no server can listen, as this host does.
     own_addresses: Vec<SocketAddr>,
 }
@@ -133,6 +133,15 @@
         Some(key)
     }
 
+    /// Applies all registrations that a peer knows, like [`ServerRegistry::merge_registration`].
+    pub fn merge_listing(&mut self, now: Timestamp, registrations: Vec<ServerRegistration>) {
+        let first_new = self.servers.len();
+        for registration in registrations {
+            self.merge_registration(now, registration);
+        }
+        self.mark_first_listed(now, first_new);
+    }
+
     /// Applies a removal whose position in the store is unknown, like [`ServerRegistry::remove`].
     pub fn apply_removal(&mut self, now: Timestamp, id: &str) -> Option<ServerKey> {
         let removal = ServerRemoval {
@@ -206,6 +215,7 @@
             let server = &mut self.servers[key.index()];
             server.changed_at = now;
             server.is_from_peer = false;
+            server.is_first_listed = false;
             return;
         }
         self.mark_from_peer(now, key);
@@ -300,9 +310,11 @@
             .filter(|registration| !own_addresses.contains(&registration.address))
             .map(|registration| registration.id.clone())
             .collect();
+        let first_new = self.servers.len();
         for registration in registrations {
             self.apply_registration(now, registration);
         }
+        self.mark_first_listed(now, first_new);
         let missing: Vec<String> = self
             .by_id
             .iter()
@@ -413,12 +425,31 @@
     pub fn updates(&self, now: Timestamp, scope: UpdateScope) -> Vec<ServerRegistration> {
         let servers = self.by_id.values().map(|key| self.server(*key));
         let in_scope = servers.filter(|server| server.is_in_scope(scope));
-        let changed = in_scope.filter(|server| now.since(server.changed_at) < UPDATE_GOSSIP_TTL);
-        // A departure says what a draining registration says, in a third of the bytes.
-        let changed = changed.filter(|server| server.leaving_since.is_none());
+        let changed = in_scope.filter(|server| server.is_update(now));
         changed.map(|server| server.registration.clone()).collect()
     }
 
+    /// Returns the recently changed registrations without those of the first listing.
+    ///
+    /// Peers list the servers themselves; who listed before this host may lack some that it knows, see
+    /// [`ServerRegistry::first_listed_since`].
+    #[must_use]
+    pub fn changes(&self, now: Timestamp, scope: UpdateScope) -> Vec<ServerRegistration> {
+        let servers = self.by_id.values().map(|key| self.server(*key));
+        let told = servers.filter(|server| !server.is_first_listed && server.is_in_scope(scope));
+        let changed = told.filter(|server| server.is_update(now));
+        changed.map(|server| server.registration.clone()).collect()
+    }
+
+    /// Returns the time since the first listing of all servers, if there was one.
+    ///
+    /// A host that does not tell its peers what it listed claims nothing of their data until theirs is
+    /// younger than its listing.
+    #[must_use]
+    pub fn first_listed_since(&self, now: Timestamp) -> Option<Duration> {
+        self.first_listed_at.map(|listed_at| now.since(listed_at))
+    }
+
     /// Returns the time for which every digest names a departure.
     ///
     /// A host that hears no digest for longer may miss it. `has_numbers` tells whether digests are
@@ -508,6 +539,7 @@
             is_removed: false,
             changed_at: now,
             is_from_peer: false,
+            is_first_listed: false,
             resting_until,
             permit_denied_until: Timestamp::ZERO,
             incarnation_hash,
@@ -544,6 +576,7 @@
         if is_changed {
             server.changed_at = now;
             server.is_from_peer = false;
+            server.is_first_listed = false;
         }
         if let ServerPhase::Expired { position, .. } = server.phase
             && (!registration.position.is_known() || registration.position > position)
@@ -578,6 +611,16 @@
         }
     }
 
+    /// Marks the servers from this number on as those of the first listing, unless there was one.
+    fn mark_first_listed(&mut self, now: Timestamp, first_new: usize) {
+        if self.first_listed_at.is_none() {
+            self.first_listed_at = Some(now);
+            for server in &mut self.servers[first_new..] {
+                server.is_first_listed = true;
+            }
+        }
+    }
+
     /// Marks the change that was made at `now`, if any, as reported by a peer.
     fn mark_from_peer(&mut self, now: Timestamp, key: ServerKey) {
         let server = &mut self.servers[key.index()];
