--- a/crates/teaselglade-routing/src/registry/registered_server.rs
+++ b/crates/teaselglade-routing/src/registry/registered_server.rs
@@ -27,6 +27,16 @@
     Leaving,
 }
 
+/// From where a host knows the latest change of a server.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum ChangeOrigin {
+    /// The store, or the server itself.
+    Local,
+    Peer,
+    /// The first listing of all servers.
+    FirstListing,
+}
+
 /// A known incarnation of a server.
 #[derive(Debug, Clone)]
 pub struct RegisteredServer {
@@ -44,10 +54,8 @@
     pub is_removed: bool,
     /// Time of the last change apart from the heartbeat.
     pub(super) changed_at: Timestamp,
-    /// Whether a peer reported the latest change.
-    pub(super) is_from_peer: bool,
-    /// Whether this host knows the latest change from its first listing of all servers.
-    pub(super) is_first_listed: bool,
+    /// From where this host knows the latest change.
+    pub(super) origin: ChangeOrigin,
     /// Time until which the server wants no requests from this host.
     pub(super) resting_until: Timestamp,
     /// Time until which this host gets no permit to send to the server, which is limited.
@@ -94,7 +102,7 @@
     }
 
     pub(super) const fn is_in_scope(&self, scope: UpdateScope) -> bool {
-        matches!(scope, UpdateScope::All) || !self.is_from_peer
+        matches!(scope, UpdateScope::All) || !matches!(self.origin, ChangeOrigin::Peer)
     }
 
     /// Returns the departure of the incarnation, whose registration was removed at this position.
--- a/crates/teaselglade-routing/src/registry/server_registry.rs
+++ b/crates/teaselglade-routing/src/registry/server_registry.rs
@@ -7,7 +7,7 @@
 use teaselglade_core::id::ServerKey;
 use teaselglade_core::time::Timestamp;
 
-use super::registered_server::UPDATE_GOSSIP_TTL;
+use super::registered_server::{ChangeOrigin, UPDATE_GOSSIP_TTL};
 use super::server_tombstones::{ServerTombstones, TombstoneVerdict};
 use super::{
     RegisteredServer, RegistrationState, ServerDeparture, ServerListing, ServerPhase,
@@ -214,8 +214,7 @@
             // The sender may be an aggregator, to which this host sends only its own news.
             let server = &mut self.servers[key.index()];
             server.changed_at = now;
-            server.is_from_peer = false;
-            server.is_first_listed = false;
+            server.origin = ChangeOrigin::Local;
             return;
         }
         self.mark_from_peer(now, key);
@@ -436,7 +435,10 @@
     #[must_use]
     pub fn changes(&self, now: Timestamp, scope: UpdateScope) -> Vec<ServerRegistration> {
         let servers = self.by_id.values().map(|key| self.server(*key));
-        let told = servers.filter(|server| !server.is_first_listed && server.is_in_scope(scope));
+        let is_told = |server: &&RegisteredServer| {
+            server.origin != ChangeOrigin::FirstListing && server.is_in_scope(scope)
+        };
+        let told = servers.filter(is_told);
         let changed = told.filter(|server| server.is_update(now));
         changed.map(|server| server.registration.clone()).collect()
     }
@@ -538,8 +540,7 @@
             has_drained: registration.state == RegistrationState::Draining,
             is_removed: false,
             changed_at: now,
-            is_from_peer: false,
-            is_first_listed: false,
+            origin: ChangeOrigin::Local,
             resting_until,
             permit_denied_until: Timestamp::ZERO,
             incarnation_hash,
@@ -575,8 +576,7 @@
             || server.registration.service != registration.service;
         if is_changed {
             server.changed_at = now;
-            server.is_from_peer = false;
-            server.is_first_listed = false;
+            server.origin = ChangeOrigin::Local;
         }
         if let ServerPhase::Expired { position, .. } = server.phase
             && (!registration.position.is_known() || registration.position > position)
@@ -607,7 +607,7 @@
         if server.phase != ServerPhase::Leaving {
             server.phase = ServerPhase::Leaving;
             server.leaving_since = Some(now);
-            server.is_from_peer = false;
+            server.origin = ChangeOrigin::Local;
         }
     }
 
@@ -615,8 +615,9 @@
     fn mark_first_listed(&mut self, now: Timestamp, first_new: usize) {
         if self.first_listed_at.is_none() {
             self.first_listed_at = Some(now);
-            for server in &mut self.servers[first_new..] {
-                server.is_first_listed = true;
+            let new = self.servers[first_new..].iter_mut();
+            for server in new.filter(|server| server.leaving_since.is_none()) {
+                server.origin = ChangeOrigin::FirstListing;
             }
         }
     }
@@ -624,7 +625,10 @@
     /// Marks the change that was made at `now`, if any, as reported by a peer.
     fn mark_from_peer(&mut self, now: Timestamp, key: ServerKey) {
         let server = &mut self.servers[key.index()];
-        server.is_from_peer |= server.changed_at == now || server.leaving_since == Some(now);
+        let is_change = server.changed_at == now && server.origin == ChangeOrigin::Local;
+        if is_change || server.leaving_since == Some(now) {
+            server.origin = ChangeOrigin::Peer;
+        }
     }
 
     /// Removes an incarnation; its entry in `servers` stays for requests in progress.
