--- a/crates/teaselglade-host/tests/host/main.rs
+++ b/crates/teaselglade-host/tests/host/main.rs
@@ -15,3 +15,4 @@
 mod rollouts;
 mod server_limits;
 mod speed_reports;
+mod start_news;
