fix(host): a host is ready while the store refuses the states of orders

Cause: a starting host waited for the verdict on each order before it applied the page of the table; a status topic that refuses, times out or is not valid JSON left it without a table for ever. Not the reader of the table, which went on.

Change: the table and the position are applied at once, the targets of the listed orders are held back. The status topic is read once for all orders, three times at most beside the polls of the table; then the orders run as without a verdict, and the host logs it.

--- a/crates/teaselglade-host/src/follow/table_follower.rs
+++ b/crates/teaselglade-host/src/follow/table_follower.rs
@@ -1,12 +1,12 @@
 //! Follows the published route table in the store.
 
-use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
 
 use teaselglade_routing::gossip::name_hash;
-use teaselglade_routing::rollout::RolloutStage;
-use tokio::time::sleep;
+use teaselglade_routing::rollout::RolloutOrder;
+use tokio::join;
+use tokio::time::{sleep, timeout};
 use tracing::{info, warn};
 
 use super::{FULL_READ_INTERVAL, STORE_RETRY_DELAY};
@@ -28,6 +28,10 @@
 /// Interval between checks whether a host that does not follow the store has to read it.
 const IDLE_CHECK_INTERVAL: Duration = Duration::from_millis(300);
 
+/// Reads of the verdicts on the orders that a starting host finds, and the maximum wait of each.
+const VERDICT_READS: usize = 3;
+const VERDICT_WAIT: Duration = Duration::from_secs(1);
+
 /// Follows the published table until the task is aborted.
 ///
 /// Peers are asked first: the store may have returned from a copy that is older than the table
@@ -39,13 +43,9 @@
         match host.ports.feeds.latest(Feed::Table).await {
             Ok(page) => {
                 host.record_call("read_table", None);
-                let Some(verdicts) = read_verdicts(&host, &page, is_start).await else {
-                    sleep(STORE_RETRY_DELAY).await;
-                    continue;
-                };
-                apply_page(&host, page, is_start, &verdicts);
+                let held = apply_page(&host, page, is_start);
                 is_start = false;
-                poll_changes(&host).await;
+                join!(poll_changes(&host), decide_held_orders(&host, held));
             }
             Err(error) => {
                 host.record_call("read_table", Some(&error));
@@ -70,7 +70,7 @@
         match host.ports.feeds.changes(Feed::Table, next, wait).await {
             Ok(page) => {
                 host.record_call("follow_table", None);
-                apply_page(host, page, false, &HashMap::new());
+                apply_page(host, page, false);
             }
             Err(error @ (StoreError::HistoryLost { .. } | StoreError::HistoryReplaced { .. })) => {
                 info!(event = "history_lost", feed = "table", next, error = %error);
@@ -108,39 +108,53 @@
     }
 }
 
-/// Reads the verdicts on the orders that this host finds at its start; `None` if the store refuses.
+/// Records the orders that were held back, with the verdicts that the store shows.
 ///
-/// Without them a version that was rolled back, or left, would be used until the leader reads them.
-async fn read_verdicts(
-    host: &HostState,
-    page: &FeedPage,
-    is_start: bool,
-) -> Option<HashMap<u64, RolloutStage>> {
-    let mut verdicts = HashMap::new();
-    let orders = page.items.iter().filter_map(|item| match item {
-        FeedItem::Rollout(order) if is_start => Some(order),
-        _ => None,
-    });
-    for order in orders {
-        let read = host.ports.feeds.rollout(&order.service).await;
-        host.record_result("read_rollout", &read);
-        let shown = read.ok()?.published;
-        let shown = shown.filter(|shown| shown.target == order.target && shown.stage.is_final());
-        verdicts.extend(shown.map(|shown| (order.number, shown.stage)));
+/// The store is asked a few times; then the orders are taken as without a verdict.
+async fn decide_held_orders(host: &HostState, held: Vec<RolloutOrder>) {
+    if held.is_empty() {
+        return;
+    }
+    let mut shown = None;
+    for attempt in 0..VERDICT_READS {
+        if attempt > 0 {
+            sleep(STORE_RETRY_DELAY).await;
+        }
+        let read = timeout(VERDICT_WAIT, host.ports.feeds.rollouts()).await;
+        let read = read.unwrap_or_else(|_| Err(StoreError::unreadable("no answer in time")));
+        host.record_result("read_rollouts", &read);
+        shown = read.ok();
+        if shown.is_some() {
+            break;
+        }
+    }
+    for order in held {
+        let states = shown.iter().flatten();
+        let mut verdicts = states.filter(|shown| {
+            shown.service == order.service && shown.target == order.target && shown.stage.is_final()
+        });
+        if shown.is_none() {
+            let (service, target) = (&order.service, &order.target);
+            warn!(event = "rollout_verdict_unread", service, target);
+        }
+        host.record_order(&order, true, verdicts.next().map(|shown| shown.stage));
     }
-    Some(verdicts)
 }
 
 /// Applies a page; `is_start` marks the first one that this host reads.
 ///
-/// `verdicts` has what the store shows of orders, by their numbers.
-fn apply_page(
-    host: &HostState,
-    page: FeedPage,
-    is_start: bool,
-    verdicts: &HashMap<u64, RolloutStage>,
-) {
+/// Returns the orders of the first page: without their verdicts a version that was rolled back, or
+/// left, would be used until the leader reads them.
+fn apply_page(host: &HostState, page: FeedPage, is_start: bool) -> Vec<RolloutOrder> {
     let next_offset = page.next_offset;
+    let orders = page.items.iter().filter_map(|item| match item {
+        FeedItem::Rollout(order) if is_start => Some(order.clone()),
+        _ => None,
+    });
+    // Before the table lets requests in.
+    let held: Vec<RolloutOrder> = orders
+        .filter(|order| host.lock_decisions().rollouts.hold_order(order.clone()))
+        .collect();
     for item in page.items {
         match item {
             FeedItem::Table(published) => {
@@ -150,9 +164,8 @@
                 host.metrics.unreadable_records.inc();
                 warn!(event = "record_passed_over", feed = "table", key, detail);
             }
-            FeedItem::Rollout(order) => {
-                host.record_order(&order, is_start, verdicts.get(&order.number).copied());
-            }
+            FeedItem::Rollout(order) if held.contains(&order) => {}
+            FeedItem::Rollout(order) => host.record_order(&order, is_start, None),
             FeedItem::Server(_)
             | FeedItem::ServerRemoved(_)
             | FeedItem::Host(_)
@@ -160,4 +173,5 @@
         }
     }
     host.set_table_position(next_offset);
+    held
 }
--- a/crates/teaselglade-host/src/port/feed_port.rs
+++ b/crates/teaselglade-host/src/port/feed_port.rs
@@ -173,6 +173,9 @@
         service: &'a str,
     ) -> PortFuture<'a, Result<RolloutPosition, StoreError>>;
 
+    /// Returns the states of all roll-outs that the operators see, by one read.
+    fn rollouts(&self) -> PortFuture<'_, Result<Vec<PublishedRollout>, StoreError>>;
+
     /// Publishes the state of a roll-out, unless anything was published since `position` was read.
     ///
     /// A publication that takes effect late thus cannot replace a newer one.
--- a/crates/teaselglade-routing/src/rollout/rollout_desk.rs
+++ b/crates/teaselglade-routing/src/rollout/rollout_desk.rs
@@ -77,6 +77,8 @@
     /// Versions that were rolled back, or whose order was replaced before its verdict, by service.
     barred: HashMap<String, Vec<u64>>,
     settled: SettledVersions,
+    /// Orders whose verdicts are not read yet, by service.
+    held: HashMap<String, RolloutOrder>,
     open: HashMap<ServerKey, u32>,
     logged: HashMap<String, (u64, RolloutStage)>,
 }
@@ -91,6 +93,7 @@
             rollouts: BTreeMap::new(),
             barred: HashMap::new(),
             settled: SettledVersions::default(),
+            held: HashMap::new(),
             open: HashMap::new(),
             logged: HashMap::new(),
         }
@@ -120,7 +123,7 @@
         service: &str,
     ) -> bool {
         let Some(rollout) = self.rollouts.get(service) else {
-            return false;
+            return self.held.contains_key(service);
         };
         let target = rollout.order.target_hash();
         let is_target = |server: &RegisteredServer| server.version_hash() == target;
@@ -130,6 +133,18 @@
         !rollout.stage.is_final() || (are_both_there && now.since(rollout.staged_at) < VERDICT_TIME)
     }
 
+    /// Keeps the target of an order out of use until the order is recorded.
+    ///
+    /// A host that starts does so while it does not know whether there is a verdict on the order.
+    /// Returns `false` if an order for the service is known already.
+    pub fn hold_order(&mut self, order: RolloutOrder) -> bool {
+        if self.rollouts.contains_key(&order.service) {
+            return false;
+        }
+        self.held.insert(order.service.clone(), order);
+        true
+    }
+
     /// Records an order of the operators; one that is older than the known one is passed over.
     ///
     /// `hosts` is the size of the fleet; `is_listed` tells whether this host found the order in the
@@ -165,6 +180,7 @@
         self.settled.remove(&order.service, target);
         let slack = self.own_slack(&order, hosts);
         let rollout = ServiceRollout::new(now, order.clone(), slack, may_adopt);
+        self.held.remove(&order.service);
         self.rollouts.insert(order.service, rollout);
         true
     }
@@ -232,6 +248,9 @@
         route: u64,
         is_repeat: bool,
     ) -> VersionChoice {
+        if let Some(held) = self.held.get(service).filter(|_| rollout.is_none()) {
+            return VersionChoice::Held(held.target_hash());
+        }
         let bounds = self.bounds.unwrap_or_default();
         let settled = self.settled.of_service(service).map(Arc::clone);
         let barred = self.barred.get(service).map_or(&[][..], Vec::as_slice);
--- a/crates/teaselglade-routing/src/rollout/version_scope.rs
+++ b/crates/teaselglade-routing/src/rollout/version_scope.rs
@@ -48,6 +48,8 @@
     Any,
     /// All versions but the target of an order, whatever is left.
     Without(u64),
+    /// All versions but the target of an order whose verdict is not read yet, else all.
+    Held(u64),
     /// All versions but the target of an order and others that were not completed.
     WithoutAll(Arc<[u64]>),
     /// Servers on trial, else another choice; credit for one request is taken.
@@ -66,7 +68,7 @@
     pub fn scope(&self) -> VersionScope<'_> {
         match self {
             Self::Any => VersionScope::Any,
-            Self::Without(target) => VersionScope::Without(*target),
+            Self::Without(target) | Self::Held(target) => VersionScope::Without(*target),
             Self::WithoutAll(excluded) => VersionScope::WithoutAll(excluded),
             Self::Trial(servers, _) | Self::Part(servers, _) => VersionScope::Among(servers),
             Self::Target(target, _) => VersionScope::Only(*target),
@@ -82,6 +84,7 @@
             Self::Trial(_, old) | Self::Part(_, old) | Self::Target(_, old) => {
                 Some(Self::clone(old))
             }
+            Self::Held(_) => Some(Self::Any),
             Self::Settled(_, barred) if barred.is_empty() => Some(Self::Any),
             Self::Settled(_, barred) => Some(Self::WithoutAll(Arc::clone(barred))),
         }
--- a/crates/teaselglade-routing/tests/routing/rollouts.rs
+++ b/crates/teaselglade-routing/tests/routing/rollouts.rs
@@ -352,6 +352,23 @@
     }
 }
 
+#[test]
+fn an_order_that_is_held_back_keeps_its_target_out_of_use_beside_another_version() {
+    let mut desk = RolloutDesk::new("edge-1", Some(BOUNDS));
+    assert!(desk.hold_order(order("v2", 3)));
+    for (old, expected) in [(2, BTreeSet::from(["v1"])), (0, BTreeSet::from(["v2"]))] {
+        let registry = registry(old, 2);
+        desk.update(at(6_000), &registry, &[SERVICE]);
+        let choice = desk.choose(at(6_000), SERVICE, 1, false);
+        let first = first_allowed(&registry, &choice).expect("a server");
+        let version = registry.server(first).registration.version.as_str();
+        assert!(expected.contains(version), "{version}");
+    }
+    assert!(desk.record_order(at(7_000), order("v2", 3), 1, true));
+    assert!(!desk.hold_order(order("v2", 3)));
+    assert_eq!(stage(&desk), Some(RolloutStage::Trial));
+}
+
 #[test]
 fn an_order_for_an_unknown_service_changes_nothing_for_others() {
     let mut desk = RolloutDesk::new("edge-1", None);
