fix(rollout): the old version is not gone while no server at all is known

Cause: the 2 s after which the old version counts as gone ran also while a leader knew no server at all, so that its first new server completed the order at once.

Change: they run from the first check that finds only new servers.

Before: a_leader_that_knew_no_server_at_all_waits_once_it_finds_new_ones failed (Completed at the first check).

--- a/crates/teaselglade-routing/src/rollout/service_rollout.rs
+++ b/crates/teaselglade-routing/src/rollout/service_rollout.rs
@@ -139,7 +139,7 @@
     pub(super) new_servers: usize,
     /// Whether a server of another version than the target was seen since the order.
     has_old: bool,
-    /// Time from which no such server is known.
+    /// Time from which servers of the target are known and no others.
     old_gone_at: Option<Timestamp>,
     /// Whether the target was made the version in service.
     pub(super) is_settled: bool,
@@ -320,7 +320,8 @@
         self.new_servers = new.len();
         self.has_old |= self.old_servers > 0;
         let gone_at = self.old_gone_at.unwrap_or(now);
-        self.old_gone_at = (self.old_servers == 0).then_some(gone_at);
+        let is_only_new = self.old_servers == 0 && self.new_servers > 0;
+        self.old_gone_at = is_only_new.then_some(gone_at);
         let mut ranked: Vec<(u64, ServerKey)> = new
             .into_iter()
             .map(|(key, server)| (preference_of(self.order.number, server.hash), key))
@@ -452,8 +453,8 @@
 
     /// Returns whether only servers of the target are left, and for long enough to be sure.
     fn is_old_gone(&self, now: Timestamp) -> bool {
-        let gone_since = self.old_gone_at.filter(|_| self.new_servers > 0);
-        gone_since.is_some_and(|since| now.since(since) >= GONE_TIME)
+        self.old_gone_at
+            .is_some_and(|since| now.since(since) >= GONE_TIME)
     }
 
     /// Returns whether enough is known of the new version, and nothing speaks against it.
--- a/crates/teaselglade-routing/tests/routing/rollout_leaders.rs
+++ b/crates/teaselglade-routing/tests/routing/rollout_leaders.rs
@@ -97,3 +97,22 @@
     let shown = lead_without_old(&mut desk, 100, 4_000);
     assert_eq!(shown.last(), Some(&RolloutStage::Completed));
 }
+
+#[test]
+fn a_leader_that_knew_no_server_at_all_waits_once_it_finds_new_ones() {
+    let mut desk = RolloutDesk::new("edge-1", Some(BOUNDS));
+    desk.record_order(at(0), order(), 1, false);
+    for now in (0..2_500).step_by(100) {
+        desk.update(at(now), &ServerRegistry::default(), &[SERVICE]);
+        desk.lead(at(now), 0);
+    }
+    let shown = lead_without_old(&mut desk, 2_500, 4_400);
+    assert!(
+        shown.iter().all(|stage| *stage == RolloutStage::Trial),
+        "{shown:?}"
+    );
+    assert_eq!(
+        lead_without_old(&mut desk, 4_400, 4_700).last(),
+        Some(&RolloutStage::Completed)
+    );
+}
