fix(rollout): the new version serves at once when the old servers leave

Cause: when all old servers leave in the trial, requests waited for the 2 s after which the old version counts as gone, without a usable server. Those 2 s are for a host that may not have read the old servers yet.

Change: a host that saw its last old servers drain or leave uses the target at its next check, and the leader goes to the stage whole. Registrations that only lapse, or were never seen, wait as before.

Before: the_drain_of_the_last_old_server_leaves_no_request_unserved failed (no server at 1,000 ms). After: it passes, for a drain and a removal.

--- a/crates/teaselglade-routing/src/registry/server_registry.rs
+++ b/crates/teaselglade-routing/src/registry/server_registry.rs
@@ -364,6 +364,14 @@
         self.by_hash.get(&hash).copied()
     }
 
+    /// Returns whether this registry saw the incarnation of a server leave.
+    #[must_use]
+    pub fn has_left(&self, key: ServerKey, incarnation: u64) -> bool {
+        let known = self.servers.get(key.index());
+        let known = known.filter(|server| server.incarnation_hash == incarnation);
+        known.is_some_and(|server| server.phase == ServerPhase::Leaving)
+    }
+
     /// Returns the servers of a service that accept new work.
     pub fn of_service(
         &self,
--- a/crates/teaselglade-routing/src/rollout/service_rollout.rs
+++ b/crates/teaselglade-routing/src/rollout/service_rollout.rs
@@ -8,6 +8,7 @@
 use teaselglade_core::time::Timestamp;
 
 use super::exposure_credit::ExposureCredit;
+use super::old_servers::OldServers;
 use super::version_evidence::VersionEvidence;
 use super::version_scope::VersionChoice;
 use super::version_test::{TestFinding, VersionTest};
@@ -50,7 +51,8 @@
 
 /// Servers of the new version whose attempts are counted by server, so that reports are bounded.
 const MAX_TALLIED_SERVERS: usize = 64;
-/// Time without a server of another version after which the old version counts as gone.
+/// Time without a server of another version after which the old version counts as gone,
+/// unless this host saw its servers leave.
 ///
 /// News of registrations reach a host within it; a starting leader may know only a part.
 const GONE_TIME: Duration = Duration::from_secs(2);
@@ -137,8 +139,9 @@
     part: Arc<[ServerKey]>,
     pub(super) old_servers: usize,
     pub(super) new_servers: usize,
-    /// Whether a server of another version than the target was seen since the order.
-    has_old: bool,
+    old_state: OldServers,
+    /// Last servers of other versions that this host knew, and their incarnation hashes.
+    last_old: Vec<(ServerKey, u64)>,
     /// Time from which servers of the target are known and no others.
     old_gone_at: Option<Timestamp>,
     /// Whether the target was made the version in service.
@@ -169,7 +172,8 @@
             part: Arc::new([]),
             old_servers: 0,
             new_servers: 0,
-            has_old: false,
+            old_state: OldServers::Unseen,
+            last_old: Vec::new(),
             old_gone_at: None,
             is_settled: false,
         }
@@ -191,8 +195,9 @@
         is_repeat: bool,
         old: VersionChoice,
     ) -> VersionChoice {
-        // The target is the version in service.
-        if !self.stage.is_final() && !self.has_old && self.new_servers > 0 {
+        // The target is the version in service, or all that is left.
+        let is_only_version = self.old_state != OldServers::Known;
+        if !self.stage.is_final() && is_only_version && self.new_servers > 0 {
             return VersionChoice::Target(self.target, Box::new(old));
         }
         match self.stage {
@@ -318,7 +323,17 @@
             servers.partition(|(_, server)| server.version_hash() == self.target);
         self.old_servers = old.len();
         self.new_servers = new.len();
-        self.has_old |= self.old_servers > 0;
+        if !old.is_empty() {
+            self.old_state = OldServers::Known;
+            let known = old.iter();
+            let known = known.map(|(key, server)| (*key, server.incarnation_hash()));
+            self.last_old = known.collect();
+        } else if !self.last_old.is_empty() {
+            let mut last_old = self.last_old.iter();
+            if last_old.all(|(key, incarnation)| registry.has_left(*key, *incarnation)) {
+                self.old_state = OldServers::Left;
+            }
+        }
         let gone_at = self.old_gone_at.unwrap_or(now);
         let is_only_new = self.old_servers == 0 && self.new_servers > 0;
         self.old_gone_at = is_only_new.then_some(gone_at);
@@ -402,7 +417,9 @@
             return;
         }
         let mut routes = report.evidence.routes.iter();
-        self.has_old |= routes.any(|route| route.old.answers > 0);
+        if self.old_state == OldServers::Unseen && routes.any(|route| route.old.answers > 0) {
+            self.old_state = OldServers::Known;
+        }
         let view = PeerView {
             started_at_us,
             received_at: now,
@@ -451,10 +468,11 @@
             && (self.is_left_by_all(now, peer_count) || progress >= CLOSE_AT)
     }
 
-    /// Returns whether only servers of the target are left, and for long enough to be sure.
+    /// Returns whether only servers of the target are left, and for long enough if it is uncertain.
     fn is_old_gone(&self, now: Timestamp) -> bool {
-        self.old_gone_at
-            .is_some_and(|since| now.since(since) >= GONE_TIME)
+        self.old_gone_at.is_some_and(|since| {
+            self.old_state == OldServers::Left || now.since(since) >= GONE_TIME
+        })
     }
 
     /// Returns whether enough is known of the new version, and nothing speaks against it.
--- a/crates/teaselglade-routing/tests/routing/rollout_leaders.rs
+++ b/crates/teaselglade-routing/tests/routing/rollout_leaders.rs
@@ -1,6 +1,6 @@
 //! What a leader does that knows only a part of the servers.
 
-use teaselglade_routing::registry::{ServerRegistration, ServerRegistry};
+use teaselglade_routing::registry::{RegistrationState, ServerRegistration, ServerRegistry};
 use teaselglade_routing::rollout::{
     AttemptEvidence, RolloutBounds, RolloutDesk, RolloutOrder, RolloutStage,
 };
@@ -116,3 +116,45 @@
         Some(&RolloutStage::Completed)
     );
 }
+
+/// Leads an order for a host whose old servers all leave in the trial; returns the stages shown.
+fn lead_after_leaving(leave: impl Fn(&mut ServerRegistry)) -> Vec<RolloutStage> {
+    let mut registry = ServerRegistry::default();
+    registry.apply_registration(at(0), versioned("i-old", "v1"));
+    registry.apply_registration(at(0), versioned("i-new", "v2"));
+    let mut desk = RolloutDesk::new("edge-1", Some(BOUNDS));
+    desk.record_order(at(0), order(), 1, false);
+    desk.update(at(0), &registry, &[SERVICE]);
+    desk.lead(at(0), 0);
+    leave(&mut registry);
+    let mut shown = Vec::new();
+    for now in (1_000..2_500).step_by(100) {
+        desk.update(at(now), &registry, &[SERVICE]);
+        for is_repeat in [false, true] {
+            // Before the leader's news too, as on other hosts.
+            let choice = desk.choose(at(now), SERVICE, 1, is_repeat);
+            let mut servers = registry.of_service(SERVICE);
+            let is_served = servers.any(|(key, server)| choice.allows(key, server));
+            assert!(is_served, "{now} ms: {choice:?}");
+        }
+        shown.extend(desk.lead(at(now), 0).into_iter().map(|status| status.stage));
+    }
+    shown
+}
+
+#[test]
+fn the_drain_of_the_last_old_server_leaves_no_request_unserved() {
+    let draining = || ServerRegistration {
+        state: RegistrationState::Draining,
+        heartbeat: 2,
+        ..versioned("i-old", "v1")
+    };
+    let shown = lead_after_leaving(|registry| {
+        registry.apply_registration(at(900), draining());
+    });
+    assert_eq!(shown.first(), Some(&RolloutStage::Completed));
+    let shown = lead_after_leaving(|registry| {
+        registry.apply_removal(at(900), "i-old");
+    });
+    assert_eq!(shown.first(), Some(&RolloutStage::Completed));
+}
