fix(rollout): a short order for the version in service is not rolled back

Cause: an order that ends before the 2 s after which the old version counts as gone was rolled back at 0.9 of its time beside a silent host, as silence keeps the stage at trial; then no server was usable.

Change: no roll-back for want of evidence while only servers of the target are known; the order goes on to its completion.

Before: a_short_order_for_the_version_in_service_is_completed_beside_a_silent_peer failed (RolledBack at 1.8 s of 2 s). After: it passes.

--- a/crates/teaselglade-routing/src/rollout/service_rollout.rs
+++ b/crates/teaselglade-routing/src/rollout/service_rollout.rs
@@ -459,8 +459,11 @@
             && is_sound
         {
             self.enter(now, next);
-        } else if self.stage < RolloutStage::Whole && progress >= CLOSE_AT {
-            // What was not shown to be sound within its time is not completed.
+        } else if self.stage < RolloutStage::Whole
+            && progress >= CLOSE_AT
+            && self.old_gone_at.is_none()
+        {
+            // What was not shown to be sound in time is not completed, unless only it is left.
             self.enter(now, RolloutStage::RolledBack);
         }
         self.stage == RolloutStage::Whole
--- a/crates/teaselglade-routing/tests/routing/rollout_leaders.rs
+++ b/crates/teaselglade-routing/tests/routing/rollout_leaders.rs
@@ -158,3 +158,22 @@
     });
     assert_eq!(shown.first(), Some(&RolloutStage::Completed));
 }
+
+#[test]
+fn a_short_order_for_the_version_in_service_is_completed_beside_a_silent_peer() {
+    let mut registry = ServerRegistry::default();
+    registry.apply_registration(at(0), versioned("i-new", "v2"));
+    let mut desk = RolloutDesk::new("edge-1", Some(BOUNDS));
+    let short = RolloutOrder {
+        over_ms: 2_000,
+        ..order()
+    };
+    desk.record_order(at(0), short, 2, false);
+    let mut shown = Vec::new();
+    for now in (0..2_500).step_by(100) {
+        desk.update(at(now), &registry, &[SERVICE]);
+        shown.extend(desk.lead(at(now), 1).into_iter().map(|status| status.stage));
+    }
+    assert!(!shown.contains(&RolloutStage::RolledBack), "{shown:?}");
+    assert_eq!(shown.last(), Some(&RolloutStage::Completed));
+}
