fix(rollout): servers beyond the counted ones are evidence too

Cause: the scores of routes count the answers of all new servers, but the checks that others fail, or are slow, saw only the 64 that are counted one by one; what further servers broke off was dropped. The size of reports, for which the 64 are there, stays as it is.

Change: one tally for all further servers, in reports too. It counts as evidence from elsewhere and in the score of attempts broken off, never as one server. A host adds what such a server broke off once that server answered it a second later, as the tally does not tell them apart.

--- a/crates/teaselglade-host/src/explain/rollout_explainer.rs
+++ b/crates/teaselglade-host/src/explain/rollout_explainer.rs
@@ -4,7 +4,7 @@
 use std::collections::HashMap;
 
 use teaselglade_routing::registry::ServerRegistry;
-use teaselglade_routing::rollout::RolloutView;
+use teaselglade_routing::rollout::{RolloutView, UNLISTED_SERVERS};
 
 use super::{NamedTally, RolloutList, ServiceReport};
 use crate::rollout::leads_rollouts;
@@ -32,9 +32,10 @@
 /// Names the servers of a view.
 fn with_names(registry: &ServerRegistry, mut view: RolloutView) -> ServiceReport {
     let servers = registry.of_service(&view.order.service);
-    let names: HashMap<u64, &str> = servers
+    let mut names: HashMap<u64, &str> = servers
         .map(|(_, server)| (server.incarnation_hash(), server.registration.id.as_str()))
         .collect();
+    names.insert(UNLISTED_SERVERS, "all others");
     let tallies = std::mem::take(&mut view.servers).into_iter();
     let mut servers: Vec<NamedTally> = tallies
         .filter(|tally| tally.server != 0)
--- a/crates/teaselglade-routing/src/rollout/mod.rs
+++ b/crates/teaselglade-routing/src/rollout/mod.rs
@@ -25,6 +25,8 @@
 pub use rollout_stage::RolloutStage;
 pub use rollout_view::{FindingView, RolloutView, VersionCounts};
 pub use service_rollout::{AttemptEvidence, AttemptRecord};
-pub use version_evidence::{AnswerTally, RouteEvidence, ServerTally, VersionEvidence};
+pub use version_evidence::{
+    AnswerTally, RouteEvidence, ServerTally, UNLISTED_SERVERS, VersionEvidence,
+};
 pub use version_scope::{VersionChoice, VersionScope};
 pub use version_test::{TestFinding, VersionTest};
--- a/crates/teaselglade-routing/src/rollout/service_rollout.rs
+++ b/crates/teaselglade-routing/src/rollout/service_rollout.rs
@@ -9,9 +9,9 @@
 
 use super::exposure_credit::ExposureCredit;
 use super::old_servers::OldServers;
-use super::version_evidence::VersionEvidence;
+use super::version_evidence::{UNLISTED_SERVERS, VersionEvidence};
 use super::version_scope::VersionChoice;
-use super::version_test::{TestFinding, VersionTest};
+use super::version_test::{END_WAIT, TestFinding, VersionTest};
 use super::{OrderReport, RolloutBounds, RolloutOrder, RolloutStage};
 use crate::engine::preference_of;
 use crate::registry::ServerRegistry;
@@ -49,7 +49,8 @@
 /// Age from which a host's report does not show what it does now.
 const REPORT_TTL: Duration = Duration::from_millis(1_500);
 
-/// Servers of the new version whose attempts are counted by server, so that reports are bounded.
+/// Servers of the new version whose attempts are counted by server, so that reports are bounded;
+/// those at all others are counted together.
 const MAX_TALLIED_SERVERS: usize = 64;
 /// Time without a server of another version after which the old version counts as gone,
 /// unless this host saw its servers leave.
@@ -135,6 +136,10 @@
     pub(super) trial: Arc<[ServerKey]>,
     /// Incarnation hashes of the servers whose attempts are counted by server, the same on all hosts.
     tallied: HashSet<u64>,
+    /// Attempts that unlisted servers broke off, with the time of the first one, by server.
+    breaks: HashMap<u64, (Timestamp, u32)>,
+    /// Time of the last check.
+    checked_at: Timestamp,
     /// Servers that carry the traffic of the stage, so that each has its usual load.
     part: Arc<[ServerKey]>,
     pub(super) old_servers: usize,
@@ -169,6 +174,8 @@
             test: VersionTest::default(),
             trial: Arc::new([]),
             tallied: HashSet::new(),
+            breaks: HashMap::new(),
+            checked_at: now,
             part: Arc::new([]),
             old_servers: 0,
             new_servers: 0,
@@ -268,14 +275,19 @@
 
     pub(super) fn record_result(&mut self, record: &AttemptRecord, result: AttemptEvidence) {
         let is_new = record.version == self.target;
-        let is_tallied = !is_new || self.is_tallied(record.incarnation);
-        let server = if is_new { record.incarnation } else { 0 };
-        let server = is_tallied.then(|| self.own.server_mut(server));
+        let is_unlisted = is_new && !self.is_tallied(record.incarnation);
+        if is_unlisted {
+            self.record_unlisted(record.incarnation, result);
+        }
+        let server = match (is_new, is_unlisted) {
+            (false, _) => 0,
+            (true, false) => record.incarnation,
+            (true, true) => UNLISTED_SERVERS,
+        };
+        let server = self.own.server_mut(server);
         let (is_failure, latency) = match result {
             AttemptEvidence::Broken => {
-                if let Some(server) = server {
-                    server.broken += 1;
-                }
+                server.broken += u32::from(!is_unlisted);
                 return;
             }
             // A failure may come faster than the work.
@@ -286,9 +298,7 @@
             AttemptEvidence::Overdue(waited) => (false, Some(waited)),
         };
         let latency = latency.filter(|_| record.is_timed);
-        if let Some(server) = server {
-            server.record(is_failure, latency);
-        }
+        server.record(is_failure, latency);
         let route = self.own.route_mut(record.route);
         let tally = if is_new {
             &mut route.new
@@ -301,6 +311,29 @@
         }
     }
 
+    /// Counts attempts that an unlisted server broke off once it is known not to have ended.
+    ///
+    /// Their common tally does not tell which of them answered later.
+    fn record_unlisted(&mut self, incarnation: u64, result: AttemptEvidence) {
+        let now = self.checked_at;
+        match result {
+            AttemptEvidence::Broken => {
+                let (_, count) = self.breaks.entry(incarnation).or_insert((now, 0));
+                *count += 1;
+            }
+            AttemptEvidence::Answered { .. } => {
+                let known = self.breaks.get(&incarnation).copied();
+                if let Some((broken_at, count)) = known
+                    && now.since(broken_at) >= END_WAIT
+                {
+                    self.breaks.remove(&incarnation);
+                    self.own.server_mut(UNLISTED_SERVERS).broken += count;
+                }
+            }
+            AttemptEvidence::Overdue(_) => {}
+        }
+    }
+
     /// Returns whether attempts at a server of the new version are counted by server.
     fn is_tallied(&self, incarnation: u64) -> bool {
         let known = &self.own.servers;
@@ -318,6 +351,7 @@
 
     /// Reads which servers run which version, and tests the evidence.
     pub(super) fn update(&mut self, now: Timestamp, registry: &ServerRegistry, share: f64) {
+        self.checked_at = now;
         let servers = registry.of_service(&self.order.service);
         let (new, old): (Vec<_>, Vec<_>) =
             servers.partition(|(_, server)| server.version_hash() == self.target);
--- a/crates/teaselglade-routing/src/rollout/version_evidence.rs
+++ b/crates/teaselglade-routing/src/rollout/version_evidence.rs
@@ -69,16 +69,20 @@
     pub new: AnswerTally,
 }
 
+/// Name of the tally of all servers of the new version that have none of their own.
+pub const UNLISTED_SERVERS: u64 = u64::MAX;
+
 /// Attempts at one server of the new version, or at all servers of the old one.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
 pub struct ServerTally {
-    /// Incarnation hash of the server; 0 for all servers of the old version.
+    /// Incarnation hash of the server; 0 for all servers of the old version, and
+    /// [`UNLISTED_SERVERS`] for those of the new one that are not counted one by one.
     pub server: u64,
     /// Answers, failures included.
     pub answers: u32,
     /// Answers that are failures, or invalid.
     pub failures: u32,
-    /// Attempts that ended without an answer.
+    /// Attempts that ended without an answer; at unlisted servers those that they survived.
     pub broken: u32,
     /// Answers whose latency is known.
     pub timed: u32,
--- a/crates/teaselglade-routing/src/rollout/version_test.rs
+++ b/crates/teaselglade-routing/src/rollout/version_test.rs
@@ -5,7 +5,9 @@
 
 use teaselglade_core::time::Timestamp;
 
-use super::version_evidence::{AnswerTally, RouteEvidence, ServerTally, VersionEvidence};
+use super::version_evidence::{
+    AnswerTally, RouteEvidence, ServerTally, UNLISTED_SERVERS, VersionEvidence,
+};
 
 /// Score from which a version counts as bad.
 ///
@@ -50,7 +52,7 @@
 /// Classes by which a slow server's mean exceeds that of the old version.
 const SLOW_MEAN_CLASSES: f64 = 1.5;
 /// Time after which an answer shows that a server did not end when it broke an attempt off.
-const END_WAIT: Duration = Duration::from_secs(1);
+pub(super) const END_WAIT: Duration = Duration::from_secs(1);
 
 /// What shows that a version is bad.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -223,7 +225,16 @@
         let sound_share = expected_share(old_broken, old_answers, SERVER_MARGIN);
         let (usual_answers, usual_failures) = old_counts(evidence);
         let usual_share = expected_share(usual_failures, usual_answers, SERVER_MARGIN);
-        for server in evidence.servers.iter().filter(|server| server.server != 0) {
+        if let Some(rest) = unlisted(evidence) {
+            let trail = self.servers.entry(rest.server).or_default();
+            let broken = rest.broken.saturating_sub(trail.seen.broken);
+            let answers = rest.answers.saturating_sub(trail.seen.answers);
+            trail.seen = *rest;
+            // Their hosts confirmed what these servers broke off.
+            let excess = SERVER_EXCESS;
+            self.broken = advance(self.broken, sound_share, excess, broken, answers + broken);
+        }
+        for server in evidence.servers.iter().filter(|server| is_listed(server)) {
             let trail = self.servers.entry(server.server).or_default();
             let failures = server.failures.saturating_sub(trail.seen.failures);
             let broken = server.broken.saturating_sub(trail.seen.broken);
@@ -280,7 +291,18 @@
 
 fn new_servers(evidence: &VersionEvidence) -> impl Iterator<Item = &ServerTally> {
     let servers = evidence.servers.iter();
-    servers.filter(|server| server.server != 0 && server.answers >= MIN_SERVER_ANSWERS)
+    servers.filter(|server| is_listed(server) && server.answers >= MIN_SERVER_ANSWERS)
+}
+
+/// Returns whether a tally is that of one server of the new version.
+const fn is_listed(server: &ServerTally) -> bool {
+    server.server != 0 && server.server != UNLISTED_SERVERS
+}
+
+/// Returns the common tally of the new servers that have none of their own.
+fn unlisted(evidence: &VersionEvidence) -> Option<&ServerTally> {
+    let mut servers = evidence.servers.iter();
+    servers.find(|server| server.server == UNLISTED_SERVERS && server.answers > 0)
 }
 
 /// Returns the score from which the version is bad; higher while one server stands for it.
@@ -304,13 +326,14 @@
 fn fail_elsewhere(evidence: &VersionEvidence) -> bool {
     let (answers, failures) = old_counts(evidence);
     let usual_share = f64::from(failures) / f64::from(answers.max(1));
-    let unusual: Vec<f64> = new_servers(evidence)
-        .map(|server| f64::from(server.failures) - usual_share * f64::from(server.answers))
-        .collect();
-    if unusual.len() < 2 {
+    let excess =
+        |server: &ServerTally| f64::from(server.failures) - usual_share * f64::from(server.answers);
+    let unusual: Vec<f64> = new_servers(evidence).map(excess).collect();
+    let rest = unlisted(evidence).map(excess);
+    if unusual.len() < 2 && rest.is_none() {
         return true;
     }
-    let total: f64 = unusual.iter().sum();
+    let total = unusual.iter().sum::<f64>() + rest.unwrap_or_default();
     let worst = unusual.iter().copied().fold(0.0, f64::max);
     total - worst >= (total * OTHERS_SHARE).max(1.0)
 }
@@ -326,7 +349,10 @@
     let slow = means
         .iter()
         .filter(|mean| **mean >= old_mean + SLOW_MEAN_CLASSES);
-    means.len() < 2 || slow.count() >= 2
+    // Unlisted servers are several, so that their mean is not that of one slow server.
+    let rest = unlisted(evidence).filter(|rest| rest.timed > 0);
+    let is_rest_slow = rest.is_some_and(|rest| rest.mean_class() >= old_mean + SLOW_MEAN_CLASSES);
+    is_rest_slow || (means.len() < 2 && rest.is_none()) || slow.count() >= 2
 }
 
 /// Returns the attempts at servers of the old or the new version, and how many were broken off.
--- a/crates/teaselglade-routing/tests/routing/main.rs
+++ b/crates/teaselglade-routing/tests/routing/main.rs
@@ -15,6 +15,7 @@
 mod registry;
 mod request_crashes;
 mod rollout_leaders;
+mod rollout_sizes;
 mod rollouts;
 mod routes;
 mod server_news;
