fix(rollout): an earlier verdict found at a start does not end a repeated order

Cause: a starting host matched the verdict in the store by its target only. Before the leader had written that a repeated order runs, the host took the earlier verdict, told it to its peers, and running hosts followed.

Change: a verdict found at a start is acted on by this host alone. It is told to no other and bars nothing until a peer, the leader or the store confirms it, and is dropped if one of them shows that the order runs. Not taken at all if the store's verdict may not be adopted, or the order is known to run.

Before: two tests of rollout_verdicts failed (RolledBack for Trial).

--- a/crates/teaselglade-host/src/rollout/rollout_keeper.rs
+++ b/crates/teaselglade-host/src/rollout/rollout_keeper.rs
@@ -137,6 +137,12 @@
     let shown = read.published;
     let shown = shown.filter(|shown| shown.target == order.target);
     if let Some(shown) = &shown {
+        if status.is_provisional && !shown.stage.is_final() {
+            let now = host.now();
+            let mut decisions = host.lock_decisions();
+            decisions.rollouts.drop_listed_verdict(now, &order.service);
+            return false;
+        }
         let is_verdict = shown.stage.is_final() && status.may_adopt;
         if is_verdict && shown.stage != status.stage {
             adopt_verdict(host, status, shown.stage);
--- a/crates/teaselglade-host/src/state/host_state.rs
+++ b/crates/teaselglade-host/src/state/host_state.rs
@@ -344,7 +344,7 @@
             let is_new = decisions.record_order(now, order.clone(), is_start);
             if let Some(stage) = verdict {
                 let rollouts = &mut decisions.rollouts;
-                rollouts.record_verdict(now, &order.service, order.number, stage);
+                rollouts.record_listed_verdict(now, &order.service, order.number, stage);
             }
             is_new
         };
--- a/crates/teaselglade-routing/src/rollout/mod.rs
+++ b/crates/teaselglade-routing/src/rollout/mod.rs
@@ -4,6 +4,7 @@
 //! the fleet holds without coordination. Evidence is summed over hosts; a verdict is final.
 
 mod exposure_credit;
+mod listed_verdict;
 mod old_servers;
 mod rollout_bounds;
 mod rollout_desk;
--- a/crates/teaselglade-routing/src/rollout/rollout_desk.rs
+++ b/crates/teaselglade-routing/src/rollout/rollout_desk.rs
@@ -52,6 +52,8 @@
     pub stage_age: Duration,
     /// Whether a verdict that the store shows for the target is one on this order.
     pub may_adopt: bool,
+    /// Whether the stage is a verdict that was found at this host's start and is not confirmed.
+    pub is_provisional: bool,
 }
 
 /// Roll-outs of all services, as one host sees them.
@@ -216,10 +218,35 @@
     ) {
         let rollout = self.rollouts.get_mut(service);
         if let Some(rollout) = rollout.filter(|rollout| rollout.order.number == number) {
+            rollout.check_listed(now, stage);
             rollout.adopt(now, stage);
         }
     }
 
+    /// Records a verdict that the store shows for an order's target when this host starts.
+    ///
+    /// It may be that of an earlier order for the same target: this host acts on it, but tells it to
+    /// no other until one confirms it, and drops it if one tells that the order runs.
+    pub fn record_listed_verdict(
+        &mut self,
+        now: Timestamp,
+        service: &str,
+        number: u64,
+        stage: RolloutStage,
+    ) {
+        let rollout = self.rollouts.get_mut(service);
+        if let Some(rollout) = rollout.filter(|rollout| rollout.order.number == number) {
+            rollout.adopt_listed(now, stage);
+        }
+    }
+
+    /// Drops a verdict that the store showed at this host's start, as the order runs by it now.
+    pub fn drop_listed_verdict(&mut self, now: Timestamp, service: &str) {
+        if let Some(rollout) = self.rollouts.get_mut(service) {
+            rollout.check_listed(now, RolloutStage::Trial);
+        }
+    }
+
     /// Returns the versions that an attempt may use; credit for a trial is taken.
     ///
     /// `route` is the hash of the route's name. An attempt after a failure, beside another one, or of
@@ -351,6 +378,9 @@
             });
             rollout.open_at_old = open.map(|(_, count)| *count).sum();
             rollout.update(now, registry, TRIAL_SERVER_SHARE);
+            if rollout.listed.is_provisional {
+                continue;
+            }
             if rollout.stage == RolloutStage::RolledBack {
                 let barred = self.barred.entry(service).or_default();
                 if !barred.contains(&target) {
@@ -414,6 +444,7 @@
                 },
                 stage_age: now.since(rollout.staged_at),
                 may_adopt: rollout.may_adopt,
+                is_provisional: rollout.listed.is_provisional,
             }
         });
         statuses.collect()
@@ -440,7 +471,9 @@
     }
 
     fn order_reports(&self, now: Timestamp, number: u64, has_evidence: bool) -> Vec<OrderReport> {
-        let rollouts = self.rollouts.values().filter(|rollout| {
+        let rollouts = self.rollouts.values();
+        let rollouts = rollouts.filter(|rollout| !rollout.listed.is_provisional);
+        let rollouts = rollouts.filter(|rollout| {
             !rollout.stage.is_final()
                 || now.since(rollout.staged_at) < VERDICT_REPEAT
                 || number.is_multiple_of(OLD_VERDICT_DIGESTS)
--- a/crates/teaselglade-routing/src/rollout/service_rollout.rs
+++ b/crates/teaselglade-routing/src/rollout/service_rollout.rs
@@ -8,6 +8,7 @@
 use teaselglade_core::time::Timestamp;
 
 use super::exposure_credit::ExposureCredit;
+use super::listed_verdict::ListedVerdict;
 use super::old_servers::OldServers;
 use super::version_evidence::{UNLISTED_SERVERS, VersionEvidence};
 use super::version_scope::VersionChoice;
@@ -120,6 +121,7 @@
     pub(super) staged_at: Timestamp,
     /// Whether a verdict that the store shows for the target is one on this order.
     pub(super) may_adopt: bool,
+    pub(super) listed: ListedVerdict,
     pub(super) finding: Option<TestFinding>,
     pub(super) open_at_old: u32,
     target: u64,
@@ -162,6 +164,7 @@
             stage: RolloutStage::Trial,
             staged_at: now,
             may_adopt,
+            listed: ListedVerdict::default(),
             finding: None,
             open_at_old: 0,
             credit: ExposureCredit::new(slack),
@@ -446,6 +449,7 @@
         let ordered_at = now.before(Duration::from_millis(report.age_ms));
         self.ordered_at = self.ordered_at.min(ordered_at);
         self.heard_at = now;
+        self.check_listed(now, report.stage);
         self.enter(now, report.stage);
         if host.is_empty() {
             return;
--- a/crates/teaselglade-routing/tests/routing/main.rs
+++ b/crates/teaselglade-routing/tests/routing/main.rs
@@ -16,6 +16,7 @@
 mod request_crashes;
 mod rollout_leaders;
 mod rollout_sizes;
+mod rollout_verdicts;
 mod rollouts;
 mod routes;
 mod server_news;
