--- a/crates/teaselglade-routing/src/rollout/mod.rs
+++ b/crates/teaselglade-routing/src/rollout/mod.rs
@@ -4,6 +4,8 @@
 //! the fleet holds without coordination. Evidence is summed over hosts; a verdict is final.
 
 mod exposure_credit;
+mod listed_verdict;
+mod old_servers;
 mod rollout_bounds;
 mod rollout_desk;
 mod rollout_order;
@@ -24,6 +26,8 @@
 pub use rollout_stage::RolloutStage;
 pub use rollout_view::{FindingView, RolloutView, VersionCounts};
 pub use service_rollout::{AttemptEvidence, AttemptRecord};
-pub use version_evidence::{AnswerTally, RouteEvidence, ServerTally, VersionEvidence};
+pub use version_evidence::{
+    AnswerTally, RouteEvidence, ServerTally, UNLISTED_SERVERS, VersionEvidence,
+};
 pub use version_scope::{VersionChoice, VersionScope};
 pub use version_test::{TestFinding, VersionTest};
--- a/crates/teaselglade-routing/src/rollout/rollout_desk.rs
+++ b/crates/teaselglade-routing/src/rollout/rollout_desk.rs
@@ -52,6 +52,8 @@
     pub stage_age: Duration,
     /// Whether a verdict that the store shows for the target is one on this order.
     pub may_adopt: bool,
+    /// Whether the stage is a verdict that was found at this host's start and is not confirmed.
+    pub is_provisional: bool,
 }
 
 /// Roll-outs of all services, as one host sees them.
@@ -77,6 +79,8 @@
     /// Versions that were rolled back, or whose order was replaced before its verdict, by service.
     barred: HashMap<String, Vec<u64>>,
     settled: SettledVersions,
+    /// Orders whose verdicts are not read yet, by service.
+    held: HashMap<String, RolloutOrder>,
     open: HashMap<ServerKey, u32>,
     logged: HashMap<String, (u64, RolloutStage)>,
 }
@@ -91,6 +95,7 @@
             rollouts: BTreeMap::new(),
             barred: HashMap::new(),
             settled: SettledVersions::default(),
+            held: HashMap::new(),
             open: HashMap::new(),
             logged: HashMap::new(),
         }
@@ -120,7 +125,7 @@
         service: &str,
     ) -> bool {
         let Some(rollout) = self.rollouts.get(service) else {
-            return false;
+            return self.held.contains_key(service);
         };
         let target = rollout.order.target_hash();
         let is_target = |server: &RegisteredServer| server.version_hash() == target;
@@ -130,6 +135,18 @@
         !rollout.stage.is_final() || (are_both_there && now.since(rollout.staged_at) < VERDICT_TIME)
     }
 
+    /// Keeps the target of an order out of use until the order is recorded.
+    ///
+    /// A host that starts does so while it does not know whether there is a verdict on the order.
+    /// Returns `false` if an order for the service is known already.
+    pub fn hold_order(&mut self, order: RolloutOrder) -> bool {
+        if self.rollouts.contains_key(&order.service) {
+            return false;
+        }
+        self.held.insert(order.service.clone(), order);
+        true
+    }
+
     /// Records an order of the operators; one that is older than the known one is passed over.
     ///
     /// `hosts` is the size of the fleet; `is_listed` tells whether this host found the order in the
@@ -165,6 +182,7 @@
         self.settled.remove(&order.service, target);
         let slack = self.own_slack(&order, hosts);
         let rollout = ServiceRollout::new(now, order.clone(), slack, may_adopt);
+        self.held.remove(&order.service);
         self.rollouts.insert(order.service, rollout);
         true
     }
@@ -200,10 +218,35 @@
     ) {
         let rollout = self.rollouts.get_mut(service);
         if let Some(rollout) = rollout.filter(|rollout| rollout.order.number == number) {
+            rollout.check_listed(now, stage);
             rollout.adopt(now, stage);
         }
     }
 
+    /// Records a verdict that the store shows for an order's target when this host starts.
+    ///
+    /// It may be that of an earlier order for the same target: this host acts on it, but tells it to
+    /// no other until one confirms it, and drops it if one tells that the order runs.
+    pub fn record_listed_verdict(
+        &mut self,
+        now: Timestamp,
+        service: &str,
+        number: u64,
+        stage: RolloutStage,
+    ) {
+        let rollout = self.rollouts.get_mut(service);
+        if let Some(rollout) = rollout.filter(|rollout| rollout.order.number == number) {
+            rollout.adopt_listed(now, stage);
+        }
+    }
+
+    /// Drops a verdict that the store showed at this host's start, as the order runs by it now.
+    pub fn drop_listed_verdict(&mut self, now: Timestamp, service: &str) {
+        if let Some(rollout) = self.rollouts.get_mut(service) {
+            rollout.check_listed(now, RolloutStage::Trial);
+        }
+    }
+
     /// Returns the versions that an attempt may use; credit for a trial is taken.
     ///
     /// `route` is the hash of the route's name. An attempt after a failure, beside another one, or of
@@ -232,6 +275,9 @@
         route: u64,
         is_repeat: bool,
     ) -> VersionChoice {
+        if let Some(held) = self.held.get(service).filter(|_| rollout.is_none()) {
+            return VersionChoice::Held(held.target_hash());
+        }
         let bounds = self.bounds.unwrap_or_default();
         let settled = self.settled.of_service(service).map(Arc::clone);
         let barred = self.barred.get(service).map_or(&[][..], Vec::as_slice);
@@ -332,6 +378,9 @@
             });
             rollout.open_at_old = open.map(|(_, count)| *count).sum();
             rollout.update(now, registry, TRIAL_SERVER_SHARE);
+            if rollout.listed.is_provisional {
+                continue;
+            }
             if rollout.stage == RolloutStage::RolledBack {
                 let barred = self.barred.entry(service).or_default();
                 if !barred.contains(&target) {
@@ -395,6 +444,7 @@
                 },
                 stage_age: now.since(rollout.staged_at),
                 may_adopt: rollout.may_adopt,
+                is_provisional: rollout.listed.is_provisional,
             }
         });
         statuses.collect()
@@ -421,7 +471,9 @@
     }
 
     fn order_reports(&self, now: Timestamp, number: u64, has_evidence: bool) -> Vec<OrderReport> {
-        let rollouts = self.rollouts.values().filter(|rollout| {
+        let rollouts = self.rollouts.values();
+        let rollouts = rollouts.filter(|rollout| !rollout.listed.is_provisional);
+        let rollouts = rollouts.filter(|rollout| {
             !rollout.stage.is_final()
                 || now.since(rollout.staged_at) < VERDICT_REPEAT
                 || number.is_multiple_of(OLD_VERDICT_DIGESTS)
--- a/crates/teaselglade-routing/src/rollout/service_rollout.rs
+++ b/crates/teaselglade-routing/src/rollout/service_rollout.rs
@@ -8,9 +8,11 @@
 use teaselglade_core::time::Timestamp;
 
 use super::exposure_credit::ExposureCredit;
-use super::version_evidence::VersionEvidence;
+use super::listed_verdict::ListedVerdict;
+use super::old_servers::OldServers;
+use super::version_evidence::{UNLISTED_SERVERS, VersionEvidence};
 use super::version_scope::VersionChoice;
-use super::version_test::{TestFinding, VersionTest};
+use super::version_test::{END_WAIT, TestFinding, VersionTest};
 use super::{OrderReport, RolloutBounds, RolloutOrder, RolloutStage};
 use crate::engine::preference_of;
 use crate::registry::ServerRegistry;
@@ -48,9 +50,11 @@
 /// Age from which a host's report does not show what it does now.
 const REPORT_TTL: Duration = Duration::from_millis(1_500);
 
-/// Servers of the new version whose attempts are counted by server, so that reports are bounded.
+/// Servers of the new version whose attempts are counted by server, so that reports are bounded;
+/// those at all others are counted together.
 const MAX_TALLIED_SERVERS: usize = 64;
-/// Time without a server of another version after which the old version counts as gone.
+/// Time without a server of another version after which the old version counts as gone,
+/// unless this host saw its servers leave.
 ///
 /// News of registrations reach a host within it; a starting leader may know only a part.
 const GONE_TIME: Duration = Duration::from_secs(2);
@@ -117,6 +121,7 @@
     pub(super) staged_at: Timestamp,
     /// Whether a verdict that the store shows for the target is one on this order.
     pub(super) may_adopt: bool,
+    pub(super) listed: ListedVerdict,
     pub(super) finding: Option<TestFinding>,
     pub(super) open_at_old: u32,
     target: u64,
@@ -133,13 +138,18 @@
     pub(super) trial: Arc<[ServerKey]>,
     /// Incarnation hashes of the servers whose attempts are counted by server, the same on all hosts.
     tallied: HashSet<u64>,
+    /// Attempts that unlisted servers broke off, with the time of the first one, by server.
+    breaks: HashMap<u64, (Timestamp, u32)>,
+    /// Time of the last check.
+    checked_at: Timestamp,
     /// Servers that carry the traffic of the stage, so that each has its usual load.
     part: Arc<[ServerKey]>,
     pub(super) old_servers: usize,
     pub(super) new_servers: usize,
-    /// Whether a server of another version than the target was seen since the order.
-    has_old: bool,
-    /// Time from which no such server is known.
+    old_state: OldServers,
+    /// Last servers of other versions that this host knew, and their incarnation hashes.
+    last_old: Vec<(ServerKey, u64)>,
+    /// Time from which servers of the target are known and no others.
     old_gone_at: Option<Timestamp>,
     /// Whether the target was made the version in service.
     pub(super) is_settled: bool,
@@ -154,6 +164,7 @@
             stage: RolloutStage::Trial,
             staged_at: now,
             may_adopt,
+            listed: ListedVerdict::default(),
             finding: None,
             open_at_old: 0,
             credit: ExposureCredit::new(slack),
@@ -166,10 +177,13 @@
             test: VersionTest::default(),
             trial: Arc::new([]),
             tallied: HashSet::new(),
+            breaks: HashMap::new(),
+            checked_at: now,
             part: Arc::new([]),
             old_servers: 0,
             new_servers: 0,
-            has_old: false,
+            old_state: OldServers::Unseen,
+            last_old: Vec::new(),
             old_gone_at: None,
             is_settled: false,
         }
@@ -191,8 +205,9 @@
         is_repeat: bool,
         old: VersionChoice,
     ) -> VersionChoice {
-        // The target is the version in service.
-        if !self.stage.is_final() && !self.has_old && self.new_servers > 0 {
+        // The target is the version in service, or all that is left.
+        let is_only_version = self.old_state != OldServers::Known;
+        if !self.stage.is_final() && is_only_version && self.new_servers > 0 {
             return VersionChoice::Target(self.target, Box::new(old));
         }
         match self.stage {
@@ -263,14 +278,19 @@
 
     pub(super) fn record_result(&mut self, record: &AttemptRecord, result: AttemptEvidence) {
         let is_new = record.version == self.target;
-        let is_tallied = !is_new || self.is_tallied(record.incarnation);
-        let server = if is_new { record.incarnation } else { 0 };
-        let server = is_tallied.then(|| self.own.server_mut(server));
+        let is_unlisted = is_new && !self.is_tallied(record.incarnation);
+        if is_unlisted {
+            self.record_unlisted(record.incarnation, result);
+        }
+        let server = match (is_new, is_unlisted) {
+            (false, _) => 0,
+            (true, false) => record.incarnation,
+            (true, true) => UNLISTED_SERVERS,
+        };
+        let server = self.own.server_mut(server);
         let (is_failure, latency) = match result {
             AttemptEvidence::Broken => {
-                if let Some(server) = server {
-                    server.broken += 1;
-                }
+                server.broken += u32::from(!is_unlisted);
                 return;
             }
             // A failure may come faster than the work.
@@ -281,9 +301,7 @@
             AttemptEvidence::Overdue(waited) => (false, Some(waited)),
         };
         let latency = latency.filter(|_| record.is_timed);
-        if let Some(server) = server {
-            server.record(is_failure, latency);
-        }
+        server.record(is_failure, latency);
         let route = self.own.route_mut(record.route);
         let tally = if is_new {
             &mut route.new
@@ -296,6 +314,29 @@
         }
     }
 
+    /// Counts attempts that an unlisted server broke off once it is known not to have ended.
+    ///
+    /// Their common tally does not tell which of them answered later.
+    fn record_unlisted(&mut self, incarnation: u64, result: AttemptEvidence) {
+        let now = self.checked_at;
+        match result {
+            AttemptEvidence::Broken => {
+                let (_, count) = self.breaks.entry(incarnation).or_insert((now, 0));
+                *count += 1;
+            }
+            AttemptEvidence::Answered { .. } => {
+                let known = self.breaks.get(&incarnation).copied();
+                if let Some((broken_at, count)) = known
+                    && now.since(broken_at) >= END_WAIT
+                {
+                    self.breaks.remove(&incarnation);
+                    self.own.server_mut(UNLISTED_SERVERS).broken += count;
+                }
+            }
+            AttemptEvidence::Overdue(_) => {}
+        }
+    }
+
     /// Returns whether attempts at a server of the new version are counted by server.
     fn is_tallied(&self, incarnation: u64) -> bool {
         let known = &self.own.servers;
@@ -313,14 +354,26 @@
 
     /// Reads which servers run which version, and tests the evidence.
     pub(super) fn update(&mut self, now: Timestamp, registry: &ServerRegistry, share: f64) {
+        self.checked_at = now;
         let servers = registry.of_service(&self.order.service);
         let (new, old): (Vec<_>, Vec<_>) =
             servers.partition(|(_, server)| server.version_hash() == self.target);
         self.old_servers = old.len();
         self.new_servers = new.len();
-        self.has_old |= self.old_servers > 0;
+        if !old.is_empty() {
+            self.old_state = OldServers::Known;
+            let known = old.iter();
+            let known = known.map(|(key, server)| (*key, server.incarnation_hash()));
+            self.last_old = known.collect();
+        } else if !self.last_old.is_empty() {
+            let mut last_old = self.last_old.iter();
+            if last_old.all(|(key, incarnation)| registry.has_left(*key, *incarnation)) {
+                self.old_state = OldServers::Left;
+            }
+        }
         let gone_at = self.old_gone_at.unwrap_or(now);
-        self.old_gone_at = (self.old_servers == 0).then_some(gone_at);
+        let is_only_new = self.old_servers == 0 && self.new_servers > 0;
+        self.old_gone_at = is_only_new.then_some(gone_at);
         let mut ranked: Vec<(u64, ServerKey)> = new
             .into_iter()
             .map(|(key, server)| (preference_of(self.order.number, server.hash), key))
@@ -396,12 +449,15 @@
         let ordered_at = now.before(Duration::from_millis(report.age_ms));
         self.ordered_at = self.ordered_at.min(ordered_at);
         self.heard_at = now;
+        self.check_listed(now, report.stage);
         self.enter(now, report.stage);
         if host.is_empty() {
             return;
         }
         let mut routes = report.evidence.routes.iter();
-        self.has_old |= routes.any(|route| route.old.answers > 0);
+        if self.old_state == OldServers::Unseen && routes.any(|route| route.old.answers > 0) {
+            self.old_state = OldServers::Known;
+        }
         let view = PeerView {
             started_at_us,
             received_at: now,
@@ -441,8 +497,11 @@
             && is_sound
         {
             self.enter(now, next);
-        } else if self.stage < RolloutStage::Whole && progress >= CLOSE_AT {
-            // What was not shown to be sound within its time is not completed.
+        } else if self.stage < RolloutStage::Whole
+            && progress >= CLOSE_AT
+            && self.old_gone_at.is_none()
+        {
+            // What was not shown to be sound in time is not completed, unless only it is left.
             self.enter(now, RolloutStage::RolledBack);
         }
         self.stage == RolloutStage::Whole
@@ -450,10 +509,11 @@
             && (self.is_left_by_all(now, peer_count) || progress >= CLOSE_AT)
     }
 
-    /// Returns whether only servers of the target are left, and for long enough to be sure.
+    /// Returns whether only servers of the target are left, and for long enough if it is uncertain.
     fn is_old_gone(&self, now: Timestamp) -> bool {
-        let gone_since = self.old_gone_at.filter(|_| self.new_servers > 0);
-        gone_since.is_some_and(|since| now.since(since) >= GONE_TIME)
+        self.old_gone_at.is_some_and(|since| {
+            self.old_state == OldServers::Left || now.since(since) >= GONE_TIME
+        })
     }
 
     /// Returns whether enough is known of the new version, and nothing speaks against it.
--- a/crates/teaselglade-routing/tests/routing/main.rs
+++ b/crates/teaselglade-routing/tests/routing/main.rs
@@ -18,6 +18,8 @@
 mod request_crashes;
 mod rollout_defences;
 mod rollout_leaders;
+mod rollout_sizes;
+mod rollout_verdicts;
 mod rollouts;
 mod routes;
 mod server_news;
