fix(rollout): engines on trial under load are as busy as the busiest old one

Cause: the trial under load used 1 in 40 new servers, whatever the service's load. Placement by cached prompt parts loads single engines far more than the mean, so that with as many new engines as old ones each on trial carried less than engines carry once the version has all the traffic; a fault under load first showed there, and exposure then passes its bound within a second.

Change: the number of servers of the trial under load and of the stages "quarter" and "half" follows from the service's open requests: each gets what the busiest old server carries, half of its slots at least and 1.5 times that at most. Credit and the sum of the exposure are unchanged. Plain services, whose loads are not read here, keep the fixed part.

A sound version is completed in time.

--- a/crates/teaselglade-host/src/rollout/rollout_keeper.rs
+++ b/crates/teaselglade-host/src/rollout/rollout_keeper.rs
@@ -77,6 +77,10 @@
     let mut guard = host.lock_decisions();
     let decisions = &mut *guard;
     let (rollouts, registry) = (&mut decisions.rollouts, &decisions.registry);
+    if rollouts.has_running() {
+        let loads = decisions.engine_placer.total_loads(registry);
+        rollouts.record_loads(now, registry, &loads);
+    }
     let mut changes = rollouts.update(now, registry, &services);
     let membership = &decisions.membership;
     // Without leader duties no host holds the lease.
--- a/crates/teaselglade-routing/src/rollout/mod.rs
+++ b/crates/teaselglade-routing/src/rollout/mod.rs
@@ -12,6 +12,7 @@
 mod service_rollout;
 mod settled_versions;
 mod version_evidence;
+mod version_load;
 mod version_scope;
 mod version_test;
 
--- a/crates/teaselglade-routing/src/rollout/rollout_desk.rs
+++ b/crates/teaselglade-routing/src/rollout/rollout_desk.rs
@@ -12,11 +12,10 @@
 use super::version_scope::VersionChoice;
 use super::version_test::TestFinding;
 use super::{OrderReport, RolloutBounds, RolloutOrder, RolloutReport, RolloutStage};
+use crate::engine::EngineLoad;
 use crate::gossip::rendezvous_weight;
 use crate::registry::{RegisteredServer, ServerRegistry};
 
-/// Share of the new servers that carry the trial.
-const TRIAL_SERVER_SHARE: f64 = 0.05;
 /// Time after a verdict in which each digest repeats it.
 const VERDICT_REPEAT: Duration = Duration::from_secs(10);
 /// Longest time in which the servers that a verdict rejects are expected to leave.
@@ -173,9 +172,10 @@
     ///
     /// Until then an order for the version in service leaves no server to use.
     pub fn read_servers(&mut self, now: Timestamp, registry: &ServerRegistry) {
+        let bounds = self.bounds.unwrap_or_default();
         let rollouts = self.rollouts.values_mut();
         for rollout in rollouts.filter(|rollout| rollout.is_without_servers()) {
-            rollout.update(now, registry, TRIAL_SERVER_SHARE);
+            rollout.update(now, registry, bounds);
         }
     }
 
@@ -317,6 +317,25 @@
         }
     }
 
+    /// Reads the loads of engines, which tell how many servers carry a part of the traffic.
+    pub fn record_loads(
+        &mut self,
+        now: Timestamp,
+        registry: &ServerRegistry,
+        loads: &[EngineLoad],
+    ) {
+        for rollout in self.rollouts.values_mut() {
+            rollout.record_loads(now, registry, loads);
+        }
+    }
+
+    /// Returns whether an order of any service runs.
+    #[must_use]
+    pub fn has_running(&self) -> bool {
+        let mut rollouts = self.rollouts.values();
+        rollouts.any(|rollout| !rollout.stage.is_final())
+    }
+
     /// Reads the versions of servers, tests the evidence, and returns the changes since the last call.
     pub fn update(
         &mut self,
@@ -324,6 +343,7 @@
         registry: &ServerRegistry,
         services: &[&str],
     ) -> Vec<RolloutChange> {
+        let bounds = self.bounds.unwrap_or_default();
         for rollout in self.rollouts.values_mut() {
             let (service, target) = (rollout.order.service.clone(), rollout.order.target_hash());
             let open = self.open.iter().filter(|(server, _)| {
@@ -331,7 +351,7 @@
                 server.registration.service == service && server.version_hash() != target
             });
             rollout.open_at_old = open.map(|(_, count)| *count).sum();
-            rollout.update(now, registry, TRIAL_SERVER_SHARE);
+            rollout.update(now, registry, bounds);
             if rollout.stage == RolloutStage::RolledBack {
                 let barred = self.barred.entry(service).or_default();
                 if !barred.contains(&target) {
--- a/crates/teaselglade-routing/src/rollout/service_rollout.rs
+++ b/crates/teaselglade-routing/src/rollout/service_rollout.rs
@@ -9,10 +9,11 @@
 
 use super::exposure_credit::ExposureCredit;
 use super::version_evidence::VersionEvidence;
+use super::version_load::VersionLoad;
 use super::version_scope::VersionChoice;
 use super::version_test::{TestFinding, VersionTest};
 use super::{OrderReport, RolloutBounds, RolloutOrder, RolloutStage};
-use crate::engine::preference_of;
+use crate::engine::{EngineLoad, preference_of};
 use crate::registry::ServerRegistry;
 
 /// Share of the permitted exposure that the trial uses.
@@ -21,6 +22,9 @@
 const PROBE_PART: f64 = 0.75;
 /// Part of an order's time from which fewer servers carry more of the trial, for its load.
 const PROBE_FROM: f64 = 0.4;
+/// Share of the traffic under load, relative to the permitted exposure.
+const PROBE_RATE: f64 =
+    (PROBE_PART * QUARTER_FROM - TRIAL_PART * PROBE_FROM) / (QUARTER_FROM - PROBE_FROM);
 /// Part of an order's time from which a version without objections gets a quarter of the traffic.
 const QUARTER_FROM: f64 = 0.55;
 /// The same for half of the traffic.
@@ -34,6 +38,10 @@
 /// Servers that carry a part of the traffic, relative to that part: each gets some
 /// times its usual load, and what it does not take in time goes to the old version.
 const PART_SERVERS: f64 = 0.2;
+/// Share of the new servers that carry the trial.
+const TRIAL_SERVERS: f64 = 0.05;
+/// The same under load, where the load of the old servers is not known.
+const PROBE_SERVERS: f64 = 0.025;
 /// Least number of servers on trial, as one server must not stand for its version.
 const MIN_TRIAL_SERVERS: usize = 2;
 /// Answers of the new version that are enough to go on, on each route and on all.
@@ -119,6 +127,12 @@
     trial: Arc<[ServerKey]>,
     /// Servers that carry the traffic of the stage, so that each has its usual load.
     part: Arc<[ServerKey]>,
+    /// Load of the old servers until the trial under load.
+    load: VersionLoad,
+    /// Open requests of all hosts at the new servers, where known.
+    open_at_new: f64,
+    /// Mean number of slots of the new servers.
+    new_slots: f64,
     old_servers: usize,
     new_servers: usize,
     /// Whether a server of another version than the target was seen since the order.
@@ -148,6 +162,9 @@
             test: VersionTest::default(),
             trial: Arc::new([]),
             part: Arc::new([]),
+            load: VersionLoad::default(),
+            open_at_new: 0.0,
+            new_slots: 0.0,
             old_servers: 0,
             new_servers: 0,
             has_old: false,
@@ -279,27 +296,33 @@
     }
 
     /// Reads which servers run which version, and tests the evidence.
-    pub(super) fn update(&mut self, now: Timestamp, registry: &ServerRegistry, share: f64) {
+    pub(super) fn update(
+        &mut self,
+        now: Timestamp,
+        registry: &ServerRegistry,
+        bounds: RolloutBounds,
+    ) {
         let servers = registry.of_service(&self.order.service);
         let (new, old): (Vec<_>, Vec<_>) =
             servers.partition(|(_, server)| server.version_hash() == self.target);
         self.old_servers = old.len();
         self.new_servers = new.len();
+        let slots = new
+            .iter()
+            .filter_map(|(_, server)| server.registration.slots);
+        self.new_slots = f64::from(slots.sum::<u32>()) / new.len().max(1) as f64;
         self.has_old |= self.old_servers > 0;
         let mut ranked: Vec<(u64, ServerKey)> = new
             .into_iter()
             .map(|(key, server)| (preference_of(self.order.number, server.hash), key))
             .collect();
         ranked.sort_unstable();
-        let first = |share: f64| -> Vec<ServerKey> {
-            let wanted = (ranked.len() as f64 * share).ceil() as usize;
-            let first = ranked.iter().take(wanted.max(MIN_TRIAL_SERVERS));
+        let (trial, part) = self.carriers(now, bounds);
+        let first = |count: usize| -> Vec<ServerKey> {
+            let first = ranked.iter().take(count.max(MIN_TRIAL_SERVERS));
             first.map(|(_, key)| *key).collect()
         };
-        // Fewer servers than before, so that they fill up.
-        let is_probe = self.progress(now) >= PROBE_FROM;
-        let trial = first(if is_probe { share / 2.0 } else { share });
-        let part = first(self.stage.traffic_share() * PART_SERVERS);
+        let (trial, part) = (first(trial), first(part));
         if *trial != *self.trial {
             self.trial = trial.into();
         }
@@ -316,6 +339,47 @@
         }
     }
 
+    /// Returns how many servers carry the trial now, and how many the stage's part of the traffic.
+    ///
+    /// Under load they are so few that each is as busy as [`VersionLoad`] asks for.
+    fn carriers(&self, now: Timestamp, bounds: RolloutBounds) -> (usize, usize) {
+        let share_of = |share: f64| (self.new_servers as f64 * share).ceil() as usize;
+        let loaded = |traffic: f64, share: f64| {
+            let servers = self
+                .load
+                .servers_for(traffic, self.open_at_new, self.new_slots);
+            servers.unwrap_or_else(|| share_of(share))
+        };
+        let trial = if self.progress(now) < PROBE_FROM {
+            share_of(TRIAL_SERVERS)
+        } else {
+            loaded(bounds.exposure_share * PROBE_RATE, PROBE_SERVERS)
+        };
+        let traffic = self.stage.traffic_share();
+        (trial, loaded(traffic, traffic * PART_SERVERS))
+    }
+
+    /// Reads the loads of the service's servers.
+    pub(super) fn record_loads(
+        &mut self,
+        now: Timestamp,
+        registry: &ServerRegistry,
+        loads: &[EngineLoad],
+    ) {
+        let of_service = loads.iter().filter_map(|load| {
+            let server = registry.server(registry.find_by_hash(load.server)?);
+            let is_of_service = server.registration.service == self.order.service;
+            let is_new = server.version_hash() == self.target;
+            is_of_service.then_some((is_new, f64::from(load.requests)))
+        });
+        let (new, old): (Vec<_>, Vec<_>) = of_service.partition(|(is_new, _)| *is_new);
+        self.open_at_new = new.into_iter().map(|(_, open)| open).sum();
+        // Later on the old servers lose what the new ones get.
+        if self.stage == RolloutStage::Trial && self.progress(now) < PROBE_FROM {
+            self.load.record(old.into_iter().map(|(_, open)| open));
+        }
+    }
+
     /// Returns the evidence of all hosts that this one heard of.
     pub(super) fn evidence(&self) -> VersionEvidence {
         let mut evidence = self.own.clone();
--- a/crates/teaselglade-routing/tests/routing/main.rs
+++ b/crates/teaselglade-routing/tests/routing/main.rs
@@ -14,6 +14,7 @@
 mod quotas;
 mod registry;
 mod request_crashes;
+mod rollout_load;
 mod rollouts;
 mod routes;
 mod server_news;
