fix(rollout): servers that fail by themselves leave a version's trial to others

Cause: with two or three engines on trial under load, one fails alone. It may be a grey server, so it is no verdict, and it went on carrying the trial: it held the order up to 0.69 of its time, and the version was judged by one other server. Good answers that it gave later took its score back, so that the last stages passed.

Change: a server whose score shows that it fails by itself keeps that mark for the order, comes last in the ranking from which trial and stage take their servers, and holds the order up to 0.69 as before. Hosts that hear only an aggregator learn of it by `OrderReport::failing`, which is not sent while it is empty.

Ruled out on virtual time: the same without the mark.

--- a/crates/teaselglade-routing/src/rollout/rollout_report.rs
+++ b/crates/teaselglade-routing/src/rollout/rollout_report.rs
@@ -17,6 +17,9 @@
     pub open_at_old: u32,
     /// What the host itself saw since the order; empty in an aggregate.
     pub evidence: VersionEvidence,
+    /// Incarnation hashes of servers that left the trial, as they fail by themselves.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub failing: Vec<u64>,
 }
 
 /// Orders that one host knows.
--- a/crates/teaselglade-routing/src/rollout/service_rollout.rs
+++ b/crates/teaselglade-routing/src/rollout/service_rollout.rs
@@ -1,6 +1,6 @@
 //! Roll-out of one service, as one host sees it.
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -124,6 +124,8 @@
     /// Evidence of earlier incarnations of peers.
     earlier: VersionEvidence,
     test: VersionTest,
+    /// Incarnations that failed by themselves, here or as other hosts tell; others take their place.
+    failing: BTreeSet<u64>,
     trial: Arc<[ServerKey]>,
     /// Servers that carry the traffic of the stage, so that each has its usual load.
     part: Arc<[ServerKey]>,
@@ -160,6 +162,7 @@
             peers: HashMap::new(),
             earlier: VersionEvidence::default(),
             test: VersionTest::default(),
+            failing: BTreeSet::new(),
             trial: Arc::new([]),
             part: Arc::new([]),
             load: VersionLoad::default(),
@@ -312,15 +315,20 @@
             .filter_map(|(_, server)| server.registration.slots);
         self.new_slots = f64::from(slots.sum::<u32>()) / new.len().max(1) as f64;
         self.has_old |= self.old_servers > 0;
-        let mut ranked: Vec<(u64, ServerKey)> = new
+        // Servers that fail by themselves come last: whether a version is bad shows at others.
+        let mut ranked: Vec<(bool, u64, ServerKey)> = new
             .into_iter()
-            .map(|(key, server)| (preference_of(self.order.number, server.hash), key))
+            .map(|(key, server)| {
+                let is_failing = self.failing.contains(&server.incarnation_hash());
+                let preference = preference_of(self.order.number, server.hash);
+                (is_failing, preference, key)
+            })
             .collect();
         ranked.sort_unstable();
         let (trial, part) = self.carriers(now, bounds);
         let first = |count: usize| -> Vec<ServerKey> {
             let first = ranked.iter().take(count.max(MIN_TRIAL_SERVERS));
-            first.map(|(_, key)| *key).collect()
+            first.map(|(.., key)| *key).collect()
         };
         let (trial, part) = (first(trial), first(part));
         if *trial != *self.trial {
@@ -337,6 +345,7 @@
             self.finding = Some(finding);
             self.enter(now, RolloutStage::RolledBack);
         }
+        self.failing.extend(self.test.failing_servers());
     }
 
     /// Returns how many servers carry the trial now, and how many the stage's part of the traffic.
@@ -423,6 +432,7 @@
         self.ordered_at = self.ordered_at.min(ordered_at);
         self.heard_at = now;
         self.enter(now, report.stage);
+        self.failing.extend(report.failing);
         if host.is_empty() {
             return;
         }
@@ -453,7 +463,7 @@
         }
         let is_sound = self.hears(now, peer_count)
             && self.is_sound()
-            && (self.test.failing_servers() == 0 || progress >= HOLD_UNTIL);
+            && (self.failing.is_empty() || progress >= HOLD_UNTIL);
         let due = [
             (RolloutStage::Trial, QUARTER_FROM, RolloutStage::Quarter),
             (RolloutStage::Quarter, HALF_FROM, RolloutStage::Half),
@@ -523,6 +533,7 @@
             } else {
                 VersionEvidence::default()
             },
+            failing: self.failing.iter().copied().collect(),
         }
     }
 }
--- a/crates/teaselglade-routing/src/rollout/version_test.rs
+++ b/crates/teaselglade-routing/src/rollout/version_test.rs
@@ -80,6 +80,8 @@
     /// Attempts broken off that no later answer confirmed, with the time at which they were seen.
     unconfirmed: Vec<(Timestamp, u32)>,
     failures: f64,
+    /// Whether the score ever showed that the server fails by itself.
+    has_failed: bool,
 }
 
 /// Sequential test of a new version against the versions in service.
@@ -150,13 +152,14 @@
             })
     }
 
-    /// Returns the number of servers of the new version that fail by themselves.
-    #[must_use]
-    pub fn failing_servers(&self) -> usize {
-        let trails = self.servers.values();
+    /// Returns the incarnation hashes of the new version's servers that failed by themselves.
+    ///
+    /// What a server answers after it left the trial does not take that back.
+    pub fn failing_servers(&self) -> impl Iterator<Item = u64> {
+        let trails = self.servers.iter();
         trails
-            .filter(|trail| trail.failures >= SERVER_SCORE)
-            .count()
+            .filter(|(_, trail)| trail.has_failed)
+            .map(|(server, _)| *server)
     }
 
     /// Returns what shows that more servers fail than the old version's failures let expect.
@@ -166,7 +169,7 @@
         let (answers, failures) = old_counts(evidence);
         let old_share = f64::from(failures) / f64::from(answers.max(1)) / FAILING_SHARE;
         let tested = new_servers(evidence).count();
-        let failing = self.failing_servers();
+        let failing = self.failing_servers().count();
         let bound = MIN_FAILING_SERVERS + FAILING_FACTOR * old_share * tested as f64;
         (failing as f64 >= bound).then_some(TestFinding {
             statistic: "servers",
@@ -231,6 +234,7 @@
             trail.seen = *server;
             let excess = SERVER_EXCESS;
             trail.failures = advance(trail.failures, usual_share, excess, failures, answers);
+            trail.has_failed |= trail.failures >= SERVER_SCORE;
             let mut confirmed = 0;
             if answers > 0 {
                 trail.unconfirmed.retain(|(seen_at, count)| {
--- a/crates/teaselglade-routing/tests/routing/rollout_load.rs
+++ b/crates/teaselglade-routing/tests/routing/rollout_load.rs
@@ -39,6 +39,8 @@
 const ORGANISATIONS: u64 = 16;
 const ORDER_AT_MS: u64 = 3_000;
 const OVER_MS: u64 = 15_000;
+/// Age of the order from which few new servers carry the trial.
+const LOADED_AFTER_MS: u64 = OVER_MS * 2 / 5;
 /// Requests of all callers in a second, for each old server.
 const REQUESTS_PER_SERVER: f64 = 3.0;
 /// Time between reports of all hosts to each other.
@@ -58,6 +60,8 @@
     /// Open requests from which a server of the new version fails half of them; `None` for a good
     /// version.
     fails_from: Option<usize>,
+    /// Whether the first new server that is tried under load fails half of its requests at any load.
+    has_grey: bool,
     seed: u64,
 }
 
@@ -81,6 +85,10 @@
     stages: Vec<(u64, RolloutStage)>,
     completed_at: Option<u64>,
     last_exposed_at: u64,
+    /// Attempts at the grey server before all traffic goes to the new version.
+    grey_attempts: usize,
+    /// Attempts under load at each other new server before that.
+    sound_attempts: BTreeMap<ServerKey, usize>,
     final_stages: Vec<RolloutStage>,
 }
 
@@ -92,6 +100,7 @@
     free_at: BTreeMap<ServerKey, f64>,
     active: BTreeMap<ServerKey, usize>,
     cached: HashSet<(ServerKey, u64)>,
+    grey: Option<ServerKey>,
     firsts: BTreeMap<u64, Vec<OpenCall>>,
     ends: BTreeMap<u64, Vec<OpenCall>>,
     random: Pcg32,
@@ -121,6 +130,7 @@
             free_at: BTreeMap::new(),
             active: BTreeMap::new(),
             cached: HashSet::new(),
+            grey: None,
             firsts: BTreeMap::new(),
             ends: BTreeMap::new(),
             random: Pcg32::seed_from_u64(scenario.seed),
@@ -233,6 +243,7 @@
         }
         if is_new {
             self.outcome.last_exposed_at = now;
+            self.count_tried(now, host, server);
         }
         *self.active.entry(server).or_default() += 1;
         let is_failure = is_new && self.fails(server);
@@ -257,6 +268,19 @@
             .push(call);
     }
 
+    /// Counts attempts under load until all traffic goes to the new version.
+    fn count_tried(&mut self, now: u64, host: usize, server: ServerKey) {
+        let is_whole = self.desks[host].stage(SERVICE) >= Some(RolloutStage::Whole);
+        if now < ORDER_AT_MS + LOADED_AFTER_MS || is_whole {
+            return;
+        }
+        if self.scenario.has_grey && *self.grey.get_or_insert(server) == server {
+            self.outcome.grey_attempts += 1;
+        } else {
+            *self.outcome.sound_attempts.entry(server).or_default() += 1;
+        }
+    }
+
     fn draw_route(&mut self) -> usize {
         let mut drawn = self.random.random_range(0..100);
         let weights = ROUTES.iter().map(|(.., weight)| *weight);
@@ -270,6 +294,9 @@
 
     /// Returns whether a server is busy enough to fail, and fails this request.
     fn fails(&mut self, server: ServerKey) -> bool {
+        if self.grey == Some(server) {
+            return self.random.random_bool(0.5);
+        }
         let Some(fails_from) = self.scenario.fails_from else {
             return false;
         };
@@ -362,6 +389,7 @@
             old_servers: 140,
             new_servers: 140,
             fails_from: Some(BUSY_LOAD),
+            has_grey: false,
             seed,
         });
     }
@@ -373,16 +401,52 @@
         old_servers: 140,
         new_servers: 40,
         fails_from: Some(BUSY_LOAD),
+        has_grey: false,
         seed: 1,
     });
 }
 
+#[test]
+fn engines_of_which_one_fails_alone_at_first_are_rolled_back_within_the_exposure() {
+    for seed in 0..3 {
+        check_bad(Scenario {
+            old_servers: 140,
+            new_servers: 140,
+            fails_from: Some(28),
+            has_grey: false,
+            seed,
+        });
+    }
+}
+
+#[test]
+fn an_engine_that_fails_alone_leaves_the_trial_to_sound_ones_that_are_completed_in_time() {
+    for seed in 0..4 {
+        let scenario = Scenario {
+            old_servers: 140,
+            new_servers: 140,
+            fails_from: None,
+            has_grey: true,
+            seed,
+        };
+        let outcome = LoadReplay::new(scenario).run();
+        let completed_at = outcome.completed_at.unwrap_or(u64::MAX);
+        assert!(completed_at <= ORDER_AT_MS + OVER_MS, "{outcome:?}");
+        assert_eq!(outcome.refused, 0, "{outcome:?}");
+        // One server must not stand for its version.
+        let attempts = outcome.sound_attempts.values();
+        let busier = attempts.filter(|attempts| **attempts > outcome.grey_attempts);
+        assert!(busier.count() >= 2, "seed {seed}: {outcome:?}");
+    }
+}
+
 #[test]
 fn sound_engines_that_carry_such_a_load_on_trial_are_completed_in_time() {
     let scenario = Scenario {
         old_servers: 140,
         new_servers: 140,
         fails_from: None,
+        has_grey: false,
         seed: 1,
     };
     let outcome = LoadReplay::new(scenario).run();
--- a/crates/teaselglade-routing/tests/routing/rollouts.rs
+++ b/crates/teaselglade-routing/tests/routing/rollouts.rs
@@ -447,3 +447,42 @@
     let finding = test.update(at(6_000), &counts).expect("a finding");
     assert_eq!(finding.statistic, "broken");
 }
+
+/// Returns the first new server that the next request on trial may use; others are answered soundly.
+fn next_trial_server(desk: &mut RolloutDesk, registry: &ServerRegistry, from: u64) -> ServerKey {
+    let found = (from..from + 200).find_map(|now| {
+        let server = trial_server(desk, registry, now);
+        send(desk, registry, at(now), false);
+        server
+    });
+    found.expect("a trial")
+}
+
+/// Returns the first new server that a request on trial may use now.
+fn trial_server(desk: &RolloutDesk, registry: &ServerRegistry, now: u64) -> Option<ServerKey> {
+    let choice = desk.preview(at(now), SERVICE, 1);
+    let is_trial = choice.is_trial();
+    is_trial.then(|| first_allowed(registry, &choice)).flatten()
+}
+
+#[test]
+fn hosts_that_hear_only_an_aggregator_try_a_version_on_other_servers_than_one_that_fails() {
+    let registry = registry(4, 6);
+    let mut aggregator = RolloutDesk::new("edge-1".to_owned(), Some(BOUNDS));
+    let mut host = RolloutDesk::new("edge-2".to_owned(), Some(BOUNDS));
+    for desk in [&mut aggregator, &mut host] {
+        desk.record_order(at(0), order("v2", 3), 2, false);
+        desk.update(at(0), &registry, &[SERVICE]);
+    }
+    let failing = next_trial_server(&mut host, &registry, 0);
+    for now in 0..2_000 {
+        let is_bad = trial_server(&aggregator, &registry, now) == Some(failing);
+        send(&mut aggregator, &registry, at(now), is_bad);
+        aggregator.update(at(now), &registry, &[SERVICE]);
+    }
+    assert_eq!(aggregator.stage(SERVICE), Some(RolloutStage::Trial));
+    host.merge(at(2_000), aggregator.aggregate(at(2_000), 1), 2);
+    host.update(at(2_000), &registry, &[SERVICE]);
+    let server = next_trial_server(&mut host, &registry, 2_000);
+    assert_ne!(server, failing);
+}
