--- a/crates/teaselglade-host/src/rollout/rollout_keeper.rs
+++ b/crates/teaselglade-host/src/rollout/rollout_keeper.rs
@@ -85,6 +85,10 @@
     let mut guard = host.lock_decisions();
     let decisions = &mut *guard;
     let (rollouts, registry) = (&mut decisions.rollouts, &decisions.registry);
+    if rollouts.has_running() {
+        let loads = decisions.engine_placer.total_loads(registry);
+        rollouts.record_loads(now, registry, &loads);
+    }
     let mut changes = rollouts.update(now, registry, &services);
     let membership = &decisions.membership;
     let peers = membership.peer_count();
--- a/crates/teaselglade-routing/src/rollout/mod.rs
+++ b/crates/teaselglade-routing/src/rollout/mod.rs
@@ -15,6 +15,7 @@
 mod service_rollout;
 mod settled_versions;
 mod version_evidence;
+mod version_load;
 mod version_scope;
 mod version_test;
 
--- a/crates/teaselglade-routing/src/rollout/rollout_view.rs
+++ b/crates/teaselglade-routing/src/rollout/rollout_view.rs
@@ -178,7 +178,7 @@
         fleet_permitted: f64::from(fleet.answers()) * bounds.exposure_share + bounds.exposure_slack,
         servers: evidence.servers,
         suspicion: rollout.suspicion(),
-        failing_servers: rollout.test.failing_servers(),
+        failing_servers: rollout.test.failing_servers().count(),
         is_sound: rollout.is_sound(),
         is_heard: rollout.hears(now, peers.len()),
         is_left_by_all: rollout.is_left_by_all(now, peers.len()),
--- a/crates/teaselglade-routing/src/rollout/service_rollout.rs
+++ b/crates/teaselglade-routing/src/rollout/service_rollout.rs
@@ -1,6 +1,6 @@
 //! Roll-out of one service, as one host sees it.
 
-use std::collections::{HashMap, HashSet};
+use std::collections::{BTreeSet, HashMap, HashSet};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -11,10 +11,11 @@
 use super::listed_verdict::ListedVerdict;
 use super::old_servers::OldServers;
 use super::version_evidence::{UNLISTED_SERVERS, VersionEvidence};
+use super::version_load::VersionLoad;
 use super::version_scope::VersionChoice;
 use super::version_test::{END_WAIT, TestFinding, VersionTest};
 use super::{OrderReport, RolloutBounds, RolloutOrder, RolloutStage};
-use crate::engine::preference_of;
+use crate::engine::{EngineLoad, preference_of};
 use crate::registry::ServerRegistry;
 
 /// Share of the permitted exposure that the trial uses.
@@ -23,6 +24,9 @@
 const PROBE_PART: f64 = 0.75;
 /// Part of an order's time from which fewer servers carry more of the trial, for its load.
 const PROBE_FROM: f64 = 0.4;
+/// Share of the traffic under load, relative to the permitted exposure.
+const PROBE_RATE: f64 =
+    (PROBE_PART * QUARTER_FROM - TRIAL_PART * PROBE_FROM) / (QUARTER_FROM - PROBE_FROM);
 /// Part of an order's time from which a version without objections gets a quarter of the traffic.
 const QUARTER_FROM: f64 = 0.55;
 /// The same for half of the traffic.
@@ -36,6 +40,10 @@
 /// Servers that carry a part of the traffic, relative to that part: each gets some
 /// times its usual load, and what it does not take in time goes to the old version.
 const PART_SERVERS: f64 = 0.2;
+/// Share of the new servers that carry the trial.
+const TRIAL_SERVERS: f64 = 0.05;
+/// The same under load, where the load of the old servers is not known.
+const PROBE_SERVERS: f64 = 0.025;
 /// Least number of servers on trial, as one server must not stand for its version.
 const MIN_TRIAL_SERVERS: usize = 2;
 /// Answers of the new version that are enough to go on, on each route and on all.
@@ -135,6 +143,8 @@
     /// Evidence of earlier incarnations of peers.
     earlier: VersionEvidence,
     pub(super) test: VersionTest,
+    /// Incarnations that failed by themselves, here or as other hosts tell; others take their place.
+    failing: BTreeSet<u64>,
     pub(super) trial: Arc<[ServerKey]>,
     /// Incarnation hashes of the servers whose attempts are counted by server, the same on all hosts.
     tallied: HashSet<u64>,
@@ -144,6 +154,12 @@
     checked_at: Timestamp,
     /// Servers that carry the traffic of the stage, so that each has its usual load.
     part: Arc<[ServerKey]>,
+    /// Load of the old servers until the trial under load.
+    load: VersionLoad,
+    /// Open requests of all hosts at the new servers, where known.
+    open_at_new: f64,
+    /// Mean number of slots of the new servers.
+    new_slots: f64,
     pub(super) old_servers: usize,
     pub(super) new_servers: usize,
     old_state: OldServers,
@@ -175,11 +191,15 @@
             peers: HashMap::new(),
             earlier: VersionEvidence::default(),
             test: VersionTest::default(),
+            failing: BTreeSet::new(),
             trial: Arc::new([]),
             tallied: HashSet::new(),
             breaks: HashMap::new(),
             checked_at: now,
             part: Arc::new([]),
+            load: VersionLoad::default(),
+            open_at_new: 0.0,
+            new_slots: 0.0,
             old_servers: 0,
             new_servers: 0,
             old_state: OldServers::Unseen,
@@ -353,7 +373,12 @@
     }
 
     /// Reads which servers run which version, and tests the evidence.
-    pub(super) fn update(&mut self, now: Timestamp, registry: &ServerRegistry, share: f64) {
+    pub(super) fn update(
+        &mut self,
+        now: Timestamp,
+        registry: &ServerRegistry,
+        bounds: RolloutBounds,
+    ) {
         self.checked_at = now;
         let servers = registry.of_service(&self.order.service);
         let (new, old): (Vec<_>, Vec<_>) =
@@ -374,23 +399,32 @@
         let gone_at = self.old_gone_at.unwrap_or(now);
         let is_only_new = self.old_servers == 0 && self.new_servers > 0;
         self.old_gone_at = is_only_new.then_some(gone_at);
-        let mut ranked: Vec<(u64, ServerKey)> = new
+        let slots = new
+            .iter()
+            .filter_map(|(_, server)| server.registration.slots);
+        self.new_slots = f64::from(slots.sum::<u32>()) / new.len().max(1) as f64;
+        // Servers that fail by themselves come last: whether a version is bad shows at others.
+        let mut ranked: Vec<(bool, u64, ServerKey)> = new
             .into_iter()
-            .map(|(key, server)| (preference_of(self.order.number, server.hash), key))
+            .map(|(key, server)| {
+                let is_failing = self.failing.contains(&server.incarnation_hash());
+                let preference = preference_of(self.order.number, server.hash);
+                (is_failing, preference, key)
+            })
             .collect();
         ranked.sort_unstable();
-        let tallied = ranked.iter().take(MAX_TALLIED_SERVERS);
+        // By preference alone, so that all hosts count the same servers.
+        let mut tallied: Vec<_> = ranked.iter().map(|(_, rank, key)| (*rank, *key)).collect();
+        tallied.sort_unstable();
+        let tallied = tallied.iter().take(MAX_TALLIED_SERVERS);
         let tallied = tallied.map(|(_, key)| registry.server(*key).incarnation_hash());
         self.tallied = tallied.collect();
-        let first = |share: f64| -> Vec<ServerKey> {
-            let wanted = (ranked.len() as f64 * share).ceil() as usize;
-            let first = ranked.iter().take(wanted.max(MIN_TRIAL_SERVERS));
-            first.map(|(_, key)| *key).collect()
+        let (trial, part) = self.carriers(now, bounds);
+        let first = |count: usize| -> Vec<ServerKey> {
+            let first = ranked.iter().take(count.max(MIN_TRIAL_SERVERS));
+            first.map(|(.., key)| *key).collect()
         };
-        // Fewer servers than before, so that they fill up.
-        let is_probe = self.progress(now) >= PROBE_FROM;
-        let trial = first(if is_probe { share / 2.0 } else { share });
-        let part = first(self.stage.traffic_share() * PART_SERVERS);
+        let (trial, part) = (first(trial), first(part));
         if *trial != *self.trial {
             self.trial = trial.into();
         }
@@ -405,6 +439,48 @@
             self.finding = Some(finding);
             self.enter(now, RolloutStage::RolledBack);
         }
+        self.failing.extend(self.test.failing_servers());
+    }
+
+    /// Returns how many servers carry the trial now, and how many the stage's part of the traffic.
+    ///
+    /// Under load they are so few that each is as busy as [`VersionLoad`] asks for.
+    fn carriers(&self, now: Timestamp, bounds: RolloutBounds) -> (usize, usize) {
+        let share_of = |share: f64| (self.new_servers as f64 * share).ceil() as usize;
+        let loaded = |traffic: f64, share: f64| {
+            let servers = self
+                .load
+                .servers_for(traffic, self.open_at_new, self.new_slots);
+            servers.unwrap_or_else(|| share_of(share))
+        };
+        let trial = if self.progress(now) < PROBE_FROM {
+            share_of(TRIAL_SERVERS)
+        } else {
+            loaded(bounds.exposure_share * PROBE_RATE, PROBE_SERVERS)
+        };
+        let traffic = self.stage.traffic_share();
+        (trial, loaded(traffic, traffic * PART_SERVERS))
+    }
+
+    /// Reads the loads of the service's servers.
+    pub(super) fn record_loads(
+        &mut self,
+        now: Timestamp,
+        registry: &ServerRegistry,
+        loads: &[EngineLoad],
+    ) {
+        let of_service = loads.iter().filter_map(|load| {
+            let server = registry.server(registry.find_by_hash(load.server)?);
+            let is_of_service = server.registration.service == self.order.service;
+            let is_new = server.version_hash() == self.target;
+            is_of_service.then_some((is_new, f64::from(load.requests)))
+        });
+        let (new, old): (Vec<_>, Vec<_>) = of_service.partition(|(is_new, _)| *is_new);
+        self.open_at_new = new.into_iter().map(|(_, open)| open).sum();
+        // Later on the old servers lose what the new ones get.
+        if self.stage == RolloutStage::Trial && self.progress(now) < PROBE_FROM {
+            self.load.record(old.into_iter().map(|(_, open)| open));
+        }
     }
 
     /// Returns the evidence of all hosts that this one heard of.
@@ -451,6 +527,7 @@
         self.heard_at = now;
         self.check_listed(now, report.stage);
         self.enter(now, report.stage);
+        self.failing.extend(report.failing);
         if host.is_empty() {
             return;
         }
@@ -484,7 +561,7 @@
         }
         let is_sound = self.hears(now, peer_count)
             && self.is_sound()
-            && (self.test.failing_servers() == 0 || progress >= HOLD_UNTIL);
+            && (self.failing.is_empty() || progress >= HOLD_UNTIL);
         let due = [
             (RolloutStage::Trial, QUARTER_FROM, RolloutStage::Quarter),
             (RolloutStage::Quarter, HALF_FROM, RolloutStage::Half),
@@ -562,6 +639,7 @@
             } else {
                 VersionEvidence::default()
             },
+            failing: self.failing.iter().copied().collect(),
         }
     }
 }
--- a/crates/teaselglade-routing/tests/routing/main.rs
+++ b/crates/teaselglade-routing/tests/routing/main.rs
@@ -18,6 +18,7 @@
 mod request_crashes;
 mod rollout_defences;
 mod rollout_leaders;
+mod rollout_load;
 mod rollout_sizes;
 mod rollout_verdicts;
 mod rollouts;
