--- a/crates/teaselglade-routing/src/rollout/mod.rs
+++ b/crates/teaselglade-routing/src/rollout/mod.rs
@@ -3,9 +3,12 @@
 //! Each host bounds what it exposes to the new version by what it sent itself, so that the sum over
 //! the fleet holds without coordination. Evidence is summed over hosts; a verdict is final.
 
+mod attempt_evidence;
+mod attempt_record;
 mod exposure_credit;
 mod listed_verdict;
 mod old_servers;
+mod peer_view;
 mod rollout_bounds;
 mod rollout_desk;
 mod rollout_order;
@@ -14,11 +17,14 @@
 mod rollout_view;
 mod service_rollout;
 mod settled_versions;
+mod trial_load;
 mod version_evidence;
 mod version_load;
 mod version_scope;
 mod version_test;
 
+pub use attempt_evidence::AttemptEvidence;
+pub use attempt_record::AttemptRecord;
 pub use exposure_credit::ExposureCredit;
 pub use rollout_bounds::RolloutBounds;
 pub use rollout_desk::{RolloutChange, RolloutDesk, RolloutStatus};
@@ -26,7 +32,6 @@
 pub use rollout_report::{OrderReport, RolloutReport};
 pub use rollout_stage::RolloutStage;
 pub use rollout_view::{FindingView, RolloutView, VersionCounts};
-pub use service_rollout::{AttemptEvidence, AttemptRecord};
 pub use version_evidence::{
     AnswerTally, RouteEvidence, ServerTally, UNLISTED_SERVERS, VersionEvidence,
 };
--- a/crates/teaselglade-routing/src/rollout/rollout_desk.rs
+++ b/crates/teaselglade-routing/src/rollout/rollout_desk.rs
@@ -7,10 +7,11 @@
 use teaselglade_core::id::ServerKey;
 use teaselglade_core::time::Timestamp;
 
-use super::service_rollout::{AttemptEvidence, AttemptRecord, ServiceRollout};
+use super::service_rollout::ServiceRollout;
 use super::settled_versions::SettledVersions;
 use super::version_scope::VersionChoice;
 use super::version_test::TestFinding;
+use super::{AttemptEvidence, AttemptRecord};
 use super::{OrderReport, RolloutBounds, RolloutOrder, RolloutReport, RolloutStage};
 use crate::engine::EngineLoad;
 use crate::gossip::rendezvous_weight;
--- a/crates/teaselglade-routing/src/rollout/service_rollout.rs
+++ b/crates/teaselglade-routing/src/rollout/service_rollout.rs
@@ -10,25 +10,25 @@
 use super::exposure_credit::ExposureCredit;
 use super::listed_verdict::ListedVerdict;
 use super::old_servers::OldServers;
+use super::peer_view::{PeerView, REPORT_TTL};
 use super::version_evidence::{UNLISTED_SERVERS, VersionEvidence};
 use super::version_load::VersionLoad;
 use super::version_scope::VersionChoice;
 use super::version_test::{END_WAIT, TestFinding, VersionTest};
-use super::{OrderReport, RolloutBounds, RolloutOrder, RolloutStage};
-use crate::engine::{EngineLoad, preference_of};
+use super::{
+    AttemptEvidence, AttemptRecord, OrderReport, RolloutBounds, RolloutOrder, RolloutStage,
+};
+use crate::engine::preference_of;
 use crate::registry::ServerRegistry;
 
 /// Share of the permitted exposure that the trial uses.
-const TRIAL_PART: f64 = 0.5;
+pub(super) const TRIAL_PART: f64 = 0.5;
 /// The same at the end of the time in which the new servers are also tried under load.
-const PROBE_PART: f64 = 0.75;
+pub(super) const PROBE_PART: f64 = 0.75;
 /// Part of an order's time from which fewer servers carry more of the trial, for its load.
-const PROBE_FROM: f64 = 0.4;
-/// Share of the traffic under load, relative to the permitted exposure.
-const PROBE_RATE: f64 =
-    (PROBE_PART * QUARTER_FROM - TRIAL_PART * PROBE_FROM) / (QUARTER_FROM - PROBE_FROM);
+pub(super) const PROBE_FROM: f64 = 0.4;
 /// Part of an order's time from which a version without objections gets a quarter of the traffic.
-const QUARTER_FROM: f64 = 0.55;
+pub(super) const QUARTER_FROM: f64 = 0.55;
 /// The same for half of the traffic.
 const HALF_FROM: f64 = 0.61;
 /// The same for all of the traffic.
@@ -37,13 +37,6 @@
 const HOLD_UNTIL: f64 = 0.69;
 /// Part of an order's time after which silent hosts are not waited for.
 const CLOSE_AT: f64 = 0.9;
-/// Servers that carry a part of the traffic, relative to that part: each gets some
-/// times its usual load, and what it does not take in time goes to the old version.
-const PART_SERVERS: f64 = 0.2;
-/// Share of the new servers that carry the trial.
-const TRIAL_SERVERS: f64 = 0.05;
-/// The same under load, where the load of the old servers is not known.
-const PROBE_SERVERS: f64 = 0.025;
 /// Least number of servers on trial, as one server must not stand for its version.
 const MIN_TRIAL_SERVERS: usize = 2;
 /// Answers of the new version that are enough to go on, on each route and on all.
@@ -55,9 +48,6 @@
 const MAX_SUSPICION: f64 = 0.35;
 /// Share of the known peers whose reports are needed to go on.
 const MIN_HEARD_SHARE: f64 = 0.75;
-/// Age from which a host's report does not show what it does now.
-const REPORT_TTL: Duration = Duration::from_millis(1_500);
-
 /// Servers of the new version whose attempts are counted by server, so that reports are bounded;
 /// those at all others are counted together.
 const MAX_TALLIED_SERVERS: usize = 64;
@@ -67,58 +57,6 @@
 /// News of registrations reach a host within it; a starting leader may know only a part.
 const GONE_TIME: Duration = Duration::from_secs(2);
 
-/// Attempt that counts for a roll-out until it is closed.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct AttemptRecord {
-    pub(super) server: ServerKey,
-    pub(super) incarnation: u64,
-    pub(super) version: u64,
-    pub(super) service: Arc<str>,
-    pub(super) route: u64,
-    pub(super) is_first: bool,
-    pub(super) is_timed: bool,
-    pub(super) is_answered: bool,
-}
-
-impl AttemptRecord {
-    /// Marks an attempt that says nothing of the version, such as one that was not run.
-    pub const fn discard(&mut self) {
-        self.is_answered = true;
-    }
-}
-
-/// How an attempt went.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum AttemptEvidence {
-    /// The server answered, or sent the first event of a stream.
-    Answered {
-        /// Whether the answer is a failure or invalid.
-        is_failure: bool,
-        /// Time that it took, comparable between servers.
-        latency: Duration,
-    },
-    /// The attempt was given up after this time without an answer.
-    Overdue(Duration),
-    /// The server broke the attempt off.
-    Broken,
-}
-
-#[derive(Debug, Clone)]
-pub(super) struct PeerView {
-    started_at_us: u64,
-    received_at: Timestamp,
-    stage: RolloutStage,
-    open_at_old: u32,
-    evidence: VersionEvidence,
-}
-
-impl PeerView {
-    /// Returns whether the report shows what the host does now.
-    pub(super) fn is_fresh(&self, now: Timestamp) -> bool {
-        now.since(self.received_at) < REPORT_TTL
-    }
-}
-
 /// Roll-out of one service, as one host sees it.
 #[derive(Debug, Clone)]
 pub(super) struct ServiceRollout {
@@ -132,7 +70,7 @@
     pub(super) listed: ListedVerdict,
     pub(super) finding: Option<TestFinding>,
     pub(super) open_at_old: u32,
-    target: u64,
+    pub(super) target: u64,
     pub(super) credit: ExposureCredit,
     route_exposed: HashMap<u64, u64>,
     ramp: f64,
@@ -155,11 +93,11 @@
     /// Servers that carry the traffic of the stage, so that each has its usual load.
     part: Arc<[ServerKey]>,
     /// Load of the old servers until the trial under load.
-    load: VersionLoad,
+    pub(super) load: VersionLoad,
     /// Open requests of all hosts at the new servers, where known.
-    open_at_new: f64,
+    pub(super) open_at_new: f64,
     /// Mean number of slots of the new servers.
-    new_slots: f64,
+    pub(super) new_slots: f64,
     pub(super) old_servers: usize,
     pub(super) new_servers: usize,
     old_state: OldServers,
@@ -367,7 +305,7 @@
     }
 
     /// Part of the order's time that has passed.
-    fn progress(&self, now: Timestamp) -> f64 {
+    pub(super) fn progress(&self, now: Timestamp) -> f64 {
         let age = now.since(self.ordered_at).as_secs_f64();
         age / self.order.over().as_secs_f64().max(0.001)
     }
@@ -442,47 +380,6 @@
         self.failing.extend(self.test.failing_servers());
     }
 
-    /// Returns how many servers carry the trial now, and how many the stage's part of the traffic.
-    ///
-    /// Under load they are so few that each is as busy as [`VersionLoad`] asks for.
-    fn carriers(&self, now: Timestamp, bounds: RolloutBounds) -> (usize, usize) {
-        let share_of = |share: f64| (self.new_servers as f64 * share).ceil() as usize;
-        let loaded = |traffic: f64, share: f64| {
-            let servers = self
-                .load
-                .servers_for(traffic, self.open_at_new, self.new_slots);
-            servers.unwrap_or_else(|| share_of(share))
-        };
-        let trial = if self.progress(now) < PROBE_FROM {
-            share_of(TRIAL_SERVERS)
-        } else {
-            loaded(bounds.exposure_share * PROBE_RATE, PROBE_SERVERS)
-        };
-        let traffic = self.stage.traffic_share();
-        (trial, loaded(traffic, traffic * PART_SERVERS))
-    }
-
-    /// Reads the loads of the service's servers.
-    pub(super) fn record_loads(
-        &mut self,
-        now: Timestamp,
-        registry: &ServerRegistry,
-        loads: &[EngineLoad],
-    ) {
-        let of_service = loads.iter().filter_map(|load| {
-            let server = registry.server(registry.find_by_hash(load.server)?);
-            let is_of_service = server.registration.service == self.order.service;
-            let is_new = server.version_hash() == self.target;
-            is_of_service.then_some((is_new, f64::from(load.requests)))
-        });
-        let (new, old): (Vec<_>, Vec<_>) = of_service.partition(|(is_new, _)| *is_new);
-        self.open_at_new = new.into_iter().map(|(_, open)| open).sum();
-        // Later on the old servers lose what the new ones get.
-        if self.stage == RolloutStage::Trial && self.progress(now) < PROBE_FROM {
-            self.load.record(old.into_iter().map(|(_, open)| open));
-        }
-    }
-
     /// Returns the evidence of all hosts that this one heard of.
     pub(super) fn evidence(&self) -> VersionEvidence {
         let mut evidence = self.own.clone();
