--- a/crates/teaselglade-routing/src/gossip/mod.rs
+++ b/crates/teaselglade-routing/src/gossip/mod.rs
@@ -3,6 +3,8 @@
 mod aggregate_digest;
 mod fetch_planner;
 mod host_digest;
+mod news_packer;
+mod news_turn;
 mod peer_membership;
 mod server_news;
 mod transfer_limiter;
@@ -11,8 +13,9 @@
 pub use aggregate_digest::{AggregateDigest, CandidateHost, PeerMessage};
 pub use fetch_planner::FetchPlanner;
 pub use host_digest::{HostDigest, PeerAddress, ServiceDemand};
+pub use news_turn::NewsTurn;
 pub use peer_membership::PeerMembership;
-pub use server_news::{NewsTurn, ServerNews};
+pub use server_news::ServerNews;
 pub use teaselglade_placement::subset::rendezvous_weight;
 pub use transfer_limiter::TransferLimiter;
 
