--- a/crates/teaselglade-host/src/follow/table_follower.rs
+++ b/crates/teaselglade-host/src/follow/table_follower.rs
@@ -11,7 +11,7 @@
 
 use super::{FULL_READ_INTERVAL, STORE_RETRY_DELAY};
 use crate::peer::pull_before_store;
-use crate::port::{Feed, FeedItem, FeedPage, StoreError};
+use crate::port::{Feed, FeedItem, FeedPage, PublishedRollout, StoreError};
 use crate::state::HostState;
 
 /// Maximum wait of one call of a store reader.
@@ -43,7 +43,13 @@
         match host.ports.feeds.latest(Feed::Table).await {
             Ok(page) => {
                 host.record_call("read_table", None);
-                let held = apply_page(&host, page, is_start);
+                let is_listing_orders = is_start && listed_orders(&page).next().is_some();
+                let states = if is_listing_orders {
+                    read_states(&host).await
+                } else {
+                    None
+                };
+                let held = apply_page(&host, page, is_start, states.as_deref());
                 is_start = false;
                 join!(poll_changes(&host), decide_held_orders(&host, held));
             }
@@ -70,7 +76,7 @@
         match host.ports.feeds.changes(Feed::Table, next, wait).await {
             Ok(page) => {
                 host.record_call("follow_table", None);
-                apply_page(host, page, false);
+                apply_page(host, page, false, None);
             }
             Err(error @ (StoreError::HistoryLost { .. } | StoreError::HistoryReplaced { .. })) => {
                 info!(event = "history_lost", feed = "table", next, error = %error);
@@ -108,6 +114,30 @@
     }
 }
 
+/// Returns the orders of a page.
+fn listed_orders(page: &FeedPage) -> impl Iterator<Item = &RolloutOrder> {
+    page.items.iter().filter_map(|item| match item {
+        FeedItem::Rollout(order) => Some(order),
+        _ => None,
+    })
+}
+
+/// Reads the states of all roll-outs; `None` if the store does not tell them in time.
+async fn read_states(host: &HostState) -> Option<Vec<PublishedRollout>> {
+    let read = timeout(VERDICT_WAIT, host.ports.feeds.rollouts()).await;
+    let read = read.unwrap_or_else(|_| Err(StoreError::unreadable("no answer in time")));
+    host.record_result("read_rollouts", &read);
+    read.ok()
+}
+
+/// Records an order that a starting host finds, with its verdict if the states show one.
+fn record_listed_order(host: &HostState, order: &RolloutOrder, states: &[PublishedRollout]) {
+    let mut verdicts = states.iter().filter(|shown| {
+        shown.service == order.service && shown.target == order.target && shown.stage.is_final()
+    });
+    host.record_order(order, true, verdicts.next().map(|shown| shown.stage));
+}
+
 /// Records the orders that were held back, with the verdicts that the store shows.
 ///
 /// The store is asked a few times; then the orders are taken as without a verdict.
@@ -115,46 +145,45 @@
     if held.is_empty() {
         return;
     }
-    let mut shown = None;
-    for attempt in 0..VERDICT_READS {
-        if attempt > 0 {
-            sleep(STORE_RETRY_DELAY).await;
-        }
-        let read = timeout(VERDICT_WAIT, host.ports.feeds.rollouts()).await;
-        let read = read.unwrap_or_else(|_| Err(StoreError::unreadable("no answer in time")));
-        host.record_result("read_rollouts", &read);
-        shown = read.ok();
-        if shown.is_some() {
+    let mut states = None;
+    for _ in 1..VERDICT_READS {
+        sleep(STORE_RETRY_DELAY).await;
+        states = read_states(host).await;
+        if states.is_some() {
             break;
         }
     }
     for order in held {
-        let states = shown.iter().flatten();
-        let mut verdicts = states.filter(|shown| {
-            shown.service == order.service && shown.target == order.target && shown.stage.is_final()
-        });
-        if shown.is_none() {
+        if states.is_none() {
             let (service, target) = (&order.service, &order.target);
             warn!(event = "rollout_verdict_unread", service, target);
         }
-        host.record_order(&order, true, verdicts.next().map(|shown| shown.stage));
+        record_listed_order(host, &order, states.as_deref().unwrap_or_default());
     }
 }
 
 /// Applies a page; `is_start` marks the first one that this host reads.
 ///
-/// Returns the orders of the first page: without their verdicts a version that was rolled back, or
-/// left, would be used until the leader reads them.
-fn apply_page(host: &HostState, page: FeedPage, is_start: bool) -> Vec<RolloutOrder> {
+/// The orders of the first page are recorded with the verdicts in `states`, before the table lets
+/// requests in. Without states they are held back and returned: otherwise a version that was rolled
+/// back would be used until the leader reads its verdict.
+fn apply_page(
+    host: &HostState,
+    page: FeedPage,
+    is_start: bool,
+    states: Option<&[PublishedRollout]>,
+) -> Vec<RolloutOrder> {
     let next_offset = page.next_offset;
-    let orders = page.items.iter().filter_map(|item| match item {
-        FeedItem::Rollout(order) if is_start => Some(order.clone()),
-        _ => None,
-    });
-    // Before the table lets requests in.
-    let held: Vec<RolloutOrder> = orders
-        .filter(|order| host.lock_decisions().rollouts.hold_order(order.clone()))
+    let listed: Vec<RolloutOrder> = listed_orders(&page)
+        .filter(|_| is_start)
+        .filter(|order| host.lock_decisions().rollouts.hold_order((*order).clone()))
+        .cloned()
         .collect();
+    if let Some(states) = states {
+        for order in &listed {
+            record_listed_order(host, order, states);
+        }
+    }
     for item in page.items {
         match item {
             FeedItem::Table(published) => {
@@ -164,7 +193,7 @@
                 host.metrics.unreadable_records.inc();
                 warn!(event = "record_passed_over", feed = "table", key, detail);
             }
-            FeedItem::Rollout(order) if held.contains(&order) => {}
+            FeedItem::Rollout(order) if listed.contains(&order) => {}
             FeedItem::Rollout(order) => host.record_order(&order, is_start, None),
             FeedItem::Server(_)
             | FeedItem::ServerRemoved(_)
@@ -173,5 +202,5 @@
         }
     }
     host.set_table_position(next_offset);
-    held
+    if states.is_some() { Vec::new() } else { listed }
 }
