fix(client): a response whose status answers no request fails its attempt

Callers saw: a server's 101, 600, 700 or 999 as their answer, with its stamp; after a 101 the connection had no framing any more.

Cause: the HTTP library rejects statuses below 100 and skips those from 102 to 199, but takes 101 for an upgrade, which no request of this system asks for, and accepts all up to 999. ConnectionPool and HttpClient passed on what the library accepted. For a call to the store such a status meant "refused", thus "not executed", although nothing says so.

Evidence, on the code before: a_response_with_an_invalid_status_is_not_forwarded failed with 101 (the caller got 101 where 502 was expected), a_response_without_a_final_status_fails_its_call with 101, and nothing_is_read_behind_bytes_that_are_no_response with 700.

Change: is_final_status (200 to 599, RFC 9110) is asked where responses enter: requests to backend servers, calls to the store, the cloud, peers and plain servers, and responses that are read late. Such a response counts as a broken one that may have run its request, so nothing that may not be repeated is sent again, and other calls go to another server.

--- a/crates/teaselglade-host/src/upstream/connection_pool.rs
+++ b/crates/teaselglade-host/src/upstream/connection_pool.rs
@@ -14,6 +14,7 @@
 use hyper_util::rt::TokioIo;
 use teaselglade_core::id::ServerKey;
 use teaselglade_core::verdict::SendProgress;
+use teaselglade_net::client::is_final_status;
 use tokio::net::TcpStream;
 use tokio::time::{Instant, timeout};
 
@@ -183,7 +184,8 @@
     ///
     /// # Errors
     ///
-    /// Fails if the connection breaks first; the error says whether anything may have been sent.
+    /// Fails if the connection breaks first, or the response's status does not answer the request;
+    /// the error says whether anything may have been sent.
     pub async fn send(&mut self, request: Request<Full<Bytes>>) -> Result<Response<Incoming>> {
         let Some(sender) = self.sender.as_mut() else {
             return Err(SendError::new(
@@ -195,17 +197,19 @@
             return Err(SendError::new(SendProgress::NotSent, error.to_string()));
         }
         sender.record.start();
-        sender
-            .requests
-            .try_send_request(request)
-            .await
-            .map_err(|mut failed| {
-                let progress = match failed.take_message() {
-                    Some(_unsent) => SendProgress::NotSent,
-                    None => SendProgress::MaybeSent,
-                };
-                SendError::new(progress, failed.error().to_string())
-            })
+        let sent = sender.requests.try_send_request(request).await;
+        let response = sent.map_err(|mut failed| {
+            let progress = match failed.take_message() {
+                Some(_unsent) => SendProgress::NotSent,
+                None => SendProgress::MaybeSent,
+            };
+            SendError::new(progress, failed.error().to_string())
+        })?;
+        if !is_final_status(response.status()) {
+            let detail = format!("status {} answers no request", response.status().as_u16());
+            return Err(SendError::new(SendProgress::MaybeSent, detail));
+        }
+        Ok(response)
     }
 
     /// Drops the record of the response, which matches its request.
--- a/crates/teaselglade-host/src/upstream/response_scanner.rs
+++ b/crates/teaselglade-host/src/upstream/response_scanner.rs
@@ -2,6 +2,7 @@
 
 use hyper::StatusCode;
 use hyper::header::{CONTENT_LENGTH, HeaderMap, HeaderName, HeaderValue, TRANSFER_ENCODING};
+use teaselglade_net::client::is_final_status;
 
 const HEAD_END: &[u8] = b"\r\n\r\n";
 const LINE_END: &[u8] = b"\r\n";
@@ -148,7 +149,10 @@
     let head = std::str::from_utf8(head).ok()?;
     let mut lines = head.split("\r\n");
     let status_line = lines.next()?.strip_prefix("HTTP/1.")?;
-    let status = status_line.split(' ').nth(1)?.parse().ok()?;
+    let status: StatusCode = status_line.split(' ').nth(1)?.parse().ok()?;
+    if !status.is_informational() && !is_final_status(status) {
+        return None;
+    }
     let mut headers = HeaderMap::new();
     for line in lines {
         let (name, value) = line.split_once(':')?;
--- a/crates/teaselglade-host/tests/host/late_responses.rs
+++ b/crates/teaselglade-host/tests/host/late_responses.rs
@@ -43,6 +43,10 @@
     for extra in [
         "garbage\r\n\r\n",
         "HTTP/1.1 abc\r\n\r\n",
+        "HTTP/1.1 000 Odd\r\nContent-Length: 0\r\n\r\n",
+        "HTTP/1.1 700 Odd\r\nContent-Length: 0\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nOdd Header: 1\r\nContent-Length: 0\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nContent-Length : 0\r\n\r\n",
         "HTTP/1.1 200 OK\r\nno header\r\n\r\n",
         "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
         "HTTP/1.1 200 OK\r\nContent-Length: -1\r\n\r\n",
--- a/crates/teaselglade-net/src/client/mod.rs
+++ b/crates/teaselglade-net/src/client/mod.rs
@@ -2,9 +2,11 @@
 
 mod body_reader;
 mod call_error;
+mod final_status;
 mod http_client;
 
 pub use call_error::CallError;
+pub use final_status::is_final_status;
 pub use http_client::{HttpClient, HttpRequest, HttpResponse};
 
 /// Result of an HTTP call.
--- /dev/null
+++ b/crates/teaselglade-net/tests/client/invalid_responses.rs
@@ -0,0 +1,63 @@
+//! Responses that are no answer, whose calls may have been executed.
+
+use std::net::SocketAddr;
+
+use teaselglade_core::verdict::SendProgress;
+use teaselglade_net::client::{HttpClient, HttpRequest, HttpResponse, Result};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpListener;
+
+const BODY: &[u8] = b"0123456789abcdef";
+
+/// Starts a server that answers a call with these bytes and closes its connection.
+async fn start_server(response: Vec<u8>) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("an address");
+    tokio::spawn(async move {
+        let (mut stream, _) = listener.accept().await.expect("a connection");
+        let mut request = [0; 1_024];
+        let _length = stream.read(&mut request).await.expect("a request");
+        stream.write_all(&response).await.expect("sent");
+    });
+    address
+}
+
+/// Calls a server that responds with a status line, a header line and a body.
+async fn call(status_line: &str, line: &str) -> Result<HttpResponse> {
+    let head = format!("{status_line}\r\n{line}\r\n\r\n");
+    let address = start_server([head.as_bytes(), BODY].concat()).await;
+    HttpClient::default()
+        .call(HttpRequest::get(address, "/"))
+        .await
+}
+
+#[tokio::test]
+async fn a_response_without_a_final_status_fails_its_call() {
+    for status in ["000", "099", "101", "199", "600", "999", "0", "2000"] {
+        for framing in ["content-length: 16", "connection: close"] {
+            let called = call(&format!("HTTP/1.1 {status} Odd"), framing).await;
+            let error = called.expect_err(status);
+            assert_eq!(error.progress, SendProgress::MaybeSent, "{status}");
+        }
+    }
+    for status in [200, 299, 404, 503, 599] {
+        let called = call(&format!("HTTP/1.1 {status} Odd"), "content-length: 16").await;
+        let response = called.expect("a response");
+        assert_eq!((response.status, &*response.body), (status, BODY));
+    }
+}
+
+#[tokio::test]
+async fn a_response_with_an_invalid_header_fails_its_call() {
+    for line in [
+        "x odd: 1",
+        "x-odd : 1",
+        " x-odd: 1",
+        "x\u{1}odd: 1",
+        "x-odd",
+    ] {
+        let line = format!("{line}\r\ncontent-length: 16");
+        let error = call("HTTP/1.1 200 OK", &line).await.expect_err(&line);
+        assert_eq!(error.progress, SendProgress::MaybeSent, "{line}");
+    }
+}
--- /dev/null
+++ b/crates/teaselglade-net/tests/client/main.rs
@@ -0,0 +1,3 @@
+//! Tests of the HTTP client.
+
+mod invalid_responses;
