fix(host-list): an entry that names no host is passed over alone

Callers saw: entry and control daemons kept their last list of hosts while one entry had an address, a role or a field that cannot be read; a daemon that started then knew no server.

Cause: HostListClient decoded the list as a whole, and one invalid address failed it too.

Change: entries are decoded one by one; the others hold. A response that is no list still fails the call.

--- a/crates/teaselglade-net/src/platform/host_list_client.rs
+++ b/crates/teaselglade-net/src/platform/host_list_client.rs
@@ -3,11 +3,14 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use log::debug;
+use serde::Deserialize;
+use serde_json::value::RawValue;
 use teaselglade_core::id::{HostIncarnation, HostName};
 use teaselglade_core::port::{AttemptError, HostListPort, ListedHost, ListedRole, PortFuture};
 use teaselglade_core::verdict::SendProgress;
 use teaselglade_wire::codec::from_json;
-use teaselglade_wire::{HostEntries, HostEntry, HostRole};
+use teaselglade_wire::{HostEntry, HostRole};
 
 use crate::client::{HttpClient, HttpRequest};
 
@@ -33,12 +36,23 @@
         if !response.is_success() {
             return Err(list_error(format!("status {}", response.status)));
         }
-        let entries = from_json::<HostEntries>(&response.body);
+        let entries = from_json::<RawEntries>(&response.body);
         let entries = entries.map_err(|error| list_error(error.to_string()))?;
-        entries.hosts.into_iter().map(listed_host).collect()
+        let hosts = entries.hosts.iter().filter_map(|raw| {
+            listed_host(raw)
+                .inspect_err(|error| debug!("passed over an entry of the host list: {error}"))
+                .ok()
+        });
+        Ok(hosts.collect())
     }
 }
 
+/// Host list whose entries are decoded one by one, as one of them may name no host.
+#[derive(Debug, Deserialize)]
+struct RawEntries {
+    hosts: Vec<Box<RawValue>>,
+}
+
 impl HostListPort for HostListClient {
     fn hosts(&self) -> PortFuture<'_, Result<Vec<ListedHost>, AttemptError>> {
         Box::pin(self.read_hosts())
@@ -49,7 +63,14 @@
     AttemptError::new(SendProgress::MaybeSent, detail)
 }
 
-fn listed_host(entry: HostEntry) -> Result<ListedHost, AttemptError> {
+/// Decodes an entry of the host list.
+///
+/// # Errors
+///
+/// Returns an error if the entry names no host to use.
+fn listed_host(raw: &RawValue) -> Result<ListedHost, AttemptError> {
+    let entry = from_json::<HostEntry>(raw.get().as_bytes());
+    let entry = entry.map_err(|error| list_error(error.to_string()))?;
     let address = entry.address.parse();
     let address = address.map_err(|_invalid| list_error(format!("address `{}`", entry.address)))?;
     let role = match entry.role {
--- a/crates/teaselglade-net/tests/client/invalid_responses.rs
+++ b/crates/teaselglade-net/tests/client/invalid_responses.rs
@@ -10,7 +10,7 @@
 const BODY: &[u8] = b"0123456789abcdef";
 
 /// Starts a server that answers a call with these bytes and closes its connection.
-async fn start_server(response: Vec<u8>) -> SocketAddr {
+pub async fn start_server(response: Vec<u8>) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
     let address = listener.local_addr().expect("an address");
     tokio::spawn(async move {
