fix(client): a response with a transfer coding that was not asked for fails its attempt

Callers saw: a body that was still coded (gzip, or chunks within chunks) as the server's whole body, without the header that said so.

Cause: requests ask for no coding, so the HTTP library undoes chunked alone; any other coding only makes the body end with its connection. Transfer-Encoding concerns one connection and is not forwarded.

Change: check_response_head also allows no coding but chunked, once. The attempt then counts as broken and may have run its request.

--- a/crates/teaselglade-host/src/upstream/connection_pool.rs
+++ b/crates/teaselglade-host/src/upstream/connection_pool.rs
@@ -14,7 +14,7 @@
 use hyper_util::rt::TokioIo;
 use teaselglade_core::id::ServerKey;
 use teaselglade_core::verdict::SendProgress;
-use teaselglade_net::client::is_final_status;
+use teaselglade_net::client::check_response_head;
 use tokio::net::TcpStream;
 use tokio::time::{Instant, timeout};
 
@@ -184,8 +184,8 @@
     ///
     /// # Errors
     ///
-    /// Fails if the connection breaks first, or the response's status does not answer the request;
-    /// the error says whether anything may have been sent.
+    /// Fails if the connection breaks first, or the head cannot answer the request; the error says
+    /// whether anything may have been sent.
     pub async fn send(&mut self, request: Request<Full<Bytes>>) -> Result<Response<Incoming>> {
         let Some(sender) = self.sender.as_mut() else {
             return Err(SendError::new(
@@ -205,10 +205,8 @@
             };
             SendError::new(progress, failed.error().to_string())
         })?;
-        if !is_final_status(response.status()) {
-            let detail = format!("status {} answers no request", response.status().as_u16());
-            return Err(SendError::new(SendProgress::MaybeSent, detail));
-        }
+        let checked = check_response_head(response.status(), response.headers());
+        checked.map_err(|detail| SendError::new(SendProgress::MaybeSent, detail))?;
         Ok(response)
     }
 
--- a/crates/teaselglade-net/src/client/http_client.rs
+++ b/crates/teaselglade-net/src/client/http_client.rs
@@ -17,7 +17,7 @@
 use tokio::time::timeout;
 
 use super::body_reader::BodyReader;
-use super::{CallError, Result, is_final_status};
+use super::{CallError, Result, check_response_head};
 
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 const IDLE_TIMEOUT: Duration = Duration::from_secs(20);
@@ -160,7 +160,7 @@
     ///
     /// # Errors
     ///
-    /// Fails if no response head arrives in time, or its status does not answer the request.
+    /// Fails if no response head arrives in time, or the head cannot answer the request.
     pub async fn send_streaming(&self, request: HttpRequest) -> Result<Response<Incoming>> {
         let head_timeout = request.head_timeout;
         let request = request.into_hyper_request()?;
@@ -170,11 +170,11 @@
             .unwrap_or_else(PoisonError::into_inner)
             .clone();
         match timeout(head_timeout, client.request(request)).await {
-            Ok(Ok(response)) if is_final_status(response.status()) => Ok(response),
-            Ok(Ok(response)) => Err(CallError::new(
-                SendProgress::MaybeSent,
-                format!("status {} answers no request", response.status().as_u16()),
-            )),
+            Ok(Ok(response)) => {
+                let checked = check_response_head(response.status(), response.headers());
+                checked.map_err(|detail| CallError::new(SendProgress::MaybeSent, detail))?;
+                Ok(response)
+            }
             Ok(Err(error)) => Err(CallError::new(
                 send_progress(&error),
                 error_chain_text(&error),
--- a/crates/teaselglade-net/src/client/mod.rs
+++ b/crates/teaselglade-net/src/client/mod.rs
@@ -2,12 +2,12 @@
 
 mod body_reader;
 mod call_error;
-mod final_status;
 mod http_client;
+mod response_head;
 
 pub use call_error::CallError;
-pub use final_status::is_final_status;
 pub use http_client::{HttpClient, HttpRequest, HttpResponse};
+pub use response_head::{check_response_head, is_final_status};
 
 /// Result of an HTTP call.
 pub type Result<T> = std::result::Result<T, CallError>;
--- a/crates/teaselglade-net/tests/client/invalid_responses.rs
+++ b/crates/teaselglade-net/tests/client/invalid_responses.rs
@@ -61,3 +61,19 @@
         assert_eq!(error.progress, SendProgress::MaybeSent, "{line}");
     }
 }
+
+#[tokio::test]
+async fn a_response_with_another_transfer_coding_than_chunked_fails_its_call() {
+    let repeated = "chunked\r\ntransfer-encoding: chunked";
+    for coding in [
+        "gzip",
+        "gzip, chunked",
+        "chunked, chunked",
+        "xchunked",
+        repeated,
+    ] {
+        let line = format!("transfer-encoding: {coding}");
+        let error = call("HTTP/1.1 200 OK", &line).await.expect_err(coding);
+        assert_eq!(error.progress, SendProgress::MaybeSent, "{coding}");
+    }
+}
