--- a/crates/teaselglade-net/tests/client/invalid_responses.rs
+++ b/crates/teaselglade-net/tests/client/invalid_responses.rs
@@ -8,6 +8,8 @@
 use tokio::net::TcpListener;
 
 const BODY: &[u8] = b"0123456789abcdef";
+/// Length of an upload, far more than sockets hold.
+const UPLOAD_BYTES: usize = 24 * 1024 * 1024;
 
 /// Starts a server that answers a call with these bytes and closes its connection.
 pub async fn start_server(response: Vec<u8>) -> SocketAddr {
@@ -77,3 +79,38 @@
         assert_eq!(error.progress, SendProgress::MaybeSent, "{coding}");
     }
 }
+
+/// Either the write of the upload or the read of the response gets the error of a reset.
+#[tokio::test]
+async fn a_response_that_is_reset_beside_an_upload_fails_its_call() {
+    for read_bytes in [0, 1, 100_000, UPLOAD_BYTES / 8, UPLOAD_BYTES / 2] {
+        for round in 0..4 {
+            let address = start_resetting_server(read_bytes).await;
+            let request = HttpRequest::post(address, "/", vec![b'u'; UPLOAD_BYTES]);
+            let error = HttpClient::default().call(request).await;
+            let error = error.expect_err("a cut response");
+            let case = format!("round {round}, reset after {read_bytes} bytes");
+            assert_eq!(error.progress, SendProgress::MaybeSent, "{case}");
+        }
+    }
+}
+
+/// Starts a server that responds at once, without a length, and resets the connection.
+///
+/// It reads this many bytes of the request before the reset.
+async fn start_resetting_server(read_bytes: usize) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("an address");
+    tokio::spawn(async move {
+        let (mut stream, _) = listener.accept().await.expect("a connection");
+        let response = [b"HTTP/1.1 200 OK\r\n\r\n", BODY].concat();
+        let mut buffer = vec![0; 64 * 1024];
+        let mut read = stream.read(&mut buffer).await.expect("a request");
+        stream.write_all(&response).await.expect("sent");
+        while read < read_bytes {
+            read += stream.read(&mut buffer).await.expect("an upload");
+        }
+        stream.set_zero_linger().expect("an option");
+    });
+    address
+}
