--- a/crates/teaselglade-host/src/upstream/connection_pool.rs
+++ b/crates/teaselglade-host/src/upstream/connection_pool.rs
@@ -206,7 +206,7 @@
             SendError::new(progress, failed.error().to_string())
         })?;
         let checked = check_response_head(response.status(), response.headers());
-        checked.map_err(|detail| SendError::new(SendProgress::MaybeSent, detail))?;
+        checked.map_err(|error| SendError::new(error.progress, error.detail))?;
         Ok(response)
     }
 
--- a/crates/teaselglade-net/src/client/http_client.rs
+++ b/crates/teaselglade-net/src/client/http_client.rs
@@ -171,8 +171,7 @@
             .clone();
         match timeout(head_timeout, client.request(request)).await {
             Ok(Ok(response)) => {
-                let checked = check_response_head(response.status(), response.headers());
-                checked.map_err(|detail| CallError::new(SendProgress::MaybeSent, detail))?;
+                check_response_head(response.status(), response.headers())?;
                 Ok(response)
             }
             Ok(Err(error)) => Err(CallError::new(
--- a/crates/teaselglade-net/src/client/response_head.rs
+++ b/crates/teaselglade-net/src/client/response_head.rs
@@ -2,6 +2,9 @@
 
 use hyper::StatusCode;
 use hyper::header::{HeaderMap, TRANSFER_ENCODING};
+use teaselglade_core::verdict::SendProgress;
+
+use super::{CallError, Result};
 
 const CHUNKED: &[u8] = b"chunked";
 
@@ -28,8 +31,8 @@
 ///
 /// # Errors
 ///
-/// Returns a description of the fault: a status that answers no request, or a transfer coding beside
-/// `chunked`, which would remain on the body.
+/// Fails for a status that answers no request, and for a transfer coding beside `chunked`, which would
+/// remain on the body. The request was sent and may have been executed.
 ///
 /// # Examples
 ///
@@ -43,17 +46,18 @@
 /// headers.insert("transfer-encoding", HeaderValue::from_static("gzip, chunked"));
 /// assert!(check_response_head(StatusCode::OK, &headers).is_err());
 /// ```
-pub fn check_response_head(status: StatusCode, headers: &HeaderMap) -> Result<(), String> {
+pub fn check_response_head(status: StatusCode, headers: &HeaderMap) -> Result<()> {
+    let fault = |detail| Err(CallError::new(SendProgress::MaybeSent, detail));
     if !is_final_status(status) {
         let status = status.as_u16();
-        return Err(format!("status {status}; expected 200 to 599"));
+        return fault(format!("status {status}; expected 200 to 599"));
     }
     let mut codings = headers.get_all(TRANSFER_ENCODING).iter();
     match (codings.next(), codings.next()) {
         (None, _) => Ok(()),
         (Some(coding), None) if coding.as_bytes().eq_ignore_ascii_case(CHUNKED) => Ok(()),
-        (Some(coding), _) => Err(format!(
-            "transfer coding {coding:?}; expected `chunked` once or none"
+        (Some(coding), _) => fault(format!(
+            "transfer coding {coding:?}; expected none or `chunked` once"
         )),
     }
 }
