fix(relay): a failure of a request that ran never promises that it did not

Cause: a server that fails a request with 408, 429 or 503 and does not state "not run" has run it, or may have. The header decided whether an attempt may be repeated, but the response was forwarded with its status, on plain routes (`handle_result`) and on streams (`forward_error`).

Change: such a response fails its attempt and is not forwarded. A call that may be repeated goes to another server; any other gets the host's own 502, without stamp and Retry-After. Refusals that may have run get 502 for each of these statuses, not for 503 alone.

The entry daemon states "not run" in the field `verdict` of its refusals, never by a server's status.

--- a/crates/teaselglade-host/src/relay/plain_relay.rs
+++ b/crates/teaselglade-host/src/relay/plain_relay.rs
@@ -19,8 +19,9 @@
 use tokio::time::{sleep, timeout};
 
 use super::call_context::{CallContext, next_step_name};
+use super::refusal_response::promises_not_run;
 use super::response_body::full_body;
-use super::server_call::{FailedCall, SendTerms, call_server};
+use super::server_call::{FailedCall, SendTerms, call_server, unstated_refusal};
 use super::server_check::check_server;
 use super::server_turn::ServerTurn;
 use super::{CallerResponse, Result};
@@ -391,12 +392,15 @@
                     decisions.record_answer(now, server, context.subjects());
                 }
                 drop(decisions);
-                if is_healthy || !context.route.retry_policy.allows_retry() {
+                if promises_not_run(response.status) {
+                    unstated_refusal(response.status)
+                } else if is_healthy || !context.route.retry_policy.allows_retry() {
                     return Ok(Some(self.forward_response(server, response)));
+                } else {
+                    let detail = format!("answered {}", response.status.as_u16());
+                    self.error_response = Some((server, response));
+                    FailedCall::new(AttemptOutcome::Failed, detail)
                 }
-                let detail = format!("answered {}", response.status.as_u16());
-                self.error_response = Some((server, response));
-                FailedCall::new(AttemptOutcome::Failed, detail)
             }
             Err(failed) => {
                 self.record_failure(server, &failed);
--- a/crates/teaselglade-host/src/relay/refusal_response.rs
+++ b/crates/teaselglade-host/src/relay/refusal_response.rs
@@ -56,7 +56,18 @@
     headers.insert(CONNECTION, HeaderValue::from_static("close"));
 }
 
-/// Returns the status code of a refusal; 429 and 503 promise that the request did not run.
+/// Returns whether callers take a status for the promise that the request did not run.
+pub(super) const fn promises_not_run(status: StatusCode) -> bool {
+    matches!(
+        status,
+        StatusCode::REQUEST_TIMEOUT
+            | StatusCode::MISDIRECTED_REQUEST
+            | StatusCode::TOO_MANY_REQUESTS
+            | StatusCode::SERVICE_UNAVAILABLE
+    )
+}
+
+/// Returns the status code of a refusal; none of a request that may have run is a promise.
 fn status_of(refusal: &RequestRefusal) -> StatusCode {
     let not_run = refusal.verdict == ExecutionVerdict::NotRun;
     match refusal.reason {
@@ -64,9 +75,14 @@
         RefusalReason::AttemptFailed | RefusalReason::DeadlineExceeded if not_run => {
             StatusCode::SERVICE_UNAVAILABLE
         }
-        reason if !not_run && reason.status() == 503 => StatusCode::BAD_GATEWAY,
         reason => {
-            StatusCode::from_u16(reason.status()).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR)
+            let status = StatusCode::from_u16(reason.status());
+            let status = status.unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+            if !not_run && promises_not_run(status) {
+                StatusCode::BAD_GATEWAY
+            } else {
+                status
+            }
         }
     }
 }
--- a/crates/teaselglade-host/src/relay/server_call.rs
+++ b/crates/teaselglade-host/src/relay/server_call.rs
@@ -52,6 +52,15 @@
     }
 }
 
+/// Returns the failure of an attempt whose server refused it without stating that it did not run.
+///
+/// The response itself is not forwarded, as callers take its status for that statement.
+pub(super) fn unstated_refusal(status: StatusCode) -> FailedCall {
+    let status = status.as_u16();
+    let detail = format!("answered {status} without stating that the request did not run");
+    FailedCall::new(AttemptOutcome::Failed, detail)
+}
+
 /// Terms on which an attempt is sent.
 #[derive(Debug, Default)]
 pub(super) struct SendTerms {
--- a/crates/teaselglade-host/src/relay/stream_relay.rs
+++ b/crates/teaselglade-host/src/relay/stream_relay.rs
@@ -21,8 +21,9 @@
 use super::call_context::{CallContext, next_step_name};
 use super::engine_attempt::{AttemptStep, EngineAttempt};
 use super::plain_relay::final_refusal;
+use super::refusal_response::promises_not_run;
 use super::response_body::{AbortedResponse, ResponseBody, full_body};
-use super::server_call::{FailedCall, ServerResponse, reuse_after_body};
+use super::server_call::{FailedCall, ServerResponse, reuse_after_body, unstated_refusal};
 use super::server_check::check_server;
 use super::stream_reservation::{StreamAttempt, StreamReservation};
 use super::{CallerResponse, Result};
@@ -635,11 +636,27 @@
 }
 
 /// Forwards a server's error response to the caller.
+///
+/// # Errors
+///
+/// Returns a refusal if the response is not whole, or its status promises what its server did not
+/// state.
 async fn forward_error(
     context: &CallContext,
     server_id: &str,
     response: Box<ServerResponse>,
 ) -> Result<CallerResponse> {
+    if promises_not_run(response.status) {
+        let failed = unstated_refusal(response.status);
+        reuse_after_body(response.body, response.connection, response.headers);
+        let verdict = ExecutionVerdict::MayHaveRun;
+        context.record_attempt_end(
+            server_id,
+            &failed,
+            next_step_name(NextStep::GiveUp(verdict)),
+        );
+        return Err(final_refusal(context, verdict, &failed));
+    }
     let collected = Limited::new(response.body, MAX_ERROR_BODY_BYTES).collect();
     let time_left = context.time_left().max(MIN_ERROR_BODY_TIME);
     let body = match timeout(time_left, collected).await {
