fix(upstream): an idle timeout of any length leaves the response forwarded

Cause: `return_to_pool` added the seconds of a server's `Keep-Alive` to the present; a timeout of 2^63 - 1 seconds overflows the clock, and the panic ended the caller's connection. Streams and error responses end by the same call.

Change: an idle timeout counts as an hour at most.

--- a/crates/teaselglade-host/src/upstream/connection_pool.rs
+++ b/crates/teaselglade-host/src/upstream/connection_pool.rs
@@ -25,6 +25,8 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 /// Idle timeout of a server that sends none in `Keep-Alive`.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(4);
+/// Longest idle timeout that is used; a server may state any number of seconds.
+const MAX_IDLE_TIMEOUT: Duration = Duration::from_hours(1);
 /// Time before a server's idle timeout from which its idle connection is not reused.
 ///
 /// Covers the network delay and the precision of a timeout in whole seconds.
@@ -309,5 +311,6 @@
             .ok()
     });
     let idle_timeout = seconds.map_or(DEFAULT_IDLE_TIMEOUT, Duration::from_secs);
+    let idle_timeout = idle_timeout.min(MAX_IDLE_TIMEOUT);
     idle_timeout.saturating_sub(IDLE_TIMEOUT_MARGIN)
 }
