fix(upstream): a rest is heard behind an extra response of any length and pause

Cause: a response that does not match was recorded up to 16 KiB, and what follows it was awaited for 250 ms at most.

Change: the record scans what it has and drops bodies, so that only heads are held. Behind an unmatched response a plain call is read on until its deadline. A stream still is for 250 ms, as it goes on elsewhere meanwhile.

--- a/crates/teaselglade-host/src/relay/server_call.rs
+++ b/crates/teaselglade-host/src/relay/server_call.rs
@@ -12,6 +12,7 @@
 use teaselglade_core::time::Timestamp;
 use teaselglade_core::verdict::SendProgress;
 use teaselglade_routing::attempt::AttemptOutcome;
+use teaselglade_routing::table::ResponseKind;
 use tokio::time::timeout;
 
 use super::call_context::CallContext;
@@ -23,6 +24,13 @@
 const MAX_REJECTION_BYTES: usize = 64 * 1024;
 /// Maximum time to read a rejection's body.
 const MAX_REJECTION_TIME: Duration = Duration::from_secs(1);
+/// Longest time for which a response is read that crosses the end of its attempt.
+const CROSSING_TIME: Duration = Duration::from_millis(100);
+/// Longest time for which a stream's response is awaited behind an unmatched one.
+///
+/// The server may work on until the connection closes. The shortest bound on that is 400 ms, from
+/// when a stream goes on at another server.
+const UNMATCHED_STREAM_TIME: Duration = Duration::from_millis(250);
 /// Assumed number of hosts that share a server's connections while no peer is known.
 const INITIAL_HOST_COUNT: u32 = 8;
 
@@ -290,6 +298,10 @@
     let Some(late) = connection.await_late_response() else {
         return;
     };
+    let limit = match context.route.response_kind {
+        ResponseKind::Plain => context.time_left() + CROSSING_TIME,
+        ResponseKind::Stream => UNMATCHED_STREAM_TIME,
+    };
     let (host, attempt) = (Arc::clone(&context.host), context.id.clone());
     tokio::spawn(async move {
         let messages = &host.ports.messages;
@@ -297,7 +309,7 @@
             let head = messages.read_response(status, headers);
             status != StatusCode::MISDIRECTED_REQUEST && head.attempt.as_ref() == Some(&attempt)
         };
-        if let Some((status, headers)) = late.read(is_match).await {
+        if let Some((status, headers)) = late.read(limit, is_match).await {
             let advice = messages.read_response(status, &headers).advice;
             host.apply_advice(server, sent_at, advice);
         }
--- a/crates/teaselglade-host/src/upstream/connection_pool.rs
+++ b/crates/teaselglade-host/src/upstream/connection_pool.rs
@@ -219,9 +219,9 @@
         }
     }
 
-    /// Gives the connection up after a response that does not match its request.
+    /// Gives the connection up while no response to its request is accepted.
     ///
-    /// Returns `None` if the response was too long to find what follows it.
+    /// Returns `None` if no request was sent, or what was read could not be recorded.
     #[must_use]
     pub fn await_late_response(self) -> Option<LateResponse> {
         let Self { sender, lease, .. } = self;
--- a/crates/teaselglade-host/src/upstream/late_response.rs
+++ b/crates/teaselglade-host/src/upstream/late_response.rs
@@ -1,4 +1,4 @@
-//! Response that a server may send behind one that does not match its request.
+//! Response to a request that is no longer waited for.
 
 use std::time::Duration;
 
@@ -10,21 +10,15 @@
 
 use super::connection_pool::ConnectionLease;
 use super::recorded_stream::ReleasedStream;
-use super::response_scanner::ResponseScanner;
 
-/// Maximum number of bytes that are read for the response.
-const MAX_LATE_BYTES: usize = 64 * 1024;
-/// Maximum time for which the response is awaited.
-///
-/// The request moves meanwhile, and the server may work on for it until the connection closes; the
-/// shortest bound on that is 400 ms.
-const MAX_LATE_TIME: Duration = Duration::from_millis(250);
+/// Maximum number of bytes that are read for the response, as many as a whole response may have.
+const MAX_LATE_BYTES: usize = 16 * 1024 * 1024;
 /// Size of one read.
 const READ_BYTES: usize = 4 * 1024;
 
-/// Response that a server may send behind one that does not match its request.
+/// Response to a request that is no longer waited for.
 ///
-/// Its connection counts as leased until the response is read.
+/// The attempt was given up, or another response was read in its place. Its connection counts as leased until the response is read.
 #[derive(Debug)]
 pub struct LateResponse {
     released: oneshot::Receiver<ReleasedStream>,
@@ -44,13 +38,14 @@
 
     /// Reads on until the head of a response matches, and closes the connection.
     ///
-    /// Returns `None` if none matches within 250 ms and 64 KiB. The unmatched response has to be
+    /// Returns `None` if none matches within `limit` and 16 MiB. An unmatched response has to be
     /// dropped before, so that its connection ends.
     pub async fn read(
         self,
+        limit: Duration,
         is_match: impl Fn(StatusCode, &HeaderMap) -> bool,
     ) -> Option<(StatusCode, HeaderMap)> {
-        timeout(MAX_LATE_TIME, self.read_until(is_match))
+        timeout(limit, self.read_until(is_match))
             .await
             .ok()
             .flatten()
@@ -62,11 +57,9 @@
     ) -> Option<(StatusCode, HeaderMap)> {
         let ReleasedStream {
             mut stream,
-            recorded,
+            mut scanner,
         } = self.released.await.ok()?;
-        let mut scanner = ResponseScanner::default();
-        scanner.push(&recorded);
-        let mut read_bytes = recorded.len();
+        let mut read_bytes = 0;
         let mut buffer = [0; READ_BYTES];
         loop {
             while let Some((status, headers)) = scanner.next_head() {
--- a/crates/teaselglade-host/src/upstream/recorded_stream.rs
+++ b/crates/teaselglade-host/src/upstream/recorded_stream.rs
@@ -1,4 +1,4 @@
-//! Stream to a server that records what is read of a response.
+//! Stream to a server that records the heads of what is read.
 
 use std::io;
 use std::pin::Pin;
@@ -9,19 +9,23 @@
 use tokio::net::TcpStream;
 use tokio::sync::oneshot;
 
-/// Number of bytes of a response that are recorded; without all of them nothing can be read behind it.
-const MAX_RECORDED_BYTES: usize = 16 * 1024;
+use super::response_scanner::ResponseScanner;
 
-/// Stream that is no longer used by its connection, with what was read of the last response.
+/// Number of recorded bytes from which bodies are scanned and dropped.
+const SCAN_BYTES: usize = 16 * 1024;
+/// Longest head that is recorded; nothing is read behind a longer one.
+const MAX_HEAD_BYTES: usize = 64 * 1024;
+
+/// Stream that is no longer used by its connection, with the heads of what was read since a request.
 #[derive(Debug)]
 pub(super) struct ReleasedStream {
     pub(super) stream: TcpStream,
-    pub(super) recorded: Vec<u8>,
+    pub(super) scanner: ResponseScanner,
 }
 
 #[derive(Debug, Default)]
 struct StreamRecord {
-    bytes: Vec<u8>,
+    scanner: ResponseScanner,
     is_recording: bool,
     release: Option<oneshot::Sender<ReleasedStream>>,
     /// Stream of a connection that ended before its response was judged.
@@ -33,22 +37,21 @@
         if !self.is_recording {
             return;
         }
-        if self.bytes.len() + bytes.len() > MAX_RECORDED_BYTES {
+        self.scanner.push(bytes);
+        if self.scanner.unscanned_bytes() > SCAN_BYTES && self.scanner.compact() > MAX_HEAD_BYTES {
             self.stop();
-        } else {
-            self.bytes.extend_from_slice(bytes);
         }
     }
 
     /// Sends the stream to whoever reads on; it is closed if nobody does any more.
     fn hand_over(&mut self, release: oneshot::Sender<ReleasedStream>, stream: TcpStream) {
-        let recorded = std::mem::take(&mut self.bytes);
-        let _unclaimed = release.send(ReleasedStream { stream, recorded });
+        let scanner = std::mem::take(&mut self.scanner);
+        let _unclaimed = release.send(ReleasedStream { stream, scanner });
     }
 
     fn stop(&mut self) {
         self.is_recording = false;
-        self.bytes = Vec::new();
+        self.scanner = ResponseScanner::default();
         self.ended = None;
     }
 }
@@ -67,7 +70,7 @@
     /// Begins to record what is read from now on.
     pub(super) fn start(&self) {
         let mut record = self.lock();
-        record.bytes.clear();
+        record.scanner = ResponseScanner::default();
         record.is_recording = true;
     }
 
@@ -78,7 +81,7 @@
 
     /// Returns a receiver of the stream, which is sent when its connection drops it.
     ///
-    /// Returns `None` if not everything was recorded.
+    /// Returns `None` if nothing was sent, or what was read could not be recorded.
     pub(super) fn release(&self) -> Option<oneshot::Receiver<ReleasedStream>> {
         let mut record = self.lock();
         if !record.is_recording {
@@ -93,7 +96,7 @@
     }
 }
 
-/// Stream to a server that records what is read of a response.
+/// Stream to a server that records the heads of what is read until a response is accepted.
 #[derive(Debug)]
 pub(super) struct RecordedStream {
     /// Present until the stream is dropped.
--- a/crates/teaselglade-host/src/upstream/response_scanner.rs
+++ b/crates/teaselglade-host/src/upstream/response_scanner.rs
@@ -1,5 +1,7 @@
 //! Scans the heads of consecutive responses on one connection.
 
+use std::collections::VecDeque;
+
 use hyper::StatusCode;
 use hyper::header::{CONTENT_LENGTH, HeaderMap, HeaderName, HeaderValue, TRANSFER_ENCODING};
 use teaselglade_net::client::is_final_status;
@@ -53,6 +55,8 @@
 pub struct ResponseScanner {
     unread: Vec<u8>,
     state: ScanState,
+    /// Heads that were scanned and not returned yet.
+    scanned: VecDeque<(StatusCode, HeaderMap)>,
 }
 
 impl Default for ResponseScanner {
@@ -60,6 +64,7 @@
         Self {
             unread: Vec::new(),
             state: ScanState::Head,
+            scanned: VecDeque::new(),
         }
     }
 }
@@ -78,6 +83,28 @@
 
     /// Returns the status and the headers of the next response, if its head is complete.
     pub fn next_head(&mut self) -> Option<(StatusCode, HeaderMap)> {
+        self.scanned.pop_front().or_else(|| self.scan_head())
+    }
+
+    /// Scans what was appended, so that only heads and one incomplete part of a response are held.
+    ///
+    /// Returns the number of bytes of that part.
+    pub(super) fn compact(&mut self) -> usize {
+        while let Some(head) = self.scan_head() {
+            self.scanned.push_back(head);
+        }
+        if self.has_ended() {
+            self.unread.clear();
+        }
+        self.unread.len()
+    }
+
+    /// Returns the number of bytes that were appended and not scanned.
+    pub(super) const fn unscanned_bytes(&self) -> usize {
+        self.unread.len()
+    }
+
+    fn scan_head(&mut self) -> Option<(StatusCode, HeaderMap)> {
         loop {
             match self.state {
                 ScanState::Head => {
