--- a/crates/teaselglade-host/src/relay/call_context.rs
+++ b/crates/teaselglade-host/src/relay/call_context.rs
@@ -1,5 +1,6 @@
 //! State of one request while this host relays it.
 
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
@@ -58,6 +59,8 @@
     pub(super) deadline: Timestamp,
     /// Key among the open requests.
     pub(super) open_key: RequestKey,
+    /// Whether the caller gets an answer whatever attempts that are still open bring.
+    pub(super) is_decided: AtomicBool,
 }
 
 impl CallContext {
@@ -71,6 +74,16 @@
         (self.arrived_at + self.route.target).since(self.host.now())
     }
 
+    /// Records that the caller gets an answer whatever attempts that are still open bring.
+    pub(super) fn decide(&self) {
+        self.is_decided.store(true, Ordering::Relaxed);
+    }
+
+    /// Returns whether the caller's answer is decided; if not, an attempt that ends was left by it.
+    pub(super) fn is_decided(&self) -> bool {
+        self.is_decided.load(Ordering::Relaxed)
+    }
+
     /// Returns the time since the request arrived.
     pub(super) fn elapsed(&self) -> Duration {
         self.host.now().since(self.arrived_at)
--- a/crates/teaselglade-host/src/relay/call_handler.rs
+++ b/crates/teaselglade-host/src/relay/call_handler.rs
@@ -1,6 +1,7 @@
 //! Accepts callers' requests: matches the route, authenticates the caller and charges its quota.
 
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -222,6 +223,7 @@
         arrived_at: open.arrived_at,
         deadline,
         open_key: open.key,
+        is_decided: AtomicBool::new(false),
         host: Arc::clone(host),
     })
 }
--- a/crates/teaselglade-host/src/relay/plain_relay.rs
+++ b/crates/teaselglade-host/src/relay/plain_relay.rs
@@ -86,7 +86,9 @@
         error_response: None,
     };
     attempts.start().await?;
-    match timeout(context.time_left(), attempts.run()).await {
+    let result = timeout(context.time_left(), attempts.run()).await;
+    context.decide();
+    match result {
         Ok(result) => result,
         Err(_elapsed) => {
             if let Some((server, response)) = attempts.error_response.take() {
