--- a/crates/teaselglade-net/tests/client/invalid_responses.rs
+++ b/crates/teaselglade-net/tests/client/invalid_responses.rs
@@ -2,10 +2,11 @@
 
 use std::net::SocketAddr;
 
+use http_body_util::BodyExt;
 use teaselglade_core::verdict::SendProgress;
 use teaselglade_net::client::{HttpClient, HttpRequest, HttpResponse, Result};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpStream};
 
 const BODY: &[u8] = b"0123456789abcdef";
 /// Length of an upload, far more than sockets hold.
@@ -84,25 +85,89 @@
 #[tokio::test]
 async fn a_response_that_is_reset_beside_an_upload_fails_its_call() {
     for read_bytes in [0, 1, 100_000, UPLOAD_BYTES / 8, UPLOAD_BYTES / 2] {
-        for round in 0..4 {
-            let address = start_resetting_server(read_bytes).await;
-            let request = HttpRequest::post(address, "/", vec![b'u'; UPLOAD_BYTES]);
-            let error = HttpClient::default().call(request).await;
-            let error = error.expect_err("a cut response");
-            let case = format!("round {round}, reset after {read_bytes} bytes");
-            assert_eq!(error.progress, SendProgress::MaybeSent, "{case}");
+        for is_kept in [false, true] {
+            for round in 0..4 {
+                let case = format!("round {round}, {read_bytes} bytes, kept {is_kept}");
+                let address = start_resetting_server(read_bytes, is_kept).await;
+                let client = start_client(address, is_kept).await;
+                let request = HttpRequest::post(address, "/", vec![b'u'; UPLOAD_BYTES]);
+                let error = client.call(request).await.expect_err("a cut response");
+                assert_eq!(error.progress, SendProgress::MaybeSent, "{case}");
+            }
         }
     }
 }
 
-/// Starts a server that responds at once, without a length, and resets the connection.
+/// A response whose head has been returned must not end as if it were whole.
+#[tokio::test]
+async fn a_streamed_response_that_is_reset_beside_an_upload_ends_with_an_error() {
+    for read_bytes in [0, 1, 100_000, UPLOAD_BYTES / 8, UPLOAD_BYTES / 2] {
+        for is_kept in [false, true] {
+            for round in 0..4 {
+                let case = format!("round {round}, {read_bytes} bytes, kept {is_kept}");
+                let address = start_resetting_server(read_bytes, is_kept).await;
+                let client = start_client(address, is_kept).await;
+                let request = HttpRequest::post(address, "/", vec![b'u'; UPLOAD_BYTES]);
+                if let Ok(response) = client.send_streaming(request).await {
+                    let collected = response.into_body().collect().await;
+                    assert!(collected.is_err(), "{case}: {collected:?}");
+                }
+            }
+        }
+    }
+}
+
+#[tokio::test]
+async fn a_response_without_a_final_status_on_a_kept_connection_fails_its_call() {
+    for framing in ["content-length: 16", "connection: close"] {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let address = listener.local_addr().expect("an address");
+        tokio::spawn(async move {
+            let (mut stream, _) = listener.accept().await.expect("a connection");
+            answer_first(&mut stream).await;
+            let mut request = [0; 1_024];
+            let _length = stream.read(&mut request).await.expect("a request");
+            let head = format!("HTTP/1.1 000 Odd\r\n{framing}\r\n\r\n");
+            let response = [head.as_bytes(), BODY].concat();
+            stream.write_all(&response).await.expect("sent");
+        });
+        let client = start_client(address, true).await;
+        let called = client.call(HttpRequest::get(address, "/")).await;
+        let error = called.expect_err("no status");
+        assert_eq!(error.progress, SendProgress::MaybeSent, "{framing}");
+    }
+}
+
+/// Returns a client, which has a connection to the server if one is kept.
+async fn start_client(address: SocketAddr, is_kept: bool) -> HttpClient {
+    let client = HttpClient::default();
+    if is_kept {
+        let first = client.call(HttpRequest::get(address, "/")).await;
+        assert_eq!(first.expect("a response").status, 204);
+    }
+    client
+}
+
+/// Answers the first request of a connection, which is kept.
+async fn answer_first(stream: &mut TcpStream) {
+    let mut request = [0; 1_024];
+    let _length = stream.read(&mut request).await.expect("a request");
+    let response = b"HTTP/1.1 204 None\r\n\r\n";
+    stream.write_all(response).await.expect("sent");
+}
+
+/// Starts a server that responds at once, without a length, and resets its only connection.
 ///
-/// It reads this many bytes of the request before the reset.
-async fn start_resetting_server(read_bytes: usize) -> SocketAddr {
+/// It reads this many bytes of the request before the reset. If the connection is kept, it answers
+/// another request before.
+async fn start_resetting_server(read_bytes: usize, is_kept: bool) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
     let address = listener.local_addr().expect("an address");
     tokio::spawn(async move {
         let (mut stream, _) = listener.accept().await.expect("a connection");
+        if is_kept {
+            answer_first(&mut stream).await;
+        }
         let response = [b"HTTP/1.1 200 OK\r\n\r\n", BODY].concat();
         let mut buffer = vec![0; 64 * 1024];
         let mut read = stream.read(&mut buffer).await.expect("a request");
