--- a/crates/teaselglade-host/src/relay/call_context.rs
+++ b/crates/teaselglade-host/src/relay/call_context.rs
@@ -59,7 +59,7 @@
     pub(super) deadline: Timestamp,
     /// Key among the open requests.
     pub(super) open_key: RequestKey,
-    /// Whether the caller gets an answer whatever attempts that are still open bring.
+    /// Whether the answer to the caller no longer depends on open attempts.
     pub(super) is_decided: AtomicBool,
 }
 
@@ -74,12 +74,14 @@
         (self.arrived_at + self.route.target).since(self.host.now())
     }
 
-    /// Records that the caller gets an answer whatever attempts that are still open bring.
+    /// Records that the answer to the caller no longer depends on open attempts.
     pub(super) fn decide(&self) {
         self.is_decided.store(true, Ordering::Relaxed);
     }
 
-    /// Returns whether the caller's answer is decided; if not, an attempt that ends was left by it.
+    /// Returns whether the answer to the caller no longer depends on open attempts.
+    ///
+    /// Open attempts that are dropped before were left by the caller.
     pub(super) fn is_decided(&self) -> bool {
         self.is_decided.load(Ordering::Relaxed)
     }
--- a/crates/teaselglade-host/src/relay/mod.rs
+++ b/crates/teaselglade-host/src/relay/mod.rs
@@ -5,6 +5,7 @@
 mod engine_attempt;
 mod event_pace;
 mod header_filter;
+mod pending_response;
 mod plain_relay;
 mod refusal_response;
 mod response_body;
--- a/crates/teaselglade-host/src/relay/server_call.rs
+++ b/crates/teaselglade-host/src/relay/server_call.rs
@@ -1,6 +1,5 @@
 //! Sends a request to one server and validates the head of its response.
 
-use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -9,29 +8,20 @@
 use hyper::header::{HOST, HeaderMap, HeaderValue};
 use hyper::{Request, Response, StatusCode, Uri};
 use teaselglade_core::id::ServerKey;
-use teaselglade_core::time::Timestamp;
 use teaselglade_core::verdict::SendProgress;
 use teaselglade_routing::attempt::AttemptOutcome;
-use teaselglade_routing::table::ResponseKind;
-use tokio::runtime::Handle;
 use tokio::time::timeout;
 
 use super::call_context::CallContext;
+use super::pending_response::PendingResponse;
 use crate::permit::SendPermit;
 use crate::port::{ForwardedHead, ResponseHead};
-use crate::upstream::{ConnectionPool, LeasedConnection, SendError};
+use crate::upstream::{ConnectionPool, LeasedConnection};
 
 /// Maximum size of a rejection's body that is read to keep its connection.
 const MAX_REJECTION_BYTES: usize = 64 * 1024;
 /// Maximum time to read a rejection's body.
 const MAX_REJECTION_TIME: Duration = Duration::from_secs(1);
-/// Longest time for which a response is read that crosses the end of its attempt.
-///
-/// The server may work on until the connection closes. The shortest bound on that is 400 ms, from
-/// when a stream goes on at another server.
-const CROSSING_TIME: Duration = Duration::from_millis(100);
-/// Longest time for which a stream's response is awaited behind an unmatched one.
-const UNMATCHED_STREAM_TIME: Duration = Duration::from_millis(250);
 /// Assumed number of hosts that share a server's connections while no peer is known.
 const INITIAL_HOST_COUNT: u32 = 8;
 
@@ -162,14 +152,9 @@
         });
     }
     let request = outgoing_request(context, &server_id, terms.resume_after);
-    let mut sending = PendingResponse {
-        context,
-        server,
-        sent_at: host.now(),
-        connection: Some(connection),
-    };
+    let mut pending = PendingResponse::new(context, server, connection);
     set_used(&mut terms.permit, true);
-    let response = sending.send(request).await.map_err(|error| {
+    let response = pending.send(request).await.map_err(|error| {
         let is_unsent = error.progress == SendProgress::NotSent;
         set_used(&mut terms.permit, !is_unsent);
         let outcome = if is_unsent {
@@ -182,92 +167,13 @@
             call: FailedCall::new(outcome, error.detail),
         }
     })?;
-    let validated = validate_response(sending, response);
+    let validated = validate_response(pending, response);
     validated.map_err(|call| FailedSend {
         call,
         is_stale_connection: false,
     })
 }
 
-/// Request that was sent and whose response is not accepted yet.
-///
-/// When it is dropped, what the server still responds is read for what it says of itself. Nothing else
-/// of it is used: the attempt has ended.
-struct PendingResponse<'a> {
-    context: &'a CallContext,
-    server: ServerKey,
-    sent_at: Timestamp,
-    /// Present until the response is accepted.
-    connection: Option<LeasedConnection>,
-}
-
-impl PendingResponse<'_> {
-    /// Sends the request and waits for the head of a response.
-    ///
-    /// # Errors
-    ///
-    /// Fails like [`LeasedConnection::send`]; nothing is read late if nothing was sent.
-    async fn send(
-        &mut self,
-        request: Request<Full<Bytes>>,
-    ) -> Result<Response<Incoming>, SendError> {
-        let Some(connection) = &mut self.connection else {
-            let detail = "the connection is closed";
-            return Err(SendError::new(SendProgress::NotSent, detail));
-        };
-        let sent = connection.send(request).await;
-        if matches!(&sent, Err(error) if error.progress == SendProgress::NotSent) {
-            self.connection = None;
-        }
-        sent
-    }
-
-    /// Returns the connection, whose response belongs to the request.
-    fn accept(mut self) -> Option<LeasedConnection> {
-        let connection = self.connection.take()?;
-        connection.accept_response();
-        Some(connection)
-    }
-
-    /// Gives up waiting and reads the response in the background, for `limit` at most.
-    fn read_late(&mut self, limit: Duration) {
-        let late = self
-            .connection
-            .take()
-            .and_then(LeasedConnection::await_late_response);
-        // The runtime may be shutting down.
-        let (Some(late), Ok(runtime)) = (late, Handle::try_current()) else {
-            return;
-        };
-        let (host, attempt) = (Arc::clone(&self.context.host), self.context.id.clone());
-        let (server, sent_at) = (self.server, self.sent_at);
-        runtime.spawn(async move {
-            let messages = &host.ports.messages;
-            let is_match = |status, headers: &HeaderMap| {
-                let head = messages.read_response(status, headers);
-                status != StatusCode::MISDIRECTED_REQUEST && head.attempt.as_ref() == Some(&attempt)
-            };
-            if let Some((status, headers)) = late.read(limit, is_match).await {
-                let advice = messages.read_response(status, &headers).advice;
-                host.apply_advice(server, sent_at, advice);
-            }
-        });
-    }
-}
-
-impl Drop for PendingResponse<'_> {
-    fn drop(&mut self) {
-        let context = self.context;
-        // Servers may refuse a plain call until its deadline. They work on it meanwhile, which only a
-        // caller that still waits or has its answer allows.
-        let limit = match context.route.response_kind {
-            ResponseKind::Plain if context.is_decided() => context.time_left() + CROSSING_TIME,
-            _ => CROSSING_TIME,
-        };
-        self.read_late(limit);
-    }
-}
-
 /// Returns whether a subject of the request is quarantined by now.
 ///
 /// The verdict may fall while the attempt waits for a permit or a connection.
@@ -318,7 +224,7 @@
 /// Fails if the response does not name the attempt, comes from another server at the same address,
 /// says that the request did not run, or reports success without a server stamp.
 fn validate_response(
-    mut pending: PendingResponse<'_>,
+    pending: PendingResponse<'_>,
     response: Response<Incoming>,
 ) -> Result<ServerResponse, FailedCall> {
     let (context, server, sent_at) = (pending.context, pending.server, pending.sent_at);
@@ -332,10 +238,7 @@
     // Any other response may be an earlier one that the server wrote once more, also a refusal.
     if head.attempt.as_deref() != Some(context.id.as_str()) {
         drop(body);
-        pending.read_late(match context.route.response_kind {
-            ResponseKind::Plain => context.time_left() + CROSSING_TIME,
-            ResponseKind::Stream => UNMATCHED_STREAM_TIME,
-        });
+        pending.read_behind_unmatched();
         return broken(match head.attempt {
             Some(attempt) => format!("answer to {attempt}"),
             None => format!("{} without an attempt id", parts.status.as_u16()),
--- a/crates/teaselglade-host/src/upstream/connection_pool.rs
+++ b/crates/teaselglade-host/src/upstream/connection_pool.rs
@@ -221,7 +221,7 @@
 
     /// Gives the connection up while no response to its request is accepted.
     ///
-    /// Returns `None` if no request was sent, or what was read could not be recorded.
+    /// Returns `None` if no request was sent.
     #[must_use]
     pub fn await_late_response(self) -> Option<LateResponse> {
         let Self { sender, lease, .. } = self;
--- a/crates/teaselglade-host/src/upstream/late_response.rs
+++ b/crates/teaselglade-host/src/upstream/late_response.rs
@@ -11,14 +11,15 @@
 use super::connection_pool::ConnectionLease;
 use super::recorded_stream::ReleasedStream;
 
-/// Maximum number of bytes that are read for the response, as many as a whole response may have.
-const MAX_LATE_BYTES: usize = 16 * 1024 * 1024;
+/// Maximum number of bytes that are read for the response.
+const MAX_LATE_BYTES: usize = 1024 * 1024;
 /// Size of one read.
 const READ_BYTES: usize = 4 * 1024;
 
 /// Response to a request that is no longer waited for.
 ///
-/// The attempt was given up, or another response was read in its place. Its connection counts as leased until the response is read.
+/// The attempt was given up, or another response was read in its place. The connection counts as leased
+/// until the response is read.
 #[derive(Debug)]
 pub struct LateResponse {
     released: oneshot::Receiver<ReleasedStream>,
@@ -38,7 +39,7 @@
 
     /// Reads on until the head of a response matches, and closes the connection.
     ///
-    /// Returns `None` if none matches within `limit` and 16 MiB. An unmatched response has to be
+    /// Returns `None` if none matches within `limit` and 1 MiB. An unmatched response has to be
     /// dropped before, so that its connection ends.
     pub async fn read(
         self,
--- a/crates/teaselglade-host/src/upstream/recorded_stream.rs
+++ b/crates/teaselglade-host/src/upstream/recorded_stream.rs
@@ -13,8 +13,6 @@
 
 /// Number of recorded bytes from which bodies are scanned and dropped.
 const SCAN_BYTES: usize = 16 * 1024;
-/// Longest head that is recorded; nothing is read behind a longer one.
-const MAX_HEAD_BYTES: usize = 64 * 1024;
 
 /// Stream that is no longer used by its connection, with the heads of what was read since a request.
 #[derive(Debug)]
@@ -38,8 +36,8 @@
             return;
         }
         self.scanner.push(bytes);
-        if self.scanner.unscanned_bytes() > SCAN_BYTES && self.scanner.compact() > MAX_HEAD_BYTES {
-            self.stop();
+        if self.scanner.unscanned_bytes() > SCAN_BYTES {
+            self.scanner.compact();
         }
     }
 
@@ -81,7 +79,7 @@
 
     /// Returns a receiver of the stream, which is sent when its connection drops it.
     ///
-    /// Returns `None` if nothing was sent, or what was read could not be recorded.
+    /// Returns `None` if nothing was recorded since a request, as none was sent.
     pub(super) fn release(&self) -> Option<oneshot::Receiver<ReleasedStream>> {
         let mut record = self.lock();
         if !record.is_recording {
--- a/crates/teaselglade-host/src/upstream/response_scanner.rs
+++ b/crates/teaselglade-host/src/upstream/response_scanner.rs
@@ -8,6 +8,8 @@
 
 const HEAD_END: &[u8] = b"\r\n\r\n";
 const LINE_END: &[u8] = b"\r\n";
+/// Longest head of a response, or line of a chunk's size, that is scanned.
+const MAX_HEAD_BYTES: usize = 64 * 1024;
 
 /// How the body of a response ends.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -86,17 +88,14 @@
         self.scanned.pop_front().or_else(|| self.scan_head())
     }
 
-    /// Scans what was appended, so that only heads and one incomplete part of a response are held.
-    ///
-    /// Returns the number of bytes of that part.
-    pub(super) fn compact(&mut self) -> usize {
+    /// Scans what was appended, so that only heads and one incomplete line or head are held.
+    pub(super) fn compact(&mut self) {
         while let Some(head) = self.scan_head() {
             self.scanned.push_back(head);
         }
         if self.has_ended() {
             self.unread.clear();
         }
-        self.unread.len()
     }
 
     /// Returns the number of bytes that were appended and not scanned.
@@ -153,12 +152,15 @@
         }
     }
 
-    /// Takes the bytes up to a mark, without it.
+    /// Takes the bytes up to a mark, without it; ends the scan if there is none for too long.
     fn take_until(&mut self, mark: &[u8]) -> Option<Vec<u8>> {
-        let length = self
-            .unread
-            .windows(mark.len())
-            .position(|window| window == mark)?;
+        let mut windows = self.unread.windows(mark.len());
+        let Some(length) = windows.position(|window| window == mark) else {
+            if self.unread.len() > MAX_HEAD_BYTES {
+                self.state = ScanState::Ended;
+            }
+            return None;
+        };
         let taken = self.unread[..length].to_vec();
         self.unread.drain(..length + mark.len());
         Some(taken)
--- a/crates/teaselglade-host/tests/host/late_responses.rs
+++ b/crates/teaselglade-host/tests/host/late_responses.rs
@@ -74,3 +74,22 @@
         }
     }
 }
+
+/// Guards against time spent on a server that writes a head without an end.
+#[test]
+fn a_head_or_a_line_without_an_end_ends_the_scan() {
+    for start in [
+        "HTTP/1.1 200 OK\r\nX-Odd: ",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+    ] {
+        let mut scanner = ResponseScanner::default();
+        scanner.push(start.as_bytes());
+        let mut parts = 0;
+        while !scanner.has_ended() {
+            scanner.push(&[b'1'; 4_096]);
+            let _head_of_the_chunks = scanner.next_head();
+            parts += 1;
+            assert!(parts <= 17, "{start:?}");
+        }
+    }
+}
