--- a/crates/teaselglade-net/tests/client/invalid_responses.rs
+++ b/crates/teaselglade-net/tests/client/invalid_responses.rs
@@ -81,19 +81,18 @@
     }
 }
 
+/// Bytes of an upload after which its connection is reset.
+const RESET_AFTER: [usize; 5] = [0, 1, 100_000, UPLOAD_BYTES / 8, UPLOAD_BYTES / 2];
+
 /// Either the write of the upload or the read of the response gets the error of a reset.
 #[tokio::test]
 async fn a_response_that_is_reset_beside_an_upload_fails_its_call() {
-    for read_bytes in [0, 1, 100_000, UPLOAD_BYTES / 8, UPLOAD_BYTES / 2] {
-        for is_kept in [false, true] {
-            for round in 0..4 {
-                let case = format!("round {round}, {read_bytes} bytes, kept {is_kept}");
-                let address = start_resetting_server(read_bytes, is_kept).await;
-                let client = start_client(address, is_kept).await;
-                let request = HttpRequest::post(address, "/", vec![b'u'; UPLOAD_BYTES]);
-                let error = client.call(request).await.expect_err("a cut response");
-                assert_eq!(error.progress, SendProgress::MaybeSent, "{case}");
-            }
+    for read_bytes in RESET_AFTER {
+        for is_kept in [false, true].repeat(4) {
+            let (client, upload) = start_upload(read_bytes, is_kept).await;
+            let error = client.call(upload).await.expect_err("a cut response");
+            let case = format!("{read_bytes} bytes, kept {is_kept}");
+            assert_eq!(error.progress, SendProgress::MaybeSent, "{case}");
         }
     }
 }
@@ -101,22 +100,26 @@
 /// A response whose head has been returned must not end as if it were whole.
 #[tokio::test]
 async fn a_streamed_response_that_is_reset_beside_an_upload_ends_with_an_error() {
-    for read_bytes in [0, 1, 100_000, UPLOAD_BYTES / 8, UPLOAD_BYTES / 2] {
-        for is_kept in [false, true] {
-            for round in 0..4 {
-                let case = format!("round {round}, {read_bytes} bytes, kept {is_kept}");
-                let address = start_resetting_server(read_bytes, is_kept).await;
-                let client = start_client(address, is_kept).await;
-                let request = HttpRequest::post(address, "/", vec![b'u'; UPLOAD_BYTES]);
-                if let Ok(response) = client.send_streaming(request).await {
-                    let collected = response.into_body().collect().await;
-                    assert!(collected.is_err(), "{case}: {collected:?}");
-                }
+    for read_bytes in RESET_AFTER {
+        for is_kept in [false, true].repeat(4) {
+            let (client, upload) = start_upload(read_bytes, is_kept).await;
+            if let Ok(response) = client.send_streaming(upload).await {
+                let collected = response.into_body().collect().await;
+                let case = format!("{read_bytes} bytes, kept {is_kept}");
+                assert!(collected.is_err(), "{case}: {collected:?}");
             }
         }
     }
 }
 
+/// Starts a server that resets its connection; returns a client and an upload to the server.
+async fn start_upload(read_bytes: usize, is_kept: bool) -> (HttpClient, HttpRequest) {
+    let address = start_resetting_server(read_bytes, is_kept).await;
+    let client = start_client(address, is_kept).await;
+    let upload = HttpRequest::post(address, "/", vec![b'u'; UPLOAD_BYTES]);
+    (client, upload)
+}
+
 #[tokio::test]
 async fn a_response_without_a_final_status_on_a_kept_connection_fails_its_call() {
     for framing in ["content-length: 16", "connection: close"] {
