--- a/crates/teaselglade-host/src/relay/pending_response.rs
+++ b/crates/teaselglade-host/src/relay/pending_response.rs
@@ -17,6 +17,10 @@
 use super::call_context::CallContext;
 use crate::upstream::{LeasedConnection, SendError};
 
+/// Longest time for which the response to a plain call is awaited after its attempt.
+///
+/// Otherwise servers that hang would hold connections for as long as callers may wait.
+const MAX_PLAIN_TIME: Duration = Duration::from_secs(5);
 /// Longest time for which a response is read that crosses the end of its attempt.
 ///
 /// The server may work until the connection closes. The shortest bound on that is 400 ms, from when a
@@ -94,7 +98,7 @@
 
     /// Returns the time in which a server may respond to a plain call.
     fn plain_limit(&self) -> Duration {
-        self.context.time_left() + CROSSING_TIME
+        (self.context.time_left() + CROSSING_TIME).min(MAX_PLAIN_TIME)
     }
 
     /// Reads the response in the background, for `limit` at most.
