fix(table): a target that no duration holds is a fault of its row

Evidence: check_names_durations_that_are_too_long failed before ("cannot convert float seconds to Duration") and passes now.

--- a/crates/teaselglade-core/src/table/table_parser.rs
+++ b/crates/teaselglade-core/src/table/table_parser.rs
@@ -32,6 +32,8 @@
 const DEFAULT_WEIGHT: f64 = 1.0;
 const DEFAULT_COST_WEIGHT: f64 = 0.5;
 const LIST_SEPARATOR: char = ';';
+/// Longest target of a service; clocks cannot add just any duration.
+const MAX_TARGET: Duration = Duration::from_hours(30 * 24);
 
 /// Parses a table from comma-separated values and collects all its faults.
 ///
@@ -271,8 +273,13 @@
     }
 
     fn parse_millis(&mut self, fields: &RowFields<'_>, column: &str) -> Option<Duration> {
-        let millis = self.parse_positive(fields, column)?;
-        Some(Duration::from_secs_f64(millis / 1_000.0))
+        let seconds = self.parse_positive(fields, column)? / 1_000.0;
+        if seconds > MAX_TARGET.as_secs_f64() {
+            let field = fields.get(column).unwrap_or_default();
+            self.record_fault(fields.row, column, format!("`{field}` is over 30 days"));
+            return None;
+        }
+        Some(Duration::from_secs_f64(seconds))
     }
 
     fn parse_flag(&mut self, fields: &RowFields<'_>, column: &str) -> Option<bool> {
--- a/crates/teaselglade/tests/tool/table_commands.rs
+++ b/crates/teaselglade/tests/tool/table_commands.rs
@@ -32,6 +32,19 @@
     insta::assert_snapshot!(run.snapshot(&folder.path().display().to_string()));
 }
 
+/// Guards against programs that end on a table whose durations no clock holds.
+#[test]
+fn check_names_durations_that_are_too_long() {
+    let folder = TempDir::new().expect("a folder");
+    let table = "kind,name,first_token_ms,token_gap_ms\n\
+                 model,draft-fleet,2592000000,40\n\
+                 model,quote-fleet,2592000001,1e22\n\
+                 plain,ticket-desk,1e300,\n";
+    let file = write_file(&folder, "table.csv", table);
+    let run = ToolRun::tool(&["table", "check", &file]);
+    insta::assert_snapshot!(run.snapshot(&folder.path().display().to_string()));
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn concurrent_publications_have_one_winner_and_a_clear_rejection() {
     let plan = FleetPlan {
