--- a/review/lab3.py
+++ b/review/lab3.py
@@ -3,9 +3,11 @@
 Standard library only. All addresses are loopback addresses; everything runs on the real clock.
 """
 import asyncio, base64, json, os, random, shutil, signal, socket, struct, subprocess, sys, tempfile, time
+import urllib.parse
 
 ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
 PROGRAM = os.path.join(ROOT, 'target', 'release', 'teaselglade-host')
+PAGE_ITEMS, PAGE_BYTES = 500, 1 << 20  # a page of a listing holds "at most 500 or 1 MB"
 REASONS = {200: 'OK', 409: 'Conflict', 410: 'Gone', 412: 'Precondition Failed', 421: 'Misdirected Request',
            429: 'Too Many Requests', 500: 'Internal Server Error', 503: 'Service Unavailable', 404: 'Not Found'}
 
@@ -128,15 +130,15 @@
         return offset, topic['first'] + len(topic['records'])
 
     def put(self, name, key, value):
-        """Writes a record of a keyed topic as an operator or a server does."""
-        raw = key.encode()
-        data = b'' if value is None else json.dumps(value).encode()
+        """Writes a record of a keyed topic as an operator or a server does; key and value may be bytes."""
+        raw = key if isinstance(key, bytes) else key.encode()
+        data = b'' if value is None else value if isinstance(value, bytes) else json.dumps(value).encode()
         return self.append(name, [bytes([len(raw)]) + raw + data])
 
     def newest(self, name):
         topic, items = self.topic(name), {}
         for number, payload in enumerate(topic['records'], topic['first']):
-            key = payload[1:1 + payload[0]].decode('utf-8', 'replace')
+            key = payload[1:1 + payload[0]]
             value = payload[1 + payload[0]:]
             if value:
                 items[key] = (number, value)
@@ -225,15 +227,20 @@
             return reply(200, b''.join(out))
         if path == '/-/log-newest':
             items = sorted(self.newest(name).items())
-            after = args.get('after')
-            if after is not None:
+            if 'after' in args:
+                after = urllib.parse.unquote_to_bytes(args['after'])
                 items = [item for item in items if item[0] > after]
-            page = items[:500]
+            page, size = [], 0
+            for key, (number, value) in items[:PAGE_ITEMS]:
+                size += len(key) + len(value)
+                if page and size > PAGE_BYTES:
+                    break
+                # Bytes that are no text become the escapes that many encoders write.
+                page.append({'key': key.decode('utf-8', 'surrogateescape'),
+                             'value': base64.b64encode(value).decode(), 'offset': number})
             topic = self.topic(name)
-            return json_reply(200, {
-                'items': [{'key': key, 'value': base64.b64encode(value).decode(), 'offset': number}
-                          for key, (number, value) in page],
-                'has_more': len(items) > 500, 'end_offset': topic['first'] + len(topic['records'])})
+            return json_reply(200, {'items': page, 'has_more': len(items) > len(page),
+                                    'end_offset': topic['first'] + len(topic['records'])})
         return reply(404)
 
     def cut(self, view):
